--- /dev/null
+++ b/comfreymill_batch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about batch work: placement, leases, quotas and evictions
--- /dev/null
+++ b/comfreymill_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for callers, executors and workers, and the benchmark command
--- /dev/null
+++ b/comfreymill_group/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log of a group of voters: agreement, log files and snapshots
--- /dev/null
+++ b/comfreymill_http/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP/1.1 server and client with limits, over monoio
--- /dev/null
+++ b/comfreymill_node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Processes of comfreymill: control, entry and the client of the command line
--- /dev/null
+++ b/comfreymill_route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about prompt requests: routing, admission, retries and outliers
--- /dev/null
+++ b/comfreymill_types/src/lib.rs
@@ -0,0 +1,1 @@
+//! Domain types of comfreymill: ids, sizes, times, errors and environment documents
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Binary of comfreymill.
+
+fn main() {}
