--- /dev/null
+++ b/comfreymill_types/src/id/mod.rs
@@ -0,0 +1,41 @@
+//! Names and numbers that identify things.
+//!
+//! A name is 1 to 63 lower-case letters, digits, dots, hyphens or underscores. A key is 1 to 255
+//! visible ASCII characters, since callers choose it.
+
+mod attempt_id;
+mod digest;
+mod incarnation;
+mod job_id;
+mod key;
+mod name;
+mod task_id;
+mod version;
+
+pub use attempt_id::{AttemptId, AttemptNumber};
+pub use digest::Digest;
+pub use incarnation::Incarnation;
+pub use job_id::JobId;
+pub use key::{IdempotencyKey, OperationId};
+pub use name::{
+    ClassName, ClusterName, EntryName, EnvironmentName, ExecutorName, RackName, RegionName,
+    ServiceName, TeamName, VoterName, WorkerName, ZoneName,
+};
+pub use task_id::TaskId;
+pub use version::Version;
+
+/// Text is not an id of the wanted kind.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("`{text}` is not a {kind}: {rule}")]
+pub struct ParseIdError {
+    kind: &'static str,
+    text: String,
+    rule: &'static str,
+}
+
+impl ParseIdError {
+    pub(crate) fn new(kind: &'static str, text: &str, rule: &'static str) -> Self {
+        let text = text.chars().take(80).collect();
+        Self { kind, text, rule }
+    }
+}
--- /dev/null
+++ b/comfreymill_types/src/id/task_id.rs
@@ -0,0 +1,65 @@
+use std::fmt;
+use std::str;
+
+use super::{JobId, ParseIdError};
+
+/// One task of a job, printed as `j17.3`.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct TaskId {
+    /// Job the task belongs to.
+    pub job: JobId,
+    /// Position in the job, from 0.
+    pub index: u32,
+}
+
+impl TaskId {
+    /// Task `index` of `job`.
+    pub const fn new(job: JobId, index: u32) -> Self {
+        Self { job, index }
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.job, self.index)
+    }
+}
+
+impl str::FromStr for TaskId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIdError> {
+        let error = || ParseIdError::new("task id", text, "write it as j17.3");
+        let (job, index) = text.split_once('.').ok_or_else(error)?;
+        let job = job.parse().map_err(|_| error())?;
+        let index = index.parse().map_err(|_| error())?;
+        Ok(Self { job, index })
+    }
+}
+
+impl TryFrom<String> for TaskId {
+    type Error = ParseIdError;
+
+    fn try_from(text: String) -> Result<Self, ParseIdError> {
+        text.parse()
+    }
+}
+
+impl From<TaskId> for String {
+    fn from(id: TaskId) -> Self {
+        id.to_string()
+    }
+}
--- /dev/null
+++ b/comfreymill_types/src/size/mod.rs
@@ -0,0 +1,9 @@
+//! Amounts of processors, memory and accelerators.
+
+mod byte_size;
+mod cores;
+mod resources;
+
+pub use byte_size::{ByteSize, ParseByteSizeError};
+pub use cores::{Cores, ParseCoresError};
+pub use resources::Resources;
--- /dev/null
+++ b/comfreymill_types/src/size/resources.rs
@@ -0,0 +1,84 @@
+use std::fmt;
+use std::ops;
+
+use super::{ByteSize, Cores};
+
+/// Processors, memory and accelerators that a VM has or a task needs.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, PartialEq, serde::Serialize, serde::Deserialize,
+)]
+#[serde(deny_unknown_fields, default)]
+pub struct Resources {
+    /// Processors.
+    pub cores: Cores,
+    /// Memory.
+    pub memory: ByteSize,
+    /// Whole accelerators.
+    pub accelerators: u32,
+}
+
+impl Resources {
+    /// Nothing at all.
+    pub const ZERO: Self =
+        Self { cores: Cores::from_millis(0), memory: ByteSize::new(0), accelerators: 0 };
+
+    /// Amounts from thousandths of a core, bytes and accelerators.
+    pub const fn new(core_millis: u64, memory_bytes: u64, accelerators: u32) -> Self {
+        Self {
+            cores: Cores::from_millis(core_millis),
+            memory: ByteSize::new(memory_bytes),
+            accelerators,
+        }
+    }
+
+    /// Whether each amount is within that of `room`.
+    pub fn fits_in(&self, room: &Self) -> bool {
+        self.cores <= room.cores
+            && self.memory <= room.memory
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Larger of both, amount by amount.
+    #[must_use]
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            cores: self.cores.max(other.cores),
+            memory: self.memory.max(other.memory),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// Difference, zero where `other` is larger.
+    #[must_use]
+    pub fn saturating_sub(&self, other: &Self) -> Self {
+        Self::new(
+            self.cores.as_millis().saturating_sub(other.cores.as_millis()),
+            self.memory.get().saturating_sub(other.memory.get()),
+            self.accelerators.saturating_sub(other.accelerators),
+        )
+    }
+}
+
+impl ops::Add for Resources {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self::new(
+            self.cores.as_millis().saturating_add(other.cores.as_millis()),
+            self.memory.get().saturating_add(other.memory.get()),
+            self.accelerators.saturating_add(other.accelerators),
+        )
+    }
+}
+
+impl ops::AddAssign for Resources {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl fmt::Display for Resources {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} cores, {}, {} accelerators", self.cores, self.memory, self.accelerators)
+    }
+}
--- /dev/null
+++ b/comfreymill_types/src/time/span.rs
@@ -0,0 +1,111 @@
+use std::fmt;
+use std::str;
+use std::time::Duration;
+
+/// Length of time that prints and parses with a unit, as `250ms` or `7.2s`.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct Span(Duration);
+
+/// Text is not a length of time.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("`{text}` is not a time: write a number with one of the units us, ms, s, m, h, as 250ms")]
+pub struct ParseSpanError {
+    text: String,
+}
+
+impl Span {
+    /// Span of `millis` milliseconds.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(Duration::from_millis(millis))
+    }
+
+    /// Span of `secs` seconds.
+    pub const fn from_secs(secs: u64) -> Self {
+        Self(Duration::from_secs(secs))
+    }
+
+    /// Span as the standard library's type.
+    pub const fn get_duration(self) -> Duration {
+        self.0
+    }
+}
+
+impl From<Duration> for Span {
+    fn from(span: Duration) -> Self {
+        Self(span)
+    }
+}
+
+impl From<Span> for Duration {
+    fn from(span: Span) -> Self {
+        span.0
+    }
+}
+
+impl From<Span> for String {
+    fn from(span: Span) -> Self {
+        span.to_string()
+    }
+}
+
+impl TryFrom<String> for Span {
+    type Error = ParseSpanError;
+
+    fn try_from(text: String) -> Result<Self, ParseSpanError> {
+        text.parse()
+    }
+}
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let micros = self.0.as_micros();
+        if micros.is_multiple_of(3_600_000_000) && micros > 0 {
+            write!(f, "{}h", micros / 3_600_000_000)
+        } else if micros.is_multiple_of(60_000_000) && micros > 0 {
+            write!(f, "{}m", micros / 60_000_000)
+        } else if micros.is_multiple_of(1_000_000) {
+            write!(f, "{}s", micros / 1_000_000)
+        } else if micros.is_multiple_of(1_000) {
+            write!(f, "{}ms", micros / 1_000)
+        } else {
+            write!(f, "{micros}us")
+        }
+    }
+}
+
+impl str::FromStr for Span {
+    type Err = ParseSpanError;
+
+    fn from_str(text: &str) -> Result<Self, ParseSpanError> {
+        let error = || ParseSpanError { text: text.to_owned() };
+        let split = text.find(|c: char| c.is_ascii_alphabetic()).ok_or_else(error)?;
+        let (number, unit) = text.split_at(split);
+        let micros_per_unit = match unit {
+            "us" => 1.0,
+            "ms" => 1e3,
+            "s" => 1e6,
+            "m" => 60e6,
+            "h" => 3_600e6,
+            _ => return Err(error()),
+        };
+        let number: f64 = number.parse().map_err(|_| error())?;
+        let micros = number * micros_per_unit;
+        if !micros.is_finite() || !(0.0..=1e18).contains(&micros) {
+            return Err(error());
+        }
+        Ok(Self(Duration::from_micros(micros.round() as u64)))
+    }
+}
