feat(batch): add the scheduler as a state machine

Cause: the leader needs all decisions on batch and standing tasks without I/O.

Change: events in, actions out; leases with a drift bound, incarnations, level-triggered answers to workers, quotas, fair share, ageing, claims for urgent tasks, quarantine with probes, parking, learned interference with throttle, checkpoint and eviction, three baselines as settings.

The property test found and the change mends: an attempt number skipped after a lost proposal; an answer to a heartbeat that was handled after a newer one starting an attempt twice (such heartbeats get no answer now, and answers carry the leader's term); a task that may run at most once run again because its end and its parking were two commits (the end now carries the parking); a parked task left parked when its worker came between proposal and commit; broken tasks with few allowed workers never parked.

--- /dev/null
+++ b/comfreymill_batch/src/catalog/learned.rs
@@ -0,0 +1,66 @@
+use std::time::Duration;
+
+use comfreymill_types::size;
+
+const RISE: f64 = 0.3;
+const FALL: f64 = 0.01;
+const MAX_RATIO: f64 = 4.0;
+const RUN_TIME_STEP: f64 = 0.1;
+
+/// What was learned of the tasks of one class.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Learned {
+    cores_ratio: f64,
+    memory_ratio: f64,
+    run_time: Option<Duration>,
+}
+
+impl Default for Learned {
+    fn default() -> Self {
+        Self { cores_ratio: 1.0, memory_ratio: 1.0, run_time: None }
+    }
+}
+
+impl Learned {
+    /// Takes in the measured use of one task.
+    pub(crate) fn observe_use(&mut self, declared: &size::Resources, used: &size::Resources) {
+        let cores = ratio(used.cores.as_millis(), declared.cores.as_millis());
+        let memory = ratio(used.memory.get(), declared.memory.get());
+        follow(&mut self.cores_ratio, cores);
+        follow(&mut self.memory_ratio, memory);
+    }
+
+    /// Takes in the run time of a finished attempt.
+    pub(crate) fn observe_run_time(&mut self, span: Duration) {
+        let old = self.run_time.unwrap_or(span).as_secs_f64();
+        let new = old + RUN_TIME_STEP * (span.as_secs_f64() - old);
+        self.run_time = Some(Duration::from_secs_f64(new));
+    }
+
+    /// Usual run time, once one attempt finished.
+    pub(crate) fn get_run_time(&self) -> Option<Duration> {
+        self.run_time
+    }
+
+    /// Size to reserve for a task: at least the declared one.
+    pub(crate) fn size(&self, declared: &size::Resources) -> size::Resources {
+        size::Resources::new(
+            grow(declared.cores.as_millis(), self.cores_ratio),
+            grow(declared.memory.get(), self.memory_ratio),
+            declared.accelerators,
+        )
+    }
+}
+
+fn ratio(used: u64, declared: u64) -> f64 {
+    if declared == 0 { 1.0 } else { (used as f64 / declared as f64).min(MAX_RATIO) }
+}
+
+fn follow(value: &mut f64, sample: f64) {
+    let step = if sample > *value { RISE } else { FALL };
+    *value += step * (sample - *value);
+}
+
+fn grow(declared: u64, ratio: f64) -> u64 {
+    (declared as f64 * ratio.max(1.0)).round() as u64
+}
--- /dev/null
+++ b/comfreymill_batch/src/catalog/mod.rs
@@ -0,0 +1,14 @@
+//! Teams and classes of the documents in force, with what was learned of them.
+
+#[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
+mod catalog;
+mod class_entry;
+mod index;
+mod learned;
+mod team_entry;
+
+pub(crate) use catalog::Catalog;
+pub(crate) use class_entry::{ClassEntry, ClassSpec};
+pub(crate) use index::{ClassIndex, TeamIndex};
+pub(crate) use learned::Learned;
+pub(crate) use team_entry::TeamEntry;
--- /dev/null
+++ b/comfreymill_batch/src/catalog/team_entry.rs
@@ -0,0 +1,32 @@
+use comfreymill_types::size;
+
+/// Team with what its tasks hold.
+#[derive(Clone, Debug)]
+pub(crate) struct TeamEntry {
+    pub(crate) quota: Option<size::Resources>,
+    pub(crate) share: u32,
+    pub(crate) used: size::Resources,
+}
+
+impl TeamEntry {
+    pub(crate) fn new() -> Self {
+        Self { quota: None, share: 1, used: size::Resources::ZERO }
+    }
+
+    /// Whether the quota allows `more`.
+    pub(crate) fn has_quota_for(&self, more: &size::Resources) -> bool {
+        self.quota.is_none_or(|quota| (self.used + *more).fits_in(&quota))
+    }
+
+    /// Largest part of the fleet that the team holds, by its weight in the fair share.
+    pub(crate) fn get_weighted_share(&self, fleet: &size::Resources) -> f64 {
+        let cores = part(self.used.cores.as_millis(), fleet.cores.as_millis());
+        let memory = part(self.used.memory.get(), fleet.memory.get());
+        let accelerators = part(self.used.accelerators.into(), fleet.accelerators.into());
+        cores.max(memory).max(accelerators) / f64::from(self.share.max(1))
+    }
+}
+
+fn part(used: u64, total: u64) -> f64 {
+    if total == 0 { 0.0 } else { used as f64 / total as f64 }
+}
--- /dev/null
+++ b/comfreymill_batch/src/decision/record.rs
@@ -0,0 +1,31 @@
+use std::fmt;
+
+use comfreymill_types::id;
+use comfreymill_types::time;
+
+use super::Verdict;
+
+/// One decision about a task, with its reason.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Record {
+    /// When, by the leader's clock.
+    pub at: time::Monotonic,
+    /// Task.
+    pub task: id::TaskId,
+    /// What was decided.
+    pub verdict: Verdict,
+    /// Why.
+    pub reason: String,
+    /// What would change the decision; empty if nothing would.
+    pub remedy: String,
+}
+
+impl fmt::Display for Record {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}: {}, since {}", self.at, self.task, self.verdict, self.reason)?;
+        if !self.remedy.is_empty() {
+            write!(f, "; would change with: {}", self.remedy)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/comfreymill_batch/src/fleet/fleet.rs
@@ -0,0 +1,218 @@
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use comfreymill_types::document;
+use comfreymill_types::id;
+use comfreymill_types::size;
+use comfreymill_types::time;
+
+use super::{Pool, Rng, Worker, WorkerIndex};
+
+/// Place that one rule accepts or refuses as a whole.
+type Place = (id::RegionName, id::ZoneName);
+
+/// Every worker, with an index of those that may be given tasks.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    workers: Vec<Worker>,
+    by_name: HashMap<id::WorkerName, WorkerIndex>,
+    pools: BTreeMap<Place, Pool>,
+    capacity: size::Resources,
+    /// Number of workers by what they have beside their executors.
+    shapes: BTreeMap<Place, HashMap<size::Resources, usize>>,
+}
+
+impl Fleet {
+    /// Index of a worker, which is added if it is new.
+    pub(crate) fn intern(
+        &mut self,
+        name: &id::WorkerName,
+        incarnation: id::Incarnation,
+        now: time::Monotonic,
+    ) -> WorkerIndex {
+        if let Some(index) = self.by_name.get(name) {
+            return *index;
+        }
+        let index = WorkerIndex(self.workers.len() as u32);
+        self.workers.push(Worker::new(name.clone(), incarnation, now));
+        self.by_name.insert(name.clone(), index);
+        index
+    }
+
+    pub(crate) fn find(&self, name: &id::WorkerName) -> Option<WorkerIndex> {
+        self.by_name.get(name).copied()
+    }
+
+    pub(crate) fn get(&self, index: WorkerIndex) -> &Worker {
+        &self.workers[index.0 as usize]
+    }
+
+    /// Worker to change; [`Self::refile`] must follow when its room may have changed.
+    pub(crate) fn get_mut(&mut self, index: WorkerIndex) -> &mut Worker {
+        &mut self.workers[index.0 as usize]
+    }
+
+    /// Every worker.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (WorkerIndex, &Worker)> {
+        self.workers.iter().enumerate().map(|(i, worker)| (WorkerIndex(i as u32), worker))
+    }
+
+    /// Sum of what the workers have.
+    pub(crate) fn get_capacity(&self) -> &size::Resources {
+        &self.capacity
+    }
+
+    /// Sets what a worker has and what its executors hold; true if no worker had as much before.
+    pub(crate) fn set_shape(
+        &mut self,
+        index: WorkerIndex,
+        capacity: size::Resources,
+        executors: size::Resources,
+    ) -> bool {
+        let worker = &mut self.workers[index.0 as usize];
+        if worker.filed_shape.is_some()
+            && worker.capacity == capacity
+            && worker.executors == executors
+        {
+            return false;
+        }
+        self.capacity = self.capacity.saturating_sub(&worker.capacity) + capacity;
+        worker.capacity = capacity;
+        worker.executors = executors;
+        self.forget_shape(index);
+        let worker = &mut self.workers[index.0 as usize];
+        let room = worker.get_largest_room();
+        let Some(place) = worker.region.clone().zip(worker.zone.clone()) else { return false };
+        worker.filed_shape = Some(room);
+        let count = self.shapes.entry(place).or_default().entry(room).or_default();
+        *count += 1;
+        *count == 1
+    }
+
+    /// Takes a worker out of those that [`Self::can_ever_hold`] counts.
+    pub(crate) fn forget_shape(&mut self, index: WorkerIndex) {
+        let worker = &mut self.workers[index.0 as usize];
+        let Some(room) = worker.filed_shape.take() else { return };
+        let Some(place) = worker.region.clone().zip(worker.zone.clone()) else { return };
+        let Some(shapes) = self.shapes.get_mut(&place) else { return };
+        if let Some(count) = shapes.get_mut(&room) {
+            *count -= 1;
+            if *count == 0 {
+                shapes.remove(&room);
+            }
+        }
+    }
+
+    /// Files a worker by its room, or takes it out if it may not be given tasks.
+    pub(crate) fn refile(&mut self, index: WorkerIndex, now: time::Monotonic, silence: Duration) {
+        let worker = &self.workers[index.0 as usize];
+        let (Some(region), Some(zone)) = (&worker.region, &worker.zone) else { return };
+        let place = (region.clone(), zone.clone());
+        let usable = worker.known
+            && !worker.leaving
+            && worker.is_sound()
+            && worker.claim.is_none()
+            && now.since(worker.heard_at) <= silence;
+        let room = worker.get_room();
+        let pool = self.pools.entry(place).or_default();
+        if usable {
+            pool.put(index, &room);
+        } else {
+            pool.remove(index);
+        }
+    }
+
+    /// Takes a worker out before its place changes.
+    pub(crate) fn unfile(&mut self, index: WorkerIndex) {
+        self.forget_shape(index);
+        let worker = &self.workers[index.0 as usize];
+        let Some(place) = worker.region.clone().zip(worker.zone.clone()) else { return };
+        if let Some(pool) = self.pools.get_mut(&place) {
+            pool.remove(index);
+        }
+    }
+
+    /// Whether the worker may be given tasks.
+    pub(crate) fn is_filed(&self, index: WorkerIndex) -> bool {
+        let worker = &self.workers[index.0 as usize];
+        let (Some(region), Some(zone)) = (&worker.region, &worker.zone) else { return false };
+        self.pools.get(&(region.clone(), zone.clone())).is_some_and(|pool| pool.contains(index))
+    }
+
+    /// Buckets of workers that `rule` allows and that may hold `need`.
+    pub(crate) fn feasible<'a>(
+        &'a self,
+        rule: &'a document::PlacementRule,
+        need: &'a size::Resources,
+    ) -> impl Iterator<Item = &'a [WorkerIndex]> {
+        self.pools
+            .iter()
+            .filter(|((region, zone), _)| rule.allows(region, zone))
+            .flat_map(|(_, pool)| pool.feasible(need))
+    }
+
+    /// Up to `count` usable workers that `rule` allows, whatever their room.
+    pub(crate) fn sample(
+        &self,
+        rule: &document::PlacementRule,
+        count: usize,
+        rng: &mut Rng,
+    ) -> Vec<WorkerIndex> {
+        let pools: Vec<&Pool> = self
+            .pools
+            .iter()
+            .filter(|((region, zone), pool)| rule.allows(region, zone) && pool.len() > 0)
+            .map(|(_, pool)| pool)
+            .collect();
+        if pools.is_empty() {
+            return Vec::new();
+        }
+        let mut found: Vec<WorkerIndex> = (0..count)
+            .filter_map(|_| {
+                let pool = pools[rng.below(pools.len())];
+                pool.sample(rng)
+            })
+            .collect();
+        found.sort_unstable();
+        found.dedup();
+        found
+    }
+
+    /// Whether a worker that `rule` allows has `need` beside its executors.
+    pub(crate) fn can_ever_hold(
+        &self,
+        rule: &document::PlacementRule,
+        need: &size::Resources,
+    ) -> bool {
+        self.rooms(rule).any(|room| need.fits_in(room))
+    }
+
+    /// Room of the worker that comes nearest to holding `need`.
+    pub(crate) fn nearest_room(
+        &self,
+        rule: &document::PlacementRule,
+        need: &size::Resources,
+    ) -> size::Resources {
+        let shortage = |room: &size::Resources| {
+            let missing = need.saturating_sub(room);
+            let sizes = (room.accelerators, room.cores, room.memory);
+            (missing.accelerators, missing.cores, missing.memory, sizes)
+        };
+        self.rooms(rule).copied().min_by_key(shortage).unwrap_or(size::Resources::ZERO)
+    }
+
+    /// Whether any worker reported.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.shapes.values().all(HashMap::is_empty)
+    }
+
+    fn rooms<'a>(
+        &'a self,
+        rule: &'a document::PlacementRule,
+    ) -> impl Iterator<Item = &'a size::Resources> {
+        self.shapes
+            .iter()
+            .filter(|((region, zone), _)| rule.allows(region, zone))
+            .flat_map(|(_, shapes)| shapes.keys())
+    }
+}
--- /dev/null
+++ b/comfreymill_batch/src/fleet/pool.rs
@@ -0,0 +1,69 @@
+use std::collections::BTreeMap;
+
+use comfreymill_types::size;
+
+use super::{Bucket, Rng, WorkerIndex};
+
+/// Workers of one availability zone that may be given tasks, by the room they have left.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Pool {
+    buckets: BTreeMap<Bucket, Vec<WorkerIndex>>,
+    places: BTreeMap<WorkerIndex, (Bucket, usize)>,
+}
+
+impl Pool {
+    /// Files a worker under `room`, moving it if it was filed before.
+    pub(crate) fn put(&mut self, worker: WorkerIndex, room: &size::Resources) {
+        let bucket = Bucket::of(room);
+        if self.places.get(&worker).is_some_and(|place| place.0 == bucket) {
+            return;
+        }
+        self.remove(worker);
+        let members = self.buckets.entry(bucket).or_default();
+        members.push(worker);
+        self.places.insert(worker, (bucket, members.len() - 1));
+    }
+
+    /// Takes a worker out, if it is in.
+    pub(crate) fn remove(&mut self, worker: WorkerIndex) {
+        let Some((bucket, position)) = self.places.remove(&worker) else { return };
+        let Some(members) = self.buckets.get_mut(&bucket) else { return };
+        members.swap_remove(position);
+        if let Some(moved) = members.get(position) {
+            self.places.insert(*moved, (bucket, position));
+        }
+        if members.is_empty() {
+            self.buckets.remove(&bucket);
+        }
+    }
+
+    /// Whether the worker is in.
+    pub(crate) fn contains(&self, worker: WorkerIndex) -> bool {
+        self.places.contains_key(&worker)
+    }
+
+    /// Members of each bucket that may hold `need`, the tightest first.
+    pub(crate) fn feasible(&self, need: &size::Resources) -> impl Iterator<Item = &[WorkerIndex]> {
+        let need = Bucket::of(need);
+        let from = Bucket { accelerators: need.accelerators, cores: 0, memory: 0 };
+        self.buckets
+            .range(from..)
+            .filter(move |(bucket, _)| bucket.may_hold(need))
+            .map(|(_, members)| members.as_slice())
+    }
+
+    /// Any member.
+    pub(crate) fn sample(&self, rng: &mut Rng) -> Option<WorkerIndex> {
+        if self.places.is_empty() {
+            return None;
+        }
+        let skip = rng.below(self.buckets.len());
+        let members = self.buckets.values().nth(skip)?;
+        Some(members[rng.below(members.len())])
+    }
+
+    /// Number of members.
+    pub(crate) fn len(&self) -> usize {
+        self.places.len()
+    }
+}
--- /dev/null
+++ b/comfreymill_batch/src/queue/lane.rs
@@ -0,0 +1,25 @@
+use std::collections::BTreeMap;
+
+use comfreymill_types::id;
+use comfreymill_types::time;
+
+use super::{Block, LaneKey};
+
+/// Position of a lane in the queue.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub(crate) struct LaneIndex(pub(crate) u32);
+
+/// Tasks that are placed alike, in order of submission.
+#[derive(Clone, Debug)]
+pub(crate) struct Lane {
+    pub(crate) key: LaneKey,
+    pub(crate) tasks: BTreeMap<(u64, id::TaskId), time::Monotonic>,
+    pub(crate) block: Option<Block>,
+}
+
+impl Lane {
+    /// Task that goes next, with its order and since when it waits.
+    pub(crate) fn head(&self) -> Option<(u64, id::TaskId, time::Monotonic)> {
+        self.tasks.first_key_value().map(|((order, task), since)| (*order, *task, *since))
+    }
+}
--- /dev/null
+++ b/comfreymill_batch/src/queue/mod.rs
@@ -0,0 +1,12 @@
+//! Waiting tasks, in lanes of tasks that are placed alike.
+
+mod block;
+mod lane;
+mod lane_key;
+#[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
+mod queue;
+
+pub(crate) use block::Block;
+pub(crate) use lane::{Lane, LaneIndex};
+pub(crate) use lane_key::LaneKey;
+pub(crate) use queue::Queue;
--- /dev/null
+++ b/comfreymill_batch/src/scheduler/cost.rs
@@ -0,0 +1,107 @@
+use comfreymill_types::document;
+use comfreymill_types::id;
+use comfreymill_types::size;
+
+use super::Scheduler;
+use crate::catalog;
+use crate::fleet;
+
+const SLOWDOWN_COST: f64 = 1.0;
+const FIT_COST: f64 = 0.3;
+const SPREAD_COST: f64 = 0.1;
+const STRANDED_ACCELERATOR_COST: f64 = 0.5;
+const GATE_PART: f64 = 0.8;
+const MIN_TAIL_SHARE: f64 = 0.08;
+
+/// What it costs to place a task on a worker.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Cost {
+    /// Expected slowdown of the worst prompt service, beyond alone.
+    pub(super) slowdown: f64,
+    /// Slowdown as a part of what is accepted.
+    pub(super) disturbance: f64,
+    /// Room that is left unusable.
+    pub(super) fit: f64,
+    /// Crowding of the job in one rack or worker.
+    pub(super) spread: f64,
+}
+
+impl Cost {
+    pub(super) fn get_total(&self) -> f64 {
+        SLOWDOWN_COST * self.disturbance * self.disturbance
+            + FIT_COST * self.fit
+            + SPREAD_COST * self.spread
+    }
+}
+
+/// # Costs
+impl Scheduler {
+    /// Cost of a worker that fits; none if a prompt service would be slowed too much.
+    pub(super) fn get_cost(
+        &self,
+        id: id::TaskId,
+        spec: &catalog::ClassSpec,
+        need: &size::Resources,
+        index: fleet::WorkerIndex,
+    ) -> Option<Cost> {
+        let worker = self.fleet.get(index);
+        let class = self.tasks[&id].class;
+        let load = worker.part_of_cores(need);
+        let slowdown = self.expect_slowdown(worker, class, load);
+        let accepted = self.get_accepted_slowdown();
+        let urgent = spec.priority == Self::URGENT;
+        let disturbs = slowdown > 0.0 && !urgent;
+        if disturbs && (slowdown > GATE_PART * accepted || worker.pressure.is_high()) {
+            return None;
+        }
+        Some(Cost {
+            slowdown,
+            disturbance: slowdown / accepted,
+            fit: get_misfit(worker, need),
+            spread: self.get_crowding(id, worker),
+        })
+    }
+
+    /// Slowdown of the worst service on the worker if `load` of `class` came on top.
+    fn expect_slowdown(
+        &self,
+        worker: &fleet::Worker,
+        class: catalog::ClassIndex,
+        load: f64,
+    ) -> f64 {
+        let services = worker.services.iter().map(|entry| {
+            let running = worker.mixes.latest();
+            let running = running.map_or(0.0, |mix| self.model.predict(entry.service, mix));
+            running + self.model.effect(class, entry.service, load)
+        });
+        services.fold(0.0, f64::max)
+    }
+
+    /// Slowdown beyond alone that the customer's weights accept.
+    pub(super) fn get_accepted_slowdown(&self) -> f64 {
+        let weights = self.catalog.weights(document::Stage::Production);
+        let all = weights.tail_latency + weights.throughput + weights.evictions;
+        let tail_share = if all > 0.0 { weights.tail_latency / all } else { 1.0 };
+        (self.cfg.get_hysteresis().upper - 1.0) / tail_share.max(MIN_TAIL_SHARE)
+    }
+
+    fn get_crowding(&self, id: id::TaskId, worker: &fleet::Worker) -> f64 {
+        let on_worker = worker.tasks.iter().filter(|other| other.job == id.job).count() as f64;
+        let in_rack = worker
+            .rack
+            .as_ref()
+            .map_or(0, |rack| self.spread.get(&(id.job, rack.clone())).copied().unwrap_or(0));
+        on_worker / (1.0 + on_worker) + f64::from(in_rack) / (8.0 + f64::from(in_rack))
+    }
+}
+
+/// Imbalance of what is left, so that neither cores nor memory nor accelerators are stranded.
+fn get_misfit(worker: &fleet::Worker, need: &size::Resources) -> f64 {
+    let left = worker.get_room().saturating_sub(need);
+    let part = |left: u64, all: u64| left as f64 / all.max(1) as f64;
+    let cores = part(left.cores.as_millis(), worker.capacity.cores.as_millis());
+    let memory = part(left.memory.get(), worker.capacity.memory.get());
+    let strands = need.accelerators == 0 && left.accelerators > 0;
+    let stranded = if strands { STRANDED_ACCELERATOR_COST / FIT_COST } else { 0.0 };
+    (cores - memory).abs() + 0.25 * cores + stranded
+}
--- /dev/null
+++ b/comfreymill_batch/src/scheduler/leadership.rs
@@ -0,0 +1,97 @@
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use comfreymill_types::document;
+use comfreymill_types::time;
+
+use super::Scheduler;
+use crate::event;
+use crate::fleet;
+use crate::queue;
+use crate::task;
+
+const SETTLING_PERIODS: u32 = 5;
+
+/// # Leadership and documents
+impl Scheduler {
+    /// Replaces what was known by what the ledger holds. Every lease counts anew from now.
+    pub(super) fn on_leader(
+        &mut self,
+        tasks: Vec<event::TaskView>,
+        attempts: &[event::AttemptView],
+    ) {
+        self.leading_since = self.now;
+        self.fleet = fleet::Fleet::default();
+        self.tasks = HashMap::with_capacity(tasks.len());
+        self.queue = queue::Queue::default();
+        self.delayed = BTreeSet::new();
+        self.unfit = BTreeSet::new();
+        self.checkpoints_due = BTreeSet::new();
+        self.claims = BTreeMap::new();
+        self.suspended = BTreeSet::new();
+        self.spread = HashMap::new();
+        self.actions.clear();
+        self.jobs = HashMap::new();
+        self.catalog.clear_use();
+        for view in tasks {
+            self.insert_task(view);
+        }
+        for view in attempts {
+            self.adopt(view);
+        }
+        self.enqueue_unheld();
+    }
+
+    /// Takes a document into force; what waited for a class, a quota or a rule is tried again.
+    pub(super) fn on_document(
+        &mut self,
+        stage: document::Stage,
+        environment: &document::Environment,
+    ) {
+        self.catalog.apply(stage, environment);
+        self.queue.unblock(|_, _| true);
+        self.lift_unfit();
+    }
+
+    /// Whether every live worker had time to report to this leader.
+    pub(super) fn is_settled(&self) -> bool {
+        let settling = self.cfg.get_heartbeat_period() * SETTLING_PERIODS;
+        self.now.since(self.leading_since) >= settling && !self.fleet.is_empty()
+    }
+
+    fn adopt(&mut self, view: &event::AttemptView) {
+        let Some(task) = self.tasks.get_mut(&view.id.task) else { return };
+        task.last_attempt = task.last_attempt.max(view.id.number);
+        let worker = self.fleet.intern(&view.worker, view.incarnation, self.now);
+        let known = self.fleet.get_mut(worker);
+        known.incarnation = known.incarnation.max(view.incarnation);
+        let mut attempt = task::Attempt::new(view, worker, task::Grip::Live, self.now);
+        attempt.offered = true;
+        if task.cancelled {
+            attempt.directive = crate::action::Directive::Stop;
+        }
+        task.phase = task::Phase::Active(Box::new(attempt));
+        self.hold(view.id.task);
+    }
+
+    fn enqueue_unheld(&mut self) {
+        let mut waiting: Vec<_> = self
+            .tasks
+            .values()
+            .filter(|task| matches!(task.phase, task::Phase::Delayed(_)))
+            .map(|task| task.id)
+            .collect();
+        waiting.sort_unstable();
+        for id in waiting {
+            self.enqueue(id);
+        }
+    }
+
+    /// Time by which an attempt's lease ran out at the worker.
+    pub(super) fn get_lease_end(
+        &self,
+        attempt: &task::Attempt,
+        worker: &fleet::Worker,
+    ) -> time::Monotonic {
+        attempt.granted_at.max(worker.heard_at) + self.cfg.get_lease_bound()
+    }
+}
--- /dev/null
+++ b/comfreymill_batch/src/scheduler/leases.rs
@@ -0,0 +1,63 @@
+use std::time::Duration;
+
+use comfreymill_types::id;
+
+use super::Scheduler;
+use crate::action;
+use crate::fleet;
+
+const SCAN_PERIOD: Duration = Duration::from_millis(250);
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+
+/// # Time
+impl Scheduler {
+    pub(super) fn on_tick(&mut self) {
+        self.enqueue_due();
+        self.expire_checkpoints();
+        if self.now.since(self.scanned_at) < SCAN_PERIOD {
+            return;
+        }
+        self.scanned_at = self.now;
+        self.scan_workers();
+        self.expire_claims();
+        self.probe_suspended();
+        self.lift_unfit();
+        self.queue.unblock(|_, block| block == crate::queue::Block::Interference);
+    }
+
+    /// Ends attempts whose lease ran out and sets silent workers aside.
+    fn scan_workers(&mut self) {
+        let silence = self.get_silence();
+        let bound = self.cfg.get_lease_bound();
+        let silent: Vec<(fleet::WorkerIndex, Duration)> = self
+            .fleet
+            .iter()
+            .map(|(index, worker)| (index, self.now.since(worker.heard_at)))
+            .filter(|(_, quiet)| *quiet > silence)
+            .collect();
+        for (index, quiet) in silent {
+            self.refile(index);
+            if quiet > bound {
+                self.expire_leases(index);
+            }
+            if quiet > FORGET_AFTER {
+                self.fleet.forget_shape(index);
+            }
+        }
+    }
+
+    fn expire_leases(&mut self, index: fleet::WorkerIndex) {
+        let worker = self.fleet.get(index);
+        let expired: Vec<(id::TaskId, bool)> = worker
+            .tasks
+            .iter()
+            .filter_map(|id| self.tasks.get(id)?.attempt())
+            .filter(|attempt| attempt.is_live())
+            .filter(|attempt| self.now > self.get_lease_end(attempt, worker))
+            .map(|attempt| (attempt.id.task, attempt.offered))
+            .collect();
+        for (id, may_have_begun) in expired {
+            self.end(id, action::Outcome::Lost { may_have_begun }, None);
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_batch/src/scheduler/mod.rs
@@ -0,0 +1,27 @@
+//! The state machine: events in, actions out.
+//!
+//! An action that is to be committed reserves at once; its confirmation makes the reservation
+//! firm, and [`crate::event::Event::ProposalLost`] rolls it back.
+
+mod admission;
+mod answers;
+mod attempts;
+mod candidates;
+mod conclusion;
+mod cost;
+mod heartbeats;
+mod leadership;
+mod leases;
+mod parking;
+mod placement;
+mod preemption;
+mod pressure;
+mod quarantine;
+#[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
+mod scheduler;
+mod status;
+mod stopping;
+mod tasks;
+
+pub use scheduler::Scheduler;
+pub use status::Status;
--- /dev/null
+++ b/comfreymill_batch/src/scheduler/placement.rs
@@ -0,0 +1,258 @@
+use comfreymill_types::document;
+use comfreymill_types::id;
+use comfreymill_types::size;
+
+use super::Scheduler;
+use crate::action;
+use crate::config;
+use crate::fleet;
+use crate::queue;
+use crate::task;
+
+const MAX_PLACEMENTS_PER_EVENT: usize = 256;
+
+/// # Placement
+impl Scheduler {
+    pub(super) const URGENT: document::Priority = document::Priority::Urgent;
+
+    /// Places waiting tasks, the first in order first, until no lane can go on.
+    pub(super) fn place_waiting(&mut self) {
+        for _ in 0..MAX_PLACEMENTS_PER_EVENT {
+            let Some((lane, id)) = self.next_lane() else { return };
+            if let Err(block) = self.place(id) {
+                self.set_aside_lane(lane, id, block);
+            }
+        }
+    }
+
+    /// Lane whose head goes next.
+    fn next_lane(&self) -> Option<(queue::LaneIndex, id::TaskId)> {
+        let heads = self.queue.ready().filter_map(|(index, lane)| {
+            let (order, id, since) = lane.head()?;
+            let rank = match self.cfg.get_policy() {
+                config::Policy::FirstFit => (0, 0.0, order, id),
+                _ => self.get_rank(lane, order, id, since),
+            };
+            Some((rank, index, id))
+        });
+        let first = heads.min_by(|a, b| {
+            let (a, b) = (&a.0, &b.0);
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then((a.2, a.3).cmp(&(b.2, b.3)))
+        });
+        first.map(|(_, index, id)| (index, id))
+    }
+
+    /// Order among heads: raised priority, then the team's share, then order of submission.
+    fn get_rank(
+        &self,
+        lane: &queue::Lane,
+        order: u64,
+        id: id::TaskId,
+        since: comfreymill_types::time::Monotonic,
+    ) -> (u8, f64, u64, id::TaskId) {
+        const URGENT: u8 = 0;
+        const HIGHEST_AGED: u128 = 2;
+        let base = match self.catalog.class(lane.key.class).get_priority() {
+            document::Priority::Urgent => return (URGENT, 0.0, order, id),
+            document::Priority::High => 2,
+            document::Priority::Normal => 1,
+            document::Priority::Low => 0,
+        };
+        let steps = self.now.since(since).as_micros() / self.cfg.get_ageing().as_micros().max(1);
+        let raised = (base + steps).min(HIGHEST_AGED);
+        let behind_urgent = (HIGHEST_AGED - raised) as u8 + 1;
+        let team = self.catalog.team(lane.key.team);
+        (behind_urgent, team.get_weighted_share(self.fleet.get_capacity()), order, id)
+    }
+
+    fn place(&mut self, id: id::TaskId) -> Result<(), queue::Block> {
+        let task = &self.tasks[&id];
+        let class = self.catalog.class(task.class);
+        let Some(spec) = class.spec.clone() else { return Err(queue::Block::UnknownClass) };
+        let need = self.get_need(task);
+        if !self.catalog.team(task.team).has_quota_for(&need) {
+            return Err(queue::Block::Quota);
+        }
+        let (index, reason) = self.choose(id, &spec, &need)?;
+        self.start(id, index, reason);
+        Ok(())
+    }
+
+    /// Sets a lane aside, parks its head if it can never run, makes room if it is urgent.
+    fn set_aside_lane(&mut self, lane: queue::LaneIndex, id: id::TaskId, block: queue::Block) {
+        if let Some(reason) = self.get_never_fits(id) {
+            self.park(id, reason);
+            return;
+        }
+        if block == queue::Block::NoRoom && self.forgive_if_nowhere_left(id) {
+            return;
+        }
+        let urgent =
+            self.catalog.class(self.queue.lane(lane).key.class).get_priority() == Self::URGENT;
+        self.record_wait(id, block);
+        self.queue.block(lane, block);
+        let may_preempt = self.cfg.get_policy() != config::Policy::FirstFit;
+        if urgent && block == queue::Block::NoRoom && may_preempt {
+            self.preempt_for(lane);
+        }
+    }
+
+    /// Lets a task back onto the workers it failed on when no other allowed one could hold it.
+    fn forgive_if_nowhere_left(&mut self, id: id::TaskId) -> bool {
+        let task = &self.tasks[&id];
+        if task.avoided.is_empty() {
+            return false;
+        }
+        let Some(spec) = &self.catalog.class(task.class).spec else { return false };
+        let declared = self.get_declared(task);
+        let left = self.fleet.iter().any(|(index, worker)| {
+            self.fleet.is_filed(index)
+                && !task.avoids(&worker.name)
+                && worker.is_allowed(&spec.rule)
+                && declared.fits_in(&worker.get_largest_room())
+        });
+        if left {
+            return false;
+        }
+        let task::Phase::Waiting(lane) = task.phase else { return false };
+        self.queue.remove(lane, task.order, id);
+        if let Some(task) = self.tasks.get_mut(&id) {
+            task.avoided.clear();
+            task.tried_all = true;
+        }
+        self.enqueue(id);
+        true
+    }
+
+    /// Size to reserve: what was learned, if it is larger than declared and some VM can hold it.
+    pub(super) fn get_need(&self, task: &task::Task) -> size::Resources {
+        let declared = self.get_declared(task);
+        let class = self.catalog.class(task.class);
+        let learned = class.learned.size(&declared);
+        let Some(spec) = &class.spec else { return declared };
+        let quota = self.catalog.team(task.team).quota;
+        let within_quota = quota.is_none_or(|quota| learned.fits_in(&quota));
+        if within_quota && self.fleet.can_ever_hold(&spec.rule, &learned) {
+            learned
+        } else {
+            declared
+        }
+    }
+
+    /// Counts an attempt's room on its worker, in its team and in its rack.
+    pub(super) fn hold(&mut self, id: id::TaskId) {
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        let team = task.team;
+        let Some(attempt) = task.attempt_mut() else { return };
+        let (index, reserved) = (attempt.worker, attempt.reserved);
+        let worker = self.fleet.get_mut(index);
+        attempt.rack = worker.rack.clone();
+        if let Some(rack) = &attempt.rack {
+            *self.spread.entry((id.job, rack.clone())).or_default() += 1;
+        }
+        worker.reserved += reserved;
+        worker.observed += reserved;
+        worker.tasks.insert(id);
+        self.catalog.team_mut(team).used += reserved;
+        self.refresh_mix(index);
+        self.refile(index);
+    }
+
+    /// Gives an attempt's room back; the task then has no phase of its own yet.
+    pub(super) fn unhold(&mut self, id: id::TaskId) {
+        let now = self.now;
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        let phase = std::mem::replace(&mut task.phase, task::Phase::Delayed(now));
+        let task::Phase::Active(attempt) = phase else {
+            task.phase = phase;
+            return;
+        };
+        let team = self.catalog.team_mut(task.team);
+        team.used = team.used.saturating_sub(&attempt.reserved);
+        self.checkpoints_due.remove(&(attempt.checkpoint_due, id));
+        let worker = self.fleet.get_mut(attempt.worker);
+        worker.reserved = worker.reserved.saturating_sub(&attempt.reserved);
+        worker.observed = worker.observed.saturating_sub(&attempt.observed);
+        worker.tasks.remove(&id);
+        if let Some(rack) = attempt.rack {
+            self.leave_rack(id, rack);
+        }
+        self.refresh_mix(attempt.worker);
+        self.refile(attempt.worker);
+    }
+
+    fn leave_rack(&mut self, id: id::TaskId, rack: id::RackName) {
+        let key = (id.job, rack);
+        if let Some(count) = self.spread.get_mut(&key) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.spread.remove(&key);
+            }
+        }
+    }
+
+    /// Uses the freed room on a worker: first for its claim, then for lanes that it may serve.
+    pub(super) fn after_release(&mut self, index: fleet::WorkerIndex) {
+        self.serve_claim(index);
+        self.retry_lanes(index);
+    }
+
+    /// Makes the lanes ready again that the room on a worker may serve.
+    fn retry_lanes(&mut self, index: fleet::WorkerIndex) {
+        let room = self.fleet.get(index).get_room();
+        let filed = self.fleet.is_filed(index);
+        let catalog = &self.catalog;
+        self.queue.unblock(|key, block| match block {
+            queue::Block::NoRoom => {
+                let spec = catalog.class(key.class).spec.as_ref();
+                let declared = key.declared.or(spec.map(|spec| spec.batch.size));
+                filed && declared.is_some_and(|declared| declared.fits_in(&room))
+            }
+            queue::Block::Quota => true,
+            queue::Block::Interference | queue::Block::UnknownClass => false,
+        });
+    }
+
+    /// Files a worker anew after its room, health or silence changed.
+    pub(super) fn refile(&mut self, index: fleet::WorkerIndex) {
+        let silence = self.get_silence();
+        let was_filed = self.fleet.is_filed(index);
+        self.fleet.refile(index, self.now, silence);
+        if !was_filed && self.fleet.is_filed(index) {
+            self.retry_lanes(index);
+        }
+    }
+
+    /// Notes what runs on a worker from now on, at which speed.
+    pub(super) fn refresh_mix(&mut self, index: fleet::WorkerIndex) {
+        let worker = self.fleet.get(index);
+        if worker.services.is_empty() {
+            return;
+        }
+        let mut mix = fleet::Mix::default();
+        for id in &worker.tasks {
+            let Some(task) = self.tasks.get(id) else { continue };
+            let Some(attempt) = task.attempt() else { continue };
+            mix.add(task.class, worker.part_of_cores(&attempt.reserved) * attempt.get_speed());
+        }
+        let now = self.now;
+        self.fleet.get_mut(index).mixes.note(now, mix);
+    }
+
+    /// Why a task can never run as things are, once the fleet is known.
+    pub(super) fn get_never_fits(&self, id: id::TaskId) -> Option<action::ParkReason> {
+        let task = &self.tasks[&id];
+        let spec = self.catalog.class(task.class).spec.as_ref()?;
+        let needed = self.get_declared(task);
+        if let Some(quota) = self.catalog.team(task.team).quota
+            && !needed.fits_in(&quota)
+        {
+            return Some(action::ParkReason::OverQuota { needed, quota });
+        }
+        if !self.is_settled() || self.fleet.can_ever_hold(&spec.rule, &needed) {
+            return None;
+        }
+        let largest = self.fleet.nearest_room(&spec.rule, &needed);
+        Some(action::ParkReason::NeverFits { needed, largest })
+    }
+}
--- /dev/null
+++ b/comfreymill_batch/src/scheduler/quarantine.rs
@@ -0,0 +1,184 @@
+use comfreymill_types::id;
+
+use super::Scheduler;
+use crate::action;
+use crate::fleet;
+use crate::queue;
+use crate::task;
+
+/// Other tasks that must not have failed on a worker for its failures to count against a task.
+const MAX_OTHER_SUSPECTS: usize = 1;
+/// Sound workers on which a job may fail, without one success, before it is blamed itself.
+const JOB_FAILURE_WORKERS: usize = 1;
+
+/// # Quarantine
+impl Scheduler {
+    /// Learns from an outcome whether the worker or the task is at fault.
+    pub(super) fn note_outcome(
+        &mut self,
+        id: id::TaskId,
+        attempt: &task::Attempt,
+        outcome: &action::Outcome,
+    ) {
+        match outcome {
+            action::Outcome::Finished => self.note_success(id, attempt),
+            action::Outcome::Failed { .. } => self.note_failure(id, attempt.worker),
+            action::Outcome::Stopped { .. } | action::Outcome::Lost { .. } => {
+                self.note_unfinished_probe(id, attempt.worker);
+            }
+        }
+    }
+
+    fn note_success(&mut self, id: id::TaskId, attempt: &task::Attempt) {
+        let class = self.tasks[&id].class;
+        if let Some(since) = attempt.running_since {
+            let span = self.now.since(since);
+            self.catalog.class_mut(class).learned.observe_run_time(span);
+        }
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.successes += 1;
+        }
+        let worker = self.fleet.get_mut(attempt.worker);
+        worker.suspects.clear();
+        worker.successes += 1;
+        let probed = matches!(&worker.health, fleet::Health::Probing { task, .. } if *task == id);
+        if probed {
+            worker.health = fleet::Health::Sound;
+            let name = worker.name.clone();
+            self.suspended.remove(&attempt.worker);
+            self.actions.push(action::Action::Release { worker: name });
+            self.refile(attempt.worker);
+        }
+    }
+
+    fn note_failure(&mut self, id: id::TaskId, index: fleet::WorkerIndex) {
+        let cfg = self.cfg.get_quarantine();
+        let name = self.fleet.get(index).name.clone();
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        task.avoid(&name);
+        task.failures += 1;
+        let failed_elsewhere: Vec<id::WorkerName> =
+            task.failed_on.iter().filter(|other| **other != name).cloned().collect();
+        if !task.failed_on.contains(&name) {
+            task.failed_on.push(name.clone());
+        }
+        let worker = self.fleet.get_mut(index);
+        match worker.health.clone() {
+            fleet::Health::Probing { task: probe, wait } if probe == id => {
+                self.set_aside(index, (wait * 2).min(cfg.longest_wait));
+                return;
+            }
+            fleet::Health::Probing { .. } | fleet::Health::Quarantined { .. } => return,
+            fleet::Health::Sound => {}
+        }
+        let blames_task = failed_elsewhere.iter().any(|other| self.is_credible(other, id));
+        let blames_job = self.blames_job(id, index);
+        let worker = self.fleet.get_mut(index);
+        if !blames_task && !blames_job {
+            worker.suspects.insert(id);
+        }
+        let fails_all = worker.suspects.len() >= cfg.tasks as usize;
+        if fails_all {
+            self.set_aside(index, cfg.first_wait);
+        }
+    }
+
+    /// Whether the failure is the job's: none of its tasks finished and it fails on many workers,
+    /// or another of its tasks already counts against this worker.
+    fn blames_job(&mut self, id: id::TaskId, index: fleet::WorkerIndex) -> bool {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return false };
+        job.failed_on.insert(index);
+        if job.successes > 0 {
+            return false;
+        }
+        let workers: Vec<fleet::WorkerIndex> = job.failed_on.iter().copied().collect();
+        let sound = workers.iter().filter(|other| self.fleet.get(**other).is_sound()).count();
+        if sound > JOB_FAILURE_WORKERS {
+            for other in workers {
+                self.fleet.get_mut(other).suspects.retain(|task| task.job != id.job);
+            }
+            return true;
+        }
+        self.fleet.get(index).suspects.iter().any(|task| task.job == id.job)
+    }
+
+    /// A probe that ended without a result is tried again after the same wait.
+    fn note_unfinished_probe(&mut self, id: id::TaskId, index: fleet::WorkerIndex) {
+        if let fleet::Health::Probing { task, wait } = self.fleet.get(index).health.clone()
+            && task == id
+        {
+            self.set_aside(index, wait);
+        }
+    }
+
+    fn set_aside(&mut self, index: fleet::WorkerIndex, wait: std::time::Duration) {
+        let until = self.now + wait;
+        let worker = self.fleet.get_mut(index);
+        let is_new = worker.is_sound();
+        worker.health = fleet::Health::Quarantined { until, wait };
+        let name = worker.name.clone();
+        self.suspended.insert(index);
+        if is_new {
+            self.actions.push(action::Action::Quarantine { worker: name });
+        }
+        self.refile(index);
+    }
+
+    /// Number of separate workers whose failures count against the task.
+    pub(super) fn count_blaming_workers(&self, id: id::TaskId) -> u32 {
+        let task = &self.tasks[&id];
+        task.failed_on.iter().filter(|name| self.is_credible(name, id)).count() as u32
+    }
+
+    /// Whether a failure of the task on the worker is the task's own.
+    fn is_credible(&self, name: &id::WorkerName, id: id::TaskId) -> bool {
+        let Some(index) = self.fleet.find(name) else { return true };
+        let worker = self.fleet.get(index);
+        let others = worker.suspects.iter().filter(|other| **other != id).count();
+        worker.is_sound() && others <= MAX_OTHER_SUSPECTS
+    }
+
+    /// Tries one task on each worker whose wait is over.
+    pub(super) fn probe_suspended(&mut self) {
+        let due: Vec<(fleet::WorkerIndex, std::time::Duration)> = self
+            .suspended
+            .iter()
+            .filter_map(|index| match self.fleet.get(*index).health {
+                fleet::Health::Quarantined { until, wait } if until <= self.now => {
+                    Some((*index, wait))
+                }
+                _ => None,
+            })
+            .collect();
+        for (index, wait) in due {
+            let Some(id) = self.find_probe(index) else { continue };
+            self.fleet.get_mut(index).health = fleet::Health::Probing { task: id, wait };
+            self.start(id, index, "the worker is probed after its quarantine".to_owned());
+        }
+    }
+
+    /// Waiting task that a failure would harm least.
+    fn find_probe(&self, index: fleet::WorkerIndex) -> Option<id::TaskId> {
+        let worker = self.fleet.get(index);
+        let heard = self.now.since(worker.heard_at) <= self.get_silence();
+        if !heard || worker.leaving || worker.claim.is_some() {
+            return None;
+        }
+        let room = worker.get_room();
+        let fits = |lane: &queue::Lane| {
+            let class = self.catalog.class(lane.key.class);
+            let Some(spec) = &class.spec else { return None };
+            let harmless = !spec.unrepeatable && spec.priority < Self::URGENT;
+            let (_, id, _) = lane.head()?;
+            let task = self.tasks.get(&id)?;
+            let need = self.get_need(task);
+            let allowed = worker.is_allowed(&spec.rule) && !task.avoids(&worker.name);
+            let within_quota = self.catalog.team(task.team).has_quota_for(&need);
+            let usable = harmless && allowed && within_quota && need.fits_in(&room);
+            usable.then_some((task.failures, id))
+        };
+        let ready = self.queue.ready().filter_map(|(_, lane)| fits(lane)).min();
+        let blocked = self.queue.blocked().filter_map(|(_, lane)| fits(lane)).min();
+        ready.into_iter().chain(blocked).min().map(|(_, id)| id)
+    }
+}
--- /dev/null
+++ b/comfreymill_batch/src/scheduler/scheduler.rs
@@ -0,0 +1,137 @@
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use comfreymill_types::id;
+use comfreymill_types::time;
+
+use crate::action;
+use crate::catalog;
+use crate::config;
+use crate::decision;
+use crate::event;
+use crate::fleet;
+use crate::interference;
+use crate::queue;
+use crate::task;
+
+const SILENT_PERIODS: u32 = 3;
+
+/// Decides where and when tasks run.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(super) cfg: config::Config,
+    pub(super) now: time::Monotonic,
+    pub(super) leading_since: time::Monotonic,
+    pub(super) scanned_at: time::Monotonic,
+    pub(super) catalog: catalog::Catalog,
+    pub(super) fleet: fleet::Fleet,
+    pub(super) tasks: HashMap<id::TaskId, task::Task>,
+    pub(super) jobs: HashMap<id::JobId, task::JobRecord>,
+    pub(super) queue: queue::Queue,
+    pub(super) delayed: BTreeSet<(time::Monotonic, id::TaskId)>,
+    /// Parked tasks that a larger worker or quota would let run.
+    pub(super) unfit: BTreeSet<id::TaskId>,
+    /// Attempts with a time limit on their checkpoint.
+    pub(super) checkpoints_due: BTreeSet<(time::Monotonic, id::TaskId)>,
+    /// Workers that free room for an urgent task.
+    pub(super) claims: BTreeMap<id::TaskId, fleet::WorkerIndex>,
+    /// Workers that are not trusted with tasks.
+    pub(super) suspended: BTreeSet<fleet::WorkerIndex>,
+    /// Active attempts by job and rack.
+    pub(super) spread: HashMap<(id::JobId, id::RackName), u32>,
+    pub(super) model: interference::Model,
+    pub(super) history: decision::History,
+    pub(super) actions: Vec<action::Action>,
+    pub(super) rng: fleet::Rng,
+}
+
+impl Scheduler {
+    /// Scheduler that knows nothing yet.
+    pub fn new(cfg: config::Config, now: time::Monotonic) -> Self {
+        let history = decision::History::new(cfg.get_records_per_task());
+        let rng = fleet::Rng::new(cfg.get_seed());
+        Self {
+            cfg,
+            now,
+            leading_since: now,
+            scanned_at: now,
+            catalog: catalog::Catalog::default(),
+            fleet: fleet::Fleet::default(),
+            tasks: HashMap::new(),
+            jobs: HashMap::new(),
+            queue: queue::Queue::default(),
+            delayed: BTreeSet::new(),
+            unfit: BTreeSet::new(),
+            checkpoints_due: BTreeSet::new(),
+            claims: BTreeMap::new(),
+            suspended: BTreeSet::new(),
+            spread: HashMap::new(),
+            model: interference::Model::default(),
+            history,
+            actions: Vec::new(),
+            rng,
+        }
+    }
+
+    /// Takes in one event at `now`.
+    pub fn handle(&mut self, now: time::Monotonic, event: event::Event) {
+        self.now = self.now.max(now);
+        self.apply(event);
+        self.place_waiting();
+    }
+
+    /// Actions since the last call, in order.
+    pub fn take_actions(&mut self) -> Vec<action::Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Records of decisions since the last call, in order.
+    pub fn take_records(&mut self) -> Vec<decision::Record> {
+        self.history.take_fresh()
+    }
+
+    /// Settings.
+    pub fn get_config(&self) -> &config::Config {
+        &self.cfg
+    }
+
+    fn apply(&mut self, event: event::Event) {
+        match event {
+            event::Event::Tick => self.on_tick(),
+            event::Event::BecameLeader { tasks, attempts } => self.on_leader(tasks, &attempts),
+            event::Event::DocumentInForce { stage, environment } => {
+                self.on_document(stage, &environment);
+            }
+            event::Event::TaskAdded(view) => self.on_task_added(*view),
+            event::Event::TaskCancelled(task) => self.on_cancelled(task),
+            event::Event::AttemptStarted(view) => self.on_started(&view),
+            event::Event::CheckpointRecorded { attempt, checkpoint } => {
+                self.on_checkpoint_recorded(attempt, checkpoint);
+            }
+            event::Event::AttemptEnded { attempt, outcome, checkpoint, park } => {
+                self.on_ended(attempt, outcome, checkpoint, park);
+            }
+            event::Event::TaskParked { task, reason } => self.on_parked(task, reason),
+            event::Event::TaskUnparked(task) => self.on_unparked(task),
+            event::Event::ProposalLost(action) => self.on_proposal_lost(*action),
+            event::Event::WorkerHeartbeat(heartbeat) => self.on_heartbeat(&heartbeat),
+            event::Event::ExecutorLatency(report) => self.on_latency(&report),
+            event::Event::WorkerLeaving(worker) => self.on_leaving(&worker),
+        }
+    }
+
+    /// Time without a heartbeat after which a worker is given nothing new.
+    pub(super) fn get_silence(&self) -> Duration {
+        self.cfg.get_heartbeat_period() * SILENT_PERIODS
+    }
+
+    pub(super) fn record(
+        &mut self,
+        task: id::TaskId,
+        verdict: decision::Verdict,
+        reason: String,
+        remedy: String,
+    ) {
+        self.history.add(decision::Record { at: self.now, task, verdict, reason, remedy });
+    }
+}
--- /dev/null
+++ b/comfreymill_batch/tests/property/mod.rs
@@ -0,0 +1,3 @@
+//! Seeded sequences of events with everything going wrong.
+
+mod disorder;
--- /dev/null
+++ b/comfreymill_batch/tests/rules/mod.rs
@@ -0,0 +1,1 @@
+//! Tables of the rules, one by one.
