feat(node): settings files, read as a whole with every problem named

Cause: processes need validated settings, and a document or a settings file must report all its faults, each by line, column and field. Change: yaml module in comfreymill_types (nodes with places, a collecting deserializer used by Environment::parse, sections for hand-built types); settings of entry and control with limits, timing, logs, network; checks of addresses, folders and secrets on the machine; samples. Run: cargo test -p comfreymill_types -p comfreymill_node passes (14 and 17 tests). Broken on a scratch edit, each found: unknown keys (each_fault_of_*), odd voters (faults_of_lists_are_reported), mode of secrets (secrets_that_others_may_read_are_named), address in use (an_address_in_use_is_named), write probe (a_data_folder_that_is_not_writable_ is_named), going on behind a faulty item (all_faults_are_reported_at_once).

--- /dev/null
+++ b/comfreymill_node/src/settings/control_settings.rs
@@ -0,0 +1,103 @@
+use std::net;
+use std::path;
+
+use comfreymill_types::document;
+use comfreymill_types::id;
+use comfreymill_types::yaml;
+
+use super::common_settings;
+use super::settings_file;
+use super::{CommonSettings, PlacementPolicy};
+
+/// Settings of a control process.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ControlSettings {
+    common: CommonSettings,
+    name: id::VoterName,
+    data_folder: path::PathBuf,
+    placement: PlacementPolicy,
+}
+
+impl ControlSettings {
+    /// Settings of the voter `name` with the folder of its state.
+    pub fn new(common: CommonSettings, name: id::VoterName, data_folder: path::PathBuf) -> Self {
+        Self { common, name, data_folder, placement: PlacementPolicy::default() }
+    }
+
+    /// Reads a file without a look at the machine; paths are relative to `folder`.
+    ///
+    /// # Errors
+    ///
+    /// Every problem of the file.
+    pub fn read(text: &[u8], folder: &path::Path) -> Result<Self, Vec<document::Problem>> {
+        settings_file::read(text, |section| Self::read_section(section, folder))
+    }
+
+    /// Settings that every process has.
+    pub fn get_common(&self) -> &CommonSettings {
+        &self.common
+    }
+
+    /// Name of the process.
+    pub fn get_name(&self) -> &id::VoterName {
+        &self.name
+    }
+
+    /// Folder of the state.
+    pub fn get_data_folder(&self) -> &path::Path {
+        &self.data_folder
+    }
+
+    /// Rule by which tasks are placed.
+    pub fn get_placement(&self) -> PlacementPolicy {
+        self.placement
+    }
+
+    /// Sets the rule by which tasks are placed.
+    #[must_use]
+    pub fn placement(mut self, placement: PlacementPolicy) -> Self {
+        self.placement = placement;
+        self
+    }
+
+    fn read_section(section: &yaml::Section<'_>, folder: &path::Path) -> Option<Self> {
+        settings_file::read_program(section, settings_file::CONTROL);
+        let listeners = section.required_section("listeners");
+        let tokens = section.required_section("tokens");
+        let common = CommonSettings::read(section, &listeners, &tokens, folder);
+        let name = section.required("name");
+        let data_folder: Option<path::PathBuf> = section.required("data_folder");
+        let placement = section.optional("placement").unwrap_or_default();
+        listeners.finish();
+        tokens.finish();
+        let settings = Self {
+            common: common?,
+            name: name?,
+            data_folder: folder.join(data_folder?),
+            placement,
+        };
+        common_settings::check_doubled(&listeners, &settings.get_listeners());
+        settings.check_voter(section, &listeners);
+        Some(settings)
+    }
+
+    fn check_voter(&self, section: &yaml::Section<'_>, listeners: &yaml::Section<'_>) {
+        let network = self.common.get_network();
+        let Some(voter) = network.get_voters().iter().find(|voter| voter.name == self.name) else {
+            section.problem("name", format!("`{}` is not among the voters", self.name));
+            return;
+        };
+        if voter.peers != network.get_peers() {
+            let message = format!("differs from `{}` in the list of voters", voter.peers);
+            listeners.problem("peers", message);
+        }
+        if voter.zone != *self.common.get_zone() {
+            section.problem("zone", format!("differs from `{}` in the list of voters", voter.zone));
+        }
+    }
+
+    pub(super) fn get_listeners(&self) -> [(&'static str, net::SocketAddr); 2] {
+        let network = self.common.get_network();
+        [("operators", network.get_operators()), ("peers", network.get_peers())]
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/settings/log_format.rs
@@ -0,0 +1,10 @@
+settings_word! {
+    /// Shape of a log line.
+    pub enum LogFormat {
+        /// Time, level, part and message.
+        #[default]
+        Text = "text",
+        /// One JSON object.
+        Json = "json",
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/settings/log_settings.rs
@@ -0,0 +1,59 @@
+use std::path;
+
+use comfreymill_types::yaml;
+
+use super::{LogFile, LogFormat, LogLevel};
+
+/// What is logged, in which shape and where.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct LogSettings {
+    level: LogLevel,
+    format: LogFormat,
+    file: Option<LogFile>,
+}
+
+impl LogSettings {
+    /// Least severe level that is logged.
+    pub fn get_level(&self) -> LogLevel {
+        self.level
+    }
+
+    /// Shape of a line.
+    pub fn get_format(&self) -> LogFormat {
+        self.format
+    }
+
+    /// File that is written instead of stderr.
+    pub fn get_file(&self) -> Option<&LogFile> {
+        self.file.as_ref()
+    }
+
+    /// Sets the least severe level that is logged.
+    #[must_use]
+    pub fn level(mut self, level: LogLevel) -> Self {
+        self.level = level;
+        self
+    }
+
+    /// Sets the shape of a line.
+    #[must_use]
+    pub fn format(mut self, format: LogFormat) -> Self {
+        self.format = format;
+        self
+    }
+
+    /// Sets the file that is written instead of stderr.
+    #[must_use]
+    pub fn file(mut self, file: LogFile) -> Self {
+        self.file = Some(file);
+        self
+    }
+
+    pub(super) fn read(section: &yaml::Section<'_>, folder: &path::Path) -> Self {
+        let level = section.optional("level").unwrap_or_default();
+        let format = section.optional("format").unwrap_or_default();
+        let file = section.section("file").and_then(|file| LogFile::read(&file, folder));
+        section.finish();
+        Self { level, format, file }
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/settings/mod.rs
@@ -0,0 +1,50 @@
+//! Settings of the processes, read from one YAML file each.
+//!
+//! A file is read as a whole: every problem is reported with its line, column and field.
+//! [`EntrySettings::read`] and [`ControlSettings::read`] look at the file alone;
+//! [`machine::check_entry`] and [`machine::check_control`] look at what the machine holds, such as
+//! folders, key files and addresses in use.
+
+#[macro_use]
+mod values;
+
+mod common_settings;
+mod control_settings;
+mod entry_settings;
+mod limits;
+mod log_file;
+mod log_format;
+mod log_level;
+mod log_settings;
+pub mod machine;
+mod network;
+mod placement_policy;
+mod regions;
+mod routing_policy;
+mod settings_file;
+mod timing;
+mod voter;
+
+pub use common_settings::CommonSettings;
+pub use control_settings::ControlSettings;
+pub use entry_settings::EntrySettings;
+pub use limits::Limits;
+pub use log_file::LogFile;
+pub use log_format::LogFormat;
+pub use log_level::LogLevel;
+pub use log_settings::LogSettings;
+pub use network::Network;
+pub use placement_policy::PlacementPolicy;
+pub use regions::Regions;
+pub use routing_policy::RoutingPolicy;
+pub use settings_file::{SettingsError, SettingsFile};
+pub use timing::Timing;
+pub use voter::Voter;
+
+/// Text is not one of the words that a setting takes.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("`{text}` is not known: write one of {words}")]
+pub struct ParseWordError {
+    text: String,
+    words: String,
+}
--- /dev/null
+++ b/comfreymill_node/src/settings/regions.rs
@@ -0,0 +1,39 @@
+use comfreymill_types::id;
+
+/// Availability zones by region.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Regions {
+    zones: Vec<(id::RegionName, Vec<id::ZoneName>)>,
+}
+
+impl Regions {
+    /// Regions with no zone.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a region with its zones.
+    #[must_use]
+    pub fn region(mut self, region: id::RegionName, zones: Vec<id::ZoneName>) -> Self {
+        self.zones.push((region, zones));
+        self
+    }
+
+    /// Region that holds the zone.
+    pub fn get_region(&self, zone: &id::ZoneName) -> Option<&id::RegionName> {
+        let holder = self.zones.iter().find(|(_, zones)| zones.contains(zone))?;
+        Some(&holder.0)
+    }
+
+    /// Regions with their zones, in the order of the file.
+    pub fn iter(&self) -> impl Iterator<Item = (&id::RegionName, &[id::ZoneName])> {
+        self.zones.iter().map(|(region, zones)| (region, zones.as_slice()))
+    }
+
+    /// Zones that stand in more than one place.
+    pub fn get_doubled_zones(&self) -> Vec<&id::ZoneName> {
+        let all: Vec<_> = self.zones.iter().flat_map(|(_, zones)| zones).collect();
+        let numbered = all.iter().enumerate();
+        numbered.filter(|(i, zone)| all[..*i].contains(zone)).map(|(_, zone)| *zone).collect()
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/settings/timing.rs
@@ -0,0 +1,37 @@
+use comfreymill_types::time;
+use comfreymill_types::yaml;
+
+settings_group! {
+    /// Durations of the protocols between processes.
+    pub struct Timing {
+        /// Time between two heartbeats.
+        heartbeat, get_heartbeat: time::Span = time::Span::from_millis(100);
+        /// Silence of a leader after which a voter calls an election.
+        election, get_election: time::Span = time::Span::from_secs(1);
+        /// Length of leases and grants.
+        lease, get_lease: time::Span = time::Span::from_secs(5);
+        /// Longest time for which a stopping process waits for its open requests.
+        drain, get_drain: time::Span = time::Span::from_secs(60);
+        /// Bound on the drift between the clocks of two VMs.
+        clock_drift, get_clock_drift: time::Drift = time::Drift::from_ppm(1_000);
+    }
+}
+
+impl Timing {
+    pub(super) fn read(section: &yaml::Section<'_>) -> Self {
+        let timing = Self::read_values(section);
+        let [heartbeat, election, lease] =
+            [timing.heartbeat, timing.election, timing.lease].map(time::Span::get_duration);
+        if heartbeat.is_zero() {
+            section.problem("heartbeat", "the time is more than 0s");
+        }
+        if election < heartbeat * 3 {
+            section.problem("election", "is less than 3 heartbeats");
+        }
+        if lease < election {
+            section.problem("lease", "is less than the election time");
+        }
+        section.finish();
+        timing
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/settings/voter.rs
@@ -0,0 +1,25 @@
+use std::net;
+
+use comfreymill_types::id;
+use comfreymill_types::yaml;
+
+/// Control process that votes in the group.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Voter {
+    /// Name of the process.
+    pub name: id::VoterName,
+    /// Address of its listener for peers.
+    pub peers: net::SocketAddr,
+    /// Availability zone.
+    pub zone: id::ZoneName,
+}
+
+impl Voter {
+    pub(super) fn read(section: &yaml::Section<'_>) -> Option<Self> {
+        let name = section.required("name");
+        let peers = section.required("peers");
+        let zone = section.required("zone");
+        section.finish();
+        Some(Self { name: name?, peers: peers?, zone: zone? })
+    }
+}
--- /dev/null
+++ b/comfreymill_node/tests/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the processes' parts.
+
+mod settings;
--- /dev/null
+++ b/comfreymill_node/tests/settings/scratch.rs
@@ -0,0 +1,59 @@
+use std::fs;
+use std::net;
+use std::os::unix::fs::PermissionsExt as _;
+use std::path;
+use std::process;
+use std::sync::atomic;
+
+static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+
+/// Folder of one test with a key, a token and a data folder; removed at the end.
+pub(super) struct Scratch {
+    folder: path::PathBuf,
+}
+
+impl Scratch {
+    pub(super) fn new() -> Self {
+        let number = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
+        let name = format!("comfreymill-settings-{}-{number}", process::id());
+        let scratch = Self { folder: std::env::temp_dir().join(name) };
+        fs::create_dir_all(scratch.folder.join("data")).expect("data folder");
+        scratch.write_secret("cluster.key", "0123456789abcdef0123456789abcdef\n");
+        for role in ["operators", "callers", "upstreams"] {
+            scratch.write_secret(&format!("{role}.token"), "secret\n");
+        }
+        scratch
+    }
+
+    pub(super) fn path(&self, name: &str) -> path::PathBuf {
+        self.folder.join(name)
+    }
+
+    pub(super) fn write(&self, name: &str, text: &str) -> path::PathBuf {
+        let file = self.path(name);
+        fs::write(&file, text).expect("written");
+        file
+    }
+
+    pub(super) fn write_secret(&self, name: &str, text: &str) {
+        let file = self.write(name, text);
+        set_mode(&file, 0o600);
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        // A folder that is already gone is fine.
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub(super) fn set_mode(file: &path::Path, mode: u32) {
+    fs::set_permissions(file, fs::Permissions::from_mode(mode)).expect("mode set");
+}
+
+/// Address on loopback that was free a moment ago.
+pub(super) fn free_address() -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("bound");
+    listener.local_addr().expect("address")
+}
--- a/comfreymill_types/src/document/environment.rs
+++ b/comfreymill_types/src/document/environment.rs
@@ -1,5 +1,6 @@
-use super::{Class, Problem, Team, Weights, validate};
+use super::{Class, Problem, Team, Weights, place_problems, validate};
 use crate::id;
+use crate::yaml;
 
 /// Environment document: what may run where and with what priority.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -26,18 +27,9 @@
     ///
     /// Every problem that was found, each with its field.
     pub fn parse(text: &[u8]) -> Result<Self, Vec<Problem>> {
-        let text = str::from_utf8(text).map_err(|error| {
-            vec![Problem::new(
-                "",
-                format!("the document is not UTF-8 at byte {}", error.valid_up_to()),
-            )]
-        })?;
-        let document: Self = serde_saphyr::from_str(text).map_err(|error| {
-            let place = error.location().map(|place| (place.line(), place.column()));
-            vec![Problem { place, field: String::new(), message: error.to_string() }]
-        })?;
+        let document: Self = yaml::from_text(text)?;
         let problems = validate::validate(&document);
-        if problems.is_empty() { Ok(document) } else { Err(problems) }
+        if problems.is_empty() { Ok(document) } else { Err(place_problems(text, problems)) }
     }
 
     /// Class of this name.
--- a/comfreymill_types/src/lib.rs
+++ b/comfreymill_types/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod id;
 pub mod size;
 pub mod time;
+pub mod yaml;
--- /dev/null
+++ b/comfreymill_types/src/time/drift.rs
@@ -0,0 +1,71 @@
+use std::fmt;
+use std::str;
+use std::time::Duration;
+
+const PARTS_PER_MILLION: u32 = 1_000_000;
+const UNIT: &str = "ppm";
+
+/// Bound on how far two clocks drift apart, in parts per million; prints and parses as `200ppm`.
+#[derive(
+    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct Drift(u32);
+
+/// Text is not a bound on clock drift.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("`{text}` is not a clock drift: write 0 to 1000000 with the unit ppm, as 200ppm")]
+pub struct ParseDriftError {
+    text: String,
+}
+
+impl Drift {
+    /// Bound of `parts` per million, at most all of the time.
+    pub const fn from_ppm(parts: u32) -> Self {
+        Self(if parts > PARTS_PER_MILLION { PARTS_PER_MILLION } else { parts })
+    }
+
+    /// Parts per million.
+    pub const fn as_ppm(self) -> u32 {
+        self.0
+    }
+
+    /// Most by which two clocks differ after `span`.
+    pub fn over(self, span: Duration) -> Duration {
+        span.saturating_mul(self.0) / PARTS_PER_MILLION
+    }
+}
+
+impl fmt::Display for Drift {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}{UNIT}", self.0)
+    }
+}
+
+impl str::FromStr for Drift {
+    type Err = ParseDriftError;
+
+    fn from_str(text: &str) -> Result<Self, ParseDriftError> {
+        let error = || ParseDriftError { text: text.to_owned() };
+        let number = text.strip_suffix(UNIT).ok_or_else(error)?;
+        let parts: u32 = number.parse().map_err(|_| error())?;
+        if parts > PARTS_PER_MILLION {
+            return Err(error());
+        }
+        Ok(Self(parts))
+    }
+}
+
+impl TryFrom<String> for Drift {
+    type Error = ParseDriftError;
+
+    fn try_from(text: String) -> Result<Self, ParseDriftError> {
+        text.parse()
+    }
+}
+
+impl From<Drift> for String {
+    fn from(drift: Drift) -> Self {
+        drift.to_string()
+    }
+}
--- /dev/null
+++ b/comfreymill_types/src/yaml/items.rs
@@ -0,0 +1,40 @@
+use std::slice;
+
+use serde::de;
+
+use super::Node;
+use super::deserializer::NodeDeserializer;
+use super::read_error::ReadError;
+
+/// Items of a list, one after the other.
+pub(super) struct Items<'a, 'b> {
+    pub(super) parent: &'b NodeDeserializer<'a>,
+    pub(super) nodes: slice::Iter<'a, Node>,
+    pub(super) next: usize,
+}
+
+impl<'de> de::SeqAccess<'de> for Items<'_, '_> {
+    type Error = ReadError;
+
+    fn next_element_seed<S>(&mut self, seed: S) -> Result<Option<S::Value>, ReadError>
+    where
+        S: de::DeserializeSeed<'de>,
+    {
+        let mut node = self.nodes.next();
+        let mut path = format!("{}[{}]", self.parent.path, self.next);
+        while node.is_some() && self.parent.report.holds(&path) {
+            node = self.nodes.next();
+            self.next += 1;
+            path = format!("{}[{}]", self.parent.path, self.next);
+        }
+        let Some(node) = node else { return Ok(None) };
+        self.next += 1;
+        let place = node.get_place();
+        let found = seed.deserialize(self.parent.child(node, path.clone()));
+        // Nothing more can be learned of this item, so the next round goes on behind it.
+        if let Err(ReadError::Reported) = found {
+            self.parent.report.leave_out(&path);
+        }
+        found.map(Some).map_err(|error| error.at(place, &path))
+    }
+}
--- /dev/null
+++ b/comfreymill_types/src/yaml/node.rs
@@ -0,0 +1,197 @@
+use std::fmt;
+
+use serde::de;
+
+use crate::document;
+
+/// Value in a file with its place.
+#[derive(Clone, Debug)]
+pub struct Node {
+    /// Line, from 1.
+    pub line: u64,
+    /// Column, from 1.
+    pub column: u64,
+    /// Value.
+    pub value: Value,
+}
+
+/// Key of a mapping with its place and value.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Key.
+    pub key: String,
+    /// Line of the key, from 1.
+    pub line: u64,
+    /// Column of the key, from 1.
+    pub column: u64,
+    /// Value of the key.
+    pub node: Node,
+}
+
+/// Shape of a node.
+#[derive(Clone, Debug)]
+pub enum Value {
+    /// Nothing.
+    Null,
+    /// Text, number or truth value as text.
+    Scalar(String),
+    /// List.
+    Sequence(Vec<Node>),
+    /// Keys with values, in the order of the file.
+    Mapping(Vec<Entry>),
+}
+
+impl Node {
+    /// Reads a file of one document.
+    ///
+    /// # Errors
+    ///
+    /// The first place where the text is not YAML.
+    pub fn parse(text: &[u8]) -> Result<Self, document::Problem> {
+        let text = str::from_utf8(text).map_err(|error| {
+            let at = error.valid_up_to();
+            document::Problem::new("", format!("the file is not UTF-8 at byte {at}"))
+        })?;
+        serde_saphyr::from_str(text).map_err(|error| {
+            let error = error.without_snippet();
+            let place = error.location().map(|place| (place.line(), place.column()));
+            let message = format!("not YAML: {}", first_line(&error.to_string()));
+            document::Problem { place, field: String::new(), message }
+        })
+    }
+
+    /// Node at a path as `classes[2].deadline`, or the closest one above it that exists.
+    pub fn find(&self, path: &str) -> &Self {
+        let mut node = self;
+        for step in path.split(['.', '[']).filter(|step| !step.is_empty()) {
+            match node.get_child(step.trim_end_matches(']')) {
+                Some(child) => node = child,
+                None => break,
+            }
+        }
+        node
+    }
+
+    /// Single value under a key of this mapping.
+    pub fn get_text(&self, key: &str) -> Option<&str> {
+        match &self.get_child(key)?.value {
+            Value::Scalar(text) => Some(text),
+            Value::Null | Value::Sequence(_) | Value::Mapping(_) => None,
+        }
+    }
+
+    /// Place as line and column.
+    pub fn get_place(&self) -> (u64, u64) {
+        (self.line, self.column)
+    }
+
+    fn get_child(&self, step: &str) -> Option<&Self> {
+        match &self.value {
+            Value::Mapping(entries) => {
+                entries.iter().find(|entry| entry.key == step).map(|entry| &entry.node)
+            }
+            Value::Sequence(nodes) => nodes.get(step.parse::<usize>().ok()?),
+            Value::Null | Value::Scalar(_) => None,
+        }
+    }
+}
+
+fn first_line(text: &str) -> &str {
+    text.lines().next().unwrap_or_default()
+}
+
+impl<'de> de::Deserialize<'de> for Node {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: de::Deserializer<'de>,
+    {
+        let spanned: serde_saphyr::Spanned<Value> = de::Deserialize::deserialize(deserializer)?;
+        let place = spanned.referenced;
+        Ok(Self { line: place.line(), column: place.column(), value: spanned.value })
+    }
+}
+
+impl<'de> de::Deserialize<'de> for Value {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: de::Deserializer<'de>,
+    {
+        deserializer.deserialize_any(ValueVisitor)
+    }
+}
+
+struct ValueVisitor;
+
+impl<'de> de::Visitor<'de> for ValueVisitor {
+    type Value = Value;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a value, a list or a mapping")
+    }
+
+    fn visit_unit<E>(self) -> Result<Value, E> {
+        Ok(Value::Null)
+    }
+
+    fn visit_none<E>(self) -> Result<Value, E> {
+        Ok(Value::Null)
+    }
+
+    fn visit_some<D>(self, deserializer: D) -> Result<Value, D::Error>
+    where
+        D: de::Deserializer<'de>,
+    {
+        de::Deserialize::deserialize(deserializer)
+    }
+
+    fn visit_bool<E>(self, value: bool) -> Result<Value, E> {
+        Ok(Value::Scalar(value.to_string()))
+    }
+
+    fn visit_i64<E>(self, value: i64) -> Result<Value, E> {
+        Ok(Value::Scalar(value.to_string()))
+    }
+
+    fn visit_u64<E>(self, value: u64) -> Result<Value, E> {
+        Ok(Value::Scalar(value.to_string()))
+    }
+
+    fn visit_i128<E>(self, value: i128) -> Result<Value, E> {
+        Ok(Value::Scalar(value.to_string()))
+    }
+
+    fn visit_u128<E>(self, value: u128) -> Result<Value, E> {
+        Ok(Value::Scalar(value.to_string()))
+    }
+
+    fn visit_f64<E>(self, value: f64) -> Result<Value, E> {
+        Ok(Value::Scalar(value.to_string()))
+    }
+
+    fn visit_str<E>(self, value: &str) -> Result<Value, E> {
+        Ok(Value::Scalar(value.to_owned()))
+    }
+
+    fn visit_seq<A>(self, mut seq: A) -> Result<Value, A::Error>
+    where
+        A: de::SeqAccess<'de>,
+    {
+        let mut nodes = Vec::new();
+        while let Some(node) = seq.next_element()? {
+            nodes.push(node);
+        }
+        Ok(Value::Sequence(nodes))
+    }
+
+    fn visit_map<A>(self, mut map: A) -> Result<Value, A::Error>
+    where
+        A: de::MapAccess<'de>,
+    {
+        let mut entries = Vec::new();
+        while let Some((key, node)) = map.next_entry::<serde_saphyr::Spanned<String>, Node>()? {
+            let (line, column) = (key.referenced.line(), key.referenced.column());
+            entries.push(Entry { key: key.value, line, column, node });
+        }
+        Ok(Value::Mapping(entries))
+    }
+}
--- /dev/null
+++ b/comfreymill_types/src/yaml/read_error.rs
@@ -0,0 +1,58 @@
+use std::fmt;
+
+use serde::de;
+
+use crate::document;
+
+/// Why a node could not be read as a type.
+#[derive(Debug)]
+pub(super) enum ReadError {
+    /// Message whose place is not known yet.
+    Message(String),
+    /// Field that the type needs.
+    Missing(&'static str),
+    /// Problem with its place.
+    Problem(document::Problem),
+    /// The problem was reported before.
+    Reported,
+}
+
+impl ReadError {
+    /// Gives the error the place and path of the node in which it occurred.
+    pub(super) fn at(self, place: (u64, u64), path: &str) -> Self {
+        match self {
+            Self::Message(message) => Self::Problem(document::Problem {
+                place: Some(place),
+                field: path.to_owned(),
+                message,
+            }),
+            other => other,
+        }
+    }
+}
+
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Message(message) => f.write_str(message),
+            Self::Missing(field) => write!(f, "{field} is missing"),
+            Self::Problem(problem) => problem.fmt(f),
+            Self::Reported => f.write_str("a problem was reported"),
+        }
+    }
+}
+
+impl std::error::Error for ReadError {}
+
+impl de::Error for ReadError {
+    fn custom<T>(message: T) -> Self
+    where
+        T: fmt::Display,
+    {
+        Self::Message(message.to_string())
+    }
+
+    fn missing_field(field: &'static str) -> Self {
+        Self::Missing(field)
+    }
+}
--- /dev/null
+++ b/comfreymill_types/src/yaml/report.rs
@@ -0,0 +1,66 @@
+use std::cell::RefCell;
+use std::collections::HashSet;
+
+use super::read_error::ReadError;
+use crate::document;
+
+/// Problems found so far and the paths that are left out since they have one.
+#[derive(Debug, Default)]
+pub(super) struct Report {
+    problems: RefCell<Vec<document::Problem>>,
+    paths: RefCell<HashSet<String>>,
+}
+
+impl Report {
+    /// Whether the path is left out.
+    pub(super) fn holds(&self, path: &str) -> bool {
+        self.paths.borrow().contains(path)
+    }
+
+    /// Whether no problem was reported.
+    pub(super) fn is_empty(&self) -> bool {
+        self.problems.borrow().is_empty()
+    }
+
+    /// Number of paths that are left out.
+    pub(super) fn count_paths(&self) -> usize {
+        self.paths.borrow().len()
+    }
+
+    /// Leaves out a path from now on.
+    pub(super) fn leave_out(&self, path: &str) {
+        self.paths.borrow_mut().insert(path.to_owned());
+    }
+
+    /// Adds a problem unless its path has one.
+    pub(super) fn add(&self, problem: document::Problem) {
+        if self.paths.borrow_mut().insert(problem.field.clone()) {
+            self.problems.borrow_mut().push(problem);
+        }
+    }
+
+    /// Adds the problem of an error.
+    pub(super) fn add_error(&self, error: ReadError, place: (u64, u64), path: &str) {
+        match error.at(place, path) {
+            ReadError::Problem(problem) => self.add(problem),
+            ReadError::Missing(field) => self.add(document::Problem {
+                place: Some(place),
+                field: join(path, field),
+                message: "is missing".to_owned(),
+            }),
+            ReadError::Message(_) | ReadError::Reported => {}
+        }
+    }
+
+    /// All problems in the order of the text.
+    pub(super) fn into_problems(self) -> Vec<document::Problem> {
+        let mut problems = self.problems.into_inner();
+        problems.sort_by_key(|problem| problem.place);
+        problems
+    }
+}
+
+/// Path of a key under a path.
+pub(super) fn join(path: &str, key: &str) -> String {
+    if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") }
+}
--- /dev/null
+++ b/comfreymill_types/tests/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the domain types.
+
+mod document;
+mod time;
+mod yaml;
