feat(ledger): add the replicated state machine

Cause: documents, jobs, attempts, keyed requests and grants must survive every process. Change: Ledger applies one record at a time; resends by operation id, idempotency key or fencing token get the first reply; an unrepeatable task whose outcome is unknown is parked; records and bodies are bounded. Conclusion: the control process can be built on it.

--- /dev/null
+++ b/comfreymill_ledger/src/document/mod.rs
@@ -0,0 +1,7 @@
+//! Environment documents and the stage in which each is in force.
+
+mod document_record;
+mod environment_state;
+
+pub use document_record::DocumentRecord;
+pub use environment_state::EnvironmentState;
--- /dev/null
+++ b/comfreymill_ledger/src/grant/grant_key.rs
@@ -0,0 +1,15 @@
+use comfreymill_types::id;
+
+/// Executor and entry that a grant joins.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GrantKey {
+    /// Executor whose slots are granted.
+    pub executor: id::ExecutorName,
+    /// Life of the executor.
+    pub executor_incarnation: id::Incarnation,
+    /// Entry that may use them.
+    pub entry: id::EntryName,
+    /// Life of the entry.
+    pub entry_incarnation: id::Incarnation,
+}
--- /dev/null
+++ b/comfreymill_ledger/src/job/task_state.rs
@@ -0,0 +1,25 @@
+use comfreymill_types::id;
+
+/// State of a task.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TaskState {
+    /// It waits for a worker.
+    Waiting,
+    /// An attempt of it runs or is being started.
+    Running {
+        /// Worker that runs it.
+        worker: id::WorkerName,
+        /// Life of the worker.
+        incarnation: id::Incarnation,
+    },
+    /// It is done.
+    Finished,
+    /// It waits for a person.
+    Parked {
+        /// Why, and what would make it run.
+        reason: String,
+    },
+    /// It was cancelled.
+    Cancelled,
+}
--- /dev/null
+++ b/comfreymill_ledger/src/ledger/apply_attempt.rs
@@ -0,0 +1,123 @@
+use comfreymill_types::error::ErrorKind;
+use comfreymill_types::id;
+
+use super::Ledger;
+use crate::command::Reply;
+use crate::job;
+
+const UNKNOWN_OUTCOME: &str = "it may run at most once and its last attempt's outcome is unknown: \
+    find out whether it took effect, then cancel the job or release the task";
+
+impl Ledger {
+    pub(super) fn start_attempt(
+        &mut self,
+        attempt: id::AttemptId,
+        worker: id::WorkerName,
+        incarnation: id::Incarnation,
+    ) -> Reply {
+        let Some(task) = self.task_mut(attempt.task) else { return no_task(attempt.task) };
+        let is_next = attempt.number == task.last_attempt.next();
+        if task.state != job::TaskState::Waiting || !is_next {
+            let message = format!("{attempt} cannot start: the task is not waiting for it");
+            return Reply::refused(ErrorKind::Conflict, message);
+        }
+        task.last_attempt = attempt.number;
+        task.state = job::TaskState::Running { worker, incarnation };
+        Reply::Done
+    }
+
+    pub(super) fn record_checkpoint(
+        &mut self,
+        attempt: id::AttemptId,
+        checkpoint: job::Checkpoint,
+    ) -> Reply {
+        let Some(task) = self.task_mut(attempt.task) else { return no_task(attempt.task) };
+        if !task.is_running(attempt.number) {
+            return stale(attempt);
+        }
+        task.checkpoint = Some(checkpoint);
+        Reply::Done
+    }
+
+    pub(super) fn end_attempt(
+        &mut self,
+        attempt: id::AttemptId,
+        outcome: job::AttemptOutcome,
+    ) -> Reply {
+        let Some(job) = self.jobs.get_mut(&attempt.task.job) else { return no_task(attempt.task) };
+        let (cancelled, unrepeatable) = (job.cancelled, job.unrepeatable);
+        let index = attempt.task.index as usize;
+        let Some(task) = job.tasks.get_mut(index) else { return no_task(attempt.task) };
+        let job::TaskState::Running { worker, .. } = &task.state else { return stale(attempt) };
+        if task.last_attempt != attempt.number {
+            return stale(attempt);
+        }
+        if matches!(outcome, job::AttemptOutcome::Failed { .. }) && !task.failed_on.contains(worker)
+        {
+            task.failed_on.push(worker.clone());
+        }
+        task.state = next_state(task, outcome, cancelled, unrepeatable);
+        self.retire_if_ended(attempt.task.job);
+        Reply::Done
+    }
+
+    pub(super) fn park_task(&mut self, id: id::TaskId, reason: String) -> Reply {
+        let Some(task) = self.task_mut(id) else { return no_task(id) };
+        if task.state != job::TaskState::Waiting {
+            let message = format!("{id} cannot be parked: it is not waiting");
+            return Reply::refused(ErrorKind::Conflict, message);
+        }
+        task.state = job::TaskState::Parked { reason };
+        Reply::Done
+    }
+
+    pub(super) fn release_task(&mut self, id: id::TaskId) -> Reply {
+        let Some(task) = self.task_mut(id) else { return no_task(id) };
+        if !matches!(task.state, job::TaskState::Parked { .. }) {
+            return Reply::refused(ErrorKind::Conflict, format!("{id} is not parked"));
+        }
+        task.state = job::TaskState::Waiting;
+        task.failed_on.clear();
+        Reply::Done
+    }
+
+    fn task_mut(&mut self, id: id::TaskId) -> Option<&mut job::Task> {
+        let index = usize::try_from(id.index).ok()?;
+        self.jobs.get_mut(&id.job)?.tasks.get_mut(index)
+    }
+}
+
+/// State of a task after its attempt ended.
+fn next_state(
+    task: &mut job::Task,
+    outcome: job::AttemptOutcome,
+    cancelled: bool,
+    unrepeatable: bool,
+) -> job::TaskState {
+    let resumable = match outcome {
+        job::AttemptOutcome::Finished => return job::TaskState::Finished,
+        job::AttemptOutcome::NotStarted => true,
+        job::AttemptOutcome::Stopped { checkpoint: Some(checkpoint) } => {
+            task.checkpoint = Some(checkpoint);
+            true
+        }
+        job::AttemptOutcome::Stopped { checkpoint: None }
+        | job::AttemptOutcome::Failed { .. }
+        | job::AttemptOutcome::Lost => !unrepeatable,
+    };
+    if cancelled {
+        job::TaskState::Cancelled
+    } else if resumable {
+        job::TaskState::Waiting
+    } else {
+        job::TaskState::Parked { reason: UNKNOWN_OUTCOME.to_owned() }
+    }
+}
+
+fn no_task(id: id::TaskId) -> Reply {
+    Reply::refused(ErrorKind::NotFound, format!("there is no task {id}"))
+}
+
+fn stale(attempt: id::AttemptId) -> Reply {
+    Reply::refused(ErrorKind::Conflict, format!("{attempt} is not the running attempt"))
+}
--- /dev/null
+++ b/comfreymill_ledger/src/ledger/ledger.rs
@@ -0,0 +1,171 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+use comfreymill_types::id;
+
+use super::Requests;
+use crate::codec;
+use crate::command;
+use crate::document;
+use crate::grant;
+use crate::job;
+use crate::operation;
+
+/// Replicated state of a group.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Ledger {
+    pub(super) applied: u64,
+    pub(super) now: command::GroupTime,
+    pub(super) documents_revision: u64,
+    pub(super) environments: BTreeMap<id::EnvironmentName, document::EnvironmentState>,
+    pub(super) operations: operation::OperationLog,
+    pub(super) next_job: u64,
+    pub(super) jobs: BTreeMap<id::JobId, job::Job>,
+    pub(super) job_keys: BTreeMap<id::IdempotencyKey, JobKey>,
+    pub(super) ended_jobs: VecDeque<id::JobId>,
+    pub(super) ended_keys: VecDeque<id::IdempotencyKey>,
+    pub(super) requests: Requests,
+    #[serde(with = "grant_list")]
+    pub(super) grants: BTreeMap<grant::GrantKey, grant::Grant>,
+}
+
+/// Job that was accepted under a key, and the digest of what was asked.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct JobKey {
+    pub(super) job: id::JobId,
+    pub(super) digest: id::Digest,
+}
+
+/// # Changes
+impl Ledger {
+    /// Applies the record at log position `index` and gives its reply.
+    pub fn apply(&mut self, index: u64, entry: command::Entry) -> command::Reply {
+        debug_assert!(index > self.applied, "records are applied in order");
+        self.applied = index;
+        self.now = self.now.max(entry.at);
+        match entry.command {
+            command::Command::SubmitDocument {
+                operation,
+                environment,
+                version,
+                replaces,
+                text,
+            } => self.submit_document(operation, environment, version, replaces, &text),
+            command::Command::PromoteDocument { operation, environment, digest } => {
+                self.promote_document(operation, &environment, digest)
+            }
+            command::Command::SubmitJob { key, spec, unrepeatable } => {
+                self.submit_job(key, spec, unrepeatable)
+            }
+            command::Command::CancelJob { job } => self.cancel_job(job),
+            command::Command::StartAttempt { attempt, worker, incarnation } => {
+                self.start_attempt(attempt, worker, incarnation)
+            }
+            command::Command::RecordCheckpoint { attempt, checkpoint } => {
+                self.record_checkpoint(attempt, checkpoint)
+            }
+            command::Command::EndAttempt { attempt, outcome } => self.end_attempt(attempt, outcome),
+            command::Command::ParkTask { task, reason } => self.park_task(task, reason),
+            command::Command::ReleaseTask { task } => self.release_task(task),
+            command::Command::OpenRequest { key, digest, owner, unrepeatable } => {
+                self.requests.open(self.now, key, digest, owner, unrepeatable)
+            }
+            command::Command::CloseRequest { key, owner, outcome } => {
+                self.requests.close(self.now, &key, &owner, outcome)
+            }
+            command::Command::ChangeGrants { changes } => self.change_grants(changes),
+        }
+    }
+}
+
+/// # State
+impl Ledger {
+    /// Log position of the last record applied.
+    pub fn get_applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Latest group time seen.
+    pub fn get_now(&self) -> command::GroupTime {
+        self.now
+    }
+
+    /// Log position of the last change of a document.
+    pub fn get_documents_revision(&self) -> u64 {
+        self.documents_revision
+    }
+
+    /// Environments by name.
+    pub fn get_environments(&self) -> &BTreeMap<id::EnvironmentName, document::EnvironmentState> {
+        &self.environments
+    }
+
+    /// Jobs by number.
+    pub fn get_jobs(&self) -> &BTreeMap<id::JobId, job::Job> {
+        &self.jobs
+    }
+
+    /// Task of this id.
+    pub fn get_task(&self, task: id::TaskId) -> Option<&job::Task> {
+        let index = usize::try_from(task.index).ok()?;
+        self.jobs.get(&task.job)?.tasks.get(index)
+    }
+
+    /// Records of keyed requests.
+    pub fn get_requests(&self) -> &Requests {
+        &self.requests
+    }
+
+    /// Grants by executor and entry.
+    pub fn get_grants(&self) -> &BTreeMap<grant::GrantKey, grant::Grant> {
+        &self.grants
+    }
+}
+
+/// # Snapshots
+impl Ledger {
+    /// Encodes the whole state.
+    pub fn to_snapshot(&self) -> Bytes {
+        codec::encode(self)
+    }
+
+    /// Decodes a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no snapshot.
+    pub fn from_snapshot(buf: &[u8]) -> Result<Self, codec::CodecError> {
+        codec::decode(buf)
+    }
+}
+
+/// Grants as a list, since their key is no text.
+mod grant_list {
+    use std::collections::BTreeMap;
+
+    use serde::{Deserialize as _, Deserializer, Serializer};
+
+    use crate::grant;
+
+    pub(super) fn serialize<S>(
+        grants: &BTreeMap<grant::GrantKey, grant::Grant>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        serializer.collect_seq(grants.values())
+    }
+
+    pub(super) fn deserialize<'de, D>(
+        deserializer: D,
+    ) -> Result<BTreeMap<grant::GrantKey, grant::Grant>, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let grants = Vec::<grant::Grant>::deserialize(deserializer)?;
+        Ok(grants.into_iter().map(|grant| (grant.key.clone(), grant)).collect())
+    }
+}
--- /dev/null
+++ b/comfreymill_ledger/src/ledger/mod.rs
@@ -0,0 +1,13 @@
+//! The replicated state machine, one file for each kind of command.
+
+mod apply_attempt;
+mod apply_document;
+mod apply_grant;
+mod apply_job;
+mod apply_request;
+#[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
+mod ledger;
+mod requests;
+
+pub use ledger::Ledger;
+pub use requests::Requests;
--- /dev/null
+++ b/comfreymill_ledger/src/ledger/requests.rs
@@ -0,0 +1,115 @@
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use crate::command::GroupTime;
+use crate::request::{RequestKey, RequestRecord, RequestState};
+
+const MAX_RECORDS: usize = 200_000;
+const MAX_KEPT_BODY_BYTES: usize = 8 << 20;
+const MAX_BODY_BYTES: usize = 16 << 10;
+const RETENTION: Duration = Duration::from_secs(24 * 3_600);
+
+/// Records of keyed requests, bounded in number, age and bytes.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Requests {
+    #[serde(with = "record_list")]
+    pub(super) records: BTreeMap<RequestKey, RequestRecord>,
+    answered: VecDeque<(GroupTime, RequestKey)>,
+    kept: VecDeque<RequestKey>,
+    kept_bytes: usize,
+}
+
+impl Requests {
+    /// Largest body of an answer that is kept, in bytes.
+    pub const MAX_BODY_BYTES: usize = MAX_BODY_BYTES;
+
+    /// Record of a key.
+    pub fn get(&self, key: &RequestKey) -> Option<&RequestRecord> {
+        self.records.get(key)
+    }
+
+    /// Every record with its key.
+    pub fn iter(&self) -> impl Iterator<Item = (&RequestKey, &RequestRecord)> {
+        self.records.iter()
+    }
+
+    pub(super) fn is_full(&self) -> bool {
+        self.records.len() >= MAX_RECORDS
+    }
+
+    /// Drops answers older than the retention.
+    pub(super) fn expire(&mut self, now: GroupTime) {
+        while let Some((at, _)) = self.answered.front()
+            && at.later(RETENTION) < now
+            && let Some((_, key)) = self.answered.pop_front()
+        {
+            self.drop_body(&key);
+            self.records.remove(&key);
+        }
+    }
+
+    /// Counts the body of a new answer and drops the oldest bodies over the bound.
+    pub(super) fn keep_body(&mut self, now: GroupTime, key: &RequestKey) {
+        self.answered.push_back((now, key.clone()));
+        let bytes = body_bytes(self.records.get(key));
+        if bytes > MAX_BODY_BYTES {
+            clear_body(self.records.get_mut(key));
+            return;
+        }
+        self.kept_bytes += bytes;
+        self.kept.push_back(key.clone());
+        while self.kept_bytes > MAX_KEPT_BODY_BYTES
+            && let Some(oldest) = self.kept.pop_front()
+        {
+            self.drop_body(&oldest);
+        }
+    }
+
+    fn drop_body(&mut self, key: &RequestKey) {
+        self.kept_bytes -= body_bytes(self.records.get(key));
+        clear_body(self.records.get_mut(key));
+    }
+}
+
+fn body_bytes(record: Option<&RequestRecord>) -> usize {
+    match record.map(|record| &record.state) {
+        Some(RequestState::Answered(answer)) => answer.body.as_ref().map_or(0, bytes::Bytes::len),
+        _ => 0,
+    }
+}
+
+fn clear_body(record: Option<&mut RequestRecord>) {
+    if let Some(RequestRecord { state: RequestState::Answered(answer), .. }) = record {
+        answer.body = None;
+    }
+}
+
+/// Records as a list, since their key is no text.
+mod record_list {
+    use std::collections::BTreeMap;
+
+    use serde::{Deserialize as _, Deserializer, Serializer};
+
+    use crate::request::{RequestKey, RequestRecord};
+
+    pub(super) fn serialize<S>(
+        records: &BTreeMap<RequestKey, RequestRecord>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        serializer.collect_seq(records)
+    }
+
+    pub(super) fn deserialize<'de, D>(
+        deserializer: D,
+    ) -> Result<BTreeMap<RequestKey, RequestRecord>, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let records = Vec::<(RequestKey, RequestRecord)>::deserialize(deserializer)?;
+        Ok(records.into_iter().collect())
+    }
+}
--- /dev/null
+++ b/comfreymill_ledger/src/operation/operation_log.rs
@@ -0,0 +1,45 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use comfreymill_types::id;
+
+use crate::command;
+
+const MAX_OPERATIONS: usize = 20_000;
+
+/// First reply of each operation, oldest dropped first over the bound.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct OperationLog {
+    replies: BTreeMap<id::OperationId, Recorded>,
+    order: VecDeque<id::OperationId>,
+}
+
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Recorded {
+    request: id::Digest,
+    reply: command::Reply,
+}
+
+impl OperationLog {
+    /// First reply to `operation` and the digest of what it asked.
+    pub fn get(&self, operation: &id::OperationId) -> Option<(id::Digest, &command::Reply)> {
+        self.replies.get(operation).map(|recorded| (recorded.request, &recorded.reply))
+    }
+
+    /// Keeps the first reply to `operation`.
+    pub fn record(
+        &mut self,
+        operation: id::OperationId,
+        request: id::Digest,
+        reply: command::Reply,
+    ) {
+        if self.order.len() >= MAX_OPERATIONS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.replies.remove(&oldest);
+        }
+        self.order.push_back(operation.clone());
+        self.replies.insert(operation, Recorded { request, reply });
+    }
+}
