refactor(ledger): clear kept bodies in one method

Cause: clippy flagged an option of a reference passed by value. Change: clear_body is a method of Requests. Measured: clippy is clean. Conclusion: no change of behaviour.

--- a/comfreymill_ledger/src/ledger/requests.rs
+++ b/comfreymill_ledger/src/ledger/requests.rs
@@ -54,7 +54,7 @@
         self.answered.push_back((now, key.clone()));
         let bytes = body_bytes(self.records.get(key));
         if bytes > MAX_BODY_BYTES {
-            clear_body(self.records.get_mut(key));
+            self.clear_body(key);
             return;
         }
         self.kept_bytes += bytes;
@@ -68,7 +68,14 @@
 
     fn drop_body(&mut self, key: &RequestKey) {
         self.kept_bytes -= body_bytes(self.records.get(key));
-        clear_body(self.records.get_mut(key));
+        self.clear_body(key);
+    }
+
+    fn clear_body(&mut self, key: &RequestKey) {
+        let state = self.records.get_mut(key).map(|record| &mut record.state);
+        if let Some(RequestState::Answered(answer)) = state {
+            answer.body = None;
+        }
     }
 }
 
@@ -79,12 +86,6 @@
     }
 }
 
-fn clear_body(record: Option<&mut RequestRecord>) {
-    if let Some(RequestRecord { state: RequestState::Answered(answer), .. }) = record {
-        answer.body = None;
-    }
-}
-
 /// Records as a list, since their key is no text.
 mod record_list {
     use std::collections::BTreeMap;
