feat(node): add connections between processes

Cause: control and entry processes must prove to each other that they hold the cluster's key. Change: length-delimited frames of prost messages, a handshake of hellos and MACs over both, refusal of a foreign cluster or version. Conclusion: calls, pushes and the group's messages share one connection type.

--- a/comfreymill_node/src/lib.rs
+++ b/comfreymill_node/src/lib.rs
@@ -1,1 +1,3 @@
-//! Processes of comfreymill: control, entry and the client of the command line
+//! Processes of comfreymill: control, entry and the client of the command line.
+
+pub mod peer;
--- /dev/null
+++ b/comfreymill_node/src/peer/cluster_key.rs
@@ -0,0 +1,76 @@
+use std::fmt;
+use std::fs;
+use std::os::unix::fs::PermissionsExt as _;
+use std::path::Path;
+
+use bytes::Bytes;
+use hmac::KeyInit as _;
+use hmac::Mac as _;
+
+use super::PeerError;
+
+const MIN_KEY_BYTES: usize = 16;
+const OTHERS_MASK: u32 = 0o077;
+
+/// Secret that every process of a cluster holds.
+#[derive(Clone)]
+pub struct ClusterKey(Bytes);
+
+impl ClusterKey {
+    /// Wraps the bytes of a key.
+    pub fn new<B>(bytes: B) -> Self
+    where
+        B: Into<Bytes>,
+    {
+        Self(bytes.into())
+    }
+
+    /// Reads a key from a file that only its owner may read.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read, others may read it, or the key is too short.
+    pub fn read(path: &Path) -> Result<Self, PeerError> {
+        let error = |reason: String| PeerError::KeyFile { path: path.to_owned(), reason };
+        let metadata = fs::metadata(path).map_err(|e| error(e.to_string()))?;
+        let mode = metadata.permissions().mode();
+        if mode & OTHERS_MASK != 0 {
+            return Err(error(format!("mode {:o} lets others read it, set 600", mode & 0o777)));
+        }
+        let bytes = fs::read(path).map_err(|e| error(e.to_string()))?;
+        let key = bytes.trim_ascii();
+        if key.len() < MIN_KEY_BYTES {
+            return Err(error(format!(
+                "the key has {} bytes, {MIN_KEY_BYTES} are wanted",
+                key.len()
+            )));
+        }
+        Ok(Self(Bytes::copy_from_slice(key)))
+    }
+
+    /// MAC over `parts`.
+    pub(super) fn sign(&self, parts: &[&[u8]]) -> Vec<u8> {
+        self.mac(parts).finalize().into_bytes().to_vec()
+    }
+
+    /// Whether `proof` is the MAC over `parts`.
+    pub(super) fn verify(&self, parts: &[&[u8]], proof: &[u8]) -> bool {
+        self.mac(parts).verify_slice(proof).is_ok()
+    }
+
+    fn mac(&self, parts: &[&[u8]]) -> hmac::Hmac<sha2::Sha256> {
+        let mut mac =
+            hmac::Hmac::<sha2::Sha256>::new_from_slice(&self.0).expect("any length is a key");
+        for part in parts {
+            mac.update(&(part.len() as u64).to_be_bytes());
+            mac.update(part);
+        }
+        mac
+    }
+}
+
+impl fmt::Debug for ClusterKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("ClusterKey")
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/peer/connection.rs
@@ -0,0 +1,146 @@
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt as _};
+use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable as _};
+use monoio::net::TcpStream;
+use monoio_compat::StreamWrapper;
+use prost::Message as _;
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+
+use super::handshake::{self, Side};
+use super::{Frame, Hello, Identity, PeerError};
+
+const MAX_FRAME_BYTES: usize = 8 << 20;
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Connection to a peer that holds the cluster's key.
+#[derive(Debug)]
+pub struct Connection {
+    /// Who the peer is.
+    pub peer: Hello,
+    /// Frames that the peer sends.
+    pub reader: FrameReader,
+    /// Frames to the peer.
+    pub writer: FrameWriter,
+}
+
+/// Frames that a peer sends.
+pub struct FrameReader {
+    frames: FramedRead<StreamWrapper<OwnedReadHalf<TcpStream>>, LengthDelimitedCodec>,
+}
+
+/// Frames to a peer.
+pub struct FrameWriter {
+    frames: FramedWrite<StreamWrapper<OwnedWriteHalf<TcpStream>>, LengthDelimitedCodec>,
+}
+
+impl Connection {
+    /// Opens a connection and shakes hands.
+    ///
+    /// # Errors
+    ///
+    /// The peer cannot be reached in time, or is refused.
+    pub async fn connect(
+        address: SocketAddr,
+        identity: &Identity,
+        timeout: Duration,
+    ) -> Result<Self, PeerError> {
+        let connect = TcpStream::connect_addr(address);
+        let stream =
+            monoio::time::timeout(timeout, connect).await.map_err(|_| PeerError::Silent)??;
+        Self::shake(stream, Side::Connector, identity).await
+    }
+
+    /// Shakes hands on a connection that a peer opened.
+    ///
+    /// # Errors
+    ///
+    /// The peer is refused or too slow.
+    pub async fn accept(stream: TcpStream, identity: &Identity) -> Result<Self, PeerError> {
+        Self::shake(stream, Side::Acceptor, identity).await
+    }
+
+    async fn shake(stream: TcpStream, side: Side, identity: &Identity) -> Result<Self, PeerError> {
+        stream.set_nodelay(true)?;
+        let (read, write) = stream.into_split();
+        let mut reader = FrameReader { frames: FramedRead::new(StreamWrapper::new(read), codec()) };
+        let mut writer =
+            FrameWriter { frames: FramedWrite::new(StreamWrapper::new(write), codec()) };
+        let shake = handshake::shake(side, identity, &mut reader, &mut writer);
+        let peer = monoio::time::timeout(HANDSHAKE_TIMEOUT, shake)
+            .await
+            .map_err(|_| PeerError::Silent)??;
+        Ok(Self { peer, reader, writer })
+    }
+}
+
+impl FrameReader {
+    /// Next frame.
+    ///
+    /// # Errors
+    ///
+    /// The connection ended or the frame is malformed.
+    pub async fn next(&mut self) -> Result<Frame, PeerError> {
+        let buf = self.frames.next().await.ok_or(PeerError::Closed)??;
+        Frame::decode(buf.freeze()).map_err(|error| PeerError::Malformed(error.to_string()))
+    }
+
+    /// Next frame, or an error when the peer is silent for `limit`.
+    ///
+    /// # Errors
+    ///
+    /// The connection ended, the frame is malformed, or the peer was silent.
+    pub async fn next_within(&mut self, limit: Duration) -> Result<Frame, PeerError> {
+        monoio::time::timeout(limit, self.next()).await.map_err(|_| PeerError::Silent)?
+    }
+}
+
+impl FrameWriter {
+    /// Sends a frame and waits until the socket took it.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed.
+    pub async fn send(&mut self, frame: Frame) -> Result<(), PeerError> {
+        let buf = Bytes::from(frame.encode_to_vec());
+        self.frames.send(buf).await.map_err(PeerError::from)
+    }
+
+    /// Puts a frame into the buffer; [`FrameWriter::flush`] sends it.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed.
+    pub async fn feed(&mut self, frame: Frame) -> Result<(), PeerError> {
+        let buf = Bytes::from(frame.encode_to_vec());
+        self.frames.feed(buf).await.map_err(PeerError::from)
+    }
+
+    /// Sends what is in the buffer.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed.
+    pub async fn flush(&mut self) -> Result<(), PeerError> {
+        SinkExt::<Bytes>::flush(&mut self.frames).await.map_err(PeerError::from)
+    }
+}
+
+impl fmt::Debug for FrameReader {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("FrameReader")
+    }
+}
+
+impl fmt::Debug for FrameWriter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("FrameWriter")
+    }
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
+}
