feat(ledger): keep how far an ended attempt had come

Cause: whether an unrepeatable task may run again depends on what was done after its last checkpoint. Change: outcomes carry the progress, checkpoints a sequence, running tasks what is reserved; an older checkpoint never replaces a later one.

--- a/comfreymill_ledger/src/command/command.rs
+++ b/comfreymill_ledger/src/command/command.rs
@@ -1,4 +1,5 @@
 use comfreymill_types::id;
+use comfreymill_types::size;
 
 use crate::grant;
 use crate::job;
@@ -52,6 +53,8 @@
         worker: id::WorkerName,
         /// Life of the worker.
         incarnation: id::Incarnation,
+        /// What is reserved for it.
+        reserved: size::Resources,
     },
     /// Records a checkpoint of a running attempt.
     RecordCheckpoint {
@@ -66,6 +69,8 @@
         attempt: id::AttemptId,
         /// How it ended.
         outcome: job::AttemptOutcome,
+        /// Checkpoint to record with the end.
+        checkpoint: Option<job::Checkpoint>,
     },
     /// Parks a waiting task for a person.
     ParkTask {
--- a/comfreymill_ledger/src/job/attempt_outcome.rs
+++ b/comfreymill_ledger/src/job/attempt_outcome.rs
@@ -1,7 +1,7 @@
-use super::Checkpoint;
+use super::Progress;
 
 /// How an attempt ended.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum AttemptOutcome {
     /// The task is done.
@@ -10,14 +10,29 @@
     Failed {
         /// Worker's reason.
         reason: String,
+        /// How far it had come.
+        progress: Progress,
     },
-    /// The worker never began it.
-    NotStarted,
     /// It was stopped on request and confirmed so.
     Stopped {
-        /// Last state that was saved.
-        checkpoint: Option<Checkpoint>,
+        /// How far it had come.
+        progress: Progress,
     },
     /// Its worker came back without it or its lease ran out.
-    Lost,
+    Lost {
+        /// How far it may have come.
+        progress: Progress,
+    },
+}
+
+impl AttemptOutcome {
+    /// How far the attempt had come; none when it finished.
+    pub fn get_progress(&self) -> Option<Progress> {
+        match self {
+            Self::Finished => None,
+            Self::Failed { progress, .. }
+            | Self::Stopped { progress }
+            | Self::Lost { progress } => Some(*progress),
+        }
+    }
 }
--- a/comfreymill_ledger/src/job/job_spec.rs
+++ b/comfreymill_ledger/src/job/job_spec.rs
@@ -1,5 +1,6 @@
 use comfreymill_types::document;
 use comfreymill_types::id;
+use comfreymill_types::size;
 
 /// What a submitter asks to run.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -17,6 +18,9 @@
     /// Number of tasks.
     #[serde(default = "default_tasks")]
     pub tasks: u32,
+    /// Declared need of one task; none takes that of the class.
+    #[serde(default)]
+    pub size: Option<size::Resources>,
     /// What the worker is told, opaque to the scheduler.
     #[serde(default)]
     pub payload: String,
--- a/comfreymill_ledger/src/job/mod.rs
+++ b/comfreymill_ledger/src/job/mod.rs
@@ -6,6 +6,7 @@
 mod job;
 mod job_spec;
 mod job_state;
+mod progress;
 mod task;
 mod task_state;
 
@@ -14,5 +15,6 @@
 pub use job::Job;
 pub use job_spec::JobSpec;
 pub use job_state::JobState;
+pub use progress::Progress;
 pub use task::Task;
 pub use task_state::TaskState;
--- a/comfreymill_ledger/src/job/task_state.rs
+++ b/comfreymill_ledger/src/job/task_state.rs
@@ -1,4 +1,5 @@
 use comfreymill_types::id;
+use comfreymill_types::size;
 
 /// State of a task.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -12,6 +13,8 @@
         worker: id::WorkerName,
         /// Life of the worker.
         incarnation: id::Incarnation,
+        /// What is reserved for it.
+        reserved: size::Resources,
     },
     /// It is done.
     Finished,
--- a/comfreymill_ledger/src/ledger/apply_attempt.rs
+++ b/comfreymill_ledger/src/ledger/apply_attempt.rs
@@ -1,5 +1,6 @@
 use comfreymill_types::error::ErrorKind;
 use comfreymill_types::id;
+use comfreymill_types::size;
 
 use super::Ledger;
 use crate::command::Reply;
@@ -14,6 +15,7 @@
         attempt: id::AttemptId,
         worker: id::WorkerName,
         incarnation: id::Incarnation,
+        reserved: size::Resources,
     ) -> Reply {
         let Some(task) = self.task_mut(attempt.task) else { return no_task(attempt.task) };
         let is_next = attempt.number == task.last_attempt.next();
@@ -22,7 +24,7 @@
             return Reply::refused(ErrorKind::Conflict, message);
         }
         task.last_attempt = attempt.number;
-        task.state = job::TaskState::Running { worker, incarnation };
+        task.state = job::TaskState::Running { worker, incarnation, reserved };
         Reply::Done
     }
 
@@ -35,14 +37,15 @@
         if !task.is_running(attempt.number) {
             return stale(attempt);
         }
-        task.checkpoint = Some(checkpoint);
+        keep_latest(task, checkpoint);
         Reply::Done
     }
 
     pub(super) fn end_attempt(
         &mut self,
         attempt: id::AttemptId,
-        outcome: job::AttemptOutcome,
+        outcome: &job::AttemptOutcome,
+        checkpoint: Option<job::Checkpoint>,
     ) -> Reply {
         let Some(job) = self.jobs.get_mut(&attempt.task.job) else { return no_task(attempt.task) };
         let (cancelled, unrepeatable) = (job.cancelled, job.unrepeatable);
@@ -56,6 +59,9 @@
         {
             task.failed_on.push(worker.clone());
         }
+        if let Some(checkpoint) = checkpoint {
+            keep_latest(task, checkpoint);
+        }
         task.state = next_state(task, outcome, cancelled, unrepeatable);
         self.retire_if_ended(attempt.task.job);
         Reply::Done
@@ -63,7 +69,8 @@
 
     pub(super) fn park_task(&mut self, id: id::TaskId, reason: String) -> Reply {
         let Some(task) = self.task_mut(id) else { return no_task(id) };
-        if task.state != job::TaskState::Waiting {
+        let waits = matches!(task.state, job::TaskState::Waiting | job::TaskState::Parked { .. });
+        if !waits {
             let message = format!("{id} cannot be parked: it is not waiting");
             return Reply::refused(ErrorKind::Conflict, message);
         }
@@ -87,27 +94,30 @@
     }
 }
 
+fn keep_latest(task: &mut job::Task, checkpoint: job::Checkpoint) {
+    let recorded = task.checkpoint.as_ref().map_or(0, |recorded| recorded.sequence);
+    if checkpoint.sequence > recorded {
+        task.checkpoint = Some(checkpoint);
+    }
+}
+
 /// State of a task after its attempt ended.
 fn next_state(
-    task: &mut job::Task,
-    outcome: job::AttemptOutcome,
+    task: &job::Task,
+    outcome: &job::AttemptOutcome,
     cancelled: bool,
     unrepeatable: bool,
 ) -> job::TaskState {
-    let resumable = match outcome {
-        job::AttemptOutcome::Finished => return job::TaskState::Finished,
-        job::AttemptOutcome::NotStarted => true,
-        job::AttemptOutcome::Stopped { checkpoint: Some(checkpoint) } => {
-            task.checkpoint = Some(checkpoint);
-            true
-        }
-        job::AttemptOutcome::Stopped { checkpoint: None }
-        | job::AttemptOutcome::Failed { .. }
-        | job::AttemptOutcome::Lost => !unrepeatable,
-    };
+    let Some(progress) = outcome.get_progress() else { return job::TaskState::Finished };
     if cancelled {
-        job::TaskState::Cancelled
-    } else if resumable {
+        return job::TaskState::Cancelled;
+    }
+    let repeats_nothing = match progress {
+        job::Progress::NotBegun => true,
+        job::Progress::AtCheckpoint => task.checkpoint.is_some(),
+        job::Progress::PastCheckpoint => false,
+    };
+    if repeats_nothing || !unrepeatable {
         job::TaskState::Waiting
     } else {
         job::TaskState::Parked { reason: UNKNOWN_OUTCOME.to_owned() }
--- a/comfreymill_ledger/src/ledger/ledger.rs
+++ b/comfreymill_ledger/src/ledger/ledger.rs
@@ -60,13 +60,15 @@
                 self.submit_job(key, spec, unrepeatable)
             }
             command::Command::CancelJob { job } => self.cancel_job(job),
-            command::Command::StartAttempt { attempt, worker, incarnation } => {
-                self.start_attempt(attempt, worker, incarnation)
+            command::Command::StartAttempt { attempt, worker, incarnation, reserved } => {
+                self.start_attempt(attempt, worker, incarnation, reserved)
             }
             command::Command::RecordCheckpoint { attempt, checkpoint } => {
                 self.record_checkpoint(attempt, checkpoint)
             }
-            command::Command::EndAttempt { attempt, outcome } => self.end_attempt(attempt, outcome),
+            command::Command::EndAttempt { attempt, outcome, checkpoint } => {
+                self.end_attempt(attempt, &outcome, checkpoint)
+            }
             command::Command::ParkTask { task, reason } => self.park_task(task, reason),
             command::Command::ReleaseTask { task } => self.release_task(task),
             command::Command::OpenRequest { key, digest, owner, unrepeatable } => {
--- a/comfreymill_types/src/error/error.rs
+++ b/comfreymill_types/src/error/error.rs
@@ -4,7 +4,8 @@
 use super::ErrorKind;
 
 /// Error with its kind and what is known of its context.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Error {
     kind: ErrorKind,
     message: String,
