--- /dev/null
+++ b/comfreymill_http/src/body/reader.rs
@@ -0,0 +1,138 @@
+use bytes::{Bytes, BytesMut};
+
+use super::{BodyError, Decoder, Step};
+use crate::{head, limits, wire};
+
+/// Reads one body from a socket, within limits.
+#[derive(Debug)]
+pub(crate) struct Reader {
+    decoder: Decoder,
+    framing: head::Framing,
+    progress: wire::Progress,
+    max_bytes: u64,
+    received: u64,
+    is_complete: bool,
+    error: Option<BodyError>,
+}
+
+impl Reader {
+    pub(crate) fn new(framing: head::Framing, limits: &limits::Limits) -> Self {
+        let is_complete = matches!(framing, head::Framing::Empty | head::Framing::Length(0));
+        Self {
+            decoder: Decoder::new(framing),
+            framing,
+            progress: wire::Progress::new(
+                limits.get_body_progress_timeout(),
+                limits.get_min_progress_bytes(),
+            ),
+            max_bytes: limits.get_max_body_bytes(),
+            received: 0,
+            is_complete,
+            error: None,
+        }
+    }
+
+    /// Length in bytes, if the head stated it.
+    pub(crate) fn length(&self) -> Option<u64> {
+        match self.framing {
+            head::Framing::Empty => Some(0),
+            head::Framing::Length(length) => Some(length),
+            head::Framing::Chunked => None,
+        }
+    }
+
+    /// Bytes that are still to come, if the head stated a length.
+    pub(crate) fn rest(&self) -> Option<u64> {
+        self.length().map(|length| length.saturating_sub(self.received))
+    }
+
+    /// Whether the whole body was read.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// The error that ended the body.
+    pub(crate) fn error(&self) -> Option<BodyError> {
+        self.error
+    }
+
+    /// The next piece, or `None` after the last.
+    ///
+    /// # Errors
+    ///
+    /// A [`BodyError`]; every later call returns it again.
+    pub(crate) async fn chunk(
+        &mut self,
+        socket: &mut wire::Socket,
+    ) -> Result<Option<Bytes>, BodyError> {
+        if let Some(err) = self.error {
+            return Err(err);
+        }
+        let res = self.read(socket).await;
+        self.error = res.as_ref().err().copied();
+        res
+    }
+
+    /// The whole body, of at most `max_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// A [`BodyError`].
+    pub(crate) async fn collect(
+        &mut self,
+        socket: &mut wire::Socket,
+        max_bytes: u64,
+    ) -> Result<Bytes, BodyError> {
+        self.max_bytes = self.max_bytes.min(max_bytes);
+        let Some(first) = self.chunk(socket).await? else {
+            return Ok(Bytes::new());
+        };
+        let Some(second) = self.chunk(socket).await? else {
+            return Ok(first);
+        };
+        let mut all = BytesMut::with_capacity(first.len() + second.len());
+        all.extend_from_slice(&first);
+        all.extend_from_slice(&second);
+        while let Some(data) = self.chunk(socket).await? {
+            all.extend_from_slice(&data);
+        }
+        Ok(all.freeze())
+    }
+
+    async fn read(&mut self, socket: &mut wire::Socket) -> Result<Option<Bytes>, BodyError> {
+        if self.is_complete {
+            return Ok(None);
+        }
+        if self.length().is_some_and(|length| length > self.max_bytes) {
+            return Err(BodyError::TooLarge);
+        }
+        loop {
+            match self.decoder.decode(socket.buf())? {
+                Step::Data(data) => return self.accept(data),
+                Step::More => self.fill(socket).await?,
+                Step::End => {
+                    self.is_complete = true;
+                    return Ok(None);
+                }
+            }
+        }
+    }
+
+    fn accept(&mut self, data: Bytes) -> Result<Option<Bytes>, BodyError> {
+        self.received += data.len() as u64;
+        if self.received > self.max_bytes {
+            return Err(BodyError::TooLarge);
+        }
+        if self.length() == Some(self.received) {
+            self.is_complete = true;
+        }
+        Ok(Some(data))
+    }
+
+    async fn fill(&mut self, socket: &mut wire::Socket) -> Result<(), BodyError> {
+        match socket.fill_with_progress(&mut self.progress).await? {
+            0 => Err(BodyError::CutShort),
+            _ => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_http/src/client/connection.rs
@@ -0,0 +1,260 @@
+use std::{io, net, time};
+
+use bytes::{Bytes, BytesMut};
+use http::{request, response};
+use monoio::time as timer;
+
+use super::{ClientError, ClientFault, Response, Sent};
+use crate::{body, head, hop, limits, wire};
+
+const MAX_INTERIM_RESPONSES: usize = 8;
+const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
+
+/// Client side of a connection, which carries one request at a time.
+#[derive(Debug)]
+pub struct Connection {
+    pub(super) socket: wire::Socket,
+    pub(super) limits: limits::Limits,
+    host: String,
+    written_before: u64,
+    is_busy: bool,
+    is_kept: bool,
+}
+
+impl Connection {
+    /// Opens a connection within `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// A [`ClientError`] with [`Sent::Nothing`].
+    pub async fn connect(
+        addr: net::SocketAddr,
+        limits: limits::Limits,
+        timeout: time::Duration,
+    ) -> Result<Self, ClientError> {
+        let connecting = monoio::net::TcpStream::connect_addr(addr);
+        let fault = match timer::timeout(timeout, connecting).await {
+            Ok(Ok(stream)) => return Ok(Self::new(stream, addr, limits)),
+            Ok(Err(err)) => ClientFault::Connect(err.kind()),
+            Err(_) => ClientFault::ConnectTimeout,
+        };
+        Err(ClientError::unsent(fault))
+    }
+
+    fn new(stream: monoio::net::TcpStream, addr: net::SocketAddr, limits: limits::Limits) -> Self {
+        Self {
+            socket: wire::Socket::new(stream),
+            limits,
+            host: addr.to_string(),
+            written_before: 0,
+            is_busy: false,
+            is_kept: true,
+        }
+    }
+
+    /// Whether any byte of the latest request was written; for a [`Connection::send`] that was
+    /// dropped before its end.
+    pub fn sent(&self) -> Sent {
+        if self.socket.written() == self.written_before { Sent::Nothing } else { Sent::Some }
+    }
+
+    /// Whether another request may be sent: the response before was read to its end, and both
+    /// sides keep the connection.
+    pub fn is_reusable(&self) -> bool {
+        !self.is_busy && self.is_kept && self.socket.is_empty() && !self.socket.is_eof()
+    }
+
+    /// Whether the peer has closed a connection that is not in use, or sent bytes on it that
+    /// belong to no request; does not wait.
+    pub async fn is_stale(&self) -> bool {
+        !self.is_reusable() || self.socket.is_readable().await
+    }
+
+    /// Sends a request and reads the head of its response.
+    ///
+    /// `Host` is set to the peer's address if it is missing; headers on framing and on the
+    /// connection are set here and ignored in `head`.
+    ///
+    /// # Errors
+    ///
+    /// A [`ClientError`], which says whether any byte was written.
+    pub async fn send<S>(
+        &mut self,
+        head: &request::Parts,
+        body: S,
+    ) -> Result<Response<'_>, ClientError>
+    where
+        S: body::Source,
+    {
+        self.start(head).await?;
+        match self.write_request(head, body).await {
+            Ok(()) => {}
+            // A peer may answer and close before it has read the whole request.
+            Err(ClientFault::Write(_)) if self.sent() == Sent::Some => self.is_kept = false,
+            Err(fault) => return Err(self.fail(fault)),
+        }
+        let (head, framing) = match self.read_response(&head.method).await {
+            Ok(response) => response,
+            Err(fault) => return Err(self.fail(fault)),
+        };
+        let reader = body::Reader::new(framing, &self.limits);
+        let mut response = Response::new(head, reader, self);
+        response.note_end();
+        Ok(response)
+    }
+
+    /// Notes that the response was read to its end.
+    pub(super) fn release(&mut self) {
+        self.is_busy = false;
+    }
+
+    /// Checks that a request may be sent, before any byte of it is written.
+    async fn start(&mut self, head: &request::Parts) -> Result<(), ClientError> {
+        self.written_before = self.socket.written();
+        if self.is_busy {
+            return Err(ClientError::unsent(ClientFault::Busy));
+        }
+        if head.method == http::Method::CONNECT {
+            return Err(ClientError::unsent(ClientFault::Method));
+        }
+        if self.is_stale().await {
+            self.is_kept = false;
+            return Err(ClientError::unsent(ClientFault::Stale));
+        }
+        self.is_busy = true;
+        Ok(())
+    }
+
+    fn fail(&mut self, fault: ClientFault) -> ClientError {
+        self.is_kept = false;
+        ClientError { fault, sent: self.sent() }
+    }
+
+    async fn write_request<S>(
+        &mut self,
+        head: &request::Parts,
+        mut body: S,
+    ) -> Result<(), ClientFault>
+    where
+        S: body::Source,
+    {
+        let framed = frame(&head.method, body.length());
+        let mut buf = self.encode(head, framed);
+        let mut left = body.length();
+        while let Some(data) = body.chunk().await.map_err(ClientFault::Source)? {
+            left = count_down(left, data.len())?;
+            let data =
+                if framed == head::Framed::Chunked { body::encode_chunk(&data) } else { data };
+            if data.len() <= MAX_COPIED_BODY_BYTES {
+                buf.extend_from_slice(&data);
+            }
+            self.write(std::mem::take(&mut buf).freeze()).await?;
+            if data.len() > MAX_COPIED_BODY_BYTES {
+                self.write(data).await?;
+            }
+        }
+        if left.is_some_and(|left| left > 0) {
+            return Err(ClientFault::Source(body::BodyError::WrongLength));
+        }
+        if framed == head::Framed::Chunked {
+            buf.extend_from_slice(body::LAST_CHUNK);
+        }
+        self.write(buf.freeze()).await
+    }
+
+    fn encode(&self, head: &request::Parts, framed: head::Framed) -> BytesMut {
+        let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+        head::encode_request(&head.method, target, &self.host, &head.headers, framed)
+    }
+
+    async fn write(&mut self, data: Bytes) -> Result<(), ClientFault> {
+        let res = self.socket.write_all(data, self.limits.get_write_timeout()).await;
+        res.map_err(|err| match err {
+            wire::WireError::TimedOut => ClientFault::WriteTimeout,
+            wire::WireError::Io(err) => ClientFault::Write(err.kind()),
+        })
+    }
+
+    async fn read_response(
+        &mut self,
+        method: &http::Method,
+    ) -> Result<(response::Parts, head::Framing), ClientFault> {
+        for _ in 0..=MAX_INTERIM_RESPONSES {
+            let head = self.read_head().await?;
+            if head.status == http::StatusCode::SWITCHING_PROTOCOLS {
+                return Err(ClientFault::Head(head::HeadError::Upgrade));
+            }
+            if head.status.is_informational() {
+                continue;
+            }
+            let framing = head::of_response(&head, method).map_err(ClientFault::Head)?;
+            self.is_kept &= is_kept(&head);
+            return Ok((head, framing));
+        }
+        Err(ClientFault::Head(head::HeadError::TooManyInterim))
+    }
+
+    async fn read_head(&mut self) -> Result<response::Parts, ClientFault> {
+        let mut scan =
+            head::Scan::new(self.limits.get_max_head_bytes(), self.limits.get_max_headers());
+        let mut limit = self.limits.get_response_timeout();
+        let mut began = time::Instant::now();
+        loop {
+            let buf = self.socket.buf();
+            if let Some(end) = scan.advance(buf).map_err(ClientFault::Head)? {
+                let raw = buf.split_to(end);
+                return head::decode_response(raw).map_err(ClientFault::Head);
+            }
+            let is_start = scan.is_start();
+            let left = limit.saturating_sub(began.elapsed());
+            let count = self.socket.fill_within(left).await.map_err(read_fault)?;
+            match (count, is_start) {
+                (0, true) => return Err(ClientFault::Closed),
+                (0, false) => return Err(ClientFault::Head(head::HeadError::CutShort)),
+                (_, true) => {
+                    limit = self.limits.get_head_timeout();
+                    began = time::Instant::now();
+                }
+                (_, false) => {}
+            }
+        }
+    }
+}
+
+/// Framing of a request's body, given its length if that is known.
+fn frame(method: &http::Method, length: Option<u64>) -> head::Framed {
+    let has_meaning = [http::Method::POST, http::Method::PUT, http::Method::PATCH].contains(method);
+    match length {
+        Some(0) if !has_meaning => head::Framed::Empty,
+        Some(length) => head::Framed::Length(length),
+        None => head::Framed::Chunked,
+    }
+}
+
+fn count_down(left: Option<u64>, bytes: usize) -> Result<Option<u64>, ClientFault> {
+    let Some(left) = left else {
+        return Ok(None);
+    };
+    match left.checked_sub(bytes as u64) {
+        Some(left) => Ok(Some(left)),
+        None => Err(ClientFault::Source(body::BodyError::WrongLength)),
+    }
+}
+
+fn is_kept(head: &response::Parts) -> bool {
+    if hop::has_connection_option(&head.headers, "close") {
+        return false;
+    }
+    head.version == http::Version::HTTP_11
+        || hop::has_connection_option(&head.headers, "keep-alive")
+}
+
+fn read_fault(err: wire::WireError) -> ClientFault {
+    match err {
+        wire::WireError::TimedOut => ClientFault::ResponseTimeout,
+        wire::WireError::Io(err) if err.kind() == io::ErrorKind::ConnectionReset => {
+            ClientFault::Closed
+        }
+        wire::WireError::Io(err) => ClientFault::Read(err.kind()),
+    }
+}
--- /dev/null
+++ b/comfreymill_http/src/client/mod.rs
@@ -0,0 +1,13 @@
+//! Client side: connections, responses and one-shot requests
+
+mod connection;
+mod error;
+mod once;
+mod response;
+mod sent;
+
+pub use connection::Connection;
+pub use error::{ClientError, ClientFault};
+pub use once::request;
+pub use response::Response;
+pub use sent::Sent;
--- /dev/null
+++ b/comfreymill_http/src/client/once.rs
@@ -0,0 +1,44 @@
+use std::{net, time};
+
+use bytes::Bytes;
+use monoio::time as timer;
+
+use super::{ClientError, ClientFault, Connection, Sent};
+use crate::limits;
+
+/// Sends one request on a connection of its own and reads the whole response.
+///
+/// `timeout` covers all of it.
+///
+/// # Errors
+///
+/// A [`ClientError`], which says whether any byte was written; at the timeout it says
+/// [`Sent::Some`] unless the connection was not even open.
+pub async fn request(
+    addr: net::SocketAddr,
+    method: http::Method,
+    target: http::Uri,
+    headers: http::HeaderMap,
+    body: Bytes,
+    timeout: time::Duration,
+) -> Result<http::Response<Bytes>, ClientError> {
+    let began = time::Instant::now();
+    let limits = limits::Limits::new().response_timeout(timeout);
+    let max_bytes = limits.get_max_body_bytes();
+    let mut conn = Connection::connect(addr, limits, timeout).await?;
+    let (mut head, ()) = http::Request::new(()).into_parts();
+    head.method = method;
+    head.uri = target;
+    head.headers = headers;
+    let left = timeout.saturating_sub(began.elapsed());
+    let exchange = async {
+        let mut response = conn.send(&head, body).await?;
+        let body = response.collect(max_bytes).await?;
+        let mut whole = http::Response::new(body);
+        *whole.status_mut() = response.status();
+        *whole.headers_mut() = response.take_headers();
+        Ok(whole)
+    };
+    let timed_out = ClientError { fault: ClientFault::ResponseTimeout, sent: Sent::Some };
+    timer::timeout(left, exchange).await.unwrap_or(Err(timed_out))
+}
--- /dev/null
+++ b/comfreymill_http/src/client/response.rs
@@ -0,0 +1,95 @@
+use bytes::Bytes;
+use http::response;
+
+use super::{ClientError, ClientFault, Connection, Sent};
+use crate::body;
+
+/// A response whose body is still to be read; dropping it before its end makes the connection
+/// useless for another request.
+#[derive(Debug)]
+pub struct Response<'c> {
+    head: response::Parts,
+    body: body::Reader,
+    conn: &'c mut Connection,
+}
+
+impl<'c> Response<'c> {
+    pub(super) fn new(head: response::Parts, body: body::Reader, conn: &'c mut Connection) -> Self {
+        Self { head, body, conn }
+    }
+
+    /// Status, version and headers.
+    pub fn head(&self) -> &response::Parts {
+        &self.head
+    }
+
+    /// Status.
+    pub fn status(&self) -> http::StatusCode {
+        self.head.status
+    }
+
+    /// Headers.
+    pub fn headers(&self) -> &http::HeaderMap {
+        &self.head.headers
+    }
+
+    /// Headers, to be passed on; they are empty here afterwards.
+    pub fn take_headers(&mut self) -> http::HeaderMap {
+        std::mem::take(&mut self.head.headers)
+    }
+
+    /// Length of the body in bytes, if the head stated it.
+    pub fn body_length(&self) -> Option<u64> {
+        self.body.length()
+    }
+
+    /// Whether the whole body was read.
+    pub fn is_complete(&self) -> bool {
+        self.body.is_complete()
+    }
+
+    /// The next piece of the body, or `None` after the last.
+    ///
+    /// # Errors
+    ///
+    /// A [`ClientError`] when the body is cut short, malformed, oversized or silent.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, ClientError> {
+        let res = self.body.chunk(&mut self.conn.socket).await;
+        self.note_end();
+        res.map_err(body_error)
+    }
+
+    /// The whole body, of at most `max_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// A [`ClientError`] when the body is cut short, malformed, oversized or silent.
+    pub async fn collect(&mut self, max_bytes: u64) -> Result<Bytes, ClientError> {
+        let res = self.body.collect(&mut self.conn.socket, max_bytes).await;
+        self.note_end();
+        res.map_err(body_error)
+    }
+
+    /// Frees the connection for the next request once the body is complete.
+    pub(super) fn note_end(&mut self) {
+        if self.body.is_complete() {
+            self.conn.release();
+        }
+    }
+}
+
+impl body::Source for Response<'_> {
+    fn length(&self) -> Option<u64> {
+        self.body_length()
+    }
+
+    async fn chunk(&mut self) -> Result<Option<Bytes>, body::BodyError> {
+        let res = self.body.chunk(&mut self.conn.socket).await;
+        self.note_end();
+        res
+    }
+}
+
+fn body_error(err: body::BodyError) -> ClientError {
+    ClientError { fault: ClientFault::Body(err), sent: Sent::Some }
+}
--- /dev/null
+++ b/comfreymill_http/src/head/decode.rs
@@ -0,0 +1,59 @@
+use bytes::BytesMut;
+use http::{request, response};
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::h1::codec::decoder;
+
+use super::HeadError;
+
+/// Decodes the head of a request that [`super::Scan`] has passed.
+pub(crate) fn decode_request(mut raw: BytesMut) -> Result<request::Parts, HeadError> {
+    let is_versioned = is_version(third_word(start_line(&raw)));
+    finish(decoder::RequestHeadDecoder.decode(&mut raw), is_versioned)
+}
+
+/// Decodes the head of a response that [`super::Scan`] has passed.
+pub(crate) fn decode_response(mut raw: BytesMut) -> Result<response::Parts, HeadError> {
+    let is_versioned = is_version(first_word(start_line(&raw)));
+    finish(decoder::ResponseHeadDecoder.decode(&mut raw), is_versioned)
+}
+
+/// Sorts the outcome; the parser reports any unknown text in the version's place as a version.
+fn finish<H>(
+    res: Result<Decoded<H>, decoder::DecodeError>,
+    is_versioned: bool,
+) -> Result<H, HeadError> {
+    match res {
+        Ok(Decoded::Some(head)) => Ok(head),
+        Err(decoder::DecodeError::Parse(httparse::Error::Version)) if is_versioned => {
+            Err(HeadError::Version)
+        }
+        Err(decoder::DecodeError::Parse(httparse::Error::TooManyHeaders)) => {
+            Err(HeadError::TooManyHeaders)
+        }
+        Ok(_) | Err(_) => Err(HeadError::Malformed),
+    }
+}
+
+fn start_line(raw: &[u8]) -> &[u8] {
+    raw.split(|&byte| byte == b'\r').next().unwrap_or_default()
+}
+
+fn first_word(line: &[u8]) -> &[u8] {
+    line.split(|&byte| byte == b' ').next().unwrap_or_default()
+}
+
+/// Third word of a line that has exactly three.
+fn third_word(line: &[u8]) -> &[u8] {
+    let mut words = line.split(|&byte| byte == b' ');
+    match (words.next(), words.next(), words.next(), words.next()) {
+        (Some(_), Some(_), Some(version), None) => version,
+        _ => &[],
+    }
+}
+
+fn is_version(word: &[u8]) -> bool {
+    let Some([major, b'.', minor]) = word.strip_prefix(b"HTTP/") else {
+        return false;
+    };
+    major.is_ascii_digit() && minor.is_ascii_digit()
+}
--- /dev/null
+++ b/comfreymill_http/src/head/encode.rs
@@ -0,0 +1,99 @@
+use std::fmt::Write as _;
+
+use bytes::{BufMut as _, BytesMut};
+use http::header;
+
+const HEAD_BYTES: usize = 256;
+const HEADER_BYTES: usize = 48;
+
+/// How the body that follows a head is delimited on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framed {
+    /// No body and no word of one.
+    Empty,
+    /// A length is stated.
+    Length(u64),
+    /// Chunks.
+    Chunked,
+}
+
+/// Encodes the head of a request.
+///
+/// Headers on framing and on the connection are replaced by its own.
+pub(crate) fn encode_request(
+    method: &http::Method,
+    target: &str,
+    host: &str,
+    headers: &http::HeaderMap,
+    framed: Framed,
+) -> BytesMut {
+    let mut buf = BytesMut::with_capacity(HEAD_BYTES + headers.len() * HEADER_BYTES);
+    buf.put_slice(method.as_str().as_bytes());
+    buf.put_u8(b' ');
+    buf.put_slice(target.as_bytes());
+    buf.put_slice(b" HTTP/1.1\r\n");
+    if !headers.contains_key(header::HOST) {
+        put_header(&mut buf, b"host", host.as_bytes());
+    }
+    put_headers(&mut buf, headers);
+    put_framing(&mut buf, framed);
+    buf.put_slice(b"\r\n");
+    buf
+}
+
+/// Encodes the head of a response.
+///
+/// Headers on framing and on the connection are replaced by its own.
+pub(crate) fn encode_response(
+    status: http::StatusCode,
+    headers: &http::HeaderMap,
+    framed: Framed,
+    connection: Option<&str>,
+) -> BytesMut {
+    let mut buf = BytesMut::with_capacity(HEAD_BYTES + headers.len() * HEADER_BYTES);
+    buf.put_slice(b"HTTP/1.1 ");
+    buf.put_slice(status.as_str().as_bytes());
+    buf.put_u8(b' ');
+    buf.put_slice(status.canonical_reason().unwrap_or_default().as_bytes());
+    buf.put_slice(b"\r\n");
+    put_headers(&mut buf, headers);
+    put_framing(&mut buf, framed);
+    if let Some(option) = connection {
+        put_header(&mut buf, b"connection", option.as_bytes());
+    }
+    buf.put_slice(b"\r\n");
+    buf
+}
+
+fn put_headers(buf: &mut BytesMut, headers: &http::HeaderMap) {
+    for (name, value) in headers {
+        if !is_own(name) {
+            put_header(buf, name.as_str().as_bytes(), value.as_bytes());
+        }
+    }
+}
+
+fn put_framing(buf: &mut BytesMut, framed: Framed) {
+    match framed {
+        Framed::Empty => {}
+        Framed::Length(length) => {
+            // Writing to a growing buffer cannot fail.
+            let _ = write!(buf, "content-length: {length}\r\n");
+        }
+        Framed::Chunked => put_header(buf, b"transfer-encoding", b"chunked"),
+    }
+}
+
+fn put_header(buf: &mut BytesMut, name: &[u8], value: &[u8]) {
+    buf.put_slice(name);
+    buf.put_slice(b": ");
+    buf.put_slice(value);
+    buf.put_slice(b"\r\n");
+}
+
+fn is_own(name: &header::HeaderName) -> bool {
+    name == header::CONTENT_LENGTH
+        || name == header::TRANSFER_ENCODING
+        || name == header::CONNECTION
+        || name.as_str() == "keep-alive"
+}
--- /dev/null
+++ b/comfreymill_http/src/head/framing.rs
@@ -0,0 +1,128 @@
+use http::{header, request, response};
+
+use super::HeadError;
+
+const MAX_LENGTH_DIGITS: usize = 19;
+
+/// How a body is delimited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// No body.
+    Empty,
+    /// A body of this many bytes.
+    Length(u64),
+    /// A body in chunks.
+    Chunked,
+}
+
+/// Framing of a request's body.
+///
+/// # Errors
+///
+/// A [`HeadError`] when the headers contradict each other or are invalid.
+pub(crate) fn of_request(head: &request::Parts) -> Result<Framing, HeadError> {
+    Ok(of_headers(&head.headers, head.version)?.unwrap_or(Framing::Empty))
+}
+
+/// Framing of a response's body to a request of this method.
+///
+/// # Errors
+///
+/// A [`HeadError`] when the headers contradict each other, are invalid, or leave the end of the
+/// body to the end of the connection.
+pub(crate) fn of_response(
+    head: &response::Parts,
+    method: &http::Method,
+) -> Result<Framing, HeadError> {
+    let framing = of_headers(&head.headers, head.version)?;
+    let is_bodiless = method == http::Method::HEAD
+        || head.status == http::StatusCode::NO_CONTENT
+        || head.status == http::StatusCode::NOT_MODIFIED;
+    if is_bodiless {
+        return Ok(Framing::Empty);
+    }
+    framing.ok_or(HeadError::Undelimited)
+}
+
+/// Checks that a request of HTTP/1.1 has one `Host`, and one of HTTP/1.0 at most one.
+///
+/// # Errors
+///
+/// [`HeadError::Host`].
+pub(crate) fn check_host(head: &request::Parts) -> Result<(), HeadError> {
+    let mut hosts = head.headers.get_all(header::HOST).iter();
+    let first = hosts.next();
+    if hosts.next().is_some() {
+        return Err(HeadError::Host);
+    }
+    match first {
+        Some(host) if is_host(host.as_bytes()) => Ok(()),
+        None if head.version == http::Version::HTTP_10 => Ok(()),
+        _ => Err(HeadError::Host),
+    }
+}
+
+/// Whether the sender waits for `100 Continue` before it sends its body.
+///
+/// # Errors
+///
+/// [`HeadError::Expectation`] for any other expectation.
+pub(crate) fn wants_continue(head: &request::Parts) -> Result<bool, HeadError> {
+    let mut is_wanted = false;
+    for value in head.headers.get_all(header::EXPECT) {
+        if !value.as_bytes().eq_ignore_ascii_case(b"100-continue") {
+            return Err(HeadError::Expectation);
+        }
+        is_wanted = true;
+    }
+    Ok(is_wanted && head.version == http::Version::HTTP_11)
+}
+
+fn of_headers(
+    headers: &http::HeaderMap,
+    version: http::Version,
+) -> Result<Option<Framing>, HeadError> {
+    let has_length = headers.contains_key(header::CONTENT_LENGTH);
+    let has_coding = headers.contains_key(header::TRANSFER_ENCODING);
+    match (has_length, has_coding) {
+        (true, true) => Err(HeadError::LengthAndTransferEncoding),
+        (true, false) => length(headers).map(Some),
+        (false, true) => coding(headers, version).map(Some),
+        (false, false) => Ok(None),
+    }
+}
+
+fn length(headers: &http::HeaderMap) -> Result<Framing, HeadError> {
+    let mut values = headers.get_all(header::CONTENT_LENGTH).iter();
+    let (Some(value), None) = (values.next(), values.next()) else {
+        return Err(HeadError::Length);
+    };
+    let digits = value.as_bytes();
+    let is_number = !digits.is_empty()
+        && digits.len() <= MAX_LENGTH_DIGITS
+        && digits.iter().all(u8::is_ascii_digit);
+    if !is_number {
+        return Err(HeadError::Length);
+    }
+    let text = value.to_str().map_err(|_| HeadError::Length)?;
+    let length = text.parse().map_err(|_| HeadError::Length)?;
+    Ok(Framing::Length(length))
+}
+
+fn coding(headers: &http::HeaderMap, version: http::Version) -> Result<Framing, HeadError> {
+    if version != http::Version::HTTP_11 {
+        return Err(HeadError::TransferEncodingVersion);
+    }
+    let mut values = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let (Some(value), None) = (values.next(), values.next()) else {
+        return Err(HeadError::TransferCoding);
+    };
+    if !value.as_bytes().eq_ignore_ascii_case(b"chunked") {
+        return Err(HeadError::TransferCoding);
+    }
+    Ok(Framing::Chunked)
+}
+
+fn is_host(host: &[u8]) -> bool {
+    host.iter().all(|&byte| byte.is_ascii_graphic() && !b",/?#@\\\"<>^`{|}".contains(&byte))
+}
--- /dev/null
+++ b/comfreymill_http/src/head/mod.rs
@@ -0,0 +1,13 @@
+//! Heads of requests and responses: raw checks, decoding, framing and encoding
+
+mod decode;
+mod encode;
+mod error;
+mod framing;
+mod scan;
+
+pub(crate) use decode::{decode_request, decode_response};
+pub(crate) use encode::{Framed, encode_request, encode_response};
+pub use error::HeadError;
+pub(crate) use framing::{Framing, check_host, of_request, of_response, wants_continue};
+pub(crate) use scan::Scan;
--- /dev/null
+++ b/comfreymill_http/src/limits.rs
@@ -0,0 +1,221 @@
+//! Limits of a connection and of a listener
+
+use std::time;
+
+const KIB: usize = 1024;
+const MIB: usize = 1024 * KIB;
+
+/// Largest head that can be configured, in bytes.
+pub const MAX_HEAD_BYTES_CEILING: usize = 60 * KIB;
+
+/// Largest number of headers that can be configured.
+pub const MAX_HEADERS_CEILING: usize = 96;
+
+/// Limits of a connection and of a listener.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    max_head_bytes: usize,
+    max_headers: usize,
+    max_body_bytes: u64,
+    max_drain_bytes: usize,
+    head_timeout: time::Duration,
+    body_progress_timeout: time::Duration,
+    min_progress_bytes: usize,
+    write_timeout: time::Duration,
+    idle_timeout: time::Duration,
+    response_timeout: time::Duration,
+    linger_timeout: time::Duration,
+    max_connections: usize,
+    max_requests_in_progress: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_head_bytes: 16 * KIB,
+            max_headers: 64,
+            max_body_bytes: 8 * MIB as u64,
+            max_drain_bytes: 2 * MIB,
+            head_timeout: time::Duration::from_secs(10),
+            body_progress_timeout: time::Duration::from_secs(10),
+            min_progress_bytes: KIB,
+            write_timeout: time::Duration::from_secs(10),
+            idle_timeout: time::Duration::from_secs(60),
+            response_timeout: time::Duration::from_secs(60),
+            linger_timeout: time::Duration::from_secs(2),
+            max_connections: 4096,
+            max_requests_in_progress: 4096,
+        }
+    }
+}
+
+impl Limits {
+    /// Limits with their defaults.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+}
+
+/// # Setters
+impl Limits {
+    /// Largest head in bytes, start line and headers together, at most
+    /// [`MAX_HEAD_BYTES_CEILING`].
+    #[must_use]
+    pub fn max_head_bytes(mut self, bytes: usize) -> Self {
+        self.max_head_bytes = bytes.min(MAX_HEAD_BYTES_CEILING);
+        self
+    }
+
+    /// Largest number of headers, at most [`MAX_HEADERS_CEILING`].
+    #[must_use]
+    pub fn max_headers(mut self, count: usize) -> Self {
+        self.max_headers = count.min(MAX_HEADERS_CEILING);
+        self
+    }
+
+    /// Largest body in bytes.
+    #[must_use]
+    pub fn max_body_bytes(mut self, bytes: u64) -> Self {
+        self.max_body_bytes = bytes;
+        self
+    }
+
+    /// Most bytes of an unread body that are discarded to keep a connection.
+    #[must_use]
+    pub fn max_drain_bytes(mut self, bytes: usize) -> Self {
+        self.max_drain_bytes = bytes;
+        self
+    }
+
+    /// Time from the first byte of a head to its last.
+    #[must_use]
+    pub fn head_timeout(mut self, limit: time::Duration) -> Self {
+        self.head_timeout = limit;
+        self
+    }
+
+    /// Time in which a body must bring `min_progress_bytes`.
+    #[must_use]
+    pub fn body_progress_timeout(mut self, limit: time::Duration) -> Self {
+        self.body_progress_timeout = limit;
+        self
+    }
+
+    /// Bytes that count as progress of a body.
+    #[must_use]
+    pub fn min_progress_bytes(mut self, bytes: usize) -> Self {
+        self.min_progress_bytes = bytes;
+        self
+    }
+
+    /// Time in which the peer must take some bytes that are written to it.
+    #[must_use]
+    pub fn write_timeout(mut self, limit: time::Duration) -> Self {
+        self.write_timeout = limit;
+        self
+    }
+
+    /// Time that a connection may stay open without a request.
+    #[must_use]
+    pub fn idle_timeout(mut self, limit: time::Duration) -> Self {
+        self.idle_timeout = limit;
+        self
+    }
+
+    /// Time from the end of a request to the first byte of its response, at the client.
+    #[must_use]
+    pub fn response_timeout(mut self, limit: time::Duration) -> Self {
+        self.response_timeout = limit;
+        self
+    }
+
+    /// Time for the peer to read a refusal before the connection is closed.
+    #[must_use]
+    pub fn linger_timeout(mut self, limit: time::Duration) -> Self {
+        self.linger_timeout = limit;
+        self
+    }
+
+    /// Most connections of a listener.
+    #[must_use]
+    pub fn max_connections(mut self, count: usize) -> Self {
+        self.max_connections = count;
+        self
+    }
+
+    /// Most requests in progress at a listener.
+    #[must_use]
+    pub fn max_requests_in_progress(mut self, count: usize) -> Self {
+        self.max_requests_in_progress = count;
+        self
+    }
+}
+
+/// # Getters
+impl Limits {
+    /// Largest head in bytes.
+    pub fn get_max_head_bytes(&self) -> usize {
+        self.max_head_bytes
+    }
+
+    /// Largest number of headers.
+    pub fn get_max_headers(&self) -> usize {
+        self.max_headers
+    }
+
+    /// Largest body in bytes.
+    pub fn get_max_body_bytes(&self) -> u64 {
+        self.max_body_bytes
+    }
+
+    /// Most bytes of an unread body that are discarded.
+    pub fn get_max_drain_bytes(&self) -> usize {
+        self.max_drain_bytes
+    }
+
+    /// Time from the first byte of a head to its last.
+    pub fn get_head_timeout(&self) -> time::Duration {
+        self.head_timeout
+    }
+
+    /// Time in which a body must make progress.
+    pub fn get_body_progress_timeout(&self) -> time::Duration {
+        self.body_progress_timeout
+    }
+
+    /// Bytes that count as progress of a body.
+    pub fn get_min_progress_bytes(&self) -> usize {
+        self.min_progress_bytes
+    }
+
+    /// Time in which the peer must take some bytes.
+    pub fn get_write_timeout(&self) -> time::Duration {
+        self.write_timeout
+    }
+
+    /// Time that a connection may stay open without a request.
+    pub fn get_idle_timeout(&self) -> time::Duration {
+        self.idle_timeout
+    }
+
+    /// Time from the end of a request to the first byte of its response.
+    pub fn get_response_timeout(&self) -> time::Duration {
+        self.response_timeout
+    }
+
+    /// Time for the peer to read a refusal.
+    pub fn get_linger_timeout(&self) -> time::Duration {
+        self.linger_timeout
+    }
+
+    /// Most connections of a listener.
+    pub fn get_max_connections(&self) -> usize {
+        self.max_connections
+    }
+
+    /// Most requests in progress at a listener.
+    pub fn get_max_requests_in_progress(&self) -> usize {
+        self.max_requests_in_progress
+    }
+}
--- /dev/null
+++ b/comfreymill_http/src/server/answer.rs
@@ -0,0 +1,88 @@
+use bytes::{Bytes, BytesMut};
+
+use super::exchange::Answered;
+use super::{Connection, ServerError};
+use crate::{body, head};
+
+#[derive(Debug)]
+enum Mode {
+    /// The head was sent, and the body follows it.
+    Streamed { framed: head::Framed },
+    /// Everything is sent at the end.
+    Collected { status: http::StatusCode, headers: http::HeaderMap, body: BytesMut },
+}
+
+/// An answer that was started; dropping it before [`Answer::finish`] cuts the connection, so that
+/// the caller never takes the part for the whole.
+#[derive(Debug)]
+#[must_use]
+pub struct Answer<'c> {
+    conn: &'c mut Connection,
+    mode: Mode,
+}
+
+impl<'c> Answer<'c> {
+    pub(super) fn streamed(conn: &'c mut Connection, framed: head::Framed) -> Self {
+        Self { conn, mode: Mode::Streamed { framed } }
+    }
+
+    pub(super) fn collected(
+        conn: &'c mut Connection,
+        status: http::StatusCode,
+        headers: http::HeaderMap,
+    ) -> Self {
+        Self { conn, mode: Mode::Collected { status, headers, body: BytesMut::new() } }
+    }
+
+    /// Sends a piece of the body.
+    ///
+    /// # Errors
+    ///
+    /// [`ServerError::WrongLength`] when it exceeds the stated length or the limit of a body, or
+    /// a failure of the socket.
+    pub async fn chunk(&mut self, data: Bytes) -> Result<(), ServerError> {
+        match &mut self.mode {
+            Mode::Streamed { framed: head::Framed::Empty } => Ok(()),
+            Mode::Streamed { framed: head::Framed::Length(left) } => {
+                let length = data.len() as u64;
+                *left = left.checked_sub(length).ok_or(ServerError::WrongLength)?;
+                self.conn.write(data).await
+            }
+            Mode::Streamed { framed: head::Framed::Chunked } => {
+                self.conn.write(body::encode_chunk(&data)).await
+            }
+            Mode::Collected { body, .. } => {
+                let length = (body.len() + data.len()) as u64;
+                if length > self.conn.limits.get_max_body_bytes() {
+                    return Err(ServerError::WrongLength);
+                }
+                body.extend_from_slice(&data);
+                Ok(())
+            }
+        }
+    }
+
+    /// Ends the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`ServerError::WrongLength`] when bytes are missing, or a failure of the socket.
+    pub async fn finish(self) -> Result<(), ServerError> {
+        match self.mode {
+            Mode::Streamed { framed } => finish_streamed(self.conn, framed).await,
+            Mode::Collected { status, headers, body } => {
+                self.conn.respond(status, &headers, body.freeze()).await
+            }
+        }
+    }
+}
+
+async fn finish_streamed(conn: &mut Connection, framed: head::Framed) -> Result<(), ServerError> {
+    match framed {
+        head::Framed::Length(left) if left > 0 => return Err(ServerError::WrongLength),
+        head::Framed::Chunked => conn.write(Bytes::from_static(body::LAST_CHUNK)).await?,
+        head::Framed::Empty | head::Framed::Length(_) => {}
+    }
+    conn.exchange_mut()?.answered = Answered::Whole;
+    Ok(())
+}
--- /dev/null
+++ b/comfreymill_http/src/server/connection.rs
@@ -0,0 +1,275 @@
+use std::{io, net, rc, time};
+
+use bytes::Bytes;
+use futures_util::future;
+use http::request;
+use monoio::time as timer;
+
+use super::exchange::{Answered, Exchange};
+use super::{Refusal, Request, ServerError, Shutdown};
+use crate::{body, head, limits, wire};
+
+/// Bodies up to this size are copied behind the head, to be sent in one write.
+const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
+
+/// Server side of a connection.
+///
+/// Requests are handed out one at a time; bytes of later ones stay in the buffer and are answered
+/// in order.
+#[derive(Debug)]
+pub struct Connection {
+    pub(super) socket: wire::Socket,
+    pub(super) limits: rc::Rc<limits::Limits>,
+    pub(super) exchange: Option<Exchange>,
+    shutdown: Shutdown,
+    is_closed: bool,
+}
+
+impl Connection {
+    /// Takes over an accepted stream.
+    pub fn new(stream: monoio::net::TcpStream, limits: limits::Limits) -> Self {
+        Self::with_shutdown(stream, rc::Rc::new(limits), Shutdown::new())
+    }
+
+    pub(super) fn with_shutdown(
+        stream: monoio::net::TcpStream,
+        limits: rc::Rc<limits::Limits>,
+        shutdown: Shutdown,
+    ) -> Self {
+        let socket = wire::Socket::new(stream);
+        Self { socket, limits, exchange: None, shutdown, is_closed: false }
+    }
+
+    /// Address of the peer.
+    ///
+    /// # Errors
+    ///
+    /// The socket's error.
+    pub fn peer_addr(&self) -> io::Result<net::SocketAddr> {
+        self.socket.peer_addr()
+    }
+
+    /// The next request, or `None` when the connection has ended.
+    ///
+    /// A request that was left without an answer is answered here: for the fault of its body, or
+    /// else as [`Refusal::NoAnswer`].
+    ///
+    /// # Errors
+    ///
+    /// [`ServerError::Refused`] after the refusal was sent; the connection is then closed.
+    pub async fn next(&mut self) -> Result<Option<Request<'_>>, ServerError> {
+        self.finish_exchange().await?;
+        if self.is_closed {
+            return Ok(None);
+        }
+        match self.read_request().await {
+            Ok(Some(head)) => Ok(Some(Request::new(head, self))),
+            Ok(None) => {
+                self.is_closed = true;
+                Ok(None)
+            }
+            Err(ServerError::Refused(refusal)) => self.refuse(refusal).await,
+            Err(err) => {
+                self.is_closed = true;
+                Err(err)
+            }
+        }
+    }
+
+    /// Sends a refusal and closes the connection.
+    pub(super) async fn refuse<T>(&mut self, refusal: Refusal) -> Result<T, ServerError> {
+        let body = refusal.body();
+        let framed = head::Framed::Length(body.len() as u64);
+        let headers = refusal.headers();
+        let mut buf = head::encode_response(refusal.status(), &headers, framed, Some("close"));
+        buf.extend_from_slice(&body);
+        // The peer may be gone already; the refusal is reported to the caller all the same.
+        let _ = self.write(buf.freeze()).await;
+        self.close().await;
+        Err(ServerError::Refused(refusal))
+    }
+
+    async fn write_answer(
+        &mut self,
+        mut head: bytes::BytesMut,
+        body: Bytes,
+    ) -> Result<(), ServerError> {
+        if body.len() <= MAX_COPIED_BODY_BYTES {
+            head.extend_from_slice(&body);
+            return self.write(head.freeze()).await;
+        }
+        self.write(head.freeze()).await?;
+        self.write(body).await
+    }
+
+    pub(super) async fn write(&mut self, data: Bytes) -> Result<(), ServerError> {
+        let res = self.socket.write_all(data, self.limits.get_write_timeout()).await;
+        if res.is_err() {
+            self.is_closed = true;
+        }
+        Ok(res?)
+    }
+
+    /// Encodes the head of the answer to the request in progress.
+    pub(super) fn encode_head(
+        &mut self,
+        status: http::StatusCode,
+        headers: &http::HeaderMap,
+        framed: head::Framed,
+    ) -> Result<bytes::BytesMut, ServerError> {
+        let is_stopping = self.shutdown.is_begun();
+        let limits = rc::Rc::clone(&self.limits);
+        let exchange = self.exchange_mut()?;
+        exchange.weigh_rest(&limits);
+        if is_stopping {
+            exchange.is_keep_alive = false;
+        }
+        exchange.answered = Answered::Started;
+        let option = exchange.connection_option();
+        Ok(head::encode_response(status, headers, framed, option))
+    }
+
+    /// Sends the whole answer to the request in progress.
+    pub(super) async fn respond(
+        &mut self,
+        status: http::StatusCode,
+        headers: &http::HeaderMap,
+        body: Bytes,
+    ) -> Result<(), ServerError> {
+        let exchange = self.exchange_mut()?;
+        let framed = exchange.frame_answer(status, Some(body.len() as u64))?;
+        let body = if exchange.sends_body(status) { body } else { Bytes::new() };
+        let buf = self.encode_head(status, headers, framed.unwrap_or(head::Framed::Empty))?;
+        self.write_answer(buf, body).await?;
+        self.exchange_mut()?.answered = Answered::Whole;
+        Ok(())
+    }
+
+    pub(super) fn exchange_mut(&mut self) -> Result<&mut Exchange, ServerError> {
+        self.exchange.as_mut().ok_or(ServerError::UnfinishedAnswer)
+    }
+
+    /// Asks the sender for its body if it waits for that.
+    pub(super) async fn send_continue(&mut self) -> Result<(), body::BodyError> {
+        let Some(exchange) = &mut self.exchange else {
+            return Ok(());
+        };
+        if !std::mem::take(&mut exchange.is_continue_due) || !self.socket.is_empty() {
+            return Ok(());
+        }
+        let interim = Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n");
+        let res = self.socket.write_all(interim, self.limits.get_write_timeout()).await;
+        res.map_err(body::BodyError::from)
+    }
+
+    /// Ends the exchange before, and makes the connection ready for the next head.
+    async fn finish_exchange(&mut self) -> Result<(), ServerError> {
+        let Some(mut exchange) = self.exchange.take() else {
+            return Ok(());
+        };
+        match exchange.answered {
+            Answered::No => self.refuse_unanswered(&exchange).await,
+            Answered::Started => {
+                self.is_closed = true;
+                Err(ServerError::UnfinishedAnswer)
+            }
+            Answered::Whole if self.is_closed => Ok(()),
+            Answered::Whole => {
+                if !exchange.is_keep_alive || !self.drain(&mut exchange.body).await {
+                    self.close().await;
+                }
+                Ok(())
+            }
+        }
+    }
+
+    async fn refuse_unanswered(&mut self, exchange: &Exchange) -> Result<(), ServerError> {
+        if self.is_closed {
+            return Ok(());
+        }
+        let refusal = exchange.body.error().map_or(Refusal::NoAnswer, Refusal::Body);
+        self.refuse(refusal).await
+    }
+
+    /// Discards the rest of a body; false if it is too large or at fault.
+    async fn drain(&mut self, body: &mut body::Reader) -> bool {
+        let mut discarded = 0;
+        while discarded <= self.limits.get_max_drain_bytes() {
+            match body.chunk(&mut self.socket).await {
+                Ok(Some(data)) => discarded += data.len(),
+                Ok(None) => return true,
+                Err(_) => return false,
+            }
+        }
+        false
+    }
+
+    async fn close(&mut self) {
+        self.is_closed = true;
+        let limits = &self.limits;
+        self.socket.linger(limits.get_max_drain_bytes(), limits.get_linger_timeout()).await;
+    }
+
+    async fn read_request(&mut self) -> Result<Option<request::Parts>, ServerError> {
+        if !self.wait_for_request().await? {
+            return Ok(None);
+        }
+        let Some(head) = self.read_head().await? else {
+            return Ok(None);
+        };
+        let exchange = Exchange::new(&head, &self.limits).map_err(ServerError::Refused)?;
+        self.exchange = Some(exchange);
+        Ok(Some(head))
+    }
+
+    /// Waits for the first byte of a request; false at the idle limit or when stopping.
+    async fn wait_for_request(&mut self) -> Result<bool, ServerError> {
+        if !self.socket.is_empty() {
+            return Ok(true);
+        }
+        let limit = self.limits.get_idle_timeout();
+        let readable = std::pin::pin!(timer::timeout(limit, self.socket.wait_readable()));
+        let stop = std::pin::pin!(self.shutdown.begun());
+        match future::select(readable, stop).await {
+            future::Either::Left((Ok(res), _)) => {
+                res?;
+                Ok(true)
+            }
+            future::Either::Left((Err(_), _)) | future::Either::Right(_) => Ok(false),
+        }
+    }
+
+    async fn read_head(&mut self) -> Result<Option<request::Parts>, ServerError> {
+        let limit = self.limits.get_head_timeout();
+        let began = time::Instant::now();
+        let mut scan =
+            head::Scan::new(self.limits.get_max_head_bytes(), self.limits.get_max_headers());
+        loop {
+            if let Some(raw) = take_head(&mut scan, self.socket.buf()).map_err(refused)? {
+                return head::decode_request(raw).map(Some).map_err(refused);
+            }
+            let left = limit.saturating_sub(began.elapsed());
+            match self.socket.fill_within(left).await {
+                Ok(0) if scan.is_start() => return Ok(None),
+                Ok(0) => return Err(refused(head::HeadError::CutShort)),
+                Ok(_) => {}
+                Err(wire::WireError::TimedOut) => {
+                    return Err(ServerError::Refused(Refusal::HeadTimeout));
+                }
+                Err(wire::WireError::Io(err)) => return Err(err.into()),
+            }
+        }
+    }
+}
+
+fn take_head(
+    scan: &mut head::Scan,
+    buf: &mut bytes::BytesMut,
+) -> Result<Option<bytes::BytesMut>, head::HeadError> {
+    scan.skip_empty_lines(buf)?;
+    Ok(scan.advance(buf)?.map(|end| buf.split_to(end)))
+}
+
+fn refused(err: head::HeadError) -> ServerError {
+    ServerError::Refused(Refusal::Head(err))
+}
--- /dev/null
+++ b/comfreymill_http/src/server/exchange.rs
@@ -0,0 +1,105 @@
+use http::request;
+
+use super::error;
+use crate::{body, head, hop, limits};
+
+/// How far the answer of a request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Answered {
+    No,
+    Started,
+    Whole,
+}
+
+/// State of the request in progress on a connection.
+#[derive(Debug)]
+pub(super) struct Exchange {
+    pub(super) body: body::Reader,
+    pub(super) answered: Answered,
+    pub(super) is_continue_due: bool,
+    pub(super) is_keep_alive: bool,
+    is_head: bool,
+    version: http::Version,
+}
+
+impl Exchange {
+    /// Checks a request's head and sets up the reading of its body.
+    pub(super) fn new(
+        head: &request::Parts,
+        limits: &limits::Limits,
+    ) -> Result<Self, super::Refusal> {
+        let framing = head::of_request(head)?;
+        head::check_host(head)?;
+        let is_continue_due = head::wants_continue(head)?;
+        let body = body::Reader::new(framing, limits);
+        if body.length().is_some_and(|length| length > limits.get_max_body_bytes()) {
+            return Err(body::BodyError::TooLarge.into());
+        }
+        Ok(Self {
+            is_continue_due: is_continue_due && !body.is_complete(),
+            body,
+            answered: Answered::No,
+            is_keep_alive: is_keep_alive(head),
+            is_head: head.method == http::Method::HEAD,
+            version: head.version,
+        })
+    }
+
+    /// Framing of an answer, given the length of its body if that is known.
+    ///
+    /// `None` when the caller knows no chunks, so that the length must be found out first.
+    pub(super) fn frame_answer(
+        &self,
+        status: http::StatusCode,
+        length: Option<u64>,
+    ) -> Result<Option<head::Framed>, error::ServerError> {
+        if status.is_informational() {
+            return Err(error::ServerError::InterimStatus);
+        }
+        if is_bodiless(status) {
+            return Ok(Some(head::Framed::Empty));
+        }
+        Ok(match length {
+            Some(length) => Some(head::Framed::Length(length)),
+            None if self.version == http::Version::HTTP_11 => Some(head::Framed::Chunked),
+            None => None,
+        })
+    }
+
+    /// Whether the body of an answer is sent at all.
+    pub(super) fn sends_body(&self, status: http::StatusCode) -> bool {
+        !self.is_head && !is_bodiless(status)
+    }
+
+    /// Option of `Connection` that the answer carries.
+    pub(super) fn connection_option(&self) -> Option<&'static str> {
+        match (self.is_keep_alive, self.version) {
+            (false, _) => Some("close"),
+            (true, http::Version::HTTP_11) => None,
+            (true, _) => Some("keep-alive"),
+        }
+    }
+
+    /// Gives up the connection if the rest of the body is too large to be discarded, is withheld
+    /// by the sender, or cannot be found any more.
+    pub(super) fn weigh_rest(&mut self, limits: &limits::Limits) {
+        let is_large =
+            self.body.rest().is_some_and(|rest| rest > limits.get_max_drain_bytes() as u64);
+        let is_lost = self.body.error().is_some();
+        if is_large || is_lost || self.is_continue_due {
+            self.is_keep_alive = false;
+        }
+    }
+}
+
+fn is_bodiless(status: http::StatusCode) -> bool {
+    status == http::StatusCode::NO_CONTENT || status == http::StatusCode::NOT_MODIFIED
+}
+
+fn is_keep_alive(head: &request::Parts) -> bool {
+    if hop::has_connection_option(&head.headers, "close") {
+        return false;
+    }
+    head.version == http::Version::HTTP_11
+        || hop::has_connection_option(&head.headers, "keep-alive")
+}
--- /dev/null
+++ b/comfreymill_http/src/server/mod.rs
@@ -0,0 +1,19 @@
+//! Server side: connections, requests, answers and the accept loop
+
+mod answer;
+mod connection;
+mod error;
+mod exchange;
+mod refusal;
+mod request;
+mod serve;
+mod shutdown;
+mod watch;
+
+pub use answer::Answer;
+pub use connection::Connection;
+pub use error::ServerError;
+pub use refusal::{ERROR_HEADER, Refusal};
+pub use request::Request;
+pub use serve::{Drained, serve};
+pub use shutdown::Shutdown;
--- /dev/null
+++ b/comfreymill_http/src/wire/socket.rs
@@ -0,0 +1,147 @@
+use std::{io, mem, net, time};
+
+use bytes::Buf as _;
+use monoio::io::{AsyncReadRent as _, AsyncWriteRent as _};
+use monoio::time as timer;
+
+use super::{WireError, now_or_never, progress};
+
+const READ_BYTES: usize = 16 * 1024;
+const MIN_SPARE_BYTES: usize = 4 * 1024;
+
+/// A TCP stream with the bytes that were read and not yet consumed.
+///
+/// Dropping one of its futures loses no byte: the buffer stays here while its spare capacity is
+/// lent to the read.
+#[derive(Debug)]
+pub(crate) struct Socket {
+    stream: monoio::net::TcpStream,
+    buf: bytes::BytesMut,
+    is_eof: bool,
+    written: u64,
+}
+
+impl Socket {
+    pub(crate) fn new(stream: monoio::net::TcpStream) -> Self {
+        // Latency only: a stream without the option still works.
+        let _ = stream.set_nodelay(true);
+        Self { stream, buf: bytes::BytesMut::new(), is_eof: false, written: 0 }
+    }
+
+    /// Address of the peer.
+    pub(crate) fn peer_addr(&self) -> io::Result<net::SocketAddr> {
+        self.stream.peer_addr()
+    }
+
+    /// Bytes that were read and not yet consumed.
+    pub(crate) fn buf(&mut self) -> &mut bytes::BytesMut {
+        &mut self.buf
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.buf.is_empty()
+    }
+
+    pub(crate) fn is_eof(&self) -> bool {
+        self.is_eof
+    }
+
+    /// Bytes written since the socket was opened.
+    pub(crate) fn written(&self) -> u64 {
+        self.written
+    }
+
+    /// Reads once into the buffer; 0 at the end of the stream.
+    pub(crate) async fn fill(&mut self) -> io::Result<usize> {
+        if self.is_eof {
+            return Ok(0);
+        }
+        if self.buf.capacity() - self.buf.len() < MIN_SPARE_BYTES {
+            self.buf.reserve(READ_BYTES);
+        }
+        let spare = self.buf.split_off(self.buf.len());
+        let (res, spare) = self.stream.read(spare).await;
+        self.buf.unsplit(spare);
+        let count = res?;
+        self.is_eof = count == 0;
+        Ok(count)
+    }
+
+    /// Reads once, for at most `limit`.
+    pub(crate) async fn fill_within(&mut self, limit: time::Duration) -> Result<usize, WireError> {
+        match timer::timeout(limit, self.fill()).await {
+            Ok(res) => Ok(res?),
+            Err(_) => Err(WireError::TimedOut),
+        }
+    }
+
+    /// Reads once, for at most the time that `progress` leaves.
+    pub(crate) async fn fill_with_progress(
+        &mut self,
+        progress: &mut progress::Progress,
+    ) -> Result<usize, WireError> {
+        let began = time::Instant::now();
+        let count = self.fill_within(progress.left()).await?;
+        progress.note(count, began.elapsed());
+        Ok(count)
+    }
+
+    /// Waits until there is something to read, without holding a buffer meanwhile.
+    pub(crate) async fn wait_readable(&mut self) -> io::Result<()> {
+        if self.is_eof || !self.buf.is_empty() {
+            return Ok(());
+        }
+        drop(mem::take(&mut self.buf));
+        self.stream.readable(false).await
+    }
+
+    /// Whether the peer has sent something or closed, without waiting.
+    pub(crate) async fn is_readable(&self) -> bool {
+        if self.is_eof || !self.buf.is_empty() {
+            return true;
+        }
+        now_or_never(self.stream.readable(false)).await.is_some()
+    }
+
+    /// Writes everything; the peer must take some bytes within each `limit`.
+    pub(crate) async fn write_all(
+        &mut self,
+        mut data: bytes::Bytes,
+        limit: time::Duration,
+    ) -> Result<(), WireError> {
+        while data.has_remaining() {
+            let written = timer::timeout(limit, self.stream.write(data.clone())).await;
+            let Ok((res, _)) = written else {
+                return Err(WireError::TimedOut);
+            };
+            let count = res?;
+            if count == 0 {
+                return Err(WireError::Io(io::ErrorKind::WriteZero.into()));
+            }
+            self.written += count as u64;
+            data.advance(count);
+        }
+        Ok(())
+    }
+
+    /// Closes the sending side, then discards what the peer still sends, so that it can read the
+    /// last answer before the connection is reset.
+    pub(crate) async fn linger(&mut self, max_bytes: usize, limit: time::Duration) {
+        if self.stream.shutdown().await.is_err() {
+            return;
+        }
+        let _ = timer::timeout(limit, self.discard(max_bytes)).await;
+    }
+
+    async fn discard(&mut self, max_bytes: usize) {
+        let mut discarded = self.buf.len();
+        self.buf.clear();
+        while discarded < max_bytes {
+            match self.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(count) => discarded += count,
+            }
+            self.buf.clear();
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_http/tests/client/mod.rs
@@ -0,0 +1,2 @@
+mod bad_response;
+mod sending;
--- /dev/null
+++ b/comfreymill_http/tests/client/sending.rs
@@ -0,0 +1,104 @@
+use std::time;
+
+use bytes::Bytes;
+use comfreymill_http::client;
+
+use crate::support::{self, Service, Upstream, guard};
+
+const OPEN: time::Duration = time::Duration::from_secs(20);
+
+fn get() -> http::request::Parts {
+    http::Request::builder().uri("/x").body(()).expect("request").into_parts().0
+}
+
+#[test]
+fn refused_connection_has_sent_nothing() {
+    support::run(async {
+        let addr = Upstream::bind().addr;
+        let err =
+            client::Connection::connect(addr, support::limits(), OPEN).await.expect_err("refused");
+        assert_eq!(err.sent, client::Sent::Nothing);
+        assert_eq!(err.fault, client::ClientFault::Connect(std::io::ErrorKind::ConnectionRefused));
+    });
+}
+
+#[test]
+fn kept_connection_that_the_peer_closed_has_sent_nothing() {
+    support::run(async {
+        let upstream = Upstream::bind();
+        let mut conn = client::Connection::connect(upstream.addr, support::limits(), OPEN)
+            .await
+            .expect("open");
+        let mut peer = upstream.accept().await;
+        monoio::spawn(async move {
+            peer.read_until(b"\r\n\r\n").await;
+            peer.write("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na").await;
+        });
+        let body = conn.send(&get(), Bytes::new()).await.expect("first").collect(9).await;
+        assert_eq!(body, Ok(Bytes::from("a")));
+        while !conn.is_stale().await {
+            monoio::time::sleep(time::Duration::from_millis(1)).await;
+        }
+        let err = conn.send(&get(), Bytes::new()).await.expect_err("stale");
+        assert_eq!(err.fault, client::ClientFault::Stale);
+        assert_eq!(err.sent, client::Sent::Nothing);
+        assert_eq!(conn.sent(), client::Sent::Nothing);
+    });
+}
+
+#[test]
+fn peer_that_closes_after_the_first_byte_has_seen_some() {
+    support::run(async {
+        let upstream = Upstream::bind();
+        let addr = upstream.addr;
+        monoio::spawn(async move {
+            let mut peer = upstream.accept().await;
+            peer.read().await;
+        });
+        let mut conn =
+            client::Connection::connect(addr, support::limits(), OPEN).await.expect("open");
+        let err = guard(conn.send(&get(), Bytes::new())).await.expect_err("closed");
+        assert_eq!(err.sent, client::Sent::Some);
+        assert_eq!(err.fault, client::ClientFault::Closed);
+        assert!(!conn.is_reusable(), "a failed connection is not kept");
+    });
+}
+
+#[test]
+fn connection_is_used_again_after_a_whole_response() {
+    support::run(async {
+        let service = Service::echo(support::limits());
+        let mut conn =
+            client::Connection::connect(service.addr, support::limits(), OPEN).await.expect("open");
+        for text in ["one", "two", "three"] {
+            let mut head = get();
+            head.method = http::Method::POST;
+            let body = {
+                let mut response = conn.send(&head, Bytes::from(text)).await.expect("sent");
+                response.collect(100).await.expect("whole")
+            };
+            assert_eq!(body, text);
+            assert!(conn.is_reusable(), "after {text}");
+        }
+    });
+}
+
+#[test]
+fn one_shot_request_reads_the_whole_response() {
+    support::run(async {
+        let service = Service::echo(support::limits());
+        let response = client::request(
+            service.addr,
+            http::Method::PUT,
+            "/one?two=3".parse().expect("target"),
+            http::HeaderMap::new(),
+            Bytes::from("body"),
+            OPEN,
+        )
+        .await
+        .expect("response");
+        assert_eq!(response.status(), 200);
+        assert_eq!(response.headers()["x-target"], "/one?two=3");
+        assert_eq!(response.body(), "body");
+    });
+}
--- /dev/null
+++ b/comfreymill_http/tests/server/mod.rs
@@ -0,0 +1,3 @@
+mod bad_input;
+mod good_input;
+mod stopping;
--- /dev/null
+++ b/comfreymill_http/tests/support/peer.rs
@@ -0,0 +1,115 @@
+use std::net;
+
+use monoio::io::{AsyncReadRent as _, AsyncWriteRent as _, AsyncWriteRentExt as _};
+
+use super::{Answer, guard, parse_answers};
+
+const READ_BYTES: usize = 64 * 1024;
+
+/// A raw client that writes what it is told.
+pub(crate) struct Peer {
+    stream: monoio::net::TcpStream,
+}
+
+impl Peer {
+    pub(crate) async fn connect(addr: net::SocketAddr) -> Self {
+        let stream = guard(monoio::net::TcpStream::connect_addr(addr)).await.expect("connect");
+        stream.set_nodelay(true).expect("nodelay");
+        Self { stream }
+    }
+
+    pub(crate) fn over(stream: monoio::net::TcpStream) -> Self {
+        Self { stream }
+    }
+
+    /// Writes all of it, or what the other side takes before it closes.
+    pub(crate) async fn write<B>(&mut self, bytes: B)
+    where
+        B: Into<Vec<u8>>,
+    {
+        let _ = guard(self.stream.write_all(bytes.into())).await;
+    }
+
+    /// Reads once; empty at the end of the connection.
+    pub(crate) async fn read(&mut self) -> Vec<u8> {
+        let (res, mut buf) = guard(self.stream.read(Vec::with_capacity(READ_BYTES))).await;
+        buf.truncate(res.unwrap_or(0));
+        buf
+    }
+
+    /// Reads until the text was seen or the connection ends.
+    pub(crate) async fn read_until(&mut self, end: &[u8]) -> Vec<u8> {
+        let mut all = Vec::new();
+        loop {
+            let some = self.read().await;
+            all.extend_from_slice(&some);
+            if some.is_empty() || all.windows(end.len()).any(|window| window == end) {
+                return all;
+            }
+        }
+    }
+
+    /// Reads until the other side has closed the connection.
+    pub(crate) async fn read_to_end(&mut self) -> Vec<u8> {
+        let mut all = Vec::new();
+        loop {
+            let some = self.read().await;
+            if some.is_empty() {
+                return all;
+            }
+            all.extend_from_slice(&some);
+        }
+    }
+
+    /// Closes the sending side.
+    pub(crate) async fn finish(&mut self) {
+        let _ = self.stream.shutdown().await;
+    }
+
+    /// Sends bytes on a connection of its own and reads every answer until the server closes.
+    pub(crate) async fn exchange<B>(addr: net::SocketAddr, bytes: B) -> Vec<Answer>
+    where
+        B: Into<Vec<u8>>,
+    {
+        let mut peer = Self::connect(addr).await;
+        peer.write(bytes).await;
+        parse_answers(&peer.read_to_end().await)
+    }
+}
+
+/// A raw upstream that accepts connections.
+pub(crate) struct Upstream {
+    listener: monoio::net::TcpListener,
+    pub(crate) addr: net::SocketAddr,
+}
+
+impl Upstream {
+    pub(crate) fn bind() -> Self {
+        let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+        let addr = listener.local_addr().expect("address");
+        Self { listener, addr }
+    }
+
+    pub(crate) async fn accept(&self) -> Peer {
+        let (stream, _) = guard(self.listener.accept()).await.expect("accept");
+        Peer::over(stream)
+    }
+
+    /// Answers the first request with these bytes and closes.
+    pub(crate) fn answer_once<B>(bytes: B) -> net::SocketAddr
+    where
+        B: Into<Vec<u8>>,
+    {
+        let upstream = Self::bind();
+        let addr = upstream.addr;
+        let bytes = bytes.into();
+        monoio::spawn(async move {
+            let mut peer = upstream.accept().await;
+            peer.read_until(b"\r\n\r\n").await;
+            peer.write(bytes).await;
+            peer.finish().await;
+            peer.read_to_end().await;
+        });
+        addr
+    }
+}
--- /dev/null
+++ b/comfreymill_http/tests/support/service.rs
@@ -0,0 +1,52 @@
+use std::{net, time};
+
+use comfreymill_http::{limits::Limits, server};
+
+use super::guard;
+
+/// Limits that are small enough for the tests of their excess.
+pub(crate) fn limits() -> Limits {
+    Limits::new()
+        .max_head_bytes(2048)
+        .max_headers(16)
+        .max_body_bytes(64 * 1024)
+        .linger_timeout(time::Duration::from_millis(500))
+}
+
+/// A server on a port of its own.
+pub(crate) struct Service {
+    pub(crate) addr: net::SocketAddr,
+    pub(crate) shutdown: server::Shutdown,
+    task: monoio::task::JoinHandle<server::Drained>,
+}
+
+impl Service {
+    pub(crate) fn start<H>(limits: Limits, handler: H) -> Self
+    where
+        H: AsyncFn(server::Request<'_>) -> Result<(), server::ServerError> + 'static,
+    {
+        let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+        let addr = listener.local_addr().expect("address");
+        let shutdown = server::Shutdown::new();
+        let task = monoio::spawn(server::serve(listener, limits, handler, shutdown.clone()));
+        Self { addr, shutdown, task }
+    }
+
+    pub(crate) fn echo(limits: Limits) -> Self {
+        Self::start(limits, echo)
+    }
+
+    /// Waits until the server has ended after its shutdown was begun.
+    pub(crate) async fn ended(self) -> server::Drained {
+        guard(self.task).await
+    }
+}
+
+/// Answers with the body of the request, and its target in a header.
+async fn echo(mut req: server::Request<'_>) -> Result<(), server::ServerError> {
+    let body = req.collect(u64::MAX).await?;
+    let mut headers = http::HeaderMap::new();
+    let target = http::HeaderValue::from_str(&req.uri().to_string()).expect("target");
+    headers.insert("x-target", target);
+    req.respond(http::StatusCode::OK, &headers, body).await
+}
