--- /dev/null
+++ b/comfreymill_group/src/entry/mod.rs
@@ -0,0 +1,13 @@
+//! Entries of the log and the durable state beside them.
+
+mod hard_state;
+mod log_entry;
+mod payload;
+mod record;
+mod vote;
+
+pub use hard_state::HardState;
+pub use log_entry::Entry;
+pub use payload::Payload;
+pub use record::{EntryRecord, HardStateRecord, MemberRecord, MembershipRecord, PayloadRecord};
+pub use vote::Vote;
--- /dev/null
+++ b/comfreymill_group/src/id/group_id.rs
@@ -0,0 +1,4 @@
+number_newtype! {
+    /// Group of voters that replicate one log.
+    GroupId
+}
--- /dev/null
+++ b/comfreymill_group/src/id/term.rs
@@ -0,0 +1,12 @@
+number_newtype! {
+    /// Term of a leader.
+    Term
+}
+
+impl Term {
+    /// Following term.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
--- /dev/null
+++ b/comfreymill_group/src/membership/mod.rs
@@ -0,0 +1,13 @@
+//! Who belongs to a group, and the changes to it.
+
+mod change;
+mod history;
+mod member;
+mod members;
+mod stage;
+
+pub use change::Change;
+pub use history::History;
+pub use member::Member;
+pub use members::Membership;
+pub use stage::Stage;
--- /dev/null
+++ b/comfreymill_group/src/message/hello.rs
@@ -0,0 +1,18 @@
+/// Announces a replica with an empty log.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Hello {
+    /// Whether the sender founds the group and asks for every founder's vote.
+    #[prost(bool, tag = "1")]
+    pub founding: bool,
+}
+
+/// Answers [`Hello`].
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct HelloResponse {
+    /// Whether the sender will follow the founder that asked.
+    #[prost(bool, tag = "1")]
+    pub founder_accepted: bool,
+    /// Whether the group knows the receiver's id with another disk.
+    #[prost(bool, tag = "2")]
+    pub refused: bool,
+}
--- /dev/null
+++ b/comfreymill_group/src/replica/append.rs
@@ -0,0 +1,98 @@
+use crate::entry;
+use crate::id;
+use crate::message;
+use crate::replica::Replica;
+use crate::replica::{Action, Halt};
+use comfreymill_types::time;
+
+impl Replica {
+    /// Takes in the leader's entries; the answer waits for their sync.
+    pub(super) fn handle_append(
+        &mut self,
+        now: time::Monotonic,
+        from: id::VoterId,
+        disk: id::DiskId,
+        append: message::Append,
+    ) {
+        self.follow(now, from);
+        let prev = id::Index::new(append.prev_index);
+        let entries: Vec<entry::Entry> = append.entries.into_iter().map(Into::into).collect();
+        if !are_contiguous(prev, id::Term::new(append.prev_term), self.term(), &entries) {
+            log::warn!(target: "group", "replica {from} sent entries out of order");
+            return;
+        }
+        let agrees =
+            prev <= self.commit || self.log.term_at(prev) == Some(id::Term::new(append.prev_term));
+        let mut answer = message::AppendResponse {
+            prev_index: append.prev_index,
+            rejected: !agrees,
+            index: self.next_try(prev).get(),
+            sent_at_micros: append.sent_at_micros,
+        };
+        if agrees {
+            let last = prev.plus(entries.len() as u64).max(self.commit);
+            if !self.take_entries(entries) {
+                return;
+            }
+            let commit = id::Index::new(append.commit).min(last);
+            self.commit = self.commit.max(commit);
+            answer.index = last.get();
+        }
+        self.send_synced(from, disk, message::Body::AppendResponse(answer));
+    }
+
+    /// Adds what the log lacks, and tells whether the replica is still in service.
+    fn take_entries(&mut self, entries: Vec<entry::Entry>) -> bool {
+        for entry in entries {
+            match self.log.term_at(entry.index) {
+                Some(term) if term == entry.term => continue,
+                None if entry.index <= self.log.base_index() => continue,
+                None => {}
+                Some(_) if entry.index <= self.commit => {
+                    let (index, term) = (entry.index, entry.term);
+                    self.halt(Halt::CommittedConflict { index, term });
+                    return false;
+                }
+                Some(_) => self.truncate_from(entry.index),
+            }
+            self.outbox.note_entries(entry.index);
+            self.log.push(entry);
+        }
+        true
+    }
+
+    /// Removes entries that another leader overwrites.
+    pub(super) fn truncate_from(&mut self, index: id::Index) {
+        let to = self.log.last_index();
+        self.log.truncate_from(index);
+        self.outbox.note_truncated(index);
+        self.outbox.actions.push(Action::Dropped { from: index, to });
+    }
+
+    /// Where the leader tries next when the entry at `prev` doesn't agree.
+    fn next_try(&self, prev: id::Index) -> id::Index {
+        if prev > self.log.last_index() {
+            return self.log.last_index().next();
+        }
+        self.log.first_of_term(prev).max(self.commit.next())
+    }
+}
+
+/// Whether `entries` follow `prev` without a gap, in terms that don't fall or pass `term`.
+fn are_contiguous(
+    prev: id::Index,
+    prev_term: id::Term,
+    term: id::Term,
+    entries: &[entry::Entry],
+) -> bool {
+    let mut index = prev;
+    let mut least = prev_term;
+    for entry in entries {
+        index = index.next();
+        if entry.index != index || entry.term < least || entry.term > term {
+            return false;
+        }
+        least = entry.term;
+    }
+    true
+}
--- /dev/null
+++ b/comfreymill_group/src/replica/config.rs
@@ -0,0 +1,231 @@
+use crate::replica::Start;
+use std::time::Duration;
+
+const PPM: u64 = 1_000_000;
+
+/// Timings and limits of a replica.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Config {
+    start: Start,
+    election_timeout_min: Duration,
+    election_timeout_max: Duration,
+    heartbeat: Duration,
+    retry: Duration,
+    clock_drift_ppm: u32,
+    max_append_bytes: usize,
+    max_in_flight_bytes: usize,
+    max_uncommitted_bytes: usize,
+    snapshot_chunk_bytes: usize,
+    retained_entries: u64,
+    promote_lag_entries: u64,
+}
+
+/// Settings contradict each other.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum ConfigError {
+    /// The timeout's bounds are reversed or equal.
+    #[error("election timeout: the minimum must be below the maximum")]
+    ElectionTimeout,
+    /// Too few heartbeats fit into a lease.
+    #[error("heartbeat: three must fit into the lease")]
+    Heartbeat,
+    /// The drift leaves no lease.
+    #[error("clock drift: must be below 500000 ppm")]
+    ClockDrift,
+    /// A limit is zero or over what a message holds.
+    #[error("limits in bytes: must be above 0, and appends and chunks at most 1048576")]
+    Limits,
+}
+
+impl Config {
+    const MAX_PART_BYTES: usize = 1024 * 1024;
+
+    /// Default timings and limits.
+    pub fn new(start: Start) -> Self {
+        Self {
+            start,
+            election_timeout_min: Duration::from_millis(300),
+            election_timeout_max: Duration::from_millis(600),
+            heartbeat: Duration::from_millis(60),
+            retry: Duration::from_millis(200),
+            clock_drift_ppm: 10_000,
+            max_append_bytes: 256 * 1024,
+            max_in_flight_bytes: 1024 * 1024,
+            max_uncommitted_bytes: 16 * 1024 * 1024,
+            snapshot_chunk_bytes: 128 * 1024,
+            retained_entries: 2_000,
+            promote_lag_entries: 100,
+        }
+    }
+
+    /// Range of the random election timeout.
+    #[must_use]
+    pub fn election_timeout(mut self, min: Duration, max: Duration) -> Self {
+        self.election_timeout_min = min;
+        self.election_timeout_max = max;
+        self
+    }
+
+    /// Time between heartbeats.
+    #[must_use]
+    pub fn heartbeat(mut self, heartbeat: Duration) -> Self {
+        self.heartbeat = heartbeat;
+        self
+    }
+
+    /// Time after which an unanswered append or chunk is sent again.
+    #[must_use]
+    pub fn retry(mut self, retry: Duration) -> Self {
+        self.retry = retry;
+        self
+    }
+
+    /// Bound on how far a clock's rate may be off, in parts per million.
+    #[must_use]
+    pub fn clock_drift_ppm(mut self, ppm: u32) -> Self {
+        self.clock_drift_ppm = ppm;
+        self
+    }
+
+    /// Most bytes of entries in one append.
+    #[must_use]
+    pub fn max_append_bytes(mut self, bytes: usize) -> Self {
+        self.max_append_bytes = bytes;
+        self
+    }
+
+    /// Most bytes of entries on their way to one follower.
+    #[must_use]
+    pub fn max_in_flight_bytes(mut self, bytes: usize) -> Self {
+        self.max_in_flight_bytes = bytes;
+        self
+    }
+
+    /// Most bytes of entries proposed and not committed.
+    #[must_use]
+    pub fn max_uncommitted_bytes(mut self, bytes: usize) -> Self {
+        self.max_uncommitted_bytes = bytes;
+        self
+    }
+
+    /// Bytes of a snapshot in one message.
+    #[must_use]
+    pub fn snapshot_chunk_bytes(mut self, bytes: usize) -> Self {
+        self.snapshot_chunk_bytes = bytes;
+        self
+    }
+
+    /// Entries kept in memory behind a snapshot, for slow followers.
+    #[must_use]
+    pub fn retained_entries(mut self, entries: u64) -> Self {
+        self.retained_entries = entries;
+        self
+    }
+
+    /// Most entries that a learner may lack to be promoted.
+    #[must_use]
+    pub fn promote_lag_entries(mut self, entries: u64) -> Self {
+        self.promote_lag_entries = entries;
+        self
+    }
+
+    /// Checks the settings against each other.
+    ///
+    /// # Errors
+    ///
+    /// Two settings can't hold together.
+    pub fn validate(&self) -> Result<(), ConfigError> {
+        if self.election_timeout_min >= self.election_timeout_max {
+            return Err(ConfigError::ElectionTimeout);
+        }
+        if u64::from(self.clock_drift_ppm) >= PPM / 2 {
+            return Err(ConfigError::ClockDrift);
+        }
+        if self.heartbeat.is_zero() || self.heartbeat * 3 > self.get_lease() {
+            return Err(ConfigError::Heartbeat);
+        }
+        let limits = [
+            self.max_append_bytes,
+            self.max_in_flight_bytes,
+            self.max_uncommitted_bytes,
+            self.snapshot_chunk_bytes,
+        ];
+        let parts = [self.max_append_bytes, self.snapshot_chunk_bytes];
+        if limits.contains(&0) || parts.iter().any(|bytes| *bytes > Self::MAX_PART_BYTES) {
+            return Err(ConfigError::Limits);
+        }
+        Ok(())
+    }
+
+    /// How an empty replica begins.
+    pub fn get_start(&self) -> &Start {
+        &self.start
+    }
+
+    /// Shortest election timeout.
+    pub fn get_election_timeout_min(&self) -> Duration {
+        self.election_timeout_min
+    }
+
+    /// Longest election timeout.
+    pub fn get_election_timeout_max(&self) -> Duration {
+        self.election_timeout_max
+    }
+
+    /// Time between heartbeats.
+    pub fn get_heartbeat(&self) -> Duration {
+        self.heartbeat
+    }
+
+    /// Time after which an unanswered append or chunk is sent again.
+    pub fn get_retry(&self) -> Duration {
+        self.retry
+    }
+
+    /// Length of a lease on the leader's clock.
+    ///
+    /// It ends within the shortest election timeout on a follower's clock, when the rates of the
+    /// two clocks are off in opposite directions.
+    pub fn get_lease(&self) -> Duration {
+        let slow = PPM.saturating_sub(u64::from(self.clock_drift_ppm));
+        let fast = PPM + u64::from(self.clock_drift_ppm);
+        let timeout_micros = self.election_timeout_min.as_micros();
+        let lease_micros = timeout_micros * u128::from(slow) / u128::from(fast);
+        Duration::from_micros(u64::try_from(lease_micros).unwrap_or(u64::MAX))
+    }
+
+    /// Bound on how far a clock's rate may be off, in parts per million.
+    pub fn get_clock_drift_ppm(&self) -> u32 {
+        self.clock_drift_ppm
+    }
+
+    /// Most bytes of entries in one append.
+    pub fn get_max_append_bytes(&self) -> usize {
+        self.max_append_bytes
+    }
+
+    /// Most bytes of entries on their way to one follower.
+    pub fn get_max_in_flight_bytes(&self) -> usize {
+        self.max_in_flight_bytes
+    }
+
+    /// Most bytes of entries proposed and not committed.
+    pub fn get_max_uncommitted_bytes(&self) -> usize {
+        self.max_uncommitted_bytes
+    }
+
+    /// Bytes of a snapshot in one message.
+    pub fn get_snapshot_chunk_bytes(&self) -> usize {
+        self.snapshot_chunk_bytes
+    }
+
+    /// Entries kept in memory behind a snapshot.
+    pub fn get_retained_entries(&self) -> u64 {
+        self.retained_entries
+    }
+
+    /// Most entries that a learner may lack to be promoted.
+    pub fn get_promote_lag_entries(&self) -> u64 {
+        self.promote_lag_entries
+    }
+}
--- /dev/null
+++ b/comfreymill_group/src/replica/election.rs
@@ -0,0 +1,193 @@
+use crate::entry;
+use crate::id;
+use crate::message;
+use crate::replica::Replica;
+use crate::replica::lease::Leader;
+use comfreymill_types::time;
+use std::collections::BTreeSet;
+
+/// Role with what belongs to it.
+#[derive(Debug)]
+pub(super) enum State {
+    /// Follows, with or without a vote.
+    Follower,
+    /// Asks whether an election could be won.
+    PreCandidate { votes: BTreeSet<id::VoterId> },
+    /// Asks for votes; its own counts once the write `gate` is synced.
+    Candidate { votes: BTreeSet<id::VoterId>, gate: id::Sequence },
+    /// Leads.
+    Leader(Box<Leader>),
+}
+
+impl Replica {
+    /// Follows in `term`, which is not lower than the present one.
+    pub(super) fn become_follower(&mut self, now: time::Monotonic, term: id::Term) {
+        if term > self.hard_state.term {
+            self.hard_state = entry::HardState { term, vote: None };
+            self.outbox.hard_state_changed = true;
+            self.leader = None;
+        }
+        if matches!(self.state, State::Leader(_)) {
+            self.leader = None;
+            log::info!(target: "group", "replica {} stops leading in term {term}", self.voter);
+        }
+        if !matches!(self.state, State::Follower) {
+            self.state = State::Follower;
+            self.reset_election_timer(now);
+        }
+    }
+
+    /// Asks the voters whether an election could be won.
+    pub(super) fn start_pre_vote(&mut self, now: time::Monotonic) {
+        self.leader = None;
+        self.state = State::PreCandidate { votes: BTreeSet::from([self.voter]) };
+        self.reset_election_timer(now);
+        let question = message::PreVote {
+            last_index: self.log.last_index().get(),
+            last_term: self.log.last_term().get(),
+        };
+        for (to, disk) in self.other_voters() {
+            self.send(to, disk, message::Body::PreVote(question));
+        }
+        self.try_win(now);
+    }
+
+    /// Asks the voters for their votes in a new term.
+    pub(super) fn start_election(&mut self, now: time::Monotonic, transfer: bool) {
+        let vote = entry::Vote { voter: self.voter, disk: self.disk };
+        let term = self.hard_state.term.next();
+        self.hard_state = entry::HardState { term, vote: Some(vote) };
+        self.outbox.hard_state_changed = true;
+        self.leader = None;
+        let gate = self.outbox.gate();
+        self.state = State::Candidate { votes: BTreeSet::new(), gate };
+        self.reset_election_timer(now);
+        let question = message::Vote {
+            last_index: self.log.last_index().get(),
+            last_term: self.log.last_term().get(),
+            transfer,
+        };
+        for (to, disk) in self.other_voters() {
+            self.send_synced(to, disk, message::Body::Vote(question));
+        }
+        log::info!(target: "group", "replica {} asks for votes in term {term}", self.voter);
+    }
+
+    /// Goes on to the next step if a quorum agrees.
+    pub(super) fn try_win(&mut self, now: time::Monotonic) {
+        let quorum = self.membership().quorum();
+        match &mut self.state {
+            State::PreCandidate { votes } if votes.len() >= quorum => {
+                self.start_election(now, false);
+            }
+            State::Candidate { votes, gate } => {
+                if self.outbox.is_persisted(*gate) {
+                    votes.insert(self.voter);
+                }
+                if votes.len() >= quorum && votes.contains(&self.voter) {
+                    self.become_leader(now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Answers whether the replica would vote for `from`.
+    pub(super) fn handle_pre_vote(
+        &mut self,
+        now: time::Monotonic,
+        from: id::VoterId,
+        envelope: &message::Message,
+        question: message::PreVote,
+    ) {
+        let asked_term = id::Term::new(envelope.term).next();
+        let granted = asked_term > self.hard_state.term
+            && !self.hears_leader(now)
+            && self.is_up_to_date(question.last_index, question.last_term);
+        let answer = message::PreVoteResponse { asked_term: asked_term.get(), granted };
+        let body = message::Body::PreVoteResponse(answer);
+        self.send(from, id::DiskId::new(envelope.disk), body);
+    }
+
+    /// Counts an answer to a pre-vote.
+    pub(super) fn handle_pre_vote_response(
+        &mut self,
+        now: time::Monotonic,
+        from: id::VoterId,
+        envelope: &message::Message,
+        answer: message::PreVoteResponse,
+    ) {
+        let term = id::Term::new(envelope.term);
+        if term > self.hard_state.term {
+            self.become_follower(now, term);
+            return;
+        }
+        let disk = id::DiskId::new(envelope.disk);
+        let is_current = answer.asked_term == self.hard_state.term.next().get();
+        if !answer.granted || !is_current || !self.membership().is_voter(from, disk) {
+            return;
+        }
+        if let State::PreCandidate { votes } = &mut self.state {
+            votes.insert(from);
+            self.try_win(now);
+        }
+    }
+
+    /// Votes for `from`, or refuses. The sender's term is the present one.
+    pub(super) fn handle_vote(
+        &mut self,
+        now: time::Monotonic,
+        from: id::VoterId,
+        disk: id::DiskId,
+        question: message::Vote,
+    ) {
+        let candidate = entry::Vote { voter: from, disk };
+        let is_free = self.hard_state.vote.is_none_or(|vote| vote == candidate);
+        let granted = is_free && self.is_up_to_date(question.last_index, question.last_term);
+        if granted {
+            self.outbox.hard_state_changed |= self.hard_state.vote.is_none();
+            self.hard_state.vote = Some(candidate);
+            self.state = State::Follower;
+            self.reset_election_timer(now);
+        }
+        let body = message::Body::VoteResponse(message::VoteResponse { granted });
+        self.send_synced(from, disk, body);
+    }
+
+    /// Counts a vote.
+    pub(super) fn handle_vote_response(
+        &mut self,
+        now: time::Monotonic,
+        from: id::VoterId,
+        disk: id::DiskId,
+        answer: message::VoteResponse,
+    ) {
+        if !answer.granted || !self.membership().is_voter(from, disk) {
+            return;
+        }
+        if let State::Candidate { votes, .. } = &mut self.state {
+            votes.insert(from);
+            self.try_win(now);
+        }
+    }
+
+    /// Whether votes are to be refused for the sake of a leader's lease.
+    pub(super) fn hears_leader(&self, now: time::Monotonic) -> bool {
+        let patience = self.cfg.get_election_timeout_min();
+        let is_recent = self.heard_at.is_some_and(|heard_at| now.since(heard_at) < patience);
+        is_recent || matches!(self.state, State::Leader(_))
+    }
+
+    fn is_up_to_date(&self, last_index: u64, last_term: u64) -> bool {
+        let own = (self.log.last_term().get(), self.log.last_index().get());
+        (last_term, last_index) >= own
+    }
+
+    fn other_voters(&self) -> Vec<(id::VoterId, id::DiskId)> {
+        self.membership()
+            .iter()
+            .filter(|(voter, member)| member.is_voter() && *voter != self.voter)
+            .map(|(voter, member)| (voter, member.disk))
+            .collect()
+    }
+}
--- /dev/null
+++ b/comfreymill_group/src/replica/founding.rs
@@ -0,0 +1,127 @@
+use crate::entry;
+use crate::id;
+use crate::membership;
+use crate::message;
+use crate::replica::{Halt, Replica, Start};
+use comfreymill_types::time;
+
+const FOUNDING_TERM: id::Term = id::Term::new(1);
+
+impl Replica {
+    /// Announces this replica, whose log is empty, to the replicas named by the settings.
+    pub(super) fn tick_newcomer(&mut self, now: time::Monotonic) {
+        if now < self.hello_at {
+            return;
+        }
+        self.hello_at = now + self.cfg.get_election_timeout_min();
+        let founding = self.cfg.get_start().founder() == Some(self.voter);
+        if founding {
+            self.promise_to(entry::Vote { voter: self.voter, disk: self.disk });
+        }
+        let peers = self.cfg.get_start().peers().to_vec();
+        let own = self.voter;
+        for to in peers.into_iter().filter(|peer| *peer != own) {
+            let hello = message::Hello { founding };
+            self.send_synced(to, id::DiskId::ZERO, message::Body::Hello(hello));
+        }
+        self.try_found();
+    }
+
+    /// Answers a replica whose log is empty.
+    pub(super) fn handle_hello(
+        &mut self,
+        now: time::Monotonic,
+        from: id::VoterId,
+        disk: id::DiskId,
+        hello: message::Hello,
+    ) {
+        let known = self.membership().get(from);
+        let is_current = self.is_ready() && self.lease_valid(now);
+        let is_other_disk = is_current && known.is_some_and(|member| member.disk != disk);
+        let mut answer = message::HelloResponse { founder_accepted: false, refused: is_other_disk };
+        if hello.founding && self.log.is_empty() {
+            let founder = entry::Vote { voter: from, disk };
+            answer.founder_accepted = self.accept_founder(founder);
+            answer.refused = self.hard_state.vote.is_some_and(|vote| is_same_voter(vote, founder));
+        }
+        if known.is_none() && self.newcomers.len() < MAX_NEWCOMERS {
+            self.newcomers.insert(from, disk);
+        }
+        self.send_synced(from, disk, message::Body::HelloResponse(answer));
+    }
+
+    /// Notes that a founder accepts this one, or that the group refuses this disk.
+    pub(super) fn handle_hello_response(
+        &mut self,
+        from: id::VoterId,
+        disk: id::DiskId,
+        answer: message::HelloResponse,
+    ) {
+        if !self.log.is_empty() {
+            return;
+        }
+        if answer.refused {
+            self.halt(Halt::DiskReplaced { voter: self.voter });
+            return;
+        }
+        if answer.founder_accepted {
+            self.accepted.insert(from, disk);
+            self.try_found();
+        }
+    }
+
+    /// Stands for election once the first entry is synced.
+    pub(super) fn finish_founding(&mut self, now: time::Monotonic) {
+        let is_synced = self.founding_gate.is_some_and(|gate| self.outbox.is_persisted(gate));
+        if is_synced {
+            self.founding_gate = None;
+            self.start_election(now, false);
+        }
+    }
+
+    /// Writes the first entry, which lists the founders, when all have accepted.
+    fn try_found(&mut self) {
+        let Start::Found { voters } = self.cfg.get_start() else { return };
+        if self.cfg.get_start().founder() != Some(self.voter) || !self.log.is_empty() {
+            return;
+        }
+        let mut members = Vec::new();
+        for voter in voters {
+            let own = (*voter == self.voter).then_some(&self.disk);
+            let Some(disk) = own.or_else(|| self.accepted.get(voter)) else { return };
+            let member = membership::Member { disk: *disk, stage: membership::Stage::Voter };
+            members.push((*voter, member));
+        }
+        let first = entry::Entry {
+            index: id::Index::new(1),
+            term: FOUNDING_TERM,
+            payload: entry::Payload::Membership(members.into_iter().collect()),
+        };
+        self.outbox.note_entries(first.index);
+        self.log.push(first);
+        self.founding_gate = Some(self.outbox.gate());
+    }
+
+    /// Promises to follow no other founder, unless that was promised to another already.
+    fn accept_founder(&mut self, founder: entry::Vote) -> bool {
+        if self.cfg.get_start().founder() != Some(founder.voter) {
+            return false;
+        }
+        self.promise_to(founder);
+        self.hard_state.vote == Some(founder)
+    }
+
+    fn promise_to(&mut self, founder: entry::Vote) {
+        if self.hard_state == entry::HardState::default() {
+            self.hard_state = entry::HardState { term: FOUNDING_TERM, vote: Some(founder) };
+            self.outbox.hard_state_changed = true;
+        }
+    }
+}
+
+const MAX_NEWCOMERS: usize = 64;
+
+/// Whether `vote` went to the founder's id with another disk.
+fn is_same_voter(vote: entry::Vote, founder: entry::Vote) -> bool {
+    vote.voter == founder.voter && vote.disk != founder.disk
+}
--- /dev/null
+++ b/comfreymill_group/src/replica/member.rs
@@ -0,0 +1,148 @@
+use crate::entry;
+use crate::id;
+use crate::membership;
+use crate::replica::Replica;
+use crate::replica::election::State;
+use comfreymill_types::time;
+
+/// A change of membership was not taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum ChangeError {
+    /// Another replica leads, or none.
+    #[error("this replica doesn't lead the group")]
+    NotLeader {
+        /// Leader, if known.
+        hint: Option<id::VoterId>,
+    },
+    /// The leader has not committed an entry of its own term yet.
+    #[error("the leader is not ready yet")]
+    NotReady,
+    /// The change before is not committed yet.
+    #[error("the change at entry {index} is not committed yet")]
+    Unfinished {
+        /// Entry of the change before.
+        index: id::Index,
+    },
+    /// The replica to add has not announced itself to the leader.
+    #[error("voter {voter} has not announced itself: start it with this group's members as peers")]
+    NotAnnounced {
+        /// Replica to add.
+        voter: id::VoterId,
+    },
+    /// The replica to add is a member already.
+    #[error("voter {voter} is a member already")]
+    AlreadyMember {
+        /// Replica to add.
+        voter: id::VoterId,
+    },
+    /// The replica to promote or remove is not a member, or votes already.
+    #[error("voter {voter} is not a member that this change fits")]
+    NotFitting {
+        /// Replica named.
+        voter: id::VoterId,
+    },
+    /// The learner lacks too many entries.
+    #[error("learner {voter} has not caught up: it lacks {lag} entries")]
+    NotCaughtUp {
+        /// Learner to promote.
+        voter: id::VoterId,
+        /// Entries it lacks.
+        lag: u64,
+    },
+    /// The leader can't remove itself.
+    #[error("voter {voter} leads: move the lead to another voter first")]
+    RemovesLeader {
+        /// Replica to remove.
+        voter: id::VoterId,
+    },
+}
+
+impl Replica {
+    /// Changes one member; the change is done when its entry is committed.
+    ///
+    /// # Errors
+    ///
+    /// The replica doesn't lead, the change before is not done, or the change doesn't fit.
+    pub fn change_membership(
+        &mut self,
+        now: time::Monotonic,
+        change: membership::Change,
+    ) -> Result<id::Index, ChangeError> {
+        self.check_change(now)?;
+        let next = match change {
+            membership::Change::AddLearner(voter) => self.with_learner(voter)?,
+            membership::Change::Promote(voter) => self.with_promoted(now, voter)?,
+            membership::Change::Remove(voter) => self.without(voter)?,
+        };
+        self.append_own(entry::Payload::Membership(next));
+        self.sync_peers();
+        self.replicate_all(now);
+        Ok(self.log.last_index())
+    }
+
+    /// Replicas that announced themselves and are not members.
+    pub fn newcomers(&self) -> Vec<id::VoterId> {
+        self.newcomers.keys().copied().collect()
+    }
+
+    fn check_change(&self, now: time::Monotonic) -> Result<(), ChangeError> {
+        let hint = self.leader.filter(|leader| *leader != self.voter);
+        let State::Leader(leader) = &self.state else {
+            return Err(ChangeError::NotLeader { hint });
+        };
+        if leader.transfer.is_some() || self.halted.is_some() {
+            return Err(ChangeError::NotLeader { hint });
+        }
+        if !self.is_ready() || !self.lease_valid(now) {
+            return Err(ChangeError::NotReady);
+        }
+        let index = self.log.history().current_index();
+        if index > self.commit {
+            return Err(ChangeError::Unfinished { index });
+        }
+        Ok(())
+    }
+
+    fn with_learner(&mut self, voter: id::VoterId) -> Result<membership::Membership, ChangeError> {
+        if self.membership().get(voter).is_some() {
+            return Err(ChangeError::AlreadyMember { voter });
+        }
+        let Some(disk) = self.newcomers.remove(&voter) else {
+            return Err(ChangeError::NotAnnounced { voter });
+        };
+        Ok(self.membership().with_learner(voter, disk))
+    }
+
+    fn with_promoted(
+        &self,
+        now: time::Monotonic,
+        voter: id::VoterId,
+    ) -> Result<membership::Membership, ChangeError> {
+        let member = self.membership().get(voter);
+        if member.is_none_or(membership::Member::is_voter) {
+            return Err(ChangeError::NotFitting { voter });
+        }
+        let State::Leader(leader) = &self.state else {
+            return Err(ChangeError::NotReady);
+        };
+        let peer = leader.peers.get(&voter);
+        let matched = peer.map_or(id::Index::ZERO, |peer| peer.matched);
+        let heard_at = peer.and_then(|peer| peer.heard_at);
+        let is_heard = heard_at.is_some_and(|at| now.since(at) < self.cfg.get_lease());
+        let lag = self.log.last_index().distance_from(matched);
+        if lag > self.cfg.get_promote_lag_entries() || !is_heard || matched == id::Index::ZERO {
+            return Err(ChangeError::NotCaughtUp { voter, lag });
+        }
+        Ok(self.membership().with_promoted(voter))
+    }
+
+    fn without(&self, voter: id::VoterId) -> Result<membership::Membership, ChangeError> {
+        if voter == self.voter {
+            return Err(ChangeError::RemovesLeader { voter });
+        }
+        if self.membership().get(voter).is_none() {
+            return Err(ChangeError::NotFitting { voter });
+        }
+        Ok(self.membership().without(voter))
+    }
+}
--- /dev/null
+++ b/comfreymill_group/src/replica/outbox.rs
@@ -0,0 +1,90 @@
+use crate::id;
+use crate::replica::Action;
+use crate::snapshot;
+use std::collections::VecDeque;
+
+/// Actions to hand out, and those that wait for a sync.
+#[derive(Debug, Default)]
+pub(super) struct Outbox {
+    pub(super) actions: Vec<Action>,
+    pub(super) hard_state_changed: bool,
+    pub(super) entries_from: Option<id::Index>,
+    pub(super) snapshot: Option<snapshot::Snapshot>,
+    pub(super) reset: bool,
+    issued: id::Sequence,
+    persisted: id::Sequence,
+    waiting: VecDeque<(id::Sequence, Action)>,
+    durable: id::Index,
+    unsynced: VecDeque<(id::Sequence, id::Index)>,
+}
+
+impl Outbox {
+    /// Outbox of a replica whose log is durable up to `durable`.
+    pub(super) fn new(durable: id::Index) -> Self {
+        Self { durable, ..Self::default() }
+    }
+
+    /// Last entry that is synced.
+    pub(super) fn durable(&self) -> id::Index {
+        self.durable
+    }
+
+    /// Write that holds everything changed so far.
+    pub(super) fn gate(&self) -> id::Sequence {
+        if self.is_dirty() { self.issued.next() } else { self.issued }
+    }
+
+    /// Whether the write `gate` is synced.
+    pub(super) fn is_persisted(&self, gate: id::Sequence) -> bool {
+        gate <= self.persisted
+    }
+
+    /// Whether something changed that no write holds.
+    pub(super) fn is_dirty(&self) -> bool {
+        self.hard_state_changed || self.entries_from.is_some() || self.snapshot.is_some()
+    }
+
+    /// Hands `action` out once everything changed so far is synced.
+    pub(super) fn push_synced(&mut self, action: Action) {
+        let gate = self.gate();
+        if self.is_persisted(gate) {
+            self.actions.push(action);
+        } else {
+            self.waiting.push_back((gate, action));
+        }
+    }
+
+    /// Notes that the entries from `index` on are new.
+    pub(super) fn note_entries(&mut self, index: id::Index) {
+        self.entries_from = Some(self.entries_from.map_or(index, |from| from.min(index)));
+    }
+
+    /// Notes that stored entries from `index` on are void.
+    pub(super) fn note_truncated(&mut self, index: id::Index) {
+        let last = index.previous();
+        self.durable = self.durable.min(last);
+        for (_, unsynced) in &mut self.unsynced {
+            *unsynced = (*unsynced).min(last);
+        }
+    }
+
+    /// Number of a new write, after which the log is durable up to `last`.
+    pub(super) fn issue(&mut self, last: id::Index) -> id::Sequence {
+        self.issued = self.issued.next();
+        self.unsynced.push_back((self.issued, last));
+        self.issued
+    }
+
+    /// Notes that the writes up to `sequence` are synced, and releases what waited for them.
+    pub(super) fn persisted(&mut self, sequence: id::Sequence) {
+        self.persisted = self.persisted.max(sequence.min(self.issued));
+        while self.unsynced.front().is_some_and(|(number, _)| *number <= self.persisted) {
+            let Some((_, last)) = self.unsynced.pop_front() else { break };
+            self.durable = self.durable.max(last);
+        }
+        while self.waiting.front().is_some_and(|(gate, _)| *gate <= self.persisted) {
+            let Some((_, action)) = self.waiting.pop_front() else { break };
+            self.actions.push(action);
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_group/src/replica/replicate.rs
@@ -0,0 +1,156 @@
+use crate::entry;
+use crate::id;
+use crate::message;
+use crate::replica::Replica;
+use crate::replica::election::State;
+use crate::replica::peer::{Flow, InFlight, Peer};
+use comfreymill_types::time;
+
+impl Replica {
+    /// Sends every follower what it lacks, as far as the limits allow.
+    pub(super) fn replicate_all(&mut self, now: time::Monotonic) {
+        for to in self.peer_ids() {
+            self.replicate(now, to);
+        }
+    }
+
+    /// Sends `to` what it lacks, as far as the limits allow.
+    pub(super) fn replicate(&mut self, now: time::Monotonic, to: id::VoterId) {
+        while self.replicate_once(now, to) {}
+    }
+
+    /// Sends again what was not answered in time.
+    pub(super) fn retry_all(&mut self, now: time::Monotonic) {
+        let retry = self.cfg.get_retry();
+        for to in self.peer_ids() {
+            let State::Leader(leader) = &mut self.state else { return };
+            let Some(peer) = leader.peers.get_mut(&to) else { continue };
+            let oldest = peer.in_flight.front().map(|append| append.sent_at);
+            let is_late = oldest.is_some_and(|sent_at| now.since(sent_at) >= retry);
+            if is_late && peer.flow == Flow::Stream {
+                peer.probe_from(peer.matched.next());
+            }
+            let is_unanswered = peer.waiting_since.is_some_and(|at| now.since(at) >= retry);
+            if is_unanswered {
+                peer.waiting_since = None;
+            }
+            self.replicate(now, to);
+        }
+    }
+
+    /// Notes how far a follower's log agrees.
+    pub(super) fn handle_append_response(
+        &mut self,
+        now: time::Monotonic,
+        from: id::VoterId,
+        disk: id::DiskId,
+        answer: message::AppendResponse,
+    ) {
+        let last = self.log.last_index();
+        let Some(peer) = self.peer_mut(from, disk) else { return };
+        peer.confirm(time::Monotonic::from_micros(answer.sent_at_micros), now);
+        let index = id::Index::new(answer.index);
+        let prev = id::Index::new(answer.prev_index);
+        if !answer.rejected {
+            peer.accept(index.min(last));
+            self.try_commit();
+            self.tick_transfer(now);
+        } else if prev > peer.matched && prev < peer.next {
+            peer.probe_from(index.min(prev));
+        }
+        self.replicate(now, from);
+    }
+
+    /// Commits what a quorum has synced, if it reaches an entry of the present term.
+    pub(super) fn try_commit(&mut self) {
+        let State::Leader(leader) = &self.state else { return };
+        let durable = self.outbox.durable();
+        let mut matched: Vec<_> = self
+            .membership()
+            .voters()
+            .map(|voter| leader.peers.get(&voter).map_or(durable, |peer| peer.matched))
+            .collect();
+        matched.sort_unstable();
+        let quorum = self.membership().quorum();
+        let Some(position) = matched.len().checked_sub(quorum) else { return };
+        let index = matched[position];
+        if index > self.commit && self.log.term_at(index) == Some(self.hard_state.term) {
+            self.commit_to(index);
+        }
+    }
+
+    /// Follower `from`, if its disk is the one the group knows.
+    pub(super) fn peer_mut(&mut self, from: id::VoterId, disk: id::DiskId) -> Option<&mut Peer> {
+        let State::Leader(leader) = &mut self.state else { return None };
+        leader.peers.get_mut(&from).filter(|peer| peer.disk == disk)
+    }
+
+    /// Makes the peers those of the newest membership.
+    pub(super) fn sync_peers(&mut self) {
+        let next = self.log.last_index().next();
+        let membership = self.log.history().current();
+        let State::Leader(leader) = &mut self.state else { return };
+        leader.peers.retain(|voter, peer| membership.contains(*voter, peer.disk));
+        for (voter, member) in membership.iter().filter(|(voter, _)| *voter != self.voter) {
+            leader.peers.entry(voter).or_insert_with(|| Peer::new(member.disk, next));
+        }
+    }
+
+    fn peer_ids(&self) -> Vec<id::VoterId> {
+        match &self.state {
+            State::Leader(leader) => leader.peers.keys().copied().collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Sends one message if there is something to send, and tells whether there may be more.
+    fn replicate_once(&mut self, now: time::Monotonic, to: id::VoterId) -> bool {
+        let last = self.log.last_index();
+        let State::Leader(leader) = &mut self.state else { return false };
+        let Some(peer) = leader.peers.get_mut(&to) else { return false };
+        if peer.waiting_since.is_some() {
+            return false;
+        }
+        if matches!(peer.flow, Flow::Snapshot { .. }) {
+            self.send_chunk(now, to);
+            return false;
+        }
+        let is_full = peer.in_flight_bytes >= self.cfg.get_max_in_flight_bytes();
+        if is_full || (peer.flow == Flow::Stream && peer.next > last) {
+            return false;
+        }
+        let prev = peer.next.previous();
+        let Some(prev_term) = self.log.term_at(prev) else {
+            self.start_snapshot(now, to);
+            return false;
+        };
+        let is_probe = peer.flow == Flow::Probe;
+        let is_heard = peer.heard_at.is_some_and(|at| now.since(at) < self.cfg.get_lease());
+        let end = if is_probe && !is_heard { prev } else { last };
+        let entries = self.log.slice(peer.next, end, self.cfg.get_max_append_bytes());
+        let bytes = entries.iter().map(entry::Entry::size_bytes).sum();
+        if is_probe {
+            peer.waiting_since = Some(now);
+        } else if let Some(newest) = entries.last() {
+            peer.sent(InFlight { last: newest.index, bytes, sent_at: now });
+        }
+        let disk = peer.disk;
+        let append = message::Append {
+            prev_index: prev.get(),
+            prev_term: prev_term.get(),
+            commit: self.commit.get(),
+            sent_at_micros: now.as_micros(),
+            entries: entries.iter().map(Into::into).collect(),
+        };
+        self.send(to, disk, message::Body::Append(append));
+        !is_probe
+    }
+
+    fn commit_to(&mut self, index: id::Index) {
+        let bytes = self.log.size_bytes(self.commit.next(), index);
+        self.commit = index;
+        if let State::Leader(leader) = &mut self.state {
+            leader.uncommitted_bytes = leader.uncommitted_bytes.saturating_sub(bytes);
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_group/src/replica/transfer.rs
@@ -0,0 +1,95 @@
+use crate::id;
+use crate::message;
+use crate::replica::Replica;
+use crate::replica::election::State;
+use comfreymill_types::time;
+
+/// Hand-over of the lead that is under way.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Transfer {
+    pub(super) to: id::VoterId,
+    pub(super) deadline: time::Monotonic,
+    /// Whether the successor was told to stand for election; there is no way back after that.
+    pub(super) lease_given_up: bool,
+}
+
+/// The lead can't be handed over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum TransferError {
+    /// Another replica leads, or none.
+    #[error("this replica doesn't lead the group")]
+    NotLeader {
+        /// Leader, if known.
+        hint: Option<id::VoterId>,
+    },
+    /// The successor is not another voter.
+    #[error("voter {to} can't take the lead over")]
+    NotVoter {
+        /// Successor named.
+        to: id::VoterId,
+    },
+}
+
+impl Replica {
+    /// Hands the lead to `to` once it has all entries; proposals are refused meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// The replica doesn't lead, or `to` is not another voter.
+    pub fn transfer_leadership(
+        &mut self,
+        now: time::Monotonic,
+        to: id::VoterId,
+    ) -> Result<(), TransferError> {
+        let deadline = now + self.cfg.get_election_timeout_max();
+        let hint = self.leader.filter(|leader| *leader != self.voter);
+        let is_voter = self.membership().voters().any(|voter| voter == to);
+        let State::Leader(leader) = &mut self.state else {
+            return Err(TransferError::NotLeader { hint });
+        };
+        if !is_voter || to == self.voter {
+            return Err(TransferError::NotVoter { to });
+        }
+        if leader.transfer.is_none() {
+            leader.transfer = Some(Transfer { to, deadline, lease_given_up: false });
+        }
+        self.tick_transfer(now);
+        Ok(())
+    }
+
+    /// Voter other than this one that has the most entries, as a successor.
+    pub fn best_successor(&self) -> Option<id::VoterId> {
+        let State::Leader(leader) = &self.state else { return None };
+        let others = self.membership().voters().filter(|voter| *voter != self.voter);
+        others.max_by_key(|voter| leader.peers.get(voter).map(|peer| (peer.matched, peer.heard_at)))
+    }
+
+    /// Goes on with a hand-over, or ends it at its deadline.
+    pub(super) fn tick_transfer(&mut self, now: time::Monotonic) {
+        let last = self.log.last_index();
+        let State::Leader(leader) = &mut self.state else { return };
+        let Some(transfer) = &mut leader.transfer else { return };
+        if now >= transfer.deadline {
+            if transfer.lease_given_up {
+                self.become_follower(now, self.term());
+            } else {
+                leader.transfer = None;
+            }
+            return;
+        }
+        let to = transfer.to;
+        let Some(peer) = leader.peers.get(&to) else { return };
+        if peer.matched == last && !transfer.lease_given_up {
+            transfer.lease_given_up = true;
+            let disk = peer.disk;
+            self.send(to, disk, message::Body::TimeoutNow(message::TimeoutNow {}));
+        }
+    }
+
+    /// Stands for election at once, since the leader asks for it.
+    pub(super) fn handle_timeout_now(&mut self, now: time::Monotonic, from: id::VoterId) {
+        if self.leader == Some(from) && self.is_voter() {
+            self.start_election(now, true);
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_group/src/snapshot/mod.rs
@@ -0,0 +1,7 @@
+//! Snapshots of the replicated state machine.
+
+mod meta;
+mod whole;
+
+pub use meta::SnapshotMeta;
+pub use whole::Snapshot;
--- /dev/null
+++ b/comfreymill_group/src/store/folder.rs
@@ -0,0 +1,85 @@
+use crate::store::Disk;
+use std::fs;
+use std::io::{self, Write};
+use std::path;
+
+const LOCK_NAME: &str = "lock";
+
+/// Folder of the file system, locked against other processes.
+#[derive(Debug)]
+pub struct FolderDisk {
+    path: path::PathBuf,
+    /// File that was written last.
+    open: Option<(String, fs::File)>,
+    _lock: fs::File,
+}
+
+impl FolderDisk {
+    /// Folder at `path`, which is created if it is missing.
+    ///
+    /// # Errors
+    ///
+    /// The folder can't be created, or another process holds it.
+    pub fn open<P>(path: P) -> io::Result<Self>
+    where
+        P: Into<path::PathBuf>,
+    {
+        let path = path.into();
+        fs::create_dir_all(&path)?;
+        let lock = fs::File::create(path.join(LOCK_NAME))?;
+        lock.try_lock()?;
+        Ok(Self { path, open: None, _lock: lock })
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&mut fs::File> {
+        if self.open.as_ref().is_none_or(|(open, _)| open != name) {
+            let path = self.path.join(name);
+            let file = fs::OpenOptions::new().append(true).create(true).open(path)?;
+            self.open = Some((name.to_owned(), file));
+        }
+        match &mut self.open {
+            Some((_, file)) => Ok(file),
+            None => Err(io::ErrorKind::NotFound.into()),
+        }
+    }
+}
+
+impl Disk for FolderDisk {
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.path)? {
+            let name = entry?.file_name().to_string_lossy().into_owned();
+            if name != LOCK_NAME {
+                names.push(name);
+            }
+        }
+        names.sort();
+        Ok(names)
+    }
+
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>> {
+        fs::read(self.path.join(name))
+    }
+
+    fn append(&mut self, name: &str, buf: &[u8]) -> io::Result<()> {
+        self.file(name)?.write_all(buf)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.file(name)?.sync_data()
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.open = None;
+        fs::rename(self.path.join(from), self.path.join(to))
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.open = None;
+        fs::remove_file(self.path.join(name))
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        fs::File::open(&self.path)?.sync_all()
+    }
+}
--- /dev/null
+++ b/comfreymill_group/src/store/frame.rs
@@ -0,0 +1,96 @@
+//! Frames: the unit that is written, checked and cut off.
+
+use crate::store::Damage;
+use std::ops;
+
+const MAGIC: [u8; 4] = *b"cmf1";
+const HEADER_BYTES: usize = 24;
+
+/// Frame found in a buffer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct Frame {
+    /// Number of the frame.
+    pub(super) sequence: u64,
+    /// Where the payload lies in the buffer.
+    pub(super) payload: ops::Range<usize>,
+}
+
+/// What lies at an offset.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Found {
+    /// Nothing more.
+    End,
+    /// A whole frame.
+    Frame(Frame),
+    /// A frame that a crash may have cut short, with nothing after it.
+    Torn,
+    /// A frame that no crash explains.
+    Damaged(Damage),
+}
+
+/// Encoded frame.
+pub(super) fn encode(sequence: u64, payload: &[u8]) -> Vec<u8> {
+    let len = u32::try_from(payload.len()).unwrap_or(u32::MAX);
+    let mut buf = Vec::with_capacity(HEADER_BYTES + payload.len());
+    buf.extend_from_slice(&MAGIC);
+    buf.extend_from_slice(&len.to_le_bytes());
+    buf.extend_from_slice(&sequence.to_le_bytes());
+    buf.extend_from_slice(&crc32fast::hash(payload).to_le_bytes());
+    let checksum = crc32fast::hash(&buf);
+    buf.extend_from_slice(&checksum.to_le_bytes());
+    buf.extend_from_slice(payload);
+    buf
+}
+
+/// Looks at the frame that starts at `offset` of `buf`.
+pub(super) fn find(buf: &[u8], offset: usize) -> Found {
+    if offset == buf.len() {
+        return Found::End;
+    }
+    let Some(header) = Header::read(buf, offset) else {
+        return torn_or_damaged(buf, offset + 1);
+    };
+    let start = offset + HEADER_BYTES;
+    let end = start.saturating_add(header.len);
+    if end > buf.len() {
+        return torn_or_damaged(buf, start);
+    }
+    if crc32fast::hash(&buf[start..end]) == header.payload_checksum {
+        return Found::Frame(Frame { sequence: header.sequence, payload: start..end });
+    }
+    if end < buf.len() { Found::Damaged(Damage::Checksum) } else { Found::Torn }
+}
+
+/// A bad frame is torn only if no frame follows it.
+fn torn_or_damaged(buf: &[u8], from: usize) -> Found {
+    let is_followed = (from..buf.len()).any(|offset| Header::read(buf, offset).is_some());
+    if is_followed { Found::Damaged(Damage::Checksum) } else { Found::Torn }
+}
+
+struct Header {
+    len: usize,
+    sequence: u64,
+    payload_checksum: u32,
+}
+
+impl Header {
+    fn read(buf: &[u8], offset: usize) -> Option<Self> {
+        let header = buf.get(offset..offset + HEADER_BYTES)?;
+        if header[..4] != MAGIC || crc32fast::hash(&header[..20]) != u32_at(header, 20) {
+            return None;
+        }
+        let low = u64::from(u32_at(header, 8));
+        let high = u64::from(u32_at(header, 12));
+        Some(Self {
+            len: u32_at(header, 4) as usize,
+            sequence: high << 32 | low,
+            payload_checksum: u32_at(header, 16),
+        })
+    }
+}
+
+fn u32_at(buf: &[u8], offset: usize) -> u32 {
+    let mut bytes = [0; 4];
+    bytes.copy_from_slice(&buf[offset..offset + 4]);
+    u32::from_le_bytes(bytes)
+}
--- /dev/null
+++ b/comfreymill_group/src/store/replay.rs
@@ -0,0 +1,219 @@
+use crate::entry;
+use crate::id;
+use crate::snapshot;
+use crate::store::record::{PositionRecord, SegmentRecord, WriteRecord};
+use crate::store::segment::Segment;
+use crate::store::{Damage, Disk, Identity, StoreError, frame, names};
+use prost::Message as _;
+
+/// State of the log as its segments give it, one after the other.
+#[derive(Debug, Default)]
+pub(super) struct Replay {
+    pub(super) hard_state: entry::HardState,
+    pub(super) base: PositionRecord,
+    /// Last entry of segments that were removed; a snapshot has to cover it.
+    removed: PositionRecord,
+    pub(super) entries: Vec<entry::Entry>,
+    pub(super) segments: Vec<Segment>,
+    /// Number of the last frame.
+    pub(super) sequence: u64,
+    /// Whole frames of the last segment.
+    pub(super) tail: Vec<u8>,
+    /// Bytes of a torn frame that were left out.
+    pub(super) torn_bytes: u64,
+}
+
+impl Replay {
+    /// Reads the segments named in `files`.
+    pub(super) fn read<D>(
+        disk: &mut D,
+        files: &[String],
+        identity: &Identity,
+    ) -> Result<Self, StoreError>
+    where
+        D: Disk,
+    {
+        let mut numbers: Vec<_> =
+            files.iter().filter_map(|file| names::segment_number(file)).collect();
+        numbers.sort_unstable();
+        let mut replay = Self::default();
+        for (position, number) in numbers.iter().enumerate() {
+            let is_last = position + 1 == numbers.len();
+            replay.read_segment(disk, *number, identity, is_last)?;
+        }
+        Ok(replay)
+    }
+
+    /// Whether `file` is the first segment, and nothing was written to it after its header.
+    pub(super) fn is_unused<D>(disk: &mut D, file: &str) -> Result<bool, StoreError>
+    where
+        D: Disk,
+    {
+        if names::segment_number(file) != Some(1) {
+            return Ok(false);
+        }
+        let buf = disk.read(file).map_err(|error| StoreError::io(file, 0, "read", error))?;
+        match frame::find(&buf, 0) {
+            frame::Found::Frame(header) => Ok(header.payload.end == buf.len()),
+            _ => Ok(false),
+        }
+    }
+
+    /// Last entry.
+    pub(super) fn last(&self) -> PositionRecord {
+        self.entries.last().map_or(self.base, |entry| PositionRecord {
+            index: entry.index.get(),
+            term: entry.term.get(),
+        })
+    }
+
+    /// Drops what `newest` covers, and tells whether the files hold entries that it voids.
+    pub(super) fn apply_snapshot(
+        &mut self,
+        newest: Option<&snapshot::SnapshotMeta>,
+    ) -> Result<bool, StoreError> {
+        let index = newest.map_or(id::Index::ZERO, |meta| meta.index);
+        let base = id::Index::new(self.base.index.max(self.removed.index));
+        if index < base {
+            let file =
+                self.segments.first().map_or_else(String::new, |it| names::segment(it.number));
+            let damage = Damage::NoSnapshot { base, snapshot: index };
+            return Err(StoreError::damaged(&file, 0, damage));
+        }
+        let Some(meta) = newest else { return Ok(false) };
+        let agrees = self.term_at(index) == Some(meta.term);
+        if agrees {
+            self.entries.retain(|entry| entry.index > index);
+        } else {
+            self.entries.clear();
+        }
+        self.base = PositionRecord { index: index.get(), term: meta.term.get() };
+        Ok(!agrees)
+    }
+
+    fn term_at(&self, index: id::Index) -> Option<id::Term> {
+        if index.get() == self.base.index {
+            return Some(id::Term::new(self.base.term));
+        }
+        self.entries.iter().find(|entry| entry.index == index).map(|entry| entry.term)
+    }
+
+    fn read_segment<D>(
+        &mut self,
+        disk: &mut D,
+        number: u64,
+        identity: &Identity,
+        is_last: bool,
+    ) -> Result<(), StoreError>
+    where
+        D: Disk,
+    {
+        let file = names::segment(number);
+        let mut buf = disk.read(&file).map_err(|error| StoreError::io(&file, 0, "read", error))?;
+        let mut segment = Segment { number, len: 0, max_index: id::Index::ZERO };
+        let mut offset = 0;
+        loop {
+            let at = |damage| StoreError::damaged(&file, offset as u64, damage);
+            match frame::find(&buf, offset) {
+                frame::Found::End if offset > 0 => break,
+                frame::Found::Torn if is_last && offset > 0 => break,
+                frame::Found::End | frame::Found::Torn => return Err(at(Damage::Short)),
+                frame::Found::Damaged(damage) => return Err(at(damage)),
+                frame::Found::Frame(found) => {
+                    let end = found.payload.end;
+                    let payload = &buf[found.payload];
+                    if offset == 0 {
+                        self.start_segment(payload, found.sequence, number, identity)
+                            .map_err(at)?;
+                    } else {
+                        let max_index = self.apply(payload, found.sequence).map_err(at)?;
+                        segment.max_index = segment.max_index.max(max_index);
+                    }
+                    offset = end;
+                }
+            }
+        }
+        self.torn_bytes = (buf.len() - offset) as u64;
+        buf.truncate(offset);
+        segment.len = offset as u64;
+        self.segments.push(segment);
+        self.tail = buf;
+        Ok(())
+    }
+
+    fn start_segment(
+        &mut self,
+        payload: &[u8],
+        sequence: u64,
+        number: u64,
+        identity: &Identity,
+    ) -> Result<(), Damage> {
+        let record = SegmentRecord::decode(payload)?;
+        if record.identity != Some(identity.to_record()) {
+            return Err(Damage::OtherReplica);
+        }
+        if record.number != number {
+            return Err(Damage::Sequence { expected: number, found: record.number });
+        }
+        let last = record.last.unwrap_or_default();
+        if let Some(previous) = self.segments.last() {
+            check_sequence(previous.number + 1, number)?;
+            check_sequence(self.sequence + 1, sequence)?;
+            if last != self.last() {
+                let (last, found) = (id::Index::new(self.last().index), id::Index::new(last.index));
+                return Err(Damage::Gap { last, found });
+            }
+        } else {
+            self.base = last;
+            self.removed = last;
+        }
+        self.sequence = sequence;
+        self.hard_state = record.hard_state.unwrap_or_default().into();
+        Ok(())
+    }
+
+    /// Applies a write, and returns the highest index in it.
+    fn apply(&mut self, payload: &[u8], sequence: u64) -> Result<id::Index, Damage> {
+        check_sequence(self.sequence + 1, sequence)?;
+        self.sequence = sequence;
+        let record = WriteRecord::decode(payload)?;
+        if let Some(hard_state) = record.hard_state {
+            self.hard_state = hard_state.into();
+        }
+        let mut max_index = id::Index::ZERO;
+        if let Some(reset) = record.reset {
+            self.entries.clear();
+            self.base = reset;
+            max_index = id::Index::new(reset.index);
+        }
+        for entry in record.entries {
+            let entry = entry::Entry::from(entry);
+            max_index = max_index.max(entry.index);
+            self.push(entry)?;
+        }
+        Ok(max_index)
+    }
+
+    fn push(&mut self, entry: entry::Entry) -> Result<(), Damage> {
+        let last = id::Index::new(self.last().index);
+        if entry.index.get() <= self.base.index && self.base == self.removed {
+            // Overwrites the end of a removed segment, which the snapshot covers in this form.
+            self.entries.clear();
+            let index = entry.index.previous().get();
+            self.base = PositionRecord { index, term: 0 };
+        }
+        let last = last.min(id::Index::new(self.last().index));
+        let base = id::Index::new(self.base.index);
+        if entry.index <= base || entry.index > last.next() {
+            return Err(Damage::Gap { last, found: entry.index });
+        }
+        let kept = entry.index.distance_from(base) - 1;
+        self.entries.truncate(usize::try_from(kept).unwrap_or(usize::MAX));
+        self.entries.push(entry);
+        Ok(())
+    }
+}
+
+fn check_sequence(expected: u64, found: u64) -> Result<(), Damage> {
+    if expected == found { Ok(()) } else { Err(Damage::Sequence { expected, found }) }
+}
--- /dev/null
+++ b/comfreymill_group/src/store/thread.rs
@@ -0,0 +1,89 @@
+use crate::id;
+use crate::replica;
+use crate::store::{Completion, Disk, Store, StoreError};
+use std::io;
+use std::sync::mpsc;
+use std::thread;
+
+const MAX_GROUP_WRITES: usize = 256;
+
+/// Store on a thread of its own; writes that queue up share one sync.
+#[derive(Debug)]
+pub struct Thread {
+    tx: Option<mpsc::Sender<replica::Persist>>,
+    handle: Option<thread::JoinHandle<()>>,
+}
+
+impl Thread {
+    /// Starts the thread. `on_completion` is called on it after each sync, and once after a
+    /// failure.
+    ///
+    /// # Errors
+    ///
+    /// The thread can't be started.
+    pub fn spawn<D, F>(store: Store<D>, on_completion: F) -> io::Result<Self>
+    where
+        D: Disk + 'static,
+        F: FnMut(Completion) + Send + 'static,
+    {
+        let (tx, rx) = mpsc::channel();
+        let run = move || serve(store, &rx, on_completion);
+        let handle = thread::Builder::new().name("store".to_owned()).spawn(run)?;
+        Ok(Self { tx: Some(tx), handle: Some(handle) })
+    }
+
+    /// Queues a write. After a failure it is dropped; the completion told so.
+    pub fn write(&self, write: replica::Persist) {
+        let sent = self.tx.as_ref().is_some_and(|tx| tx.send(write).is_ok());
+        if !sent {
+            log::debug!(target: "store", "write dropped after the end of the store");
+        }
+    }
+
+    /// Carries out the queued writes and ends the thread.
+    pub fn close(mut self) {
+        self.join();
+    }
+
+    fn join(&mut self) {
+        self.tx = None;
+        let panicked = self.handle.take().is_some_and(|handle| handle.join().is_err());
+        if panicked {
+            log::error!(target: "store", "the store's thread panicked");
+        }
+    }
+}
+
+impl Drop for Thread {
+    fn drop(&mut self) {
+        self.join();
+    }
+}
+
+fn serve<D, F>(mut store: Store<D>, rx: &mpsc::Receiver<replica::Persist>, mut on_completion: F)
+where
+    D: Disk,
+    F: FnMut(Completion),
+{
+    while let Ok(first) = rx.recv() {
+        let mut writes = vec![first];
+        writes.extend(rx.try_iter().take(MAX_GROUP_WRITES - 1));
+        match write(&mut store, writes) {
+            Ok(sequence) => on_completion(Completion::Synced(sequence)),
+            Err(error) => {
+                log::error!(target: "store", "{error}");
+                on_completion(Completion::Failed(error));
+                return;
+            }
+        }
+    }
+}
+
+fn write<D>(store: &mut Store<D>, writes: Vec<replica::Persist>) -> Result<id::Sequence, StoreError>
+where
+    D: Disk,
+{
+    let sequence = writes.iter().map(|write| write.sequence).max().unwrap_or_default();
+    store.write(writes)?;
+    Ok(sequence)
+}
--- /dev/null
+++ b/comfreymill_group/tests/main.rs
@@ -0,0 +1,4 @@
+//! Tests of agreement, log files and snapshots.
+
+mod schedule;
+mod store;
--- /dev/null
+++ b/comfreymill_group/tests/schedule/checker.rs
@@ -0,0 +1,130 @@
+use crate::schedule::machine::{self, Machine};
+use crate::schedule::node::Node;
+use comfreymill_group::{entry, id, replica};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// What is known to be true of the whole group, and must stay so.
+#[derive(Debug, Default)]
+pub(super) struct Checker {
+    leaders: HashMap<id::Term, (id::VoterId, id::DiskId)>,
+    /// Term before and hash of the payload, by index and term of each entry ever written.
+    written: HashMap<(id::Index, id::Term), (id::Term, u64)>,
+    /// Term, payload and state after each committed entry, from index 1 on.
+    committed: Vec<(id::Term, u64, Machine)>,
+    /// Commands by number that were refused, and must not be applied.
+    pub(super) refused: BTreeSet<u64>,
+    /// Commands by number that were acknowledged, with their index.
+    pub(super) acknowledged: BTreeMap<u64, id::Index>,
+    last_acknowledged: id::Index,
+    /// Commands by number that were applied, with their index.
+    applied: HashMap<u64, id::Index>,
+}
+
+impl Checker {
+    /// Log matching: entries of one index and term are equal, and so are those before.
+    pub(super) fn on_write(&mut self, node: &Node, write: &replica::Persist) {
+        let Some(replica) = &node.replica else { return };
+        for (position, entry) in write.entries.iter().enumerate() {
+            let before = match position {
+                0 => replica.term_at(entry.index.previous()),
+                _ => Some(write.entries[position - 1].term),
+            };
+            let Some(before) = before else { continue };
+            let value = (before, machine::payload_hash(entry));
+            let known = self.written.entry((entry.index, entry.term)).or_insert(value);
+            assert_eq!(*known, value, "log matching: entry {} of {}", entry.index, entry.term);
+        }
+    }
+
+    /// State machine safety: all replicas apply the same entry at each index.
+    pub(super) fn on_apply(&mut self, entry: &entry::Entry, after: Machine) {
+        let position = usize::try_from(entry.index.get() - 1).expect("index fits");
+        let value = (entry.term, machine::payload_hash(entry), after);
+        if position < self.committed.len() {
+            assert_eq!(self.committed[position], value, "state machine safety: {}", entry.index);
+            return;
+        }
+        assert_eq!(position, self.committed.len(), "commit without the entries before");
+        self.committed.push(value);
+        if let entry::Payload::Data(data) = &entry.payload {
+            let number = command_number(data);
+            assert!(!self.refused.contains(&number), "refused command {number} is applied");
+            let earlier = self.applied.insert(number, entry.index);
+            assert!(earlier.is_none(), "command {number} is applied twice");
+        }
+    }
+
+    /// Installed state is the one that the committed entries give.
+    pub(super) fn on_install(&self, after: Machine) {
+        let position = usize::try_from(after.index.get()).expect("index fits");
+        assert!(position <= self.committed.len(), "snapshot of entries that are not committed");
+        assert_eq!(self.committed[position - 1].2, after, "snapshot of another state");
+    }
+
+    /// An acknowledged command is committed.
+    pub(super) fn on_acknowledge(&mut self, number: u64, index: id::Index) {
+        assert_eq!(self.applied.get(&number), Some(&index), "acknowledged and not committed");
+        self.acknowledged.insert(number, index);
+        self.last_acknowledged = self.last_acknowledged.max(index);
+    }
+
+    /// Election safety, leader completeness and the lease.
+    pub(super) fn check(&mut self, nodes: &[Node], now: u64) {
+        let mut holder = None;
+        for node in nodes {
+            let Some(replica) = node.replica.as_ref().filter(|_| !node.halted) else { continue };
+            if replica.role() != replica::Role::Leader {
+                continue;
+            }
+            self.check_leader(replica);
+            if !replica.lease_valid(node.clock(now)) {
+                continue;
+            }
+            let former = holder.replace(node.voter);
+            assert_eq!(former, None, "two valid leases, one at {}", node.voter);
+            if replica.is_ready() {
+                let delivered = replica.delivered_index();
+                assert!(delivered >= self.last_acknowledged, "stale read at {}", node.voter);
+            }
+        }
+    }
+
+    fn check_leader(&mut self, replica: &replica::Replica) {
+        let identity = (replica.voter(), replica.disk());
+        match self.leaders.insert(replica.term(), identity) {
+            Some(known) => assert_eq!(known, identity, "two leaders in term {}", replica.term()),
+            None => self.check_completeness(replica),
+        }
+    }
+
+    /// Leader completeness: a new leader has every entry that is committed.
+    fn check_completeness(&self, replica: &replica::Replica) {
+        assert!(
+            replica.last_index().get() >= self.committed.len() as u64,
+            "leader completeness: {} lacks committed entries",
+            replica.voter()
+        );
+        for (position, (term, _, _)) in self.committed.iter().enumerate().rev() {
+            let index = id::Index::new(position as u64 + 1);
+            let Some(found) = replica.term_at(index) else { break };
+            assert_eq!(found, *term, "leader completeness: entry {index} at {}", replica.voter());
+        }
+    }
+
+    /// Whether command `number` was applied.
+    pub(super) fn is_applied(&self, number: u64) -> bool {
+        self.applied.contains_key(&number)
+    }
+
+    /// Last committed entry.
+    pub(super) fn committed_index(&self) -> id::Index {
+        id::Index::new(self.committed.len() as u64)
+    }
+}
+
+/// Number at the start of a command.
+pub(super) fn command_number(data: &[u8]) -> u64 {
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&data[..8]);
+    u64::from_le_bytes(bytes)
+}
--- /dev/null
+++ b/comfreymill_group/tests/schedule/faults.rs
@@ -0,0 +1,220 @@
+use crate::schedule::node::Node;
+use crate::schedule::world::World;
+use comfreymill_group::{id, membership, replica};
+use rand::RngExt;
+
+impl World {
+    /// Does one random thing, and lets a little time pass.
+    pub(super) fn step(&mut self) {
+        match self.rng.random_range(0..100) {
+            0..40 => self.propose_somewhere(),
+            40..44 => self.crash_one(),
+            44..52 => self.restart_one(),
+            52..56 => self.cut_some(),
+            56..62 => self.network.heal(),
+            62..66 => self.disturb(),
+            66..72 => self.snapshot_one(),
+            72..82 => self.change_membership(),
+            82..84 => self.transfer(),
+            84..86 => self.lose_disk(),
+            86..88 => self.add_node(),
+            _ => {}
+        }
+        let micros = self.rng.random_range(0..40_000);
+        self.advance(micros);
+    }
+
+    /// Position of the node that leads in the highest term.
+    pub(super) fn leader(&self) -> Option<usize> {
+        let leads = |node: &Node| {
+            let replica = node.replica.as_ref().filter(|_| !node.halted)?;
+            (replica.role() == replica::Role::Leader).then(|| replica.term())
+        };
+        let positions = 0..self.nodes.len();
+        positions
+            .filter(|it| leads(&self.nodes[*it]).is_some())
+            .max_by_key(|it| leads(&self.nodes[*it]))
+    }
+
+    fn any_node(&mut self) -> usize {
+        self.rng.random_range(0..self.nodes.len())
+    }
+
+    fn propose_somewhere(&mut self) {
+        let any = self.any_node();
+        let position = self.leader().filter(|_| !any.is_multiple_of(4)).unwrap_or(any);
+        self.propose(position);
+    }
+
+    fn crash_one(&mut self) {
+        let any = self.any_node();
+        let position = self.leader().filter(|_| any.is_multiple_of(2)).unwrap_or(any);
+        self.crash(position);
+    }
+
+    fn restart_one(&mut self) {
+        let position = self.any_node();
+        if self.nodes[position].replica.is_none() {
+            self.start(position);
+        }
+    }
+
+    fn cut_some(&mut self) {
+        let voters: Vec<_> = self.nodes.iter().map(|node| node.voter).collect();
+        let one = voters[self.any_node()];
+        let one = self.leader().map_or(one, |it| self.nodes[it].voter);
+        let kind = self.rng.random_range(0..3);
+        for other in voters {
+            if kind == 2 && self.rng.random_bool(0.5) {
+                continue;
+            }
+            if kind != 1 {
+                self.network.cuts.insert((one, other));
+            }
+            if kind != 0 {
+                self.network.cuts.insert((other, one));
+            }
+        }
+    }
+
+    fn disturb(&mut self) {
+        self.network.loss_percent = self.rng.random_range(0..30);
+        self.network.duplicate_percent = self.rng.random_range(0..30);
+        self.network.slow_percent = self.rng.random_range(0..20);
+        self.network.delay_max_micros = self.rng.random_range(1_000..60_000);
+        self.sync_max_micros = self.rng.random_range(0..40_000);
+    }
+
+    fn snapshot_one(&mut self) {
+        let position = self.any_node();
+        let node = &mut self.nodes[position];
+        let machine = node.machine;
+        if let Some(replica) = &mut node.replica {
+            replica.snapshot_taken(machine.index, machine.to_bytes());
+            self.perform(position);
+        }
+    }
+
+    fn transfer(&mut self) {
+        let Some(position) = self.leader() else { return };
+        let clock = self.nodes[position].clock(self.now);
+        let Some(replica) = &mut self.nodes[position].replica else { return };
+        if let Some(to) = replica.best_successor() {
+            replica.transfer_leadership(clock, to).expect("a leader with another voter");
+            self.perform(position);
+        }
+    }
+
+    /// Changes the membership as a careful operator does.
+    fn change_membership(&mut self) {
+        let Some(position) = self.leader() else { return };
+        let Some(change) = self.choose_change(position) else { return };
+        let clock = self.nodes[position].clock(self.now);
+        let Some(replica) = &mut self.nodes[position].replica else { return };
+        let before = replica.membership().clone();
+        if replica.change_membership(clock, change).is_ok() {
+            let after = replica.membership();
+            let differing = before.iter().filter(|(it, member)| after.get(*it) != Some(*member));
+            let added = after.iter().filter(|(it, _)| before.get(*it).is_none());
+            assert_eq!(differing.count() + added.count(), 1, "more than one member changed");
+        }
+        self.perform(position);
+    }
+
+    fn choose_change(&mut self, position: usize) -> Option<membership::Change> {
+        let replica = self.nodes[position].replica.as_ref()?;
+        let members = replica.membership().clone();
+        let newcomers = replica.newcomers();
+        let learner = members.iter().find(|(_, member)| !member.is_voter()).map(|(it, _)| it);
+        let lost = members.iter().find(|(it, member)| !self.has_disk(*it, member.disk));
+        let lost = lost.map(|(voter, _)| voter);
+        if let Some(voter) = lost.filter(|it| self.keeps_quorum(&members.without(*it))) {
+            return Some(membership::Change::Remove(voter));
+        }
+        let roll = self.rng.random_range(0..4);
+        match (roll, learner, newcomers.first()) {
+            (0, _, _) if members.voters().count() > 3 => {
+                let voters: Vec<_> = members.voters().collect();
+                let voter = voters[self.rng.random_range(0..voters.len())];
+                let keeps = self.keeps_quorum(&members.without(voter));
+                keeps.then_some(membership::Change::Remove(voter))
+            }
+            (1 | 2, Some(voter), _) if self.keeps_quorum(&members.with_promoted(voter)) => {
+                Some(membership::Change::Promote(voter))
+            }
+            (_, _, Some(voter)) => Some(membership::Change::AddLearner(*voter)),
+            _ => None,
+        }
+    }
+
+    /// Whether the disk `disk` of `voter` still exists.
+    pub(super) fn has_disk(&self, voter: id::VoterId, disk: id::DiskId) -> bool {
+        self.nodes.iter().any(|node| node.voter == voter && node.durable.disk == disk)
+    }
+
+    fn keeps_quorum(&self, members: &membership::Membership) -> bool {
+        let voters = members.iter().filter(|(_, member)| member.is_voter());
+        let present = voters.filter(|(it, member)| self.has_disk(*it, member.disk)).count();
+        present >= members.quorum()
+    }
+
+    /// Loses a voter's disk; the replica starts again with an empty one and its old settings.
+    fn lose_disk(&mut self) {
+        let position = self.any_node();
+        if !self.may_lose_disk(position) {
+            return;
+        }
+        self.lost_disks += 1;
+        self.crash(position);
+        let disk = self.fresh_disk();
+        let voter = self.nodes[position].voter;
+        let start = self.start_after_loss(position);
+        self.nodes[position] = Node::new(voter, disk, start);
+        self.start(position);
+    }
+
+    /// Settings of a replica whose disk was lost: the old ones, unless no other founder is left
+    /// that could refuse it.
+    fn start_after_loss(&self, position: usize) -> replica::Start {
+        let peers: Vec<_> = self.nodes.iter().map(|node| node.voter).collect();
+        let old = &self.nodes[position].start;
+        let is_founder_left = old.peers().iter().any(|founder| {
+            let disk = id::DiskId::new(founder.get() * 1000);
+            *founder != self.nodes[position].voter && self.has_disk(*founder, disk)
+        });
+        if is_founder_left { old.clone() } else { replica::Start::Join { peers } }
+    }
+
+    /// Whether every membership that some replica holds keeps a quorum without this disk.
+    fn may_lose_disk(&self, position: usize) -> bool {
+        let lost = self.nodes[position].voter;
+        let is_founded = self.checker.committed_index() > id::Index::new(1);
+        is_founded
+            && self.lost_disks < 2
+            && self.nodes.iter().all(|node| {
+                let Some(replica) = &node.replica else { return false };
+                let members = replica.membership();
+                let voters = members.iter().filter(|(it, member)| {
+                    member.is_voter() && *it != lost && self.has_disk(*it, member.disk)
+                });
+                members.is_empty() || voters.count() >= members.quorum()
+            })
+    }
+
+    fn add_node(&mut self) {
+        if self.nodes.len() >= 8 {
+            return;
+        }
+        let voter = id::VoterId::new(self.next_voter);
+        self.next_voter += 1;
+        let disk = self.fresh_disk();
+        let peers = self.nodes.iter().map(|node| node.voter).collect();
+        self.nodes.push(Node::new(voter, disk, replica::Start::Join { peers }));
+        self.start(self.nodes.len() - 1);
+    }
+
+    fn fresh_disk(&mut self) -> id::DiskId {
+        self.next_disk += 1;
+        id::DiskId::new(1_000_000 + self.next_disk)
+    }
+}
--- /dev/null
+++ b/comfreymill_group/tests/schedule/mod.rs
@@ -0,0 +1,11 @@
+//! Seeded schedules of a whole group: loss, delay, reordering, duplication, crashes, restarts,
+//! snapshots, lost disks and changes of membership, with the safety properties checked after every
+//! step and progress checked at the end.
+
+mod checker;
+mod faults;
+mod machine;
+mod network;
+mod node;
+mod runs;
+mod world;
--- /dev/null
+++ b/comfreymill_group/tests/schedule/network.rs
@@ -0,0 +1,66 @@
+use comfreymill_group::{id, message};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Messages under way, and what the network does to them.
+#[derive(Debug, Default)]
+pub(super) struct Network {
+    /// By time of arrival in microseconds, then by order of sending.
+    under_way: BTreeMap<(u64, u64), (id::VoterId, id::VoterId, message::Message)>,
+    sent: u64,
+    /// Directions in which nothing passes.
+    pub(super) cuts: BTreeSet<(id::VoterId, id::VoterId)>,
+    pub(super) loss_percent: u32,
+    pub(super) duplicate_percent: u32,
+    pub(super) slow_percent: u32,
+    pub(super) delay_max_micros: u64,
+}
+
+impl Network {
+    /// Sends a message, with the network's faults.
+    pub(super) fn send(
+        &mut self,
+        rng: &mut ChaCha8Rng,
+        now: u64,
+        from: id::VoterId,
+        to: id::VoterId,
+        message: &message::Message,
+    ) {
+        if self.cuts.contains(&(from, to)) || rng.random_range(0..100) < self.loss_percent {
+            return;
+        }
+        let copies = if rng.random_range(0..100) < self.duplicate_percent { 2 } else { 1 };
+        for _ in 0..copies {
+            let mut delay = rng.random_range(100..=self.delay_max_micros.max(200));
+            if rng.random_range(0..100) < self.slow_percent {
+                delay += rng.random_range(0..1_500_000);
+            }
+            self.sent += 1;
+            self.under_way.insert((now + delay, self.sent), (from, to, message.clone()));
+        }
+    }
+
+    /// Next message that has arrived by `now`.
+    pub(super) fn arrived(
+        &mut self,
+        now: u64,
+    ) -> Option<(u64, id::VoterId, id::VoterId, message::Message)> {
+        let entry = self.under_way.first_entry()?;
+        let at = entry.key().0;
+        if at > now {
+            return None;
+        }
+        let (from, to, message) = entry.remove();
+        Some((at, from, to, message))
+    }
+
+    /// Lets everything pass, quickly.
+    pub(super) fn heal(&mut self) {
+        self.cuts.clear();
+        self.loss_percent = 0;
+        self.duplicate_percent = 0;
+        self.slow_percent = 0;
+        self.delay_max_micros = 5_000;
+    }
+}
--- /dev/null
+++ b/comfreymill_group/tests/schedule/node.rs
@@ -0,0 +1,114 @@
+use crate::schedule::machine::Machine;
+use comfreymill_group::{entry, id, replica, snapshot};
+use comfreymill_types::time;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
+
+/// What a node's disk keeps over a crash.
+#[derive(Clone, Debug, Default)]
+pub(super) struct DurableState {
+    pub(super) disk: id::DiskId,
+    pub(super) hard_state: entry::HardState,
+    pub(super) snapshot: Option<snapshot::Snapshot>,
+    pub(super) entries: Vec<entry::Entry>,
+}
+
+impl DurableState {
+    /// Carries out a write, as the store does.
+    pub(super) fn write(&mut self, write: &replica::Persist) {
+        if let Some(hard_state) = write.hard_state {
+            self.hard_state = hard_state;
+        }
+        if let Some(snapshot) = &write.snapshot {
+            let index = snapshot.meta.index;
+            if write.reset {
+                self.entries.clear();
+            }
+            self.entries.retain(|entry| entry.index > index);
+            self.snapshot = Some(snapshot.clone());
+        }
+        for entry in &write.entries {
+            self.entries.retain(|stored| stored.index < entry.index);
+            let base = self.snapshot.as_ref().map_or(id::Index::ZERO, |it| it.meta.index);
+            let last = self.entries.last().map_or(base, |stored| stored.index);
+            assert_eq!(entry.index, last.next(), "gap in the stored log");
+            self.entries.push(entry.clone());
+        }
+    }
+}
+
+/// One replica with its disk, clock and state machine.
+#[derive(Debug)]
+pub(super) struct Node {
+    pub(super) voter: id::VoterId,
+    pub(super) start: replica::Start,
+    pub(super) durable: DurableState,
+    /// Writes handed out and not synced, with the time at which they will be.
+    pub(super) unsynced: VecDeque<(u64, replica::Persist)>,
+    pub(super) replica: Option<replica::Replica>,
+    pub(super) machine: Machine,
+    pub(super) halted: bool,
+    clock_offset_micros: u64,
+    clock_rate_ppm: u64,
+    started_at: u64,
+}
+
+impl Node {
+    /// Node that is not running.
+    pub(super) fn new(voter: id::VoterId, disk: id::DiskId, start: replica::Start) -> Self {
+        Self {
+            voter,
+            start,
+            durable: DurableState { disk, ..DurableState::default() },
+            unsynced: VecDeque::new(),
+            replica: None,
+            machine: Machine::default(),
+            halted: false,
+            clock_offset_micros: 0,
+            clock_rate_ppm: 1_000_000,
+            started_at: 0,
+        }
+    }
+
+    /// Node's clock at `now`.
+    pub(super) fn clock(&self, now: u64) -> time::Monotonic {
+        let elapsed = (now - self.started_at) * self.clock_rate_ppm / 1_000_000;
+        time::Monotonic::from_micros(self.clock_offset_micros + elapsed)
+    }
+
+    /// Starts the replica from what the disk holds, with a clock of a new rate.
+    pub(super) fn start(&mut self, rng: &mut ChaCha8Rng, now: u64, cfg: replica::Config) {
+        let drift = u64::from(cfg.get_clock_drift_ppm());
+        let rates = [1_000_000 - drift, 1_000_000, 1_000_000 + drift];
+        self.clock_rate_ppm = rates[rng.random_range(0..rates.len())];
+        self.clock_offset_micros = rng.random_range(0..10_000_000);
+        self.started_at = now;
+        let recovered = replica::Recovered {
+            voter: self.voter,
+            disk: self.durable.disk,
+            hard_state: self.durable.hard_state,
+            snapshot: self.durable.snapshot.clone(),
+            entries: self.durable.entries.clone(),
+        };
+        self.machine = Machine::default();
+        self.halted = false;
+        let clock = self.clock(now);
+        self.replica = Some(replica::Replica::new(cfg, recovered, rng.random(), clock));
+    }
+
+    /// Kills the replica; of the writes under way, the first few may reach the disk.
+    pub(super) fn crash(&mut self, rng: &mut ChaCha8Rng) {
+        let survivors = rng.random_range(0..=self.unsynced.len());
+        for (_, write) in self.unsynced.drain(..).take(survivors) {
+            self.durable.write(&write);
+        }
+        self.unsynced.clear();
+        self.replica = None;
+    }
+
+    /// Whether it runs and takes part.
+    pub(super) fn is_live(&self) -> bool {
+        self.replica.is_some() && !self.halted
+    }
+}
--- /dev/null
+++ b/comfreymill_group/tests/schedule/runs.rs
@@ -0,0 +1,67 @@
+use crate::schedule::world::World;
+use std::env;
+use std::panic;
+
+const DEFAULT_SCHEDULES: u64 = 2_000;
+const STEPS: usize = 500;
+const RECOVERY_STEPS: usize = 1_000;
+const STEP_MICROS: u64 = 10_000;
+
+/// Runs the schedule of `seed`, then heals the network and expects progress.
+fn run(seed: u64) {
+    let voters = [3, 3, 5, 1, 3, 4, 2, 5][usize::try_from(seed % 8).expect("small")];
+    let mut world = World::new(seed, voters);
+    for _ in 0..STEPS {
+        world.step();
+    }
+    recover(&mut world);
+}
+
+fn recover(world: &mut World) {
+    world.network.heal();
+    world.sync_max_micros = 2_000;
+    for position in 0..world.nodes.len() {
+        if !world.nodes[position].is_live() {
+            world.crash(position);
+            world.start(position);
+        }
+    }
+    let mut proposed = None;
+    for _ in 0..RECOVERY_STEPS {
+        world.advance(STEP_MICROS);
+        if proposed.is_none_or(|number| !world.checker.is_applied(number)) {
+            proposed = world.leader().and_then(|it| world.propose(it)).or(proposed);
+        } else if is_converged(world) {
+            return;
+        }
+    }
+    panic!("no progress after the network healed: {}", world.describe());
+}
+
+/// Whether all members of the leader's group have applied the same entries.
+fn is_converged(world: &World) -> bool {
+    let Some(leader) = world.leader() else { return false };
+    let Some(replica) = &world.nodes[leader].replica else { return false };
+    let expected = world.nodes[leader].machine;
+    replica.membership().iter().all(|(voter, member)| {
+        let node = world.nodes.iter().find(|node| node.voter == voter);
+        let node = node.filter(|node| node.durable.disk == member.disk);
+        node.is_none_or(|node| node.is_live() && node.machine == expected)
+    })
+}
+
+#[test]
+fn schedules_keep_every_property() {
+    let schedules = env::var("COMFREYMILL_SCHEDULES").ok().and_then(|it| it.parse().ok());
+    let first = env::var("COMFREYMILL_FIRST_SEED").ok().and_then(|it| it.parse().ok()).unwrap_or(0);
+    let mut failed = Vec::new();
+    for seed in first..first + schedules.unwrap_or(DEFAULT_SCHEDULES) {
+        if panic::catch_unwind(|| run(seed)).is_err() {
+            failed.push(seed);
+        }
+        if failed.len() >= 5 {
+            break;
+        }
+    }
+    assert!(failed.is_empty(), "failed seeds: {failed:?}");
+}
--- /dev/null
+++ b/comfreymill_group/tests/schedule/world.rs
@@ -0,0 +1,212 @@
+use crate::schedule::checker::{self, Checker};
+use crate::schedule::machine::Machine;
+use crate::schedule::network::Network;
+use crate::schedule::node::Node;
+use bytes::Bytes;
+use comfreymill_group::{entry, id, replica};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+
+/// Group of replicas under a seeded schedule.
+#[derive(Debug)]
+pub(super) struct World {
+    pub(super) rng: ChaCha8Rng,
+    pub(super) now: u64,
+    pub(super) nodes: Vec<Node>,
+    pub(super) network: Network,
+    pub(super) checker: Checker,
+    pub(super) commands: u64,
+    pub(super) next_voter: u64,
+    pub(super) next_disk: u64,
+    pub(super) lost_disks: u64,
+    pub(super) sync_max_micros: u64,
+    /// Commands by the leader's node, index and term, until their outcome is known.
+    open: BTreeMap<(usize, id::Index, id::Term), u64>,
+}
+
+impl World {
+    /// Group of `voters` first voters, none of which has started.
+    pub(super) fn new(seed: u64, voters: u64) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        let ids: Vec<_> = (1..=voters).map(id::VoterId::new).collect();
+        let start = replica::Start::Found { voters: ids.clone() };
+        let disk = |voter: &id::VoterId| id::DiskId::new(voter.get() * 1000);
+        let nodes = ids.iter().map(|voter| Node::new(*voter, disk(voter), start.clone())).collect();
+        let mut world = Self {
+            rng,
+            now: 1,
+            nodes,
+            network: Network::default(),
+            checker: Checker::default(),
+            commands: 0,
+            next_voter: voters + 1,
+            next_disk: 1,
+            lost_disks: 0,
+            sync_max_micros: 10_000,
+            open: BTreeMap::new(),
+        };
+        world.network.delay_max_micros = 10_000;
+        for position in 0..world.nodes.len() {
+            world.start(position);
+        }
+        world
+    }
+
+    /// Settings of a replica that starts as `start` says.
+    pub(super) fn config(start: replica::Start) -> replica::Config {
+        let cfg = replica::Config::new(start)
+            .max_append_bytes(300)
+            .max_in_flight_bytes(1_000)
+            .snapshot_chunk_bytes(64)
+            .retained_entries(5);
+        cfg.validate().expect("valid settings");
+        cfg
+    }
+
+    /// Starts the node at `position`.
+    pub(super) fn start(&mut self, position: usize) {
+        let cfg = Self::config(self.nodes[position].start.clone());
+        self.nodes[position].start(&mut self.rng, self.now, cfg);
+        self.perform(position);
+    }
+
+    /// Kills the node at `position`.
+    pub(super) fn crash(&mut self, position: usize) {
+        self.nodes[position].crash(&mut self.rng);
+        self.open.retain(|(node, _, _), _| *node != position);
+    }
+
+    /// Lets `micros` pass: messages arrive, writes are synced and clocks tick.
+    pub(super) fn advance(&mut self, micros: u64) {
+        let end = self.now + micros;
+        while let Some((at, from, to, message)) = self.network.arrived(end) {
+            self.now = self.now.max(at);
+            self.sync_due();
+            let Some(position) = self.nodes.iter().position(|node| node.voter == to) else {
+                continue;
+            };
+            let node = &mut self.nodes[position];
+            let clock = node.clock(self.now);
+            if let Some(replica) = &mut node.replica {
+                replica.step(clock, from, message);
+                self.perform(position);
+            }
+        }
+        self.now = end;
+        self.sync_due();
+        for position in 0..self.nodes.len() {
+            let node = &mut self.nodes[position];
+            let clock = node.clock(self.now);
+            if let Some(replica) = &mut node.replica {
+                replica.tick(clock);
+                self.perform(position);
+            }
+        }
+        self.checker.check(&self.nodes, self.now);
+    }
+
+    /// Proposes a command at the node at `position`, and returns its number if it was taken.
+    pub(super) fn propose(&mut self, position: usize) -> Option<u64> {
+        self.commands += 1;
+        let number = self.commands;
+        let mut data = number.to_le_bytes().to_vec();
+        data.resize(8 + self.rng.random_range(0..100), 1);
+        let node = &mut self.nodes[position];
+        let clock = node.clock(self.now);
+        let proposed = node.replica.as_mut()?.propose(clock, vec![Bytes::from(data)]);
+        match proposed {
+            Ok(proposed) => {
+                self.open.insert((position, proposed.first, proposed.term), number);
+            }
+            Err(_) => {
+                self.checker.refused.insert(number);
+            }
+        }
+        self.perform(position);
+        proposed.is_ok().then_some(number)
+    }
+
+    /// States of all nodes, for the message of a failure.
+    pub(super) fn describe(&self) -> String {
+        let states = self.nodes.iter().map(|node| {
+            let status = node.replica.as_ref().map(|it| it.status(node.clock(self.now)));
+            format!("\n{} disk {} {:?}", node.voter, node.durable.disk, status)
+        });
+        states.collect()
+    }
+
+    /// Carries out what the replica at `position` asks for.
+    pub(super) fn perform(&mut self, position: usize) {
+        loop {
+            let node = &mut self.nodes[position];
+            let Some(replica) = &mut node.replica else { return };
+            let actions = replica.take_actions();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                self.perform_one(position, action);
+            }
+        }
+    }
+
+    fn perform_one(&mut self, position: usize, action: replica::Action) {
+        let from = self.nodes[position].voter;
+        match action {
+            replica::Action::Persist(write) => {
+                self.checker.on_write(&self.nodes[position], &write);
+                let earliest = self.nodes[position].unsynced.back().map_or(0, |(at, _)| *at);
+                let delay = self.rng.random_range(0..=self.sync_max_micros);
+                let at = earliest.max(self.now + delay);
+                self.nodes[position].unsynced.push_back((at, write));
+            }
+            replica::Action::Send { to, message } => {
+                self.network.send(&mut self.rng, self.now, from, to, &message);
+            }
+            replica::Action::Commit { entries } => {
+                for entry in entries {
+                    self.apply(position, &entry);
+                }
+            }
+            replica::Action::InstallSnapshot(snapshot) => {
+                let machine = Machine::from_bytes(&snapshot.data);
+                assert_eq!(machine.index, snapshot.meta.index, "snapshot at another index");
+                self.checker.on_install(machine);
+                self.nodes[position].machine = machine;
+            }
+            replica::Action::Halt(_) => self.nodes[position].halted = true,
+            replica::Action::Role { .. } | replica::Action::Dropped { .. } => {}
+        }
+    }
+
+    fn apply(&mut self, position: usize, entry: &entry::Entry) {
+        let machine = &mut self.nodes[position].machine;
+        machine.apply(entry);
+        self.checker.on_apply(entry, *machine);
+        if let Some(number) = self.open.remove(&(position, entry.index, entry.term)) {
+            if let entry::Payload::Data(data) = &entry.payload {
+                assert_eq!(checker::command_number(data), number);
+            }
+            self.checker.on_acknowledge(number, entry.index);
+        }
+    }
+
+    fn sync_due(&mut self) {
+        for position in 0..self.nodes.len() {
+            let now = self.now;
+            let node = &mut self.nodes[position];
+            let mut newest = None;
+            while node.unsynced.front().is_some_and(|(at, _)| *at <= now) {
+                let Some((_, write)) = node.unsynced.pop_front() else { break };
+                node.durable.write(&write);
+                newest = Some(write.sequence);
+            }
+            let clock = node.clock(now);
+            if let (Some(sequence), Some(replica)) = (newest, &mut node.replica) {
+                replica.persisted(clock, sequence);
+                self.perform(position);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_group/tests/store/folder.rs
@@ -0,0 +1,70 @@
+use crate::store::model::{self, Model};
+use comfreymill_group::store;
+use std::{env, fs, path, process};
+
+/// Folder of one test, removed at its end.
+struct TestFolder(path::PathBuf);
+
+impl TestFolder {
+    fn new(name: &str) -> Self {
+        let path = env::temp_dir().join(format!("comfreymill_group-{name}-{}", process::id()));
+        fs::remove_dir_all(&path).ok();
+        Self(path)
+    }
+}
+
+impl Drop for TestFolder {
+    fn drop(&mut self) {
+        fs::remove_dir_all(&self.0).ok();
+    }
+}
+
+#[test]
+fn files_are_read_back() {
+    let folder = TestFolder::new("read-back");
+    let mut expected = Model::default();
+    for write in model::writes(21, 40) {
+        let disk = store::FolderDisk::open(&folder.0).expect("a folder");
+        let (mut store, recovered) = store::Store::open(disk, model::options()).expect("opens");
+        assert_eq!(Model::of(recovered), expected);
+        expected.write(&write);
+        store.write(vec![write]).expect("writes");
+    }
+}
+
+#[test]
+fn a_folder_in_use_is_refused() {
+    let folder = TestFolder::new("in-use");
+    let first = store::FolderDisk::open(&folder.0).expect("a folder");
+    assert!(store::FolderDisk::open(&folder.0).is_err());
+    drop(first);
+    assert!(store::FolderDisk::open(&folder.0).is_ok());
+}
+
+#[test]
+fn snapshots_bound_the_files() {
+    let folder = TestFolder::new("bound");
+    let disk = store::FolderDisk::open(&folder.0).expect("a folder");
+    let (mut store, _) = store::Store::open(disk, model::options()).expect("opens");
+    let mut largest_bytes = 0;
+    for seed in 0..30 {
+        let mut last = None;
+        for mut write in model::writes(seed, 10) {
+            write.snapshot = None;
+            write.reset = false;
+            write.entries.clear();
+            last = Some(write.clone());
+            store.write(vec![write]).expect("writes");
+        }
+        let snapshot =
+            model::writes(seed, 40).into_iter().find_map(|it| it.snapshot.filter(|_| it.reset));
+        if let (Some(mut write), Some(mut snapshot)) = (last, snapshot) {
+            snapshot.meta.index = comfreymill_group::id::Index::new(1_000 + seed);
+            write.snapshot = Some(snapshot);
+            write.reset = true;
+            store.write(vec![write]).expect("writes");
+        }
+        largest_bytes = largest_bytes.max(store.size_bytes());
+    }
+    assert!(largest_bytes < 4_000, "files of {largest_bytes} bytes");
+}
--- /dev/null
+++ b/comfreymill_group/tests/store/mod.rs
@@ -0,0 +1,10 @@
+//! Files of a replica: what is read back after damage, crashes, a full disk and failed syncs.
+
+mod crashes;
+mod damage;
+mod faulty_disk;
+mod folder;
+mod identity;
+mod model;
+mod poison;
+mod thread;
--- /dev/null
+++ b/comfreymill_group/tests/store/model.rs
@@ -0,0 +1,127 @@
+use crate::store::faulty_disk::{FaultyDisk, Files};
+use bytes::Bytes;
+use comfreymill_group::{entry, id, membership, replica, snapshot, store};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub(super) type OpenResult =
+    Result<(store::Store<FaultyDisk>, replica::Recovered), store::StoreError>;
+
+/// Options of the tests, with short segments.
+pub(super) fn options() -> store::Options {
+    store::Options::new(id::GroupId::new(7), id::VoterId::new(3)).segment_bytes(300)
+}
+
+/// Opens a store on `files`.
+pub(super) fn open(files: &Files) -> OpenResult {
+    store::Store::open(FaultyDisk::with_files(files), options())
+}
+
+/// What a store has to give back after some writes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct Model {
+    pub(super) hard_state: entry::HardState,
+    pub(super) snapshot: Option<snapshot::Snapshot>,
+    pub(super) entries: Vec<entry::Entry>,
+}
+
+impl Model {
+    /// Model of what was read.
+    pub(super) fn of(recovered: replica::Recovered) -> Self {
+        let replica::Recovered { hard_state, snapshot, entries, .. } = recovered;
+        Self { hard_state, snapshot, entries }
+    }
+
+    /// Carries out `write`.
+    pub(super) fn write(&mut self, write: &replica::Persist) {
+        self.hard_state = write.hard_state.unwrap_or(self.hard_state);
+        if let Some(snapshot) = &write.snapshot {
+            self.entries.retain(|entry| entry.index > snapshot.meta.index && !write.reset);
+            self.snapshot = Some(snapshot.clone());
+        }
+        if let Some(first) = write.entries.first() {
+            self.entries.retain(|entry| entry.index < first.index);
+        }
+        self.entries.extend(write.entries.iter().cloned());
+    }
+
+    fn last(&self) -> (id::Index, id::Term) {
+        let base = self.snapshot.as_ref().map(|it| (it.meta.index, it.meta.term));
+        let entry = self.entries.last().map(|entry| (entry.index, entry.term));
+        entry.or(base).unwrap_or_default()
+    }
+}
+
+/// Writes of a seed, as replicas make them: appends, overwritten tails, votes and snapshots.
+pub(super) fn writes(seed: u64, count: u64) -> Vec<replica::Persist> {
+    make_writes(seed, count, 0)
+}
+
+/// Like [`writes`], without snapshots.
+pub(super) fn writes_without_snapshots(seed: u64, count: u64) -> Vec<replica::Persist> {
+    make_writes(seed, count, 2)
+}
+
+fn make_writes(seed: u64, count: u64, first_kind: u32) -> Vec<replica::Persist> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut model = Model::default();
+    let mut writes = Vec::new();
+    for number in 1..=count {
+        let mut write = replica::Persist { sequence: id::Sequence::new(number), ..default() };
+        if rng.random_range(0..3) == 0 {
+            let term = model.hard_state.term.next();
+            let voter = id::VoterId::new(rng.random_range(1..5));
+            let vote = Some(entry::Vote { voter, disk: id::DiskId::new(9) });
+            write.hard_state = Some(entry::HardState { term, vote });
+        }
+        let term = write.hard_state.unwrap_or(model.hard_state).term;
+        match rng.random_range(first_kind..8) {
+            0 => write.snapshot = own_snapshot(&model, &mut rng),
+            1 => {
+                write.snapshot = Some(foreign_snapshot(&model, term, &mut rng));
+                write.reset = true;
+            }
+            _ => write.entries = entries(&model, term, &mut rng),
+        }
+        model.write(&write);
+        writes.push(write);
+    }
+    writes
+}
+
+fn default() -> replica::Persist {
+    replica::Persist::default()
+}
+
+fn entries(model: &Model, term: id::Term, rng: &mut ChaCha8Rng) -> Vec<entry::Entry> {
+    let mut first = model.last().0.next();
+    if let Some(newest) = model.entries.last().filter(|entry| entry.term < term) {
+        first = newest.index;
+    }
+    (0..rng.random_range(1..4)).map(|offset| entry(first.plus(offset), term, rng)).collect()
+}
+
+fn entry(index: id::Index, term: id::Term, rng: &mut ChaCha8Rng) -> entry::Entry {
+    let len = rng.random_range(0..40);
+    let data: Vec<u8> = (0..len).map(|_| rng.random()).collect();
+    entry::Entry { index, term, payload: entry::Payload::Data(Bytes::from(data)) }
+}
+
+fn own_snapshot(model: &Model, rng: &mut ChaCha8Rng) -> Option<snapshot::Snapshot> {
+    let covered = model.entries.get(rng.random_range(0..=model.entries.len()))?;
+    Some(snapshot_at(covered.index, covered.term, rng))
+}
+
+fn foreign_snapshot(model: &Model, term: id::Term, rng: &mut ChaCha8Rng) -> snapshot::Snapshot {
+    let index = model.last().0.plus(rng.random_range(1..9));
+    snapshot_at(index, term, rng)
+}
+
+fn snapshot_at(index: id::Index, term: id::Term, rng: &mut ChaCha8Rng) -> snapshot::Snapshot {
+    let disk = id::DiskId::new(rng.random());
+    let membership = membership::Membership::default().with_learner(id::VoterId::new(3), disk);
+    let len = rng.random_range(0..100);
+    let data: Vec<u8> = (0..len).map(|_| rng.random()).collect();
+    let meta = snapshot::SnapshotMeta { index, term, membership };
+    snapshot::Snapshot { meta, data: Bytes::from(data) }
+}
