--- a/comfreymill_http/tests/client/mod.rs
+++ b/comfreymill_http/tests/client/mod.rs
@@ -1,2 +1,4 @@
 mod bad_response;
+mod prefixes;
 mod sending;
+mod streaming;
--- /dev/null
+++ b/comfreymill_http/tests/client/prefixes.rs
@@ -0,0 +1,60 @@
+use std::time;
+
+use bytes::Bytes;
+use comfreymill_http::client;
+use quickcheck::{Arbitrary as _, Gen, QuickCheck};
+
+use crate::support::{self, Body, Edits, Upstream};
+
+const SEED: u64 = 7;
+const CASES: u64 = 15;
+const OPEN: time::Duration = time::Duration::from_secs(20);
+
+async fn fetch(response: &[u8]) -> Result<Bytes, client::ClientError> {
+    let addr = Upstream::answer_once(response);
+    let mut conn = client::Connection::connect(addr, support::limits(), OPEN).await?;
+    let head = http::Request::new(()).into_parts().0;
+    let mut response = conn.send(&head, Bytes::new()).await?;
+    response.collect(u64::MAX).await
+}
+
+#[test]
+fn response_cut_at_any_byte_is_never_taken_for_whole() {
+    fn property(body: Body) -> bool {
+        let mut wire = b"HTTP/1.1 200 OK\r\nx-a: b\r\n".to_vec();
+        wire.extend_from_slice(&body.to_wire());
+        support::run(async {
+            for end in 0..wire.len() {
+                if fetch(&wire[..end]).await.is_ok() {
+                    return false;
+                }
+            }
+            fetch(&wire).await == Ok(Bytes::from(body.data))
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, SEED))
+        .tests(CASES)
+        .quickcheck(property as fn(Body) -> bool);
+}
+
+#[test]
+fn changed_responses_are_read_or_refused() {
+    support::run(async {
+        let mut g = Gen::from_size_and_seed(100, SEED);
+        let mut refused = 0;
+        for _ in 0..2000 {
+            let mut wire = b"HTTP/1.1 200 OK\r\nx-a: b\r\n".to_vec();
+            wire.extend_from_slice(&Body::arbitrary(&mut g).to_wire());
+            let wire = Edits::arbitrary(&mut g).apply(wire);
+            match fetch(&wire).await {
+                Ok(body) => assert!(body.len() <= wire.len(), "{body:?}"),
+                Err(err) => {
+                    assert_eq!(err.sent, client::Sent::Some);
+                    refused += 1;
+                }
+            }
+        }
+        assert!(refused > 200, "only {refused} changes mattered");
+    });
+}
--- /dev/null
+++ b/comfreymill_http/tests/client/streaming.rs
@@ -0,0 +1,194 @@
+use std::time;
+
+use bytes::Bytes;
+use comfreymill_http::{body, client, server};
+use http::{HeaderMap, StatusCode};
+
+use crate::support::{self, Peer, Service, Upstream};
+
+const OPEN: time::Duration = time::Duration::from_secs(20);
+
+/// Passes requests on to an upstream, and its answers back, piece by piece.
+async fn pass_on(
+    mut req: server::Request<'_>,
+    upstream: std::net::SocketAddr,
+) -> Result<(), server::ServerError> {
+    let mut conn =
+        client::Connection::connect(upstream, support::limits(), OPEN).await.expect("open");
+    let head = req.head().clone();
+    let mut response = conn.send(&head, &mut req).await.expect("response");
+    let headers = response.take_headers();
+    let mut answer = req.start(response.status(), &headers, response.body_length()).await?;
+    while let Some(data) = response.chunk().await.expect("whole") {
+        answer.chunk(data).await?;
+    }
+    answer.finish().await
+}
+
+#[test]
+fn bodies_pass_through_in_both_framings() {
+    let data = "0123456789".repeat(5000);
+    let chunked = format!("{:x}\r\n{data}\r\n0\r\n\r\n", data.len());
+    let cases = [
+        format!("content-length: {}\r\n\r\n{data}", data.len()),
+        format!("transfer-encoding: chunked\r\n\r\n{chunked}"),
+        "\r\n".to_owned(),
+    ];
+    for (index, rest) in cases.iter().enumerate() {
+        let answers = support::run(async {
+            let upstream = Service::echo(support::limits()).addr;
+            let service =
+                Service::start(support::limits(), async move |req: server::Request<'_>| {
+                    pass_on(req, upstream).await
+                });
+            let input = format!("POST /x HTTP/1.1\r\nhost: h\r\nconnection: close\r\n{rest}");
+            Peer::exchange(service.addr, input).await
+        });
+        assert_eq!(answers.len(), 1, "case {index}");
+        assert_eq!(answers[0].header("x-target"), Some("/x"));
+        let wanted = if rest.len() > 2 { data.as_bytes() } else { b"" };
+        assert_eq!(answers[0].body, wanted, "case {index}");
+    }
+}
+
+/// A source that gives other bytes than it states.
+struct Wrong {
+    stated: Option<u64>,
+    pieces: Vec<Result<Bytes, body::BodyError>>,
+}
+
+impl body::Source for Wrong {
+    fn length(&self) -> Option<u64> {
+        self.stated
+    }
+
+    async fn chunk(&mut self) -> Result<Option<Bytes>, body::BodyError> {
+        self.pieces.pop().transpose()
+    }
+}
+
+#[test]
+fn faulty_source_never_completes_the_request() {
+    use body::BodyError::{CutShort, WrongLength};
+    let cases = [
+        (Some(2), vec![Ok(Bytes::from("abc"))], WrongLength, client::Sent::Nothing),
+        (Some(4), vec![Ok(Bytes::from("abc"))], WrongLength, client::Sent::Some),
+        (None, vec![Err(CutShort), Ok(Bytes::from("abc"))], CutShort, client::Sent::Some),
+        (None, vec![Err(CutShort)], CutShort, client::Sent::Nothing),
+    ];
+    for (stated, pieces, err, sent) in cases {
+        support::run(async {
+            let upstream = Upstream::bind();
+            let mut conn = client::Connection::connect(upstream.addr, support::limits(), OPEN)
+                .await
+                .expect("open");
+            let mut peer = upstream.accept().await;
+            let mut head = http::Request::new(()).into_parts().0;
+            head.method = http::Method::POST;
+            let fault = conn.send(&head, Wrong { stated, pieces }).await.expect_err("source");
+            let wanted = client::ClientError { fault: client::ClientFault::Source(err), sent };
+            assert_eq!(fault, wanted);
+            assert!(!conn.is_reusable() || sent == client::Sent::Nothing);
+            drop(conn);
+            let seen = String::from_utf8(peer.read_to_end().await).expect("text");
+            assert_eq!(seen.is_empty(), sent == client::Sent::Nothing, "{seen:?}");
+            assert!(!seen.ends_with("0\r\n\r\n"), "{seen:?}");
+        });
+    }
+}
+
+#[test]
+fn early_answer_of_a_peer_that_closes_is_read() {
+    support::run(async {
+        let service = Service::echo(support::limits().max_body_bytes(10));
+        let mut conn =
+            client::Connection::connect(service.addr, support::limits(), OPEN).await.expect("open");
+        let mut head = http::Request::new(()).into_parts().0;
+        head.method = http::Method::POST;
+        let body = Bytes::from(vec![b'x'; 8 * 1024 * 1024]);
+        let mut response = conn.send(&head, body).await.expect("refusal");
+        assert_eq!(response.status(), StatusCode::PAYLOAD_TOO_LARGE);
+        let body = response.collect(1000).await.expect("body");
+        assert!(body.starts_with(b"{\"kind\":\"body_too_large\""), "{body:?}");
+        assert!(!conn.is_reusable());
+    });
+}
+
+#[test]
+fn silent_upstreams_are_given_up() {
+    let limits = support::limits()
+        .response_timeout(time::Duration::from_millis(30))
+        .head_timeout(time::Duration::from_millis(30))
+        .body_progress_timeout(time::Duration::from_millis(30));
+    let cases = [
+        ("", client::ClientFault::ResponseTimeout),
+        ("HTTP/1.1 200 OK\r\ncontent", client::ClientFault::ResponseTimeout),
+        (
+            "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabc",
+            client::ClientFault::Body(body::BodyError::TimedOut),
+        ),
+    ];
+    for (response, fault) in cases {
+        support::run(async {
+            let upstream = Upstream::bind();
+            let mut conn = client::Connection::connect(upstream.addr, limits.clone(), OPEN)
+                .await
+                .expect("open");
+            let mut peer = upstream.accept().await;
+            peer.write(response).await;
+            let head = http::Request::new(()).into_parts().0;
+            let res = match conn.send(&head, Bytes::new()).await {
+                Ok(mut response) => response.collect(100).await,
+                Err(err) => Err(err),
+            };
+            assert_eq!(res, Err(client::ClientError { fault, sent: client::Sent::Some }));
+        });
+    }
+}
+
+#[test]
+fn response_dropped_before_its_end_spoils_the_connection() {
+    support::run(async {
+        let service = Service::start(support::limits(), async |req: server::Request<'_>| {
+            let body = Bytes::from(vec![b'x'; 60_000]);
+            req.respond(StatusCode::OK, &HeaderMap::new(), body).await
+        });
+        let mut conn =
+            client::Connection::connect(service.addr, support::limits(), OPEN).await.expect("open");
+        let head = http::Request::new(()).into_parts().0;
+        conn.send(&head, Bytes::new()).await.expect("first").chunk().await.expect("some");
+        assert!(!conn.is_reusable());
+        let err = conn.send(&head, Bytes::new()).await.expect_err("busy");
+        assert_eq!(
+            err,
+            client::ClientError { fault: client::ClientFault::Busy, sent: client::Sent::Nothing }
+        );
+    });
+}
+
+#[test]
+fn host_and_target_reach_the_upstream() {
+    support::run(async {
+        let upstream = Upstream::bind();
+        let addr = upstream.addr;
+        let mut conn =
+            client::Connection::connect(addr, support::limits(), OPEN).await.expect("open");
+        let mut peer = upstream.accept().await;
+        let req = http::Request::builder()
+            .uri("http://elsewhere/a?b=c")
+            .header("connection", "keep-alive")
+            .header("content-length", "77")
+            .header("x-a", "b");
+        let head = req.body(()).expect("request").into_parts().0;
+        monoio::spawn(async move {
+            let _ = conn.send(&head, Bytes::from("xyz")).await;
+        });
+        let seen = String::from_utf8(peer.read_until(b"xyz").await).expect("text");
+        assert_eq!(
+            seen,
+            format!(
+                "GET /a?b=c HTTP/1.1\r\nhost: {addr}\r\nx-a: b\r\ncontent-length: 3\r\n\r\nxyz"
+            )
+        );
+    });
+}
--- /dev/null
+++ b/comfreymill_http/tests/server/splitting.rs
@@ -0,0 +1,52 @@
+use quickcheck::{Gen, QuickCheck};
+
+use crate::support::{self, Peer, Pipeline, Service, parse_answers, step};
+
+const SEED: u64 = 3;
+const CASES: u64 = 12;
+
+#[test]
+fn requests_split_at_every_byte_are_answered_whole_and_in_order() {
+    fn property(pipeline: Pipeline) -> bool {
+        support::run(async {
+            let service = Service::echo(support::limits());
+            let wire = pipeline.to_wire();
+            let wanted = pipeline.bodies.into_iter().map(|body| body.data).collect::<Vec<_>>();
+            for position in 0..=wire.len() {
+                let mut peer = Peer::connect(service.addr).await;
+                peer.write(&wire[..position]).await;
+                step().await;
+                peer.write(&wire[position..]).await;
+                peer.finish().await;
+                let answers = parse_answers(&peer.read_to_end().await);
+                let seen = answers.into_iter().map(|answer| answer.body).collect::<Vec<_>>();
+                if seen != wanted {
+                    return false;
+                }
+            }
+            true
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, SEED))
+        .tests(CASES)
+        .quickcheck(property as fn(Pipeline) -> bool);
+}
+
+#[test]
+fn request_that_comes_byte_by_byte_is_answered() {
+    support::run(async {
+        let service = Service::echo(support::limits());
+        let mut peer = Peer::connect(service.addr).await;
+        let input = "POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n\
+                     2\r\nab\r\n1\r\nc\r\n0\r\nx: y\r\n\r\n";
+        for byte in input.bytes() {
+            peer.write([byte]).await;
+            step().await;
+        }
+        peer.finish().await;
+        let answers = parse_answers(&peer.read_to_end().await);
+        assert_eq!(answers.len(), 1);
+        assert_eq!(answers[0].body, b"abc");
+    });
+}
--- /dev/null
+++ b/comfreymill_http/tests/server/unanswered.rs
@@ -0,0 +1,94 @@
+use bytes::Bytes;
+use comfreymill_http::server;
+
+use crate::support::{self, Peer, Service, guard, parse_answers, step};
+
+const REQUEST: &str = "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n";
+
+#[test]
+fn handler_without_an_answer_is_answered_for() {
+    support::run(async {
+        let service = Service::start(support::limits(), async |req: server::Request<'_>| {
+            drop(req);
+            Ok(())
+        });
+        let answers = Peer::exchange(service.addr, REQUEST).await;
+        assert_eq!((answers[0].status, answers[0].kind()), (500, Some("no_answer")));
+    });
+}
+
+#[test]
+fn unread_body_does_not_become_the_next_request() {
+    support::run(async {
+        let service = Service::start(support::limits(), async |req: server::Request<'_>| {
+            let target = Bytes::from(req.uri().path().to_owned());
+            req.respond(http::StatusCode::OK, &http::HeaderMap::new(), target).await
+        });
+        let inner = "GET /smuggled HTTP/1.1\r\nhost: h\r\n\r\n";
+        let input = format!(
+            "POST /1 HTTP/1.1\r\nhost: h\r\ncontent-length: {}\r\n\r\n{inner}\
+             GET /2 HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n",
+            inner.len()
+        );
+        let answers = Peer::exchange(service.addr, input).await;
+        let bodies = answers.iter().map(|answer| answer.body.as_slice()).collect::<Vec<_>>();
+        assert_eq!(bodies, [b"/1".as_slice(), b"/2"]);
+    });
+}
+
+#[test]
+fn unread_body_over_the_drain_limit_closes_the_connection() {
+    support::run(async {
+        let limits = support::limits().max_drain_bytes(10);
+        let service = Service::start(limits, async |req: server::Request<'_>| {
+            req.respond(http::StatusCode::OK, &http::HeaderMap::new(), Bytes::new()).await
+        });
+        let input = format!(
+            "POST /1 HTTP/1.1\r\nhost: h\r\ncontent-length: 50\r\n\r\n{}{REQUEST}",
+            "x".repeat(50)
+        );
+        let answers = Peer::exchange(service.addr, input).await;
+        assert_eq!(answers.len(), 1);
+        assert_eq!(answers[0].header("connection"), Some("close"));
+    });
+}
+
+#[test]
+fn caller_that_went_away_is_noticed() {
+    support::run(async {
+        let (gone_tx, gone_rx) = flume::unbounded();
+        let service =
+            Service::start(support::limits(), async move |mut req: server::Request<'_>| {
+                req.closed().await;
+                gone_tx.send(()).expect("the test waits");
+                Ok(())
+            });
+        let mut peer = Peer::connect(service.addr).await;
+        peer.write(REQUEST).await;
+        step().await;
+        assert!(gone_rx.is_empty(), "the caller is still there");
+        drop(peer);
+        guard(gone_rx.recv_async()).await.expect("noticed");
+    });
+}
+
+#[test]
+fn pipelined_bytes_are_kept_while_the_caller_is_watched() {
+    support::run(async {
+        let service = Service::start(support::limits(), async |mut req: server::Request<'_>| {
+            let target = Bytes::from(req.uri().path().to_owned());
+            let watched = monoio::time::timeout(std::time::Duration::from_millis(30), req.closed());
+            assert!(watched.await.is_err(), "the caller is still there");
+            req.respond(http::StatusCode::OK, &http::HeaderMap::new(), target).await
+        });
+        let mut peer = Peer::connect(service.addr).await;
+        peer.write(REQUEST).await;
+        step().await;
+        peer.write("GET /2 HTTP/1.1\r\nhost: h\r\n\r\nGET /3 HTT").await;
+        step().await;
+        peer.write("P/1.1\r\nhost: h\r\nconnection: close\r\n\r\n").await;
+        let answers = parse_answers(&peer.read_to_end().await);
+        let bodies = answers.iter().map(|answer| answer.body.as_slice()).collect::<Vec<_>>();
+        assert_eq!(bodies, [b"/1".as_slice(), b"/2", b"/3"]);
+    });
+}
--- a/comfreymill_http/tests/support/mod.rs
+++ b/comfreymill_http/tests/support/mod.rs
@@ -1,11 +1,13 @@
 //! Runtime, servers and raw peers for the tests
 
 mod answer;
+mod message;
 mod peer;
 mod runtime;
 mod service;
 
 pub(crate) use answer::{Answer, parse_answers};
+pub(crate) use message::{Body, Edits, Pipeline};
 pub(crate) use peer::{Peer, Upstream};
-pub(crate) use runtime::{guard, run};
+pub(crate) use runtime::{guard, run, step};
 pub(crate) use service::{Service, limits};
--- a/comfreymill_http/tests/support/runtime.rs
+++ b/comfreymill_http/tests/support/runtime.rs
@@ -1,8 +1,10 @@
-use std::time;
+use std::{future, task, time};
 
 /// Ends a test that hangs; no test depends on its length otherwise.
 const HANG: time::Duration = time::Duration::from_secs(60);
 
+const STEPS: usize = 8;
+
 /// Runs a test on a monoio runtime of the legacy driver.
 pub(crate) fn run<F>(test: F) -> F::Output
 where
@@ -22,3 +24,18 @@
 {
     monoio::time::timeout(HANG, fut).await.expect("the test hangs")
 }
+
+/// Lets every other task run that has something to do.
+pub(crate) async fn step() {
+    for _ in 0..STEPS {
+        let mut is_yielded = false;
+        future::poll_fn(|cx| {
+            if std::mem::replace(&mut is_yielded, true) {
+                return task::Poll::Ready(());
+            }
+            cx.waker().wake_by_ref();
+            task::Poll::Pending
+        })
+        .await;
+    }
+}
