--- /dev/null
+++ b/comfreymill_route/src/grant/granter_plan.rs
@@ -0,0 +1,245 @@
+use std::collections::BTreeSet;
+
+use comfreymill_types::id;
+use comfreymill_types::time;
+
+use super::executor_state::{ExecutorState, HolderId};
+use super::granter::Granter;
+use super::share;
+
+/// Entry that may be granted slots, with what it wants of one service.
+#[derive(Debug)]
+struct Claim {
+    id: HolderId,
+    region: id::RegionName,
+    wanted: u32,
+}
+
+/// What a claim is to have of one region's executors.
+#[derive(Clone, Copy, Debug, Default)]
+struct Quota {
+    /// Slots for which there is demand.
+    needed: u32,
+    /// Slots with its part of those that nobody needs.
+    target: u32,
+}
+
+/// # Following demand
+impl Granter {
+    /// Raises and recalls grants so that no slot idles while requests wait elsewhere.
+    pub(super) fn follow_demand(&mut self, now: time::Monotonic) {
+        let open = self.executors.values().filter_map(|executor| executor.announced.as_ref());
+        let places: BTreeSet<_> =
+            open.map(|open| (open.service.clone(), open.region.clone())).collect();
+        let services: BTreeSet<_> = places.iter().map(|(service, _)| service.clone()).collect();
+        for service in services {
+            let claims = self.claims(now, &service);
+            let regions = places.iter().filter(|place| place.0 == service);
+            let regions: Vec<_> = regions.map(|place| place.1.clone()).collect();
+            let quotas = self.quotas(&service, &regions, &claims);
+            for (region, quotas) in regions.iter().zip(&quotas) {
+                self.settle(&service, region, &claims, quotas);
+            }
+        }
+        self.recall_excess();
+    }
+
+    fn claims(&self, now: time::Monotonic, service: &id::ServiceName) -> Vec<Claim> {
+        let lease = self.cfg.get_lease();
+        let live = self.entries.iter().filter(|(_, entry)| now.since(entry.last_heard) < lease);
+        let claim = |(name, entry): (&id::EntryName, &super::entry_state::EntryState)| {
+            let region = entry.region.clone()?;
+            let demand = entry.demand.get(service).copied().unwrap_or(0);
+            let wanted = if entry.draining { demand } else { demand.max(self.cfg.get_floor()) };
+            Some(Claim { id: (name.clone(), entry.incarnation), region, wanted })
+        };
+        live.filter_map(claim).collect()
+    }
+
+    /// Quota of each claim in each region: own region first, then what others leave, then the
+    /// rest among the region's own.
+    fn quotas(
+        &self,
+        service: &id::ServiceName,
+        regions: &[id::RegionName],
+        claims: &[Claim],
+    ) -> Vec<Vec<Quota>> {
+        let mut unmet: Vec<u32> = claims.iter().map(|claim| claim.wanted).collect();
+        let mut left: Vec<u32> =
+            regions.iter().map(|region| self.capacity(service, region)).collect();
+        let mut needed = vec![vec![0; claims.len()]; regions.len()];
+        for is_own in [true, false] {
+            for (r, region) in regions.iter().enumerate() {
+                let fits = |claim: &Claim| (claim.region == *region) == is_own;
+                let wanted: Vec<u32> = claims
+                    .iter()
+                    .zip(&unmet)
+                    .map(|(claim, unmet)| if fits(claim) { *unmet } else { 0 })
+                    .collect();
+                for (i, given) in share::divide_fairly(left[r], &wanted).into_iter().enumerate() {
+                    needed[r][i] += given;
+                    unmet[i] -= given;
+                    left[r] -= given;
+                }
+            }
+        }
+        let is_all_met = unmet.iter().all(|unmet| *unmet == 0);
+        let extra = |r: usize, region: &id::RegionName| {
+            let reserve = f64::from(self.capacity(service, region)) * self.cfg.get_reserve();
+            let spare = left[r].saturating_sub(reserve.ceil() as u32);
+            let weight = |claim: &Claim| if claim.region == *region { claim.wanted } else { 0 };
+            let weights: Vec<u32> = claims.iter().map(weight).collect();
+            share::divide_by_weight(if is_all_met { spare } else { 0 }, &weights)
+        };
+        let of_region = |(r, region): (usize, &id::RegionName)| {
+            let quota =
+                |(needed, extra): (&u32, u32)| Quota { needed: *needed, target: *needed + extra };
+            needed[r].iter().zip(extra(r, region)).map(quota).collect()
+        };
+        regions.iter().enumerate().map(of_region).collect()
+    }
+
+    /// Moves the grants of a region's executors towards the quotas.
+    fn settle(
+        &mut self,
+        service: &id::ServiceName,
+        region: &id::RegionName,
+        claims: &[Claim],
+        quotas: &[Quota],
+    ) {
+        let held = |this: &Self, i: usize| this.held(service, region, &claims[i].id);
+        for (i, quota) in quotas.iter().enumerate() {
+            let lacking = quota.needed.saturating_sub(held(self, i));
+            self.give(service, region, &claims[i].id, lacking);
+        }
+        let lacks = |(i, quota): (usize, &Quota)| quota.needed.saturating_sub(held(self, i));
+        let lacking: u32 = quotas.iter().enumerate().map(lacks).sum();
+        let mut missing = lacking.saturating_sub(self.recalled(service, region));
+        for (i, quota) in quotas.iter().enumerate() {
+            let surplus = held(self, i).saturating_sub(quota.target);
+            let part = surplus.min(missing);
+            self.take_back(service, region, &claims[i].id, part);
+            missing -= part;
+        }
+        if lacking > 0 {
+            return;
+        }
+        for (i, quota) in quotas.iter().enumerate() {
+            let extra = quota.target.saturating_sub(held(self, i));
+            self.give(service, region, &claims[i].id, extra);
+        }
+    }
+
+    /// Grants free slots: first where the entry holds some, then where most are free.
+    fn give(
+        &mut self,
+        service: &id::ServiceName,
+        region: &id::RegionName,
+        id: &HolderId,
+        mut wanted: u32,
+    ) {
+        for most in [self.cfg.get_chunk(), u32::MAX] {
+            if wanted == 0 {
+                return;
+            }
+            for name in self.by_preference(service, region, id) {
+                let executor = &self.executors[&name];
+                let held = executor.target_of(id);
+                let kept = executor.holders.get(id).map_or(0, |h| h.slots - h.target);
+                let room = most.saturating_sub(held).min(executor.free() + kept);
+                let part = room.min(wanted);
+                if part > 0 {
+                    self.raise(&name, id, part);
+                    wanted -= part;
+                }
+            }
+        }
+    }
+
+    fn by_preference(
+        &self,
+        service: &id::ServiceName,
+        region: &id::RegionName,
+        id: &HolderId,
+    ) -> Vec<id::ExecutorName> {
+        let open = self.open(service, region);
+        let mut order: Vec<_> = open
+            .map(|(name, executor)| {
+                let held = executor.target_of(id);
+                (held == 0, u32::MAX - executor.free(), name.clone())
+            })
+            .collect();
+        order.sort();
+        order.into_iter().map(|(_, _, name)| name).collect()
+    }
+
+    /// Recalls slots of an entry, from the smallest grants first.
+    fn take_back(
+        &mut self,
+        service: &id::ServiceName,
+        region: &id::RegionName,
+        id: &HolderId,
+        mut slots: u32,
+    ) {
+        if slots == 0 {
+            return;
+        }
+        let open = self.open(service, region);
+        let mut order: Vec<_> = open
+            .map(|(name, executor)| (executor.target_of(id), name.clone()))
+            .filter(|(held, _)| *held > 0)
+            .collect();
+        order.sort();
+        for (held, name) in order {
+            let part = held.min(slots);
+            if part > 0 {
+                self.recall(&name, id, held - part);
+                slots -= part;
+            }
+        }
+    }
+
+    /// Recalls what an executor granted beyond its announced slots.
+    fn recall_excess(&mut self) {
+        let over = self.executors.iter().filter(|(_, executor)| executor.is_open());
+        let over: Vec<_> = over.map(|(name, _)| name.clone()).collect();
+        for name in over {
+            let executor = &self.executors[&name];
+            let targets = executor.granted() - executor.recalled();
+            let mut excess = targets.saturating_sub(executor.capacity());
+            let holders: Vec<_> =
+                executor.holders.iter().map(|(id, holder)| (id.clone(), holder.target)).collect();
+            for (id, target) in holders {
+                let part = target.min(excess);
+                if part > 0 {
+                    self.recall(&name, &id, target - part);
+                    excess -= part;
+                }
+            }
+        }
+    }
+
+    fn open<'a>(
+        &'a self,
+        service: &'a id::ServiceName,
+        region: &'a id::RegionName,
+    ) -> impl Iterator<Item = (&'a id::ExecutorName, &'a ExecutorState)> {
+        self.executors.iter().filter(move |(_, executor)| {
+            let announced = executor.announced.as_ref();
+            let fits = announced.is_some_and(|a| a.service == *service && a.region == *region);
+            fits && executor.is_open()
+        })
+    }
+
+    fn capacity(&self, service: &id::ServiceName, region: &id::RegionName) -> u32 {
+        self.open(service, region).map(|(_, executor)| executor.capacity()).sum()
+    }
+
+    fn held(&self, service: &id::ServiceName, region: &id::RegionName, id: &HolderId) -> u32 {
+        self.open(service, region).map(|(_, executor)| executor.target_of(id)).sum()
+    }
+
+    fn recalled(&self, service: &id::ServiceName, region: &id::RegionName) -> u32 {
+        self.open(service, region).map(|(_, executor)| executor.recalled()).sum()
+    }
+}
--- /dev/null
+++ b/comfreymill_route/src/idempotency/joins.rs
@@ -0,0 +1,85 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use comfreymill_types::error;
+use comfreymill_types::id;
+
+use super::Join;
+
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Run in progress with those that wait for its answer.
+#[derive(Debug)]
+struct Run {
+    digest: id::Digest,
+    request: u64,
+    joined: Vec<u64>,
+}
+
+/// Keys in progress at this entry, bounded.
+#[derive(Debug)]
+pub struct Joins {
+    max_keys: usize,
+    max_joined: usize,
+    runs: HashMap<id::IdempotencyKey, Run>,
+}
+
+impl Joins {
+    /// Keeps at most `max_keys` keys, each with at most `max_joined` joined requests.
+    pub fn new(max_keys: usize, max_joined: usize) -> Self {
+        Self { max_keys, max_joined, runs: HashMap::new() }
+    }
+
+    /// Takes a request with a key and the digest of its content.
+    pub fn begin(&mut self, key: &id::IdempotencyKey, digest: id::Digest, request: u64) -> Join {
+        let is_full = self.runs.len() >= self.max_keys;
+        match self.runs.get_mut(key) {
+            Some(run) if run.digest != digest => Join::Refused(reused()),
+            Some(run) if run.joined.len() >= self.max_joined => Join::Refused(full()),
+            Some(run) => {
+                run.joined.push(request);
+                Join::Joined { run: run.request }
+            }
+            None if is_full => Join::Refused(full()),
+            None => {
+                self.runs.insert(key.clone(), Run { digest, request, joined: Vec::new() });
+                Join::Run
+            }
+        }
+    }
+
+    /// Ends the run of a key; returns the requests that joined it and get its answer.
+    pub fn finish(&mut self, key: &id::IdempotencyKey, request: u64) -> Vec<u64> {
+        if self.runs.get(key).is_some_and(|run| run.request == request) {
+            return self.runs.remove(key).map_or_else(Vec::new, |run| run.joined);
+        }
+        Vec::new()
+    }
+
+    /// Takes out a joined request whose caller went away; the run goes on.
+    pub fn leave(&mut self, key: &id::IdempotencyKey, request: u64) {
+        if let Some(run) = self.runs.get_mut(key) {
+            run.joined.retain(|joined| *joined != request);
+        }
+    }
+
+    /// Keys in progress.
+    pub fn len(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Whether no key is in progress.
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+}
+
+fn reused() -> error::Error {
+    let kind = error::ErrorKind::KeyReused;
+    error::Error::new(kind, "the key is in use for another request").field("Idempotency-Key")
+}
+
+fn full() -> error::Error {
+    let kind = error::ErrorKind::QueueFull;
+    error::Error::new(kind, "too many keyed requests are in progress").retry_after(FULL_RETRY_AFTER)
+}
--- /dev/null
+++ b/comfreymill_route/src/router/class_state.rs
@@ -0,0 +1,76 @@
+use std::time::Duration;
+
+use comfreymill_types::document;
+
+use super::estimate::Estimate;
+
+const LATENCY_WEIGHT: f64 = 0.05;
+const FIRST_LATENCY_MICROS: f64 = 1_000.0;
+
+/// Class of requests with what was measured of it.
+#[derive(Debug)]
+pub(super) struct ClassState {
+    pub(super) service: usize,
+    pub(super) priority: document::Priority,
+    pub(super) unrepeatable: bool,
+    pub(super) deadline: Duration,
+    pub(super) queue_limit: usize,
+    pub(super) rule: document::PlacementRule,
+    /// Whether the document in force still has it.
+    pub(super) in_force: bool,
+    /// Requests that wait.
+    pub(super) queued: usize,
+    /// Time from sending to the whole answer, in microseconds.
+    pub(super) latency: Estimate,
+}
+
+impl ClassState {
+    pub(super) fn new(
+        class: &document::Class,
+        prompt: &document::PromptClass,
+        service: usize,
+    ) -> Self {
+        Self {
+            service,
+            priority: class.priority,
+            unrepeatable: class.unrepeatable,
+            deadline: prompt.deadline.get_duration(),
+            queue_limit: prompt.queue_limit as usize,
+            rule: class.runs_in.clone(),
+            in_force: true,
+            queued: 0,
+            latency: Estimate::new(FIRST_LATENCY_MICROS, LATENCY_WEIGHT),
+        }
+    }
+
+    /// Takes the document's present values.
+    pub(super) fn refresh(
+        &mut self,
+        class: &document::Class,
+        prompt: &document::PromptClass,
+        service: usize,
+    ) {
+        self.priority = class.priority;
+        self.unrepeatable = class.unrepeatable;
+        self.deadline = prompt.deadline.get_duration();
+        self.queue_limit = prompt.queue_limit as usize;
+        self.rule = class.runs_in.clone();
+        self.in_force = true;
+        if self.queued == 0 {
+            self.service = service;
+        }
+    }
+
+    /// Whether the class may run anywhere.
+    pub(super) fn is_unrestricted(&self) -> bool {
+        self.rule.regions.is_empty() && self.rule.zones.is_empty()
+    }
+
+    /// Time in which an answer is likely to come, in microseconds.
+    pub(super) fn likely_micros(&self) -> f64 {
+        if self.latency.get_samples() == 0 {
+            return 0.0;
+        }
+        self.latency.get_mean() + self.latency.get_deviation()
+    }
+}
--- /dev/null
+++ b/comfreymill_route/src/router/config.rs
@@ -0,0 +1,259 @@
+use std::time::Duration;
+
+use comfreymill_types::id;
+
+use super::Policy;
+
+/// Settings of a router.
+#[derive(Clone, Debug)]
+pub struct Config {
+    region: id::RegionName,
+    zone: id::ZoneName,
+    policy: Policy,
+    retry_ratio: f64,
+    ejection: bool,
+    ejection_failures: u32,
+    slow_factor: f64,
+    max_ejected_share: f64,
+    base_ejection: Duration,
+    max_ejection: Duration,
+    probe_timeout: Duration,
+    slow_start: Duration,
+    queue_limit: usize,
+    doubt_hold: Duration,
+    grant_wait: Duration,
+    headroom: f64,
+    history_limit: usize,
+    seed: u64,
+}
+
+impl Config {
+    /// Defaults for an entry in `zone` of `region`.
+    pub fn new(region: id::RegionName, zone: id::ZoneName) -> Self {
+        Self {
+            region,
+            zone,
+            policy: Policy::default(),
+            retry_ratio: 0.1,
+            ejection: true,
+            ejection_failures: 3,
+            slow_factor: 3.0,
+            max_ejected_share: 0.5,
+            base_ejection: Duration::from_secs(1),
+            max_ejection: Duration::from_secs(60),
+            probe_timeout: Duration::from_secs(2),
+            slow_start: Duration::from_secs(10),
+            queue_limit: 4_096,
+            doubt_hold: Duration::from_secs(5),
+            grant_wait: Duration::from_millis(500),
+            headroom: 0.25,
+            history_limit: 4_096,
+            seed: 0,
+        }
+    }
+
+    /// Region of the entry.
+    pub fn get_region(&self) -> &id::RegionName {
+        &self.region
+    }
+
+    /// Availability zone of the entry.
+    pub fn get_zone(&self) -> &id::ZoneName {
+        &self.zone
+    }
+
+    /// How an executor is chosen.
+    pub fn get_policy(&self) -> Policy {
+        self.policy
+    }
+
+    /// Retries allowed for each request.
+    pub fn get_retry_ratio(&self) -> f64 {
+        self.retry_ratio
+    }
+
+    /// Whether outliers are ejected.
+    pub fn is_ejection_set(&self) -> bool {
+        self.ejection
+    }
+
+    /// Failures in a row that eject an executor.
+    pub fn get_ejection_failures(&self) -> u32 {
+        self.ejection_failures
+    }
+
+    /// Times the usual latency at which an executor is ejected.
+    pub fn get_slow_factor(&self) -> f64 {
+        self.slow_factor
+    }
+
+    /// Greatest share of a service's executors that is ejected at once.
+    pub fn get_max_ejected_share(&self) -> f64 {
+        self.max_ejected_share
+    }
+
+    /// Time of a first ejection; each further one doubles it.
+    pub fn get_base_ejection(&self) -> Duration {
+        self.base_ejection
+    }
+
+    /// Longest time of an ejection.
+    pub fn get_max_ejection(&self) -> Duration {
+        self.max_ejection
+    }
+
+    /// Time after which an unanswered probe counts as failed.
+    pub fn get_probe_timeout(&self) -> Duration {
+        self.probe_timeout
+    }
+
+    /// Time over which a new executor's share grows.
+    pub fn get_slow_start(&self) -> Duration {
+        self.slow_start
+    }
+
+    /// Most requests that wait here, over all classes.
+    pub fn get_queue_limit(&self) -> usize {
+        self.queue_limit
+    }
+
+    /// Time for which a slot counts as used after an attempt of unknown end.
+    pub fn get_doubt_hold(&self) -> Duration {
+        self.doubt_hold
+    }
+
+    /// Time within which the leader is expected to grant slots.
+    pub fn get_grant_wait(&self) -> Duration {
+        self.grant_wait
+    }
+
+    /// Share of the slots in use that is asked for on top.
+    pub fn get_headroom(&self) -> f64 {
+        self.headroom
+    }
+
+    /// Most decision records kept.
+    pub fn get_history_limit(&self) -> usize {
+        self.history_limit
+    }
+
+    /// Seed of random choices.
+    pub fn get_seed(&self) -> u64 {
+        self.seed
+    }
+}
+
+/// # Settings
+impl Config {
+    /// How an executor is chosen.
+    #[must_use]
+    pub fn policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// Retries allowed for each request.
+    #[must_use]
+    pub fn retry_ratio(mut self, retry_ratio: f64) -> Self {
+        self.retry_ratio = retry_ratio;
+        self
+    }
+
+    /// Whether outliers are ejected.
+    #[must_use]
+    pub fn ejection(mut self, ejection: bool) -> Self {
+        self.ejection = ejection;
+        self
+    }
+
+    /// Failures in a row that eject an executor.
+    #[must_use]
+    pub fn ejection_failures(mut self, ejection_failures: u32) -> Self {
+        self.ejection_failures = ejection_failures;
+        self
+    }
+
+    /// Times the usual latency at which an executor is ejected.
+    #[must_use]
+    pub fn slow_factor(mut self, slow_factor: f64) -> Self {
+        self.slow_factor = slow_factor;
+        self
+    }
+
+    /// Greatest share of a service's executors that is ejected at once.
+    #[must_use]
+    pub fn max_ejected_share(mut self, max_ejected_share: f64) -> Self {
+        self.max_ejected_share = max_ejected_share;
+        self
+    }
+
+    /// Time of a first ejection; each further one doubles it.
+    #[must_use]
+    pub fn base_ejection(mut self, base_ejection: Duration) -> Self {
+        self.base_ejection = base_ejection;
+        self
+    }
+
+    /// Longest time of an ejection.
+    #[must_use]
+    pub fn max_ejection(mut self, max_ejection: Duration) -> Self {
+        self.max_ejection = max_ejection;
+        self
+    }
+
+    /// Time after which an unanswered probe counts as failed.
+    #[must_use]
+    pub fn probe_timeout(mut self, probe_timeout: Duration) -> Self {
+        self.probe_timeout = probe_timeout;
+        self
+    }
+
+    /// Time over which a new executor's share grows.
+    #[must_use]
+    pub fn slow_start(mut self, slow_start: Duration) -> Self {
+        self.slow_start = slow_start;
+        self
+    }
+
+    /// Most requests that wait here, over all classes.
+    #[must_use]
+    pub fn queue_limit(mut self, queue_limit: usize) -> Self {
+        self.queue_limit = queue_limit;
+        self
+    }
+
+    /// Time for which a slot counts as used after an attempt of unknown end.
+    #[must_use]
+    pub fn doubt_hold(mut self, doubt_hold: Duration) -> Self {
+        self.doubt_hold = doubt_hold;
+        self
+    }
+
+    /// Time within which the leader is expected to grant slots.
+    #[must_use]
+    pub fn grant_wait(mut self, grant_wait: Duration) -> Self {
+        self.grant_wait = grant_wait;
+        self
+    }
+
+    /// Share of the slots in use that is asked for on top.
+    #[must_use]
+    pub fn headroom(mut self, headroom: f64) -> Self {
+        self.headroom = headroom;
+        self
+    }
+
+    /// Most decision records kept.
+    #[must_use]
+    pub fn history_limit(mut self, history_limit: usize) -> Self {
+        self.history_limit = history_limit;
+        self
+    }
+
+    /// Seed of random choices.
+    #[must_use]
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+}
--- /dev/null
+++ b/comfreymill_route/src/router/pool.rs
@@ -0,0 +1,184 @@
+use std::collections::BTreeSet;
+
+use comfreymill_types::document;
+use comfreymill_types::id;
+use rand::RngExt as _;
+
+use super::Policy;
+use super::estimate::Estimate;
+use super::executor::Executor;
+use super::queue::Queue;
+
+const SERVICE_TIME_WEIGHT: f64 = 0.05;
+const FIRST_SERVICE_MICROS: f64 = 1_000.0;
+
+/// Key in the index: cost, then a random tie-break, then the executor's number.
+type Key = (u64, u32, usize);
+
+/// Executors with a free slot, on one side of the regions' link.
+#[derive(Debug, Default)]
+pub(super) struct Side {
+    by_cost: BTreeSet<Key>,
+    list: Vec<usize>,
+    cursor: usize,
+}
+
+/// Executors of one service with the requests that wait for it.
+#[derive(Debug)]
+pub(super) struct Pool {
+    pub(super) service: id::ServiceName,
+    pub(super) members: Vec<usize>,
+    pub(super) own: Side,
+    pub(super) remote: Side,
+    pub(super) queue: Queue,
+    /// Executors of the own region that take requests, with or without a free slot.
+    pub(super) own_serving: usize,
+    /// Slots that they grant to this entry.
+    pub(super) own_slots: u32,
+    /// Executors of other regions that take requests.
+    pub(super) remote_serving: usize,
+    /// Slots that they grant to this entry.
+    pub(super) remote_slots: u32,
+    /// Executors that are ejected, on probe or on trial.
+    pub(super) ejected: usize,
+    /// Slots in use over all executors.
+    pub(super) in_use: u32,
+    /// Recent peak of slots in use and requests waiting.
+    pub(super) peak: f64,
+    /// Time from sending to the whole answer, in microseconds, over all classes.
+    pub(super) service_time: Estimate,
+    /// Demand last told to the leader.
+    pub(super) told_demand: u32,
+}
+
+/// What a choice looks for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Wanted<'a> {
+    pub(super) rule: &'a document::PlacementRule,
+    pub(super) unrestricted: bool,
+    pub(super) avoid: Option<usize>,
+    pub(super) no_trial: bool,
+}
+
+impl Pool {
+    pub(super) fn new(service: id::ServiceName) -> Self {
+        Self {
+            service,
+            members: Vec::new(),
+            own: Side::default(),
+            remote: Side::default(),
+            queue: Queue::default(),
+            own_serving: 0,
+            own_slots: 0,
+            remote_serving: 0,
+            remote_slots: 0,
+            ejected: 0,
+            in_use: 0,
+            peak: 0.0,
+            service_time: Estimate::new(FIRST_SERVICE_MICROS, SERVICE_TIME_WEIGHT),
+            told_demand: 0,
+        }
+    }
+
+    /// Slots wanted of the leader: in use, waiting and a share on top.
+    pub(super) fn demand(&self, headroom: f64) -> u32 {
+        let present = f64::from(self.in_use) + self.queue.len() as f64;
+        let peak = present.max(self.peak);
+        (peak * (1.0 + headroom)).ceil() as u32
+    }
+
+    pub(super) fn side_mut(&mut self, remote: bool) -> &mut Side {
+        if remote { &mut self.remote } else { &mut self.own }
+    }
+}
+
+impl Side {
+    /// Puts an executor into the index or renews its cost.
+    pub(super) fn put(&mut self, ix: usize, executor: &mut Executor, cost: u64, tie: u32) {
+        if let Some((cost, tie)) = executor.key.take() {
+            self.by_cost.remove(&(cost, tie, ix));
+        }
+        executor.key = Some((cost, tie));
+        self.by_cost.insert((cost, tie, ix));
+        if executor.position.is_none() {
+            executor.position = Some(self.list.len());
+            self.list.push(ix);
+        }
+    }
+
+    /// Takes an executor out; returns the one that moved to its position in the list.
+    pub(super) fn take(&mut self, ix: usize, executor: &mut Executor) -> Option<(usize, usize)> {
+        if let Some((cost, tie)) = executor.key.take() {
+            self.by_cost.remove(&(cost, tie, ix));
+        }
+        let position = executor.position.take()?;
+        self.list.swap_remove(position);
+        self.list.get(position).map(|moved| (*moved, position))
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.list.len()
+    }
+
+    /// Executor for one request by `policy`.
+    pub(super) fn choose<R>(
+        &mut self,
+        policy: Policy,
+        executors: &[Executor],
+        wanted: Wanted<'_>,
+        rng: &mut R,
+    ) -> Option<usize>
+    where
+        R: rand::Rng,
+    {
+        if self.list.is_empty() {
+            return None;
+        }
+        match policy {
+            Policy::RoundRobin => {
+                self.cursor = self.cursor.wrapping_add(1);
+                self.first_from(self.cursor, executors, wanted)
+            }
+            Policy::Random => {
+                let start = rng.random_range(0..self.list.len());
+                self.first_from(start, executors, wanted)
+            }
+            Policy::TwoChoices => {
+                let first = rng.random_range(0..self.list.len());
+                let second = rng.random_range(0..self.list.len());
+                let a = self.first_from(first, executors, wanted)?;
+                let b = self.first_from(second, executors, wanted)?;
+                Some(if executors[b].in_use() < executors[a].in_use() { b } else { a })
+            }
+            Policy::LeastLoaded => {
+                let mut costs = self.by_cost.iter().map(|key| key.2);
+                costs.find(|ix| wanted.fits(*ix, executors))
+            }
+        }
+    }
+
+    /// First executor that fits, from a place in the list on.
+    fn first_from(
+        &self,
+        start: usize,
+        executors: &[Executor],
+        wanted: Wanted<'_>,
+    ) -> Option<usize> {
+        let len = self.list.len();
+        let order = (0..len).map(|i| self.list[(start % len + i) % len]);
+        order.into_iter().find(|ix| wanted.fits(*ix, executors))
+    }
+}
+
+impl Wanted<'_> {
+    fn fits(&self, ix: usize, executors: &[Executor]) -> bool {
+        let executor = &executors[ix];
+        let trial_fits = !self.no_trial || executor.health != super::health::Health::Trial;
+        self.avoid != Some(ix) && trial_fits && self.allows(executor)
+    }
+
+    /// Whether the class may run there.
+    pub(super) fn allows(&self, executor: &Executor) -> bool {
+        self.unrestricted || self.rule.allows(&executor.view.region, &executor.view.zone)
+    }
+}
--- /dev/null
+++ b/comfreymill_route/src/router/queue.rs
@@ -0,0 +1,209 @@
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use comfreymill_types::document;
+use comfreymill_types::id;
+use comfreymill_types::time;
+
+/// Place of a request in its team's queue: deadline first, then order of arrival.
+type Key = (time::Monotonic, u64);
+
+const PASS_PER_REQUEST: u64 = 1_000_000;
+
+/// Team at one priority: what it waits for and how much it had.
+#[derive(Debug, Default)]
+struct Team {
+    pass: u64,
+    classes: BTreeMap<usize, BTreeSet<Key>>,
+    queued: usize,
+}
+
+/// Requests of one priority.
+#[derive(Debug, Default)]
+struct Level {
+    teams: HashMap<id::TeamName, Team>,
+    pass: u64,
+    queued: usize,
+}
+
+/// Requests that wait for one service.
+///
+/// The highest priority is served first; within it teams by weighted fair share (stride
+/// scheduling), and within a team the earliest deadline.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    levels: BTreeMap<Reverse<document::Priority>, Level>,
+    queued: usize,
+}
+
+/// Request taken or looked at in a queue.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Waiting {
+    pub(super) request: u64,
+    pub(super) class: usize,
+    pub(super) priority: document::Priority,
+    pub(super) team: id::TeamName,
+    pub(super) deadline: time::Monotonic,
+}
+
+impl Queue {
+    pub(super) fn len(&self) -> usize {
+        self.queued
+    }
+
+    pub(super) fn push(&mut self, waiting: &Waiting) {
+        let level = self.levels.entry(Reverse(waiting.priority)).or_default();
+        let floor = level.pass;
+        let team = level.teams.entry(waiting.team.clone()).or_default();
+        if team.queued == 0 {
+            team.pass = team.pass.max(floor);
+        }
+        let keys = team.classes.entry(waiting.class).or_default();
+        if keys.insert((waiting.deadline, waiting.request)) {
+            team.queued += 1;
+            level.queued += 1;
+            self.queued += 1;
+        }
+    }
+
+    pub(super) fn remove(&mut self, waiting: &Waiting) -> bool {
+        let Some(level) = self.levels.get_mut(&Reverse(waiting.priority)) else { return false };
+        let Some(team) = level.teams.get_mut(&waiting.team) else { return false };
+        let Some(keys) = team.classes.get_mut(&waiting.class) else { return false };
+        if !keys.remove(&(waiting.deadline, waiting.request)) {
+            return false;
+        }
+        if keys.is_empty() {
+            team.classes.remove(&waiting.class);
+        }
+        team.queued -= 1;
+        level.queued -= 1;
+        self.queued -= 1;
+        true
+    }
+
+    /// Counts a request that was sent against its team's share.
+    pub(super) fn charge(&mut self, priority: document::Priority, name: &id::TeamName, share: u32) {
+        let level = self.levels.entry(Reverse(priority)).or_default();
+        let floor = level.pass;
+        let stride = PASS_PER_REQUEST / u64::from(share.max(1));
+        let team = level.teams.entry(name.clone()).or_default();
+        let start = team.pass.max(floor);
+        team.pass = start + stride;
+        level.pass = start;
+    }
+
+    /// First request in the order of service whose class is not in `blocked`.
+    pub(super) fn first(&self, blocked: &[usize]) -> Option<Waiting> {
+        let levels = self.levels.iter().filter(|(_, level)| level.queued > 0);
+        levels.filter_map(|(priority, level)| first_of_level(priority.0, level, blocked)).next()
+    }
+
+    /// Earliest request of each team and class.
+    pub(super) fn firsts(&self) -> Vec<Waiting> {
+        let mut firsts = Vec::new();
+        for (priority, level) in &self.levels {
+            for (name, team) in &level.teams {
+                for (class, keys) in &team.classes {
+                    let Some((deadline, request)) = keys.first().copied() else { continue };
+                    let (class, priority, team) = (*class, priority.0, name.clone());
+                    firsts.push(Waiting { request, class, priority, team, deadline });
+                }
+            }
+        }
+        firsts
+    }
+
+    /// Request that leaves first when the class is full: the latest of the team that is furthest
+    /// over its share, if that is not `team` itself.
+    pub(super) fn last_of_greediest<F>(
+        &self,
+        class: usize,
+        priority: document::Priority,
+        team: &id::TeamName,
+        share_of: F,
+    ) -> Option<Waiting>
+    where
+        F: Fn(&id::TeamName) -> u32,
+    {
+        let level = self.levels.get(&Reverse(priority))?;
+        let load = |name: &id::TeamName, more: usize| {
+            let queued = level.teams.get(name).and_then(|team| team.classes.get(&class));
+            let queued = queued.map_or(0, BTreeSet::len) + more;
+            queued as f64 / f64::from(share_of(name).max(1))
+        };
+        let own = load(team, 1);
+        let greediest = level
+            .teams
+            .iter()
+            .filter(|(name, state)| *name != team && state.classes.contains_key(&class))
+            .map(|(name, state)| (load(name, 0), name, state))
+            .filter(|(load, _, _)| *load > own)
+            .max_by(|(a, x, _), (b, y, _)| a.total_cmp(b).then_with(|| x.cmp(y)))?;
+        let (_, name, state) = greediest;
+        let (deadline, request) = *state.classes.get(&class)?.last()?;
+        Some(Waiting { request, class, priority, team: name.clone(), deadline })
+    }
+
+    /// Requests that a new one of `team` would wait for, by the shares of those that wait.
+    pub(super) fn ahead<F>(
+        &self,
+        priority: document::Priority,
+        team: &id::TeamName,
+        deadline: time::Monotonic,
+        share_of: F,
+    ) -> f64
+    where
+        F: Fn(&id::TeamName) -> u32,
+    {
+        let above: usize = self
+            .levels
+            .iter()
+            .take_while(|(level, _)| level.0 > priority)
+            .map(|(_, level)| level.queued)
+            .sum();
+        let Some(level) = self.levels.get(&Reverse(priority)) else { return above as f64 };
+        let own = level.teams.get(team).map_or(0, |state| count_before(state, deadline));
+        let own_share = f64::from(share_of(team).max(1));
+        let turns = (own + 1) as f64 / own_share;
+        let others: f64 = level
+            .teams
+            .iter()
+            .filter(|(name, state)| *name != team && state.queued > 0)
+            .map(|(name, state)| {
+                (state.queued as f64).min(turns * f64::from(share_of(name).max(1)))
+            })
+            .sum();
+        above as f64 + own as f64 + others
+    }
+
+    /// Forgets teams that wait for nothing and have no share to make up.
+    pub(super) fn tidy(&mut self) {
+        for level in self.levels.values_mut() {
+            let floor = level.pass;
+            level.teams.retain(|_, team| team.queued > 0 || team.pass > floor);
+        }
+    }
+}
+
+fn count_before(team: &Team, deadline: time::Monotonic) -> usize {
+    team.classes.values().map(|keys| keys.range(..=(deadline, u64::MAX)).count()).sum()
+}
+
+fn first_of_level(
+    priority: document::Priority,
+    level: &Level,
+    blocked: &[usize],
+) -> Option<Waiting> {
+    let teams = level.teams.iter().filter(|(_, team)| team.queued > 0);
+    let ready =
+        teams.filter_map(|(name, team)| Some((team.pass, name, first_of_team(team, blocked)?)));
+    let (_, team, (key, class)) = ready.min_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)))?;
+    let (deadline, request) = key;
+    Some(Waiting { request, class, priority, team: team.clone(), deadline })
+}
+
+fn first_of_team(team: &Team, blocked: &[usize]) -> Option<(Key, usize)> {
+    let open = team.classes.iter().filter(|(class, _)| !blocked.contains(class));
+    open.filter_map(|(class, keys)| Some((*keys.first()?, *class))).min()
+}
--- /dev/null
+++ b/comfreymill_route/src/router/router.rs
@@ -0,0 +1,312 @@
+use std::collections::HashMap;
+use std::mem;
+use std::time::Duration;
+
+use comfreymill_types::document;
+use comfreymill_types::error;
+use comfreymill_types::id;
+use comfreymill_types::time;
+use rand::SeedableRng as _;
+
+use super::budget::Budget;
+use super::class_state::ClassState;
+use super::executor::Executor;
+use super::history::History;
+use super::pool::Pool;
+use super::queue::Waiting;
+use super::request::{Place, Request};
+use super::{Action, Admission, Config, Decision, RequestView, ServiceDemand, Step};
+
+const DRAINING_RETRY_AFTER: Duration = Duration::from_secs(1);
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Slot of an attempt that ended without the executor's word.
+#[derive(Debug)]
+pub(super) struct Doubt {
+    pub(super) executor: usize,
+    pub(super) until: time::Monotonic,
+}
+
+/// Router of one entry.
+#[derive(Debug)]
+pub struct Router {
+    pub(super) cfg: Config,
+    pub(super) classes: Vec<ClassState>,
+    pub(super) class_by_name: HashMap<id::ClassName, usize>,
+    pub(super) shares: HashMap<id::TeamName, u32>,
+    pub(super) executors: Vec<Executor>,
+    pub(super) unused: Vec<usize>,
+    pub(super) by_name: HashMap<id::ExecutorName, usize>,
+    pub(super) versions: HashMap<u32, u64>,
+    pub(super) leases: HashMap<u32, time::Monotonic>,
+    pub(super) pools: Vec<Pool>,
+    pub(super) pool_by_service: HashMap<id::ServiceName, usize>,
+    pub(super) requests: HashMap<u64, Request>,
+    pub(super) doubts: HashMap<(u64, u32), Doubt>,
+    pub(super) queued: usize,
+    pub(super) budget: Budget,
+    pub(super) history: History,
+    pub(super) actions: Vec<Action>,
+    pub(super) draining: bool,
+    pub(super) last_decay: time::Monotonic,
+    pub(super) rng: rand_chacha::ChaCha8Rng,
+}
+
+impl Router {
+    /// Router without executors or classes.
+    pub fn new(cfg: Config) -> Self {
+        Self {
+            classes: Vec::new(),
+            class_by_name: HashMap::new(),
+            shares: HashMap::new(),
+            executors: Vec::new(),
+            unused: Vec::new(),
+            by_name: HashMap::new(),
+            versions: HashMap::new(),
+            leases: HashMap::new(),
+            pools: Vec::new(),
+            pool_by_service: HashMap::new(),
+            requests: HashMap::new(),
+            doubts: HashMap::new(),
+            queued: 0,
+            budget: Budget::new(cfg.get_retry_ratio()),
+            history: History::new(cfg.get_history_limit()),
+            actions: Vec::new(),
+            draining: false,
+            last_decay: time::Monotonic::ZERO,
+            rng: rand_chacha::ChaCha8Rng::seed_from_u64(cfg.get_seed()),
+            cfg,
+        }
+    }
+
+    /// Takes the classes and teams of the document in force.
+    pub fn document(&mut self, document: &document::Environment) {
+        for class in &mut self.classes {
+            class.in_force = false;
+        }
+        let prompts = document.classes.iter().filter_map(|class| Some((class, class.as_prompt()?)));
+        for (class, prompt) in prompts {
+            let pool = self.pool_of(&prompt.service);
+            if let Some(ix) = self.class_by_name.get(&class.name) {
+                self.classes[*ix].refresh(class, prompt, pool);
+            } else {
+                self.class_by_name.insert(class.name.clone(), self.classes.len());
+                self.classes.push(ClassState::new(class, prompt, pool));
+            }
+        }
+        self.shares = document.teams.iter().map(|team| (team.name.clone(), team.share)).collect();
+    }
+
+    /// Admits, queues or refuses a request.
+    pub fn submit(&mut self, now: time::Monotonic, req: &RequestView) -> Admission {
+        self.expire_leases(now);
+        self.history.open(req);
+        match self.admit(now, req) {
+            Ok(admission) => admission,
+            Err(error) => {
+                self.history.add(req.id, Step::Refused { at: now, kind: error.get_kind() });
+                Admission::Refused(error)
+            }
+        }
+    }
+
+    /// Refuses new requests from now on; what is queued or running goes on.
+    pub fn draining(&mut self) {
+        self.draining = true;
+    }
+
+    /// Whether new requests are refused.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Requests that are not over.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Requests that wait for a slot.
+    pub fn queued_requests(&self) -> usize {
+        self.queued
+    }
+
+    /// Takes what the shell has to do.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        mem::take(&mut self.actions)
+    }
+
+    /// Slots that this entry uses of an executor, all its lives counted.
+    pub fn usage(&self, name: &id::ExecutorName) -> u32 {
+        let lives = self.executors.iter().filter(|executor| executor.name() == name);
+        lives.map(Executor::in_use).sum()
+    }
+
+    /// Slots wanted of each service, for the leader that grants them.
+    pub fn demand(&mut self, _now: time::Monotonic) -> Vec<ServiceDemand> {
+        let headroom = self.cfg.get_headroom();
+        let wanted = self.pools.iter_mut().map(|pool| {
+            pool.told_demand = pool.demand(headroom);
+            ServiceDemand { service: pool.service.clone(), slots: pool.told_demand }
+        });
+        wanted.collect()
+    }
+
+    /// Record of what was decided for a request, while it is kept.
+    pub fn explain(&self, request: u64) -> Option<&Decision> {
+        self.history.get(request)
+    }
+
+    /// Decision records from the latest to the oldest.
+    pub fn decisions(&self) -> impl Iterator<Item = &Decision> {
+        self.history.iter()
+    }
+}
+
+impl Router {
+    fn admit(
+        &mut self,
+        now: time::Monotonic,
+        view: &RequestView,
+    ) -> Result<Admission, error::Error> {
+        if self.draining {
+            let error = error::Error::new(error::ErrorKind::Draining, "the entry is stopping");
+            return Err(error.retry_after(DRAINING_RETRY_AFTER));
+        }
+        let req = self.accept(view)?;
+        if now >= req.deadline {
+            let kind = error::ErrorKind::ExpiredInQueue;
+            return Err(error::Error::new(kind, "the deadline passed before the request came"));
+        }
+        self.budget.earn();
+        let pool = self.classes[req.class].service;
+        self.check_reachable(pool, req.class)?;
+        if let Some(ix) = self.choose(now, &req) {
+            let address = self.executors[ix].view.address;
+            let executor = self.executors[ix].name().clone();
+            self.requests.insert(view.id, req);
+            let attempt = self.start(now, view.id, ix);
+            return Ok(Admission::Send { executor, address, attempt });
+        }
+        self.enqueue(now, view.id, req)?;
+        Ok(Admission::Queued)
+    }
+
+    fn accept(&self, view: &RequestView) -> Result<Request, error::Error> {
+        let known = self.class_by_name.get(&view.class).copied();
+        let Some(class) = known.filter(|ix| self.classes[*ix].in_force) else {
+            let message = format!("there is no prompt class {}", view.class);
+            return Err(error::Error::new(error::ErrorKind::NotFound, message).field("class"));
+        };
+        let state = &self.classes[class];
+        let unrepeatable = state.unrepeatable || view.unrepeatable;
+        if unrepeatable && !view.keyed {
+            let message = "an unrepeatable request needs the header Idempotency-Key";
+            return Err(error::Error::new(error::ErrorKind::KeyRequired, message));
+        }
+        let class_deadline = view.arrival + state.deadline;
+        Ok(Request {
+            class,
+            team: view.team.clone(),
+            deadline: view.deadline.map_or(class_deadline, |own| own.min(class_deadline)),
+            unrepeatable,
+            attempt: 0,
+            place: Place::Queued,
+            avoid: None,
+        })
+    }
+
+    /// Puts a request into the queue, in front of which the whole wait is foreseen.
+    fn enqueue(&mut self, now: time::Monotonic, id: u64, req: Request) -> Result<(), error::Error> {
+        let class = &self.classes[req.class];
+        let wait = self.foreseen_wait(class.service, class.priority, &req);
+        let needed = wait + class.likely_micros();
+        let left = req.deadline.since(now).as_micros() as f64;
+        if needed > left {
+            let error = error::Error::new(
+                error::ErrorKind::Overloaded,
+                format!("the wait would be {:.0} ms", wait / 1e3),
+            );
+            let excess = Duration::from_micros((needed - left) as u64);
+            return Err(error.retry_after(excess));
+        }
+        self.make_room(now, &req)?;
+        let ahead = self.pools[self.classes[req.class].service].queue.len();
+        let step = Step::Queued { at: now, wait_micros: wait as u64, ahead };
+        self.history.add(id, step);
+        self.push(id, req);
+        Ok(())
+    }
+
+    /// Keeps the class within its bound, at the cost of the team that is most over its share.
+    fn make_room(&mut self, now: time::Monotonic, req: &Request) -> Result<(), error::Error> {
+        let class = &self.classes[req.class];
+        let is_class_full = class.queued >= class.queue_limit;
+        if !is_class_full && self.queued < self.cfg.get_queue_limit() {
+            return Ok(());
+        }
+        let full = || {
+            let message = format!("{} requests of the class wait", class.queued);
+            error::Error::new(error::ErrorKind::QueueFull, message).retry_after(FULL_RETRY_AFTER)
+        };
+        let shares = &self.shares;
+        let queue = &self.pools[class.service].queue;
+        let share_of = |team: &id::TeamName| shares.get(team).copied().unwrap_or(1);
+        let victim = queue.last_of_greediest(req.class, class.priority, &req.team, share_of);
+        let victim = victim.ok_or_else(full)?;
+        let error = full();
+        self.withdraw(&victim);
+        self.refuse(now, victim.request, error);
+        Ok(())
+    }
+
+    /// Puts a request into its queue.
+    pub(super) fn push(&mut self, id: u64, mut req: Request) {
+        req.place = Place::Queued;
+        let waiting = self.waiting(id, &req);
+        let class = &mut self.classes[req.class];
+        class.queued += 1;
+        self.queued += 1;
+        self.pools[class.service].queue.push(&waiting);
+        self.requests.insert(id, req);
+    }
+
+    /// Takes a request out of its queue.
+    pub(super) fn withdraw(&mut self, waiting: &Waiting) {
+        let class = &mut self.classes[waiting.class];
+        if self.pools[class.service].queue.remove(waiting) {
+            class.queued -= 1;
+            self.queued -= 1;
+        }
+    }
+
+    /// Ends a request with an error for its caller.
+    pub(super) fn refuse(&mut self, now: time::Monotonic, request: u64, error: error::Error) {
+        self.requests.remove(&request);
+        self.history.add(request, Step::Refused { at: now, kind: error.get_kind() });
+        self.actions.push(Action::Refuse { request, error });
+    }
+
+    pub(super) fn waiting(&self, id: u64, req: &Request) -> Waiting {
+        Waiting {
+            request: id,
+            class: req.class,
+            priority: self.classes[req.class].priority,
+            team: req.team.clone(),
+            deadline: req.deadline,
+        }
+    }
+
+    pub(super) fn pool_of(&mut self, service: &id::ServiceName) -> usize {
+        if let Some(pool) = self.pool_by_service.get(service) {
+            return *pool;
+        }
+        let pool = self.pools.len();
+        self.pools.push(Pool::new(service.clone()));
+        self.pool_by_service.insert(service.clone(), pool);
+        pool
+    }
+
+    pub(super) fn share(&self, team: &id::TeamName) -> u32 {
+        self.shares.get(team).copied().unwrap_or(1)
+    }
+}
--- /dev/null
+++ b/comfreymill_route/src/router/router_dispatch.rs
@@ -0,0 +1,169 @@
+use std::time::Duration;
+
+use comfreymill_types::document;
+use comfreymill_types::error;
+use comfreymill_types::time;
+use rand::RngExt as _;
+
+use super::pool::Wanted;
+use super::request::{Place, Request};
+use super::router::Router;
+use super::{Action, Step};
+
+const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// # Choice and dispatch
+impl Router {
+    /// Executor for a request, if one has a free slot and may be used.
+    pub(super) fn choose(&mut self, now: time::Monotonic, req: &Request) -> Option<usize> {
+        let class = &self.classes[req.class];
+        let pool_ix = class.service;
+        let only_one = self.pools[pool_ix].members.len() <= 1;
+        let wanted = Wanted {
+            rule: &class.rule,
+            unrestricted: class.is_unrestricted(),
+            avoid: req.avoid.filter(|_| !only_one),
+            no_trial: req.unrepeatable,
+        };
+        let policy = self.cfg.get_policy();
+        let own = &mut self.pools[pool_ix].own;
+        let choice = own.choose(policy, &self.executors, wanted, &mut self.rng);
+        if choice.is_some() || self.pools[pool_ix].remote.len() == 0 {
+            return choice;
+        }
+        if self.own_region_can_serve(now, req) {
+            return None;
+        }
+        let remote = &mut self.pools[pool_ix].remote;
+        remote.choose(policy, &self.executors, wanted, &mut self.rng)
+    }
+
+    /// Whether a healthy executor of the own region is likely to answer within the deadline.
+    fn own_region_can_serve(&self, now: time::Monotonic, req: &Request) -> bool {
+        let class = &self.classes[req.class];
+        let pool = &self.pools[class.service];
+        let has_own = if class.is_unrestricted() {
+            pool.own_serving > 0
+        } else {
+            let own = pool.members.iter().map(|ix| &self.executors[*ix]);
+            own.filter(|executor| !executor.remote && executor.is_serving())
+                .any(|executor| class.rule.allows(&executor.view.region, &executor.view.zone))
+        };
+        let wait = self.foreseen_wait(class.service, class.priority, req);
+        let left = req.deadline.since(now).as_micros() as f64;
+        has_own && wait + class.likely_micros() <= left
+    }
+
+    /// Wait that a request would have in the queue, in microseconds.
+    pub(super) fn foreseen_wait(
+        &self,
+        pool: usize,
+        priority: document::Priority,
+        req: &Request,
+    ) -> f64 {
+        let pool = &self.pools[pool];
+        let share_of = |team: &_| self.share(team);
+        let ahead = pool.queue.ahead(priority, &req.team, req.deadline, share_of);
+        let slots = if pool.own_serving > 0 { pool.own_slots } else { pool.remote_slots };
+        if slots == 0 {
+            return self.cfg.get_grant_wait().as_micros() as f64;
+        }
+        (ahead + 1.0) * pool.service_time.get_mean() / f64::from(slots)
+    }
+
+    /// Refuses at once what no executor can serve.
+    pub(super) fn check_reachable(&self, pool: usize, class: usize) -> Result<(), error::Error> {
+        let pool = &self.pools[pool];
+        let class = &self.classes[class];
+        let is_served = if class.is_unrestricted() {
+            pool.own_serving + pool.remote_serving > 0
+        } else {
+            let members = pool.members.iter().map(|ix| &self.executors[*ix]);
+            members
+                .filter(|executor| executor.is_serving())
+                .any(|executor| class.rule.allows(&executor.view.region, &executor.view.zone))
+        };
+        if is_served {
+            return Ok(());
+        }
+        let message = format!("no executor of {} can be reached", pool.service);
+        let error = error::Error::new(error::ErrorKind::NoExecutor, message);
+        Err(error.retry_after(UNREACHABLE_RETRY_AFTER))
+    }
+
+    /// Counts an attempt of `request` on the executor; returns its number.
+    pub(super) fn start(&mut self, now: time::Monotonic, request: u64, ix: usize) -> u32 {
+        let Some(req) = self.requests.get_mut(&request) else { return 0 };
+        req.attempt += 1;
+        req.place = Place::Running { executor: ix, since: now };
+        let attempt = req.attempt;
+        let class = &self.classes[req.class];
+        let share = self.shares.get(&req.team).copied().unwrap_or(1);
+        let pool = &mut self.pools[class.service];
+        pool.queue.charge(class.priority, &req.team, share);
+        pool.in_use += 1;
+        let executor = &mut self.executors[ix];
+        let step = Step::Sent {
+            at: now,
+            executor: executor.name().clone(),
+            incarnation: executor.view.incarnation,
+            attempt,
+            cost: executor.key.map_or(0, |key| key.0),
+            in_use: executor.in_use(),
+            candidates: pool.own.len(),
+            remote: executor.remote,
+        };
+        executor.running.push((request, now));
+        self.history.add(request, step);
+        self.reindex(now, ix);
+        attempt
+    }
+
+    /// Renews an executor's place in the index of those with a free slot.
+    pub(super) fn reindex(&mut self, now: time::Monotonic, ix: usize) {
+        let tie = self.rng.random();
+        let executor = &mut self.executors[ix];
+        let side = self.pools[executor.service].side_mut(executor.remote);
+        if executor.in_use() < executor.limit(&self.cfg, now) {
+            let cost = executor.cost(&self.cfg, now);
+            side.put(ix, executor, cost, tie);
+        } else if let Some((moved, position)) = side.take(ix, executor) {
+            self.executors[moved].position = Some(position);
+        }
+    }
+
+    /// Sends what waits for the pool, as far as slots are free.
+    pub(super) fn dispatch(&mut self, now: time::Monotonic, pool: usize) {
+        self.expire_leases(now);
+        let mut blocked = Vec::new();
+        while self.has_free_slot(pool) {
+            let Some(next) = self.pools[pool].queue.first(&blocked) else { break };
+            if self.refuse_if_late(now, &next) {
+                continue;
+            }
+            let Some(req) = self.requests.remove(&next.request) else {
+                self.withdraw(&next);
+                continue;
+            };
+            let choice = self.choose(now, &req);
+            self.requests.insert(next.request, req);
+            let Some(ix) = choice else {
+                blocked.push(next.class);
+                continue;
+            };
+            self.withdraw(&next);
+            let attempt = self.start(now, next.request, ix);
+            let view = &self.executors[ix].view;
+            self.actions.push(Action::Send {
+                request: next.request,
+                executor: view.name.clone(),
+                address: view.address,
+                attempt,
+            });
+        }
+    }
+
+    fn has_free_slot(&self, pool: usize) -> bool {
+        self.pools[pool].own.len() + self.pools[pool].remote.len() > 0
+    }
+}
--- /dev/null
+++ b/comfreymill_route/src/router/router_health.rs
@@ -0,0 +1,190 @@
+use std::time::Duration;
+
+use comfreymill_types::id;
+use comfreymill_types::time;
+
+use super::Action;
+use super::estimate::Estimate;
+use super::health::Health;
+use super::request::Place;
+use super::router::Router;
+
+const SLOW_SAMPLES: u32 = 5;
+const SLOW_EXCESS_MICROS: f64 = 3_000.0;
+const FORGIVING_SUCCESSES: u32 = 50;
+const RATIO_WEIGHT: f64 = 0.2;
+const DECAY_PERIOD: Duration = Duration::from_secs(1);
+const DECAY_SHARE: f64 = 0.05;
+const QUIET: Duration = Duration::from_secs(5);
+const PEAK_DECAY: f64 = 0.7;
+
+/// # Health of executors
+impl Router {
+    /// Takes the result of a probe on a new connection.
+    pub fn probed(&mut self, now: time::Monotonic, name: &id::ExecutorName, is_healthy: bool) {
+        let Some(ix) = self.by_name.get(name).copied() else { return };
+        match (self.executors[ix].health, is_healthy) {
+            (Health::Probing { .. }, true) => self.set_health(now, ix, Health::Trial),
+            (Health::Probing { .. } | Health::Serving, false) => self.eject(now, ix),
+            _ => return,
+        }
+        self.dispatch(now, self.executors[ix].service);
+    }
+
+    /// Moves time on: ends ejections, doubts and leases, and refuses what waited too long.
+    pub fn tick(&mut self, now: time::Monotonic) {
+        self.expire_leases(now);
+        self.expire_doubts(now);
+        for ix in 0..self.executors.len() {
+            self.tick_executor(now, ix);
+        }
+        if now.since(self.last_decay) >= DECAY_PERIOD {
+            self.last_decay = now;
+            self.decay(now);
+        }
+        for pool in 0..self.pools.len() {
+            self.expire_queue(now, pool);
+            self.dispatch(now, pool);
+            self.pools[pool].queue.tidy();
+            self.watch_demand(pool);
+        }
+    }
+
+    /// Takes a success with its latency relative to the class's `usual` one in microseconds.
+    pub(super) fn praise(&mut self, now: time::Monotonic, ix: usize, ratio: f64, usual: f64) {
+        let least_slow = 1.0 + SLOW_EXCESS_MICROS / usual;
+        let slow_factor = self.cfg.get_slow_factor().max(least_slow);
+        let executor = &mut self.executors[ix];
+        executor.failures = 0;
+        executor.successes = executor.successes.saturating_add(1);
+        executor.last_sample = now;
+        executor.ratio.add(ratio);
+        if executor.successes >= FORGIVING_SUCCESSES {
+            executor.ejections = 0;
+        }
+        let is_measured = executor.ratio.get_samples() >= SLOW_SAMPLES;
+        let is_slow = !executor.remote && executor.ratio.get_mean() > slow_factor;
+        match executor.health {
+            Health::Trial if ratio > slow_factor => self.eject(now, ix),
+            Health::Trial => {
+                executor.warm_at = now + self.cfg.get_slow_start();
+                self.set_health(now, ix, Health::Serving);
+            }
+            Health::Serving if is_measured && is_slow => self.eject(now, ix),
+            _ => {}
+        }
+    }
+
+    /// Takes a failure that is the executor's.
+    pub(super) fn blame(&mut self, now: time::Monotonic, ix: usize) {
+        let executor = &mut self.executors[ix];
+        executor.failures = executor.failures.saturating_add(1);
+        executor.successes = 0;
+        let is_over = executor.failures >= self.cfg.get_ejection_failures();
+        if executor.health == Health::Trial || (executor.health == Health::Serving && is_over) {
+            self.eject(now, ix);
+        }
+    }
+
+    /// Takes a failure that may be the connection's: the others are dropped and a probe decides.
+    pub(super) fn suspect(&mut self, now: time::Monotonic, ix: usize, since: time::Monotonic) {
+        let executor = &mut self.executors[ix];
+        if executor.dropped_at.is_some_and(|dropped| since <= dropped) {
+            return;
+        }
+        executor.dropped_at = Some(now);
+        let name = executor.name().clone();
+        self.actions.push(Action::DropConnections { executor: name });
+        self.probe_soon(ix);
+        self.blame(now, ix);
+    }
+
+    /// Takes an executor out of service, unless too many are out already.
+    pub(super) fn eject(&mut self, now: time::Monotonic, ix: usize) {
+        let executor = &self.executors[ix];
+        let pool = &self.pools[executor.service];
+        let allowed = (pool.members.len() as f64 * self.cfg.get_max_ejected_share()) as usize;
+        let is_out = executor.health != Health::Serving;
+        if !self.cfg.is_ejection_set() || (!is_out && pool.ejected >= allowed) {
+            return;
+        }
+        let executor = &mut self.executors[ix];
+        executor.ejections = executor.ejections.saturating_add(1);
+        executor.ratio = Estimate::new(1.0, RATIO_WEIGHT);
+        let doublings = (executor.ejections - 1).min(16);
+        let span = self.cfg.get_base_ejection() * 2_u32.pow(doublings);
+        let until = now + span.min(self.cfg.get_max_ejection());
+        self.set_health(now, ix, Health::Ejected { until });
+    }
+
+    pub(super) fn set_health(&mut self, now: time::Monotonic, ix: usize, health: Health) {
+        self.executors[ix].health = health;
+        self.recount(self.executors[ix].service);
+        self.reindex(now, ix);
+    }
+
+    fn tick_executor(&mut self, now: time::Monotonic, ix: usize) {
+        let executor = &self.executors[ix];
+        match executor.health {
+            Health::Ejected { until } if now >= until && !executor.gone => {
+                let until = now + self.cfg.get_probe_timeout();
+                self.executors[ix].health = Health::Probing { until };
+                self.probe_soon(ix);
+            }
+            Health::Probing { until } if now >= until => self.eject(now, ix),
+            Health::Serving if executor.warm_at > now => self.reindex(now, ix),
+            _ => {}
+        }
+    }
+
+    fn expire_doubts(&mut self, now: time::Monotonic) {
+        let over: Vec<_> = self
+            .doubts
+            .iter()
+            .filter(|(_, doubt)| now >= doubt.until)
+            .map(|(key, doubt)| (*key, doubt.executor))
+            .collect();
+        for (key, executor) in over {
+            self.doubts.remove(&key);
+            self.settle(now, executor);
+        }
+    }
+
+    fn expire_queue(&mut self, now: time::Monotonic, pool: usize) {
+        for waiting in self.pools[pool].queue.firsts() {
+            self.refuse_if_late(now, &waiting);
+        }
+    }
+
+    /// Lets the latency of executors that were not measured for a time drift to the usual one.
+    fn decay(&mut self, now: time::Monotonic) {
+        for ix in 0..self.executors.len() {
+            let executor = &mut self.executors[ix];
+            let is_idle = executor.running.is_empty() && now.since(executor.last_sample) >= QUIET;
+            if is_idle && executor.ratio.get_samples() > 0 && !executor.remote {
+                executor.ratio.relax(1.0, DECAY_SHARE);
+                self.reindex(now, ix);
+            }
+        }
+        for pool in &mut self.pools {
+            let present = f64::from(pool.in_use) + pool.queue.len() as f64;
+            pool.peak = present.max(pool.peak * PEAK_DECAY);
+        }
+    }
+
+    /// Tells the leader early when demand outgrew what was told.
+    fn watch_demand(&mut self, pool: usize) {
+        let pool = &mut self.pools[pool];
+        let present = pool.in_use + pool.queue.len() as u32;
+        let is_outgrown = present > pool.told_demand && pool.queue.len() > 0;
+        if is_outgrown && !self.actions.contains(&Action::DemandChanged) {
+            self.actions.push(Action::DemandChanged);
+        }
+    }
+
+    /// Whether the request runs at an executor.
+    pub fn is_running(&self, request: u64) -> bool {
+        let place = self.requests.get(&request).map(|req| req.place);
+        matches!(place, Some(Place::Running { .. }))
+    }
+}
--- /dev/null
+++ b/comfreymill_route/src/router/service_demand.rs
@@ -0,0 +1,10 @@
+use comfreymill_types::id;
+
+/// Slots that an entry wants of a service.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct ServiceDemand {
+    /// Service wanted.
+    pub service: id::ServiceName,
+    /// Slots in use, queued for and as headroom.
+    pub slots: u32,
+}
--- /dev/null
+++ b/comfreymill_route/tests/router/mod.rs
@@ -0,0 +1,6 @@
+mod choice;
+mod health;
+mod outcomes;
+mod queue;
+mod refusals;
+mod table;
