fix(command): leave each attempt of the client at least a second

Cause: the last attempt before the deadline could have next to no time and then reported a timeout instead of what the node does.

--- a/comfreymill_node/src/command/client.rs
+++ b/comfreymill_node/src/command/client.rs
@@ -20,6 +20,7 @@
     net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 7402);
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(4);
+const MIN_ATTEMPT_TIME: Duration = Duration::from_secs(1);
 const PAUSE: Duration = Duration::from_millis(200);
 
 /// Client of the operators' listeners.
@@ -90,7 +91,7 @@
                     }
                 }
             }
-            if Instant::now() + PAUSE >= deadline {
+            if Instant::now() + PAUSE + MIN_ATTEMPT_TIME >= deadline {
                 return Err(give_up(request, maybe_done, last));
             }
             monoio::time::sleep(PAUSE).await;
