feat(settings): embedded settings for one process on loopback

Cause: serve and the example need settings without a file; a limit of a head over 60KiB was accepted though the HTTP crate cuts it down. Change: settings::Embedded with a prepared folder, key and token; the head's limit is checked against the crate's ceiling, its default is 32KiB.

--- a/comfreymill_node/src/command/env.rs
+++ b/comfreymill_node/src/command/env.rs
@@ -11,7 +11,8 @@
 use super::document_view::DocumentView;
 use super::flags::{Options, env};
 use super::request::Request;
-use super::{OutputFormat, line_diff, random, render};
+use super::{OutputFormat, line_diff, render};
+use crate::random;
 
 const OPERATION_BYTES: usize = 16;
 
--- a/comfreymill_node/src/command/job.rs
+++ b/comfreymill_node/src/command/job.rs
@@ -9,7 +9,8 @@
 use super::client::Client;
 use super::flags::{Options, job};
 use super::request::Request;
-use super::{Output, random, render};
+use super::{Output, render};
+use crate::random;
 
 const KEY_BYTES: usize = 16;
 
--- a/comfreymill_node/src/command/mod.rs
+++ b/comfreymill_node/src/command/mod.rs
@@ -18,7 +18,6 @@
 mod line_diff;
 mod output_format;
 mod programs;
-mod random;
 mod render;
 mod request;
 mod run;
--- a/comfreymill_node/src/lib.rs
+++ b/comfreymill_node/src/lib.rs
@@ -5,3 +5,5 @@
 pub mod metering;
 pub mod peer;
 pub mod settings;
+
+mod random;
--- a/comfreymill_node/src/settings/limits.rs
+++ b/comfreymill_node/src/settings/limits.rs
@@ -1,14 +1,16 @@
+use comfreymill_http::limits as http_limits;
 use comfreymill_types::size;
 use comfreymill_types::time;
 use comfreymill_types::yaml;
 
 const MIN_HEAD_BYTES: u64 = 1 << 10;
+const MAX_HEAD_BYTES: u64 = http_limits::MAX_HEAD_BYTES_CEILING as u64;
 
 settings_group! {
     /// Bounds on what a stranger may use of a process.
     pub struct Limits {
         /// Largest head of an HTTP message.
-        head, get_head: size::ByteSize = size::ByteSize::new(64 << 10);
+        head, get_head: size::ByteSize = size::ByteSize::new(32 << 10);
         /// Largest body of an HTTP message.
         body, get_body: size::ByteSize = size::ByteSize::new(8 << 20);
         /// Most open connections of one listener.
@@ -25,8 +27,8 @@
 impl Limits {
     pub(super) fn read(section: &yaml::Section<'_>) -> Self {
         let limits = Self::read_values(section);
-        if limits.head.get() < MIN_HEAD_BYTES {
-            section.problem("head", "a head needs at least 1KiB");
+        if !(MIN_HEAD_BYTES..=MAX_HEAD_BYTES).contains(&limits.head.get()) {
+            section.problem("head", "the limit of a head is from 1KiB to 60KiB");
         }
         if limits.connections == 0 {
             section.problem("connections", "a listener needs at least 1 connection");
--- a/comfreymill_node/src/settings/mod.rs
+++ b/comfreymill_node/src/settings/mod.rs
@@ -9,6 +9,7 @@
 
 mod common_settings;
 mod control_settings;
+mod embedded;
 mod entry_settings;
 mod limits;
 mod log_file;
@@ -26,6 +27,7 @@
 
 pub use common_settings::CommonSettings;
 pub use control_settings::ControlSettings;
+pub use embedded::Embedded;
 pub use entry_settings::EntrySettings;
 pub use limits::Limits;
 pub use log_file::LogFile;
--- a/comfreymill_node/tests/settings/alone.rs
+++ b/comfreymill_node/tests/settings/alone.rs
@@ -54,9 +54,10 @@
         ("  peers: 127.0.0.1:7311", "  peers: 127.0.0.1:7399", "listeners.peers: differs from `127.0.0.1:7311`"),
         ("  peers: 127.0.0.1:7311", "  peers: 127.0.0.1:7301", "listeners.peers: `127.0.0.1:7301` is also the address of `operators`"),
         ("  operators: 127.0.0.1:7301", "  operators: localhost", "listeners.operators: invalid socket address"),
-        ("head: 64KiB", "head: 64", "limits.head: `64` is not a size"),
-        ("head: 64KiB", "head: 64k", "limits.head: `64k` is not a size"),
-        ("head: 64KiB", "head: 1B", "limits.head: a head needs at least 1KiB"),
+        ("head: 32KiB", "head: 64", "limits.head: `64` is not a size"),
+        ("head: 32KiB", "head: 64k", "limits.head: `64k` is not a size"),
+        ("head: 32KiB", "head: 1B", "limits.head: the limit of a head is from 1KiB to 60KiB"),
+        ("head: 32KiB", "head: 61KiB", "limits.head: the limit of a head is from 1KiB to 60KiB"),
         ("connections: 4096", "connections: 0", "limits.connections: a listener needs"),
         ("connections: 4096", "connections: -4", "limits.connections: invalid digit"),
         ("idle: 60s", "idle: 60", "limits.idle: `60` is not a time"),
@@ -149,7 +150,7 @@
 fn all_problems_are_reported_in_the_order_of_the_file() {
     let text = CONTROL
         .replace("placement: default", "placement: worst-fit")
-        .replace("head: 64KiB", "head: 64")
+        .replace("head: 32KiB", "head: 64")
         .replace("idle: 60s", "idle: soon")
         .replace("level: info", "level: loud")
         .replace("# Rule by", "colour: blue # Rule by");
--- a/comfreymill_node/tests/settings/machine.rs
+++ b/comfreymill_node/tests/settings/machine.rs
@@ -133,7 +133,7 @@
 fn problems_of_the_file_and_of_the_machine_are_reported_together() {
     let scratch = Scratch::new();
     let text = with_free_ports(CONTROL)
-        .replace("head: 64KiB", "head: 64")
+        .replace("head: 32KiB", "head: 64")
         .replace("data_folder: data", "data_folder: absent");
     let problems = problems_of(&scratch, &text);
     expect_problem(&problems, line_of(&text, "data_folder:"), "is missing: create it");
