--- a/comfreymill_group/tests/schedule/checker.rs
+++ b/comfreymill_group/tests/schedule/checker.rs
@@ -1,7 +1,8 @@
+use crate::schedule::coverage::Coverage;
 use crate::schedule::machine::{self, Machine};
 use crate::schedule::node::Node;
 use comfreymill_group::{entry, id, replica};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 
 /// What is known to be true of the whole group, and must stay so.
 #[derive(Debug, Default)]
@@ -13,9 +14,8 @@
     committed: Vec<(id::Term, u64, Machine)>,
     /// Commands by number that were refused, and must not be applied.
     pub(super) refused: BTreeSet<u64>,
-    /// Commands by number that were acknowledged, with their index.
-    pub(super) acknowledged: BTreeMap<u64, id::Index>,
     last_acknowledged: id::Index,
+    pub(super) coverage: Coverage,
     /// Commands by number that were applied, with their index.
     applied: HashMap<u64, id::Index>,
 }
@@ -64,7 +64,7 @@
     /// An acknowledged command is committed.
     pub(super) fn on_acknowledge(&mut self, number: u64, index: id::Index) {
         assert_eq!(self.applied.get(&number), Some(&index), "acknowledged and not committed");
-        self.acknowledged.insert(number, index);
+        self.coverage.acknowledged += 1;
         self.last_acknowledged = self.last_acknowledged.max(index);
     }
 
@@ -80,6 +80,7 @@
             if !replica.lease_valid(node.clock(now)) {
                 continue;
             }
+            self.coverage.valid_leases += 1;
             let former = holder.replace(node.voter);
             assert_eq!(former, None, "two valid leases, one at {}", node.voter);
             if replica.is_ready() {
@@ -93,7 +94,10 @@
         let identity = (replica.voter(), replica.disk());
         match self.leaders.insert(replica.term(), identity) {
             Some(known) => assert_eq!(known, identity, "two leaders in term {}", replica.term()),
-            None => self.check_completeness(replica),
+            None => {
+                self.coverage.elections += 1;
+                self.check_completeness(replica);
+            }
         }
     }
 
--- a/comfreymill_group/tests/schedule/faults.rs
+++ b/comfreymill_group/tests/schedule/faults.rs
@@ -101,6 +101,7 @@
         let Some(replica) = &mut self.nodes[position].replica else { return };
         if let Some(to) = replica.best_successor() {
             replica.transfer_leadership(clock, to).expect("a leader with another voter");
+            self.checker.coverage.transfers += 1;
             self.perform(position);
         }
     }
@@ -117,6 +118,9 @@
             let differing = before.iter().filter(|(it, member)| after.get(*it) != Some(*member));
             let added = after.iter().filter(|(it, _)| before.get(*it).is_none());
             assert_eq!(differing.count() + added.count(), 1, "more than one member changed");
+            self.checker.coverage.changes += 1;
+            let is_promotion = matches!(change, membership::Change::Promote(_));
+            self.checker.coverage.promotions += u64::from(is_promotion);
         }
         self.perform(position);
     }
@@ -165,6 +169,7 @@
             return;
         }
         self.lost_disks += 1;
+        self.checker.coverage.lost_disks += 1;
         self.crash(position);
         let disk = self.fresh_disk();
         let voter = self.nodes[position].voter;
--- a/comfreymill_group/tests/schedule/mod.rs
+++ b/comfreymill_group/tests/schedule/mod.rs
@@ -3,6 +3,7 @@
 //! step and progress checked at the end.
 
 mod checker;
+mod coverage;
 mod faults;
 mod machine;
 mod network;
--- a/comfreymill_group/tests/schedule/runs.rs
+++ b/comfreymill_group/tests/schedule/runs.rs
@@ -1,3 +1,4 @@
+use crate::schedule::coverage::Coverage;
 use crate::schedule::world::World;
 use std::env;
 use std::panic;
@@ -8,13 +9,14 @@
 const STEP_MICROS: u64 = 10_000;
 
 /// Runs the schedule of `seed`, then heals the network and expects progress.
-fn run(seed: u64) {
+fn run(seed: u64) -> Coverage {
     let voters = [3, 3, 5, 1, 3, 4, 2, 5][usize::try_from(seed % 8).expect("small")];
     let mut world = World::new(seed, voters);
     for _ in 0..STEPS {
         world.step();
     }
     recover(&mut world);
+    world.checker.coverage
 }
 
 fn recover(world: &mut World) {
@@ -55,13 +57,18 @@
     let schedules = env::var("COMFREYMILL_SCHEDULES").ok().and_then(|it| it.parse().ok());
     let first = env::var("COMFREYMILL_FIRST_SEED").ok().and_then(|it| it.parse().ok()).unwrap_or(0);
     let mut failed = Vec::new();
+    let mut coverage = Coverage::default();
     for seed in first..first + schedules.unwrap_or(DEFAULT_SCHEDULES) {
-        if panic::catch_unwind(|| run(seed)).is_err() {
-            failed.push(seed);
+        match panic::catch_unwind(|| run(seed)) {
+            Ok(reached) => coverage.add(reached),
+            Err(_) => failed.push(seed),
         }
         if failed.len() >= 5 {
             break;
         }
     }
     assert!(failed.is_empty(), "failed seeds: {failed:?}");
+    eprintln!("{coverage:?}");
+    let is_full_run = schedules.unwrap_or(DEFAULT_SCHEDULES) >= DEFAULT_SCHEDULES;
+    assert!(!is_full_run || coverage.missing().is_empty(), "not reached: {coverage:?}");
 }
--- a/comfreymill_group/tests/schedule/world.rs
+++ b/comfreymill_group/tests/schedule/world.rs
@@ -73,6 +73,7 @@
 
     /// Kills the node at `position`.
     pub(super) fn crash(&mut self, position: usize) {
+        self.checker.coverage.lost_writes += self.nodes[position].unsynced.len() as u64;
         self.nodes[position].crash(&mut self.rng);
         self.open.retain(|(node, _, _), _| *node != position);
     }
@@ -153,6 +154,7 @@
 
     fn perform_one(&mut self, position: usize, action: replica::Action) {
         let from = self.nodes[position].voter;
+        let is_running = self.nodes[position].machine != Machine::default();
         match action {
             replica::Action::Persist(write) => {
                 self.checker.on_write(&self.nodes[position], &write);
@@ -173,10 +175,16 @@
                 let machine = Machine::from_bytes(&snapshot.data);
                 assert_eq!(machine.index, snapshot.meta.index, "snapshot at another index");
                 self.checker.on_install(machine);
+                self.checker.coverage.installed += u64::from(is_running);
                 self.nodes[position].machine = machine;
             }
-            replica::Action::Halt(_) => self.nodes[position].halted = true,
-            replica::Action::Role { .. } | replica::Action::Dropped { .. } => {}
+            replica::Action::Halt(replica::Halt::DiskReplaced { .. }) => {
+                self.checker.coverage.refused_disks += 1;
+                self.nodes[position].halted = true;
+            }
+            replica::Action::Halt(halt) => panic!("{halt}"),
+            replica::Action::Dropped { .. } => self.checker.coverage.overwritten += 1,
+            replica::Action::Role { .. } => {}
         }
     }
 
