test(group): add single situations and profiles of faults

Cause: the schedules alone don't say what a cut-off leader, a lost disk or a hand-over does, and candidates of one term seldom met in them. Change: scenario tests; schedules are mixed, calm or duels.

--- a/comfreymill_group/src/replica/config.rs
+++ b/comfreymill_group/src/replica/config.rs
@@ -17,6 +17,7 @@
     max_uncommitted_bytes: usize,
     snapshot_chunk_bytes: usize,
     retained_entries: u64,
+    retained_bytes: usize,
     promote_lag_entries: u64,
 }
 
@@ -54,6 +55,7 @@
             max_uncommitted_bytes: 16 * 1024 * 1024,
             snapshot_chunk_bytes: 128 * 1024,
             retained_entries: 2_000,
+            retained_bytes: 4 * 1024 * 1024,
             promote_lag_entries: 100,
         }
     }
@@ -122,6 +124,13 @@
         self
     }
 
+    /// Most bytes of entries kept in memory behind a snapshot.
+    #[must_use]
+    pub fn retained_bytes(mut self, bytes: usize) -> Self {
+        self.retained_bytes = bytes;
+        self
+    }
+
     /// Most entries that a learner may lack to be promoted.
     #[must_use]
     pub fn promote_lag_entries(mut self, entries: u64) -> Self {
@@ -224,6 +233,11 @@
         self.retained_entries
     }
 
+    /// Most bytes of entries kept in memory behind a snapshot.
+    pub fn get_retained_bytes(&self) -> usize {
+        self.retained_bytes
+    }
+
     /// Most entries that a learner may lack to be promoted.
     pub fn get_promote_lag_entries(&self) -> u64 {
         self.promote_lag_entries
--- a/comfreymill_group/src/replica/core.rs
+++ b/comfreymill_group/src/replica/core.rs
@@ -140,6 +140,16 @@
         self.snapshot.as_ref().map_or(id::Index::ZERO, |it| it.meta.index)
     }
 
+    /// Entries handed out since the newest snapshot.
+    pub fn entries_since_snapshot(&self) -> u64 {
+        self.delivered.distance_from(self.snapshot_index())
+    }
+
+    /// Entries kept in memory.
+    pub fn entries_in_memory(&self) -> u64 {
+        self.log.last_index().distance_from(self.log.base_index())
+    }
+
     /// Membership of the newest entry, committed or not.
     pub fn membership(&self) -> &membership::Membership {
         self.log.history().current()
--- a/comfreymill_group/src/replica/log.rs
+++ b/comfreymill_group/src/replica/log.rs
@@ -94,6 +94,21 @@
         indexes.filter_map(|index| self.get(index)).map(entry::Entry::size_bytes).sum()
     }
 
+    /// Index before the last `entries` entries up to `to`, or before fewer of at most `bytes`.
+    pub(super) fn tail_start(&self, to: id::Index, entries: u64, bytes: usize) -> id::Index {
+        let mut start = to;
+        let mut tail_bytes = 0;
+        while to.distance_from(start) < entries {
+            let Some(entry) = self.get(start) else { break };
+            tail_bytes += entry.size_bytes();
+            if tail_bytes > bytes {
+                break;
+            }
+            start = start.previous();
+        }
+        start
+    }
+
     /// First index in memory whose entry has the same term as that at `index`.
     pub(super) fn first_of_term(&self, index: id::Index) -> id::Index {
         let term = self.term_at(index);
--- a/comfreymill_group/src/replica/take_snapshot.rs
+++ b/comfreymill_group/src/replica/take_snapshot.rs
@@ -19,7 +19,8 @@
         let membership = self.log.history().at(index).clone();
         let meta = snapshot::SnapshotMeta { index, term, membership };
         self.keep_snapshot(snapshot::Snapshot { meta, data });
-        self.log.compact_to(index.minus(self.cfg.get_retained_entries()));
+        let (entries, bytes) = (self.cfg.get_retained_entries(), self.cfg.get_retained_bytes());
+        self.log.compact_to(self.log.tail_start(index, entries, bytes));
         true
     }
 
--- a/comfreymill_group/tests/main.rs
+++ b/comfreymill_group/tests/main.rs
@@ -1,4 +1,5 @@
 //! Tests of agreement, log files and snapshots.
 
+mod scenario;
 mod schedule;
 mod store;
--- /dev/null
+++ b/comfreymill_group/tests/scenario/member.rs
@@ -0,0 +1,101 @@
+use crate::scenario::group;
+use crate::schedule::node::Node;
+use crate::schedule::world::World;
+use comfreymill_group::{id, membership, replica};
+
+fn change(
+    world: &mut World,
+    position: usize,
+    change: membership::Change,
+) -> Result<id::Index, replica::ChangeError> {
+    let clock = world.nodes[position].clock(world.now);
+    let replica = world.nodes[position].replica.as_mut().expect("running");
+    let result = replica.change_membership(clock, change);
+    world.perform(position);
+    result
+}
+
+fn add_newcomer(world: &mut World) -> id::VoterId {
+    let voter = id::VoterId::new(8);
+    let peers = world.nodes.iter().map(|node| node.voter).collect();
+    world.nodes.push(Node::new(voter, id::DiskId::new(88), replica::Start::Join { peers }));
+    world.start(world.nodes.len() - 1);
+    group::pass(world, 1_000);
+    voter
+}
+
+#[test]
+fn changes_that_do_not_fit_are_refused_with_their_reason() {
+    use membership::Change;
+    use replica::ChangeError;
+
+    let (mut world, leader) = group::started(1, 3);
+    let own = world.nodes[leader].voter;
+    let follower = (leader + 1) % 3;
+    let other = world.nodes[follower].voter;
+    let unknown = id::VoterId::new(50);
+    let cases = [
+        (Change::AddLearner(unknown), ChangeError::NotAnnounced { voter: unknown }),
+        (Change::AddLearner(other), ChangeError::AlreadyMember { voter: other }),
+        (Change::Promote(other), ChangeError::NotFitting { voter: other }),
+        (Change::Promote(unknown), ChangeError::NotFitting { voter: unknown }),
+        (Change::Remove(unknown), ChangeError::NotFitting { voter: unknown }),
+        (Change::Remove(own), ChangeError::RemovesLeader { voter: own }),
+    ];
+    for (tried, expected) in cases {
+        assert_eq!(change(&mut world, leader, tried), Err(expected), "{tried:?}");
+    }
+    let result = change(&mut world, follower, Change::Remove(other));
+    assert_eq!(result, Err(ChangeError::NotLeader { hint: Some(own) }));
+}
+
+#[test]
+fn a_second_change_waits_for_the_first() {
+    let (mut world, leader) = group::started(2, 3);
+    let voter = add_newcomer(&mut world);
+    let index = change(&mut world, leader, membership::Change::AddLearner(voter)).expect("taken");
+    let result = change(&mut world, leader, membership::Change::Remove(voter));
+    assert_eq!(result, Err(replica::ChangeError::Unfinished { index }));
+    group::pass(&mut world, 500);
+    change(&mut world, leader, membership::Change::Remove(voter)).expect("the first is done");
+}
+
+#[test]
+fn a_learner_is_promoted_only_after_it_caught_up() {
+    let (mut world, leader) = group::started(3, 3);
+    let voter = add_newcomer(&mut world);
+    change(&mut world, leader, membership::Change::AddLearner(voter)).expect("taken");
+    let position = world.nodes.len() - 1;
+    group::cut(&mut world, position, true, true);
+    group::commit(&mut world, leader);
+    group::pass(&mut world, 1_000);
+    let result = change(&mut world, leader, membership::Change::Promote(voter));
+    let is_behind = matches!(result, Err(replica::ChangeError::NotCaughtUp { lag, .. }) if lag > 0);
+    assert!(is_behind, "{result:?}");
+    world.network.heal();
+    group::pass(&mut world, 1_000);
+    change(&mut world, leader, membership::Change::Promote(voter)).expect("it caught up");
+    group::pass(&mut world, 500);
+    assert_eq!(group::replica(&world, position).role(), replica::Role::Follower);
+}
+
+#[test]
+fn a_learner_takes_a_snapshot_and_the_entries_after() {
+    let (mut world, leader) = group::started(6, 3);
+    for _ in 0..30 {
+        group::commit(&mut world, leader);
+    }
+    let machine = world.nodes[leader].machine;
+    let replica = world.nodes[leader].replica.as_mut().expect("running");
+    assert!(replica.snapshot_taken(machine.index, machine.to_bytes()));
+    world.perform(leader);
+    assert!(group::replica(&world, leader).entries_in_memory() <= 5);
+    let voter = add_newcomer(&mut world);
+    change(&mut world, leader, membership::Change::AddLearner(voter)).expect("taken");
+    group::commit(&mut world, leader);
+    let position = world.nodes.len() - 1;
+    group::wait_until(&mut world, 5_000, |world| {
+        world.nodes[position].machine == world.nodes[leader].machine
+    });
+    assert_eq!(group::replica(&world, position).snapshot_index(), machine.index);
+}
--- /dev/null
+++ b/comfreymill_group/tests/scenario/mod.rs
@@ -0,0 +1,10 @@
+//! Single situations of a group, each with the fault that it is about.
+
+mod disk;
+mod group;
+mod kill;
+mod limits;
+mod member;
+mod message;
+mod partition;
+mod transfer;
--- /dev/null
+++ b/comfreymill_group/tests/scenario/partition.rs
@@ -0,0 +1,77 @@
+use crate::scenario::group;
+use comfreymill_group::replica;
+
+/// Cuts the leader off as told, and checks that it stops within its lease, that the others go on
+/// and that what it held is not applied after its return.
+fn cut_off_leader_stops(outgoing: bool, incoming: bool) {
+    for seed in 0..10 {
+        let (mut world, leader) = group::started(seed, 3);
+        group::commit(&mut world, leader);
+        group::cut(&mut world, leader, outgoing, incoming);
+        let held = world.propose(leader).expect("not known to be cut off yet");
+        let is_leading = |world: &crate::schedule::world::World| {
+            group::replica(world, leader).role() == replica::Role::Leader
+        };
+        let millis = group::wait_until(&mut world, 310, |world| !is_leading(world));
+        assert!(millis <= 310, "led {millis} ms without a quorum");
+        let next = group::wait_for_leader(&mut world);
+        assert_ne!(next, leader);
+        group::commit(&mut world, next);
+        assert!(world.propose(leader).is_none(), "a cut-off replica takes a command");
+        world.network.heal();
+        group::pass(&mut world, 2_000);
+        let last = group::wait_for_leader(&mut world);
+        group::commit(&mut world, last);
+        // Entries that reached a follower may be committed by the next leader; others are void.
+        assert!(outgoing || world.checker.is_applied(held));
+        assert!(!outgoing || !world.checker.is_applied(held), "a void command is applied");
+    }
+}
+
+#[test]
+fn a_leader_behind_a_silent_partition_stops_within_its_lease() {
+    cut_off_leader_stops(true, true);
+}
+
+#[test]
+fn a_leader_that_is_not_heard_stops_within_its_lease() {
+    cut_off_leader_stops(true, false);
+}
+
+#[test]
+fn a_leader_that_hears_nobody_stops_within_its_lease() {
+    cut_off_leader_stops(false, true);
+}
+
+#[test]
+fn a_flapping_follower_does_not_depose_the_leader() {
+    let (mut world, leader) = group::started(4, 3);
+    let term = group::replica(&world, leader).term();
+    let follower = (leader + 1) % 3;
+    for round in 0..20 {
+        group::cut(&mut world, follower, round % 2 == 0, true);
+        group::pass(&mut world, 700);
+        group::commit(&mut world, leader);
+        world.network.cuts.clear();
+        group::pass(&mut world, 100);
+    }
+    group::pass(&mut world, 2_000);
+    let present = group::wait_for_leader(&mut world);
+    assert_eq!((present, group::replica(&world, present).term()), (leader, term));
+}
+
+#[test]
+fn a_group_without_a_quorum_takes_no_command() {
+    let (mut world, leader) = group::started(5, 3);
+    for position in (0..3).filter(|position| *position != leader) {
+        world.crash(position);
+    }
+    group::pass(&mut world, 400);
+    assert_eq!(group::serving(&world), None);
+    assert!(world.propose(leader).is_none());
+    for position in (0..3).filter(|position| *position != leader) {
+        world.start(position);
+    }
+    let leader = group::wait_for_leader(&mut world);
+    group::commit(&mut world, leader);
+}
--- a/comfreymill_group/tests/schedule/checker.rs
+++ b/comfreymill_group/tests/schedule/checker.rs
@@ -6,23 +6,23 @@
 
 /// What is known to be true of the whole group, and must stay so.
 #[derive(Debug, Default)]
-pub(super) struct Checker {
+pub(crate) struct Checker {
     leaders: HashMap<id::Term, (id::VoterId, id::DiskId)>,
     /// Term before and hash of the payload, by index and term of each entry ever written.
     written: HashMap<(id::Index, id::Term), (id::Term, u64)>,
     /// Term, payload and state after each committed entry, from index 1 on.
     committed: Vec<(id::Term, u64, Machine)>,
     /// Commands by number that were refused, and must not be applied.
-    pub(super) refused: BTreeSet<u64>,
+    pub(crate) refused: BTreeSet<u64>,
     last_acknowledged: id::Index,
-    pub(super) coverage: Coverage,
+    pub(crate) coverage: Coverage,
     /// Commands by number that were applied, with their index.
     applied: HashMap<u64, id::Index>,
 }
 
 impl Checker {
     /// Log matching: entries of one index and term are equal, and so are those before.
-    pub(super) fn on_write(&mut self, node: &Node, write: &replica::Persist) {
+    pub(crate) fn on_write(&mut self, node: &Node, write: &replica::Persist) {
         let Some(replica) = &node.replica else { return };
         for (position, entry) in write.entries.iter().enumerate() {
             let before = match position {
@@ -37,7 +37,7 @@
     }
 
     /// State machine safety: all replicas apply the same entry at each index.
-    pub(super) fn on_apply(&mut self, entry: &entry::Entry, after: Machine) {
+    pub(crate) fn on_apply(&mut self, entry: &entry::Entry, after: Machine) {
         let position = usize::try_from(entry.index.get() - 1).expect("index fits");
         let value = (entry.term, machine::payload_hash(entry), after);
         if position < self.committed.len() {
@@ -55,21 +55,21 @@
     }
 
     /// Installed state is the one that the committed entries give.
-    pub(super) fn on_install(&self, after: Machine) {
+    pub(crate) fn on_install(&self, after: Machine) {
         let position = usize::try_from(after.index.get()).expect("index fits");
         assert!(position <= self.committed.len(), "snapshot of entries that are not committed");
         assert_eq!(self.committed[position - 1].2, after, "snapshot of another state");
     }
 
     /// An acknowledged command is committed.
-    pub(super) fn on_acknowledge(&mut self, number: u64, index: id::Index) {
+    pub(crate) fn on_acknowledge(&mut self, number: u64, index: id::Index) {
         assert_eq!(self.applied.get(&number), Some(&index), "acknowledged and not committed");
         self.coverage.acknowledged += 1;
         self.last_acknowledged = self.last_acknowledged.max(index);
     }
 
     /// Election safety, leader completeness and the lease.
-    pub(super) fn check(&mut self, nodes: &[Node], now: u64) {
+    pub(crate) fn check(&mut self, nodes: &[Node], now: u64) {
         let mut holder = None;
         for node in nodes {
             let Some(replica) = node.replica.as_ref().filter(|_| !node.halted) else { continue };
@@ -116,18 +116,18 @@
     }
 
     /// Whether command `number` was applied.
-    pub(super) fn is_applied(&self, number: u64) -> bool {
+    pub(crate) fn is_applied(&self, number: u64) -> bool {
         self.applied.contains_key(&number)
     }
 
     /// Last committed entry.
-    pub(super) fn committed_index(&self) -> id::Index {
+    pub(crate) fn committed_index(&self) -> id::Index {
         id::Index::new(self.committed.len() as u64)
     }
 }
 
 /// Number at the start of a command.
-pub(super) fn command_number(data: &[u8]) -> u64 {
+pub(crate) fn command_number(data: &[u8]) -> u64 {
     let mut bytes = [0; 8];
     bytes.copy_from_slice(&data[..8]);
     u64::from_le_bytes(bytes)
--- a/comfreymill_group/tests/schedule/coverage.rs
+++ b/comfreymill_group/tests/schedule/coverage.rs
@@ -1,29 +1,29 @@
 /// What the schedules reached, so that a schedule that reaches nothing is seen.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Coverage {
-    pub(super) acknowledged: u64,
-    pub(super) elections: u64,
-    pub(super) valid_leases: u64,
-    pub(super) overwritten: u64,
-    pub(super) installed: u64,
-    pub(super) changes: u64,
-    pub(super) promotions: u64,
-    pub(super) transfers: u64,
-    pub(super) lost_writes: u64,
-    pub(super) lost_disks: u64,
-    pub(super) refused_disks: u64,
+pub(crate) struct Coverage {
+    pub(crate) acknowledged: u64,
+    pub(crate) elections: u64,
+    pub(crate) valid_leases: u64,
+    pub(crate) overwritten: u64,
+    pub(crate) installed: u64,
+    pub(crate) changes: u64,
+    pub(crate) promotions: u64,
+    pub(crate) transfers: u64,
+    pub(crate) lost_writes: u64,
+    pub(crate) lost_disks: u64,
+    pub(crate) refused_disks: u64,
 }
 
 impl Coverage {
     /// Adds what another schedule reached.
-    pub(super) fn add(&mut self, mut other: Self) {
+    pub(crate) fn add(&mut self, mut other: Self) {
         for ((_, total), (_, count)) in self.counts_mut().into_iter().zip(other.counts_mut()) {
             *total += *count;
         }
     }
 
     /// Names of what was never reached.
-    pub(super) fn missing(mut self) -> Vec<&'static str> {
+    pub(crate) fn missing(mut self) -> Vec<&'static str> {
         self.counts_mut()
             .into_iter()
             .filter(|(_, count)| **count == 0)
--- a/comfreymill_group/tests/schedule/faults.rs
+++ b/comfreymill_group/tests/schedule/faults.rs
@@ -1,11 +1,22 @@
 use crate::schedule::node::Node;
+use crate::schedule::profile::Profile;
 use crate::schedule::world::World;
 use comfreymill_group::{id, membership, replica};
 use rand::RngExt;
 
 impl World {
     /// Does one random thing, and lets a little time pass.
-    pub(super) fn step(&mut self) {
+    pub(crate) fn step(&mut self) {
+        match self.profile {
+            Profile::Calm if self.rng.random_range(0..100) < 70 => self.propose_somewhere(),
+            Profile::Duel if self.rng.random_range(0..100) < 20 => self.provoke_duel(),
+            _ => self.do_anything(),
+        }
+        let micros = self.rng.random_range(0..40_000);
+        self.advance(micros);
+    }
+
+    fn do_anything(&mut self) {
         match self.rng.random_range(0..100) {
             0..40 => self.propose_somewhere(),
             40..44 => self.crash_one(),
@@ -20,12 +31,32 @@
             86..88 => self.add_node(),
             _ => {}
         }
-        let micros = self.rng.random_range(0..40_000);
-        self.advance(micros);
+    }
+
+    /// Slows disks and messages down, lets a leader vanish and a voter forget what it had not
+    /// synced.
+    fn provoke_duel(&mut self) {
+        match self.rng.random_range(0..4) {
+            0 => {
+                self.network.heal();
+                self.network.slow_percent = 30;
+                self.network.delay_max_micros = 30_000;
+                self.sync_max_micros = self.rng.random_range(20_000..200_000);
+            }
+            1 => {
+                let position = self.leader().unwrap_or(0);
+                self.crash(position);
+            }
+            _ => {
+                let position = self.any_node();
+                self.crash(position);
+                self.start(position);
+            }
+        }
     }
 
     /// Position of the node that leads in the highest term.
-    pub(super) fn leader(&self) -> Option<usize> {
+    pub(crate) fn leader(&self) -> Option<usize> {
         let leads = |node: &Node| {
             let replica = node.replica.as_ref().filter(|_| !node.halted)?;
             (replica.role() == replica::Role::Leader).then(|| replica.term())
@@ -152,7 +183,7 @@
     }
 
     /// Whether the disk `disk` of `voter` still exists.
-    pub(super) fn has_disk(&self, voter: id::VoterId, disk: id::DiskId) -> bool {
+    pub(crate) fn has_disk(&self, voter: id::VoterId, disk: id::DiskId) -> bool {
         self.nodes.iter().any(|node| node.voter == voter && node.durable.disk == disk)
     }
 
--- a/comfreymill_group/tests/schedule/machine.rs
+++ b/comfreymill_group/tests/schedule/machine.rs
@@ -3,21 +3,21 @@
 
 /// State machine that folds all commands into one hash.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub(super) struct Machine {
-    pub(super) index: id::Index,
-    pub(super) hash: u64,
+pub(crate) struct Machine {
+    pub(crate) index: id::Index,
+    pub(crate) hash: u64,
 }
 
 impl Machine {
     /// Applies the entry that follows.
-    pub(super) fn apply(&mut self, entry: &entry::Entry) {
+    pub(crate) fn apply(&mut self, entry: &entry::Entry) {
         assert_eq!(entry.index, self.index.next(), "entry applied out of order");
         self.index = entry.index;
         self.hash = mix(self.hash, payload_hash(entry));
     }
 
     /// Encoded state.
-    pub(super) fn to_bytes(self) -> Bytes {
+    pub(crate) fn to_bytes(self) -> Bytes {
         let mut buf = self.index.get().to_le_bytes().to_vec();
         buf.extend(self.hash.to_le_bytes());
         buf.resize(200, 7);
@@ -25,7 +25,7 @@
     }
 
     /// State encoded in `buf`.
-    pub(super) fn from_bytes(buf: &[u8]) -> Self {
+    pub(crate) fn from_bytes(buf: &[u8]) -> Self {
         let number = |start: usize| {
             let mut bytes = [0; 8];
             bytes.copy_from_slice(&buf[start..start + 8]);
@@ -36,7 +36,7 @@
 }
 
 /// Hash of what an entry holds, without its position.
-pub(super) fn payload_hash(entry: &entry::Entry) -> u64 {
+pub(crate) fn payload_hash(entry: &entry::Entry) -> u64 {
     match &entry.payload {
         entry::Payload::Noop => 1,
         entry::Payload::Data(data) => data.iter().fold(2, |hash, byte| mix(hash, u64::from(*byte))),
--- a/comfreymill_group/tests/schedule/network.rs
+++ b/comfreymill_group/tests/schedule/network.rs
@@ -5,21 +5,21 @@
 
 /// Messages under way, and what the network does to them.
 #[derive(Debug, Default)]
-pub(super) struct Network {
+pub(crate) struct Network {
     /// By time of arrival in microseconds, then by order of sending.
     under_way: BTreeMap<(u64, u64), (id::VoterId, id::VoterId, message::Message)>,
     sent: u64,
     /// Directions in which nothing passes.
-    pub(super) cuts: BTreeSet<(id::VoterId, id::VoterId)>,
-    pub(super) loss_percent: u32,
-    pub(super) duplicate_percent: u32,
-    pub(super) slow_percent: u32,
-    pub(super) delay_max_micros: u64,
+    pub(crate) cuts: BTreeSet<(id::VoterId, id::VoterId)>,
+    pub(crate) loss_percent: u32,
+    pub(crate) duplicate_percent: u32,
+    pub(crate) slow_percent: u32,
+    pub(crate) delay_max_micros: u64,
 }
 
 impl Network {
     /// Sends a message, with the network's faults.
-    pub(super) fn send(
+    pub(crate) fn send(
         &mut self,
         rng: &mut ChaCha8Rng,
         now: u64,
@@ -42,7 +42,7 @@
     }
 
     /// Next message that has arrived by `now`.
-    pub(super) fn arrived(
+    pub(crate) fn arrived(
         &mut self,
         now: u64,
     ) -> Option<(u64, id::VoterId, id::VoterId, message::Message)> {
@@ -56,7 +56,7 @@
     }
 
     /// Lets everything pass, quickly.
-    pub(super) fn heal(&mut self) {
+    pub(crate) fn heal(&mut self) {
         self.cuts.clear();
         self.loss_percent = 0;
         self.duplicate_percent = 0;
--- a/comfreymill_group/tests/schedule/node.rs
+++ b/comfreymill_group/tests/schedule/node.rs
@@ -7,16 +7,16 @@
 
 /// What a node's disk keeps over a crash.
 #[derive(Clone, Debug, Default)]
-pub(super) struct DurableState {
-    pub(super) disk: id::DiskId,
-    pub(super) hard_state: entry::HardState,
-    pub(super) snapshot: Option<snapshot::Snapshot>,
-    pub(super) entries: Vec<entry::Entry>,
+pub(crate) struct DurableState {
+    pub(crate) disk: id::DiskId,
+    pub(crate) hard_state: entry::HardState,
+    pub(crate) snapshot: Option<snapshot::Snapshot>,
+    pub(crate) entries: Vec<entry::Entry>,
 }
 
 impl DurableState {
     /// Carries out a write, as the store does.
-    pub(super) fn write(&mut self, write: &replica::Persist) {
+    pub(crate) fn write(&mut self, write: &replica::Persist) {
         if let Some(hard_state) = write.hard_state {
             self.hard_state = hard_state;
         }
@@ -40,15 +40,15 @@
 
 /// One replica with its disk, clock and state machine.
 #[derive(Debug)]
-pub(super) struct Node {
-    pub(super) voter: id::VoterId,
-    pub(super) start: replica::Start,
-    pub(super) durable: DurableState,
+pub(crate) struct Node {
+    pub(crate) voter: id::VoterId,
+    pub(crate) start: replica::Start,
+    pub(crate) durable: DurableState,
     /// Writes handed out and not synced, with the time at which they will be.
-    pub(super) unsynced: VecDeque<(u64, replica::Persist)>,
-    pub(super) replica: Option<replica::Replica>,
-    pub(super) machine: Machine,
-    pub(super) halted: bool,
+    pub(crate) unsynced: VecDeque<(u64, replica::Persist)>,
+    pub(crate) replica: Option<replica::Replica>,
+    pub(crate) machine: Machine,
+    pub(crate) halted: bool,
     clock_offset_micros: u64,
     clock_rate_ppm: u64,
     started_at: u64,
@@ -56,7 +56,7 @@
 
 impl Node {
     /// Node that is not running.
-    pub(super) fn new(voter: id::VoterId, disk: id::DiskId, start: replica::Start) -> Self {
+    pub(crate) fn new(voter: id::VoterId, disk: id::DiskId, start: replica::Start) -> Self {
         Self {
             voter,
             start,
@@ -72,13 +72,13 @@
     }
 
     /// Node's clock at `now`.
-    pub(super) fn clock(&self, now: u64) -> time::Monotonic {
+    pub(crate) fn clock(&self, now: u64) -> time::Monotonic {
         let elapsed = (now - self.started_at) * self.clock_rate_ppm / 1_000_000;
         time::Monotonic::from_micros(self.clock_offset_micros + elapsed)
     }
 
     /// Starts the replica from what the disk holds, with a clock of a new rate.
-    pub(super) fn start(&mut self, rng: &mut ChaCha8Rng, now: u64, cfg: replica::Config) {
+    pub(crate) fn start(&mut self, rng: &mut ChaCha8Rng, now: u64, cfg: replica::Config) {
         let drift = u64::from(cfg.get_clock_drift_ppm());
         let rates = [1_000_000 - drift, 1_000_000, 1_000_000 + drift];
         self.clock_rate_ppm = rates[rng.random_range(0..rates.len())];
@@ -98,7 +98,7 @@
     }
 
     /// Kills the replica; of the writes under way, the first few may reach the disk.
-    pub(super) fn crash(&mut self, rng: &mut ChaCha8Rng) {
+    pub(crate) fn crash(&mut self, rng: &mut ChaCha8Rng) {
         let survivors = rng.random_range(0..=self.unsynced.len());
         for (_, write) in self.unsynced.drain(..).take(survivors) {
             self.durable.write(&write);
@@ -108,7 +108,7 @@
     }
 
     /// Whether it runs and takes part.
-    pub(super) fn is_live(&self) -> bool {
+    pub(crate) fn is_live(&self) -> bool {
         self.replica.is_some() && !self.halted
     }
 }
--- a/comfreymill_group/tests/schedule/runs.rs
+++ b/comfreymill_group/tests/schedule/runs.rs
@@ -1,4 +1,5 @@
 use crate::schedule::coverage::Coverage;
+use crate::schedule::profile::Profile;
 use crate::schedule::world::World;
 use std::env;
 use std::panic;
@@ -11,7 +12,7 @@
 /// Runs the schedule of `seed`, then heals the network and expects progress.
 fn run(seed: u64) -> Coverage {
     let voters = [3, 3, 5, 1, 3, 4, 2, 5][usize::try_from(seed % 8).expect("small")];
-    let mut world = World::new(seed, voters);
+    let mut world = World::with_profile(seed, voters, Profile::of(seed));
     for _ in 0..STEPS {
         world.step();
     }
--- a/comfreymill_group/tests/schedule/world.rs
+++ b/comfreymill_group/tests/schedule/world.rs
@@ -2,6 +2,7 @@
 use crate::schedule::machine::Machine;
 use crate::schedule::network::Network;
 use crate::schedule::node::Node;
+use crate::schedule::profile::Profile;
 use bytes::Bytes;
 use comfreymill_group::{entry, id, replica};
 use rand::{RngExt, SeedableRng};
@@ -10,30 +11,37 @@
 
 /// Group of replicas under a seeded schedule.
 #[derive(Debug)]
-pub(super) struct World {
-    pub(super) rng: ChaCha8Rng,
-    pub(super) now: u64,
-    pub(super) nodes: Vec<Node>,
-    pub(super) network: Network,
-    pub(super) checker: Checker,
-    pub(super) commands: u64,
-    pub(super) next_voter: u64,
-    pub(super) next_disk: u64,
-    pub(super) lost_disks: u64,
-    pub(super) sync_max_micros: u64,
+pub(crate) struct World {
+    pub(crate) profile: Profile,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) now: u64,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) network: Network,
+    pub(crate) checker: Checker,
+    pub(crate) commands: u64,
+    pub(crate) next_voter: u64,
+    pub(crate) next_disk: u64,
+    pub(crate) lost_disks: u64,
+    pub(crate) sync_max_micros: u64,
     /// Commands by the leader's node, index and term, until their outcome is known.
     open: BTreeMap<(usize, id::Index, id::Term), u64>,
 }
 
 impl World {
     /// Group of `voters` first voters, none of which has started.
-    pub(super) fn new(seed: u64, voters: u64) -> Self {
+    pub(crate) fn new(seed: u64, voters: u64) -> Self {
+        Self::with_profile(seed, voters, Profile::Mixed)
+    }
+
+    /// Group of `voters` first voters with the faults of `profile`.
+    pub(crate) fn with_profile(seed: u64, voters: u64, profile: Profile) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed);
         let ids: Vec<_> = (1..=voters).map(id::VoterId::new).collect();
         let start = replica::Start::Found { voters: ids.clone() };
         let disk = |voter: &id::VoterId| id::DiskId::new(voter.get() * 1000);
         let nodes = ids.iter().map(|voter| Node::new(*voter, disk(voter), start.clone())).collect();
         let mut world = Self {
+            profile,
             rng,
             now: 1,
             nodes,
@@ -54,8 +62,10 @@
     }
 
     /// Settings of a replica that starts as `start` says.
-    pub(super) fn config(start: replica::Start) -> replica::Config {
+    fn config(&self, start: replica::Start) -> replica::Config {
+        let (min, max) = self.profile.election_timeout();
         let cfg = replica::Config::new(start)
+            .election_timeout(min, max)
             .max_append_bytes(300)
             .max_in_flight_bytes(1_000)
             .snapshot_chunk_bytes(64)
@@ -65,21 +75,21 @@
     }
 
     /// Starts the node at `position`.
-    pub(super) fn start(&mut self, position: usize) {
-        let cfg = Self::config(self.nodes[position].start.clone());
+    pub(crate) fn start(&mut self, position: usize) {
+        let cfg = self.config(self.nodes[position].start.clone());
         self.nodes[position].start(&mut self.rng, self.now, cfg);
         self.perform(position);
     }
 
     /// Kills the node at `position`.
-    pub(super) fn crash(&mut self, position: usize) {
+    pub(crate) fn crash(&mut self, position: usize) {
         self.checker.coverage.lost_writes += self.nodes[position].unsynced.len() as u64;
         self.nodes[position].crash(&mut self.rng);
         self.open.retain(|(node, _, _), _| *node != position);
     }
 
     /// Lets `micros` pass: messages arrive, writes are synced and clocks tick.
-    pub(super) fn advance(&mut self, micros: u64) {
+    pub(crate) fn advance(&mut self, micros: u64) {
         let end = self.now + micros;
         while let Some((at, from, to, message)) = self.network.arrived(end) {
             self.now = self.now.max(at);
@@ -92,6 +102,7 @@
             if let Some(replica) = &mut node.replica {
                 replica.step(clock, from, message);
                 self.perform(position);
+                self.checker.check(&self.nodes, self.now);
             }
         }
         self.now = end;
@@ -108,7 +119,7 @@
     }
 
     /// Proposes a command at the node at `position`, and returns its number if it was taken.
-    pub(super) fn propose(&mut self, position: usize) -> Option<u64> {
+    pub(crate) fn propose(&mut self, position: usize) -> Option<u64> {
         self.commands += 1;
         let number = self.commands;
         let mut data = number.to_le_bytes().to_vec();
@@ -129,7 +140,7 @@
     }
 
     /// States of all nodes, for the message of a failure.
-    pub(super) fn describe(&self) -> String {
+    pub(crate) fn describe(&self) -> String {
         let states = self.nodes.iter().map(|node| {
             let status = node.replica.as_ref().map(|it| it.status(node.clock(self.now)));
             format!("\n{} disk {} {:?}", node.voter, node.durable.disk, status)
@@ -138,7 +149,7 @@
     }
 
     /// Carries out what the replica at `position` asks for.
-    pub(super) fn perform(&mut self, position: usize) {
+    pub(crate) fn perform(&mut self, position: usize) {
         loop {
             let node = &mut self.nodes[position];
             let Some(replica) = &mut node.replica else { return };
