docs: pages for operators, architecture, glossary and style

Cause: the product had no pages beyond README. Change: index, architecture, glossary, style with departures and libraries that did not fit, operators' pages; tests hold the pages to the code (error table, settings, commands, links).

--- a/tests/command_line/mod.rs
+++ b/tests/command_line/mod.rs
@@ -3,4 +3,5 @@
 mod binary;
 mod client;
 mod node;
+mod pages;
 mod snapshots;
