fix(types): read times and sizes exactly

Cause: both were read through a floating-point number, so that large values did not come back as they were printed, and a negative sign or a part of a byte was rounded away. Change: one exact decimal reader; contract and property tests for times, sizes, ids and the error table. With the former readers byte_sizes_print_*, byte_sizes_ refuse_*, spans_print_* and spans_refuse_* fail.

--- a/comfreymill_types/src/lib.rs
+++ b/comfreymill_types/src/lib.rs
@@ -9,3 +9,5 @@
 pub mod size;
 pub mod time;
 pub mod yaml;
+
+mod decimal;
--- a/comfreymill_types/src/size/byte_size.rs
+++ b/comfreymill_types/src/size/byte_size.rs
@@ -1,6 +1,8 @@
 use std::fmt;
 use std::str;
 
+use crate::decimal;
+
 const UNITS: [(&str, u64); 9] = [
     ("KiB", 1 << 10),
     ("MiB", 1 << 20),
@@ -66,12 +68,8 @@
     fn from_str(text: &str) -> Result<Self, ParseByteSizeError> {
         let error = || ParseByteSizeError { text: text.to_owned() };
         let (name, bytes) = UNITS.iter().find(|unit| text.ends_with(unit.0)).ok_or_else(error)?;
-        let number: f64 = text[..text.len() - name.len()].parse().map_err(|_| error())?;
-        let size = number * *bytes as f64;
-        if !size.is_finite() || !(0.0..=1e18).contains(&size) {
-            return Err(error());
-        }
-        Ok(Self(size.round() as u64))
+        let number = &text[..text.len() - name.len()];
+        decimal::parse_scaled(number, *bytes).map(Self).ok_or_else(error)
     }
 }
 
--- a/comfreymill_types/src/time/span.rs
+++ b/comfreymill_types/src/time/span.rs
@@ -2,6 +2,8 @@
 use std::str;
 use std::time::Duration;
 
+use crate::decimal;
+
 /// Length of time that prints and parses with a unit, as `250ms` or `7.2s`.
 #[derive(
     Clone,
@@ -94,18 +96,14 @@
         let split = text.find(|c: char| c.is_ascii_alphabetic()).ok_or_else(error)?;
         let (number, unit) = text.split_at(split);
         let micros_per_unit = match unit {
-            "us" => 1.0,
-            "ms" => 1e3,
-            "s" => 1e6,
-            "m" => 60e6,
-            "h" => 3_600e6,
+            "us" => 1,
+            "ms" => 1_000,
+            "s" => 1_000_000,
+            "m" => 60_000_000,
+            "h" => 3_600_000_000,
             _ => return Err(error()),
         };
-        let number: f64 = number.parse().map_err(|_| error())?;
-        let micros = number * micros_per_unit;
-        if !micros.is_finite() || !(0.0..=1e18).contains(&micros) {
-            return Err(error());
-        }
-        Ok(Self(Duration::from_micros(micros.round() as u64)))
+        let micros = decimal::parse_scaled(number, micros_per_unit).ok_or_else(error)?;
+        Ok(Self(Duration::from_micros(micros)))
     }
 }
--- /dev/null
+++ b/comfreymill_types/tests/error/mod.rs
@@ -0,0 +1,51 @@
+//! The table of error kinds is closed and consistent.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use comfreymill_types::error;
+
+use crate::support;
+
+#[test]
+fn kinds_print_what_they_parse_and_have_their_own_names() {
+    let names: HashSet<_> = error::ErrorKind::all().map(error::ErrorKind::as_str).collect();
+    assert_eq!(names.len(), error::ErrorKind::all().count());
+    for kind in error::ErrorKind::all() {
+        assert!(support::round_trips(&kind) && support::round_trips_in_json(&kind), "{kind}");
+    }
+    support::expect_refusals::<error::ErrorKind>(&["", "Conflict", "none"]);
+}
+
+#[test]
+fn every_answer_is_an_error_with_an_exit_code() {
+    for kind in error::ErrorKind::all() {
+        let answer = kind.get_answer();
+        assert!((400..600).contains(&answer.status), "{kind}");
+        assert_ne!(answer.exit_code, 0, "{kind}");
+    }
+}
+
+/// Only a request that was proved not to have run may be sent again by anyone.
+#[test]
+fn what_ran_or_may_have_run_is_not_offered_for_another_try() {
+    for kind in error::ErrorKind::all() {
+        let answer = kind.get_answer();
+        let is_deduplicated = kind == error::ErrorKind::CommitUnknown;
+        if answer.resend && !is_deduplicated {
+            assert_eq!(answer.run, error::RunState::NotRun, "{kind}");
+        }
+        if answer.run != error::RunState::NotRun {
+            assert_ne!(answer.status, 503, "{kind}: 503 invites callers to try again");
+        }
+    }
+}
+
+#[test]
+fn an_error_shows_its_kind_field_and_message() {
+    let error = error::Error::new(error::ErrorKind::QueueFull, "256 wait")
+        .field("class")
+        .retry_after(Duration::from_secs(2));
+    assert_eq!(error.to_string(), "queue-full: class: 256 wait");
+    assert_eq!(error.get_retry_after(), Some(Duration::from_secs(2)));
+}
--- a/comfreymill_types/tests/main.rs
+++ b/comfreymill_types/tests/main.rs
@@ -1,5 +1,9 @@
 //! Tests of the domain types.
 
 mod document;
+mod error;
+mod id;
+mod size;
+mod support;
 mod time;
 mod yaml;
