test(route): drive routers and granter under faults

Cause: the slots of an executor must hold while grants move, entries die or are cut off, executors restart and leaders change. Change: a seeded property over three entries, four executors and a leader with loss, delay, doubled and overtaken messages. It found three faults, mended here: a lowered grant could be shown at its old size under the same epoch before the next change was committed; an executor that left and returned to the table in one life lost the count of what ran there; and a new leader showed a table without the executors that had not announced themselves yet. A grant of an executor's earlier life now counts until its entry moved on, since the new life may answer at the same address. table() takes now and may give none.

--- a/comfreymill_route/src/grant/config.rs
+++ b/comfreymill_route/src/grant/config.rs
@@ -9,6 +9,7 @@
     floor: u32,
     chunk: u32,
     reserve: f64,
+    announce_grace: Duration,
 }
 
 impl Default for Config {
@@ -20,6 +21,7 @@
             floor: 2,
             chunk: 4,
             reserve: 0.1,
+            announce_grace: Duration::from_secs(3),
         }
     }
 }
@@ -55,6 +57,11 @@
         self.reserve
     }
 
+    /// Time within which every living executor announces itself to a new leader.
+    pub fn get_announce_grace(&self) -> Duration {
+        self.announce_grace
+    }
+
     /// Time after the last heartbeat of an entry at which nothing it sent can still run.
     pub fn get_expiry(&self) -> Duration {
         (self.lease + self.longest_deadline).mul_f64(1.0 + self.drift)
@@ -109,4 +116,11 @@
         self.reserve = reserve;
         self
     }
+
+    /// Time within which every living executor announces itself to a new leader.
+    #[must_use]
+    pub fn announce_grace(mut self, announce_grace: Duration) -> Self {
+        self.announce_grace = announce_grace;
+        self
+    }
 }
--- a/comfreymill_route/src/grant/executor_state.rs
+++ b/comfreymill_route/src/grant/executor_state.rs
@@ -19,6 +19,9 @@
     /// Epoch shown to entries without a grant.
     pub(super) base_epoch: u64,
     pub(super) holders: BTreeMap<HolderId, Holder>,
+    /// Slots of grants of earlier lives that their entries may still use, since a new life may
+    /// answer at the same address.
+    pub(super) earlier: BTreeMap<(HolderId, id::Incarnation), u32>,
 }
 
 /// Grant of one entry.
@@ -52,6 +55,7 @@
             gone: false,
             base_epoch,
             holders: BTreeMap::new(),
+            earlier: BTreeMap::new(),
         }
     }
 
@@ -66,7 +70,23 @@
 
     /// Slots that count as granted.
     pub(super) fn granted(&self) -> u32 {
-        self.holders.values().map(|holder| holder.slots).sum()
+        let present: u32 = self.holders.values().map(|holder| holder.slots).sum();
+        present + self.earlier.values().sum::<u32>()
+    }
+
+    /// Whether nobody may use it.
+    pub(super) fn is_unused(&self) -> bool {
+        self.holders.is_empty() && self.earlier.is_empty()
+    }
+
+    /// State of a later life, which starts without grants.
+    pub(super) fn next_life(&self, incarnation: id::Incarnation, base_epoch: u64) -> Self {
+        let mut next = Self::new(incarnation, base_epoch);
+        next.earlier = self.earlier.clone();
+        let ended = self.holders.iter();
+        let ended = ended.map(|(id, holder)| ((id.clone(), self.incarnation), holder.slots));
+        next.earlier.extend(ended);
+        next
     }
 
     /// Slots that can be granted at once.
--- a/comfreymill_route/src/grant/granter.rs
+++ b/comfreymill_route/src/grant/granter.rs
@@ -17,9 +17,11 @@
     pub(super) cfg: Config,
     source: u32,
     epoch: u64,
+    /// When all living executors have announced themselves to this leader.
+    complete_at: time::Monotonic,
     pub(super) executors: BTreeMap<id::ExecutorName, ExecutorState>,
     pub(super) entries: BTreeMap<id::EntryName, EntryState>,
-    changes: Vec<GrantChange>,
+    pub(super) changes: Vec<GrantChange>,
 }
 
 impl Granter {
@@ -32,9 +34,11 @@
     {
         let epoch = term << TERM_SHIFT;
         let (executors, entries) = (BTreeMap::new(), BTreeMap::new());
-        let mut this = Self { cfg, source, epoch, executors, entries, changes: Vec::new() };
+        let complete_at = now + cfg.get_announce_grace();
+        let changes = Vec::new();
+        let mut this = Self { cfg, source, epoch, complete_at, executors, entries, changes };
         for grant in grants {
-            this.recover_grant(now, grant);
+            this.recover_grant(now, &grant);
         }
         this
     }
@@ -48,9 +52,7 @@
             return;
         }
         if known != Some(incarnation) {
-            self.drop_executor(&name);
-            let executor = ExecutorState::new(incarnation, self.next_epoch());
-            self.executors.insert(name.clone(), executor);
+            self.start_life(&name, incarnation);
         }
         if let Some(executor) = self.executors.get_mut(&name) {
             executor.announced = Some(announcement);
@@ -79,7 +81,7 @@
     }
 
     /// Takes an entry's heartbeat; returns whether its lease is renewed.
-    pub fn heartbeat(&mut self, now: time::Monotonic, heartbeat: Heartbeat) -> bool {
+    pub fn heartbeat(&mut self, now: time::Monotonic, heartbeat: &Heartbeat) -> bool {
         let incarnation = heartbeat.incarnation;
         let entry = self
             .entries
@@ -100,14 +102,15 @@
         }
         entry.sequence = heartbeat.sequence;
         entry.last_heard = now;
-        entry.region = Some(heartbeat.region);
+        entry.region = Some(heartbeat.region.clone());
         entry.draining = heartbeat.draining;
-        let demand = heartbeat.demand.into_iter();
-        entry.demand = demand.map(|demand| (demand.service, demand.slots)).collect();
-        let id = (heartbeat.entry, incarnation);
+        let demand = heartbeat.demand.iter();
+        entry.demand = demand.map(|demand| (demand.service.clone(), demand.slots)).collect();
+        let id = (heartbeat.entry.clone(), incarnation);
         for holding in &heartbeat.holdings {
             self.returned(&id, holding);
         }
+        self.moved_on(&id, heartbeat);
         true
     }
 
@@ -125,7 +128,7 @@
     pub fn tick(&mut self, now: time::Monotonic) {
         self.expire(now);
         self.follow_demand(now);
-        self.executors.retain(|_, executor| !executor.gone || !executor.holders.is_empty());
+        self.executors.retain(|_, executor| !executor.gone || !executor.is_unused());
     }
 
     /// Takes the changes to propose to the group's log, in their order.
@@ -147,11 +150,23 @@
     }
 
     /// Table of executors as shown to one life of an entry.
-    pub fn table(&mut self, entry: &id::EntryName, incarnation: id::Incarnation) -> router::Table {
+    ///
+    /// There is none while a new leader still waits for executors to announce themselves that hold
+    /// grants in the log; entries then go on with the table they have.
+    pub fn table(
+        &mut self,
+        now: time::Monotonic,
+        entry: &id::EntryName,
+        incarnation: id::Incarnation,
+    ) -> Option<router::Table> {
+        let is_complete = self.executors.values().all(|executor| executor.announced.is_some());
+        if !is_complete && now < self.complete_at {
+            return None;
+        }
         let version = self.next_epoch();
         let id = (entry.clone(), incarnation);
         let executors = self.executors.values().filter_map(|executor| view(executor, &id));
-        router::Table { source: self.source, version, executors: executors.collect() }
+        Some(router::Table { source: self.source, version, executors: executors.collect() })
     }
 
     /// Slots of an executor that count as granted.
@@ -161,43 +176,6 @@
 }
 
 impl Granter {
-    fn recover_grant(&mut self, now: time::Monotonic, grant: GrantChange) {
-        let (base_epoch, view_epoch) = (self.next_epoch(), self.next_epoch());
-        let entry = self
-            .entries
-            .entry(grant.entry.clone())
-            .or_insert_with(|| EntryState::new(grant.entry_incarnation, now));
-        if grant.entry_incarnation > entry.incarnation {
-            entry.ended.push((entry.incarnation, now + self.cfg.get_expiry()));
-            entry.incarnation = grant.entry_incarnation;
-        } else if grant.entry_incarnation < entry.incarnation
-            && !entry.ended.iter().any(|(ended, _)| *ended == grant.entry_incarnation)
-        {
-            entry.ended.push((grant.entry_incarnation, now + self.cfg.get_expiry()));
-        }
-        let executor = self
-            .executors
-            .entry(grant.executor.clone())
-            .or_insert_with(|| ExecutorState::new(grant.executor_incarnation, base_epoch));
-        let slots = grant.slots;
-        if slots == 0 {
-            return;
-        }
-        if grant.executor_incarnation < executor.incarnation {
-            self.changes.push(GrantChange { slots: 0, epoch: base_epoch, ..grant });
-            return;
-        }
-        if grant.executor_incarnation > executor.incarnation {
-            self.drop_executor(&grant.executor);
-            let executor = ExecutorState::new(grant.executor_incarnation, base_epoch);
-            self.executors.insert(grant.executor.clone(), executor);
-        }
-        let Some(executor) = self.executors.get_mut(&grant.executor) else { return };
-        let began = view_epoch;
-        let holder = Holder { slots, committed: slots, target: slots, began, view_epoch };
-        executor.holders.insert((grant.entry, grant.entry_incarnation), holder);
-    }
-
     /// Lowers a grant to what its entry says it still uses under the latest epoch.
     fn returned(&mut self, id: &HolderId, holding: &router::Holding) {
         let Some(executor) = self.executors.get_mut(&holding.executor) else { return };
@@ -212,40 +190,6 @@
         }
     }
 
-    fn expire(&mut self, now: time::Monotonic) {
-        let expiry = self.cfg.get_expiry();
-        let mut over = Vec::new();
-        for (name, entry) in &mut self.entries {
-            if now.since(entry.last_heard) >= expiry {
-                over.push((name.clone(), entry.incarnation));
-            }
-            let ended = entry.ended.iter().filter(|(_, run_out)| now >= *run_out);
-            over.extend(ended.map(|(incarnation, _)| (name.clone(), *incarnation)));
-            entry.ended.retain(|(_, run_out)| now < *run_out);
-        }
-        for id in over {
-            self.drop_entry(&id);
-        }
-        self.entries
-            .retain(|_, entry| now.since(entry.last_heard) < expiry || !entry.ended.is_empty());
-    }
-
-    fn drop_entry(&mut self, id: &HolderId) {
-        let held = self.executors.iter().filter(|(_, state)| state.holders.contains_key(id));
-        let held: Vec<_> = held.map(|(name, _)| name.clone()).collect();
-        for name in held {
-            self.propose(&name, id, 0);
-        }
-    }
-
-    fn drop_executor(&mut self, name: &id::ExecutorName) {
-        let Some(executor) = self.executors.get(name) else { return };
-        let holders: Vec<_> = executor.holders.keys().cloned().collect();
-        for id in holders {
-            self.propose(name, &id, 0);
-        }
-    }
-
     fn recall_all(&mut self, name: &id::ExecutorName) {
         let Some(executor) = self.executors.get(name) else { return };
         let holders: Vec<_> = executor.holders.keys().cloned().collect();
@@ -289,13 +233,14 @@
     }
 
     /// Proposes a grant of `slots`, which counts from now on.
-    fn propose(&mut self, name: &id::ExecutorName, id: &HolderId, slots: u32) {
+    pub(super) fn propose(&mut self, name: &id::ExecutorName, id: &HolderId, slots: u32) {
         let epoch = self.next_epoch();
         let Some(executor) = self.executors.get_mut(name) else { return };
         let Some(holder) = executor.holders.get_mut(id) else { return };
         let was_recalled = slots < holder.slots;
         holder.target = if was_recalled { holder.target.min(slots) } else { slots };
         holder.slots = slots;
+        holder.committed = holder.committed.min(slots);
         let executor_incarnation = executor.incarnation;
         if slots == 0 {
             executor.holders.remove(id);
@@ -311,7 +256,7 @@
         });
     }
 
-    fn next_epoch(&mut self) -> u64 {
+    pub(super) fn next_epoch(&mut self) -> u64 {
         self.epoch += 1;
         self.epoch
     }
--- a/comfreymill_route/src/router/router_table.rs
+++ b/comfreymill_route/src/router/router_table.rs
@@ -1,4 +1,5 @@
 use std::collections::HashSet;
+use std::mem;
 
 use comfreymill_types::id;
 use comfreymill_types::time;
@@ -82,15 +83,14 @@
         view: ExecutorView,
         is_grown: &[bool],
     ) {
-        let known = self.by_name.get(&view.name).copied();
+        let known = self.by_name.get(&view.name).copied().or_else(|| self.departed(&view));
         if let Some(ix) = known {
             let present = &mut self.executors[ix];
             if present.source != source || view.epoch < present.view.epoch {
                 return;
             }
             if present.view.incarnation == view.incarnation {
-                present.view = view;
-                self.reindex(now, ix);
+                self.renew(now, ix, view);
                 return;
             }
             self.retire(now, ix);
@@ -98,6 +98,29 @@
         self.add(now, source, view, is_grown);
     }
 
+    /// Executor in the same life that was gone from the table and still has requests.
+    fn departed(&self, view: &ExecutorView) -> Option<usize> {
+        self.executors.iter().position(|executor| {
+            let is_same =
+                executor.view.name == view.name && executor.view.incarnation == view.incarnation;
+            is_same && executor.gone && executor.in_use() > 0
+        })
+    }
+
+    fn renew(&mut self, now: time::Monotonic, ix: usize, view: ExecutorView) {
+        let executor = &mut self.executors[ix];
+        let was_gone = mem::replace(&mut executor.gone, false);
+        executor.leased = self.leases.get(&executor.source).is_none_or(|until| now < *until);
+        executor.view = view;
+        if was_gone {
+            let name = executor.name().clone();
+            let pool = executor.service;
+            self.by_name.insert(name, ix);
+            self.pools[pool].members.push(ix);
+        }
+        self.reindex(now, ix);
+    }
+
     fn add(&mut self, now: time::Monotonic, source: u32, view: ExecutorView, is_grown: &[bool]) {
         let pool = self.pool_of(&view.service);
         let name = view.name.clone();
--- /dev/null
+++ b/comfreymill_route/tests/cluster/executor.rs
@@ -0,0 +1,63 @@
+use std::collections::HashMap;
+
+use super::message::Attempt;
+
+/// Executor with a journal of what it started, which outlives its restarts.
+#[derive(Debug)]
+pub(super) struct Executor {
+    pub(super) name: String,
+    pub(super) life: u64,
+    pub(super) is_up: bool,
+    pub(super) is_leaving: bool,
+    pub(super) slots: usize,
+    pub(super) running: Vec<Attempt>,
+    pub(super) journal: HashMap<u64, u32>,
+}
+
+impl Executor {
+    pub(super) fn new(number: usize, slots: usize) -> Self {
+        Self {
+            name: format!("e{number}"),
+            life: 1,
+            is_up: true,
+            is_leaving: false,
+            slots,
+            running: Vec::new(),
+            journal: HashMap::new(),
+        }
+    }
+
+    /// Starts a request and checks that it fits.
+    pub(super) fn start(&mut self, attempt: Attempt) {
+        assert!(
+            self.running.len() < self.slots,
+            "{} has {} slots, runs {:?} and got {attempt:?}",
+            self.name,
+            self.slots,
+            self.running
+        );
+        self.running.push(attempt);
+        *self.journal.entry(attempt.request).or_default() += 1;
+    }
+
+    /// Ends a request; whether it was running in this life.
+    pub(super) fn end(&mut self, life: u64, attempt: Attempt) -> bool {
+        let position = self.running.iter().position(|running| *running == attempt);
+        let is_mine = life == self.life && position.is_some();
+        if let Some(position) = position.filter(|_| is_mine) {
+            self.running.swap_remove(position);
+        }
+        is_mine
+    }
+
+    pub(super) fn stop(&mut self) {
+        self.is_up = false;
+        self.running.clear();
+    }
+
+    pub(super) fn restart(&mut self) {
+        self.life += 1;
+        self.is_up = true;
+        self.is_leaving = false;
+    }
+}
--- /dev/null
+++ b/comfreymill_route/tests/cluster/message.rs
@@ -0,0 +1,34 @@
+use comfreymill_route::grant;
+use comfreymill_route::router;
+use comfreymill_types::time;
+
+/// Attempt of a request as it travels to an executor.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Attempt {
+    pub(super) entry: usize,
+    pub(super) life: u64,
+    pub(super) request: u64,
+    pub(super) number: u32,
+    pub(super) unrepeatable: bool,
+}
+
+/// What happens at a point in time.
+#[derive(Clone, Debug)]
+pub(super) enum Event {
+    EntryTick { entry: usize, life: u64 },
+    EntryBeat { entry: usize, life: u64 },
+    LeaderTick { term: u64 },
+    Announce { executor: usize },
+    Submit { entry: usize },
+    Heartbeat(grant::Heartbeat, time::Monotonic),
+    Table { entry: usize, life: u64, table: Option<router::Table>, lease_until: time::Monotonic },
+    Commit { term: u64, changes: Vec<grant::GrantChange> },
+    Arrive { executor: usize, attempt: Attempt },
+    RunEnds { executor: usize, life: u64, attempt: Attempt },
+    Outcome { attempt: Attempt, outcome: router::Outcome },
+    Settled { attempt: Attempt },
+    Probed { entry: usize, life: u64, executor: usize, is_healthy: bool },
+    EntryStarts { entry: usize },
+    ExecutorStarts { executor: usize },
+    Fault,
+}
--- /dev/null
+++ b/comfreymill_route/tests/cluster/mod.rs
@@ -0,0 +1,7 @@
+mod entry;
+mod executor;
+mod faults;
+mod leader;
+mod message;
+mod properties;
+mod world;
--- a/comfreymill_route/tests/router/table.rs
+++ b/comfreymill_route/tests/router/table.rs
@@ -92,3 +92,15 @@
     let sent = router.take_actions();
     assert!(matches!(sent[..], [Action::Send { request: 2, .. }]), "{sent:?}");
 }
+
+#[test]
+fn an_executor_that_comes_back_in_the_same_life_keeps_what_runs_there() {
+    let mut router = support::router(support::config(), 1, 2);
+    router.submit(support::ms(1), &support::request(1, "search", support::ms(1)));
+    router.executors(support::ms(2), support::table(2, vec![]));
+    router.executors(support::ms(3), support::table(3, vec![support::executor(1, 2)]));
+    for id in 2..6 {
+        router.submit(support::ms(4), &support::request(id, "search", support::ms(4)));
+    }
+    assert_eq!(router.usage(&support::name("e1")), 2);
+}
