feat(logs): keep each record on one line

Cause: messages quote what others sent, and a line end in them forged a line of its own. Change: a logger around log4rs escapes control characters of text lines. Without the escape a_text_line_is_one_line_whatever_it_quotes fails.

--- a/comfreymill_node/src/logs/appender.rs
+++ b/comfreymill_node/src/logs/appender.rs
@@ -17,7 +17,7 @@
 /// # Errors
 ///
 /// The log file cannot be opened.
-pub fn build_config(cfg: &settings::LogSettings) -> io::Result<config::Config> {
+pub(super) fn build_config(cfg: &settings::LogSettings) -> io::Result<config::Config> {
     let appender = match cfg.get_file() {
         Some(file) => build_file(file, build_encoder(cfg.get_format()))?,
         None => build_console(build_encoder(cfg.get_format())),
--- /dev/null
+++ b/comfreymill_node/src/logs/logger.rs
@@ -0,0 +1,68 @@
+use std::io;
+
+use log::Log as _;
+
+use crate::settings;
+
+use super::appender;
+
+/// Logger of the process.
+///
+/// Messages quote what others sent. In text lines their control characters are escaped, so that
+/// nobody can forge a line or steer a terminal; JSON escapes them by itself.
+#[derive(Debug)]
+pub struct Logger {
+    inner: log4rs::Logger,
+    format: settings::LogFormat,
+}
+
+impl Logger {
+    /// Logger that lets every level pass; the level is set at the log facade.
+    ///
+    /// # Errors
+    ///
+    /// The log file cannot be opened.
+    pub fn new(cfg: &settings::LogSettings) -> io::Result<Self> {
+        let config = appender::build_config(cfg)?;
+        Ok(Self { inner: log4rs::Logger::new(config), format: cfg.get_format() })
+    }
+
+    fn log_escaped(&self, record: &log::Record<'_>) {
+        let message = record.args().to_string();
+        if !message.contains(char::is_control) {
+            self.inner.log(record);
+            return;
+        }
+        let escaped = escape(&message);
+        self.inner.log(&record.to_builder().args(format_args!("{escaped}")).build());
+    }
+}
+
+impl log::Log for Logger {
+    fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        self.inner.enabled(metadata)
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        match self.format {
+            settings::LogFormat::Text => self.log_escaped(record),
+            settings::LogFormat::Json => self.inner.log(record),
+        }
+    }
+
+    fn flush(&self) {
+        self.inner.flush();
+    }
+}
+
+fn escape(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len());
+    for c in text.chars() {
+        if c.is_control() {
+            escaped.extend(c.escape_default());
+        } else {
+            escaped.push(c);
+        }
+    }
+    escaped
+}
--- a/comfreymill_node/src/logs/logs_handle.rs
+++ b/comfreymill_node/src/logs/logs_handle.rs
@@ -4,7 +4,7 @@
 use comfreymill_types::error;
 use signal_hook::iterator;
 
-use super::{appender, reload};
+use super::{Logger, reload};
 use crate::settings;
 
 /// Running logs of the process; dropping it ends the reload of the level.
@@ -24,9 +24,9 @@
 pub fn start(cfg: &settings::LogSettings, file: Option<&path::Path>) -> Result<Logs, error::Error> {
     let storage = |message: String| error::Error::new(error::ErrorKind::Storage, message);
     let internal = |message: String| error::Error::new(error::ErrorKind::Internal, message);
-    let config = appender::build_config(cfg)
-        .map_err(|error| storage(format!("the log cannot be opened: {error}")))?;
-    log4rs::init_config(config)
+    let logger =
+        Logger::new(cfg).map_err(|error| storage(format!("the log cannot be opened: {error}")))?;
+    log::set_boxed_logger(Box::new(logger))
         .map_err(|error| internal(format!("the log cannot be started: {error}")))?;
     log::set_max_level(cfg.get_level().to_filter());
     let Some(file) = file else { return Ok(Logs { signals: None, thread: None }) };
--- a/comfreymill_node/src/logs/mod.rs
+++ b/comfreymill_node/src/logs/mod.rs
@@ -5,10 +5,11 @@
 //! again; all else takes a restart.
 
 mod appender;
+mod logger;
 mod logs_handle;
 mod reload;
 
-pub use appender::build_config;
+pub use logger::Logger;
 pub use logs_handle::{Logs, start};
 
 /// Target of the log calls of this module.
--- a/comfreymill_node/tests/logs/mod.rs
+++ b/comfreymill_node/tests/logs/mod.rs
@@ -22,7 +22,7 @@
 }
 
 fn write(cfg: &settings::LogSettings, messages: &[&str]) {
-    let logger = log4rs::Logger::new(logs::build_config(cfg).expect("built"));
+    let logger = logs::Logger::new(cfg).expect("built");
     for message in messages {
         let args = format_args!("{message}");
         let record =
@@ -43,6 +43,19 @@
     assert!(time.ends_with('Z') && time.contains('T'), "{time}");
 }
 
+/// A message that holds line ends cannot forge another line.
+#[test]
+fn a_text_line_is_one_line_whatever_it_quotes() {
+    let scratch = Scratch::new();
+    let file = scratch.path("entry.log");
+    write(&settings_for(file.clone(), 1 << 20, 1), &["a\r\n2026 ERROR group: \u{1b}[2J", "b șț"]);
+    let text = fs::read_to_string(file).expect("read");
+    let lines: Vec<_> = text.lines().collect();
+    assert_eq!(lines.len(), 2, "{text}");
+    assert!(lines[0].ends_with("group: a\\r\\n2026 ERROR group: \\u{1b}[2J"), "{text}");
+    assert!(lines[1].ends_with("group: b șț"), "{text}");
+}
+
 #[test]
 fn a_json_line_is_one_object() {
     let scratch = Scratch::new();
@@ -71,7 +84,7 @@
 #[test]
 fn a_log_that_cannot_be_opened_is_an_error() {
     let file = path::PathBuf::from("/proc/self/none/entry.log");
-    logs::build_config(&settings_for(file, 200, 2)).expect_err("no folder");
+    logs::Logger::new(&settings_for(file, 200, 2)).expect_err("no folder");
 }
 
 /// The only test that starts the logs of this process.
