test(group): let restarts forget unsynced votes right after an election

Change: in duels, a new leader is ambushed: some replicas restart without what they had not synced, and one is cut off. 5,000 schedules by default. On the tree: all tests pass.

--- a/comfreymill_group/tests/schedule/faults.rs
+++ b/comfreymill_group/tests/schedule/faults.rs
@@ -7,8 +7,10 @@
 impl World {
     /// Does one random thing, and lets a little time pass.
     pub(crate) fn step(&mut self) {
+        let is_elected = self.has_new_leader();
         match self.profile {
             Profile::Calm if self.rng.random_range(0..100) < 70 => self.propose_somewhere(),
+            Profile::Duel if is_elected => self.ambush(),
             Profile::Duel if self.rng.random_range(0..100) < 20 => self.provoke_duel(),
             _ => self.do_anything(),
         }
@@ -36,10 +38,11 @@
     /// Slows disks and messages down, lets a leader vanish and a voter forget what it had not
     /// synced.
     fn provoke_duel(&mut self) {
-        match self.rng.random_range(0..4) {
+        match self.rng.random_range(0..3) {
             0 => {
                 self.network.heal();
-                self.network.slow_percent = 30;
+                self.network.slow_percent = self.rng.random_range(0..20);
+                self.network.loss_percent = self.rng.random_range(0..50);
                 self.network.delay_max_micros = 30_000;
                 self.sync_max_micros = self.rng.random_range(20_000..200_000);
             }
@@ -47,9 +50,42 @@
                 let position = self.leader().unwrap_or(0);
                 self.crash(position);
             }
-            _ => {
-                let position = self.any_node();
-                self.crash(position);
+            _ => self.start_all(),
+        }
+    }
+
+    /// Whether a leader was elected since the last call.
+    fn has_new_leader(&mut self) -> bool {
+        let elections = self.checker.coverage.elections;
+        elections > std::mem::replace(&mut self.seen_elections, elections)
+    }
+
+    /// Restarts some nodes right after an election, so that they forget what they had not synced,
+    /// and cuts another off.
+    fn ambush(&mut self) {
+        let isolated = self.any_node();
+        self.network.cuts.clear();
+        for position in 0..self.nodes.len() {
+            if position == isolated {
+                self.isolate(position);
+            } else if self.rng.random_bool(0.6) {
+                self.crash_and_forget(position);
+                self.start(position);
+            }
+        }
+    }
+
+    fn isolate(&mut self, position: usize) {
+        let one = self.nodes[position].voter;
+        for node in &self.nodes {
+            self.network.cuts.insert((one, node.voter));
+            self.network.cuts.insert((node.voter, one));
+        }
+    }
+
+    fn start_all(&mut self) {
+        for position in 0..self.nodes.len() {
+            if self.nodes[position].replica.is_none() {
                 self.start(position);
             }
         }
--- a/comfreymill_group/tests/schedule/profile.rs
+++ b/comfreymill_group/tests/schedule/profile.rs
@@ -23,7 +23,7 @@
 
     /// Range of the election timeout.
     pub(crate) fn election_timeout(self) -> (Duration, Duration) {
-        let max_millis = if self == Self::Duel { 360 } else { 600 };
+        let max_millis = if self == Self::Duel { 340 } else { 600 };
         (Duration::from_millis(300), Duration::from_millis(max_millis))
     }
 }
--- a/comfreymill_group/tests/schedule/runs.rs
+++ b/comfreymill_group/tests/schedule/runs.rs
@@ -4,7 +4,7 @@
 use std::env;
 use std::panic;
 
-const DEFAULT_SCHEDULES: u64 = 2_000;
+const DEFAULT_SCHEDULES: u64 = 5_000;
 const STEPS: usize = 500;
 const RECOVERY_STEPS: usize = 1_000;
 const STEP_MICROS: u64 = 10_000;
--- a/comfreymill_group/tests/schedule/world.rs
+++ b/comfreymill_group/tests/schedule/world.rs
@@ -23,6 +23,7 @@
     pub(crate) next_disk: u64,
     pub(crate) lost_disks: u64,
     pub(crate) sync_max_micros: u64,
+    pub(crate) seen_elections: u64,
     /// Commands by the leader's node, index and term, until their outcome is known.
     open: BTreeMap<(usize, id::Index, id::Term), u64>,
 }
@@ -52,6 +53,7 @@
             next_disk: 1,
             lost_disks: 0,
             sync_max_micros: 10_000,
+            seen_elections: 0,
             open: BTreeMap::new(),
         };
         world.network.delay_max_micros = 10_000;
@@ -88,6 +90,13 @@
         self.open.retain(|(node, _, _), _| *node != position);
     }
 
+    /// Kills the node at `position`; nothing that was not synced reaches its disk.
+    pub(crate) fn crash_and_forget(&mut self, position: usize) {
+        self.checker.coverage.lost_writes += self.nodes[position].unsynced.len() as u64;
+        self.nodes[position].unsynced.clear();
+        self.crash(position);
+    }
+
     /// Lets `micros` pass: messages arrive, writes are synced and clocks tick.
     pub(crate) fn advance(&mut self, micros: u64) {
         let end = self.now + micros;
