--- a/comfreymill_node/src/command/flags/general.rs
+++ b/comfreymill_node/src/command/flags/general.rs
@@ -59,9 +59,9 @@
         /// Shows the state of the node and of what it knows of the cluster.
         cmd status {}
 
-        /// Shows why a job, task or request went where it went.
+        /// Shows why a task went where it went.
         cmd explain {
-            /// Id of the job, task or request.
+            /// Id of the task, as j17.3.
             required id: String
         }
 
--- a/comfreymill_node/src/command/render.rs
+++ b/comfreymill_node/src/command/render.rs
@@ -10,6 +10,7 @@
 const INDENT: usize = 2;
 const COLUMN_GAP: usize = 2;
 const NONE: &str = "-";
+const NO_ITEMS: &str = "none";
 
 /// Text for people from a JSON value: fields one a line, lists of objects as a table.
 pub fn render_text(value: &Value) -> String {
@@ -54,6 +55,7 @@
             }
         }
         Value::Array(items) if is_table(items) => push_table(text, items, depth),
+        Value::Array(items) if items.is_empty() => push_line(text, depth, NO_ITEMS),
         Value::Array(items) => {
             for item in items {
                 push_line(text, depth, &inline(item));
--- a/comfreymill_node/tests/command/mod.rs
+++ b/comfreymill_node/tests/command/mod.rs
@@ -47,4 +47,6 @@
     let expected = "empty: -\nleader: -\nlimits:\n  body: 10\nname: trust\nvoters:\n  \
                     lag  name  zone\n  3    v1    -\n  -    v20   a\nzones: a, b\n";
     assert_eq!(command::render_text(&value), expected);
+    assert_eq!(command::render_text(&serde_json::json!([])), "none\n");
+    assert_eq!(command::render_text(&serde_json::json!(["a", 1])), "a\n1\n");
 }
