--- /dev/null
+++ b/comfreymill_node/src/settings/settings_file.rs
@@ -0,0 +1,143 @@
+use std::cell::RefCell;
+use std::fmt;
+use std::fs;
+use std::path;
+
+use comfreymill_types::document;
+use comfreymill_types::yaml;
+
+use super::{CommonSettings, ControlSettings, EntrySettings, ParseWordError, machine};
+
+const PROGRAM: &str = "program";
+pub(super) const ENTRY: &str = "entry";
+pub(super) const CONTROL: &str = "control";
+
+/// Settings of either program, as the file's key `program` says.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SettingsFile {
+    /// Settings of an entry process.
+    Entry(EntrySettings),
+    /// Settings of a control process.
+    Control(ControlSettings),
+}
+
+/// Settings file with all its problems.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SettingsError {
+    /// File.
+    pub file: path::PathBuf,
+    /// Problems in the order in which they were found.
+    pub problems: Vec<document::Problem>,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, problem) in self.problems.iter().enumerate() {
+            if i > 0 {
+                f.write_str("\n")?;
+            }
+            f.write_str(&problem.in_file(&self.file))?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+impl SettingsFile {
+    /// Reads a file and looks at what it names on this machine.
+    ///
+    /// # Errors
+    ///
+    /// Every problem of the file and of the machine.
+    pub fn load(file: &path::Path) -> Result<Self, SettingsError> {
+        Self::load_with(file, true)
+    }
+
+    /// Reads a file without a look at the machine.
+    ///
+    /// # Errors
+    ///
+    /// Every problem of the file.
+    pub fn load_alone(file: &path::Path) -> Result<Self, SettingsError> {
+        Self::load_with(file, false)
+    }
+
+    fn load_with(file: &path::Path, with_machine: bool) -> Result<Self, SettingsError> {
+        let fail = |problems| SettingsError { file: file.to_owned(), problems };
+        let text = fs::read(file).map_err(|error| {
+            fail(vec![document::Problem::new("", format!("cannot be read: {error}"))])
+        })?;
+        let folder = file.parent().unwrap_or(path::Path::new(""));
+        let node = yaml::Node::parse(&text).map_err(|problem| fail(vec![problem]))?;
+        let settings = Self::read_node(&node, folder);
+        let mut problems = if with_machine { machine::check(&node, folder) } else { Vec::new() };
+        match settings {
+            Ok(settings) if problems.is_empty() => return Ok(settings),
+            Ok(_) => {}
+            Err(found) => problems.extend(found),
+        }
+        problems.sort_by_key(|problem| problem.place);
+        Err(fail(problems))
+    }
+
+    /// Reads the settings of the program that the text names.
+    ///
+    /// # Errors
+    ///
+    /// Every problem of the text.
+    pub fn read(text: &[u8], folder: &path::Path) -> Result<Self, Vec<document::Problem>> {
+        let node = yaml::Node::parse(text).map_err(|problem| vec![problem])?;
+        Self::read_node(&node, folder)
+    }
+
+    fn read_node(node: &yaml::Node, folder: &path::Path) -> Result<Self, Vec<document::Problem>> {
+        match node.get_text(PROGRAM) {
+            Some(CONTROL) => ControlSettings::read_node(node, folder).map(Self::Control),
+            _ => EntrySettings::read_node(node, folder).map(Self::Entry),
+        }
+    }
+
+    /// Settings that every process has.
+    pub fn get_common(&self) -> &CommonSettings {
+        match self {
+            Self::Entry(settings) => settings.get_common(),
+            Self::Control(settings) => settings.get_common(),
+        }
+    }
+}
+
+/// Reads a whole file by `read`, which reports its problems to the section.
+pub(super) fn read<T, F>(node: &yaml::Node, read: F) -> Result<T, Vec<document::Problem>>
+where
+    F: FnOnce(&yaml::Section<'_>) -> Option<T>,
+{
+    let problems = RefCell::default();
+    let section = yaml::Section::new("", node, &problems);
+    let settings = read(&section);
+    section.finish();
+    drop(section);
+    let mut problems = problems.into_inner();
+    problems.sort_by_key(|problem| problem.place);
+    match settings {
+        Some(settings) if problems.is_empty() => Ok(settings),
+        _ => Err(problems),
+    }
+}
+
+/// Reads the key that says which program the file is for.
+pub(super) fn read_program(section: &yaml::Section<'_>, program: &'static str) {
+    let known = [ENTRY, CONTROL];
+    let named: Option<String> = section.required(PROGRAM);
+    match named {
+        Some(name) if !known.contains(&name.as_str()) => {
+            let error = ParseWordError { text: name, words: known.join(", ") };
+            section.problem(PROGRAM, error.to_string());
+        }
+        Some(name) if name != program => {
+            section
+                .problem("program", format!("`{name}`, but these are the settings of {program}"));
+        }
+        _ => {}
+    }
+}
