--- a/comfreymill_batch/tests/world/fake_ledger.rs
+++ b/comfreymill_batch/tests/world/fake_ledger.rs
@@ -17,7 +17,9 @@
     /// Commits one proposal; the event that confirms it.
     pub(crate) fn commit(&mut self, action: action::Action) -> Option<event::Event> {
         match action {
-            action::Action::Start { attempt, checkpoint } => self.start(attempt, checkpoint),
+            action::Action::Start { attempt, checkpoint } => {
+                self.start(attempt, checkpoint.as_ref())
+            }
             action::Action::RecordCheckpoint { attempt, checkpoint } => {
                 self.attempts.get(&attempt.task).filter(|open| open.id == attempt)?;
                 let task = self.tasks.get_mut(&attempt.task)?;
@@ -45,14 +47,18 @@
     fn start(
         &mut self,
         attempt: event::AttemptView,
-        checkpoint: Option<event::Checkpoint>,
+        checkpoint: Option<&event::Checkpoint>,
     ) -> Option<event::Event> {
         let id = attempt.id.task;
         let task = self.tasks.get_mut(&id)?;
         assert!(!self.attempts.contains_key(&id), "a second attempt: {}", attempt.id);
         assert!(task.parked.is_none(), "a parked task was started: {id}");
         assert_eq!(attempt.id.number, task.last_attempt.next(), "numbers rise by one: {id}");
-        assert_eq!(checkpoint, task.checkpoint, "resumed from the checkpoint on record: {id}");
+        assert_eq!(
+            checkpoint,
+            task.checkpoint.as_ref(),
+            "resumed from the checkpoint on record: {id}"
+        );
         task.last_attempt = attempt.id.number;
         self.attempts.insert(id, attempt.clone());
         Some(event::Event::AttemptStarted(attempt))
