--- a/comfreymill_batch/src/scheduler/attempts.rs
+++ b/comfreymill_batch/src/scheduler/attempts.rs
@@ -134,6 +134,7 @@
         if attempt.id != attempt_id || !matches!(attempt.grip, task::Grip::Proposed) {
             return;
         }
+        let index = attempt.worker;
         self.unhold(id);
         let Some(task) = self.tasks.get_mut(&id) else { return };
         task.last_attempt = id::AttemptNumber::new(attempt_id.number.get().saturating_sub(1));
@@ -142,6 +143,7 @@
         } else {
             self.enqueue(id);
         }
+        self.after_release(index);
     }
 
     fn reopen_end(&mut self, attempt_id: id::AttemptId) {
--- a/comfreymill_batch/src/scheduler/preemption.rs
+++ b/comfreymill_batch/src/scheduler/preemption.rs
@@ -86,16 +86,28 @@
             .collect();
         choices.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let mut room = worker.get_room();
-        let mut eviction = Eviction { worker: index, victims: Vec::new(), price: 0.0 };
-        for (price, victim, held) in choices {
+        let mut chosen = Vec::new();
+        for choice in choices {
             if need.fits_in(&room) {
                 break;
             }
-            room += held;
+            room += choice.2;
+            chosen.push(choice);
+        }
+        if !need.fits_in(&room) {
+            return None;
+        }
+        let mut eviction = Eviction { worker: index, victims: Vec::new(), price: 0.0 };
+        for (price, victim, held) in chosen {
+            let without = room.saturating_sub(&held);
+            if need.fits_in(&without) {
+                room = without;
+                continue;
+            }
             eviction.victims.push(victim);
             eviction.price += price;
         }
-        need.fits_in(&room).then_some(eviction)
+        Some(eviction)
     }
 
     /// Places the urgent task that room was freed for, if there is enough now.
--- /dev/null
+++ b/comfreymill_batch/tests/rules/desk.rs
@@ -0,0 +1,134 @@
+use std::time::Duration;
+
+use comfreymill_batch::action;
+use comfreymill_batch::config;
+use comfreymill_batch::event;
+use comfreymill_batch::scheduler;
+use comfreymill_types::document;
+use comfreymill_types::id;
+use comfreymill_types::time;
+
+use crate::world::{FakeWorker, environment};
+
+/// Scheduler whose proposals are committed at once, unless held back.
+pub(crate) struct Desk {
+    pub(crate) scheduler: scheduler::Scheduler,
+    pub(crate) now: time::Monotonic,
+    pub(crate) actions: Vec<action::Action>,
+    pub(crate) commits: bool,
+}
+
+impl Desk {
+    pub(crate) fn new(cfg: config::Config) -> Self {
+        let now = time::Monotonic::ZERO;
+        let scheduler = scheduler::Scheduler::new(cfg, now);
+        let mut desk = Self { scheduler, now, actions: Vec::new(), commits: true };
+        let stage = document::Stage::Production;
+        let environment = Box::new(environment());
+        desk.tell(event::Event::DocumentInForce { stage, environment });
+        desk
+    }
+
+    pub(crate) fn tell(&mut self, event: event::Event) {
+        self.scheduler.handle(self.now, event);
+        for action in self.scheduler.take_actions() {
+            self.actions.push(action.clone());
+            if self.commits
+                && let Some(event) = confirm(action)
+            {
+                self.tell(event);
+            }
+        }
+    }
+
+    pub(crate) fn add(&mut self, view: event::TaskView) -> id::TaskId {
+        let id = view.id;
+        self.tell(event::Event::TaskAdded(Box::new(view)));
+        id
+    }
+
+    /// Handles a heartbeat and lets the worker obey the answer.
+    pub(crate) fn beat(&mut self, worker: &mut FakeWorker) -> Vec<action::Assignment> {
+        let heartbeat = worker.heartbeat();
+        let (incarnation, sequence) = (heartbeat.incarnation, heartbeat.sequence);
+        self.tell(event::Event::WorkerHeartbeat(Box::new(heartbeat)));
+        let name = &worker.name;
+        let assignments =
+            self.scheduler.desired(name, incarnation, sequence).expect("it is the newest");
+        let answer = crate::world::Answer {
+            worker: 0,
+            incarnation,
+            term: 1,
+            sequence,
+            sent_millis: 0,
+            lease: Duration::from_secs(10),
+            assignments: assignments.clone(),
+        };
+        worker.take_answer(&answer);
+        assignments
+    }
+
+    /// Lets time pass with a tick at its end.
+    pub(crate) fn pass(&mut self, span: Duration) {
+        self.now = self.now + span;
+        self.tell(event::Event::Tick);
+    }
+
+    /// Lets seconds pass with a heartbeat of each worker in every one.
+    pub(crate) fn pass_with(&mut self, secs: u64, workers: &mut [FakeWorker]) {
+        for _ in 0..secs {
+            self.pass(Duration::from_secs(1));
+            for worker in &mut *workers {
+                self.beat(worker);
+            }
+        }
+    }
+
+    /// Worker of the last start of a task.
+    pub(crate) fn started_on(&self, id: id::TaskId) -> Option<id::WorkerName> {
+        self.actions.iter().rev().find_map(|action| match action {
+            action::Action::Start { attempt, .. } if attempt.id.task == id => {
+                Some(attempt.worker.clone())
+            }
+            _ => None,
+        })
+    }
+
+    /// Number of starts of a task.
+    pub(crate) fn starts(&self, id: id::TaskId) -> usize {
+        self.count(
+            |action| matches!(action, action::Action::Start { attempt, .. } if attempt.id.task == id),
+        )
+    }
+
+    pub(crate) fn count<F>(&self, matches: F) -> usize
+    where
+        F: Fn(&action::Action) -> bool,
+    {
+        self.actions.iter().filter(|action| matches(action)).count()
+    }
+
+    /// Tasks in the order of their starts.
+    pub(crate) fn order_of_starts(&self) -> Vec<u64> {
+        let starts = self.actions.iter().filter_map(|action| match action {
+            action::Action::Start { attempt, .. } => Some(attempt.id.task.job.get()),
+            _ => None,
+        });
+        starts.collect()
+    }
+}
+
+fn confirm(action: action::Action) -> Option<event::Event> {
+    match action {
+        action::Action::Start { attempt, .. } => Some(event::Event::AttemptStarted(attempt)),
+        action::Action::RecordCheckpoint { attempt, checkpoint } => {
+            Some(event::Event::CheckpointRecorded { attempt, checkpoint })
+        }
+        action::Action::End { attempt, outcome, checkpoint, park } => {
+            Some(event::Event::AttemptEnded { attempt, outcome, checkpoint, park })
+        }
+        action::Action::Park { task, reason } => Some(event::Event::TaskParked { task, reason }),
+        action::Action::Unpark { task } => Some(event::Event::TaskUnparked(task)),
+        _ => None,
+    }
+}
--- a/comfreymill_batch/tests/rules/mod.rs
+++ b/comfreymill_batch/tests/rules/mod.rs
@@ -1,1 +1,12 @@
 //! Tables of the rules, one by one.
+
+mod admission;
+mod capacity;
+mod desk;
+mod order;
+mod outcomes;
+mod pressure;
+mod quarantine;
+mod settings;
+
+pub(crate) use desk::Desk;
