--- /dev/null
+++ b/comfreymill_bench/src/batch/policy.rs
@@ -0,0 +1,15 @@
+use comfreymill_batch::config;
+
+use super::{Plan, Site, Trial};
+use crate::Figure;
+
+/// Measures every policy over the same seeded sequence of events.
+pub fn policy(site: Site, seed: u64) -> Vec<Figure> {
+    let plan = Plan::new(site, seed);
+    let mut figures = Vec::new();
+    for policy in config::Policy::ALL {
+        let measures = Trial::new(site, policy, &plan, seed).run();
+        figures.extend(measures.figures(&format!("batch.{site}.{policy}"), seed));
+    }
+    figures
+}
--- a/comfreymill_bench/src/lib.rs
+++ b/comfreymill_bench/src/lib.rs
@@ -1,1 +1,6 @@
-//! Stand-ins for callers, executors and workers, and the benchmark command
+//! Stand-ins for callers, executors and workers, and the benchmark command.
+
+pub mod batch;
+mod figure;
+
+pub use figure::Figure;
