feat(batch): fit interference by least squares over workers

Cause: the first model freed each report of its own prediction before it followed the undisturbed latency, so that weights that were too high confirmed themselves, and the gate starved batch work. A worker that had run no task yet taught nothing, as its mix was not noted.

--- /dev/null
+++ b/comfreymill_batch/src/interference/regression.rs
@@ -0,0 +1,125 @@
+const FORGETTING: f64 = 0.9995;
+const PRIOR_EFFECT: f64 = 0.1;
+const PRIOR_STRENGTH: f64 = 0.2;
+const PRIOR_ALONE: f64 = 1.0;
+const PRIOR_ALONE_STRENGTH: f64 = 1.0;
+const MAX_REPORTS_PER_FIT: u32 = 16;
+const EARLY_REPORTS: u32 = 8;
+
+/// Linear fit by least squares with forgetting; the first unknown is the intercept.
+#[derive(Clone, Debug)]
+pub(crate) struct Regression {
+    /// Sums of products of the inputs, row by row.
+    products: Vec<Vec<f64>>,
+    /// Sums of products of the inputs and the output.
+    targets: Vec<f64>,
+    solution: Vec<f64>,
+    reports: u32,
+    unfitted: u32,
+}
+
+impl Default for Regression {
+    fn default() -> Self {
+        let mut fit = Self {
+            products: Vec::new(),
+            targets: Vec::new(),
+            solution: Vec::new(),
+            reports: 0,
+            unfitted: 0,
+        };
+        fit.grow(PRIOR_ALONE);
+        fit
+    }
+}
+
+impl Regression {
+    /// Adds an input that was not seen before; its position.
+    pub(crate) fn add_input(&mut self) -> usize {
+        self.grow(PRIOR_EFFECT);
+        self.solution.len() - 1
+    }
+
+    /// Takes in one report: inputs by position, the intercept left out.
+    pub(crate) fn observe(&mut self, inputs: &[(usize, f64)], output: f64) {
+        for row in &mut self.products {
+            row.iter_mut().for_each(|product| *product *= FORGETTING);
+        }
+        self.targets.iter_mut().for_each(|target| *target *= FORGETTING);
+        let with_intercept = || std::iter::once((0, 1.0)).chain(inputs.iter().copied());
+        for (i, a) in with_intercept() {
+            self.targets[i] += a * output;
+            for (j, b) in with_intercept() {
+                self.products[i][j] += a * b;
+            }
+        }
+        self.unfitted += 1;
+        self.reports = self.reports.saturating_add(1);
+        if self.unfitted >= (self.reports / EARLY_REPORTS).min(MAX_REPORTS_PER_FIT) {
+            self.fit();
+        }
+    }
+
+    /// Intercept: the output without any input.
+    pub(crate) fn get_intercept(&self) -> f64 {
+        self.solution[0]
+    }
+
+    /// Effect of one unit of the input at `position`.
+    pub(crate) fn get_effect(&self, position: usize) -> f64 {
+        self.solution[position]
+    }
+
+    fn grow(&mut self, prior: f64) {
+        for row in &mut self.products {
+            row.push(0.0);
+        }
+        let width = self.solution.len() + 1;
+        self.products.push(vec![0.0; width]);
+        self.targets.push(0.0);
+        self.solution.push(prior);
+    }
+
+    /// Solves the normal equations, held to the priors where reports are few.
+    fn fit(&mut self) {
+        self.unfitted = 0;
+        let width = self.solution.len();
+        let mut rows: Vec<Vec<f64>> = Vec::with_capacity(width);
+        for i in 0..width {
+            let (prior, strength) = prior_of(i);
+            let mut row = self.products[i].clone();
+            row[i] += strength;
+            row.push(self.targets[i] + strength * prior);
+            rows.push(row);
+        }
+        if let Some(solution) = solve(rows) {
+            self.solution = solution;
+        }
+    }
+}
+
+fn prior_of(position: usize) -> (f64, f64) {
+    if position == 0 { (PRIOR_ALONE, PRIOR_ALONE_STRENGTH) } else { (PRIOR_EFFECT, PRIOR_STRENGTH) }
+}
+
+/// Gaussian elimination; the rows are positive definite by the priors, so no pivoting is needed.
+fn solve(mut rows: Vec<Vec<f64>>) -> Option<Vec<f64>> {
+    let width = rows.len();
+    for i in 0..width {
+        let pivot = rows[i].clone();
+        if pivot[i] <= f64::EPSILON {
+            return None;
+        }
+        for row in rows.iter_mut().skip(i + 1) {
+            let factor = row[i] / pivot[i];
+            for (value, above) in row.iter_mut().zip(&pivot).skip(i) {
+                *value -= factor * above;
+            }
+        }
+    }
+    let mut solution = vec![0.0; width];
+    for i in (0..width).rev() {
+        let known: f64 = (i + 1..width).map(|j| rows[i][j] * solution[j]).sum();
+        solution[i] = (rows[i][width] - known) / rows[i][i];
+    }
+    Some(solution)
+}
--- a/comfreymill_batch/src/scheduler/heartbeats.rs
+++ b/comfreymill_batch/src/scheduler/heartbeats.rs
@@ -100,7 +100,11 @@
             let slowdown = old.map_or(1.0, |load| load.slowdown);
             services.push(fleet::ServiceLoad { service, slowdown });
         }
+        let is_first = self.fleet.get(index).services.is_empty() && !services.is_empty();
         self.fleet.get_mut(index).services = services;
+        if is_first {
+            self.refresh_mix(index);
+        }
     }
 
     /// A new life of the worker runs nothing of the earlier ones.
