perf(http): one system call less a request, and a third less memory an open connection

Cause: strace showed three polls a request, two of them by the server's wait for the next head; a connection's task stood twice in its spawned future. Change: the wait reads into the kept buffer and gives it up after a second of silence; the task is boxed. Examples echo and throughput. Before: 60,000 poll and 40,000 recvfrom for 20,000 requests; 12.5 kB of memory for each of 1,000 open connections (release echo, VmRSS). After: 20,000 poll and 60,000 recvfrom; 8.4 kB. The rate did not differ beyond the noise of a loaded machine (50 to 86 thousand a second either way). Conclusion: kept for the calls and the memory, not for the rate.

--- a/comfreymill_http/src/server/serve.rs
+++ b/comfreymill_http/src/server/serve.rs
@@ -105,9 +105,11 @@
     F: Future<Output = ()> + 'static,
 {
     let shutdown = listening.shutdown.clone();
+    // Boxed, since a task that is moved into the pin of another one takes its room twice.
+    let task = Box::pin(task);
     monoio::spawn(async move {
         let _count = count;
-        future::select(pin::pin!(task), pin::pin!(shutdown.is_cut())).await;
+        future::select(task, pin::pin!(shutdown.is_cut())).await;
     });
 }
 
--- a/comfreymill_http/src/wire/socket.rs
+++ b/comfreymill_http/src/wire/socket.rs
@@ -1,4 +1,4 @@
-use std::{io, mem, net, time};
+use std::{io, net, time};
 
 use bytes::Buf as _;
 use monoio::io::{AsyncReadRent as _, AsyncWriteRent as _};
@@ -9,6 +9,9 @@
 const READ_BYTES: usize = 16 * 1024;
 const MIN_SPARE_BYTES: usize = 4 * 1024;
 
+/// Time for which a silent connection keeps its empty buffer.
+const KEPT_BUFFER_TIME: time::Duration = time::Duration::from_secs(1);
+
 /// A TCP stream with the bytes that were read and not yet consumed.
 ///
 /// Dropping one of its futures loses no byte: the buffer stays here while its spare capacity is
@@ -86,12 +89,17 @@
         Ok(count)
     }
 
-    /// Waits until there is something to read, without holding a buffer meanwhile.
+    /// Waits until there is something in the buffer or to read.
+    ///
+    /// A wait that lasts holds no buffer, so that idle connections cost little memory.
     pub(crate) async fn wait_readable(&mut self) -> io::Result<()> {
         if self.is_eof || !self.buf.is_empty() {
             return Ok(());
         }
-        drop(mem::take(&mut self.buf));
+        if let Ok(res) = timer::timeout(KEPT_BUFFER_TIME, self.fill()).await {
+            return res.map(drop);
+        }
+        self.buf = bytes::BytesMut::new();
         self.stream.readable(false).await
     }
 
