fix(http): let the other connections run between requests and reads

Cause: a caller with many requests in one buffer, or one that sends faster than it is read, kept its task ready for ever. Change: a turn is given by awaiting a task at the end of the queue, after each pipelined request and each 16 reads. A client whose write stalls reads an answer that is already there. Conclusion: as in the tests' names.

--- a/comfreymill_http/src/client/connection.rs
+++ b/comfreymill_http/src/client/connection.rs
@@ -89,8 +89,7 @@
         self.start(head).await?;
         match self.write_request(head, body).await {
             Ok(()) => {}
-            // A peer may answer and close before it has read the whole request.
-            Err(ClientFault::Write(_)) if self.sent() == Sent::Some => self.is_kept = false,
+            Err(fault) if self.may_be_answered(fault).await => self.is_kept = false,
             Err(fault) => return Err(self.fail(fault)),
         }
         let (head, framing) = match self.read_response(&head.method).await {
@@ -125,6 +124,15 @@
         Ok(())
     }
 
+    /// Whether the peer may have answered a request that it did not read whole.
+    async fn may_be_answered(&self, fault: ClientFault) -> bool {
+        match fault {
+            ClientFault::Write(_) => self.sent() == Sent::Some,
+            ClientFault::WriteTimeout => self.socket.is_readable().await,
+            _ => false,
+        }
+    }
+
     fn fail(&mut self, fault: ClientFault) -> ClientError {
         self.is_kept = false;
         ClientError { fault, sent: self.sent() }
--- a/comfreymill_http/src/server/connection.rs
+++ b/comfreymill_http/src/server/connection.rs
@@ -225,6 +225,8 @@
     /// Waits for the first byte of a request; false at the idle limit or when stopping.
     async fn wait_for_request(&mut self) -> Result<bool, ServerError> {
         if !self.socket.is_empty() {
+            // A caller that sends many requests at once does not hold up the others.
+            wire::yield_now().await;
             return Ok(true);
         }
         let limit = self.limits.get_idle_timeout();
--- a/comfreymill_http/src/wire/poll.rs
+++ b/comfreymill_http/src/wire/poll.rs
@@ -12,3 +12,11 @@
     })
     .await
 }
+
+/// Lets the other tasks of this thread run.
+///
+/// A task that wakes itself is put at the front of monoio's queue and would run again at once, so
+/// this waits for a task at its end.
+pub(crate) async fn yield_now() {
+    monoio::spawn(future::ready(())).await;
+}
--- a/comfreymill_http/src/wire/socket.rs
+++ b/comfreymill_http/src/wire/socket.rs
@@ -4,7 +4,10 @@
 use monoio::io::{AsyncReadRent as _, AsyncWriteRent as _};
 use monoio::time as timer;
 
-use super::{WireError, now_or_never, progress};
+use super::{WireError, now_or_never, progress, yield_now};
+
+/// Reads after which the other tasks get their turn, however fast the peer sends.
+const READS_PER_TURN: u32 = 16;
 
 const READ_BYTES: usize = 16 * 1024;
 const MIN_SPARE_BYTES: usize = 4 * 1024;
@@ -22,13 +25,14 @@
     buf: bytes::BytesMut,
     is_eof: bool,
     written: u64,
+    reads: u32,
 }
 
 impl Socket {
     pub(crate) fn new(stream: monoio::net::TcpStream) -> Self {
         // Latency only: a stream without the option still works.
         let _ = stream.set_nodelay(true);
-        Self { stream, buf: bytes::BytesMut::new(), is_eof: false, written: 0 }
+        Self { stream, buf: bytes::BytesMut::new(), is_eof: false, written: 0, reads: 0 }
     }
 
     /// Address of the peer.
@@ -59,6 +63,7 @@
         if self.is_eof {
             return Ok(0);
         }
+        self.take_turn().await;
         if self.buf.capacity() - self.buf.len() < MIN_SPARE_BYTES {
             self.buf.reserve(READ_BYTES);
         }
@@ -70,6 +75,14 @@
         Ok(count)
     }
 
+    async fn take_turn(&mut self) {
+        self.reads += 1;
+        if self.reads == READS_PER_TURN {
+            self.reads = 0;
+            yield_now().await;
+        }
+    }
+
     /// Reads once, for at most `limit`.
     pub(crate) async fn fill_within(&mut self, limit: time::Duration) -> Result<usize, WireError> {
         match timer::timeout(limit, self.fill()).await {
--- a/comfreymill_http/tests/client/streaming.rs
+++ b/comfreymill_http/tests/client/streaming.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use comfreymill_http::{body, client, server};
+use futures_util::future;
 use http::{HeaderMap, StatusCode};
 
 use crate::support::{self, Peer, Service, Upstream};
@@ -114,6 +115,46 @@
     });
 }
 
+#[test]
+fn early_answer_of_a_peer_that_reads_no_further_is_read() {
+    support::run(async {
+        let upstream = Upstream::bind();
+        let limits = support::limits().write_timeout(time::Duration::from_millis(30));
+        let mut conn =
+            client::Connection::connect(upstream.addr, limits, OPEN).await.expect("open");
+        let mut peer = upstream.accept().await;
+        let head = http::Request::post("/").body(()).expect("request").into_parts().0;
+        let body = Bytes::from(vec![b'x'; 64 * 1024 * 1024]);
+        // The answer must not be there before the request, or the connection counts as stale.
+        let answer = async {
+            peer.read().await;
+            peer.write("HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n").await;
+        };
+        let (response, ()) = future::join(conn.send(&head, body), answer).await;
+        assert_eq!(response.expect("answer").status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert!(!conn.is_reusable());
+    });
+}
+
+#[test]
+fn dropped_send_says_whether_any_byte_was_written() {
+    support::run(async {
+        let upstream = Upstream::bind();
+        let open = client::Connection::connect(upstream.addr, support::limits(), OPEN);
+        let mut conn = open.await.expect("open");
+        let head = http::Request::new(()).into_parts().0;
+        drop(conn.send(&head, Bytes::new()));
+        assert_eq!(conn.sent(), client::Sent::Nothing);
+        assert!(conn.is_reusable(), "nothing was begun");
+
+        let short = time::Duration::from_millis(20);
+        let silent = monoio::time::timeout(short, conn.send(&head, Bytes::new())).await;
+        assert!(silent.is_err(), "the upstream does not answer");
+        assert_eq!(conn.sent(), client::Sent::Some);
+        assert!(!conn.is_reusable(), "the answer may still come");
+    });
+}
+
 #[test]
 fn silent_upstreams_are_given_up() {
     let limits = support::limits()
--- a/comfreymill_http/tests/server/bad_input.rs
+++ b/comfreymill_http/tests/server/bad_input.rs
@@ -154,6 +154,36 @@
     }
 }
 
+#[test]
+fn trickling_senders_are_refused() {
+    let endless = "x".repeat(400);
+    let cases = [
+        (format!("GET / HTTP/1.1\r\nhost: h\r\nx: {endless}"), "head_timeout"),
+        (
+            format!("POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 400\r\n\r\n{endless}"),
+            "body_timeout",
+        ),
+    ];
+    for (input, kind) in cases {
+        support::run(async {
+            let limits = support::limits()
+                .head_timeout(time::Duration::from_millis(100))
+                .body_progress_timeout(time::Duration::from_millis(100));
+            let service = Service::echo(limits);
+            let mut peer = Peer::connect(service.addr).await;
+            let (head, rest) = input.split_at(input.find('x').expect("rest"));
+            peer.write(head).await;
+            for byte in rest.bytes() {
+                peer.write([byte]).await;
+                monoio::time::sleep(time::Duration::from_millis(1)).await;
+            }
+            peer.finish().await;
+            let answers = support::parse_answers(&peer.read_to_end().await);
+            assert_eq!((answers[0].status, answers[0].kind()), (408, Some(kind)));
+        });
+    }
+}
+
 #[test]
 fn messages_cut_short_are_refused() {
     let cases = [
--- a/comfreymill_http/tests/server/unanswered.rs
+++ b/comfreymill_http/tests/server/unanswered.rs
@@ -1,7 +1,7 @@
 use bytes::Bytes;
-use comfreymill_http::server;
+use comfreymill_http::{head::HeadError, server};
 
-use crate::support::{self, Peer, Service, guard, parse_answers, step};
+use crate::support::{self, Peer, Service, Upstream, guard, parse_answers, step};
 
 const REQUEST: &str = "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n";
 
@@ -92,3 +92,20 @@
         assert_eq!(bodies, [b"/1".as_slice(), b"/2", b"/3"]);
     });
 }
+
+#[test]
+fn connection_gives_no_request_after_a_refusal() {
+    support::run(async {
+        let upstream = Upstream::bind();
+        let mut peer = Peer::connect(upstream.addr).await;
+        peer.write(format!("GET / HTTP/9.9\r\n\r\n{REQUEST}")).await;
+        peer.finish().await;
+        let mut conn = server::Connection::new(upstream.accept_raw().await, support::limits());
+        let refusal = server::Refusal::Head(HeadError::Version);
+        let err = conn.next().await.expect_err("refused");
+        assert!(matches!(err, server::ServerError::Refused(seen) if seen == refusal), "{err:?}");
+        assert!(conn.next().await.expect("ended").is_none());
+        let answers = parse_answers(&peer.read_until(b"}").await);
+        assert_eq!((answers[0].status, answers[0].kind()), (505, Some("bad_version")));
+    });
+}
--- a/comfreymill_http/tests/support/peer.rs
+++ b/comfreymill_http/tests/support/peer.rs
@@ -104,8 +104,11 @@
     }
 
     pub(crate) async fn accept(&self) -> Peer {
-        let (stream, _) = guard(self.listener.accept()).await.expect("accept");
-        Peer::over(stream)
+        Peer::over(self.accept_raw().await)
+    }
+
+    pub(crate) async fn accept_raw(&self) -> monoio::net::TcpStream {
+        guard(self.listener.accept()).await.expect("accept").0
     }
 
     /// Answers the first request of one connection with these bytes and closes it.
--- a/comfreymill_http/tests/support/runtime.rs
+++ b/comfreymill_http/tests/support/runtime.rs
@@ -1,4 +1,4 @@
-use std::{future, task, time};
+use std::{future, time};
 
 /// Ends a test that hangs; no test depends on its length otherwise.
 const HANG: time::Duration = time::Duration::from_secs(60);
@@ -28,14 +28,6 @@
 /// Lets every other task run that has something to do.
 pub(crate) async fn step() {
     for _ in 0..STEPS {
-        let mut is_yielded = false;
-        future::poll_fn(|cx| {
-            if std::mem::replace(&mut is_yielded, true) {
-                return task::Poll::Ready(());
-            }
-            cx.waker().wake_by_ref();
-            task::Poll::Pending
-        })
-        .await;
+        monoio::spawn(future::ready(())).await;
     }
 }
