feat(bench): measure the routing policy in virtual time

Change: fakes in virtual time, the scenarios of the policy and the cost of a decision; an example prints the figures.

--- /dev/null
+++ b/comfreymill_bench/src/route/mod.rs
@@ -0,0 +1,23 @@
+//! Prompt requests in virtual time: routers and a granter over fake executors.
+//!
+//! A [`Scenario`] states the executors, what goes wrong with them and the load; [`run`] plays it
+//! with one policy and returns a [`Tally`]. [`measure`] plays every scenario with every policy.
+
+mod behaviour;
+mod decision_cost;
+mod event;
+mod fake_entry;
+mod fake_executor;
+mod figures;
+mod fleet;
+mod fleet_grants;
+mod scenario;
+mod scenarios;
+mod tally;
+
+pub use behaviour::Behaviour;
+pub use decision_cost::measure_decision_cost;
+pub use figures::measure;
+pub use fleet::run;
+pub use scenario::Scenario;
+pub use tally::Tally;
