--- a/comfreymill_bench/src/route/mod.rs
+++ b/comfreymill_bench/src/route/mod.rs
@@ -17,7 +17,7 @@
 
 pub use behaviour::Behaviour;
 pub use decision_cost::measure_decision_cost;
-pub use figures::measure;
+pub use figures::{POLICIES, measure};
 pub use fleet::run;
 pub use scenario::Scenario;
 pub use tally::Tally;
--- a/comfreymill_route/src/grant/granter_plan.rs
+++ b/comfreymill_route/src/grant/granter_plan.rs
@@ -87,7 +87,10 @@
         let extra = |r: usize, region: &id::RegionName| {
             let reserve = f64::from(self.capacity(service, region)) * self.cfg.get_reserve();
             let spare = left[r].saturating_sub(reserve.ceil() as u32);
-            let weight = |claim: &Claim| if claim.region == *region { claim.wanted } else { 0 };
+            let weight = |claim: &Claim| {
+                let is_own = claim.region == *region;
+                if is_own { share::headroom_weight(claim.wanted) } else { 0 }
+            };
             let weights: Vec<u32> = claims.iter().map(weight).collect();
             share::divide_by_weight(if is_all_met { spare } else { 0 }, &weights)
         };
--- a/comfreymill_route/src/grant/share.rs
+++ b/comfreymill_route/src/grant/share.rs
@@ -23,3 +23,9 @@
     let part = |weight: &u32| (u64::from(total) * u64::from(*weight) / sum) as u32;
     weights.iter().map(part).collect()
 }
+
+/// Weight of an entry in slots that nobody needs: demand varies with its square root.
+pub(super) fn headroom_weight(wanted: u32) -> u32 {
+    const SCALE: f64 = 100.0;
+    (SCALE * f64::from(wanted).sqrt()).ceil() as u32
+}
--- a/comfreymill_route/src/router/config.rs
+++ b/comfreymill_route/src/router/config.rs
@@ -22,7 +22,6 @@
     queue_limit: usize,
     doubt_hold: Duration,
     grant_wait: Duration,
-    headroom: f64,
     history_limit: usize,
     seed: u64,
 }
@@ -46,7 +45,6 @@
             queue_limit: 4_096,
             doubt_hold: Duration::from_secs(5),
             grant_wait: Duration::from_millis(500),
-            headroom: 0.25,
             history_limit: 4_096,
             seed: 0,
         }
@@ -127,11 +125,6 @@
         self.grant_wait
     }
 
-    /// Share of the slots in use that is asked for on top.
-    pub fn get_headroom(&self) -> f64 {
-        self.headroom
-    }
-
     /// Most decision records kept.
     pub fn get_history_limit(&self) -> usize {
         self.history_limit
@@ -236,13 +229,6 @@
         self
     }
 
-    /// Share of the slots in use that is asked for on top.
-    #[must_use]
-    pub fn headroom(mut self, headroom: f64) -> Self {
-        self.headroom = headroom;
-        self
-    }
-
     /// Most decision records kept.
     #[must_use]
     pub fn history_limit(mut self, history_limit: usize) -> Self {
--- a/comfreymill_route/src/router/pool.rs
+++ b/comfreymill_route/src/router/pool.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use comfreymill_types::document;
 use comfreymill_types::id;
@@ -9,6 +10,7 @@
 use super::executor::Executor;
 use super::queue::Queue;
 
+const LOAD_MEMORY: Duration = Duration::from_millis(250);
 const SERVICE_TIME_WEIGHT: f64 = 0.05;
 const FIRST_SERVICE_MICROS: f64 = 1_000.0;
 
@@ -43,8 +45,8 @@
     pub(super) ejected: usize,
     /// Slots in use over all executors.
     pub(super) in_use: u32,
-    /// Recent peak of slots in use and requests waiting.
-    pub(super) peak: f64,
+    /// Slots in use and requests waiting, as a mean over the last time.
+    pub(super) mean_load: f64,
     /// Time from sending to the whole answer, in microseconds, over all classes.
     pub(super) service_time: Estimate,
     /// Demand last told to the leader.
@@ -74,17 +76,28 @@
             remote_slots: 0,
             ejected: 0,
             in_use: 0,
-            peak: 0.0,
+            mean_load: 0.0,
             service_time: Estimate::new(FIRST_SERVICE_MICROS, SERVICE_TIME_WEIGHT),
             told_demand: 0,
         }
     }
 
-    /// Slots wanted of the leader: in use, waiting and a share on top.
-    pub(super) fn demand(&self, headroom: f64) -> u32 {
-        let present = f64::from(self.in_use) + self.queue.len() as f64;
-        let peak = present.max(self.peak);
-        (peak * (1.0 + headroom)).ceil() as u32
+    /// Slots in use and requests waiting.
+    fn load(&self) -> f64 {
+        f64::from(self.in_use) + self.queue.len() as f64
+    }
+
+    /// Takes the present load into its mean over the last `span`.
+    pub(super) fn watch_load(&mut self, span: Duration) {
+        let share = 1.0 - (-span.as_secs_f64() / LOAD_MEMORY.as_secs_f64()).exp();
+        self.mean_load += share * (self.load() - self.mean_load);
+    }
+
+    /// Slots wanted of the leader: those used of late, and at once those that requests wait for.
+    pub(super) fn demand(&self) -> u32 {
+        let is_waiting = self.queue.len() > 0;
+        let load = if is_waiting { self.load().max(self.mean_load) } else { self.mean_load };
+        load.ceil() as u32
     }
 
     pub(super) fn side_mut(&mut self, remote: bool) -> &mut Side {
--- a/comfreymill_route/src/router/router.rs
+++ b/comfreymill_route/src/router/router.rs
@@ -48,6 +48,7 @@
     pub(super) history: History,
     pub(super) actions: Vec<Action>,
     pub(super) draining: bool,
+    pub(super) last_tick: time::Monotonic,
     pub(super) last_decay: time::Monotonic,
     pub(super) rng: rand_chacha::ChaCha8Rng,
 }
@@ -73,6 +74,7 @@
             history: History::new(cfg.get_history_limit()),
             actions: Vec::new(),
             draining: false,
+            last_tick: time::Monotonic::ZERO,
             last_decay: time::Monotonic::ZERO,
             rng: rand_chacha::ChaCha8Rng::seed_from_u64(cfg.get_seed()),
             cfg,
@@ -143,9 +145,8 @@
 
     /// Slots wanted of each service, for the leader that grants them.
     pub fn demand(&mut self, _now: time::Monotonic) -> Vec<ServiceDemand> {
-        let headroom = self.cfg.get_headroom();
         let wanted = self.pools.iter_mut().map(|pool| {
-            pool.told_demand = pool.demand(headroom);
+            pool.told_demand = pool.demand();
             ServiceDemand { service: pool.service.clone(), slots: pool.told_demand }
         });
         wanted.collect()
--- a/comfreymill_route/src/router/router_health.rs
+++ b/comfreymill_route/src/router/router_health.rs
@@ -16,7 +16,6 @@
 const DECAY_PERIOD: Duration = Duration::from_secs(1);
 const DECAY_SHARE: f64 = 0.05;
 const QUIET: Duration = Duration::from_secs(5);
-const PEAK_DECAY: f64 = 0.7;
 
 /// # Health of executors
 impl Router {
@@ -42,7 +41,10 @@
             self.last_decay = now;
             self.decay(now);
         }
+        let span = now.since(self.last_tick);
+        self.last_tick = now;
         for pool in 0..self.pools.len() {
+            self.pools[pool].watch_load(span);
             self.expire_queue(now, pool);
             self.dispatch(now, pool);
             self.pools[pool].queue.tidy();
@@ -166,17 +168,12 @@
                 self.reindex(now, ix);
             }
         }
-        for pool in &mut self.pools {
-            let present = f64::from(pool.in_use) + pool.queue.len() as f64;
-            pool.peak = present.max(pool.peak * PEAK_DECAY);
-        }
     }
 
     /// Tells the leader early when demand outgrew what was told.
     fn watch_demand(&mut self, pool: usize) {
-        let pool = &mut self.pools[pool];
-        let present = pool.in_use + pool.queue.len() as u32;
-        let is_outgrown = present > pool.told_demand && pool.queue.len() > 0;
+        let pool = &self.pools[pool];
+        let is_outgrown = pool.demand() > pool.told_demand && pool.queue.len() > 0;
         if is_outgrown && !self.actions.contains(&Action::DemandChanged) {
             self.actions.push(Action::DemandChanged);
         }
--- a/comfreymill_route/src/router/service_demand.rs
+++ b/comfreymill_route/src/router/service_demand.rs
@@ -5,6 +5,6 @@
 pub struct ServiceDemand {
     /// Service wanted.
     pub service: id::ServiceName,
-    /// Slots in use, queued for and as headroom.
+    /// Slots in use and requests waiting.
     pub slots: u32,
 }
