feat(route): follow offered load and leave ejected executors to others

Cause: with one entry taking half of the load at 80 %, demand counted queues and peaks, so that small entries held slots they did not use: slots idled beside waiting requests for the whole 20 s, 21.6 % were refused and p99 was 167 ms. An entry could also hold all its slots of executors that it had ejected; the cluster property then saw too few answers after the faults.

--- a/comfreymill_bench/src/route/fake_entry.rs
+++ b/comfreymill_bench/src/route/fake_entry.rs
@@ -70,6 +70,7 @@
             sequence: self.sequence,
             demand: self.router.demand(now),
             holdings: self.router.holdings(0),
+            avoided: self.router.avoided(0),
             draining: false,
         }
     }
--- a/comfreymill_route/src/grant/entry_state.rs
+++ b/comfreymill_route/src/grant/entry_state.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use comfreymill_types::id;
 use comfreymill_types::time;
@@ -12,6 +12,8 @@
     pub(super) sequence: u64,
     pub(super) last_heard: time::Monotonic,
     pub(super) demand: BTreeMap<id::ServiceName, u32>,
+    /// Executors that it has ejected.
+    pub(super) avoided: BTreeSet<id::ExecutorName>,
     pub(super) draining: bool,
     /// Earlier lives with the time at which nothing of theirs can still run.
     pub(super) ended: Vec<(id::Incarnation, time::Monotonic)>,
@@ -25,6 +27,7 @@
             sequence: 0,
             last_heard: now,
             demand: BTreeMap::new(),
+            avoided: BTreeSet::new(),
             draining: false,
             ended: Vec::new(),
         }
--- a/comfreymill_route/src/grant/granter.rs
+++ b/comfreymill_route/src/grant/granter.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::mem;
 
 use comfreymill_types::id;
@@ -21,6 +21,8 @@
     complete_at: time::Monotonic,
     pub(super) executors: BTreeMap<id::ExecutorName, ExecutorState>,
     pub(super) entries: BTreeMap<id::EntryName, EntryState>,
+    /// Executors that most entries have ejected, as of the last plan.
+    pub(super) shunned: BTreeSet<id::ExecutorName>,
     pub(super) changes: Vec<GrantChange>,
 }
 
@@ -35,8 +37,16 @@
         let epoch = term << TERM_SHIFT;
         let (executors, entries) = (BTreeMap::new(), BTreeMap::new());
         let complete_at = now + cfg.get_announce_grace();
-        let changes = Vec::new();
-        let mut this = Self { cfg, source, epoch, complete_at, executors, entries, changes };
+        let mut this = Self {
+            cfg,
+            source,
+            epoch,
+            complete_at,
+            executors,
+            entries,
+            shunned: BTreeSet::new(),
+            changes: Vec::new(),
+        };
         for grant in grants {
             this.recover_grant(now, &grant);
         }
@@ -104,6 +114,7 @@
         entry.last_heard = now;
         entry.region = Some(heartbeat.region.clone());
         entry.draining = heartbeat.draining;
+        entry.avoided = heartbeat.avoided.iter().cloned().collect();
         let demand = heartbeat.demand.iter();
         entry.demand = demand.map(|demand| (demand.service.clone(), demand.slots)).collect();
         let id = (heartbeat.entry.clone(), incarnation);
--- a/comfreymill_route/src/grant/granter_plan.rs
+++ b/comfreymill_route/src/grant/granter_plan.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use comfreymill_types::id;
 use comfreymill_types::time;
@@ -7,6 +7,9 @@
 use super::granter::Granter;
 use super::share;
 
+/// Slots that an entry keeps of an executor that it has ejected.
+const TRIAL_SLOTS: u32 = 1;
+
 /// Entry that may be granted slots, with what it wants of one service.
 #[derive(Debug)]
 struct Claim {
@@ -28,6 +31,7 @@
 impl Granter {
     /// Raises and recalls grants so that no slot idles while requests wait elsewhere.
     pub(super) fn follow_demand(&mut self, now: time::Monotonic) {
+        self.recall_avoided(now);
         let open = self.executors.values().filter_map(|executor| executor.announced.as_ref());
         let places: BTreeSet<_> =
             open.map(|open| (open.service.clone(), open.region.clone())).collect();
@@ -44,6 +48,33 @@
         self.recall_excess();
     }
 
+    /// Leaves an entry one slot, to try it with, of each executor that it has ejected.
+    fn recall_avoided(&mut self, now: time::Monotonic) {
+        let lease = self.cfg.get_lease();
+        let mut live = 0;
+        let mut avoiders: BTreeMap<id::ExecutorName, usize> = BTreeMap::new();
+        let mut recalls = Vec::new();
+        for (name, entry) in &self.entries {
+            if now.since(entry.last_heard) >= lease {
+                continue;
+            }
+            live += 1;
+            for executor in &entry.avoided {
+                *avoiders.entry(executor.clone()).or_default() += 1;
+                recalls.push((executor.clone(), (name.clone(), entry.incarnation)));
+            }
+        }
+        avoiders.retain(|_, count| 2 * *count > live);
+        self.shunned = avoiders.into_keys().collect();
+        for (executor, id) in recalls {
+            self.recall(&executor, &id, TRIAL_SLOTS);
+        }
+    }
+
+    fn is_avoided(&self, name: &id::ExecutorName, id: &HolderId) -> bool {
+        self.entries.get(&id.0).is_some_and(|entry| entry.avoided.contains(name))
+    }
+
     fn claims(&self, now: time::Monotonic, service: &id::ServiceName) -> Vec<Claim> {
         let lease = self.cfg.get_lease();
         let live = self.entries.iter().filter(|(_, entry)| now.since(entry.last_heard) < lease);
@@ -165,7 +196,7 @@
         region: &id::RegionName,
         id: &HolderId,
     ) -> Vec<id::ExecutorName> {
-        let open = self.open(service, region);
+        let open = self.open(service, region).filter(|(name, _)| !self.is_avoided(name, id));
         let mut order: Vec<_> = open
             .map(|(name, executor)| {
                 let held = executor.target_of(id);
@@ -227,10 +258,10 @@
         service: &'a id::ServiceName,
         region: &'a id::RegionName,
     ) -> impl Iterator<Item = (&'a id::ExecutorName, &'a ExecutorState)> {
-        self.executors.iter().filter(move |(_, executor)| {
+        self.executors.iter().filter(move |(name, executor)| {
             let announced = executor.announced.as_ref();
             let fits = announced.is_some_and(|a| a.service == *service && a.region == *region);
-            fits && executor.is_open()
+            fits && executor.is_open() && !self.shunned.contains(*name)
         })
     }
 
@@ -239,7 +270,8 @@
     }
 
     fn held(&self, service: &id::ServiceName, region: &id::RegionName, id: &HolderId) -> u32 {
-        self.open(service, region).map(|(_, executor)| executor.target_of(id)).sum()
+        let open = self.open(service, region).filter(|(name, _)| !self.is_avoided(name, id));
+        open.map(|(_, executor)| executor.target_of(id)).sum()
     }
 
     fn recalled(&self, service: &id::ServiceName, region: &id::RegionName) -> u32 {
--- a/comfreymill_route/src/grant/heartbeat.rs
+++ b/comfreymill_route/src/grant/heartbeat.rs
@@ -19,6 +19,8 @@
     pub demand: Vec<router::ServiceDemand>,
     /// What the entry may still use.
     pub holdings: Vec<router::Holding>,
+    /// Executors that the entry has ejected and would rather have no slots of.
+    pub avoided: Vec<id::ExecutorName>,
     /// Whether the entry is stopping and wants nothing more.
     pub draining: bool,
 }
--- a/comfreymill_route/src/router/pool.rs
+++ b/comfreymill_route/src/router/pool.rs
@@ -11,6 +11,7 @@
 use super::queue::Queue;
 
 const LOAD_MEMORY: Duration = Duration::from_millis(250);
+const GRANT_PERIOD: Duration = Duration::from_millis(250);
 const SERVICE_TIME_WEIGHT: f64 = 0.05;
 const FIRST_SERVICE_MICROS: f64 = 1_000.0;
 
@@ -45,8 +46,12 @@
     pub(super) ejected: usize,
     /// Slots in use over all executors.
     pub(super) in_use: u32,
-    /// Slots in use and requests waiting, as a mean over the last time.
-    pub(super) mean_load: f64,
+    /// Requests that came since the last look.
+    pub(super) arrivals: u32,
+    /// Slots that arrivals need, as a mean over the last time.
+    mean_offered: f64,
+    /// Slots in use, as a mean over the last time.
+    mean_in_use: f64,
     /// Time from sending to the whole answer, in microseconds, over all classes.
     pub(super) service_time: Estimate,
     /// Demand last told to the leader.
@@ -76,28 +81,34 @@
             remote_slots: 0,
             ejected: 0,
             in_use: 0,
-            mean_load: 0.0,
+            arrivals: 0,
+            mean_offered: 0.0,
+            mean_in_use: 0.0,
             service_time: Estimate::new(FIRST_SERVICE_MICROS, SERVICE_TIME_WEIGHT),
             told_demand: 0,
         }
     }
 
-    /// Slots in use and requests waiting.
-    fn load(&self) -> f64 {
-        f64::from(self.in_use) + self.queue.len() as f64
-    }
-
-    /// Takes the present load into its mean over the last `span`.
+    /// Takes the arrivals and the slots in use of the last `span` into their means.
     pub(super) fn watch_load(&mut self, span: Duration) {
-        let share = 1.0 - (-span.as_secs_f64() / LOAD_MEMORY.as_secs_f64()).exp();
-        self.mean_load += share * (self.load() - self.mean_load);
+        let span = span.as_secs_f64();
+        if span == 0.0 {
+            return;
+        }
+        let service_secs = self.service_time.get_mean() / 1e6;
+        let memory = LOAD_MEMORY.as_secs_f64().max(service_secs);
+        let share = 1.0 - (-span / memory).exp();
+        let offered = f64::from(self.arrivals) / span * service_secs;
+        self.arrivals = 0;
+        self.mean_offered += share * (offered - self.mean_offered);
+        self.mean_in_use += share * (f64::from(self.in_use) - self.mean_in_use);
     }
 
-    /// Slots wanted of the leader: those used of late, and at once those that requests wait for.
+    /// Slots wanted of the leader: for what arrives, and to clear what waits within a period.
     pub(super) fn demand(&self) -> u32 {
-        let is_waiting = self.queue.len() > 0;
-        let load = if is_waiting { self.load().max(self.mean_load) } else { self.mean_load };
-        load.ceil() as u32
+        let backlog = self.queue.len() as f64 * self.service_time.get_mean();
+        let clearing = backlog / GRANT_PERIOD.as_micros() as f64;
+        (self.mean_offered.max(self.mean_in_use) + clearing).ceil() as u32
     }
 
     pub(super) fn side_mut(&mut self, remote: bool) -> &mut Side {
--- a/comfreymill_route/src/router/router.rs
+++ b/comfreymill_route/src/router/router.rs
@@ -180,6 +180,7 @@
         }
         self.budget.earn();
         let pool = self.classes[req.class].service;
+        self.pools[pool].arrivals += 1;
         self.check_reachable(pool, req.class)?;
         if let Some(ix) = self.choose(now, &req) {
             let address = self.executors[ix].view.address;
--- a/comfreymill_route/src/router/router_health.rs
+++ b/comfreymill_route/src/router/router_health.rs
@@ -105,7 +105,8 @@
     pub(super) fn eject(&mut self, now: time::Monotonic, ix: usize) {
         let executor = &self.executors[ix];
         let pool = &self.pools[executor.service];
-        let allowed = (pool.members.len() as f64 * self.cfg.get_max_ejected_share()) as usize;
+        let granting = pool.members.iter().filter(|ix| self.executors[**ix].view.slots > 0);
+        let allowed = (granting.count() as f64 * self.cfg.get_max_ejected_share()) as usize;
         let is_out = executor.health != Health::Serving;
         if !self.cfg.is_ejection_set() || (!is_out && pool.ejected >= allowed) {
             return;
--- a/comfreymill_route/src/router/router_table.rs
+++ b/comfreymill_route/src/router/router_table.rs
@@ -70,6 +70,13 @@
         changed
     }
 
+    /// Executors of a group that are ejected here, for the heartbeat.
+    pub fn avoided(&self, source: u32) -> Vec<id::ExecutorName> {
+        let mine = self.of_source(source).map(|ix| &self.executors[ix]);
+        let ejected = mine.filter(|executor| executor.health != Health::Serving);
+        ejected.map(|executor| executor.name().clone()).collect()
+    }
+
     fn missing(&self, table: &Table) -> Vec<usize> {
         let names: HashSet<_> = table.executors.iter().map(|view| &view.name).collect();
         let listed = |ix: &usize| names.contains(self.executors[*ix].name());
--- a/comfreymill_route/tests/cluster/entry.rs
+++ b/comfreymill_route/tests/cluster/entry.rs
@@ -90,6 +90,7 @@
             sequence: self.sequence,
             demand: self.router.demand(now),
             holdings: self.router.holdings(0),
+            avoided: self.router.avoided(0),
             draining: false,
         }
     }
--- a/comfreymill_route/tests/grant/mod.rs
+++ b/comfreymill_route/tests/grant/mod.rs
@@ -16,6 +16,7 @@
         sequence: 1,
         demand: vec![ServiceDemand { service: support::name("register"), slots: demand }],
         holdings: Vec::new(),
+        avoided: Vec::new(),
         draining: false,
     }
 }
@@ -229,3 +230,27 @@
     commit(&mut granter, support::ms(3));
     assert_eq!(granter.granted(&support::name("e2")), 4);
 }
+
+#[test]
+fn an_entry_keeps_one_slot_of_an_executor_that_it_ejected() {
+    let mut granter = granter();
+    granter.announced(support::announcement("e1", 1, 8));
+    granter.announced(support::announcement("e2", 1, 8));
+    granter.heartbeat(support::ms(0), &heartbeat("a", 1, 8));
+    granter.heartbeat(support::ms(0), &heartbeat("b", 1, 8));
+    commit(&mut granter, support::ms(1));
+    let mut avoiding = heartbeat("a", 1, 8);
+    avoiding.avoided = vec![support::name("e1")];
+    for step in 2..8 {
+        avoiding.holdings = holdings(&mut granter, "a", 1);
+        granter.heartbeat(support::ms(step), &avoiding);
+        let mut other = heartbeat("b", 1, 8);
+        other.holdings = holdings(&mut granter, "b", 1);
+        granter.heartbeat(support::ms(step), &other);
+        commit(&mut granter, support::ms(step));
+    }
+    let held = holdings(&mut granter, "a", 1);
+    let slots: Vec<u32> = held.iter().map(|holding| holding.slots).collect();
+    assert_eq!(slots, [1, 4]);
+    assert!(shown(&mut granter, "b", 1) >= 8, "the other entry got what was left");
+}
