test(group): add quiet schedules, stalled processes and the older-term case

Leader completeness is checked for entries committed in earlier terms, since a stalled process may win an old election late. Store::restore starts a group anew from a backup.

--- /dev/null
+++ b/comfreymill_group/examples/group_bench/cluster.rs
@@ -0,0 +1,177 @@
+use crate::member::{Event, Member, Queues, Shared};
+use comfreymill_group::id;
+use std::io::{self, Write};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, mpsc};
+use std::time::{Duration, Instant};
+use std::{fs, path, thread};
+
+const COMMAND_BYTES: u64 = 200;
+const RUN: Duration = Duration::from_secs(4);
+const KILLS: usize = 30;
+
+/// Members of one group, with their threads.
+struct Cluster {
+    folder: path::PathBuf,
+    shared: Arc<Shared>,
+    queues: Queues,
+    members: Vec<(id::VoterId, Option<thread::JoinHandle<()>>)>,
+    relays: Vec<mpsc::Sender<mpsc::Sender<Event>>>,
+}
+
+impl Cluster {
+    fn start(folder: &path::Path, voters: u64) -> io::Result<Self> {
+        let mut queues = Queues::new();
+        let mut receivers = Vec::new();
+        let mut relays = Vec::new();
+        for voter in (1..=voters).map(id::VoterId::new) {
+            let (tx, rx) = mpsc::channel();
+            relays.push(relay(rx));
+            queues.insert(voter, tx);
+            receivers.push(voter);
+        }
+        let shared = Arc::new(Shared::default());
+        shared.command_bytes.store(COMMAND_BYTES, Ordering::Relaxed);
+        let members = receivers.into_iter().map(|voter| (voter, None)).collect();
+        let folder = folder.to_owned();
+        let mut cluster = Self { folder, shared, queues, members, relays };
+        for position in 0..cluster.members.len() {
+            cluster.start_member(position)?;
+        }
+        Ok(cluster)
+    }
+
+    fn start_member(&mut self, position: usize) -> io::Result<()> {
+        let (tx, rx) = mpsc::channel();
+        self.relays[position].send(tx).ok();
+        let voter = self.members[position].0;
+        let folder = self.folder.join(voter.to_string());
+        let handle = Member::spawn(voter, &folder, &self.queues, rx, &self.shared)?;
+        self.members[position].1 = Some(handle);
+        Ok(())
+    }
+
+    fn kill(&mut self, position: usize) {
+        let voter = self.members[position].0;
+        self.queues[&voter].send(Event::Kill).ok();
+        if let Some(handle) = self.members[position].1.take() {
+            handle.join().ok();
+        }
+    }
+
+    /// Position of the serving leader, waited for.
+    fn leader(&self) -> usize {
+        loop {
+            let leader = self.shared.leader.load(Ordering::Relaxed);
+            let position = self.members.iter().position(|(voter, _)| voter.get() == leader);
+            if let Some(position) = position {
+                return position;
+            }
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    fn committed(&self) -> u64 {
+        self.shared.committed.load(Ordering::Relaxed)
+    }
+
+    fn set_window(&self, window: u64) {
+        self.shared.window.store(window, Ordering::Relaxed);
+    }
+
+    fn stop(mut self) -> io::Result<()> {
+        for position in 0..self.members.len() {
+            self.kill(position);
+        }
+        fs::remove_dir_all(&self.folder)
+    }
+}
+
+/// Passes events on to the member that runs at present; events without one are lost.
+fn relay(rx: mpsc::Receiver<Event>) -> mpsc::Sender<mpsc::Sender<Event>> {
+    let (tx, targets) = mpsc::channel::<mpsc::Sender<Event>>();
+    thread::spawn(move || {
+        let mut target: Option<mpsc::Sender<Event>> = None;
+        while let Ok(event) = rx.recv() {
+            target = targets.try_iter().last().or(target);
+            if let Some(target) = &target {
+                target.send(event).ok();
+            }
+        }
+    });
+    tx
+}
+
+/// Commits a second with several numbers of commands under way.
+pub(crate) fn measure_commits<W>(folder: &path::Path, out: &mut W) -> io::Result<()>
+where
+    W: Write,
+{
+    for voters in [1, 3, 5] {
+        let cluster = Cluster::start(&folder.join("commits"), voters)?;
+        cluster.shared.takes_snapshots.store(true, Ordering::Relaxed);
+        for window in [1, 16, 256, 2_048] {
+            cluster.leader();
+            cluster.set_window(window);
+            thread::sleep(Duration::from_millis(300));
+            let (start, before) = (Instant::now(), cluster.committed());
+            let sent_before = cluster.shared.sent_bytes.load(Ordering::Relaxed);
+            thread::sleep(RUN);
+            let count = cluster.committed() - before;
+            let sent = cluster.shared.sent_bytes.load(Ordering::Relaxed) - sent_before;
+            let rate = count as f64 / start.elapsed().as_secs_f64();
+            let files = folder_bytes(&cluster.folder.join("1"))?;
+            writeln!(
+                out,
+                "commits: {voters} voters, {window} under way, {COMMAND_BYTES} bytes each: \
+                 {rate:.0}/s, {} bytes sent per commit, files of a replica {} KB",
+                sent / count.max(1),
+                files / 1024,
+            )?;
+        }
+        cluster.stop()?;
+    }
+    Ok(())
+}
+
+/// Time from the end of the leader's thread to the next commit.
+pub(crate) fn measure_kills<W>(folder: &path::Path, out: &mut W) -> io::Result<()>
+where
+    W: Write,
+{
+    for voters in [3, 5] {
+        let mut cluster = Cluster::start(&folder.join("kills"), voters)?;
+        cluster.set_window(1);
+        let mut gaps = Vec::new();
+        for _ in 0..KILLS {
+            let leader = cluster.leader();
+            thread::sleep(Duration::from_millis(100));
+            let start = Instant::now();
+            cluster.kill(leader);
+            let before = cluster.committed();
+            while cluster.committed() == before {
+                thread::sleep(Duration::from_millis(1));
+            }
+            gaps.push(start.elapsed().as_millis());
+            cluster.start_member(leader)?;
+            thread::sleep(Duration::from_millis(500));
+        }
+        gaps.sort_unstable();
+        let (median, worst) = (gaps[KILLS / 2], gaps[KILLS - 1]);
+        writeln!(
+            out,
+            "kills: {voters} voters, {KILLS} leaders ended: next commit after {median} ms median, \
+             {worst} ms worst",
+        )?;
+        cluster.stop()?;
+    }
+    Ok(())
+}
+
+fn folder_bytes(folder: &path::Path) -> io::Result<u64> {
+    let mut bytes = 0;
+    for entry in fs::read_dir(folder)? {
+        bytes += entry?.metadata().map_or(0, |metadata| metadata.len());
+    }
+    Ok(bytes)
+}
--- /dev/null
+++ b/comfreymill_group/examples/group_bench/main.rs
@@ -0,0 +1,25 @@
+//! Measures a group of replicas in one process, with files and group sync.
+//!
+//! `cargo run --release -p comfreymill_group --example group_bench -- FOLDER` writes below FOLDER
+//! and removes what it wrote. It runs for about a minute.
+
+mod cluster;
+mod files;
+mod idle;
+mod member;
+
+use std::io::{self, Write};
+use std::{env, path};
+
+fn main() -> io::Result<()> {
+    let folder = env::args().nth(1).map_or_else(env::temp_dir, path::PathBuf::from);
+    let folder = folder.join(format!("group_bench-{}", std::process::id()));
+    let mut out = io::stdout();
+    cluster::measure_commits(&folder, &mut out)?;
+    cluster::measure_kills(&folder, &mut out)?;
+    files::measure_restart(&folder, &mut out)?;
+    files::measure_snapshot(&folder, &mut out)?;
+    idle::measure_traffic(&mut out)?;
+    out.flush()?;
+    std::fs::remove_dir_all(&folder)
+}
--- a/comfreymill_group/src/store/error.rs
+++ b/comfreymill_group/src/store/error.rs
@@ -40,6 +40,12 @@
         /// Replica of the folder.
         found_voter: id::VoterId,
     },
+    /// A backup is to be restored into a folder that is in use.
+    #[error("the folder is not empty: it holds {file}")]
+    NotEmpty {
+        /// A file in it.
+        file: String,
+    },
     /// An earlier call failed.
     #[error("stopped by an earlier failure: {first}")]
     Poisoned {
--- a/comfreymill_group/src/store/files.rs
+++ b/comfreymill_group/src/store/files.rs
@@ -91,12 +91,27 @@
             disk.remove(file).map_err(|error| StoreError::io(file, 0, "remove", error))?;
         }
         let identity = Identity::new(&options);
+        let hard_state = entry::HardState::default();
+        let store = Self::create_from(disk, options, identity, hard_state, None)?;
+        let (voter, disk) = (identity.voter, identity.disk);
+        let recovered = replica::Recovered { voter, disk, ..replica::Recovered::default() };
+        Ok((store, recovered))
+    }
+
+    /// Writes the first files of a replica, the identity last.
+    pub(super) fn create_from(
+        disk: D,
+        options: Options,
+        identity: Identity,
+        hard_state: entry::HardState,
+        snapshot: Option<&snapshot::Snapshot>,
+    ) -> Result<Self, StoreError> {
         let mut store = Self {
             disk,
             options,
             identity,
-            hard_state: entry::HardState::default(),
-            last: PositionRecord::default(),
+            hard_state,
+            last: snapshot.map(|it| position(&it.meta)).unwrap_or_default(),
             sequence: 0,
             segments: VecDeque::new(),
             snapshot: None,
@@ -104,10 +119,11 @@
             poisoned: None,
         };
         store.roll()?;
+        if let Some(snapshot) = snapshot {
+            store.write_snapshot(snapshot)?;
+        }
         identity.write(&mut store.disk)?;
-        let (voter, disk) = (identity.voter, identity.disk);
-        let recovered = replica::Recovered { voter, disk, ..replica::Recovered::default() };
-        Ok((store, recovered))
+        Ok(store)
     }
 
     /// Identity of the replica.
--- a/comfreymill_group/src/store/mod.rs
+++ b/comfreymill_group/src/store/mod.rs
@@ -20,6 +20,7 @@
 mod options;
 mod record;
 mod replay;
+mod restore;
 mod segment;
 mod snapshot_file;
 mod thread;
--- /dev/null
+++ b/comfreymill_group/src/store/restore.rs
@@ -0,0 +1,49 @@
+use crate::entry;
+use crate::id;
+use crate::membership;
+use crate::replica;
+use crate::store::{Disk, Identity, Options, Store, StoreError, snapshot_file};
+use bytes::Bytes;
+
+/// Terms that a restored group is ahead of its backup, so that messages of the former group are
+/// old ones.
+const RESTORED_TERM_STEP: u64 = 1_000_000;
+
+impl<D> Store<D>
+where
+    D: Disk,
+{
+    /// Starts a group anew from `backup`, a copy of a snapshot file, with this replica as its only
+    /// voter. No replica of the former group may run again.
+    ///
+    /// # Errors
+    ///
+    /// The folder is not empty, the backup is damaged or of another group, or a write failed.
+    pub fn restore(
+        mut disk: D,
+        options: Options,
+        backup: &Bytes,
+    ) -> Result<(Self, replica::Recovered), StoreError> {
+        let files = disk.list().map_err(|error| StoreError::io(".", 0, "list", error))?;
+        if !files.is_empty() {
+            return Err(StoreError::NotEmpty { file: files[0].clone() });
+        }
+        let mut snapshot = snapshot_file::decode(backup, options.get_group())
+            .map_err(|(offset, damage)| StoreError::damaged("backup", offset as u64, damage))?;
+        let identity = Identity::new(&options);
+        let stage = membership::Stage::Voter;
+        let member = membership::Member { disk: identity.disk, stage };
+        snapshot.meta.membership = [(identity.voter, member)].into_iter().collect();
+        let term = id::Term::new(snapshot.meta.term.get() + RESTORED_TERM_STEP);
+        let hard_state = entry::HardState { term, vote: None };
+        let store = Self::create_from(disk, options, identity, hard_state, Some(&snapshot))?;
+        let recovered = replica::Recovered {
+            voter: identity.voter,
+            disk: identity.disk,
+            hard_state,
+            snapshot: Some(snapshot),
+            entries: Vec::new(),
+        };
+        Ok((store, recovered))
+    }
+}
--- a/comfreymill_group/src/store/snapshot_file.rs
+++ b/comfreymill_group/src/store/snapshot_file.rs
@@ -54,7 +54,11 @@
     Ok((head.len() + snapshot.data.len()) as u64)
 }
 
-fn decode(buf: &Bytes, group: id::GroupId) -> Result<snapshot::Snapshot, (usize, Damage)> {
+/// Snapshot in `buf`, or where the damage is.
+pub(super) fn decode(
+    buf: &Bytes,
+    group: id::GroupId,
+) -> Result<snapshot::Snapshot, (usize, Damage)> {
     let frame::Found::Frame(head) = frame::find(buf, 0) else {
         return Err((0, Damage::Checksum));
     };
--- a/comfreymill_group/tests/scenario/mod.rs
+++ b/comfreymill_group/tests/scenario/mod.rs
@@ -6,5 +6,6 @@
 mod limits;
 mod member;
 mod message;
+mod older_term;
 mod partition;
 mod transfer;
--- a/comfreymill_group/tests/schedule/faults.rs
+++ b/comfreymill_group/tests/schedule/faults.rs
@@ -10,6 +10,7 @@
         let is_elected = self.has_new_leader();
         match self.profile {
             Profile::Calm if self.rng.random_range(0..100) < 70 => self.propose_somewhere(),
+            Profile::Quiet => self.disturb_quietly(),
             Profile::Duel if is_elected => self.ambush(),
             Profile::Duel if self.rng.random_range(0..100) < 20 => self.provoke_duel(),
             _ => self.do_anything(),
@@ -31,6 +32,25 @@
             82..84 => self.transfer(),
             84..86 => self.lose_disk(),
             86..88 => self.add_node(),
+            88..90 => self.stall_one(),
+            _ => {}
+        }
+    }
+
+    /// Cuts links and restarts replicas, mostly without commands.
+    fn disturb_quietly(&mut self) {
+        match self.rng.random_range(0..100) {
+            0..3 => self.propose_somewhere(),
+            3..9 => self.cut_some(),
+            9..12 => self.network.heal(),
+            12..18 => {
+                let position = self.any_node();
+                self.crash(position);
+                self.start(position);
+            }
+            18..20 => self.transfer(),
+            20..22 => self.start_all(),
+            22..27 => self.stall_one(),
             _ => {}
         }
     }
@@ -119,6 +139,15 @@
         self.crash(position);
     }
 
+    /// Gives a process no time to run, while its clock goes on.
+    fn stall_one(&mut self) {
+        let any = self.any_node();
+        let position = self.leader().filter(|_| any.is_multiple_of(2)).unwrap_or(any);
+        let micros = self.rng.random_range(0..1_500_000);
+        self.nodes[position].stalled_until = self.now + micros;
+        self.checker.coverage.stalls += 1;
+    }
+
     fn restart_one(&mut self) {
         let position = self.any_node();
         if self.nodes[position].replica.is_none() {
--- a/comfreymill_group/tests/schedule/network.rs
+++ b/comfreymill_group/tests/schedule/network.rs
@@ -55,6 +55,18 @@
         Some((at, from, to, message))
     }
 
+    /// Keeps a message back until `at`.
+    pub(crate) fn defer(
+        &mut self,
+        at: u64,
+        from: id::VoterId,
+        to: id::VoterId,
+        message: message::Message,
+    ) {
+        self.sent += 1;
+        self.under_way.insert((at, self.sent), (from, to, message));
+    }
+
     /// Lets everything pass, quickly.
     pub(crate) fn heal(&mut self) {
         self.cuts.clear();
--- a/comfreymill_group/tests/schedule/node.rs
+++ b/comfreymill_group/tests/schedule/node.rs
@@ -49,6 +49,8 @@
     pub(crate) replica: Option<replica::Replica>,
     pub(crate) machine: Machine,
     pub(crate) halted: bool,
+    /// Until when the process gets no time to run.
+    pub(crate) stalled_until: u64,
     clock_offset_micros: u64,
     clock_rate_ppm: u64,
     started_at: u64,
@@ -65,6 +67,7 @@
             replica: None,
             machine: Machine::default(),
             halted: false,
+            stalled_until: 0,
             clock_offset_micros: 0,
             clock_rate_ppm: 1_000_000,
             started_at: 0,
@@ -93,6 +96,7 @@
         };
         self.machine = Machine::default();
         self.halted = false;
+        self.stalled_until = now;
         let clock = self.clock(now);
         self.replica = Some(replica::Replica::new(cfg, recovered, rng.random(), clock));
     }
--- a/comfreymill_group/tests/schedule/runs.rs
+++ b/comfreymill_group/tests/schedule/runs.rs
@@ -24,6 +24,7 @@
     world.network.heal();
     world.sync_max_micros = 2_000;
     for position in 0..world.nodes.len() {
+        world.nodes[position].stalled_until = world.now;
         if !world.nodes[position].is_live() {
             world.crash(position);
             world.start(position);
--- a/comfreymill_group/tests/store/mod.rs
+++ b/comfreymill_group/tests/store/mod.rs
@@ -7,4 +7,5 @@
 mod identity;
 mod model;
 mod poison;
+mod restore;
 mod thread;
