feat(node): add the entry's link, dispatcher, prompt path and listeners

Cause: an entry needs a link to the leader and a path from a caller's socket to an executor's. Change: link task with resends, dispatcher that owns the routers, prompt path with keyed requests, upstreams' and operators' listeners, shared HTTP answers; the ledger's grants name their environment and stage.

--- /dev/null
+++ b/comfreymill_node/src/entry/dispatch/desk.rs
@@ -0,0 +1,95 @@
+use std::collections::HashMap;
+
+use comfreymill_route::router;
+use comfreymill_types::document;
+use comfreymill_types::id;
+
+use super::DispatchOrder;
+use crate::protocol;
+
+/// Router of one environment and stage with the requests that wait on it.
+pub(super) struct Desk {
+    pub(super) key: protocol::DeskKey,
+    pub(super) router: router::Router,
+    pub(super) view: protocol::DocumentView,
+    pub(super) document: document::Environment,
+    pub(super) orders: HashMap<u64, flume::Sender<DispatchOrder>>,
+    pub(super) is_dirty: bool,
+}
+
+/// Probe that the shell has to carry out.
+pub(super) struct Probe {
+    pub(super) desk: protocol::DeskKey,
+    pub(super) executor: id::ExecutorName,
+    pub(super) address: std::net::SocketAddr,
+}
+
+impl Desk {
+    /// Desk for a document that is in force.
+    pub(super) fn new(
+        cfg: router::Config,
+        view: protocol::DocumentView,
+        document: document::Environment,
+    ) -> Self {
+        let mut router = router::Router::new(cfg);
+        router.document(&document);
+        let orders = HashMap::new();
+        Self { key: view.desk.clone(), router, view, document, orders, is_dirty: true }
+    }
+
+    /// Puts a newer document in force.
+    pub(super) fn replace(
+        &mut self,
+        view: protocol::DocumentView,
+        document: document::Environment,
+    ) {
+        self.router.document(&document);
+        self.view = view;
+        self.document = document;
+    }
+
+    /// Hands a new request's first order out.
+    pub(super) fn admitted(
+        &mut self,
+        request: u64,
+        admission: router::Admission,
+        orders: flume::Sender<DispatchOrder>,
+    ) {
+        match admission {
+            router::Admission::Send { executor, address, attempt } => {
+                orders.send(DispatchOrder::Send { executor, address, attempt }).ok();
+                self.orders.insert(request, orders);
+            }
+            router::Admission::Queued => {
+                self.orders.insert(request, orders);
+            }
+            router::Admission::Refused(error) => {
+                orders.send(DispatchOrder::Refuse(error)).ok();
+            }
+        }
+    }
+
+    /// Hands orders out and gives the probes to carry out.
+    pub(super) fn act(&mut self) -> Vec<Probe> {
+        let mut probes = Vec::new();
+        for action in self.router.take_actions() {
+            match action {
+                router::Action::Send { request, executor, address, attempt } => {
+                    if let Some(orders) = self.orders.get(&request) {
+                        orders.send(DispatchOrder::Send { executor, address, attempt }).ok();
+                    }
+                }
+                router::Action::Refuse { request, error } => {
+                    if let Some(orders) = self.orders.remove(&request) {
+                        orders.send(DispatchOrder::Refuse(error)).ok();
+                    }
+                }
+                router::Action::Probe { executor, address } => {
+                    probes.push(Probe { desk: self.key.clone(), executor, address });
+                }
+                router::Action::DropConnections { .. } | router::Action::DemandChanged => {}
+            }
+        }
+        probes
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/entry/dispatch/state.rs
@@ -0,0 +1,205 @@
+use std::collections::BTreeMap;
+
+use comfreymill_route::router;
+use comfreymill_types::error;
+use comfreymill_types::id;
+use comfreymill_types::time;
+
+use super::DispatchOrder;
+use super::desk::{Desk, Probe};
+use super::input::Input;
+use crate::protocol;
+
+/// Number of the only group that an entry has a link to.
+pub(super) const SOURCE: u32 = 0;
+
+/// What the dispatcher needs to know.
+#[derive(Clone, Debug)]
+pub struct DispatchConfig {
+    /// Settings of each router.
+    pub router: router::Config,
+}
+
+/// What the dispatcher tells of itself.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DispatchStatus {
+    /// Log index of the documents in force.
+    pub revision: u64,
+    /// Whether the leader confirmed the documents within the lease.
+    pub is_current: bool,
+    /// Whether new requests are refused.
+    pub is_draining: bool,
+    /// Requests that are not over.
+    pub open_requests: usize,
+    /// Requests that wait for a slot.
+    pub queued_requests: usize,
+    /// Executors known.
+    pub executors: usize,
+    /// Version in force of each environment and stage.
+    pub documents: BTreeMap<String, id::Version>,
+}
+
+/// State of the dispatcher.
+pub(super) struct State {
+    pub(super) cfg: DispatchConfig,
+    pub(super) desks: BTreeMap<protocol::DeskKey, Desk>,
+    pub(super) rows: BTreeMap<id::ExecutorName, protocol::ExecutorRow>,
+    pub(super) table_version: u64,
+    pub(super) term: u64,
+    pub(super) revision: Option<u64>,
+    pub(super) lease_until: time::Monotonic,
+    pub(super) is_draining: bool,
+    pub(super) probes: Vec<Probe>,
+}
+
+impl State {
+    pub(super) fn new(cfg: DispatchConfig) -> Self {
+        Self {
+            cfg,
+            desks: BTreeMap::new(),
+            rows: BTreeMap::new(),
+            table_version: 0,
+            term: 0,
+            revision: None,
+            lease_until: time::Monotonic::ZERO,
+            is_draining: false,
+            probes: Vec::new(),
+        }
+    }
+
+    /// Takes one message in.
+    pub(super) fn handle(&mut self, now: time::Monotonic, input: Input) {
+        match input {
+            Input::Submit { desk, view, orders } => self.submit(now, &desk, &view, orders),
+            Input::Finished { desk, request, attempt, outcome } => {
+                self.finished(now, &desk, request, attempt, outcome);
+            }
+            Input::Settled { desk, request, attempt } => {
+                self.with_desk(&desk, |desk| desk.router.settled(now, request, attempt));
+            }
+            Input::Probed { desk, executor, is_healthy } => {
+                self.with_desk(&desk, |desk| desk.router.probed(now, &executor, is_healthy));
+            }
+            Input::Push(push) => self.push(now, push),
+            Input::Leased { until, lease } => self.leased(now, until, lease),
+            Input::Drain => self.drain(),
+            Input::Show(reply) => {
+                reply.send(self.show(now)).ok();
+            }
+            Input::Class { desk, class, reply } => {
+                let desk = self.desks.get(&desk);
+                let class = desk.and_then(|desk| desk.document.get_class(&class)).cloned();
+                reply.send(class).ok();
+            }
+            Input::Heartbeat(reply) => {
+                reply.send(self.heartbeat(now)).ok();
+            }
+        }
+    }
+
+    /// Does what is due by `now`.
+    pub(super) fn tick(&mut self, now: time::Monotonic) {
+        for desk in self.desks.values_mut() {
+            desk.router.tick(now);
+            self.probes.extend(desk.act());
+        }
+    }
+
+    /// Whether the leader confirmed the documents within the lease.
+    pub(super) fn is_current(&self, now: time::Monotonic) -> bool {
+        self.revision.is_some() && now < self.lease_until
+    }
+
+    fn submit(
+        &mut self,
+        now: time::Monotonic,
+        key: &protocol::DeskKey,
+        view: &router::RequestView,
+        orders: flume::Sender<DispatchOrder>,
+    ) {
+        if let Some(error) = self.refusal(now, key) {
+            orders.send(DispatchOrder::Refuse(error)).ok();
+            return;
+        }
+        let Some(desk) = self.desks.get_mut(key) else { return };
+        let admission = desk.router.submit(now, view);
+        desk.admitted(view.id, admission, orders);
+        self.probes.extend(desk.act());
+    }
+
+    fn refusal(&self, now: time::Monotonic, key: &protocol::DeskKey) -> Option<error::Error> {
+        if self.is_draining {
+            let message = "the process is stopping";
+            return Some(error::Error::new(error::ErrorKind::Draining, message));
+        }
+        if !self.is_current(now) {
+            let message = "the leader has not confirmed the documents in time";
+            return Some(error::Error::new(error::ErrorKind::NotCurrent, message));
+        }
+        if !self.desks.contains_key(key) {
+            let message = format!("there is no environment {key}");
+            return Some(error::Error::new(error::ErrorKind::NotFound, message));
+        }
+        None
+    }
+
+    fn finished(
+        &mut self,
+        now: time::Monotonic,
+        key: &protocol::DeskKey,
+        request: u64,
+        attempt: u32,
+        outcome: router::Outcome,
+    ) {
+        self.with_desk(key, |desk| {
+            if matches!(outcome, router::Outcome::Answered { .. } | router::Outcome::CallerGone) {
+                desk.orders.remove(&request);
+            }
+            desk.router.finished(now, request, attempt, outcome);
+        });
+    }
+
+    fn with_desk<F>(&mut self, key: &protocol::DeskKey, change: F)
+    where
+        F: FnOnce(&mut Desk),
+    {
+        if let Some(desk) = self.desks.get_mut(key) {
+            change(desk);
+            self.probes.extend(desk.act());
+        }
+    }
+
+    fn drain(&mut self) {
+        self.is_draining = true;
+        for desk in self.desks.values_mut() {
+            desk.router.draining();
+            self.probes.extend(desk.act());
+        }
+    }
+
+    fn show(&self, now: time::Monotonic) -> DispatchStatus {
+        let desks = self.desks.values();
+        DispatchStatus {
+            revision: self.revision.unwrap_or(0),
+            is_current: self.is_current(now),
+            is_draining: self.is_draining,
+            open_requests: desks.clone().map(|desk| desk.router.open_requests()).sum(),
+            queued_requests: desks.clone().map(|desk| desk.router.queued_requests()).sum(),
+            executors: self.rows.len(),
+            documents: desks.map(|desk| (desk.key.to_string(), desk.view.version)).collect(),
+        }
+    }
+
+    fn heartbeat(&mut self, now: time::Monotonic) -> protocol::EntryHeartbeat {
+        let mut demand = Vec::new();
+        let mut holdings = Vec::new();
+        for desk in self.desks.values_mut() {
+            let services = desk.router.demand(now);
+            demand.push(protocol::DeskDemand { desk: desk.key.clone(), services });
+            holdings.extend(desk.router.holdings(SOURCE));
+        }
+        let revision = self.revision.unwrap_or(0);
+        protocol::EntryHeartbeat { revision, demand, holdings, draining: self.is_draining }
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/entry/heartbeat.rs
@@ -0,0 +1,26 @@
+//! The entry's heartbeats to the leader, which renew its lease.
+
+use std::time::Duration;
+
+use super::dispatch;
+use super::link;
+use crate::clock;
+use crate::protocol;
+
+/// Sends heartbeats for ever.
+pub(super) async fn run(
+    clock: clock::Clock,
+    dispatcher: dispatch::Dispatcher,
+    link: link::Link,
+    period: Duration,
+) {
+    while let Some(heartbeat) = dispatcher.heartbeat().await {
+        let sent_at = clock.now();
+        let call = protocol::Call::Heartbeat(heartbeat);
+        if let Ok(protocol::Answer::Lease(lease)) = link.call(call, 4 * period).await {
+            // Counted from the sending, so that it ends here before it ends at the leader.
+            dispatcher.leased(sent_at + lease.lease.into(), lease);
+        }
+        monoio::time::sleep(period).await;
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/entry/link/pending.rs
@@ -0,0 +1,63 @@
+use std::collections::BTreeMap;
+
+use comfreymill_ledger::codec;
+use comfreymill_types::time;
+
+use super::call_error;
+use super::handle::Request;
+use crate::peer;
+use crate::protocol;
+
+/// Calls that wait for their replies.
+#[derive(Debug, Default)]
+pub(super) struct Pending {
+    next_id: u64,
+    calls: BTreeMap<u64, Waiting>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    frame: peer::Frame,
+    until: time::Monotonic,
+    was_sent: bool,
+    reply: flume::Sender<protocol::CallResult>,
+}
+
+impl Pending {
+    /// Takes a call in and gives its number.
+    pub(super) fn add(&mut self, now: time::Monotonic, req: Request) -> u64 {
+        self.next_id += 1;
+        let id = self.next_id;
+        let frame = peer::Frame::new(peer::FrameKind::Call, id, codec::encode(&req.call));
+        let until = now + req.limit;
+        self.calls.insert(id, Waiting { frame, until, was_sent: false, reply: req.reply });
+        id
+    }
+
+    /// Frame of a call, which counts as sent from now on.
+    pub(super) fn take_frame(&mut self, id: u64) -> Option<peer::Frame> {
+        let waiting = self.calls.get_mut(&id)?;
+        waiting.was_sent = true;
+        Some(waiting.frame.clone())
+    }
+
+    /// Numbers of every call that waits.
+    pub(super) fn ids(&self) -> Vec<u64> {
+        self.calls.keys().copied().collect()
+    }
+
+    /// Hands a reply to its caller.
+    pub(super) fn resolve(&mut self, id: u64, result: protocol::CallResult) {
+        if let Some(waiting) = self.calls.remove(&id) {
+            // The caller may have gone away.
+            waiting.reply.send(result).ok();
+        }
+    }
+
+    /// Ends calls whose time is up.
+    pub(super) fn expire(&mut self, now: time::Monotonic) {
+        for (_, waiting) in self.calls.extract_if(.., |_, waiting| waiting.until <= now) {
+            waiting.reply.send(Err(call_error::timed_out(waiting.was_sent))).ok();
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/entry/link/task.rs
@@ -0,0 +1,105 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use comfreymill_types::id;
+
+use super::candidates::Candidates;
+use super::handle::{Link, Request};
+use super::pending::Pending;
+use super::session::{End, Session};
+use crate::clock;
+use crate::peer;
+use crate::protocol;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const MIN_PAUSE: Duration = Duration::from_millis(10);
+const MAX_PAUSE: Duration = Duration::from_millis(100);
+
+/// What the link needs to reach the group.
+#[derive(Clone, Debug)]
+pub struct LinkConfig {
+    /// Voters with their addresses for peers.
+    pub voters: Vec<(id::VoterName, SocketAddr)>,
+    /// Who this process is.
+    pub identity: peer::Identity,
+    /// Silence after which a connection is given up.
+    pub silence_limit: Duration,
+    /// Clock of the process.
+    pub clock: clock::Clock,
+}
+
+/// Starts the link's task; pushes of the leader go to `pushes`.
+pub fn start(cfg: LinkConfig, pushes: flume::Sender<protocol::Push>) -> Link {
+    let (tx, requests) = flume::unbounded();
+    let task = Task {
+        candidates: Candidates::new(cfg.voters.clone()),
+        pending: Pending::default(),
+        cfg,
+        requests,
+        pushes,
+    };
+    monoio::spawn(task.run());
+    Link { tx }
+}
+
+struct Task {
+    cfg: LinkConfig,
+    candidates: Candidates,
+    pending: Pending,
+    requests: flume::Receiver<Request>,
+    pushes: flume::Sender<protocol::Push>,
+}
+
+impl Task {
+    async fn run(mut self) {
+        loop {
+            let Some((name, address)) = self.candidates.take_next() else { return };
+            match self.connect(address).await {
+                End::Stopped => return,
+                End::Redirected(Some(leader)) if leader != name => {
+                    self.candidates.prefer(&leader);
+                }
+                End::Redirected(_) => {}
+                End::Failed(error) => log::info!(target: "link", "{name} at {address}: {error}."),
+            }
+            if !self.pause().await {
+                return;
+            }
+        }
+    }
+
+    async fn connect(&mut self, address: SocketAddr) -> End {
+        let connect = peer::Connection::connect(address, &self.cfg.identity, CONNECT_TIMEOUT);
+        let connection = match connect.await {
+            Ok(connection) => connection,
+            Err(error) => return End::Failed(error),
+        };
+        let session = Session {
+            clock: self.cfg.clock,
+            silence_limit: self.cfg.silence_limit,
+            connection,
+            pending: &mut self.pending,
+            requests: &self.requests,
+            pushes: &self.pushes,
+        };
+        session.run().await
+    }
+
+    /// Waits before the next voter is tried; calls are still taken in and expired.
+    async fn pause(&mut self) -> bool {
+        let pause = if self.candidates.is_round_over() { MAX_PAUSE } else { MIN_PAUSE };
+        monoio::time::sleep(pause).await;
+        let now = self.cfg.clock.now();
+        loop {
+            match self.requests.try_recv() {
+                Ok(req) => {
+                    self.pending.add(now, req);
+                }
+                Err(flume::TryRecvError::Empty) => break,
+                Err(flume::TryRecvError::Disconnected) => return false,
+            }
+        }
+        self.pending.expire(now);
+        true
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/entry/operators/serve.rs
@@ -0,0 +1,83 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use comfreymill_http::server;
+use comfreymill_types::error;
+
+use super::Context;
+use super::route::Route;
+use crate::protocol;
+use crate::web;
+
+const MAX_BODY_BYTES: u64 = 1 << 20;
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+
+/// Serves one request of an operator.
+///
+/// # Errors
+///
+/// The operator did not take the answer.
+pub async fn serve(
+    cx: &Context,
+    mut req: server::Request<'_>,
+) -> Result<(), server::ServerError> {
+    // The connection answers for a body that is at fault.
+    let Ok(body) = req.collect(MAX_BODY_BYTES).await else { return Ok(()) };
+    match run(cx, &req, &body).await {
+        Ok(Reply::Json(body)) => web::answer_json(req, body).await,
+        Ok(Reply::Text(body)) => web::answer_text(req, body).await,
+        Err(error) => web::answer_error(req, &error).await,
+    }
+}
+
+enum Reply {
+    Json(Bytes),
+    Text(Bytes),
+}
+
+async fn run(
+    cx: &Context,
+    req: &server::Request<'_>,
+    body: &[u8],
+) -> Result<Reply, error::Error> {
+    let route = Route::read(req.head(), body);
+    let is_open = route.as_ref().is_ok_and(Route::is_open);
+    if let Some(token) = &cx.token
+        && !is_open
+    {
+        token.check(req.headers())?;
+    }
+    match route? {
+        Route::Health => Ok(Reply::Text(Bytes::from_static(b"ok\n"))),
+        Route::Ready => ready(cx).await,
+        Route::Metrics => Ok(Reply::Text(crate::metering::render().into())),
+        Route::Drain => {
+            cx.drain.send(()).ok();
+            Ok(Reply::Json(Bytes::from_static(b"{\"draining\":true}")))
+        }
+        Route::Leader(operation) => ask(cx, operation).await,
+    }
+}
+
+async fn ready(cx: &Context) -> Result<Reply, error::Error> {
+    let stopped = || error::Error::new(error::ErrorKind::Draining, "the process is stopping");
+    let status = cx.dispatcher.show().await.ok_or_else(stopped)?;
+    if status.is_draining {
+        return Err(stopped());
+    }
+    if !status.is_current {
+        let message = "the leader has not confirmed the documents";
+        return Err(error::Error::new(error::ErrorKind::NotCurrent, message));
+    }
+    Ok(Reply::Json(serde_json::to_vec(&status).unwrap_or_default().into()))
+}
+
+async fn ask(cx: &Context, operation: protocol::Operation) -> Result<Reply, error::Error> {
+    match cx.link.call(protocol::Call::Operate(operation), CALL_LIMIT).await? {
+        protocol::Answer::Json(body) => Ok(Reply::Json(body)),
+        _ => {
+            let message = "the leader's answer does not fit the call";
+            Err(error::Error::new(error::ErrorKind::Internal, message))
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/entry/prompt/context.rs
@@ -0,0 +1,54 @@
+use std::cell::Cell;
+use std::rc::Rc;
+
+use super::pool::Pool;
+use crate::clock;
+use crate::entry::dispatch;
+use crate::entry::link;
+use crate::web;
+
+/// What every request needs.
+#[derive(Clone)]
+pub struct Context {
+    pub(super) clock: clock::Clock,
+    pub(super) dispatcher: dispatch::Dispatcher,
+    pub(super) link: link::Link,
+    pub(super) pool: Rc<Pool>,
+    pub(super) token: Option<web::Token>,
+    pub(super) max_body_bytes: u64,
+    next_request: Rc<Cell<u64>>,
+}
+
+impl Context {
+    /// Context of an entry's listener for callers.
+    pub fn new(
+        clock: clock::Clock,
+        dispatcher: dispatch::Dispatcher,
+        link: link::Link,
+        max_body_bytes: u64,
+    ) -> Self {
+        Self {
+            clock,
+            dispatcher,
+            link,
+            pool: Rc::default(),
+            token: None,
+            max_body_bytes,
+            next_request: Rc::new(Cell::new(1)),
+        }
+    }
+
+    /// Asks callers for a token.
+    #[must_use]
+    pub fn token(mut self, token: Option<web::Token>) -> Self {
+        self.token = token;
+        self
+    }
+
+    /// Number of a new request.
+    pub(super) fn take_number(&self) -> u64 {
+        let number = self.next_request.get();
+        self.next_request.set(number + 1);
+        number
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/entry/prompt/target.rs
@@ -0,0 +1,71 @@
+use std::time::Duration;
+
+use comfreymill_types::document;
+use comfreymill_types::error;
+use comfreymill_types::id;
+use comfreymill_types::time;
+
+use crate::protocol;
+use crate::web;
+
+const PREFIX: &str = "/v1/";
+
+/// What a caller asks for: `/v1/ENVIRONMENT/CLASS/REST`.
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    pub(super) desk: protocol::DeskKey,
+    pub(super) class: id::ClassName,
+    pub(super) team: Option<id::TeamName>,
+    pub(super) key: Option<id::IdempotencyKey>,
+    pub(super) time_left: Option<Duration>,
+    /// Path and query for the executor.
+    pub(super) rest: http::Uri,
+}
+
+impl Target {
+    /// Reads path and headers.
+    pub(super) fn read(head: &http::request::Parts) -> Result<Self, error::Error> {
+        let path = head.uri.path();
+        let mut parts = path.strip_prefix(PREFIX).ok_or_else(no_path)?.splitn(3, '/');
+        let environment = parse(parts.next().unwrap_or_default(), "environment")?;
+        let class = parse(parts.next().unwrap_or_default(), "class")?;
+        let rest = rest(parts.next().unwrap_or_default(), head.uri.query())?;
+        let stage = web::header(&head.headers, &web::STAGE_HEADER)?;
+        let stage = stage.unwrap_or(document::Stage::Production);
+        let time_left: Option<time::Span> = web::header(&head.headers, &web::DEADLINE_HEADER)?;
+        Ok(Self {
+            desk: protocol::DeskKey { environment, stage },
+            class,
+            team: web::header(&head.headers, &web::TEAM_HEADER)?,
+            key: web::header(&head.headers, &web::KEY_HEADER)?,
+            time_left: time_left.map(Duration::from),
+            rest,
+        })
+    }
+}
+
+fn no_path() -> error::Error {
+    let message = "the path is /v1/ENVIRONMENT/CLASS/REST";
+    error::Error::new(error::ErrorKind::NotFound, message).field("path")
+}
+
+fn parse<T>(text: &str, field: &str) -> Result<T, error::Error>
+where
+    T: std::str::FromStr<Err = id::ParseIdError>,
+{
+    let bad = |error: id::ParseIdError| {
+        error::Error::new(error::ErrorKind::BadRequest, error.to_string()).field(field)
+    };
+    text.parse().map_err(bad)
+}
+
+fn rest(path: &str, query: Option<&str>) -> Result<http::Uri, error::Error> {
+    let text = match query {
+        Some(query) => format!("/{path}?{query}"),
+        None => format!("/{path}"),
+    };
+    let bad = |error: http::uri::InvalidUri| {
+        error::Error::new(error::ErrorKind::BadRequest, error.to_string()).field("path")
+    };
+    text.parse().map_err(bad)
+}
--- /dev/null
+++ b/comfreymill_node/src/entry/upstreams/mod.rs
@@ -0,0 +1,7 @@
+//! The upstreams' side: executors announce themselves and workers report, as JSON over HTTP.
+
+mod context;
+mod serve;
+
+pub use context::Context;
+pub use serve::serve;
--- /dev/null
+++ b/comfreymill_node/src/protocol/desk_key.rs
@@ -0,0 +1,22 @@
+use std::fmt;
+
+use comfreymill_types::document;
+use comfreymill_types::id;
+
+/// Environment in one of its stages.
+#[derive(
+    Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize,
+)]
+#[serde(deny_unknown_fields)]
+pub struct DeskKey {
+    /// Environment.
+    pub environment: id::EnvironmentName,
+    /// Stage of the environment.
+    pub stage: document::Stage,
+}
+
+impl fmt::Display for DeskKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.environment, self.stage)
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/protocol/mod.rs
@@ -0,0 +1,29 @@
+//! Messages between an entry and the group's leader.
+//!
+//! A [`Call`] wants one reply; every call may be sent again after a lost reply, since operations,
+//! jobs and requests carry their own keys. A [`Push`] is state that the leader sends unasked.
+//! Bodies are CBOR of the domain types inside [`crate::peer::Frame`].
+
+mod answer;
+mod call;
+mod desk_key;
+mod document_view;
+mod entry_heartbeat;
+mod executor_announcement;
+mod executor_row;
+mod operation;
+mod push;
+mod worker_directives;
+mod worker_heartbeat;
+
+pub use answer::{Answer, CallResult, KeyedRequest};
+pub use call::Call;
+pub use desk_key::DeskKey;
+pub use document_view::DocumentView;
+pub use entry_heartbeat::{DeskDemand, EntryHeartbeat, EntryLease};
+pub use executor_announcement::{ExecutorAnnouncement, UpstreamState};
+pub use executor_row::ExecutorRow;
+pub use operation::Operation;
+pub use push::Push;
+pub use worker_directives::{AttemptDirective, WorkerDirectives};
+pub use worker_heartbeat::WorkerHeartbeat;
--- a/comfreymill_types/src/error/run_state.rs
+++ b/comfreymill_types/src/error/run_state.rs
@@ -12,12 +12,19 @@
     Unknown,
 }
 
-impl fmt::Display for RunState {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl RunState {
+    /// Name in headers, logs and JSON.
+    pub fn as_str(self) -> &'static str {
+        match self {
             Self::NotRun => "not-run",
             Self::Run => "run",
             Self::Unknown => "unknown",
-        })
+        }
+    }
+}
+
+impl fmt::Display for RunState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
     }
 }
