feat(node): add the core of the control process

Cause: one task must own the replica, the replicated state and the leader's decisions. Change: core, sessions, proposals and connections to the other voters.

--- /dev/null
+++ b/comfreymill_node/src/control/core/core.rs
@@ -0,0 +1,175 @@
+use bytes::Bytes;
+use comfreymill_group::replica;
+use comfreymill_group::store;
+use comfreymill_ledger::codec;
+use comfreymill_ledger::command;
+use comfreymill_ledger::ledger;
+use comfreymill_types::error;
+use comfreymill_types::time;
+
+use super::config::CoreConfig;
+use super::input::Input;
+use super::proposals::Proposals;
+use super::sessions::Sessions;
+use super::waiter::Waiter;
+use crate::control::lead::Lead;
+use crate::control::views;
+use crate::control::voters::Voters;
+
+/// Replica, replicated state and, while this replica leads, the leader's decisions.
+pub(in crate::control) struct Core {
+    pub(super) cfg: CoreConfig,
+    pub(super) replica: replica::Replica,
+    pub(super) store: store::Thread,
+    pub(super) voters: Voters,
+    pub(super) ledger: ledger::Ledger,
+    pub(super) proposals: Proposals,
+    pub(super) sessions: Sessions,
+    pub(super) lead: Option<Lead>,
+    pub(super) failure: Option<String>,
+    pub(super) is_draining: bool,
+}
+
+impl Core {
+    /// Core of a replica that was opened.
+    pub(in crate::control) fn new(
+        cfg: CoreConfig,
+        replica: replica::Replica,
+        store: store::Thread,
+        voters: Voters,
+    ) -> Self {
+        Self {
+            cfg,
+            replica,
+            store,
+            voters,
+            ledger: ledger::Ledger::default(),
+            proposals: Proposals::default(),
+            sessions: Sessions::default(),
+            lead: None,
+            failure: None,
+            is_draining: false,
+        }
+    }
+
+    /// Takes one message in.
+    pub(super) fn handle(&mut self, now: time::Monotonic, input: Input) {
+        match input {
+            Input::Opened { session, peer, frames } => {
+                if let Err(error) = self.sessions.open(session, &peer, frames) {
+                    log::warn!(target: "peer", "An entry was refused: {error}.");
+                }
+            }
+            Input::Closed(session) => self.sessions.close(session),
+            Input::Call { session, id, call } => self.call(now, session, id, call),
+            Input::Group { from, message } => {
+                self.replica.step(now, comfreymill_group::id::VoterId::new(from), message);
+            }
+            Input::Store(completion) => self.stored(now, completion),
+            Input::Show(reply) => {
+                reply.send(self.show(now)).ok();
+            }
+            Input::Ready(reply) => {
+                reply.send(self.ready()).ok();
+            }
+            Input::Drain(done) => {
+                self.drain(now);
+                done.send(()).ok();
+            }
+        }
+    }
+
+    /// Does what is due by `now`.
+    pub(super) fn tick(&mut self, now: time::Monotonic) {
+        self.replica.tick(now);
+        let is_serving = self.is_serving(now);
+        if let Some(lead) = &mut self.lead {
+            lead.tick(now, &self.cfg, is_serving);
+        }
+    }
+
+    /// Whether this replica leads and may answer for the group.
+    pub(super) fn is_serving(&self, now: time::Monotonic) -> bool {
+        self.failure.is_none() && self.replica.lease_valid(now) && self.replica.is_ready()
+    }
+
+    /// Why the process has to end, if it has to.
+    pub(super) fn get_failure(&self) -> Option<&str> {
+        self.failure.as_deref()
+    }
+
+    /// Proposes a command; the waiter learns what became of it.
+    pub(super) fn propose(
+        &mut self,
+        now: time::Monotonic,
+        command: command::Command,
+        waiter: Waiter,
+    ) {
+        let at = self.group_time(now);
+        let data: Bytes = codec::encode(&command::Entry { at, command });
+        match self.replica.propose(now, vec![data]) {
+            Ok(proposed) => self.proposals.add(proposed.first, proposed.term, waiter),
+            Err(error) => self.not_proposed(now, waiter, error),
+        }
+    }
+
+    fn group_time(&self, now: time::Monotonic) -> command::GroupTime {
+        match &self.lead {
+            Some(lead) => lead.group_time(now),
+            None => self.ledger.get_now(),
+        }
+    }
+
+    fn not_proposed(
+        &mut self,
+        now: time::Monotonic,
+        waiter: Waiter,
+        error: replica::ProposeError,
+    ) {
+        if let Waiter::Call { session, id, .. } = &waiter
+            && !matches!(error, replica::ProposeError::NotLeader { .. })
+        {
+            let kind = match error {
+                replica::ProposeError::TooLong { .. } => error::ErrorKind::BodyTooLarge,
+                _ => error::ErrorKind::Overloaded,
+            };
+            let result = Err(error::Error::new(kind, error.to_string()));
+            self.sessions.reply(*session, *id, &result);
+            return;
+        }
+        self.lost(now, waiter);
+    }
+
+    fn stored(&mut self, now: time::Monotonic, completion: store::Completion) {
+        match completion {
+            store::Completion::Synced(sequence) => self.replica.persisted(now, sequence),
+            store::Completion::Failed(error) => self.failure = Some(error.to_string()),
+        }
+    }
+
+    fn drain(&mut self, now: time::Monotonic) {
+        self.is_draining = true;
+        if let Some(successor) = self.replica.best_successor()
+            && let Err(error) = self.replica.transfer_leadership(now, successor)
+        {
+            log::info!(target: "control", "The leadership is not handed over: {error}.");
+        }
+    }
+
+    fn ready(&self) -> Result<(), error::Error> {
+        if self.is_draining {
+            let message = "the process is stopping";
+            return Err(error::Error::new(error::ErrorKind::Draining, message));
+        }
+        if self.replica.leader_hint().is_none() {
+            let message = "the group has no known leader";
+            return Err(error::Error::new(error::ErrorKind::NoLeader, message));
+        }
+        Ok(())
+    }
+
+    fn show(&self, now: time::Monotonic) -> Bytes {
+        let lead = self.lead.as_ref();
+        views::status(&self.replica.status(now), &self.voters, &self.ledger, lead, now)
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/control/core/group.rs
@@ -0,0 +1,123 @@
+use comfreymill_group::entry;
+use comfreymill_group::replica;
+use comfreymill_ledger::ledger;
+use comfreymill_types::time;
+
+use super::core::Core;
+use super::waiter::Waiter;
+use crate::control::lead::Lead;
+use crate::protocol;
+
+/// # What the replica asks for
+impl Core {
+    /// Carries out actions until there are none left.
+    pub(super) fn pump(&mut self, now: time::Monotonic) {
+        loop {
+            let actions = self.replica.take_actions();
+            let is_idle = actions.is_empty();
+            for action in actions {
+                self.act(now, action);
+            }
+            self.follow_role(now);
+            let has_proposed = self.propose_decisions(now);
+            if is_idle && !has_proposed {
+                break;
+            }
+        }
+        self.push(now);
+        self.snapshot_if_due();
+    }
+
+    fn act(&mut self, now: time::Monotonic, action: replica::Action) {
+        match action {
+            replica::Action::Persist(write) => self.store.write(write),
+            replica::Action::Send { to, message } => self.voters.send(to, &message),
+            replica::Action::Commit { entries } => {
+                for entry in entries {
+                    self.commit(now, entry);
+                }
+            }
+            replica::Action::InstallSnapshot(snapshot) => {
+                match ledger::Ledger::from_snapshot(&snapshot.data) {
+                    Ok(ledger) => self.ledger = ledger,
+                    Err(error) => self.failure = Some(format!("the snapshot: {error}")),
+                }
+            }
+            replica::Action::Role { role, term, .. } => {
+                log::info!(target: "control", "This replica is {role} in term {term}.");
+            }
+            // The waiters were told when this replica stopped leading.
+            replica::Action::Dropped { .. } => {}
+            replica::Action::Halt(halt) => self.failure = Some(halt.to_string()),
+        }
+    }
+
+    fn commit(&mut self, now: time::Monotonic, entry: entry::Entry) {
+        let waiter = self.proposals.take(entry.index, entry.term).unwrap_or(Waiter::Nobody);
+        let entry::Payload::Data(data) = entry.payload else { return };
+        match comfreymill_ledger::codec::decode(&data) {
+            Ok(record) => self.apply(now, entry.index.get(), record, waiter),
+            Err(error) => {
+                self.failure = Some(format!("entry {} of the log: {error}", entry.index));
+            }
+        }
+    }
+
+    /// Begins or ends leading as the replica's role demands.
+    fn follow_role(&mut self, now: time::Monotonic) {
+        let term = self.replica.term().get();
+        let leads = self.replica.role() == replica::Role::Leader;
+        if self.lead.as_ref().is_some_and(|lead| !leads || lead.get_term() != term) {
+            self.lead = None;
+            log::info!(target: "control", "This process no longer leads.");
+        }
+        if !leads {
+            for waiter in self.proposals.take_all() {
+                self.lost(now, waiter);
+            }
+        }
+        if leads && self.lead.is_none() && self.replica.is_ready() {
+            log::info!(target: "control", "This process leads in term {term}.");
+            self.sessions.reset();
+            self.lead = Some(Lead::new(&self.cfg, &self.ledger, term, now));
+        }
+    }
+
+    /// Tells a waiter that its proposal was not taken, or that its fate is not known here.
+    ///
+    /// A call is sent again to the leader by its entry, under the key that it carries.
+    pub(super) fn lost(&mut self, now: time::Monotonic, waiter: Waiter) {
+        match waiter {
+            Waiter::Call { session, id, .. } => self.redirect(session, id),
+            Waiter::Scheduler(action) => {
+                if let Some(lead) = &mut self.lead {
+                    lead.proposal_lost(now, *action);
+                }
+            }
+            Waiter::Grants(changes) => {
+                if let Some(lead) = &mut self.lead {
+                    lead.grants_lost(changes);
+                }
+            }
+            Waiter::Nobody => {}
+        }
+    }
+
+    pub(super) fn redirect(&mut self, session: crate::control::session::SessionId, id: u64) {
+        let hint = self.replica.leader_hint().filter(|leader| *leader != self.replica.voter());
+        let leader = hint.and_then(|leader| self.voters.name(leader)).cloned();
+        self.sessions.reply(session, id, &Ok(protocol::Answer::Redirect(leader)));
+    }
+
+    fn snapshot_if_due(&mut self) {
+        let applied = self.ledger.get_applied();
+        let covered = self.replica.snapshot_index().get();
+        if applied.saturating_sub(covered) < self.cfg.snapshot_entries {
+            return;
+        }
+        let index = comfreymill_group::id::Index::new(applied);
+        if self.replica.snapshot_taken(index, self.ledger.to_snapshot()) {
+            log::info!(target: "control", "A snapshot covers the log up to {applied}.");
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/control/core/mod.rs
@@ -0,0 +1,20 @@
+//! The task that owns the replica and the replicated state.
+
+mod apply;
+mod calls;
+mod config;
+#[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
+mod core;
+mod group;
+mod input;
+mod operate;
+mod proposals;
+mod push;
+mod sessions;
+mod task;
+mod waiter;
+
+pub(super) use config::CoreConfig;
+pub(super) use core::Core;
+pub(super) use input::Input;
+pub(super) use task::run;
--- /dev/null
+++ b/comfreymill_node/src/control/session/session_id.rs
@@ -0,0 +1,18 @@
+use std::fmt;
+
+/// Number of a connection in this life of the process.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(in crate::control) struct SessionId(u64);
+
+impl SessionId {
+    /// Wraps the number.
+    pub(super) fn new(number: u64) -> Self {
+        Self(number)
+    }
+}
+
+impl fmt::Display for SessionId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "s{}", self.0)
+    }
+}
