feat(node): add the control and entry processes

Cause: the parts need processes that own their listeners, their runtime and their end. Change: control and entry processes, the leader's state, views for operators, stopping by signals.

--- a/comfreymill_ledger/src/ledger/ledger.rs
+++ b/comfreymill_ledger/src/ledger/ledger.rs
@@ -109,6 +109,11 @@
         &self.jobs
     }
 
+    /// Whether a job was accepted under this key, even if it ended long ago.
+    pub fn is_job_key_known(&self, key: &id::IdempotencyKey) -> bool {
+        self.job_keys.contains_key(key)
+    }
+
     /// Task of this id.
     pub fn get_task(&self, task: id::TaskId) -> Option<&job::Task> {
         let index = usize::try_from(task.index).ok()?;
--- a/comfreymill_node/src/control/core/config.rs
+++ b/comfreymill_node/src/control/core/config.rs
@@ -2,6 +2,16 @@
 
 use comfreymill_batch::config;
 use comfreymill_route::grant;
+use comfreymill_types::document;
+
+use crate::settings;
+
+const EXECUTOR_SILENCE: Duration = Duration::from_secs(5);
+const REBUILD_GRACE: Duration = Duration::from_millis(2_500);
+const GRANT_PERIOD: Duration = Duration::from_millis(250);
+const WORKER_PERIOD: Duration = Duration::from_secs(1);
+const SNAPSHOT_ENTRIES: u64 = 20_000;
+const PPM: f64 = 1e6;
 
 /// What the core needs to know.
 #[derive(Clone, Debug)]
@@ -23,3 +33,31 @@
     /// Settings of the scheduler.
     pub(in crate::control) scheduler: config::Config,
 }
+
+impl CoreConfig {
+    /// What the settings of a control process demand.
+    pub(in crate::control) fn of(settings: &settings::ControlSettings) -> Self {
+        let timing = settings.get_common().get_timing();
+        let lease = timing.get_lease().get_duration();
+        let drift_ppm = timing.get_clock_drift().get_ppm();
+        let granter = grant::Config::default()
+            .lease(lease)
+            .longest_deadline(document::PromptClass::MAX_DEADLINE)
+            .drift(f64::from(drift_ppm) / PPM);
+        let scheduler = config::Config::new()
+            .lease(lease)
+            .drift_ppm(drift_ppm)
+            .heartbeat_period(WORKER_PERIOD)
+            .policy(settings.get_placement().into());
+        Self {
+            entry_lease: lease,
+            executor_silence: EXECUTOR_SILENCE,
+            rebuild_grace: REBUILD_GRACE,
+            grant_period: GRANT_PERIOD,
+            worker_period: WORKER_PERIOD,
+            snapshot_entries: SNAPSHOT_ENTRIES,
+            granter,
+            scheduler,
+        }
+    }
+}
--- a/comfreymill_node/src/control/core/core.rs
+++ b/comfreymill_node/src/control/core/core.rs
@@ -98,19 +98,45 @@
         self.failure.as_deref()
     }
 
-    /// Proposes a command; the waiter learns what became of it.
+    /// Proposes a command; the waiter learns what became of it. Tells whether it was taken.
     pub(super) fn propose(
         &mut self,
         now: time::Monotonic,
         command: command::Command,
         waiter: Waiter,
-    ) {
+    ) -> bool {
         let at = self.group_time(now);
         let data: Bytes = codec::encode(&command::Entry { at, command });
         match self.replica.propose(now, vec![data]) {
-            Ok(proposed) => self.proposals.add(proposed.first, proposed.term, waiter),
-            Err(error) => self.not_proposed(now, waiter, error),
+            Ok(proposed) => {
+                self.proposals.add(proposed.first, proposed.term, waiter);
+                true
+            }
+            Err(error) => {
+                self.not_proposed(now, waiter, error);
+                false
+            }
+        }
+    }
+
+    /// Proposes what the leader decided; tells whether anything was taken.
+    pub(super) fn propose_decisions(&mut self, now: time::Monotonic) -> bool {
+        if !self.is_serving(now) {
+            return false;
+        }
+        let mut was_taken = false;
+        while let Some((command, action)) = self.lead.as_mut().and_then(Lead::next_command) {
+            if !self.propose(now, command, Waiter::Scheduler(Box::new(action))) {
+                break;
+            }
+            was_taken = true;
+        }
+        let changes = self.lead.as_mut().map(Lead::take_grant_changes).unwrap_or_default();
+        if !changes.is_empty() {
+            let command = command::Command::ChangeGrants { changes: changes.clone() };
+            was_taken |= self.propose(now, command, Waiter::Grants(changes));
         }
+        was_taken
     }
 
     fn group_time(&self, now: time::Monotonic) -> command::GroupTime {
--- /dev/null
+++ b/comfreymill_node/src/control/core/operate.rs
@@ -0,0 +1,147 @@
+use comfreymill_ledger::command;
+use comfreymill_types::document;
+use comfreymill_types::error;
+use comfreymill_types::id;
+use comfreymill_types::time;
+
+use super::core::Core;
+use super::waiter::{Shape, Waiter};
+use crate::control::session::SessionId;
+use crate::control::views;
+use crate::protocol;
+
+/// # Operators
+impl Core {
+    pub(super) fn operate(
+        &mut self,
+        now: time::Monotonic,
+        session: SessionId,
+        id: u64,
+        operation: protocol::Operation,
+    ) {
+        match self.command(&operation) {
+            Ok(Some(command)) => {
+                self.propose(now, command, Waiter::Call { session, id, shape: Shape::Json });
+            }
+            Ok(None) => {
+                let result = self.view(now, &operation).map(protocol::Answer::Json);
+                self.sessions.reply(session, id, &result);
+            }
+            Err(error) => self.sessions.reply(session, id, &Err(error)),
+        }
+    }
+
+    /// Command that an operation asks for; none if it only asks to see something.
+    fn command(
+        &self,
+        operation: &protocol::Operation,
+    ) -> Result<Option<command::Command>, error::Error> {
+        let command = match operation.clone() {
+            protocol::Operation::SubmitDocument { operation, environment, replaces, text } => {
+                let document = check_document(&environment, &text)?;
+                self.check_names(&document)?;
+                let version = document.version;
+                command::Command::SubmitDocument { operation, environment, version, replaces, text }
+            }
+            protocol::Operation::PromoteDocument { operation, environment, digest } => {
+                command::Command::PromoteDocument { operation, environment, digest }
+            }
+            protocol::Operation::SubmitJob { key, spec } => {
+                let unrepeatable = self.check_job(&key, &spec)?;
+                command::Command::SubmitJob { key, spec, unrepeatable }
+            }
+            protocol::Operation::CancelJob(job) => command::Command::CancelJob { job },
+            protocol::Operation::ReleaseTask(task) => command::Command::ReleaseTask { task },
+            protocol::Operation::GetDocument { .. }
+            | protocol::Operation::EnvironmentStatus { .. }
+            | protocol::Operation::GetJob(_)
+            | protocol::Operation::ListJobs
+            | protocol::Operation::Explain(_)
+            | protocol::Operation::Status => return Ok(None),
+        };
+        Ok(Some(command))
+    }
+
+    fn view(
+        &self,
+        now: time::Monotonic,
+        operation: &protocol::Operation,
+    ) -> Result<bytes::Bytes, error::Error> {
+        let ledger = &self.ledger;
+        let lead = self.lead.as_ref();
+        match operation {
+            protocol::Operation::GetDocument { environment, stage } => {
+                views::document(ledger, environment, *stage)
+            }
+            protocol::Operation::EnvironmentStatus { environment } => {
+                views::environment_status(ledger, lead, environment, now)
+            }
+            protocol::Operation::GetJob(job) => views::job(ledger, *job),
+            protocol::Operation::Explain(task) => views::explain(ledger, lead, *task),
+            protocol::Operation::ListJobs => Ok(views::jobs(ledger)),
+            _ => Ok(views::status(&self.replica.status(now), &self.voters, ledger, lead, now)),
+        }
+    }
+
+    /// Checks a job against the document in force; gives whether it may run at most once.
+    fn check_job(
+        &self,
+        key: &id::IdempotencyKey,
+        spec: &comfreymill_ledger::job::JobSpec,
+    ) -> Result<bool, error::Error> {
+        let no_class = || {
+            let message =
+                format!("{}/{} has no class {} of tasks", spec.environment, spec.stage, spec.class);
+            error::Error::new(error::ErrorKind::NotFound, message).field("class")
+        };
+        let lead = self.lead.as_ref().ok_or_else(no_class)?;
+        let desk =
+            protocol::DeskKey { environment: spec.environment.clone(), stage: spec.stage };
+        let document = lead.get_document(&desk).ok_or_else(no_class)?;
+        let class = document.get_class(&spec.class).ok_or_else(no_class)?;
+        if class.as_task().is_none() {
+            return Err(no_class());
+        }
+        if document.get_team(&spec.team).is_none() {
+            let message = format!("{desk} has no team {}", spec.team);
+            return Err(error::Error::new(error::ErrorKind::NotFound, message).field("team"));
+        }
+        // A resend is answered by the ledger, whatever would be said of the job today.
+        if !self.ledger.is_job_key_known(key) {
+            lead.check_submission(spec)?;
+        }
+        Ok(class.unrepeatable)
+    }
+
+    /// Checks that no other environment in trial uses a name of the document for tasks.
+    fn check_names(&self, document: &document::Environment) -> Result<(), error::Error> {
+        let Some(lead) = &self.lead else { return Ok(()) };
+        for other in lead.get_documents().filter(|other| other.name != document.name) {
+            let taken = document.classes.iter().find(|class| other.get_class(&class.name).is_some());
+            if let Some(class) = taken {
+                let message = format!("environment {} has a class {}", other.name, class.name);
+                let error = error::Error::new(error::ErrorKind::Conflict, message);
+                return Err(error.field("classes"));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn check_document(
+    environment: &id::EnvironmentName,
+    text: &str,
+) -> Result<document::Environment, error::Error> {
+    let invalid = |field: &str, message: String| {
+        error::Error::new(error::ErrorKind::InvalidDocument, message).field(field)
+    };
+    let document = document::Environment::parse(text.as_bytes()).map_err(|problems| {
+        let all: Vec<_> = problems.iter().map(ToString::to_string).collect();
+        invalid(&problems[0].field, all.join("; "))
+    })?;
+    if document.name != *environment {
+        let message = format!("the document is of {}, not of {environment}", document.name);
+        return Err(invalid("name", message));
+    }
+    Ok(document)
+}
--- /dev/null
+++ b/comfreymill_node/src/control/core/push.rs
@@ -0,0 +1,73 @@
+use std::collections::BTreeMap;
+
+use comfreymill_ledger::codec;
+use comfreymill_types::document;
+use comfreymill_types::time;
+
+use super::core::Core;
+use super::sessions::Session;
+use crate::control::lead::Lead;
+use crate::peer;
+use crate::protocol;
+
+/// # State sent to entries unasked
+impl Core {
+    /// Sends each entry what it does not have yet.
+    pub(super) fn push(&mut self, now: time::Monotonic) {
+        if !self.is_serving(now) {
+            return;
+        }
+        let Some(lead) = &mut self.lead else { return };
+        let revision = self.ledger.get_documents_revision();
+        let mut documents = None;
+        let is_table_due = lead.take_table_due();
+        let may_drop = lead.may_drop_executors(now);
+        for session in self.sessions.iter_mut().filter(|session| session.is_active) {
+            if session.revision != Some(revision) {
+                let body = documents.get_or_insert_with(|| documents_push(&self.ledger));
+                session.send(peer::FrameKind::Push, 0, body.clone());
+                session.revision = Some(revision);
+            }
+            if is_table_due || (!session.is_whole_sent && may_drop) {
+                push_table(lead, session, may_drop);
+            }
+        }
+    }
+}
+
+fn push_table(lead: &mut Lead, session: &mut Session, may_drop: bool) {
+    let rows = lead.table(&session.owner);
+    let is_whole = may_drop && !session.is_whole_sent;
+    let changed = rows.iter().filter(|row| session.rows.get(&row.name) != Some(row));
+    let changed: Vec<_> = changed.cloned().collect();
+    let names: BTreeMap<_, _> = rows.iter().map(|row| (row.name.clone(), ())).collect();
+    let gone = session.rows.keys().filter(|name| may_drop && !names.contains_key(*name));
+    let gone: Vec<_> = gone.cloned().collect();
+    if !is_whole && changed.is_empty() && gone.is_empty() {
+        return;
+    }
+    let sent = if is_whole { rows.clone() } else { changed };
+    let term = lead.get_term();
+    let push = protocol::Push::Executors { term, is_whole, rows: sent, gone };
+    session.send(peer::FrameKind::Push, 0, codec::encode(&push));
+    session.is_whole_sent |= is_whole;
+    session.rows = rows.into_iter().map(|row| (row.name.clone(), row)).collect();
+}
+
+fn documents_push(ledger: &comfreymill_ledger::ledger::Ledger) -> bytes::Bytes {
+    let mut documents = Vec::new();
+    for (environment, state) in ledger.get_environments() {
+        for stage in [document::Stage::Trial, document::Stage::Production] {
+            let Some(record) = state.get(stage) else { continue };
+            documents.push(protocol::DocumentView {
+                desk: protocol::DeskKey { environment: environment.clone(), stage },
+                version: record.version,
+                digest: record.digest,
+                text: record.text.clone(),
+                revision: record.revision,
+            });
+        }
+    }
+    let revision = ledger.get_documents_revision();
+    codec::encode(&protocol::Push::Documents { revision, documents })
+}
--- /dev/null
+++ b/comfreymill_node/src/control/lead/commands.rs
@@ -0,0 +1,131 @@
+use comfreymill_batch::action;
+use comfreymill_batch::event;
+use comfreymill_ledger::command;
+use comfreymill_ledger::job;
+use comfreymill_ledger::ledger;
+use comfreymill_types::time;
+
+use super::Lead;
+use super::tasks;
+
+/// # Actions and commands
+impl Lead {
+    /// Next action to propose with its command; actions that need no record are passed over.
+    pub(in crate::control) fn next_command(
+        &mut self,
+    ) -> Option<(command::Command, action::Action)> {
+        while let Some(action) = self.actions.pop_front() {
+            match command(&action) {
+                Some(command) => return Some((command, action)),
+                None => log::debug!(target: "batch", "Decided: {action:?}."),
+            }
+        }
+        None
+    }
+
+    /// Takes word that an action was committed.
+    pub(in crate::control) fn action_committed(
+        &mut self,
+        now: time::Monotonic,
+        ledger: &ledger::Ledger,
+        action: action::Action,
+    ) {
+        let event = match action {
+            action::Action::Start { attempt, .. } => event::Event::AttemptStarted(attempt),
+            action::Action::RecordCheckpoint { attempt, checkpoint } => {
+                event::Event::CheckpointRecorded { attempt, checkpoint }
+            }
+            action::Action::End { attempt, outcome, checkpoint } => {
+                event::Event::AttemptEnded { attempt, outcome, checkpoint }
+            }
+            action::Action::Park { task, reason } => event::Event::TaskParked { task, reason },
+            action::Action::Unpark { task } => event::Event::TaskUnparked(task),
+            _ => return,
+        };
+        let ended = match &event {
+            event::Event::AttemptEnded { attempt, .. } => Some(attempt.task),
+            _ => None,
+        };
+        self.scheduler_event(now, event);
+        // The record has the last word on whether an unrepeatable task may run again.
+        let task = ended.and_then(|id| Some((id, ledger.get_task(id)?)));
+        if let Some((id, task)) = task
+            && let Some(reason) = tasks::park_reason(task)
+        {
+            self.scheduler_event(now, event::Event::TaskParked { task: id, reason });
+        }
+    }
+
+    /// Takes word that an action was not committed and never will be.
+    pub(in crate::control) fn proposal_lost(
+        &mut self,
+        now: time::Monotonic,
+        action: action::Action,
+    ) {
+        self.scheduler_event(now, event::Event::ProposalLost(Box::new(action)));
+    }
+}
+
+fn command(action: &action::Action) -> Option<command::Command> {
+    match action {
+        action::Action::Start { attempt, .. } => Some(command::Command::StartAttempt {
+            attempt: attempt.id,
+            worker: attempt.worker.clone(),
+            incarnation: attempt.incarnation,
+            reserved: attempt.reserved,
+        }),
+        action::Action::RecordCheckpoint { attempt, checkpoint } => {
+            let checkpoint = recorded(checkpoint);
+            Some(command::Command::RecordCheckpoint { attempt: *attempt, checkpoint })
+        }
+        action::Action::End { attempt, outcome, checkpoint } => {
+            Some(command::Command::EndAttempt {
+                attempt: *attempt,
+                outcome: ended(outcome),
+                checkpoint: checkpoint.as_ref().map(recorded),
+            })
+        }
+        action::Action::Park { task, reason } => Some(command::Command::ParkTask {
+            task: *task,
+            reason: format!("{reason}; what would make it run: {}", reason.get_remedy()),
+            cause: serde_json::to_string(reason).unwrap_or_default(),
+        }),
+        action::Action::Unpark { task } => Some(command::Command::ReleaseTask { task: *task }),
+        action::Action::Stop { .. }
+        | action::Action::Throttle { .. }
+        | action::Action::TakeCheckpoint { .. }
+        | action::Action::Quarantine { .. }
+        | action::Action::Release { .. } => None,
+    }
+}
+
+fn recorded(checkpoint: &event::Checkpoint) -> job::Checkpoint {
+    job::Checkpoint { sequence: checkpoint.sequence, data: checkpoint.data.clone() }
+}
+
+fn ended(outcome: &action::Outcome) -> job::AttemptOutcome {
+    match outcome {
+        action::Outcome::Finished => job::AttemptOutcome::Finished,
+        action::Outcome::Failed { reason, progress } => {
+            job::AttemptOutcome::Failed { reason: reason.clone(), progress: reached(*progress) }
+        }
+        action::Outcome::Stopped { progress } => {
+            job::AttemptOutcome::Stopped { progress: reached(*progress) }
+        }
+        action::Outcome::Lost { may_have_begun } => job::AttemptOutcome::Lost {
+            progress: if *may_have_begun {
+                job::Progress::PastCheckpoint
+            } else {
+                job::Progress::NotBegun
+            },
+        },
+    }
+}
+
+fn reached(progress: event::Progress) -> job::Progress {
+    match progress {
+        event::Progress::NotBegun => job::Progress::NotBegun,
+        event::Progress::AtCheckpoint => job::Progress::AtCheckpoint,
+        event::Progress::PastCheckpoint => job::Progress::PastCheckpoint,
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/control/lead/entries.rs
@@ -0,0 +1,133 @@
+use std::time::Duration;
+
+use comfreymill_ledger::request;
+use comfreymill_route::grant;
+use comfreymill_types::document;
+use comfreymill_types::id;
+use comfreymill_types::time;
+
+use super::Lead;
+use crate::protocol;
+
+const FORGET_AFTER: Duration = Duration::from_secs(3_600);
+
+/// Entry as the leader knows it.
+#[derive(Clone, Debug)]
+pub(in crate::control) struct EntryInfo {
+    pub(in crate::control) incarnation: id::Incarnation,
+    pub(in crate::control) zone: id::ZoneName,
+    pub(in crate::control) revision: u64,
+    pub(in crate::control) is_draining: bool,
+    /// When this life was heard first.
+    pub(in crate::control) first_heard: time::Monotonic,
+    pub(in crate::control) last_heard: time::Monotonic,
+    pub(super) sequence: u64,
+}
+
+/// # Entries
+impl Lead {
+    /// Takes a heartbeat; tells whether the lease is renewed.
+    pub(in crate::control) fn entry_heartbeat(
+        &mut self,
+        now: time::Monotonic,
+        owner: &request::Owner,
+        (region, zone): (id::RegionName, id::ZoneName),
+        heartbeat: protocol::EntryHeartbeat,
+    ) -> bool {
+        let Some(sequence) = self.note_entry(now, owner, &zone, &heartbeat) else { return false };
+        for demand in &heartbeat.demand {
+            self.granter(now, &demand.desk);
+        }
+        let mut is_renewed = true;
+        for (desk, granter) in &mut self.granters {
+            let demand = heartbeat.demand.iter().find(|demand| demand.desk == *desk);
+            is_renewed &= granter.heartbeat(
+                now,
+                grant::Heartbeat {
+                    entry: owner.entry.clone(),
+                    incarnation: owner.incarnation,
+                    region: region.clone(),
+                    zone: zone.clone(),
+                    sequence,
+                    demand: demand.map(|demand| demand.services.clone()).unwrap_or_default(),
+                    holdings: heartbeat.holdings.clone(),
+                    draining: heartbeat.draining,
+                },
+            );
+        }
+        self.collect_grants();
+        is_renewed
+    }
+
+    /// Entries by name.
+    pub(in crate::control) fn get_entries(
+        &self,
+    ) -> impl Iterator<Item = (&id::EntryName, &EntryInfo)> {
+        self.entries.iter()
+    }
+
+    /// Whether an entry can no longer tell how a request of its ended.
+    ///
+    /// A repeatable request may still run at its executor for as long as the longest deadline; an
+    /// unrepeatable one is never run again, so that there is nothing to wait for.
+    pub(in crate::control) fn is_owner_lost(
+        &self,
+        now: time::Monotonic,
+        owner: &request::Owner,
+        is_unrepeatable: bool,
+    ) -> bool {
+        let expiry = self.granter_config.get_expiry();
+        match self.entries.get(&owner.entry) {
+            None => now.since(self.since) >= expiry,
+            Some(entry) if entry.incarnation > owner.incarnation => {
+                is_unrepeatable
+                    || now.since(entry.first_heard) >= self.granter_config.get_run_out()
+            }
+            Some(entry) => now.since(entry.last_heard) >= expiry,
+        }
+    }
+
+    pub(super) fn expire_entries(&mut self, now: time::Monotonic) {
+        self.entries.retain(|_, entry| now.since(entry.last_heard) < FORGET_AFTER);
+    }
+
+    /// Notes an entry; gives the number of the heartbeat, none if a later life is known.
+    fn note_entry(
+        &mut self,
+        now: time::Monotonic,
+        owner: &request::Owner,
+        zone: &id::ZoneName,
+        heartbeat: &protocol::EntryHeartbeat,
+    ) -> Option<u64> {
+        let known = self.entries.get(&owner.entry);
+        if known.is_some_and(|known| known.incarnation > owner.incarnation) {
+            return None;
+        }
+        let same = known.filter(|known| known.incarnation == owner.incarnation);
+        let sequence = same.map_or(0, |same| same.sequence) + 1;
+        let info = EntryInfo {
+            incarnation: owner.incarnation,
+            zone: zone.clone(),
+            revision: heartbeat.revision,
+            is_draining: heartbeat.draining,
+            first_heard: same.map_or(now, |same| same.first_heard),
+            last_heard: now,
+            sequence,
+        };
+        self.entries.insert(owner.entry.clone(), info);
+        Some(sequence)
+    }
+}
+
+/// # Stages
+impl Lead {
+    /// Version in force of an environment in a stage.
+    pub(in crate::control) fn get_version(
+        &self,
+        environment: &id::EnvironmentName,
+        stage: document::Stage,
+    ) -> Option<id::Version> {
+        let desk = protocol::DeskKey { environment: environment.clone(), stage };
+        self.documents.get(&desk).map(|document| document.version)
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/control/lead/executors.rs
@@ -0,0 +1,108 @@
+use std::time::Duration;
+
+use comfreymill_route::grant;
+use comfreymill_types::error;
+use comfreymill_types::id;
+use comfreymill_types::time;
+
+use super::Lead;
+use crate::protocol;
+
+/// Executor as the leader knows it.
+#[derive(Clone, Debug)]
+pub(in crate::control) struct ExecutorInfo {
+    pub(in crate::control) announcement: protocol::ExecutorAnnouncement,
+    pub(in crate::control) last_heard: time::Monotonic,
+}
+
+/// # Executors
+impl Lead {
+    /// Takes an announcement in.
+    pub(in crate::control) fn announced(
+        &mut self,
+        now: time::Monotonic,
+        announcement: protocol::ExecutorAnnouncement,
+    ) -> Result<(), error::Error> {
+        self.check_announcement(&announcement)?;
+        let desk = desk(&announcement);
+        let name = announcement.name.clone();
+        let incarnation = announcement.incarnation;
+        let is_leaving = announcement.state == protocol::UpstreamState::Leaving;
+        let known = self.executors.get(&name).map(|known| &known.announcement);
+        let is_changed = known != Some(&announcement);
+        let granter = self.granter(now, &desk);
+        granter.announced(grant_announcement(&announcement));
+        if is_leaving {
+            granter.leaving(&name, incarnation);
+        }
+        self.executors.insert(name, ExecutorInfo { announcement, last_heard: now });
+        if is_changed {
+            self.is_table_due = true;
+            self.plan_grants(now);
+        }
+        Ok(())
+    }
+
+    /// Executors by name.
+    pub(in crate::control) fn get_executors(
+        &self,
+    ) -> impl Iterator<Item = (&id::ExecutorName, &ExecutorInfo)> {
+        self.executors.iter()
+    }
+
+    pub(super) fn expire_executors(&mut self, now: time::Monotonic, silence: Duration) {
+        let gone = self.executors.extract_if(.., |_, info| now.since(info.last_heard) >= silence);
+        for (name, info) in gone {
+            log::warn!(target: "control", "Executor {name} is silent and counts as gone.");
+            if let Some(granter) = self.granters.get_mut(&desk(&info.announcement)) {
+                granter.gone(&name, info.announcement.incarnation);
+            }
+            self.is_table_due = true;
+        }
+    }
+
+    fn check_announcement(
+        &self,
+        announcement: &protocol::ExecutorAnnouncement,
+    ) -> Result<(), error::Error> {
+        let refuse = |kind, field: &str, message: String| {
+            Err(error::Error::new(kind, message).field(field))
+        };
+        if announcement.slots == 0 {
+            let message = "an executor has at least 1 slot".to_owned();
+            return refuse(error::ErrorKind::BadRequest, "slots", message);
+        }
+        if announcement.connections < announcement.slots {
+            let message = "an executor has at least as many connections as slots".to_owned();
+            return refuse(error::ErrorKind::BadRequest, "connections", message);
+        }
+        let Some(known) = self.executors.get(&announcement.name) else { return Ok(()) };
+        let known = &known.announcement;
+        if known.incarnation > announcement.incarnation {
+            let message = format!("a later life of {} is known", announcement.name);
+            return refuse(error::ErrorKind::Conflict, "incarnation", message);
+        }
+        if desk(known) != desk(announcement) && known.incarnation == announcement.incarnation {
+            let message = "an executor serves one environment and stage in its life".to_owned();
+            return refuse(error::ErrorKind::Conflict, "environment", message);
+        }
+        Ok(())
+    }
+}
+
+fn desk(announcement: &protocol::ExecutorAnnouncement) -> protocol::DeskKey {
+    protocol::DeskKey { environment: announcement.environment.clone(), stage: announcement.stage }
+}
+
+fn grant_announcement(announcement: &protocol::ExecutorAnnouncement) -> grant::Announcement {
+    grant::Announcement {
+        name: announcement.name.clone(),
+        incarnation: announcement.incarnation,
+        service: announcement.service.clone(),
+        address: announcement.address,
+        region: announcement.region.clone(),
+        zone: announcement.zone.clone(),
+        slots: announcement.slots,
+        connections: announcement.connections,
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/control/lead/grants.rs
@@ -0,0 +1,147 @@
+use std::collections::BTreeMap;
+
+use comfreymill_ledger::grant as ledger_grant;
+use comfreymill_ledger::ledger;
+use comfreymill_ledger::request;
+use comfreymill_route::grant;
+use comfreymill_route::router;
+use comfreymill_types::time;
+
+use super::Lead;
+use crate::protocol;
+
+/// Number of the only group that an entry has a link to.
+const SOURCE: u32 = 0;
+
+/// # Grants
+impl Lead {
+    /// Changes to propose, if there are any.
+    pub(in crate::control) fn take_grant_changes(&mut self) -> Vec<ledger_grant::Grant> {
+        std::mem::take(&mut self.grant_changes)
+    }
+
+    /// Takes word that changes were committed.
+    pub(in crate::control) fn grants_committed(&mut self, changes: &[ledger_grant::Grant]) {
+        for change in changes {
+            if let Some(granter) = self.granters.get_mut(&desk(change)) {
+                granter.committed(&grant_change(change));
+            }
+        }
+        self.is_table_due = true;
+    }
+
+    /// Takes word that changes could not be proposed; they are proposed again.
+    pub(in crate::control) fn grants_lost(&mut self, changes: Vec<ledger_grant::Grant>) {
+        let later = std::mem::replace(&mut self.grant_changes, changes);
+        self.grant_changes.extend(later);
+    }
+
+    /// Whether entries' tables may have changed since the last call.
+    pub(in crate::control) fn take_table_due(&mut self) -> bool {
+        std::mem::take(&mut self.is_table_due)
+    }
+
+    /// Whether every living executor has had the time to announce itself to this leader.
+    pub(in crate::control) fn may_drop_executors(&self, now: time::Monotonic) -> bool {
+        now.since(self.since) >= self.rebuild_grace
+    }
+
+    /// Executors with what one entry may use of them.
+    pub(in crate::control) fn table(
+        &mut self,
+        owner: &request::Owner,
+    ) -> Vec<protocol::ExecutorRow> {
+        let mut rows = Vec::new();
+        for (desk, granter) in &mut self.granters {
+            let table = granter.table(&owner.entry, owner.incarnation);
+            rows.extend(table.executors.into_iter().map(|view| row(desk, view)));
+        }
+        rows
+    }
+
+    /// Follows demand and collects the changes.
+    pub(super) fn plan_grants(&mut self, now: time::Monotonic) {
+        for granter in self.granters.values_mut() {
+            granter.tick(now);
+        }
+        self.collect_grants();
+    }
+
+    pub(super) fn collect_grants(&mut self) {
+        for (desk, granter) in &mut self.granters {
+            for change in granter.take_changes() {
+                self.grant_changes.push(ledger_change(desk, change));
+                self.is_table_due = true;
+            }
+        }
+    }
+
+    pub(super) fn granter(
+        &mut self,
+        now: time::Monotonic,
+        desk: &protocol::DeskKey,
+    ) -> &mut grant::Granter {
+        let (cfg, term) = (&self.granter_config, self.term);
+        self.granters
+            .entry(desk.clone())
+            .or_insert_with(|| grant::Granter::recover(cfg.clone(), SOURCE, term, now, []))
+    }
+
+    pub(super) fn recover_grants(&mut self, now: time::Monotonic, ledger: &ledger::Ledger) {
+        let mut by_desk: BTreeMap<protocol::DeskKey, Vec<grant::GrantChange>> = BTreeMap::new();
+        for change in ledger.get_grants().values() {
+            by_desk.entry(desk(change)).or_default().push(grant_change(change));
+        }
+        for (desk, grants) in by_desk {
+            let cfg = self.granter_config.clone();
+            let granter = grant::Granter::recover(cfg, SOURCE, self.term, now, grants);
+            self.granters.insert(desk, granter);
+        }
+    }
+}
+
+fn desk(change: &ledger_grant::Grant) -> protocol::DeskKey {
+    protocol::DeskKey { environment: change.key.environment.clone(), stage: change.key.stage }
+}
+
+fn grant_change(change: &ledger_grant::Grant) -> grant::GrantChange {
+    grant::GrantChange {
+        executor: change.key.executor.clone(),
+        executor_incarnation: change.key.executor_incarnation,
+        entry: change.key.entry.clone(),
+        entry_incarnation: change.key.entry_incarnation,
+        slots: change.slots,
+        epoch: change.epoch,
+    }
+}
+
+fn ledger_change(desk: &protocol::DeskKey, change: grant::GrantChange) -> ledger_grant::Grant {
+    ledger_grant::Grant {
+        key: ledger_grant::GrantKey {
+            environment: desk.environment.clone(),
+            stage: desk.stage,
+            executor: change.executor,
+            executor_incarnation: change.executor_incarnation,
+            entry: change.entry,
+            entry_incarnation: change.entry_incarnation,
+        },
+        slots: change.slots,
+        epoch: change.epoch,
+    }
+}
+
+fn row(desk: &protocol::DeskKey, view: router::ExecutorView) -> protocol::ExecutorRow {
+    protocol::ExecutorRow {
+        desk: desk.clone(),
+        name: view.name,
+        incarnation: view.incarnation,
+        service: view.service,
+        address: view.address,
+        region: view.region,
+        zone: view.zone,
+        slots: view.slots,
+        connections: view.connections,
+        epoch: view.epoch,
+        leaving: view.leaving,
+    }
+}
--- a/comfreymill_node/src/control/mod.rs
+++ b/comfreymill_node/src/control/mod.rs
@@ -6,6 +6,7 @@
 
 mod core;
 mod lead;
+mod operators;
 mod process;
 mod session;
 mod views;
--- /dev/null
+++ b/comfreymill_node/src/control/operators.rs
@@ -0,0 +1,60 @@
+//! The operators' side of a control process: health, status and metrics of this replica.
+
+use bytes::Bytes;
+use comfreymill_http::server;
+use comfreymill_types::error;
+
+use super::core::Input;
+use crate::web;
+
+/// What every request of an operator needs.
+pub(super) struct Context {
+    pub(super) inputs: flume::Sender<Input>,
+    pub(super) token: Option<web::Token>,
+}
+
+/// Serves one request.
+pub(super) async fn serve(
+    cx: &Context,
+    req: server::Request<'_>,
+) -> Result<(), server::ServerError> {
+    match run(cx, &req).await {
+        Ok(body) => web::answer_json(req, body).await,
+        Err(error) => web::answer_error(req, &error).await,
+    }
+}
+
+async fn run(cx: &Context, req: &server::Request<'_>) -> Result<Bytes, error::Error> {
+    let path = req.uri().path();
+    let is_open = matches!(path, "/healthz" | "/readyz");
+    if let Some(token) = &cx.token
+        && !is_open
+    {
+        token.check(req.headers())?;
+    }
+    match path {
+        "/healthz" => Ok(Bytes::from_static(b"{\"healthy\":true}")),
+        "/readyz" => {
+            ask(cx, Input::Ready).await??;
+            Ok(Bytes::from_static(b"{\"ready\":true}"))
+        }
+        "/v1/status" => ask(cx, Input::Show).await,
+        "/metrics" => Ok(crate::metering::render().into()),
+        _ => {
+            let message = "a control process serves /v1/status, /metrics, /healthz and /readyz; \
+                ask an entry for the rest";
+            Err(error::Error::new(error::ErrorKind::NotFound, message).field("path"))
+        }
+    }
+}
+
+async fn ask<T, F>(cx: &Context, input: F) -> Result<T, error::Error>
+where
+    F: FnOnce(flume::Sender<T>) -> Input,
+{
+    let (reply, rx) = flume::bounded(1);
+    cx.inputs.send(input(reply)).ok();
+    rx.recv_async().await.map_err(|_| {
+        error::Error::new(error::ErrorKind::Draining, "the process is stopping")
+    })
+}
--- /dev/null
+++ b/comfreymill_node/src/control/views/status.rs
@@ -0,0 +1,87 @@
+use bytes::Bytes;
+use comfreymill_batch::scheduler;
+use comfreymill_group::replica;
+use comfreymill_ledger::ledger;
+use comfreymill_types::id;
+use comfreymill_types::time;
+
+use super::to_json;
+use crate::control::lead::Lead;
+use crate::control::voters::Voters;
+
+#[derive(serde::Serialize)]
+struct StatusView<'a> {
+    role: String,
+    term: u64,
+    is_serving: bool,
+    leader: Option<&'a id::VoterName>,
+    commit: u64,
+    applied: u64,
+    documents_revision: u64,
+    jobs: usize,
+    batch: Option<scheduler::Status>,
+    quarantined: Vec<id::WorkerName>,
+    entries: Vec<EntryView<'a>>,
+    executors: Vec<ExecutorView<'a>>,
+}
+
+#[derive(serde::Serialize)]
+struct EntryView<'a> {
+    name: &'a id::EntryName,
+    zone: &'a id::ZoneName,
+    incarnation: id::Incarnation,
+    is_draining: bool,
+    heard_ms_ago: u128,
+}
+
+#[derive(serde::Serialize)]
+struct ExecutorView<'a> {
+    name: &'a id::ExecutorName,
+    service: &'a id::ServiceName,
+    zone: &'a id::ZoneName,
+    slots: u32,
+    is_leaving: bool,
+    heard_ms_ago: u128,
+}
+
+/// State of this replica and, at the leader, of the fleet.
+pub(in crate::control) fn status(
+    replica: &replica::Status,
+    voters: &Voters,
+    ledger: &ledger::Ledger,
+    lead: Option<&Lead>,
+    now: time::Monotonic,
+) -> Bytes {
+    let entries = lead.into_iter().flat_map(Lead::get_entries).map(|(name, info)| EntryView {
+        name,
+        zone: &info.zone,
+        incarnation: info.incarnation,
+        is_draining: info.is_draining,
+        heard_ms_ago: now.since(info.last_heard).as_millis(),
+    });
+    let executors = lead.into_iter().flat_map(Lead::get_executors).map(|(name, info)| {
+        let announced = &info.announcement;
+        ExecutorView {
+            name,
+            service: &announced.service,
+            zone: &announced.zone,
+            slots: announced.slots,
+            is_leaving: announced.state == crate::protocol::UpstreamState::Leaving,
+            heard_ms_ago: now.since(info.last_heard).as_millis(),
+        }
+    });
+    to_json(&StatusView {
+        role: replica.role.to_string(),
+        term: replica.term.get(),
+        is_serving: replica.serving,
+        leader: replica.leader.and_then(|leader| voters.name(leader)),
+        commit: replica.commit.get(),
+        applied: ledger.get_applied(),
+        documents_revision: ledger.get_documents_revision(),
+        jobs: ledger.get_jobs().len(),
+        batch: lead.map(Lead::get_batch_status),
+        quarantined: lead.map(Lead::get_quarantined).unwrap_or_default(),
+        entries: entries.collect(),
+        executors: executors.collect(),
+    })
+}
--- a/comfreymill_node/src/control/voters.rs
+++ b/comfreymill_node/src/control/voters.rs
@@ -24,11 +24,16 @@
 
 /// Replica id of a voter: the same on every process, new for a new name.
 pub(super) fn replica_id(name: &name::VoterName) -> id::VoterId {
-    let digest = name::Digest::of(name.as_str().as_bytes());
+    id::VoterId::new(number(name.as_str()))
+}
+
+/// Number that stands for a name, the same on every process.
+pub(super) fn number(name: &str) -> u64 {
+    let digest = name::Digest::of(name.as_bytes());
     let mut head = [0; 8];
     head.copy_from_slice(&digest.as_bytes()[..8]);
-    // Zero stands for no replica.
-    id::VoterId::new(u64::from_be_bytes(head) | 1)
+    // Zero stands for none.
+    u64::from_be_bytes(head) | 1
 }
 
 impl Voters {
--- a/comfreymill_node/src/entry/dispatch/handle.rs
+++ b/comfreymill_node/src/entry/dispatch/handle.rs
@@ -69,6 +69,11 @@
         self.send(Input::Push(push));
     }
 
+    /// Shows as not ready from now on; requests are still served.
+    pub fn unready(&self) {
+        self.send(Input::Unready);
+    }
+
     /// Refuses new requests from now on.
     pub fn drain(&self) {
         self.send(Input::Drain);
--- a/comfreymill_node/src/entry/dispatch/input.rs
+++ b/comfreymill_node/src/entry/dispatch/input.rs
@@ -24,6 +24,8 @@
     Push(protocol::Push),
     /// The leader renewed the lease.
     Leased { until: time::Monotonic, lease: protocol::EntryLease },
+    /// The process will stop soon.
+    Unready,
     /// The process is stopping.
     Drain,
     /// Somebody asks for the state.
--- a/comfreymill_node/src/entry/dispatch/state.rs
+++ b/comfreymill_node/src/entry/dispatch/state.rs
@@ -28,7 +28,7 @@
     pub revision: u64,
     /// Whether the leader confirmed the documents within the lease.
     pub is_current: bool,
-    /// Whether new requests are refused.
+    /// Whether callers should be sent elsewhere.
     pub is_draining: bool,
     /// Requests that are not over.
     pub open_requests: usize,
@@ -49,6 +49,7 @@
     pub(super) term: u64,
     pub(super) revision: Option<u64>,
     pub(super) lease_until: time::Monotonic,
+    pub(super) is_unready: bool,
     pub(super) is_draining: bool,
     pub(super) probes: Vec<Probe>,
 }
@@ -63,6 +64,7 @@
             term: 0,
             revision: None,
             lease_until: time::Monotonic::ZERO,
+            is_unready: false,
             is_draining: false,
             probes: Vec::new(),
         }
@@ -83,6 +85,7 @@
             }
             Input::Push(push) => self.push(now, push),
             Input::Leased { until, lease } => self.leased(now, until, lease),
+            Input::Unready => self.is_unready = true,
             Input::Drain => self.drain(),
             Input::Show(reply) => {
                 reply.send(self.show(now)).ok();
@@ -183,7 +186,7 @@
         DispatchStatus {
             revision: self.revision.unwrap_or(0),
             is_current: self.is_current(now),
-            is_draining: self.is_draining,
+            is_draining: self.is_draining || self.is_unready,
             open_requests: desks.clone().map(|desk| desk.router.open_requests()).sum(),
             queued_requests: desks.clone().map(|desk| desk.router.queued_requests()).sum(),
             executors: self.rows.len(),
--- a/comfreymill_node/src/entry/mod.rs
+++ b/comfreymill_node/src/entry/mod.rs
@@ -1,3 +1,12 @@
 //! The entry process: callers, upstreams and operators talk to it.
 
+pub mod dispatch;
+mod heartbeat;
 pub mod link;
+pub mod operators;
+mod probe;
+mod process;
+pub mod prompt;
+pub mod upstreams;
+
+pub use process::run;
--- /dev/null
+++ b/comfreymill_node/src/entry/process.rs
@@ -0,0 +1,175 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use comfreymill_http::server;
+use comfreymill_route::router;
+use comfreymill_types::error;
+
+use super::dispatch;
+use super::heartbeat;
+use super::link;
+use super::operators;
+use super::prompt;
+use super::upstreams;
+use crate::clock;
+use crate::peer;
+use crate::runtime;
+use crate::settings;
+use crate::web;
+
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(200);
+const READINESS_NOTICE: Duration = Duration::from_secs(2);
+
+/// Runs an entry process until it is told to stop.
+///
+/// # Errors
+///
+/// It cannot start.
+pub fn run(
+    settings: &settings::EntrySettings,
+    stop: &flume::Receiver<runtime::Stop>,
+) -> Result<(), error::Error> {
+    let ended = runtime::block_on(serve(settings, stop));
+    ended.map_err(|e| error::Error::new(error::ErrorKind::Internal, e.to_string()))?
+}
+
+async fn serve(
+    settings: &settings::EntrySettings,
+    stop: &flume::Receiver<runtime::Stop>,
+) -> Result<(), error::Error> {
+    let clock = clock::Clock::start();
+    let common = settings.get_common();
+    let limits = runtime::http_limits(common.get_limits());
+    let callers = runtime::listen("listeners.callers", settings.get_callers())?;
+    let upstreams = runtime::listen("listeners.upstreams", settings.get_upstreams())?;
+    let operators =
+        runtime::listen("listeners.operators", common.get_network().get_operators())?;
+    let operators_token = web::Token::read(common.get_operators_token_file())?;
+    let callers_token = settings.get_callers_token_file().map(web::Token::read).transpose()?;
+    let upstreams_token = settings.get_upstreams_token_file().map(web::Token::read).transpose()?;
+
+    let dispatcher = dispatch::start(dispatch_config(settings)?, clock);
+    let (pushes, pushed) = flume::unbounded();
+    let link = link::start(link_config(settings, clock)?, pushes);
+    monoio::spawn(forward(pushed, dispatcher.clone()));
+    let beats = heartbeat::run(clock, dispatcher.clone(), link.clone(), HEARTBEAT_PERIOD);
+    monoio::spawn(beats);
+
+    let max_body_bytes = common.get_limits().get_body().get();
+    let cx = prompt::Context::new(clock, dispatcher.clone(), link.clone(), max_body_bytes)
+        .token(callers_token);
+    let handler = async move |req: server::Request<'_>| prompt::serve(&cx, req).await;
+    let callers_end = server::Shutdown::new();
+    let callers = monoio::spawn(server::serve(callers, limits, handler, callers_end.clone()));
+
+    let cx = upstreams::Context { link: link.clone(), token: upstreams_token };
+    let handler = async move |req: server::Request<'_>| upstreams::serve(&cx, req).await;
+    monoio::spawn(server::serve(upstreams, limits, handler, server::Shutdown::new()));
+
+    let (drain, drains) = flume::unbounded();
+    let cx = operators::Context {
+        link,
+        dispatcher: dispatcher.clone(),
+        token: Some(operators_token),
+        drain,
+    };
+    let handler = async move |req: server::Request<'_>| operators::serve(&cx, req).await;
+    monoio::spawn(server::serve(operators, limits, handler, server::Shutdown::new()));
+
+    log::info!(target: "entry", "Entry {} serves callers on {}.", settings.get_name(), settings.get_callers());
+    monoio::select! {
+        signal = stop.recv_async() => {
+            if signal != Ok(runtime::Stop::Graceful) {
+                return Ok(());
+            }
+        }
+        _ = drains.recv_async() => {}
+    }
+    let grace = common.get_timing().get_drain().get_duration();
+    let drained = async {
+        drain_callers(&dispatcher, &callers_end, callers, grace).await;
+    };
+    monoio::select! {
+        () = drained => {}
+        _ = stop.recv_async() => {
+            let open = dispatcher.show().await.map_or(0, |status| status.open_requests);
+            log::warn!(target: "entry", "Stopped at once with {open} requests in progress.");
+        }
+    }
+    Ok(())
+}
+
+/// Stops gracefully: readiness first, then the listener, then the requests in progress.
+async fn drain_callers(
+    dispatcher: &dispatch::Dispatcher,
+    end: &server::Shutdown,
+    callers: monoio::task::JoinHandle<server::Drained>,
+    grace: Duration,
+) {
+    log::info!(target: "entry", "The process is stopping.");
+    dispatcher.unready();
+    // The balancer sends new callers elsewhere meanwhile; those that still come are served.
+    monoio::time::sleep(READINESS_NOTICE).await;
+    end.begin(grace);
+    let drained = callers.await;
+    dispatcher.drain();
+    if drained.requests > 0 {
+        log::warn!(target: "entry", "{} requests were cut off at the limit.", drained.requests);
+    }
+    // The last heartbeat hands the grants back.
+    monoio::time::sleep(2 * HEARTBEAT_PERIOD).await;
+}
+
+async fn forward(pushed: flume::Receiver<crate::protocol::Push>, to: dispatch::Dispatcher) {
+    while let Ok(push) = pushed.recv_async().await {
+        to.push(push);
+    }
+}
+
+fn dispatch_config(
+    settings: &settings::EntrySettings,
+) -> Result<dispatch::DispatchConfig, error::Error> {
+    let common = settings.get_common();
+    let zone = common.get_zone().clone();
+    let region = common.get_network().get_regions().get_region(&zone).cloned();
+    let region = region.ok_or_else(|| {
+        let message = format!("zone {zone} is in no region");
+        error::Error::new(error::ErrorKind::InvalidSettings, message).field("zone")
+    })?;
+    let router = router::Config::new(region, zone)
+        .policy(settings.get_routing().into())
+        .queue_limit(common.get_limits().get_queue() as usize)
+        .seed(rand::random());
+    Ok(dispatch::DispatchConfig { router })
+}
+
+fn link_config(
+    settings: &settings::EntrySettings,
+    clock: clock::Clock,
+) -> Result<link::LinkConfig, error::Error> {
+    let common = settings.get_common();
+    let network = common.get_network();
+    let key = peer::ClusterKey::read(common.get_key_file()).map_err(|e| {
+        error::Error::new(e.get_kind(), e.to_string()).field("key_file")
+    })?;
+    let region = network.get_regions().get_region(common.get_zone());
+    let hello = peer::Hello {
+        version: peer::Hello::VERSION,
+        cluster: common.get_cluster().to_string(),
+        name: settings.get_name().to_string(),
+        role: peer::Role::Entry.into(),
+        incarnation: runtime::incarnation().get(),
+        region: region.map(ToString::to_string).unwrap_or_default(),
+        zone: common.get_zone().to_string(),
+        replica: 0,
+        nonce: Bytes::new(),
+    };
+    let voters = network.get_voters().iter();
+    Ok(link::LinkConfig {
+        voters: voters.map(|voter| (voter.name.clone(), voter.peers)).collect(),
+        identity: peer::Identity { hello, key },
+        silence_limit: SILENCE_LIMIT,
+        clock,
+    })
+}
--- a/comfreymill_node/src/lib.rs
+++ b/comfreymill_node/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod entry;
 pub mod peer;
 pub mod protocol;
+pub mod runtime;
 pub mod settings;
 pub mod web;
--- /dev/null
+++ b/comfreymill_node/src/runtime/listen.rs
@@ -0,0 +1,32 @@
+use std::net::SocketAddr;
+
+use comfreymill_http::limits;
+use comfreymill_types::error;
+use monoio::net::TcpListener;
+
+use crate::settings;
+
+/// Opens a listener.
+///
+/// # Errors
+///
+/// `invalid-settings` that names the listener.
+pub fn listen(name: &str, address: SocketAddr) -> Result<TcpListener, error::Error> {
+    TcpListener::bind(address).map_err(|e| {
+        let message = format!("{address} cannot be listened on: {e}");
+        error::Error::new(error::ErrorKind::InvalidSettings, message).field(name)
+    })
+}
+
+/// Bounds of a listener for HTTP.
+pub fn http_limits(limits: &settings::Limits) -> limits::Limits {
+    let bytes = |size: u64| usize::try_from(size).unwrap_or(usize::MAX);
+    limits::Limits::new()
+        .max_head_bytes(bytes(limits.get_head().get()))
+        .max_body_bytes(limits.get_body().get())
+        .max_connections(limits.get_connections() as usize)
+        .max_requests_in_progress(limits.get_connections() as usize)
+        .idle_timeout(limits.get_idle().into())
+        .head_timeout(limits.get_progress().into())
+        .body_progress_timeout(limits.get_progress().into())
+}
