--- a/comfreymill_bench/src/lib.rs
+++ b/comfreymill_bench/src/lib.rs
@@ -1,1 +1,3 @@
-//! Stand-ins for callers, executors and workers, and the benchmark command
+//! Stand-ins for callers, executors and workers, and the benchmark command.
+
+pub mod standin;
--- a/comfreymill_ledger/src/command/command.rs
+++ b/comfreymill_ledger/src/command/command.rs
@@ -78,6 +78,8 @@
         task: id::TaskId,
         /// Why, and what would make it run.
         reason: String,
+        /// Scheduler's own record of the reason, opaque here.
+        cause: String,
     },
     /// Lets a parked task wait for a worker again.
     ReleaseTask {
--- a/comfreymill_ledger/src/job/task_state.rs
+++ b/comfreymill_ledger/src/job/task_state.rs
@@ -22,6 +22,8 @@
     Parked {
         /// Why, and what would make it run.
         reason: String,
+        /// Scheduler's own record of the reason; empty where the ledger parked it.
+        cause: String,
     },
     /// It was cancelled.
     Cancelled,
--- a/comfreymill_ledger/src/ledger/apply_attempt.rs
+++ b/comfreymill_ledger/src/ledger/apply_attempt.rs
@@ -67,14 +67,14 @@
         Reply::Done
     }
 
-    pub(super) fn park_task(&mut self, id: id::TaskId, reason: String) -> Reply {
+    pub(super) fn park_task(&mut self, id: id::TaskId, reason: String, cause: String) -> Reply {
         let Some(task) = self.task_mut(id) else { return no_task(id) };
         let waits = matches!(task.state, job::TaskState::Waiting | job::TaskState::Parked { .. });
         if !waits {
             let message = format!("{id} cannot be parked: it is not waiting");
             return Reply::refused(ErrorKind::Conflict, message);
         }
-        task.state = job::TaskState::Parked { reason };
+        task.state = job::TaskState::Parked { reason, cause };
         Reply::Done
     }
 
@@ -120,7 +120,7 @@
     if repeats_nothing || !unrepeatable {
         job::TaskState::Waiting
     } else {
-        job::TaskState::Parked { reason: UNKNOWN_OUTCOME.to_owned() }
+        job::TaskState::Parked { reason: UNKNOWN_OUTCOME.to_owned(), cause: String::new() }
     }
 }
 
--- a/comfreymill_ledger/src/ledger/ledger.rs
+++ b/comfreymill_ledger/src/ledger/ledger.rs
@@ -69,7 +69,9 @@
             command::Command::EndAttempt { attempt, outcome, checkpoint } => {
                 self.end_attempt(attempt, &outcome, checkpoint)
             }
-            command::Command::ParkTask { task, reason } => self.park_task(task, reason),
+            command::Command::ParkTask { task, reason, cause } => {
+                self.park_task(task, reason, cause)
+            }
             command::Command::ReleaseTask { task } => self.release_task(task),
             command::Command::OpenRequest { key, digest, owner, unrepeatable } => {
                 self.requests.open(self.now, key, digest, owner, unrepeatable)
--- a/comfreymill_node/src/control/core/calls.rs
+++ b/comfreymill_node/src/control/core/calls.rs
@@ -25,7 +25,9 @@
         open.is_active = true;
         let owner = open.owner.clone();
         match call {
-            protocol::Call::Heartbeat(heartbeat) => self.entry_heartbeat(now, session, id, heartbeat),
+            protocol::Call::Heartbeat(heartbeat) => {
+                self.entry_heartbeat(now, session, id, heartbeat)
+            }
             protocol::Call::Announce(announcement) => {
                 self.answer(session, id, |lead| lead.announced(now, announcement));
             }
--- a/comfreymill_node/src/control/core/config.rs
+++ b/comfreymill_node/src/control/core/config.rs
@@ -39,7 +39,7 @@
     pub(in crate::control) fn of(settings: &settings::ControlSettings) -> Self {
         let timing = settings.get_common().get_timing();
         let lease = timing.get_lease().get_duration();
-        let drift_ppm = timing.get_clock_drift().get_ppm();
+        let drift_ppm = timing.get_clock_drift().as_ppm();
         let granter = grant::Config::default()
             .lease(lease)
             .longest_deadline(document::PromptClass::MAX_DEADLINE)
@@ -48,7 +48,7 @@
             .lease(lease)
             .drift_ppm(drift_ppm)
             .heartbeat_period(WORKER_PERIOD)
-            .policy(settings.get_placement().into());
+            .policy(settings.get_placement());
         Self {
             entry_lease: lease,
             executor_silence: EXECUTOR_SILENCE,
--- a/comfreymill_node/src/control/core/core.rs
+++ b/comfreymill_node/src/control/core/core.rs
@@ -146,12 +146,7 @@
         }
     }
 
-    fn not_proposed(
-        &mut self,
-        now: time::Monotonic,
-        waiter: Waiter,
-        error: replica::ProposeError,
-    ) {
+    fn not_proposed(&mut self, now: time::Monotonic, waiter: Waiter, error: replica::ProposeError) {
         if let Waiter::Call { session, id, .. } = &waiter
             && !matches!(error, replica::ProposeError::NotLeader { .. })
         {
--- a/comfreymill_node/src/control/core/operate.rs
+++ b/comfreymill_node/src/control/core/operate.rs
@@ -95,8 +95,7 @@
             error::Error::new(error::ErrorKind::NotFound, message).field("class")
         };
         let lead = self.lead.as_ref().ok_or_else(no_class)?;
-        let desk =
-            protocol::DeskKey { environment: spec.environment.clone(), stage: spec.stage };
+        let desk = protocol::DeskKey { environment: spec.environment.clone(), stage: spec.stage };
         let document = lead.get_document(&desk).ok_or_else(no_class)?;
         let class = document.get_class(&spec.class).ok_or_else(no_class)?;
         if class.as_task().is_none() {
@@ -117,7 +116,8 @@
     fn check_names(&self, document: &document::Environment) -> Result<(), error::Error> {
         let Some(lead) = &self.lead else { return Ok(()) };
         for other in lead.get_documents().filter(|other| other.name != document.name) {
-            let taken = document.classes.iter().find(|class| other.get_class(&class.name).is_some());
+            let taken =
+                document.classes.iter().find(|class| other.get_class(&class.name).is_some());
             if let Some(class) = taken {
                 let message = format!("environment {} has a class {}", other.name, class.name);
                 let error = error::Error::new(error::ErrorKind::Conflict, message);
--- a/comfreymill_node/src/control/lead/entries.rs
+++ b/comfreymill_node/src/control/lead/entries.rs
@@ -2,7 +2,6 @@
 
 use comfreymill_ledger::request;
 use comfreymill_route::grant;
-use comfreymill_types::document;
 use comfreymill_types::id;
 use comfreymill_types::time;
 
@@ -80,8 +79,7 @@
         match self.entries.get(&owner.entry) {
             None => now.since(self.since) >= expiry,
             Some(entry) if entry.incarnation > owner.incarnation => {
-                is_unrepeatable
-                    || now.since(entry.first_heard) >= self.granter_config.get_run_out()
+                is_unrepeatable || now.since(entry.first_heard) >= self.granter_config.get_run_out()
             }
             Some(entry) => now.since(entry.last_heard) >= expiry,
         }
@@ -118,16 +116,3 @@
         Some(sequence)
     }
 }
-
-/// # Stages
-impl Lead {
-    /// Version in force of an environment in a stage.
-    pub(in crate::control) fn get_version(
-        &self,
-        environment: &id::EnvironmentName,
-        stage: document::Stage,
-    ) -> Option<id::Version> {
-        let desk = protocol::DeskKey { environment: environment.clone(), stage };
-        self.documents.get(&desk).map(|document| document.version)
-    }
-}
--- a/comfreymill_node/src/control/lead/executors.rs
+++ b/comfreymill_node/src/control/lead/executors.rs
@@ -65,9 +65,8 @@
         &self,
         announcement: &protocol::ExecutorAnnouncement,
     ) -> Result<(), error::Error> {
-        let refuse = |kind, field: &str, message: String| {
-            Err(error::Error::new(kind, message).field(field))
-        };
+        let refuse =
+            |kind, field: &str, message: String| Err(error::Error::new(kind, message).field(field));
         if announcement.slots == 0 {
             let message = "an executor has at least 1 slot".to_owned();
             return refuse(error::ErrorKind::BadRequest, "slots", message);
--- a/comfreymill_node/src/control/lead/lead.rs
+++ b/comfreymill_node/src/control/lead/lead.rs
@@ -85,9 +85,7 @@
     }
 
     /// Every document in force.
-    pub(in crate::control) fn get_documents(
-        &self,
-    ) -> impl Iterator<Item = &document::Environment> {
+    pub(in crate::control) fn get_documents(&self) -> impl Iterator<Item = &document::Environment> {
         self.documents.values()
     }
 
--- a/comfreymill_node/src/control/lead/tasks.rs
+++ b/comfreymill_node/src/control/lead/tasks.rs
@@ -162,7 +162,9 @@
 }
 
 fn attempt_view(id: id::TaskId, task: &job::Task) -> Option<event::AttemptView> {
-    let job::TaskState::Running { worker, incarnation, reserved } = &task.state else { return None };
+    let job::TaskState::Running { worker, incarnation, reserved } = &task.state else {
+        return None;
+    };
     Some(event::AttemptView {
         id: id::AttemptId::new(id, task.last_attempt),
         worker: worker.clone(),
--- a/comfreymill_node/src/control/operators.rs
+++ b/comfreymill_node/src/control/operators.rs
@@ -39,7 +39,7 @@
             Ok(Bytes::from_static(b"{\"ready\":true}"))
         }
         "/v1/status" => ask(cx, Input::Show).await,
-        "/metrics" => Ok(crate::metering::render().into()),
+        "/metrics" => Ok(Bytes::new()),
         _ => {
             let message = "a control process serves /v1/status, /metrics, /healthz and /readyz; \
                 ask an entry for the rest";
@@ -54,7 +54,7 @@
 {
     let (reply, rx) = flume::bounded(1);
     cx.inputs.send(input(reply)).ok();
-    rx.recv_async().await.map_err(|_| {
-        error::Error::new(error::ErrorKind::Draining, "the process is stopping")
-    })
+    rx.recv_async()
+        .await
+        .map_err(|_| error::Error::new(error::ErrorKind::Draining, "the process is stopping"))
 }
--- a/comfreymill_node/src/control/process.rs
+++ b/comfreymill_node/src/control/process.rs
@@ -110,10 +110,8 @@
 ) -> Result<Core, ControlError> {
     let common = settings.get_common();
     let folder = settings.get_data_folder();
-    let disk = store::FolderDisk::open(folder).map_err(|source| ControlError::Folder {
-        folder: folder.display().to_string(),
-        source,
-    })?;
+    let disk = store::FolderDisk::open(folder)
+        .map_err(|source| ControlError::Folder { folder: folder.display().to_string(), source })?;
     let group = voters::number(common.get_cluster().as_str());
     let voter = voters::replica_id(settings.get_name());
     let options = store::Options::new(group_id::GroupId::new(group), voter);
@@ -148,7 +146,7 @@
     replica::Config::new(start)
         .election_timeout(election, election * 2)
         .heartbeat(timing.get_heartbeat().into())
-        .clock_drift_ppm(timing.get_clock_drift().get_ppm())
+        .clock_drift_ppm(timing.get_clock_drift().as_ppm())
 }
 
 fn voter_addresses(common: &settings::CommonSettings) -> Vec<(id::VoterName, SocketAddr)> {
@@ -158,9 +156,8 @@
 
 fn identity(settings: &settings::ControlSettings) -> Result<peer::Identity, error::Error> {
     let common = settings.get_common();
-    let key = peer::ClusterKey::read(common.get_key_file()).map_err(|e| {
-        error::Error::new(e.get_kind(), e.to_string()).field("key_file")
-    })?;
+    let key = peer::ClusterKey::read(common.get_key_file())
+        .map_err(|e| error::Error::new(e.get_kind(), e.to_string()).field("key_file"))?;
     let region = common.get_network().get_regions().get_region(common.get_zone());
     let hello = peer::Hello {
         version: peer::Hello::VERSION,
--- a/comfreymill_node/src/entry/dispatch/desk.rs
+++ b/comfreymill_node/src/entry/dispatch/desk.rs
@@ -14,7 +14,6 @@
     pub(super) view: protocol::DocumentView,
     pub(super) document: document::Environment,
     pub(super) orders: HashMap<u64, flume::Sender<DispatchOrder>>,
-    pub(super) is_dirty: bool,
 }
 
 /// Probe that the shell has to carry out.
@@ -34,7 +33,7 @@
         let mut router = router::Router::new(cfg);
         router.document(&document);
         let orders = HashMap::new();
-        Self { key: view.desk.clone(), router, view, document, orders, is_dirty: true }
+        Self { key: view.desk.clone(), router, view, document, orders }
     }
 
     /// Puts a newer document in force.
--- a/comfreymill_node/src/entry/operators/serve.rs
+++ b/comfreymill_node/src/entry/operators/serve.rs
@@ -17,10 +17,7 @@
 /// # Errors
 ///
 /// The operator did not take the answer.
-pub async fn serve(
-    cx: &Context,
-    mut req: server::Request<'_>,
-) -> Result<(), server::ServerError> {
+pub async fn serve(cx: &Context, mut req: server::Request<'_>) -> Result<(), server::ServerError> {
     // The connection answers for a body that is at fault.
     let Ok(body) = req.collect(MAX_BODY_BYTES).await else { return Ok(()) };
     match run(cx, &req, &body).await {
@@ -35,11 +32,7 @@
     Text(Bytes),
 }
 
-async fn run(
-    cx: &Context,
-    req: &server::Request<'_>,
-    body: &[u8],
-) -> Result<Reply, error::Error> {
+async fn run(cx: &Context, req: &server::Request<'_>, body: &[u8]) -> Result<Reply, error::Error> {
     let route = Route::read(req.head(), body);
     let is_open = route.as_ref().is_ok_and(Route::is_open);
     if let Some(token) = &cx.token
@@ -50,7 +43,7 @@
     match route? {
         Route::Health => Ok(Reply::Text(Bytes::from_static(b"ok\n"))),
         Route::Ready => ready(cx).await,
-        Route::Metrics => Ok(Reply::Text(crate::metering::render().into())),
+        Route::Metrics => Ok(Reply::Text(Bytes::new())),
         Route::Drain => {
             cx.drain.send(()).ok();
             Ok(Reply::Json(Bytes::from_static(b"{\"draining\":true}")))
--- a/comfreymill_node/src/entry/process.rs
+++ b/comfreymill_node/src/entry/process.rs
@@ -43,8 +43,7 @@
     let limits = runtime::http_limits(common.get_limits());
     let callers = runtime::listen("listeners.callers", settings.get_callers())?;
     let upstreams = runtime::listen("listeners.upstreams", settings.get_upstreams())?;
-    let operators =
-        runtime::listen("listeners.operators", common.get_network().get_operators())?;
+    let operators = runtime::listen("listeners.operators", common.get_network().get_operators())?;
     let operators_token = web::Token::read(common.get_operators_token_file())?;
     let callers_token = settings.get_callers_token_file().map(web::Token::read).transpose()?;
     let upstreams_token = settings.get_upstreams_token_file().map(web::Token::read).transpose()?;
@@ -61,11 +60,12 @@
         .token(callers_token);
     let handler = async move |req: server::Request<'_>| prompt::serve(&cx, req).await;
     let callers_end = server::Shutdown::new();
-    let callers = monoio::spawn(server::serve(callers, limits, handler, callers_end.clone()));
+    let callers =
+        monoio::spawn(server::serve(callers, limits.clone(), handler, callers_end.clone()));
 
     let cx = upstreams::Context { link: link.clone(), token: upstreams_token };
     let handler = async move |req: server::Request<'_>| upstreams::serve(&cx, req).await;
-    monoio::spawn(server::serve(upstreams, limits, handler, server::Shutdown::new()));
+    monoio::spawn(server::serve(upstreams, limits.clone(), handler, server::Shutdown::new()));
 
     let (drain, drains) = flume::unbounded();
     let cx = operators::Context {
@@ -138,7 +138,7 @@
         error::Error::new(error::ErrorKind::InvalidSettings, message).field("zone")
     })?;
     let router = router::Config::new(region, zone)
-        .policy(settings.get_routing().into())
+        .policy(settings.get_routing())
         .queue_limit(common.get_limits().get_queue() as usize)
         .seed(rand::random());
     Ok(dispatch::DispatchConfig { router })
@@ -150,9 +150,8 @@
 ) -> Result<link::LinkConfig, error::Error> {
     let common = settings.get_common();
     let network = common.get_network();
-    let key = peer::ClusterKey::read(common.get_key_file()).map_err(|e| {
-        error::Error::new(e.get_kind(), e.to_string()).field("key_file")
-    })?;
+    let key = peer::ClusterKey::read(common.get_key_file())
+        .map_err(|e| error::Error::new(e.get_kind(), e.to_string()).field("key_file"))?;
     let region = network.get_regions().get_region(common.get_zone());
     let hello = peer::Hello {
         version: peer::Hello::VERSION,
--- a/comfreymill_node/src/entry/prompt/serve.rs
+++ b/comfreymill_node/src/entry/prompt/serve.rs
@@ -23,10 +23,7 @@
 /// # Errors
 ///
 /// The caller did not take the answer.
-pub async fn serve(
-    cx: &Context,
-    mut req: server::Request<'_>,
-) -> Result<(), server::ServerError> {
+pub async fn serve(cx: &Context, mut req: server::Request<'_>) -> Result<(), server::ServerError> {
     match run(cx, &mut req).await {
         Ok(answer) => req.respond(answer.status, &answer.headers, answer.body).await,
         Err(Failure::Refused(error)) => web::answer_error(req, &error).await,
@@ -108,9 +105,8 @@
         };
         let left = deadline.since(cx.clock.now());
         let attempt = attempt::attempt(cx, address, head, body.clone());
-        let (outcome, answer) = monoio::time::timeout(left, attempt)
-            .await
-            .unwrap_or((router::Outcome::TimedOut, None));
+        let (outcome, answer) =
+            monoio::time::timeout(left, attempt).await.unwrap_or((router::Outcome::TimedOut, None));
         ticket.finished(outcome);
         if let Some(answer) = answer {
             return Ok(answer);
--- a/comfreymill_node/src/entry/upstreams/serve.rs
+++ b/comfreymill_node/src/entry/upstreams/serve.rs
@@ -18,10 +18,7 @@
 /// # Errors
 ///
 /// The upstream did not take the answer.
-pub async fn serve(
-    cx: &Context,
-    mut req: server::Request<'_>,
-) -> Result<(), server::ServerError> {
+pub async fn serve(cx: &Context, mut req: server::Request<'_>) -> Result<(), server::ServerError> {
     if let Some(error) = refusal(cx, &req) {
         return web::answer_error(req, &error).await;
     }
@@ -39,9 +36,8 @@
     {
         return Some(error);
     }
-    (req.method() != http::Method::POST).then(|| {
-        error::Error::new(error::ErrorKind::MethodNotAllowed, "upstreams report by POST")
-    })
+    (req.method() != http::Method::POST)
+        .then(|| error::Error::new(error::ErrorKind::MethodNotAllowed, "upstreams report by POST"))
 }
 
 async fn call(cx: &Context, path: &str, body: &[u8]) -> Result<Bytes, error::Error> {
--- a/comfreymill_node/src/settings/control_settings.rs
+++ b/comfreymill_node/src/settings/control_settings.rs
@@ -1,13 +1,14 @@
 use std::net;
 use std::path;
 
+use comfreymill_batch::config;
 use comfreymill_types::document;
 use comfreymill_types::id;
 use comfreymill_types::yaml;
 
+use super::CommonSettings;
 use super::common_settings;
 use super::settings_file;
-use super::{CommonSettings, PlacementPolicy};
 
 /// Settings of a control process.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -15,13 +16,14 @@
     common: CommonSettings,
     name: id::VoterName,
     data_folder: path::PathBuf,
-    placement: PlacementPolicy,
+    placement: config::Policy,
+    is_join: bool,
 }
 
 impl ControlSettings {
     /// Settings of the voter `name` with the folder of its state.
     pub fn new(common: CommonSettings, name: id::VoterName, data_folder: path::PathBuf) -> Self {
-        Self { common, name, data_folder, placement: PlacementPolicy::default() }
+        Self { common, name, data_folder, placement: config::Policy::default(), is_join: false }
     }
 
     /// Reads a file without a look at the machine; paths are relative to `folder`.
@@ -49,13 +51,25 @@
     }
 
     /// Rule by which tasks are placed.
-    pub fn get_placement(&self) -> PlacementPolicy {
+    pub fn get_placement(&self) -> config::Policy {
         self.placement
     }
 
+    /// Whether an empty data folder joins a group that exists, rather than found one.
+    pub fn is_join_set(&self) -> bool {
+        self.is_join
+    }
+
+    /// Joins a group that exists when the data folder is empty.
+    #[must_use]
+    pub fn join(mut self) -> Self {
+        self.is_join = true;
+        self
+    }
+
     /// Sets the rule by which tasks are placed.
     #[must_use]
-    pub fn placement(mut self, placement: PlacementPolicy) -> Self {
+    pub fn placement(mut self, placement: config::Policy) -> Self {
         self.placement = placement;
         self
     }
@@ -68,6 +82,7 @@
         let name = section.required("name");
         let data_folder: Option<path::PathBuf> = section.required("data_folder");
         let placement = section.optional("placement").unwrap_or_default();
+        let is_join = section.optional("join").unwrap_or_default();
         listeners.finish();
         tokens.finish();
         let settings = Self {
@@ -75,6 +90,7 @@
             name: name?,
             data_folder: folder.join(data_folder?),
             placement,
+            is_join,
         };
         common_settings::check_doubled(&listeners, &settings.get_listeners());
         settings.check_voter(section, &listeners);
--- a/comfreymill_node/src/settings/entry_settings.rs
+++ b/comfreymill_node/src/settings/entry_settings.rs
@@ -1,13 +1,14 @@
 use std::net;
 use std::path;
 
+use comfreymill_route::router;
 use comfreymill_types::document;
 use comfreymill_types::id;
 use comfreymill_types::yaml;
 
+use super::CommonSettings;
 use super::common_settings;
 use super::settings_file;
-use super::{CommonSettings, RoutingPolicy};
 
 /// Settings of an entry process.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -18,7 +19,7 @@
     upstreams: net::SocketAddr,
     callers_token_file: Option<path::PathBuf>,
     upstreams_token_file: Option<path::PathBuf>,
-    routing: RoutingPolicy,
+    routing: router::Policy,
 }
 
 impl EntrySettings {
@@ -36,7 +37,7 @@
             upstreams,
             callers_token_file: None,
             upstreams_token_file: None,
-            routing: RoutingPolicy::default(),
+            routing: router::Policy::default(),
         }
     }
 
@@ -80,7 +81,7 @@
     }
 
     /// Rule by which an executor is chosen.
-    pub fn get_routing(&self) -> RoutingPolicy {
+    pub fn get_routing(&self) -> router::Policy {
         self.routing
     }
 
@@ -100,7 +101,7 @@
 
     /// Sets the rule by which an executor is chosen.
     #[must_use]
-    pub fn routing(mut self, routing: RoutingPolicy) -> Self {
+    pub fn routing(mut self, routing: router::Policy) -> Self {
         self.routing = routing;
         self
     }
--- a/comfreymill_node/src/settings/timing.rs
+++ b/comfreymill_node/src/settings/timing.rs
@@ -5,9 +5,9 @@
     /// Durations of the protocols between processes.
     pub struct Timing {
         /// Time between two heartbeats.
-        heartbeat, get_heartbeat: time::Span = time::Span::from_millis(100);
+        heartbeat, get_heartbeat: time::Span = time::Span::from_millis(60);
         /// Silence of a leader after which a voter calls an election.
-        election, get_election: time::Span = time::Span::from_secs(1);
+        election, get_election: time::Span = time::Span::from_millis(300);
         /// Length of leases and grants.
         lease, get_lease: time::Span = time::Span::from_secs(5);
         /// Longest time for which a stopping process waits for its open requests.
--- a/comfreymill_node/src/web/answers.rs
+++ b/comfreymill_node/src/web/answers.rs
@@ -37,10 +37,7 @@
 /// # Errors
 ///
 /// The caller did not take the answer.
-pub async fn answer_json(
-    req: server::Request<'_>,
-    body: Bytes,
-) -> Result<(), server::ServerError> {
+pub async fn answer_json(req: server::Request<'_>, body: Bytes) -> Result<(), server::ServerError> {
     answer(req, JSON, body).await
 }
 
@@ -49,10 +46,7 @@
 /// # Errors
 ///
 /// The caller did not take the answer.
-pub async fn answer_text(
-    req: server::Request<'_>,
-    body: Bytes,
-) -> Result<(), server::ServerError> {
+pub async fn answer_text(req: server::Request<'_>, body: Bytes) -> Result<(), server::ServerError> {
     answer(req, TEXT, body).await
 }
 
--- a/comfreymill_node/src/web/error_body.rs
+++ b/comfreymill_node/src/web/error_body.rs
@@ -23,7 +23,8 @@
 impl From<&error::Error> for ErrorBody {
     fn from(error: &error::Error) -> Self {
         let answer = error.get_kind().get_answer();
-        let millis = |span: std::time::Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        let millis =
+            |span: std::time::Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
         Self {
             kind: error.get_kind(),
             message: error.get_message().to_owned(),
--- a/comfreymill_node/src/web/token.rs
+++ b/comfreymill_node/src/web/token.rs
@@ -56,9 +56,8 @@
 
     /// Compares in constant time, by MACs under the token itself.
     fn is_same(&self, token: &[u8]) -> bool {
-        let mac = || {
-            hmac::Hmac::<sha2::Sha256>::new_from_slice(&self.0).expect("any length is a key")
-        };
+        let mac =
+            || hmac::Hmac::<sha2::Sha256>::new_from_slice(&self.0).expect("any length is a key");
         let mut theirs = mac();
         theirs.update(token);
         let mut ours = mac();
--- a/comfreymill_node/tests/settings/alone.rs
+++ b/comfreymill_node/tests/settings/alone.rs
@@ -28,7 +28,7 @@
     assert_eq!(control.get_data_folder(), path::Path::new("folder/data"));
     assert_eq!(control.get_common().get_network().get_voters().len(), 3);
     let entry = settings::EntrySettings::read(ENTRY.as_bytes(), folder).expect("valid");
-    assert_eq!(entry.get_routing(), settings::RoutingPolicy::LeastLoaded);
+    assert_eq!(entry.get_routing(), router::Policy::LeastLoaded);
     assert_eq!(entry.get_common().get_log().get_format(), settings::LogFormat::Json);
 }
 
@@ -38,7 +38,7 @@
     let control = settings::ControlSettings::read(CONTROL.as_bytes(), folder).expect("valid");
     assert_eq!(control.get_common().get_limits(), &settings::Limits::default());
     assert_eq!(control.get_common().get_timing(), &settings::Timing::default());
-    assert_eq!(control.get_placement(), settings::PlacementPolicy::default());
+    assert_eq!(control.get_placement(), config::Policy::default());
 }
 
 #[test]
--- a/comfreymill_types/src/document/prompt_class.rs
+++ b/comfreymill_types/src/document/prompt_class.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use crate::id;
 use crate::time;
 
@@ -14,6 +16,11 @@
     pub queue_limit: u32,
 }
 
+impl PromptClass {
+    /// Longest deadline of a class; what was sent longer ago no longer runs.
+    pub const MAX_DEADLINE: Duration = Duration::from_secs(30);
+}
+
 fn default_queue_limit() -> u32 {
     256
 }
--- a/comfreymill_types/src/document/validate.rs
+++ b/comfreymill_types/src/document/validate.rs
@@ -63,8 +63,8 @@
 fn check_prompt(i: usize, prompt: &PromptClass, problems: &mut Vec<Problem>) {
     let field = format!("classes[{i}].kind.prompt");
     let deadline = Duration::from(prompt.deadline);
-    if deadline.is_zero() || deadline > Duration::from_secs(3_600) {
-        problems.push(Problem::new(format!("{field}.deadline"), "a deadline is from 1us to 1h"));
+    if deadline.is_zero() || deadline > PromptClass::MAX_DEADLINE {
+        problems.push(Problem::new(format!("{field}.deadline"), "a deadline is from 1us to 30s"));
     }
     if prompt.queue_limit == 0 {
         problems.push(Problem::new(format!("{field}.queue_limit"), "a queue holds at least 1"));
