test(node): the whole path, thin, through separate processes

Change: a cluster launcher and stand-in caller for tests; a test that promotes a document, searches, runs a batch, explains it, and kills each process in turn.

--- /dev/null
+++ b/comfreymill_bench/src/cluster/cluster.rs
@@ -0,0 +1,133 @@
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+
+use super::config::ClusterConfig;
+use super::folder::Folder;
+use super::settings_text::{self, ControlAddresses, ZONES};
+use super::{EntryAddresses, Process};
+
+const KEY: &str = "a key that only the tests' own clusters hold";
+
+/// Running control processes and entries.
+#[derive(Debug)]
+pub struct Cluster {
+    /// Control processes.
+    pub controls: Vec<Process>,
+    /// Entries.
+    pub entries: Vec<Process>,
+    addresses: Vec<EntryAddresses>,
+    operators: Vec<SocketAddr>,
+    _folder: Folder,
+}
+
+impl Cluster {
+    /// Token of the operators.
+    pub const TOKEN: &str = "operators-of-the-tests";
+
+    /// Starts a cluster.
+    ///
+    /// # Errors
+    ///
+    /// Files cannot be written or processes not started.
+    pub fn start(cfg: &ClusterConfig) -> io::Result<Self> {
+        let folder = Folder::new()?;
+        folder.write("cluster.key", KEY)?;
+        folder.write("operators.token", Self::TOKEN)?;
+        let host = host(folder.get_number());
+        let controls = reserve(host, 2 * cfg.controls)?;
+        let all: Vec<_> = controls
+            .chunks(2)
+            .map(|pair| ControlAddresses { peers: pair[0], operators: pair[1] })
+            .collect();
+        let entries = reserve(host, 4 * cfg.entries)?;
+        let mut this = Self {
+            controls: Vec::new(),
+            entries: Vec::new(),
+            addresses: Vec::new(),
+            operators: all.iter().map(|control| control.operators).collect(),
+            _folder: folder,
+        };
+        for index in 0..cfg.controls {
+            std::fs::create_dir_all(this._folder.get_path().join(format!("data-{index}")))?;
+            let text = settings_text::control(cfg, &all, index);
+            let process = this.process(cfg, "control", index, &text)?;
+            this.controls.push(process);
+        }
+        for (index, ports) in entries.chunks(4).enumerate() {
+            let own =
+                EntryAddresses { callers: ports[0], upstreams: ports[1], operators: ports[2] };
+            let text = settings_text::entry(cfg, &all, own, ports[3], index);
+            let process = this.process(cfg, "entry", index, &text)?;
+            this.entries.push(process);
+            this.addresses.push(own);
+        }
+        for process in this.controls.iter_mut().chain(&mut this.entries) {
+            process.start()?;
+        }
+        Ok(this)
+    }
+
+    /// Addresses of an entry.
+    pub fn get_entry(&self, index: usize) -> EntryAddresses {
+        self.addresses[index]
+    }
+
+    /// Operators' address of a control process.
+    pub fn get_control(&self, index: usize) -> SocketAddr {
+        self.operators[index]
+    }
+
+    /// Upstreams' addresses of every entry.
+    pub fn get_upstreams(&self) -> Vec<SocketAddr> {
+        self.addresses.iter().map(|entry| entry.upstreams).collect()
+    }
+
+    /// Region and availability zone of process `index`.
+    pub fn get_zone(index: usize) -> (&'static str, &'static str) {
+        ZONES[index % ZONES.len()]
+    }
+
+    /// Empties the data folder of a control process that is not running.
+    ///
+    /// # Errors
+    ///
+    /// The folder cannot be emptied.
+    pub fn lose_disk(&self, index: usize) -> io::Result<()> {
+        let path = self._folder.get_path().join(format!("data-{index}"));
+        std::fs::remove_dir_all(&path)?;
+        std::fs::create_dir_all(&path)
+    }
+
+    /// Logs of every process, for a test that failed.
+    pub fn get_logs(&self) -> String {
+        let all = self.controls.iter().chain(&self.entries);
+        let part =
+            |process: &Process| format!("== {}\n{}", process.log.display(), process.get_log());
+        all.map(part).collect()
+    }
+
+    fn process(
+        &self,
+        cfg: &ClusterConfig,
+        program: &'static str,
+        index: usize,
+        text: &str,
+    ) -> io::Result<Process> {
+        let settings = self._folder.write(&format!("{program}-{index}.yaml"), text)?;
+        let log = self._folder.get_path().join(format!("{program}-{index}.log"));
+        Ok(Process { binary: cfg.binary.clone(), program, settings, log, child: None })
+    }
+}
+
+/// Address of a cluster, of its own in this process and hardly shared with other processes.
+fn host(number: u32) -> Ipv4Addr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let number = u8::try_from(number % 250).unwrap_or(0) + 2;
+    Ipv4Addr::new(127, number, high, low.max(1))
+}
+
+/// Ports that the system chooses.
+fn reserve(host: Ipv4Addr, count: usize) -> io::Result<Vec<SocketAddr>> {
+    let listeners: io::Result<Vec<_>> = (0..count).map(|_| TcpListener::bind((host, 0))).collect();
+    listeners?.iter().map(TcpListener::local_addr).collect()
+}
--- /dev/null
+++ b/comfreymill_bench/src/cluster/config.rs
@@ -0,0 +1,56 @@
+use std::path::PathBuf;
+
+/// What a cluster consists of.
+#[derive(Clone, Debug)]
+pub struct ClusterConfig {
+    pub(super) binary: PathBuf,
+    pub(super) controls: usize,
+    pub(super) entries: usize,
+    pub(super) lease: String,
+    pub(super) extra: String,
+}
+
+impl ClusterConfig {
+    /// One control process and one entry, run from this binary.
+    pub fn new<P>(binary: P) -> Self
+    where
+        P: Into<PathBuf>,
+    {
+        let (lease, extra) = ("5s".to_owned(), String::new());
+        Self { binary: binary.into(), controls: 1, entries: 1, lease, extra }
+    }
+
+    /// Sets the number of control processes.
+    #[must_use]
+    pub fn controls(mut self, count: usize) -> Self {
+        self.controls = count;
+        self
+    }
+
+    /// Sets the number of entries.
+    #[must_use]
+    pub fn entries(mut self, count: usize) -> Self {
+        self.entries = count;
+        self
+    }
+
+    /// Sets the length of leases, with its unit.
+    #[must_use]
+    pub fn lease<L>(mut self, lease: L) -> Self
+    where
+        L: Into<String>,
+    {
+        self.lease = lease.into();
+        self
+    }
+
+    /// Adds lines to every settings file.
+    #[must_use]
+    pub fn extra<E>(mut self, extra: E) -> Self
+    where
+        E: Into<String>,
+    {
+        self.extra = extra.into();
+        self
+    }
+}
--- /dev/null
+++ b/comfreymill_bench/src/cluster/settings_text.rs
@@ -0,0 +1,64 @@
+use std::net::SocketAddr;
+
+use super::EntryAddresses;
+use super::config::ClusterConfig;
+
+pub(super) const ZONES: [(&str, &str); 3] =
+    [("tas-south", "hobart-a"), ("tas-south", "kingston-b"), ("tas-north", "launceston-a")];
+
+/// Addresses of a control process.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ControlAddresses {
+    pub(super) peers: SocketAddr,
+    pub(super) operators: SocketAddr,
+}
+
+/// Settings of the control process `index`.
+pub(super) fn control(cfg: &ClusterConfig, all: &[ControlAddresses], index: usize) -> String {
+    let own = all[index];
+    let mut text = common(cfg, all, "control", &format!("control-{index}"), index);
+    text.push_str(&format!(
+        "data_folder: data-{index}\nlisteners:\n  operators: {}\n  peers: {}\n",
+        own.operators, own.peers
+    ));
+    text
+}
+
+/// Settings of the entry `index`.
+pub(super) fn entry(
+    cfg: &ClusterConfig,
+    all: &[ControlAddresses],
+    own: EntryAddresses,
+    peers: SocketAddr,
+    index: usize,
+) -> String {
+    let mut text = common(cfg, all, "entry", &format!("entry-{index}"), index);
+    text.push_str(&format!(
+        "listeners:\n  callers: {}\n  upstreams: {}\n  operators: {}\n  peers: {peers}\n",
+        own.callers, own.upstreams, own.operators
+    ));
+    text
+}
+
+fn common(
+    cfg: &ClusterConfig,
+    all: &[ControlAddresses],
+    program: &str,
+    name: &str,
+    index: usize,
+) -> String {
+    let mut text = format!(
+        "program: {program}\ncluster: derwent-hull\nkey_file: cluster.key\nname: {name}\n\
+         zone: {}\nregions:\n  tas-south: [hobart-a, kingston-b]\n  tas-north: [launceston-a]\n\
+         tokens:\n  operators: operators.token\ntiming:\n  lease: {}\nvoters:\n",
+        ZONES[index % ZONES.len()].1,
+        cfg.lease,
+    );
+    for (i, control) in all.iter().enumerate() {
+        let zone = ZONES[i % ZONES.len()].1;
+        let peers = control.peers;
+        text.push_str(&format!("  - {{ name: control-{i}, peers: \"{peers}\", zone: {zone} }}\n"));
+    }
+    text.push_str(&cfg.extra);
+    text
+}
--- a/comfreymill_bench/src/lib.rs
+++ b/comfreymill_bench/src/lib.rs
@@ -1,3 +1,4 @@
 //! Stand-ins for callers, executors and workers, and the benchmark command.
 
+pub mod cluster;
 pub mod standin;
--- a/comfreymill_bench/src/standin/behaviour.rs
+++ b/comfreymill_bench/src/standin/behaviour.rs
@@ -9,6 +9,6 @@
     Fail,
     /// By saying that it did not run the request.
     NotRun,
-    /// By closing the connection after the request ran.
-    Hang,
+    /// By cutting the answer short after the request ran.
+    CutShort,
 }
--- a/comfreymill_bench/src/standin/executor.rs
+++ b/comfreymill_bench/src/standin/executor.rs
@@ -121,8 +121,11 @@
         Behaviour::Fail => {
             req.respond(http::StatusCode::INTERNAL_SERVER_ERROR, &headers, body).await
         }
-        // Dropping the request without an answer closes its connection.
-        Behaviour::Hang => Err(server::ServerError::Closed),
+        Behaviour::CutShort => {
+            // Dropping an answer that was begun closes its connection.
+            let length = body.len() as u64 + 1;
+            req.start(http::StatusCode::OK, &headers, Some(length)).await.map(|_| ())
+        }
         _ => req.respond(http::StatusCode::OK, &headers, body).await,
     }
 }
--- a/comfreymill_bench/src/standin/mod.rs
+++ b/comfreymill_bench/src/standin/mod.rs
@@ -5,6 +5,7 @@
 
 mod announcer;
 mod behaviour;
+mod caller;
 mod executor;
 mod executor_config;
 mod journal;
@@ -14,6 +15,7 @@
 mod worker_config;
 
 pub use behaviour::Behaviour;
+pub use caller::{Answer, Call};
 pub use executor::Executor;
 pub use executor_config::ExecutorConfig;
 pub use journal::{Journal, Record, RecordKind};
--- a/comfreymill_bench/src/standin/worker.rs
+++ b/comfreymill_bench/src/standin/worker.rs
@@ -92,6 +92,7 @@
                 executors: Vec::new(),
                 attempts: attempts.collect(),
                 usage_age: Duration::ZERO,
+                leaving: false,
             },
             latencies: Vec::new(),
         }
--- /dev/null
+++ b/tests/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the processes together.
+
+mod thin_path;
--- /dev/null
+++ b/tests/thin_path/fixture.rs
@@ -0,0 +1,130 @@
+use std::time::{Duration, Instant};
+
+use comfreymill_bench::cluster::{Cluster, ClusterConfig};
+use comfreymill_bench::standin::{
+    Call, Executor, ExecutorConfig, Journal, RecordKind, Worker, WorkerConfig,
+};
+use comfreymill_types::size;
+
+/// Longest time for which a test waits before it calls the wait endless.
+const PATIENCE: Duration = Duration::from_secs(90);
+const POLL: Duration = Duration::from_millis(50);
+
+pub(super) const DOCUMENT: &str = include_str!("../../samples/environment-trust.yaml");
+
+/// Processes and stand-ins of one test.
+pub(super) struct Fixture {
+    pub(super) cluster: Cluster,
+    pub(super) journal: Journal,
+    pub(super) executors: Vec<Executor>,
+    pub(super) workers: Vec<Worker>,
+}
+
+impl Fixture {
+    pub(super) fn start(controls: usize, entries: usize) -> Self {
+        let binary = env!("CARGO_BIN_EXE_comfreymill");
+        let cfg = ClusterConfig::new(binary).controls(controls).entries(entries);
+        let cluster = Cluster::start(&cfg).expect("the cluster starts");
+        let journal = Journal::default();
+        Self { cluster, journal, executors: Vec::new(), workers: Vec::new() }
+    }
+
+    pub(super) fn add_executor(&mut self, name: &str) {
+        let parse = "the name is valid";
+        let place = ("tas-south".parse().expect(parse), "hobart-a".parse().expect(parse));
+        let cfg = ExecutorConfig::new(
+            name.parse().expect(parse),
+            "derwent-hull".parse().expect(parse),
+            "hull-register".parse().expect(parse),
+            place,
+            self.cluster.get_upstreams(),
+        );
+        self.executors.push(Executor::start(cfg, self.journal.clone()));
+    }
+
+    pub(super) fn add_worker(&mut self, name: &str) {
+        let parse = "the name is valid";
+        let place = (
+            "tas-south".parse().expect(parse),
+            "hobart-a".parse().expect(parse),
+            "rack-1".parse().expect(parse),
+        );
+        let capacity = size::Resources::new(16_000, 60_000_000_000, 0);
+        let name = name.parse().expect(parse);
+        let cfg = WorkerConfig::new(name, place, capacity, self.cluster.get_upstreams());
+        self.workers.push(Worker::start(cfg, self.journal.clone()));
+    }
+
+    /// Operator's call at an entry; gives status and body.
+    pub(super) fn operate(&self, entry: usize, call: Call) -> (u16, serde_json::Value) {
+        let address = self.cluster.get_entry(entry).operators;
+        match call.token(Cluster::TOKEN).send_blocking(address) {
+            Ok(response) => {
+                let body = serde_json::from_slice(response.body()).unwrap_or_default();
+                (response.status().as_u16(), body)
+            }
+            Err(_) => (0, serde_json::Value::Null),
+        }
+    }
+
+    /// Waits until an operator's call succeeds and its body fits.
+    pub(super) fn wait_for<F>(&self, what: &str, call: &Call, fits: F) -> serde_json::Value
+    where
+        F: Fn(&serde_json::Value) -> bool,
+    {
+        let mut last = serde_json::Value::Null;
+        self.wait(what, || {
+            let (status, body) = self.operate(0, call.clone());
+            let is_met = status == 200 && fits(&body);
+            last = body;
+            is_met
+        });
+        last
+    }
+
+    pub(super) fn wait<F>(&self, what: &str, mut is_met: F)
+    where
+        F: FnMut() -> bool,
+    {
+        let began = Instant::now();
+        while !is_met() {
+            if began.elapsed() > PATIENCE {
+                let logs = self.cluster.get_logs();
+                panic!("{what} was not seen\n{:?}\n{logs}", self.journal.get_records());
+            }
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// Submits the sample document and promotes it.
+    pub(super) fn promote_document(&self) {
+        let submit = Call::post("/v1/env/derwent-hull/submit", DOCUMENT)
+            .header("operation-id", "submit-1")
+            .header("replaces", "0");
+        let reply = self.wait_for("a trial", &submit, |body| body["version"] == 1);
+        let digest = reply["digest"].as_str().expect("a digest");
+        let promotion = format!("{{\"digest\":\"{digest}\"}}");
+        let promote = Call::post("/v1/env/derwent-hull/promote", promotion)
+            .header("operation-id", "promote-1");
+        self.wait_for("production", &promote, |body| body["digest"] == digest);
+    }
+
+    /// Searches until an answer comes; gives the body.
+    pub(super) fn search(&self, entry: usize, name: &str) -> String {
+        let mut answer = String::new();
+        self.wait(&format!("an answer to {name}"), || {
+            let target = format!("/v1/derwent-hull/name-search/{name}");
+            let call = Call::post(target, name.to_owned()).header("comfreymill-team", "counter");
+            let sent = call.send_blocking(self.cluster.get_entry(entry).callers);
+            let Ok(response) = sent else { return false };
+            answer = String::from_utf8_lossy(response.body()).into_owned();
+            response.status().as_u16() == 200
+        });
+        answer
+    }
+
+    pub(super) fn wait_for_record(&self, subject: &str, kind: &RecordKind) {
+        let what = format!("{kind:?} of {subject}");
+        self.wait(&what, || self.journal.count(subject, kind) > 0);
+    }
+}
--- /dev/null
+++ b/tests/thin_path/whole_path.rs
@@ -0,0 +1,71 @@
+use comfreymill_bench::standin::{Call, RecordKind};
+
+use super::fixture::Fixture;
+
+fn submit(key: &str, work_ms: u64) -> Call {
+    let payload = format!("{{\\\"work_ms\\\":{work_ms}}}");
+    let job = format!(
+        "{{\"environment\":\"derwent-hull\",\"team\":\"registry\",\
+         \"class\":\"certificate-batch\",\"tasks\":2,\"payload\":\"{payload}\"}}"
+    );
+    Call::post("/v1/jobs", job).header("idempotency-key", key)
+}
+
+fn finish_job(fixture: &Fixture, key: &str) -> String {
+    let reply =
+        fixture.wait_for("an accepted job", &submit(key, 300), |body| body["job"].is_string());
+    let job = reply["job"].as_str().expect("a job id").to_owned();
+    let show = Call::get(format!("/v1/jobs/{job}"));
+    fixture.wait_for("a finished job", &show, |body| body["state"] == "finished");
+    job
+}
+
+#[test]
+fn path_is_whole_and_survives_the_kill_of_each_process() {
+    let mut fixture = Fixture::start(1, 2);
+    fixture.promote_document();
+    fixture.add_executor("hr-1");
+    fixture.add_worker("w-1");
+
+    assert_eq!(fixture.search(0, "first"), "first");
+    assert_eq!(fixture.search(1, "second"), "second");
+    let job = finish_job(&fixture, "certificates-1");
+
+    let explain = Call::get(format!("/v1/explain/{job}.0"));
+    let why = fixture.wait_for("an explanation", &explain, |body| !body["decisions"].is_null());
+    let decisions = why["decisions"].as_array().expect("decisions");
+    assert!(!decisions.is_empty(), "{why}");
+
+    fixture.cluster.controls[0].kill();
+    fixture.cluster.controls[0].start().expect("control starts again");
+    assert_eq!(fixture.search(0, "after-control"), "after-control");
+    let show = Call::get(format!("/v1/jobs/{job}"));
+    fixture.wait_for("the job on record", &show, |body| body["state"] == "finished");
+    let status = Call::get("/v1/env/derwent-hull/status");
+    fixture
+        .wait_for("the document in production", &status, |body| body["production"]["version"] == 1);
+    let (code, again) = fixture.operate(0, submit("certificates-1", 300));
+    assert_eq!((code, again["job"].as_str()), (200, Some(job.as_str())), "a resend finds its job");
+
+    for entry in 0..2 {
+        fixture.cluster.entries[entry].kill();
+        fixture.cluster.entries[entry].start().expect("an entry starts again");
+        let name = format!("after-entry-{entry}");
+        assert_eq!(fixture.search(entry, &name), name);
+    }
+
+    fixture.executors.clear();
+    fixture.add_executor("hr-1");
+    assert_eq!(fixture.search(1, "after-executor"), "after-executor");
+
+    fixture.workers.clear();
+    fixture.add_worker("w-1");
+    finish_job(&fixture, "certificates-2");
+
+    for task in [format!("{job}.0"), format!("{job}.1")] {
+        assert_eq!(fixture.journal.count(&task, &RecordKind::Began), 1, "{task} ran once");
+        assert_eq!(fixture.journal.count(&task, &RecordKind::Finished), 1, "{task} ended once");
+    }
+    fixture.wait_for_record("/after-executor", &RecordKind::Finished);
+    assert_eq!(fixture.journal.count("overfull", &RecordKind::Failed), 0);
+}
