fix(control): hand grants on after the deadlines in force

Cause: grants of an entry that died were held for the 30 s bound of all deadlines, although the document in force bounds them to 800 ms; found by the thin path's test taking 33.7 s. Change: each granter follows the longest deadline of its desk's document; for a while after a change the bound of all documents counts.

--- a/comfreymill_ledger/src/document/document_record.rs
+++ b/comfreymill_ledger/src/document/document_record.rs
@@ -10,6 +10,8 @@
 pub struct DocumentRecord {
     /// Version of the document.
     pub version: id::Version,
+    /// Version that it replaced in this stage.
+    pub replaced: id::Version,
     /// Digest over the text.
     pub digest: id::Digest,
     /// Document as submitted.
--- a/comfreymill_ledger/src/ledger/apply_document.rs
+++ b/comfreymill_ledger/src/ledger/apply_document.rs
@@ -69,7 +69,14 @@
         }
         let revision = self.applied;
         let at = self.now;
-        let record = document::DocumentRecord { version, digest, text: text.into(), revision, at };
+        let record = document::DocumentRecord {
+            version,
+            replaced: present_version,
+            digest,
+            text: text.into(),
+            revision,
+            at,
+        };
         self.documents_revision = revision;
         self.environments.entry(environment).or_default().trial = Some(record);
         Reply::Document { version, digest, revision }
@@ -89,8 +96,13 @@
             let message = format!("digest {digest} is not the document in trial");
             return Reply::refused(ErrorKind::Conflict, message);
         };
-        let record =
-            document::DocumentRecord { revision: self.applied, at: self.now, ..tried.clone() };
+        let earlier = state.production.as_ref().map(|record| record.version);
+        let record = document::DocumentRecord {
+            replaced: earlier.unwrap_or(id::Version::NONE),
+            revision: self.applied,
+            at: self.now,
+            ..tried.clone()
+        };
         let reply = Reply::Document { version: record.version, digest, revision: record.revision };
         state.production = Some(record);
         self.documents_revision = self.applied;
--- a/comfreymill_node/src/control/lead/grants.rs
+++ b/comfreymill_node/src/control/lead/grants.rs
@@ -81,10 +81,12 @@
         now: time::Monotonic,
         desk: &protocol::DeskKey,
     ) -> &mut grant::Granter {
+        let longest = self.get_longest_deadline(now, desk);
         let (cfg, term) = (&self.granter_config, self.term);
+        let cfg = cfg.clone().longest_deadline(longest);
         self.granters
             .entry(desk.clone())
-            .or_insert_with(|| grant::Granter::recover(cfg.clone(), SOURCE, term, now, []))
+            .or_insert_with(|| grant::Granter::recover(cfg, SOURCE, term, now, []))
     }
 
     pub(super) fn recover_grants(&mut self, now: time::Monotonic, ledger: &ledger::Ledger) {
@@ -93,7 +95,8 @@
             by_desk.entry(desk(change)).or_default().push(grant_change(change));
         }
         for (desk, grants) in by_desk {
-            let cfg = self.granter_config.clone();
+            let longest = self.get_longest_deadline(now, &desk);
+            let cfg = self.granter_config.clone().longest_deadline(longest);
             let granter = grant::Granter::recover(cfg, SOURCE, self.term, now, grants);
             self.granters.insert(desk, granter);
         }
--- a/comfreymill_node/src/control/lead/lead.rs
+++ b/comfreymill_node/src/control/lead/lead.rs
@@ -24,6 +24,8 @@
     pub(super) granter_config: grant::Config,
     pub(super) rebuild_grace: std::time::Duration,
     pub(super) documents: BTreeMap<protocol::DeskKey, document::Environment>,
+    /// Until when requests under an earlier document of a desk may still run.
+    pub(super) earlier_until: BTreeMap<protocol::DeskKey, time::Monotonic>,
     pub(super) executors: BTreeMap<id::ExecutorName, ExecutorInfo>,
     pub(super) entries: BTreeMap<id::EntryName, EntryInfo>,
     pub(super) granters: BTreeMap<protocol::DeskKey, grant::Granter>,
@@ -51,6 +53,7 @@
             granter_config: cfg.granter.clone(),
             rebuild_grace: cfg.rebuild_grace,
             documents: BTreeMap::new(),
+            earlier_until: BTreeMap::new(),
             executors: BTreeMap::new(),
             entries: BTreeMap::new(),
             granters: BTreeMap::new(),
@@ -102,6 +105,7 @@
         }
         self.expire_executors(now, cfg.executor_silence);
         self.expire_entries(now);
+        self.end_earlier_documents(now);
         if now.since(self.granted_at) >= cfg.grant_period {
             self.granted_at = now;
             self.plan_grants(now);
@@ -125,7 +129,13 @@
                     continue;
                 }
                 match document::Environment::parse(record.text.as_bytes()) {
-                    Ok(document) => self.document_in_force(now, desk, document),
+                    Ok(document) => {
+                        let age =
+                            self.group_time(now).as_millis().saturating_sub(record.at.as_millis());
+                        let is_first = record.replaced == id::Version::NONE;
+                        self.note_earlier(now, &desk, is_first, age);
+                        self.document_in_force(now, desk, document);
+                    }
                     Err(problems) => {
                         let problem = &problems[0];
                         log::error!(target: "control", "Document {desk} is not read: {problem}.");
@@ -144,6 +154,7 @@
         let stage = desk.stage;
         let environment = Box::new(document.clone());
         self.scheduler_event(now, event::Event::DocumentInForce { stage, environment });
-        self.documents.insert(desk, document);
+        self.documents.insert(desk.clone(), document);
+        self.set_longest_deadline(now, &desk);
     }
 }
--- a/comfreymill_node/src/control/lead/mod.rs
+++ b/comfreymill_node/src/control/lead/mod.rs
@@ -3,6 +3,7 @@
 //! announcements within one period.
 
 mod commands;
+mod deadlines;
 mod entries;
 mod executors;
 mod grants;
--- a/comfreymill_route/src/grant/granter.rs
+++ b/comfreymill_route/src/grant/granter.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::mem;
+use std::time::Duration;
 
 use comfreymill_types::id;
 use comfreymill_types::time;
@@ -133,6 +134,11 @@
         mem::take(&mut self.changes)
     }
 
+    /// Sets the longest time that a request may run from now on.
+    pub fn longest_deadline(&mut self, longest: Duration) {
+        self.cfg = self.cfg.clone().longest_deadline(longest);
+    }
+
     /// Takes word that a change was committed.
     pub fn committed(&mut self, change: &GrantChange) {
         let id = (change.entry.clone(), change.entry_incarnation);
--- a/comfreymill_types/src/document/environment.rs
+++ b/comfreymill_types/src/document/environment.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use super::{Class, Problem, Team, Weights, place_problems, validate};
 use crate::id;
 use crate::yaml;
@@ -32,6 +34,12 @@
         if problems.is_empty() { Ok(document) } else { Err(place_problems(text, problems)) }
     }
 
+    /// Longest deadline of its prompt classes.
+    pub fn get_longest_deadline(&self) -> Duration {
+        let prompts = self.classes.iter().filter_map(Class::as_prompt);
+        prompts.map(|prompt| prompt.deadline.get_duration()).max().unwrap_or_default()
+    }
+
     /// Class of this name.
     pub fn get_class(&self, name: &id::ClassName) -> Option<&Class> {
         self.classes.iter().find(|class| class.name == *name)
