--- a/comfreymill_group/tests/schedule/mod.rs
+++ b/comfreymill_group/tests/schedule/mod.rs
@@ -3,9 +3,11 @@
 //! step and progress checked at the end.
 
 mod checker;
+mod coverage;
 mod faults;
 mod machine;
 mod network;
-mod node;
+pub(crate) mod node;
+mod profile;
 mod runs;
-mod world;
+pub(crate) mod world;
--- a/comfreymill_node/src/control/process.rs
+++ b/comfreymill_node/src/control/process.rs
@@ -14,6 +14,7 @@
 use super::session;
 use super::voters::{self, Voters};
 use crate::clock;
+use crate::metering;
 use crate::peer;
 use crate::runtime;
 use crate::settings;
@@ -53,6 +54,12 @@
     }
 }
 
+impl From<ControlError> for error::Error {
+    fn from(error: ControlError) -> Self {
+        Self::new(error.get_kind(), error.to_string())
+    }
+}
+
 /// Runs a control process until it is told to stop.
 ///
 /// # Errors
@@ -81,7 +88,8 @@
     let core = open(settings, clock, &identity, &tx)?;
     monoio::spawn(session::listen(peers, identity, tx.clone()));
     let limits = runtime::http_limits(common.get_limits());
-    let cx = operators::Context { inputs: tx.clone(), token: Some(token) };
+    let meter = metering::Meter::install()?;
+    let cx = operators::Context { inputs: tx.clone(), token: Some(token), meter };
     let handler = async move |req: server::Request<'_>| operators::serve(&cx, req).await;
     monoio::spawn(server::serve(operators, limits, handler, server::Shutdown::new()));
     log::info!(target: "control", "Voter {} serves peers on {}.", settings.get_name(), network.get_peers());
--- a/comfreymill_node/src/entry/operators/serve.rs
+++ b/comfreymill_node/src/entry/operators/serve.rs
@@ -43,7 +43,7 @@
     match route? {
         Route::Health => Ok(Reply::Text(Bytes::from_static(b"ok\n"))),
         Route::Ready => ready(cx).await,
-        Route::Metrics => Ok(Reply::Text(Bytes::new())),
+        Route::Metrics => Ok(Reply::Text(cx.meter.render().into())),
         Route::Drain => {
             cx.drain.send(()).ok();
             Ok(Reply::Json(Bytes::from_static(b"{\"draining\":true}")))
--- a/comfreymill_node/src/entry/process.rs
+++ b/comfreymill_node/src/entry/process.rs
@@ -12,6 +12,7 @@
 use super::prompt;
 use super::upstreams;
 use crate::clock;
+use crate::metering;
 use crate::peer;
 use crate::runtime;
 use crate::settings;
@@ -72,6 +73,7 @@
         link,
         dispatcher: dispatcher.clone(),
         token: Some(operators_token),
+        meter: metering::Meter::install()?,
         drain,
     };
     let handler = async move |req: server::Request<'_>| operators::serve(&cx, req).await;
--- a/comfreymill_node/src/settings/mod.rs
+++ b/comfreymill_node/src/settings/mod.rs
@@ -1,15 +1,15 @@
 //! Settings of the processes, read from one YAML file each.
 //!
 //! A file is read as a whole: every problem is reported with its line, column and field.
-//! [`EntrySettings::read`] and [`ControlSettings::read`] look at the file alone;
-//! [`machine::check_entry`] and [`machine::check_control`] look at what the machine holds, such as
-//! folders, key files and addresses in use.
+//! [`EntrySettings::read`] and [`ControlSettings::read`] look at the file alone; [`machine`] looks
+//! at what the machine holds, such as folders, key files and addresses in use.
 
 #[macro_use]
 mod values;
 
 mod common_settings;
 mod control_settings;
+mod embedded;
 mod entry_settings;
 mod limits;
 mod log_file;
@@ -25,6 +25,7 @@
 
 pub use common_settings::CommonSettings;
 pub use control_settings::ControlSettings;
+pub use embedded::Embedded;
 pub use entry_settings::EntrySettings;
 pub use limits::Limits;
 pub use log_file::LogFile;
--- a/comfreymill_node/tests/settings/alone.rs
+++ b/comfreymill_node/tests/settings/alone.rs
@@ -54,9 +54,10 @@
         ("  peers: 127.0.0.1:7311", "  peers: 127.0.0.1:7399", "listeners.peers: differs from `127.0.0.1:7311`"),
         ("  peers: 127.0.0.1:7311", "  peers: 127.0.0.1:7301", "listeners.peers: `127.0.0.1:7301` is also the address of `operators`"),
         ("  operators: 127.0.0.1:7301", "  operators: localhost", "listeners.operators: invalid socket address"),
-        ("head: 64KiB", "head: 64", "limits.head: `64` is not a size"),
-        ("head: 64KiB", "head: 64k", "limits.head: `64k` is not a size"),
-        ("head: 64KiB", "head: 1B", "limits.head: a head needs at least 1KiB"),
+        ("head: 32KiB", "head: 64", "limits.head: `64` is not a size"),
+        ("head: 32KiB", "head: 64k", "limits.head: `64k` is not a size"),
+        ("head: 32KiB", "head: 1B", "limits.head: the limit of a head is from 1KiB to 60KiB"),
+        ("head: 32KiB", "head: 61KiB", "limits.head: the limit of a head is from 1KiB to 60KiB"),
         ("connections: 4096", "connections: 0", "limits.connections: a listener needs"),
         ("connections: 4096", "connections: -4", "limits.connections: invalid digit"),
         ("idle: 60s", "idle: 60", "limits.idle: `60` is not a time"),
@@ -73,7 +74,7 @@
         ("format: text", "format: xml", "log.format: `xml` is not known"),
         ("size: 64MiB", "size: 0B", "log.file.size: a log file holds at least 1B"),
         ("count: 5", "count: 0", "log.file.count: at least 1 rolled file is kept"),
-        ("cluster: derwent-hull", "cluster: Derwent Hull", "cluster: `Derwent Hull` is not a cluster name"),
+        ("cluster: derwent-hull", "cluster: Derwent Hull", "cluster: `Derwent Hull` is no cluster name"),
         ("program: control", "program: contrl", "program: `contrl` is not known: write one of entry, control"),
         ("data_folder: data", "data_folder: [data]", "data_folder: is not a single value"),
     ];
@@ -95,7 +96,7 @@
         (
             "[launceston-a]",
             "[launceston a]",
-            "regions.tas-north[0]: `launceston a` is not a zone name",
+            "regions.tas-north[0]: `launceston a` is no zone name",
         ),
         ("[launceston-a]", "launceston-a", "regions.tas-north: is not a list"),
     ];
@@ -149,7 +150,7 @@
 fn all_problems_are_reported_in_the_order_of_the_file() {
     let text = CONTROL
         .replace("placement: default", "placement: worst-fit")
-        .replace("head: 64KiB", "head: 64")
+        .replace("head: 32KiB", "head: 64")
         .replace("idle: 60s", "idle: soon")
         .replace("level: info", "level: loud")
         .replace("# Rule by", "colour: blue # Rule by");
--- /dev/null
+++ b/src/programs.rs
@@ -0,0 +1,35 @@
+use std::io;
+use std::path;
+
+use comfreymill_node::command;
+use comfreymill_node::control;
+use comfreymill_node::embedded;
+use comfreymill_node::entry;
+use comfreymill_node::runtime;
+use comfreymill_node::settings;
+use comfreymill_types::error;
+
+/// Programs of this binary.
+pub(crate) struct NodePrograms;
+
+impl command::Programs for NodePrograms {
+    fn run_entry(&self, settings: settings::EntrySettings) -> Result<(), error::Error> {
+        let stop = runtime::stop_on_signals().map_err(no_signals)?;
+        entry::run(&settings, &stop)
+    }
+
+    fn run_control(&self, settings: settings::ControlSettings) -> Result<(), error::Error> {
+        let stop = runtime::stop_on_signals().map_err(no_signals)?;
+        control::run(&settings, &stop).map_err(error::Error::from)
+    }
+
+    fn run_embedded(&self, folder: &path::Path) -> Result<(), error::Error> {
+        let stop = runtime::stop_on_signals().map_err(no_signals)?;
+        embedded::run(&settings::Embedded::new(folder), &stop)
+    }
+}
+
+fn no_signals(error: io::Error) -> error::Error {
+    let message = format!("signals cannot be taken over: {error}");
+    error::Error::new(error::ErrorKind::Internal, message)
+}
--- a/tests/main.rs
+++ b/tests/main.rs
@@ -1,3 +1,4 @@
-//! Tests of the processes together.
+//! Tests of the binary and of its processes together.
 
+mod command_line;
 mod thin_path;
