--- a/comfreymill_node/tests/settings/alone.rs
+++ b/comfreymill_node/tests/settings/alone.rs
@@ -1,3 +1,5 @@
+use comfreymill_batch::config;
+use comfreymill_route::router;
 use std::path;
 
 use comfreymill_node::settings;
@@ -65,11 +67,11 @@
         ("progress: 10s", "progress: 0s", "limits.progress: the time is more than 0s"),
         ("queue: 4096", "queue: 0", "limits.queue: an entry needs room"),
         ("queue: 4096", "kueue: 4096", "limits.kueue: is not known here: write one of head, body"),
-        ("heartbeat: 100ms", "heartbeat: 0ms", "timing.heartbeat: the time is more than 0s"),
-        ("election: 1s", "election: 200ms", "timing.election: is less than 3 heartbeats"),
-        ("lease: 5s", "lease: 500ms", "timing.lease: is less than the election time"),
+        ("heartbeat: 60ms", "heartbeat: 0ms", "timing.heartbeat: the time is more than 0s"),
+        ("election: 300ms", "election: 100ms", "timing.election: is less than 3 heartbeats"),
+        ("lease: 5s", "lease: 200ms", "timing.lease: is less than the election time"),
         ("clock_drift: 1000ppm", "clock_drift: 2s", "timing.clock_drift: `2s` is not a clock drift"),
-        ("placement: default", "placement: worst-fit", "placement: `worst-fit` is not known: write one of default, first-fit"),
+        ("placement: interference-aware", "placement: worst-fit", "placement: `worst-fit` is not a policy: write first-fit"),
         ("level: info", "level: loud", "log.level: `loud` is not known: write one of off, error"),
         ("format: text", "format: xml", "log.format: `xml` is not known"),
         ("size: 64MiB", "size: 0B", "log.file.size: a log file holds at least 1B"),
@@ -137,7 +139,7 @@
     let cases = [
         ("  upstreams: 127.0.0.1:7402", "  upstreams: 127.0.0.1:7401", "listeners.upstreams: `127.0.0.1:7401` is also the address of `callers`"),
         ("  upstreams: 127.0.0.1:7402", "  upstreams: 0.0.0.0:7401", "listeners.upstreams: `0.0.0.0:7401` is also the address of `callers`"),
-        ("routing: least-loaded", "routing: fastest", "routing: `fastest` is not known: write one of least-loaded, two-choices"),
+        ("routing: least-loaded", "routing: fastest", "routing: `fastest` is not a policy: write round-robin, random, two-choices"),
         ("  callers: callers.token", "  caller: callers.token", "tokens.caller: is not known here: write one of operators, callers, upstreams"),
         ("routing: least-loaded", "data_folder: data", "data_folder: is not known here"),
     ];
@@ -149,7 +151,7 @@
 #[test]
 fn all_problems_are_reported_in_the_order_of_the_file() {
     let text = CONTROL
-        .replace("placement: default", "placement: worst-fit")
+        .replace("placement: interference-aware", "placement: worst-fit")
         .replace("head: 32KiB", "head: 64")
         .replace("idle: 60s", "idle: soon")
         .replace("level: info", "level: loud")
