--- a/comfreymill_node/src/control/core/calls.rs
+++ b/comfreymill_node/src/control/core/calls.rs
@@ -26,7 +26,7 @@
         let owner = open.owner.clone();
         match call {
             protocol::Call::Heartbeat(heartbeat) => {
-                self.entry_heartbeat(now, session, id, heartbeat)
+                self.entry_heartbeat(now, session, id, &heartbeat);
             }
             protocol::Call::Announce(announcement) => {
                 self.answer(session, id, |lead| lead.announced(now, announcement));
@@ -34,7 +34,7 @@
             protocol::Call::WorkerHeartbeat(heartbeat) => {
                 self.worker_heartbeat(now, session, id, *heartbeat);
             }
-            protocol::Call::Operate(operation) => self.operate(now, session, id, operation),
+            protocol::Call::Operate(operation) => self.operate(now, session, id, &operation),
             protocol::Call::OpenRequest { key, digest, unrepeatable } => {
                 self.give_up_lost_owner(now, &key);
                 let command = command::Command::OpenRequest { key, digest, owner, unrepeatable };
@@ -68,7 +68,7 @@
         now: time::Monotonic,
         session: SessionId,
         id: u64,
-        heartbeat: protocol::EntryHeartbeat,
+        heartbeat: &protocol::EntryHeartbeat,
     ) {
         let (Some(lead), Some(open)) = (&mut self.lead, self.sessions.get(session)) else { return };
         let zone = (open.region.clone(), open.zone.clone());
--- a/comfreymill_node/src/control/core/config.rs
+++ b/comfreymill_node/src/control/core/config.rs
@@ -7,7 +7,6 @@
 use crate::settings;
 
 const EXECUTOR_SILENCE: Duration = Duration::from_secs(5);
-const REBUILD_GRACE: Duration = Duration::from_millis(2_500);
 const GRANT_PERIOD: Duration = Duration::from_millis(250);
 const WORKER_PERIOD: Duration = Duration::from_secs(1);
 const SNAPSHOT_ENTRIES: u64 = 20_000;
@@ -20,8 +19,6 @@
     pub(in crate::control) entry_lease: Duration,
     /// Silence after which an executor counts as gone.
     pub(in crate::control) executor_silence: Duration,
-    /// Time for which a new leader waits for announcements before it drops executors.
-    pub(in crate::control) rebuild_grace: Duration,
     /// Period in which grants follow demand.
     pub(in crate::control) grant_period: Duration,
     /// Period of workers' heartbeats.
@@ -52,7 +49,6 @@
         Self {
             entry_lease: lease,
             executor_silence: EXECUTOR_SILENCE,
-            rebuild_grace: REBUILD_GRACE,
             grant_period: GRANT_PERIOD,
             worker_period: WORKER_PERIOD,
             snapshot_entries: SNAPSHOT_ENTRIES,
--- a/comfreymill_node/src/control/core/operate.rs
+++ b/comfreymill_node/src/control/core/operate.rs
@@ -17,14 +17,14 @@
         now: time::Monotonic,
         session: SessionId,
         id: u64,
-        operation: protocol::Operation,
+        operation: &protocol::Operation,
     ) {
-        match self.command(&operation) {
+        match self.command(operation) {
             Ok(Some(command)) => {
                 self.propose(now, command, Waiter::Call { session, id, shape: Shape::Json });
             }
             Ok(None) => {
-                let result = self.view(now, &operation).map(protocol::Answer::Json);
+                let result = self.view(now, operation).map(protocol::Answer::Json);
                 self.sessions.reply(session, id, &result);
             }
             Err(error) => self.sessions.reply(session, id, &Err(error)),
--- a/comfreymill_node/src/control/core/push.rs
+++ b/comfreymill_node/src/control/core/push.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use comfreymill_ledger::codec;
 use comfreymill_types::document;
@@ -21,37 +21,42 @@
         let revision = self.ledger.get_documents_revision();
         let mut documents = None;
         let is_table_due = lead.take_table_due();
-        let may_drop = lead.may_drop_executors(now);
+        let mut is_table_sent = true;
         for session in self.sessions.iter_mut().filter(|session| session.is_active) {
             if session.revision != Some(revision) {
                 let body = documents.get_or_insert_with(|| documents_push(&self.ledger));
                 session.send(peer::FrameKind::Push, 0, body.clone());
                 session.revision = Some(revision);
             }
-            if is_table_due || (!session.is_whole_sent && may_drop) {
-                push_table(lead, session, may_drop);
+            if is_table_due || !session.is_whole_sent {
+                is_table_sent &= push_table(now, lead, session);
             }
         }
+        if !is_table_sent {
+            lead.set_table_due();
+        }
     }
 }
 
-fn push_table(lead: &mut Lead, session: &mut Session, may_drop: bool) {
-    let rows = lead.table(&session.owner);
-    let is_whole = may_drop && !session.is_whole_sent;
+/// Sends what changed; tells whether the entry has the present table.
+fn push_table(now: time::Monotonic, lead: &mut Lead, session: &mut Session) -> bool {
+    let Some(rows) = lead.table(now, &session.owner) else { return false };
+    let is_whole = !session.is_whole_sent;
     let changed = rows.iter().filter(|row| session.rows.get(&row.name) != Some(row));
     let changed: Vec<_> = changed.cloned().collect();
-    let names: BTreeMap<_, _> = rows.iter().map(|row| (row.name.clone(), ())).collect();
-    let gone = session.rows.keys().filter(|name| may_drop && !names.contains_key(*name));
+    let names: BTreeSet<_> = rows.iter().map(|row| &row.name).collect();
+    let gone = session.rows.keys().filter(|name| !names.contains(*name));
     let gone: Vec<_> = gone.cloned().collect();
     if !is_whole && changed.is_empty() && gone.is_empty() {
-        return;
+        return true;
     }
     let sent = if is_whole { rows.clone() } else { changed };
     let term = lead.get_term();
     let push = protocol::Push::Executors { term, is_whole, rows: sent, gone };
     session.send(peer::FrameKind::Push, 0, codec::encode(&push));
-    session.is_whole_sent |= is_whole;
+    session.is_whole_sent = true;
     session.rows = rows.into_iter().map(|row| (row.name.clone(), row)).collect();
+    true
 }
 
 fn documents_push(ledger: &comfreymill_ledger::ledger::Ledger) -> bytes::Bytes {
--- a/comfreymill_node/src/control/lead/entries.rs
+++ b/comfreymill_node/src/control/lead/entries.rs
@@ -31,9 +31,9 @@
         now: time::Monotonic,
         owner: &request::Owner,
         (region, zone): (id::RegionName, id::ZoneName),
-        heartbeat: protocol::EntryHeartbeat,
+        heartbeat: &protocol::EntryHeartbeat,
     ) -> bool {
-        let Some(sequence) = self.note_entry(now, owner, &zone, &heartbeat) else { return false };
+        let Some(sequence) = self.note_entry(now, owner, &zone, heartbeat) else { return false };
         for demand in &heartbeat.demand {
             self.granter(now, &demand.desk);
         }
@@ -42,7 +42,7 @@
             let demand = heartbeat.demand.iter().find(|demand| demand.desk == *desk);
             is_renewed &= granter.heartbeat(
                 now,
-                grant::Heartbeat {
+                &grant::Heartbeat {
                     entry: owner.entry.clone(),
                     incarnation: owner.incarnation,
                     region: region.clone(),
--- a/comfreymill_node/src/control/lead/grants.rs
+++ b/comfreymill_node/src/control/lead/grants.rs
@@ -41,22 +41,24 @@
         std::mem::take(&mut self.is_table_due)
     }
 
-    /// Whether every living executor has had the time to announce itself to this leader.
-    pub(in crate::control) fn may_drop_executors(&self, now: time::Monotonic) -> bool {
-        now.since(self.since) >= self.rebuild_grace
+    /// Looks at entries' tables again soon.
+    pub(in crate::control) fn set_table_due(&mut self) {
+        self.is_table_due = true;
     }
 
-    /// Executors with what one entry may use of them.
+    /// Executors with what one entry may use of them; none while this leader still waits for
+    /// announcements of executors that hold grants.
     pub(in crate::control) fn table(
         &mut self,
+        now: time::Monotonic,
         owner: &request::Owner,
-    ) -> Vec<protocol::ExecutorRow> {
+    ) -> Option<Vec<protocol::ExecutorRow>> {
         let mut rows = Vec::new();
         for (desk, granter) in &mut self.granters {
-            let table = granter.table(&owner.entry, owner.incarnation);
+            let table = granter.table(now, &owner.entry, owner.incarnation)?;
             rows.extend(table.executors.into_iter().map(|view| row(desk, view)));
         }
-        rows
+        Some(rows)
     }
 
     /// Follows demand and collects the changes.
--- a/comfreymill_node/src/control/lead/lead.rs
+++ b/comfreymill_node/src/control/lead/lead.rs
@@ -22,7 +22,6 @@
     pub(super) since: time::Monotonic,
     pub(super) began: command::GroupTime,
     pub(super) granter_config: grant::Config,
-    pub(super) rebuild_grace: std::time::Duration,
     pub(super) documents: BTreeMap<protocol::DeskKey, document::Environment>,
     /// Until when requests under an earlier document of a desk may still run.
     pub(super) earlier_until: BTreeMap<protocol::DeskKey, time::Monotonic>,
@@ -51,7 +50,6 @@
             since: now,
             began: ledger.get_now(),
             granter_config: cfg.granter.clone(),
-            rebuild_grace: cfg.rebuild_grace,
             documents: BTreeMap::new(),
             earlier_until: BTreeMap::new(),
             executors: BTreeMap::new(),
@@ -134,7 +132,7 @@
                             self.group_time(now).as_millis().saturating_sub(record.at.as_millis());
                         let is_first = record.replaced == id::Version::NONE;
                         self.note_earlier(now, &desk, is_first, age);
-                        self.document_in_force(now, desk, document);
+                        self.document_in_force(now, &desk, document);
                     }
                     Err(problems) => {
                         let problem = &problems[0];
@@ -148,13 +146,13 @@
     fn document_in_force(
         &mut self,
         now: time::Monotonic,
-        desk: protocol::DeskKey,
+        desk: &protocol::DeskKey,
         document: document::Environment,
     ) {
         let stage = desk.stage;
         let environment = Box::new(document.clone());
         self.scheduler_event(now, event::Event::DocumentInForce { stage, environment });
         self.documents.insert(desk.clone(), document);
-        self.set_longest_deadline(now, &desk);
+        self.set_longest_deadline(now, desk);
     }
 }
--- a/comfreymill_node/src/entry/link/session.rs
+++ b/comfreymill_node/src/entry/link/session.rs
@@ -61,7 +61,7 @@
                 }
                 Step::Frame(frame) => {
                     heard_at = self.clock.now();
-                    if let Some(end) = self.receive(frame?)? {
+                    if let Some(end) = self.receive(&frame?)? {
                         return Ok(end);
                     }
                 }
@@ -92,7 +92,7 @@
             .map_err(|_| peer::PeerError::Silent)?
     }
 
-    fn receive(&mut self, frame: peer::Frame) -> Result<Option<End>, peer::PeerError> {
+    fn receive(&mut self, frame: &peer::Frame) -> Result<Option<End>, peer::PeerError> {
         let malformed = |error: codec::CodecError| peer::PeerError::Malformed(error.to_string());
         match frame.kind() {
             peer::FrameKind::Reply => {
--- a/comfreymill_node/src/runtime/build.rs
+++ b/comfreymill_node/src/runtime/build.rs
@@ -5,7 +5,7 @@
 
 /// Runs a future, and the tasks that it spawns, on this thread.
 ///
-/// The driver is named, since the default one would choose io_uring.
+/// The driver is named, since the default one would choose `io_uring`.
 ///
 /// # Errors
 ///
--- a/comfreymill_node/src/runtime/mod.rs
+++ b/comfreymill_node/src/runtime/mod.rs
@@ -1,4 +1,4 @@
-//! What every process needs around its tasks: a runtime without io_uring, and its end.
+//! What every process needs around its tasks: a runtime without `io_uring`, and its end.
 
 mod build;
 mod listen;
--- a/src/programs.rs
+++ b/src/programs.rs
@@ -14,22 +14,22 @@
 
 impl command::Programs for NodePrograms {
     fn run_entry(&self, settings: settings::EntrySettings) -> Result<(), error::Error> {
-        let stop = runtime::stop_on_signals().map_err(no_signals)?;
+        let stop = runtime::stop_on_signals().map_err(|error| no_signals(&error))?;
         entry::run(&settings, &stop)
     }
 
     fn run_control(&self, settings: settings::ControlSettings) -> Result<(), error::Error> {
-        let stop = runtime::stop_on_signals().map_err(no_signals)?;
+        let stop = runtime::stop_on_signals().map_err(|error| no_signals(&error))?;
         control::run(&settings, &stop).map_err(error::Error::from)
     }
 
     fn run_embedded(&self, folder: &path::Path) -> Result<(), error::Error> {
-        let stop = runtime::stop_on_signals().map_err(no_signals)?;
+        let stop = runtime::stop_on_signals().map_err(|error| no_signals(&error))?;
         embedded::run(&settings::Embedded::new(folder), &stop)
     }
 }
 
-fn no_signals(error: io::Error) -> error::Error {
+fn no_signals(error: &io::Error) -> error::Error {
     let message = format!("signals cannot be taken over: {error}");
     error::Error::new(error::ErrorKind::Internal, message)
 }
--- /dev/null
+++ b/tests/fleet/leader.rs
@@ -0,0 +1,66 @@
+use nix::sys::signal::Signal;
+
+use crate::support::Fixture;
+
+/// Submits versions one after another while `disturb` acts on the leader before each.
+fn submit_versions<F>(fixture: &mut Fixture, versions: u64, mut disturb: F)
+where
+    F: FnMut(&mut Fixture, usize),
+{
+    for version in 1..=versions {
+        let leader = fixture.wait_for_leader();
+        disturb(fixture, leader);
+        let operation = format!("submit-{version}");
+        let mut last = Default::default();
+        fixture.wait(&format!("an answer to version {version}"), || {
+            last = fixture.submit(0, version, &operation);
+            last.0 == 200
+        });
+        assert_eq!(last.1["version"], version, "an operation gets its first answer");
+        // A resend through another entry gets the same answer.
+        let mut again = Default::default();
+        fixture.wait("an answer to the resend", || {
+            again = fixture.submit(1, version, &operation);
+            again.0 == 200
+        });
+        assert_eq!(again.1, last.1);
+    }
+}
+
+#[test]
+fn nothing_acknowledged_is_lost_when_leaders_are_killed() {
+    let mut fixture = Fixture::start(3, 2);
+    submit_versions(&mut fixture, 6, |fixture, leader| {
+        fixture.cluster.controls[leader].kill();
+        let next = fixture.wait_for_leader();
+        assert_ne!(next, leader);
+        fixture.cluster.controls[leader].start().expect("control starts again");
+    });
+    let status = comfreymill_bench::standin::Call::get("/v1/env/derwent-hull/status");
+    fixture.wait_for("the last version", &status, |body| body["trial"]["version"] == 6);
+}
+
+#[test]
+fn a_frozen_leader_acknowledges_nothing_when_it_returns() {
+    let mut fixture = Fixture::start(3, 2);
+    submit_versions(&mut fixture, 3, |fixture, leader| {
+        fixture.cluster.controls[leader].signal(Signal::SIGSTOP);
+        let all = 0..fixture.cluster.controls.len();
+        let others: Vec<_> = all.filter(|index| *index != leader).collect();
+        fixture.wait("another leader", || others.iter().any(|index| fixture.is_serving(*index)));
+        fixture.cluster.controls[leader].signal(Signal::SIGCONT);
+        fixture.wait("the end of the old leader", || !fixture.is_serving(leader));
+    });
+}
+
+#[test]
+fn a_stopping_leader_hands_over() {
+    let mut fixture = Fixture::start(3, 2);
+    submit_versions(&mut fixture, 3, |fixture, leader| {
+        fixture.cluster.controls[leader].signal(Signal::SIGTERM);
+        let status = fixture.cluster.controls[leader].wait().expect("a status");
+        assert!(status.is_some_and(|status| status.success()), "{status:?}");
+        fixture.wait_for_leader();
+        fixture.cluster.controls[leader].start().expect("control starts again");
+    });
+}
--- /dev/null
+++ b/tests/fleet/prompt.rs
@@ -0,0 +1,106 @@
+use std::time::Duration;
+
+use comfreymill_bench::standin::{Behaviour, Call, RecordKind};
+use nix::sys::signal::Signal;
+
+use crate::support::Fixture;
+
+fn search(name: &str) -> Call {
+    Call::post(format!("/v1/derwent-hull/name-search/{name}"), name.to_owned())
+        .header("comfreymill-team", "counter")
+}
+
+fn ready_fixture(controls: usize, entries: usize) -> Fixture {
+    let mut fixture = Fixture::start(controls, entries);
+    fixture.promote_document();
+    fixture.add_executor("hr-1");
+    for entry in 0..entries {
+        fixture.search(entry, "warm");
+    }
+    fixture
+}
+
+#[test]
+fn an_entry_that_stops_interrupts_no_request() {
+    let mut fixture = ready_fixture(1, 1);
+    fixture.executors[0].behave(Behaviour::Echo(Duration::from_millis(300)));
+    let address = fixture.cluster.get_entry(0).callers;
+    let callers: Vec<_> = (0..4)
+        .map(|caller| {
+            std::thread::spawn(move || {
+                let mut answered = 0;
+                for turn in 0.. {
+                    let name = format!("drain-{caller}-{turn}");
+                    match search(&name).send_blocking(address) {
+                        Ok(response) if response.status().as_u16() == 200 => answered += 1,
+                        Ok(response) => return (answered, Some(response.status().as_u16())),
+                        // The listener is closed; the request had no connection.
+                        Err(error) => {
+                            let is_unsent = error.to_string().contains("nothing");
+                            return (answered, (!is_unsent).then_some(0));
+                        }
+                    }
+                }
+                unreachable!("the loop ends with a refusal")
+            })
+        })
+        .collect();
+    fixture.wait_for_record("/drain-0-1", &RecordKind::Began);
+    fixture.cluster.entries[0].signal(Signal::SIGTERM);
+    let status = fixture.cluster.entries[0].wait().expect("a status");
+    assert!(status.is_some_and(|status| status.success()), "{status:?}");
+    for caller in callers {
+        let (answered, cut) = caller.join().expect("a caller");
+        assert!(answered > 0);
+        assert_eq!(cut, None, "a request was cut off or refused");
+    }
+    let began = fixture.journal.count("/drain", &RecordKind::Began);
+    assert_eq!(began, fixture.journal.count("/drain", &RecordKind::Finished));
+}
+
+#[test]
+fn a_leaving_executor_gets_no_new_work() {
+    let mut fixture = ready_fixture(1, 1);
+    fixture.add_executor("hr-2");
+    fixture.executors[0].leave();
+    fixture.wait("that only the other executor is used", || {
+        let before = fixture.journal.get_records().len();
+        for turn in 0..8 {
+            fixture.search(0, &format!("leave-{before}-{turn}"));
+        }
+        fixture.journal.get_records()[before..].iter().all(|record| record.place == "hr-2")
+    });
+    let before = fixture.journal.get_records().len();
+    for turn in 0..40 {
+        fixture.search(0, &format!("left-{turn}"));
+    }
+    let records = fixture.journal.get_records();
+    assert!(records[before..].iter().all(|record| record.place == "hr-2"), "{records:?}");
+}
+
+#[test]
+fn a_resent_key_runs_once_through_any_entry() {
+    let fixture = ready_fixture(3, 2);
+    let keyed = || search("keyed").header("idempotency-key", "caller-1");
+    let first = keyed().send_blocking(fixture.cluster.get_entry(0).callers).expect("an answer");
+    assert_eq!(first.status().as_u16(), 200);
+    let again = keyed().send_blocking(fixture.cluster.get_entry(1).callers).expect("an answer");
+    assert_eq!((again.status().as_u16(), again.body()), (200, first.body()));
+    assert_eq!(fixture.journal.count("/keyed", &RecordKind::Began), 1);
+    // Another request under the same key is refused.
+    let other = search("other").header("idempotency-key", "caller-1");
+    let refused = other.send_blocking(fixture.cluster.get_entry(1).callers).expect("an answer");
+    assert_eq!(refused.headers()["comfreymill-error"], "key-reused");
+    assert_eq!(fixture.journal.count("/other", &RecordKind::Began), 0);
+}
+
+#[test]
+fn an_answer_cut_short_is_never_passed_on_as_whole() {
+    let fixture = ready_fixture(1, 1);
+    fixture.executors[0].behave(Behaviour::CutShort);
+    let call = search("cut");
+    let answer = call.send_blocking(fixture.cluster.get_entry(0).callers).expect("an answer");
+    assert_eq!(answer.headers()["comfreymill-error"], "upstream-answer");
+    assert_eq!(answer.headers()["comfreymill-run"], "run");
+    assert_eq!(fixture.journal.count("/cut", &RecordKind::Began), 1);
+}
--- a/tests/main.rs
+++ b/tests/main.rs
@@ -1,4 +1,6 @@
 //! Tests of the binary and of its processes together.
 
 mod command_line;
+mod fleet;
+mod support;
 mod thin_path;
--- a/tests/thin_path/fixture.rs
+++ b/tests/support/fixture.rs
@@ -10,18 +10,18 @@
 const PATIENCE: Duration = Duration::from_secs(90);
 const POLL: Duration = Duration::from_millis(50);
 
-pub(super) const DOCUMENT: &str = include_str!("../../samples/environment-trust.yaml");
+const DOCUMENT: &str = include_str!("../../samples/environment-trust.yaml");
 
 /// Processes and stand-ins of one test.
-pub(super) struct Fixture {
-    pub(super) cluster: Cluster,
-    pub(super) journal: Journal,
-    pub(super) executors: Vec<Executor>,
-    pub(super) workers: Vec<Worker>,
+pub(crate) struct Fixture {
+    pub(crate) cluster: Cluster,
+    pub(crate) journal: Journal,
+    pub(crate) executors: Vec<Executor>,
+    pub(crate) workers: Vec<Worker>,
 }
 
 impl Fixture {
-    pub(super) fn start(controls: usize, entries: usize) -> Self {
+    pub(crate) fn start(controls: usize, entries: usize) -> Self {
         let binary = env!("CARGO_BIN_EXE_comfreymill");
         let cfg = ClusterConfig::new(binary).controls(controls).entries(entries);
         let cluster = Cluster::start(&cfg).expect("the cluster starts");
@@ -29,7 +29,7 @@
         Self { cluster, journal, executors: Vec::new(), workers: Vec::new() }
     }
 
-    pub(super) fn add_executor(&mut self, name: &str) {
+    pub(crate) fn add_executor(&mut self, name: &str) {
         let parse = "the name is valid";
         let place = ("tas-south".parse().expect(parse), "hobart-a".parse().expect(parse));
         let cfg = ExecutorConfig::new(
@@ -42,7 +42,7 @@
         self.executors.push(Executor::start(cfg, self.journal.clone()));
     }
 
-    pub(super) fn add_worker(&mut self, name: &str) {
+    pub(crate) fn add_worker(&mut self, name: &str) {
         let parse = "the name is valid";
         let place = (
             "tas-south".parse().expect(parse),
@@ -56,7 +56,7 @@
     }
 
     /// Operator's call at an entry; gives status and body.
-    pub(super) fn operate(&self, entry: usize, call: Call) -> (u16, serde_json::Value) {
+    pub(crate) fn operate(&self, entry: usize, call: Call) -> (u16, serde_json::Value) {
         let address = self.cluster.get_entry(entry).operators;
         match call.token(Cluster::TOKEN).send_blocking(address) {
             Ok(response) => {
@@ -68,7 +68,7 @@
     }
 
     /// Waits until an operator's call succeeds and its body fits.
-    pub(super) fn wait_for<F>(&self, what: &str, call: &Call, fits: F) -> serde_json::Value
+    pub(crate) fn wait_for<F>(&self, what: &str, call: &Call, fits: F) -> serde_json::Value
     where
         F: Fn(&serde_json::Value) -> bool,
     {
@@ -82,7 +82,7 @@
         last
     }
 
-    pub(super) fn wait<F>(&self, what: &str, mut is_met: F)
+    pub(crate) fn wait<F>(&self, what: &str, mut is_met: F)
     where
         F: FnMut() -> bool,
     {
@@ -96,8 +96,50 @@
         }
     }
 
+    /// Control process that serves as the leader, once there is one.
+    pub(crate) fn wait_for_leader(&self) -> usize {
+        let mut leader = None;
+        self.wait("a leader", || {
+            let mut all = 0..self.cluster.controls.len();
+            leader = all.find(|index| self.is_serving(*index));
+            leader.is_some()
+        });
+        leader.expect("a leader was seen")
+    }
+
+    /// Whether a control process answers that it leads and may answer for the group.
+    pub(crate) fn is_serving(&self, control: usize) -> bool {
+        if self.cluster.controls[control].get_id().is_none() {
+            return false;
+        }
+        let call = Call::get("/v1/status").token(Cluster::TOKEN).timeout(Duration::from_secs(1));
+        let Ok(response) = call.send_blocking(self.cluster.get_control(control)) else {
+            return false;
+        };
+        let body: serde_json::Value = serde_json::from_slice(response.body()).unwrap_or_default();
+        body["is_serving"] == true
+    }
+
+    /// Sample document as another version.
+    pub(crate) fn document(version: u64) -> String {
+        DOCUMENT.replace("version: 1", &format!("version: {version}"))
+    }
+
+    /// Submits a version of the sample document at an entry; gives status and body.
+    pub(crate) fn submit(
+        &self,
+        entry: usize,
+        version: u64,
+        operation: &str,
+    ) -> (u16, serde_json::Value) {
+        let call = Call::post("/v1/env/derwent-hull/submit", Self::document(version))
+            .header("operation-id", operation)
+            .header("replaces", &(version - 1).to_string());
+        self.operate(entry, call)
+    }
+
     /// Submits the sample document and promotes it.
-    pub(super) fn promote_document(&self) {
+    pub(crate) fn promote_document(&self) {
         let submit = Call::post("/v1/env/derwent-hull/submit", DOCUMENT)
             .header("operation-id", "submit-1")
             .header("replaces", "0");
@@ -110,7 +152,7 @@
     }
 
     /// Searches until an answer comes; gives the body.
-    pub(super) fn search(&self, entry: usize, name: &str) -> String {
+    pub(crate) fn search(&self, entry: usize, name: &str) -> String {
         let mut answer = String::new();
         self.wait(&format!("an answer to {name}"), || {
             let target = format!("/v1/derwent-hull/name-search/{name}");
@@ -123,7 +165,7 @@
         answer
     }
 
-    pub(super) fn wait_for_record(&self, subject: &str, kind: &RecordKind) {
+    pub(crate) fn wait_for_record(&self, subject: &str, kind: &RecordKind) {
         let what = format!("{kind:?} of {subject}");
         self.wait(&what, || self.journal.count(subject, kind) > 0);
     }
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,5 @@
+//! Processes and stand-ins that the topics share.
+
+mod fixture;
+
+pub(crate) use fixture::Fixture;
--- a/tests/thin_path/whole_path.rs
+++ b/tests/thin_path/whole_path.rs
@@ -1,6 +1,6 @@
 use comfreymill_bench::standin::{Call, RecordKind};
 
-use super::fixture::Fixture;
+use crate::support::Fixture;
 
 fn submit(key: &str, work_ms: u64) -> Call {
     let payload = format!("{{\\\"work_ms\\\":{work_ms}}}");
