--- /dev/null
+++ b/comfreymill_ledger/tests/requests/mod.rs
@@ -0,0 +1,107 @@
+use comfreymill_ledger::command::{Command, Reply};
+use comfreymill_ledger::request::{Owner, RequestKey, RequestOutcome, RequestState, StoredAnswer};
+use comfreymill_types::document;
+use comfreymill_types::error::ErrorKind;
+use comfreymill_types::id;
+
+use crate::support::{Feed, is_refused, name};
+
+fn key(text: &str) -> RequestKey {
+    RequestKey {
+        environment: name("register"),
+        stage: document::Stage::Production,
+        team: None,
+        key: name(text),
+    }
+}
+
+fn owner(entry: &str) -> Owner {
+    Owner { entry: name(entry), incarnation: id::Incarnation::new(1) }
+}
+
+fn open(entry: &str, asked: &str, unrepeatable: bool) -> Command {
+    let digest = id::Digest::of(asked.as_bytes());
+    Command::OpenRequest { key: key("k"), digest, owner: owner(entry), unrepeatable }
+}
+
+fn close(entry: &str, outcome: RequestOutcome) -> Command {
+    Command::CloseRequest { key: key("k"), owner: owner(entry), outcome }
+}
+
+fn answer(bytes: usize) -> StoredAnswer {
+    StoredAnswer { status: 200, headers: Vec::new(), body: Some(vec![7; bytes].into()) }
+}
+
+#[test]
+fn one_entry_at_a_time_runs_a_key() {
+    let mut feed = Feed::default();
+    assert_eq!(feed.apply(open("entry-1", "a", true)), Reply::Opened);
+    // The owner's own resend after a lost reply.
+    assert_eq!(feed.apply(open("entry-1", "a", true)), Reply::Opened);
+    let other = feed.apply(open("entry-2", "a", true));
+    assert_eq!(other, Reply::Known(RequestState::Open(owner("entry-1"))));
+    let reused = feed.apply(open("entry-2", "b", true));
+    assert!(is_refused(&reused, ErrorKind::KeyReused), "{reused:?}");
+}
+
+#[test]
+fn an_answer_is_given_to_every_resend() {
+    let mut feed = Feed::default();
+    feed.apply(open("entry-1", "a", true));
+    feed.apply(close("entry-1", RequestOutcome::Answered(answer(3))));
+    for entry in ["entry-1", "entry-2"] {
+        let reply = feed.apply(open(entry, "a", true));
+        assert_eq!(reply, Reply::Known(RequestState::Answered(answer(3))));
+    }
+}
+
+#[test]
+fn only_a_repeatable_request_of_unknown_outcome_runs_again() {
+    for (unrepeatable, again) in
+        [(true, Reply::Known(RequestState::Unknown)), (false, Reply::Opened)]
+    {
+        let mut feed = Feed::default();
+        feed.apply(open("entry-1", "a", unrepeatable));
+        feed.apply(close("entry-1", RequestOutcome::Unknown));
+        assert_eq!(feed.apply(open("entry-2", "a", unrepeatable)), again);
+        // A late word of the first owner changes nothing.
+        let before = feed.ledger.get_requests().get(&key("k")).cloned();
+        feed.apply(close("entry-1", RequestOutcome::NotRun));
+        assert_eq!(feed.ledger.get_requests().get(&key("k")).cloned(), before);
+    }
+}
+
+#[test]
+fn a_request_that_did_not_run_frees_its_key() {
+    let mut feed = Feed::default();
+    feed.apply(open("entry-1", "a", true));
+    feed.apply(close("entry-1", RequestOutcome::NotRun));
+    assert_eq!(feed.apply(open("entry-2", "b", true)), Reply::Opened);
+}
+
+#[test]
+fn a_large_body_is_not_kept_but_its_run_is() {
+    let mut feed = Feed::default();
+    feed.apply(open("entry-1", "a", true));
+    feed.apply(close("entry-1", RequestOutcome::Answered(answer(16 * 1024 + 1))));
+    match feed.apply(open("entry-2", "a", true)) {
+        Reply::Known(RequestState::Answered(answer)) => assert_eq!(answer.body, None),
+        reply => panic!("{reply:?}"),
+    }
+}
+
+#[test]
+fn answers_are_forgotten_after_a_day_and_unknown_ones_are_not() {
+    const DAY_MS: u64 = 24 * 3_600 * 1_000;
+    let mut feed = Feed::default();
+    feed.apply(open("entry-1", "a", true));
+    feed.apply(close("entry-1", RequestOutcome::Answered(answer(3))));
+    feed.now_ms = DAY_MS;
+    assert!(matches!(feed.apply(open("entry-2", "a", true)), Reply::Known(_)));
+    feed.now_ms = DAY_MS + 1;
+    assert_eq!(feed.apply(open("entry-2", "b", true)), Reply::Opened);
+    feed.apply(close("entry-2", RequestOutcome::Unknown));
+    feed.now_ms = 9 * DAY_MS;
+    let reply = feed.apply(open("entry-1", "b", true));
+    assert_eq!(reply, Reply::Known(RequestState::Unknown));
+}
--- /dev/null
+++ b/comfreymill_ledger/tests/tasks/mod.rs
@@ -0,0 +1,156 @@
+use comfreymill_ledger::command::{Command, Reply};
+use comfreymill_ledger::job::{AttemptOutcome, Checkpoint, JobState, Progress, TaskState};
+use comfreymill_types::error::ErrorKind;
+use comfreymill_types::id;
+
+use crate::support::{Feed, attempt, is_refused, name, spec};
+
+fn ended(progress: Progress) -> [AttemptOutcome; 3] {
+    let reason = "no".to_owned();
+    [
+        AttemptOutcome::Failed { reason, progress },
+        AttemptOutcome::Stopped { progress },
+        AttemptOutcome::Lost { progress },
+    ]
+}
+
+#[test]
+fn a_resent_job_is_accepted_once() {
+    let mut feed = Feed::default();
+    let job = feed.submit_job("k1", false);
+    assert_eq!(feed.submit_job("k1", false), job);
+    let other = Command::SubmitJob { key: name("k1"), spec: spec(3), unrepeatable: false };
+    let reply = feed.apply(other);
+    assert!(is_refused(&reply, ErrorKind::KeyReused), "{reply:?}");
+    assert_eq!(feed.ledger.get_jobs().len(), 1);
+}
+
+#[test]
+fn a_job_has_a_bounded_number_of_tasks() {
+    let mut feed = Feed::default();
+    for tasks in [0, 10_001] {
+        let key = name(&format!("k{tasks}"));
+        let command = Command::SubmitJob { key, spec: spec(tasks), unrepeatable: false };
+        let reply = feed.apply(command);
+        assert!(is_refused(&reply, ErrorKind::InvalidJob), "{reply:?}");
+    }
+}
+
+#[test]
+fn attempts_are_fenced_by_their_number() {
+    let mut feed = Feed::default();
+    let task = id::TaskId::new(feed.submit_job("k", false), 0);
+    for number in [0, 2, 3] {
+        let reply = feed.start(task, number, "w-1");
+        assert!(is_refused(&reply, ErrorKind::Conflict), "{number}: {reply:?}");
+    }
+    assert_eq!(feed.start(task, 1, "w-1"), Reply::Done);
+    let doubled = feed.start(task, 2, "w-2");
+    assert!(is_refused(&doubled, ErrorKind::Conflict), "{doubled:?}");
+    feed.end(task, 1, AttemptOutcome::Stopped { progress: Progress::NotBegun });
+    assert_eq!(feed.start(task, 2, "w-2"), Reply::Done);
+    // Late words of the first attempt change nothing.
+    for outcome in [AttemptOutcome::Finished, AttemptOutcome::Lost { progress: Progress::NotBegun }]
+    {
+        let late = feed.end(task, 1, outcome);
+        assert!(is_refused(&late, ErrorKind::Conflict), "{late:?}");
+    }
+    assert!(matches!(feed.state(task), TaskState::Running { .. }));
+}
+
+#[test]
+fn an_unrepeatable_task_runs_again_only_where_nothing_is_repeated() {
+    let cases = [
+        (Progress::NotBegun, false, true),
+        (Progress::NotBegun, true, true),
+        (Progress::AtCheckpoint, true, true),
+        (Progress::AtCheckpoint, false, false),
+        (Progress::PastCheckpoint, true, false),
+        (Progress::PastCheckpoint, false, false),
+    ];
+    for (progress, has_checkpoint, may_run) in cases {
+        for outcome in ended(progress) {
+            let mut feed = Feed::default();
+            let task = id::TaskId::new(feed.submit_job("k", true), 0);
+            feed.start(task, 1, "w-1");
+            if has_checkpoint {
+                let checkpoint = Checkpoint { sequence: 1, data: "half".into() };
+                let attempt = attempt(task, 1);
+                feed.apply(Command::RecordCheckpoint { attempt, checkpoint });
+            }
+            feed.end(task, 1, outcome.clone());
+            let runs = *feed.state(task) == TaskState::Waiting;
+            assert_eq!(runs, may_run, "{outcome:?} with checkpoint: {has_checkpoint}");
+            let parked = matches!(feed.state(task), TaskState::Parked { .. });
+            assert_eq!(parked, !may_run, "{outcome:?}");
+        }
+    }
+}
+
+#[test]
+fn a_repeatable_task_always_runs_again() {
+    for progress in [Progress::NotBegun, Progress::AtCheckpoint, Progress::PastCheckpoint] {
+        for outcome in ended(progress) {
+            let mut feed = Feed::default();
+            let task = id::TaskId::new(feed.submit_job("k", false), 0);
+            feed.start(task, 1, "w-1");
+            feed.end(task, 1, outcome.clone());
+            assert_eq!(*feed.state(task), TaskState::Waiting, "{outcome:?}");
+        }
+    }
+}
+
+#[test]
+fn an_older_checkpoint_never_replaces_a_later_one() {
+    let mut feed = Feed::default();
+    let task = id::TaskId::new(feed.submit_job("k", false), 0);
+    feed.start(task, 1, "w-1");
+    for sequence in [2, 1, 2] {
+        let checkpoint = Checkpoint { sequence, data: sequence.to_string().into() };
+        feed.apply(Command::RecordCheckpoint { attempt: attempt(task, 1), checkpoint });
+    }
+    let recorded = feed.ledger.get_task(task).expect("a task").checkpoint.clone();
+    assert_eq!(recorded, Some(Checkpoint { sequence: 2, data: "2".into() }));
+}
+
+#[test]
+fn a_cancelled_job_ends_when_its_last_attempt_is_gone() {
+    let mut feed = Feed::default();
+    let job = feed.submit_job("k", true);
+    let running = id::TaskId::new(job, 0);
+    feed.start(running, 1, "w-1");
+    for _ in 0..2 {
+        assert_eq!(feed.apply(Command::CancelJob { job }), Reply::Done);
+        assert_eq!(feed.ledger.get_jobs()[&job].get_state(), JobState::Active);
+    }
+    assert_eq!(*feed.state(id::TaskId::new(job, 1)), TaskState::Cancelled);
+    feed.end(running, 1, AttemptOutcome::Stopped { progress: Progress::PastCheckpoint });
+    assert_eq!(feed.ledger.get_jobs()[&job].get_state(), JobState::Cancelled);
+}
+
+#[test]
+fn a_key_is_recognised_after_its_job_was_dropped() {
+    let mut feed = Feed::default();
+    let first = feed.submit_job("first", false);
+    feed.apply(Command::CancelJob { job: first });
+    for number in 0..20_000 {
+        let job = feed.submit_job(&format!("k{number}"), false);
+        feed.apply(Command::CancelJob { job });
+    }
+    assert!(!feed.ledger.get_jobs().contains_key(&first), "the oldest ended job was dropped");
+    assert_eq!(feed.submit_job("first", false), first);
+    assert_eq!(feed.ledger.get_jobs().len(), 20_000);
+}
+
+#[test]
+fn a_parked_task_runs_after_its_release() {
+    let mut feed = Feed::default();
+    let task = id::TaskId::new(feed.submit_job("k", false), 0);
+    let (reason, cause) = ("too large".to_owned(), String::new());
+    feed.apply(Command::ParkTask { task, reason, cause });
+    assert!(is_refused(&feed.start(task, 1, "w-1"), ErrorKind::Conflict));
+    assert_eq!(feed.apply(Command::ReleaseTask { task }), Reply::Done);
+    assert_eq!(feed.start(task, 1, "w-1"), Reply::Done);
+    let running = feed.apply(Command::ReleaseTask { task });
+    assert!(is_refused(&running, ErrorKind::Conflict), "{running:?}");
+}
