feat(ledger): park a task by the same record that ends its attempt

Cause: the scheduler parks an unrepeatable task of unknown outcome in one commit with the end of its attempt, so that no crash comes between them. Change: EndAttempt carries the parking; the ledger still parks on its own where the scheduler did not.

--- a/comfreymill_bench/src/standin/worker.rs
+++ b/comfreymill_bench/src/standin/worker.rs
@@ -80,7 +80,6 @@
             usage: Some(attempt.reserved),
         });
         protocol::WorkerHeartbeat {
-            state: protocol::UpstreamState::Ready,
             report: event::Heartbeat {
                 worker: self.cfg.name.clone(),
                 incarnation: self.incarnation,
--- a/comfreymill_ledger/src/command/command.rs
+++ b/comfreymill_ledger/src/command/command.rs
@@ -71,15 +71,15 @@
         outcome: job::AttemptOutcome,
         /// Checkpoint to record with the end.
         checkpoint: Option<job::Checkpoint>,
+        /// Set if the task is to wait for a person from then on.
+        parking: Option<job::Parking>,
     },
     /// Parks a waiting task for a person.
     ParkTask {
         /// Task to park.
         task: id::TaskId,
-        /// Why, and what would make it run.
-        reason: String,
-        /// Scheduler's own record of the reason, opaque here.
-        cause: String,
+        /// Why.
+        parking: job::Parking,
     },
     /// Lets a parked task wait for a worker again.
     ReleaseTask {
--- a/comfreymill_ledger/src/job/job.rs
+++ b/comfreymill_ledger/src/job/job.rs
@@ -34,7 +34,7 @@
         if self.cancelled {
             return JobState::Cancelled;
         }
-        let parked = |task: &Task| matches!(task.state, TaskState::Parked { .. });
+        let parked = |task: &Task| matches!(task.state, TaskState::Parked(_));
         if self.tasks.iter().any(parked) { JobState::Parked } else { JobState::Finished }
     }
 }
--- a/comfreymill_ledger/src/job/task_state.rs
+++ b/comfreymill_ledger/src/job/task_state.rs
@@ -1,6 +1,8 @@
 use comfreymill_types::id;
 use comfreymill_types::size;
 
+use super::Parking;
+
 /// State of a task.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -19,12 +21,7 @@
     /// It is done.
     Finished,
     /// It waits for a person.
-    Parked {
-        /// Why, and what would make it run.
-        reason: String,
-        /// Scheduler's own record of the reason; empty where the ledger parked it.
-        cause: String,
-    },
+    Parked(Parking),
     /// It was cancelled.
     Cancelled,
 }
--- a/comfreymill_ledger/src/ledger/apply_attempt.rs
+++ b/comfreymill_ledger/src/ledger/apply_attempt.rs
@@ -46,6 +46,7 @@
         attempt: id::AttemptId,
         outcome: &job::AttemptOutcome,
         checkpoint: Option<job::Checkpoint>,
+        parking: Option<job::Parking>,
     ) -> Reply {
         let Some(job) = self.jobs.get_mut(&attempt.task.job) else { return no_task(attempt.task) };
         let (cancelled, unrepeatable) = (job.cancelled, job.unrepeatable);
@@ -62,25 +63,25 @@
         if let Some(checkpoint) = checkpoint {
             keep_latest(task, checkpoint);
         }
-        task.state = next_state(task, outcome, cancelled, unrepeatable);
+        task.state = next_state(task, outcome, cancelled, unrepeatable, parking);
         self.retire_if_ended(attempt.task.job);
         Reply::Done
     }
 
-    pub(super) fn park_task(&mut self, id: id::TaskId, reason: String, cause: String) -> Reply {
+    pub(super) fn park_task(&mut self, id: id::TaskId, parking: job::Parking) -> Reply {
         let Some(task) = self.task_mut(id) else { return no_task(id) };
-        let waits = matches!(task.state, job::TaskState::Waiting | job::TaskState::Parked { .. });
+        let waits = matches!(task.state, job::TaskState::Waiting | job::TaskState::Parked(_));
         if !waits {
             let message = format!("{id} cannot be parked: it is not waiting");
             return Reply::refused(ErrorKind::Conflict, message);
         }
-        task.state = job::TaskState::Parked { reason, cause };
+        task.state = job::TaskState::Parked(parking);
         Reply::Done
     }
 
     pub(super) fn release_task(&mut self, id: id::TaskId) -> Reply {
         let Some(task) = self.task_mut(id) else { return no_task(id) };
-        if !matches!(task.state, job::TaskState::Parked { .. }) {
+        if !matches!(task.state, job::TaskState::Parked(_)) {
             return Reply::refused(ErrorKind::Conflict, format!("{id} is not parked"));
         }
         task.state = job::TaskState::Waiting;
@@ -107,21 +108,25 @@
     outcome: &job::AttemptOutcome,
     cancelled: bool,
     unrepeatable: bool,
+    parking: Option<job::Parking>,
 ) -> job::TaskState {
     let Some(progress) = outcome.get_progress() else { return job::TaskState::Finished };
     if cancelled {
         return job::TaskState::Cancelled;
     }
+    if let Some(parking) = parking {
+        return job::TaskState::Parked(parking);
+    }
     let repeats_nothing = match progress {
         job::Progress::NotBegun => true,
         job::Progress::AtCheckpoint => task.checkpoint.is_some(),
         job::Progress::PastCheckpoint => false,
     };
     if repeats_nothing || !unrepeatable {
-        job::TaskState::Waiting
-    } else {
-        job::TaskState::Parked { reason: UNKNOWN_OUTCOME.to_owned(), cause: String::new() }
+        return job::TaskState::Waiting;
     }
+    let (reason, cause) = (UNKNOWN_OUTCOME.to_owned(), String::new());
+    job::TaskState::Parked(job::Parking { reason, cause })
 }
 
 fn no_task(id: id::TaskId) -> Reply {
--- a/comfreymill_ledger/src/ledger/apply_job.rs
+++ b/comfreymill_ledger/src/ledger/apply_job.rs
@@ -55,8 +55,7 @@
         let was_ended = job.get_state() != job::JobState::Active;
         job.cancelled = true;
         for task in &mut job.tasks {
-            let waits =
-                matches!(task.state, job::TaskState::Waiting | job::TaskState::Parked { .. });
+            let waits = matches!(task.state, job::TaskState::Waiting | job::TaskState::Parked(_));
             if waits {
                 task.state = job::TaskState::Cancelled;
             }
--- a/comfreymill_ledger/src/ledger/ledger.rs
+++ b/comfreymill_ledger/src/ledger/ledger.rs
@@ -66,12 +66,10 @@
             command::Command::RecordCheckpoint { attempt, checkpoint } => {
                 self.record_checkpoint(attempt, checkpoint)
             }
-            command::Command::EndAttempt { attempt, outcome, checkpoint } => {
-                self.end_attempt(attempt, &outcome, checkpoint)
-            }
-            command::Command::ParkTask { task, reason, cause } => {
-                self.park_task(task, reason, cause)
+            command::Command::EndAttempt { attempt, outcome, checkpoint, parking } => {
+                self.end_attempt(attempt, &outcome, checkpoint, parking)
             }
+            command::Command::ParkTask { task, parking } => self.park_task(task, parking),
             command::Command::ReleaseTask { task } => self.release_task(task),
             command::Command::OpenRequest { key, digest, owner, unrepeatable } => {
                 self.requests.open(self.now, key, digest, owner, unrepeatable)
--- a/comfreymill_ledger/tests/snapshots/mod.rs
+++ b/comfreymill_ledger/tests/snapshots/mod.rs
@@ -62,6 +62,7 @@
                 attempt: run,
                 outcome: AttemptOutcome::Lost { progress: Progress::PastCheckpoint },
                 checkpoint: None,
+                parking: None,
             },
             7 => Command::ReleaseTask { task },
             8 => Command::OpenRequest {
--- a/comfreymill_ledger/tests/support/mod.rs
+++ b/comfreymill_ledger/tests/support/mod.rs
@@ -46,7 +46,7 @@
         outcome: job::AttemptOutcome,
     ) -> Reply {
         let attempt = attempt(task, number);
-        self.apply(Command::EndAttempt { attempt, outcome, checkpoint: None })
+        self.apply(Command::EndAttempt { attempt, outcome, checkpoint: None, parking: None })
     }
 
     pub(crate) fn state(&self, task: id::TaskId) -> &job::TaskState {
--- a/comfreymill_ledger/tests/tasks/mod.rs
+++ b/comfreymill_ledger/tests/tasks/mod.rs
@@ -1,5 +1,5 @@
 use comfreymill_ledger::command::{Command, Reply};
-use comfreymill_ledger::job::{AttemptOutcome, Checkpoint, JobState, Progress, TaskState};
+use comfreymill_ledger::job::{AttemptOutcome, Checkpoint, JobState, Parking, Progress, TaskState};
 use comfreymill_types::error::ErrorKind;
 use comfreymill_types::id;
 
@@ -81,7 +81,7 @@
             feed.end(task, 1, outcome.clone());
             let runs = *feed.state(task) == TaskState::Waiting;
             assert_eq!(runs, may_run, "{outcome:?} with checkpoint: {has_checkpoint}");
-            let parked = matches!(feed.state(task), TaskState::Parked { .. });
+            let parked = matches!(feed.state(task), TaskState::Parked(_));
             assert_eq!(parked, !may_run, "{outcome:?}");
         }
     }
@@ -146,8 +146,8 @@
 fn a_parked_task_runs_after_its_release() {
     let mut feed = Feed::default();
     let task = id::TaskId::new(feed.submit_job("k", false), 0);
-    let (reason, cause) = ("too large".to_owned(), String::new());
-    feed.apply(Command::ParkTask { task, reason, cause });
+    let parking = Parking { reason: "too large".to_owned(), cause: String::new() };
+    feed.apply(Command::ParkTask { task, parking });
     assert!(is_refused(&feed.start(task, 1, "w-1"), ErrorKind::Conflict));
     assert_eq!(feed.apply(Command::ReleaseTask { task }), Reply::Done);
     assert_eq!(feed.start(task, 1, "w-1"), Reply::Done);
--- a/comfreymill_node/src/control/core/calls.rs
+++ b/comfreymill_node/src/control/core/calls.rs
@@ -94,7 +94,8 @@
         let Some(lead) = &mut self.lead else { return };
         let period = self.cfg.worker_period;
         let directives = lead.worker_heartbeat(now, &self.ledger, heartbeat, period);
-        self.sessions.reply(session, id, &Ok(protocol::Answer::Directives(directives)));
+        let result = directives.map(protocol::Answer::Directives);
+        self.sessions.reply(session, id, &result);
     }
 
     /// Closes a request as unknown whose entry can no longer tell how it ended.
--- a/comfreymill_node/src/control/lead/commands.rs
+++ b/comfreymill_node/src/control/lead/commands.rs
@@ -35,25 +35,16 @@
             action::Action::RecordCheckpoint { attempt, checkpoint } => {
                 event::Event::CheckpointRecorded { attempt, checkpoint }
             }
-            action::Action::End { attempt, outcome, checkpoint } => {
-                event::Event::AttemptEnded { attempt, outcome, checkpoint }
+            action::Action::End { attempt, outcome, checkpoint, .. } => {
+                // The record has the last word on whether the task may run again.
+                let park = ledger.get_task(attempt.task).and_then(tasks::park_reason);
+                event::Event::AttemptEnded { attempt, outcome, checkpoint, park }
             }
             action::Action::Park { task, reason } => event::Event::TaskParked { task, reason },
             action::Action::Unpark { task } => event::Event::TaskUnparked(task),
             _ => return,
         };
-        let ended = match &event {
-            event::Event::AttemptEnded { attempt, .. } => Some(attempt.task),
-            _ => None,
-        };
         self.scheduler_event(now, event);
-        // The record has the last word on whether an unrepeatable task may run again.
-        let task = ended.and_then(|id| Some((id, ledger.get_task(id)?)));
-        if let Some((id, task)) = task
-            && let Some(reason) = tasks::park_reason(task)
-        {
-            self.scheduler_event(now, event::Event::TaskParked { task: id, reason });
-        }
     }
 
     /// Takes word that an action was not committed and never will be.
@@ -78,18 +69,17 @@
             let checkpoint = recorded(checkpoint);
             Some(command::Command::RecordCheckpoint { attempt: *attempt, checkpoint })
         }
-        action::Action::End { attempt, outcome, checkpoint } => {
+        action::Action::End { attempt, outcome, checkpoint, park } => {
             Some(command::Command::EndAttempt {
                 attempt: *attempt,
                 outcome: ended(outcome),
                 checkpoint: checkpoint.as_ref().map(recorded),
+                parking: park.as_ref().map(parking),
             })
         }
-        action::Action::Park { task, reason } => Some(command::Command::ParkTask {
-            task: *task,
-            reason: format!("{reason}; what would make it run: {}", reason.get_remedy()),
-            cause: serde_json::to_string(reason).unwrap_or_default(),
-        }),
+        action::Action::Park { task, reason } => {
+            Some(command::Command::ParkTask { task: *task, parking: parking(reason) })
+        }
         action::Action::Unpark { task } => Some(command::Command::ReleaseTask { task: *task }),
         action::Action::Stop { .. }
         | action::Action::Throttle { .. }
@@ -99,6 +89,13 @@
     }
 }
 
+fn parking(reason: &action::ParkReason) -> job::Parking {
+    job::Parking {
+        reason: format!("{reason}; what would make it run: {}", reason.get_remedy()),
+        cause: serde_json::to_string(reason).unwrap_or_default(),
+    }
+}
+
 fn recorded(checkpoint: &event::Checkpoint) -> job::Checkpoint {
     job::Checkpoint { sequence: checkpoint.sequence, data: checkpoint.data.clone() }
 }
--- a/comfreymill_node/src/control/lead/tasks.rs
+++ b/comfreymill_node/src/control/lead/tasks.rs
@@ -16,30 +16,36 @@
 /// # Tasks and workers
 impl Lead {
     /// Takes a worker's report in; gives what shall run there.
+    ///
+    /// # Errors
+    ///
+    /// `conflict` if a newer report of the worker was taken in before.
     pub(in crate::control) fn worker_heartbeat(
         &mut self,
         now: time::Monotonic,
         ledger: &ledger::Ledger,
         heartbeat: protocol::WorkerHeartbeat,
         next_in: Duration,
-    ) -> protocol::WorkerDirectives {
+    ) -> Result<protocol::WorkerDirectives, error::Error> {
         let worker = heartbeat.report.worker.clone();
         let sequence = heartbeat.report.sequence;
+        let incarnation = heartbeat.report.incarnation;
         self.scheduler_event(now, event::Event::WorkerHeartbeat(Box::new(heartbeat.report)));
         for report in heartbeat.latencies {
             self.scheduler_event(now, event::Event::ExecutorLatency(report));
         }
-        if heartbeat.state == protocol::UpstreamState::Leaving {
-            self.scheduler_event(now, event::Event::WorkerLeaving(worker.clone()));
-        }
-        let assignments = self.scheduler.desired(&worker);
+        let assignments = self.scheduler.desired(&worker, incarnation, sequence);
+        let assignments = assignments.ok_or_else(|| {
+            let message = format!("a newer report of {worker} was taken in before");
+            error::Error::new(error::ErrorKind::Conflict, message).field("sequence")
+        })?;
         let attempts = assignments.into_iter().map(|assignment| directive(ledger, assignment));
-        protocol::WorkerDirectives {
+        Ok(protocol::WorkerDirectives {
             sequence,
             lease: self.scheduler.get_lease().into(),
             next_in: next_in.into(),
             attempts: attempts.collect(),
-        }
+        })
     }
 
     /// Takes a job in that was accepted.
@@ -156,9 +162,10 @@
 
 /// Scheduler's reason for parking a task, as it was recorded.
 pub(super) fn park_reason(task: &job::Task) -> Option<action::ParkReason> {
-    let job::TaskState::Parked { reason, cause } = &task.state else { return None };
-    let recorded = serde_json::from_str(cause).ok();
-    Some(recorded.unwrap_or_else(|| action::ParkReason::OutcomeUnknown { detail: reason.clone() }))
+    let job::TaskState::Parked(parking) = &task.state else { return None };
+    let recorded = serde_json::from_str(&parking.cause).ok();
+    let unknown = || action::ParkReason::OutcomeUnknown { detail: parking.reason.clone() };
+    Some(recorded.unwrap_or_else(unknown))
 }
 
 fn attempt_view(id: id::TaskId, task: &job::Task) -> Option<event::AttemptView> {
--- a/comfreymill_node/src/protocol/worker_heartbeat.rs
+++ b/comfreymill_node/src/protocol/worker_heartbeat.rs
@@ -1,14 +1,9 @@
 use comfreymill_batch::event;
 
-use super::UpstreamState;
-
 /// What a worker says of itself about once a second.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WorkerHeartbeat {
-    /// Whether it takes new work.
-    #[serde(default)]
-    pub state: UpstreamState,
     /// Capacity, executors and attempts.
     pub report: event::Heartbeat,
     /// Late measurements of the executors on it.
--- a/comfreymill_types/tests/document/mod.rs
+++ b/comfreymill_types/tests/document/mod.rs
@@ -49,7 +49,7 @@
         ("version: 1", "version: one", "2:10: version: is not a whole number from 0: `one`"),
         ("version: 1", "version: 0", "2:10: version: the first version is 1"),
         ("service: register", "service: Register!", "9:18: classes[0].kind.prompt.service: `Register!` is no service name"),
-        ("deadline: 800ms", "deadline: 0s", "10:19: classes[0].kind.prompt.deadline: a deadline is from 1us to 1h"),
+        ("deadline: 800ms", "deadline: 0s", "10:19: classes[0].kind.prompt.deadline: a deadline is from 1us to 30s"),
         ("name: batch", "name: search", "11:11: classes[1].name: `search` stands twice"),
         ("batch:\n", "dance:\n", "13:7: classes[1].kind.dance: "),
         ("name: counter", "nome: counter", "4:5: teams[0].nome: is not known here: write one of name, quota, share"),
