--- a/comfreymill_route/tests/cluster/mod.rs
+++ b/comfreymill_route/tests/cluster/mod.rs
@@ -1,3 +1,4 @@
+mod attempts;
 mod entry;
 mod executor;
 mod faults;
--- a/comfreymill_route/tests/cluster/world.rs
+++ b/comfreymill_route/tests/cluster/world.rs
@@ -16,7 +16,6 @@
 
 pub(super) const SLOTS: usize = 4;
 const MAX_DELAY_MILLIS: u64 = 40;
-const MAX_RUN_MILLIS: u64 = 150;
 
 /// Entries, executors and a leader over a network with faults.
 pub(super) struct World {
@@ -30,8 +29,8 @@
     pending: HashMap<u64, Event>,
     next_event: u64,
     next_request: u64,
-    said_not_run: HashSet<u64>,
-    unrepeatable: HashSet<u64>,
+    pub(super) said_not_run: HashSet<u64>,
+    pub(super) unrepeatable: HashSet<u64>,
     pub(super) started: u64,
     pub(super) answered: u64,
 }
@@ -93,11 +92,11 @@
         self.rng.random_range(0..100) < percent
     }
 
-    fn fault(&mut self, percent: u32) -> bool {
+    pub(super) fn fault(&mut self, percent: u32) -> bool {
         self.is_faulty && self.chance(percent)
     }
 
-    fn delay(&mut self) -> u64 {
+    pub(super) fn delay(&mut self) -> u64 {
         let most = if self.is_faulty { MAX_DELAY_MILLIS } else { 2 };
         self.rng.random_range(1..=most)
     }
@@ -324,98 +323,8 @@
         self.after(delay, Event::Probed { entry, life, executor, is_healthy });
     }
 
-    fn executor(&self, name: &id::ExecutorName) -> usize {
+    pub(super) fn executor(&self, name: &id::ExecutorName) -> usize {
         let position = self.executors.iter().position(|state| state.name == name.as_str());
         position.expect("the executor is one of ours")
     }
-
-    fn send(&mut self, entry: usize, request: u64, name: &id::ExecutorName, number: u32) {
-        let life = self.entries[entry].life;
-        let unrepeatable = self.unrepeatable.contains(&request);
-        let attempt = Attempt { entry, life, request, number, unrepeatable };
-        let executor = self.executor(name);
-        if let Some(open) = self.entries[entry].open.get_mut(&request) {
-            open.1 = Some(attempt);
-        }
-        let delay = self.delay();
-        if self.fault(5) {
-            self.after(delay, Event::Outcome { attempt, outcome: Outcome::NothingSent });
-            return;
-        }
-        if self.fault(5) {
-            self.after(delay, Event::Outcome { attempt, outcome: Outcome::SentNoAnswer });
-            if self.chance(50) {
-                return;
-            }
-        }
-        let delay = self.delay();
-        self.after(delay, Event::Arrive { executor, attempt });
-    }
-
-    fn arrive(&mut self, executor: usize, attempt: Attempt) {
-        let refused = if !self.executors[executor].is_up {
-            Some(Outcome::NothingSent)
-        } else if self.fault(3) {
-            Some(Outcome::RefusedByUpstream)
-        } else {
-            None
-        };
-        let delay = self.delay();
-        if let Some(outcome) = refused {
-            self.after(delay, Event::Outcome { attempt, outcome });
-            return;
-        }
-        self.check_start(attempt);
-        self.executors[executor].start(attempt);
-        self.started += 1;
-        let life = self.executors[executor].life;
-        let run = self.rng.random_range(1..=MAX_RUN_MILLIS);
-        let run = if self.is_faulty { run } else { run.min(8) };
-        self.after(run, Event::RunEnds { executor, life, attempt });
-    }
-
-    fn check_start(&self, attempt: Attempt) {
-        let request = attempt.request;
-        assert!(!self.said_not_run.contains(&request), "{attempt:?} starts after `not run`");
-        let mut running = self.executors.iter().flat_map(|executor| &executor.running);
-        let twice = running.find(|running| running.request == request);
-        assert_eq!(twice, None, "{attempt:?} starts while it runs elsewhere");
-        if attempt.unrepeatable {
-            assert_eq!(self.starts(request), 0, "{attempt:?} starts again");
-        }
-    }
-
-    fn run_ends(&mut self, executor: usize, life: u64, attempt: Attempt) {
-        if !self.executors[executor].end(life, attempt) {
-            return;
-        }
-        let delay = self.delay();
-        let outcome = if self.fault(4) {
-            Outcome::CutShort
-        } else if self.fault(4) {
-            return;
-        } else {
-            Outcome::Answered { latency: Duration::from_millis(5), status: 200 }
-        };
-        self.after(delay, Event::Outcome { attempt, outcome });
-        self.after(delay + 1, Event::Settled { attempt });
-    }
-
-    fn outcome(&mut self, attempt: Attempt, outcome: Outcome) {
-        let entry = attempt.entry;
-        if !self.entries[entry].is_alive(attempt.life) {
-            return;
-        }
-        let open = self.entries[entry].open.get(&attempt.request);
-        let is_current = open.is_some_and(|(_, running)| *running == Some(attempt));
-        if is_current && matches!(outcome, Outcome::Answered { .. }) {
-            self.entries[entry].answer(attempt.request);
-            self.answered += 1;
-        } else if is_current {
-            self.entries[entry].open.get_mut(&attempt.request).expect("it is open").1 = None;
-        }
-        let (request, number) = (attempt.request, attempt.number);
-        self.entries[entry].router.finished(self.now, request, number, outcome);
-        self.act(entry);
-    }
 }
