--- a/comfreymill_bench/src/lib.rs
+++ b/comfreymill_bench/src/lib.rs
@@ -1,4 +1,6 @@
-//! Stand-ins for callers, executors and workers, and the benchmark command
+//! Stand-ins for callers, executors and workers, and the benchmark command.
 
+pub mod cluster;
 pub mod figure;
 pub mod route;
+pub mod standin;
--- /dev/null
+++ b/comfreymill_node/src/control/core/config.rs
@@ -0,0 +1,59 @@
+use std::time::Duration;
+
+use comfreymill_batch::config;
+use comfreymill_route::grant;
+use comfreymill_types::document;
+
+use crate::settings;
+
+const EXECUTOR_SILENCE: Duration = Duration::from_secs(5);
+const GRANT_PERIOD: Duration = Duration::from_millis(250);
+const WORKER_PERIOD: Duration = Duration::from_secs(1);
+const SNAPSHOT_ENTRIES: u64 = 20_000;
+const PPM: f64 = 1e6;
+
+/// What the core needs to know.
+#[derive(Clone, Debug)]
+pub(in crate::control) struct CoreConfig {
+    /// Length of the lease of entries.
+    pub(in crate::control) entry_lease: Duration,
+    /// Silence after which an executor counts as gone.
+    pub(in crate::control) executor_silence: Duration,
+    /// Period in which grants follow demand.
+    pub(in crate::control) grant_period: Duration,
+    /// Period of workers' heartbeats.
+    pub(in crate::control) worker_period: Duration,
+    /// Entries applied between two snapshots.
+    pub(in crate::control) snapshot_entries: u64,
+    /// Settings of each granter.
+    pub(in crate::control) granter: grant::Config,
+    /// Settings of the scheduler.
+    pub(in crate::control) scheduler: config::Config,
+}
+
+impl CoreConfig {
+    /// What the settings of a control process demand.
+    pub(in crate::control) fn of(settings: &settings::ControlSettings) -> Self {
+        let timing = settings.get_common().get_timing();
+        let lease = timing.get_lease().get_duration();
+        let drift_ppm = timing.get_clock_drift().as_ppm();
+        let granter = grant::Config::default()
+            .lease(lease)
+            .longest_deadline(document::PromptClass::MAX_DEADLINE)
+            .drift(f64::from(drift_ppm) / PPM);
+        let scheduler = config::Config::new()
+            .lease(lease)
+            .drift_ppm(drift_ppm)
+            .heartbeat_period(WORKER_PERIOD)
+            .policy(settings.get_placement());
+        Self {
+            entry_lease: lease,
+            executor_silence: EXECUTOR_SILENCE,
+            grant_period: GRANT_PERIOD,
+            worker_period: WORKER_PERIOD,
+            snapshot_entries: SNAPSHOT_ENTRIES,
+            granter,
+            scheduler,
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/control/operators.rs
@@ -0,0 +1,71 @@
+//! The operators' side of a control process: health, status and metrics of this replica.
+
+use bytes::Bytes;
+use comfreymill_http::server;
+use comfreymill_types::error;
+
+use super::core::Input;
+use crate::metering;
+use crate::web;
+
+/// What every request of an operator needs.
+pub(super) struct Context {
+    pub(super) inputs: flume::Sender<Input>,
+    pub(super) token: Option<web::Token>,
+    pub(super) meter: metering::Meter,
+}
+
+/// Serves one request.
+pub(super) async fn serve(
+    cx: &Context,
+    req: server::Request<'_>,
+) -> Result<(), server::ServerError> {
+    if let Some(text) = metrics(cx, &req) {
+        return web::answer_text(req, text).await;
+    }
+    match run(cx, &req).await {
+        Ok(body) => web::answer_json(req, body).await,
+        Err(error) => web::answer_error(req, &error).await,
+    }
+}
+
+/// Metrics, where they are asked for with the token.
+fn metrics(cx: &Context, req: &server::Request<'_>) -> Option<Bytes> {
+    let is_allowed = cx.token.as_ref().is_none_or(|token| token.check(req.headers()).is_ok());
+    (req.uri().path() == "/metrics" && is_allowed).then(|| cx.meter.render().into())
+}
+
+async fn run(cx: &Context, req: &server::Request<'_>) -> Result<Bytes, error::Error> {
+    let path = req.uri().path();
+    let is_open = matches!(path, "/healthz" | "/readyz");
+    if let Some(token) = &cx.token
+        && !is_open
+    {
+        token.check(req.headers())?;
+    }
+    match path {
+        "/healthz" => Ok(Bytes::from_static(b"{\"healthy\":true}")),
+        "/readyz" => {
+            ask(cx, Input::Ready).await??;
+            Ok(Bytes::from_static(b"{\"ready\":true}"))
+        }
+        "/v1/status" => ask(cx, Input::Show).await,
+
+        _ => {
+            let message = "a control process serves /v1/status, /metrics, /healthz and /readyz; \
+                ask an entry for the rest";
+            Err(error::Error::new(error::ErrorKind::NotFound, message).field("path"))
+        }
+    }
+}
+
+async fn ask<T, F>(cx: &Context, input: F) -> Result<T, error::Error>
+where
+    F: FnOnce(flume::Sender<T>) -> Input,
+{
+    let (reply, rx) = flume::bounded(1);
+    cx.inputs.send(input(reply)).ok();
+    rx.recv_async()
+        .await
+        .map_err(|_| error::Error::new(error::ErrorKind::Draining, "the process is stopping"))
+}
--- a/src/programs.rs
+++ b/src/programs.rs
@@ -1,6 +1,11 @@
+use std::io;
 use std::path;
 
 use comfreymill_node::command;
+use comfreymill_node::control;
+use comfreymill_node::embedded;
+use comfreymill_node::entry;
+use comfreymill_node::runtime;
 use comfreymill_node::settings;
 use comfreymill_types::error;
 
@@ -8,20 +13,23 @@
 pub(crate) struct NodePrograms;
 
 impl command::Programs for NodePrograms {
-    fn run_entry(&self, _settings: settings::EntrySettings) -> Result<(), error::Error> {
-        Err(not_built("entry"))
+    fn run_entry(&self, settings: settings::EntrySettings) -> Result<(), error::Error> {
+        let stop = runtime::stop_on_signals().map_err(|error| no_signals(&error))?;
+        entry::run(&settings, &stop)
     }
 
-    fn run_control(&self, _settings: settings::ControlSettings) -> Result<(), error::Error> {
-        Err(not_built("control"))
+    fn run_control(&self, settings: settings::ControlSettings) -> Result<(), error::Error> {
+        let stop = runtime::stop_on_signals().map_err(|error| no_signals(&error))?;
+        control::run(&settings, &stop).map_err(error::Error::from)
     }
 
-    fn run_embedded(&self, _folder: &path::Path) -> Result<(), error::Error> {
-        Err(not_built("serve"))
+    fn run_embedded(&self, folder: &path::Path) -> Result<(), error::Error> {
+        let stop = runtime::stop_on_signals().map_err(|error| no_signals(&error))?;
+        embedded::run(&settings::Embedded::new(folder), &stop)
     }
 }
 
-fn not_built(program: &str) -> error::Error {
-    let message = format!("`{program}` is not part of this build yet");
-    error::Error::new(error::ErrorKind::Unsupported, message)
+fn no_signals(error: &io::Error) -> error::Error {
+    let message = format!("signals cannot be taken over: {error}");
+    error::Error::new(error::ErrorKind::Internal, message)
 }
