feat(node): tell the leader which executors an entry ejected

Change: the heartbeat of an entry carries the names of ejected executors. Run: cargo test -p comfreymill_route -p comfreymill_node, all pass.

--- a/comfreymill_node/src/control/lead/entries.rs
+++ b/comfreymill_node/src/control/lead/entries.rs
@@ -50,6 +50,7 @@
                     sequence,
                     demand: demand.map(|demand| demand.services.clone()).unwrap_or_default(),
                     holdings: heartbeat.holdings.clone(),
+                    avoided: heartbeat.avoided.clone(),
                     draining: heartbeat.draining,
                 },
             );
--- a/comfreymill_node/src/entry/dispatch/state.rs
+++ b/comfreymill_node/src/entry/dispatch/state.rs
@@ -197,12 +197,15 @@
     fn heartbeat(&mut self, now: time::Monotonic) -> protocol::EntryHeartbeat {
         let mut demand = Vec::new();
         let mut holdings = Vec::new();
+        let mut avoided = Vec::new();
         for desk in self.desks.values_mut() {
             let services = desk.router.demand(now);
             demand.push(protocol::DeskDemand { desk: desk.key.clone(), services });
             holdings.extend(desk.router.holdings(SOURCE));
+            avoided.extend(desk.router.avoided(SOURCE));
         }
         let revision = self.revision.unwrap_or(0);
-        protocol::EntryHeartbeat { revision, demand, holdings, draining: self.is_draining }
+        let draining = self.is_draining;
+        protocol::EntryHeartbeat { revision, demand, holdings, avoided, draining }
     }
 }
--- a/comfreymill_node/src/protocol/entry_heartbeat.rs
+++ b/comfreymill_node/src/protocol/entry_heartbeat.rs
@@ -1,4 +1,5 @@
 use comfreymill_route::router;
+use comfreymill_types::id;
 use comfreymill_types::time;
 
 use super::DeskKey;
@@ -13,6 +14,8 @@
     pub demand: Vec<DeskDemand>,
     /// Grants in use.
     pub holdings: Vec<router::Holding>,
+    /// Executors that the entry has ejected.
+    pub avoided: Vec<id::ExecutorName>,
     /// Whether the entry is stopping.
     pub draining: bool,
 }
