--- a/comfreymill_group/src/id/index.rs
+++ b/comfreymill_group/src/id/index.rs
@@ -7,7 +7,7 @@
     /// Following position.
     #[must_use]
     pub const fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 
     /// Preceding position, or zero.
@@ -19,7 +19,7 @@
     /// Position `count` further on.
     #[must_use]
     pub const fn plus(self, count: u64) -> Self {
-        Self(self.0 + count)
+        Self(self.0.saturating_add(count))
     }
 
     /// Position `count` back, or zero.
--- a/comfreymill_group/src/id/term.rs
+++ b/comfreymill_group/src/id/term.rs
@@ -7,6 +7,6 @@
     /// Following term.
     #[must_use]
     pub const fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
--- a/comfreymill_group/src/message/hello.rs
+++ b/comfreymill_group/src/message/hello.rs
@@ -12,7 +12,7 @@
     /// Whether the sender will follow the founder that asked.
     #[prost(bool, tag = "1")]
     pub founder_accepted: bool,
-    /// Whether the group knows the receiver's id with another disk.
+    /// Whether the group removed the receiver, or knows its id with another disk.
     #[prost(bool, tag = "2")]
     pub refused: bool,
 }
--- a/comfreymill_group/src/replica/election.rs
+++ b/comfreymill_group/src/replica/election.rs
@@ -100,6 +100,10 @@
         envelope: &message::Message,
         question: message::PreVote,
     ) {
+        if self.has_removed(now, from, id::DiskId::new(envelope.disk)) {
+            self.refuse(from, id::DiskId::new(envelope.disk));
+            return;
+        }
         let asked_term = id::Term::new(envelope.term).next();
         let granted = asked_term > self.hard_state.term
             && !self.hears_leader(now)
--- a/comfreymill_group/src/replica/founding.rs
+++ b/comfreymill_group/src/replica/founding.rs
@@ -57,19 +57,36 @@
         disk: id::DiskId,
         answer: message::HelloResponse,
     ) {
-        if !self.log.is_empty() {
-            return;
-        }
+        let voter = self.voter;
         if answer.refused {
-            self.halt(Halt::DiskReplaced { voter: self.voter });
+            let is_new = self.log.is_empty();
+            self.halt(if is_new { Halt::DiskReplaced { voter } } else { Halt::Removed { voter } });
             return;
         }
-        if answer.founder_accepted {
+        if answer.founder_accepted && self.log.is_empty() {
             self.accepted.insert(from, disk);
             self.try_found();
         }
     }
 
+    /// Whether this replica leads and the committed membership lacks `from` with `disk`.
+    pub(super) fn has_removed(
+        &self,
+        now: time::Monotonic,
+        from: id::VoterId,
+        disk: id::DiskId,
+    ) -> bool {
+        let is_committed = self.log.history().current_index() <= self.commit;
+        let is_current = self.is_ready() && self.lease_valid(now) && is_committed;
+        is_current && !self.membership().contains(from, disk)
+    }
+
+    /// Tells a replica that it doesn't belong to the group.
+    pub(super) fn refuse(&mut self, from: id::VoterId, disk: id::DiskId) {
+        let answer = message::HelloResponse { founder_accepted: false, refused: true };
+        self.send_synced(from, disk, message::Body::HelloResponse(answer));
+    }
+
     /// Stands for election once the first entry is synced.
     pub(super) fn finish_founding(&mut self, now: time::Monotonic) {
         let is_synced = self.founding_gate.is_some_and(|gate| self.outbox.is_persisted(gate));
--- a/comfreymill_group/src/replica/halt.rs
+++ b/comfreymill_group/src/replica/halt.rs
@@ -12,6 +12,12 @@
         /// Id in the settings.
         voter: id::VoterId,
     },
+    /// The group removed this replica.
+    #[error("voter {voter} was removed from the group: delete its data folder")]
+    Removed {
+        /// Id in the settings.
+        voter: id::VoterId,
+    },
     /// A leader sent an entry that contradicts a committed one.
     #[error("entry {index} of term {term} contradicts a committed entry")]
     CommittedConflict {
--- a/comfreymill_group/src/replica/member.rs
+++ b/comfreymill_group/src/replica/member.rs
@@ -127,8 +127,7 @@
         };
         let peer = leader.peers.get(&voter);
         let matched = peer.map_or(id::Index::ZERO, |peer| peer.matched);
-        let heard_at = peer.and_then(|peer| peer.heard_at);
-        let is_heard = heard_at.is_some_and(|at| now.since(at) < self.cfg.get_lease());
+        let is_heard = peer.is_some_and(|peer| peer.is_heard(now, self.cfg.get_lease()));
         let lag = self.log.last_index().distance_from(matched);
         if lag > self.cfg.get_promote_lag_entries() || !is_heard || matched == id::Index::ZERO {
             return Err(ChangeError::NotCaughtUp { voter, lag });
--- a/comfreymill_group/src/replica/mod.rs
+++ b/comfreymill_group/src/replica/mod.rs
@@ -22,6 +22,7 @@
 mod log;
 mod member;
 mod outbox;
+mod outgoing;
 mod peer;
 mod persist;
 mod proposal;
--- /dev/null
+++ b/comfreymill_group/src/replica/outgoing.rs
@@ -0,0 +1,43 @@
+use crate::message;
+use crate::snapshot;
+use comfreymill_types::time;
+
+/// Snapshot on its way to a follower, in parts.
+#[derive(Debug)]
+pub(super) struct Outgoing {
+    snapshot: snapshot::Snapshot,
+    checksum: u32,
+    /// Bytes that have arrived.
+    pub(super) offset: u64,
+}
+
+impl Outgoing {
+    /// Snapshot of which nothing has arrived.
+    pub(super) fn new(snapshot: snapshot::Snapshot) -> Self {
+        let checksum = snapshot.checksum();
+        Self { snapshot, checksum, offset: 0 }
+    }
+
+    /// Whether this is the snapshot that ends at `index`.
+    pub(super) fn ends_at(&self, index: u64) -> bool {
+        self.snapshot.meta.index.get() == index
+    }
+
+    /// Next part, of at most `max_bytes`.
+    pub(super) fn chunk(&self, now: time::Monotonic, max_bytes: usize) -> message::SnapshotChunk {
+        let meta = &self.snapshot.meta;
+        let total = self.snapshot.data.len();
+        let start = usize::try_from(self.offset).unwrap_or(total).min(total);
+        let end = start.saturating_add(max_bytes).min(total);
+        message::SnapshotChunk {
+            index: meta.index.get(),
+            index_term: meta.term.get(),
+            membership: Some((&meta.membership).into()),
+            offset: self.offset,
+            total: total as u64,
+            checksum: self.checksum,
+            data: self.snapshot.data.slice(start..end),
+            sent_at_micros: now.as_micros(),
+        }
+    }
+}
--- a/comfreymill_group/src/replica/peer.rs
+++ b/comfreymill_group/src/replica/peer.rs
@@ -1,16 +1,18 @@
 use crate::id;
+use crate::replica::outgoing::Outgoing;
 use comfreymill_types::time;
 use std::collections::VecDeque;
+use std::time::Duration;
 
 /// How entries are sent to a follower.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Debug)]
 pub(super) enum Flow {
     /// One append at a time, until the logs are known to agree.
     Probe,
     /// Appends follow each other up to the limit of bytes in flight.
     Stream,
-    /// Parts of the snapshot at `index`, one at a time.
-    Snapshot { index: id::Index, offset: u64 },
+    /// Parts of a snapshot, one at a time.
+    Snapshot(Box<Outgoing>),
 }
 
 /// Append on its way.
@@ -62,6 +64,21 @@
         }
     }
 
+    /// Whether an answer came within `patience`.
+    pub(super) fn is_heard(&self, now: time::Monotonic, patience: Duration) -> bool {
+        self.heard_at.is_some_and(|heard_at| now.since(heard_at) < patience)
+    }
+
+    /// Whether appends follow each other.
+    pub(super) fn is_streaming(&self) -> bool {
+        matches!(self.flow, Flow::Stream)
+    }
+
+    /// Whether a snapshot is on its way.
+    pub(super) fn takes_snapshot(&self) -> bool {
+        matches!(self.flow, Flow::Snapshot(_))
+    }
+
     /// Notes an append on its way.
     pub(super) fn sent(&mut self, append: InFlight) {
         self.in_flight_bytes += append.bytes;
--- a/comfreymill_group/src/replica/replicate.rs
+++ b/comfreymill_group/src/replica/replicate.rs
@@ -3,7 +3,7 @@
 use crate::message;
 use crate::replica::Replica;
 use crate::replica::election::State;
-use crate::replica::peer::{Flow, InFlight, Peer};
+use crate::replica::peer::{InFlight, Peer};
 use comfreymill_types::time;
 
 impl Replica {
@@ -27,7 +27,7 @@
             let Some(peer) = leader.peers.get_mut(&to) else { continue };
             let oldest = peer.in_flight.front().map(|append| append.sent_at);
             let is_late = oldest.is_some_and(|sent_at| now.since(sent_at) >= retry);
-            if is_late && peer.flow == Flow::Stream {
+            if is_late && peer.is_streaming() {
                 peer.probe_from(peer.matched.next());
             }
             let is_unanswered = peer.waiting_since.is_some_and(|at| now.since(at) >= retry);
@@ -111,12 +111,12 @@
         if peer.waiting_since.is_some() {
             return false;
         }
-        if matches!(peer.flow, Flow::Snapshot { .. }) {
+        if peer.takes_snapshot() {
             self.send_chunk(now, to);
             return false;
         }
         let is_full = peer.in_flight_bytes >= self.cfg.get_max_in_flight_bytes();
-        if is_full || (peer.flow == Flow::Stream && peer.next > last) {
+        if is_full || (peer.is_streaming() && peer.next > last) {
             return false;
         }
         let prev = peer.next.previous();
@@ -124,8 +124,8 @@
             self.start_snapshot(now, to);
             return false;
         };
-        let is_probe = peer.flow == Flow::Probe;
-        let is_heard = peer.heard_at.is_some_and(|at| now.since(at) < self.cfg.get_lease());
+        let is_probe = !peer.is_streaming();
+        let is_heard = peer.is_heard(now, self.cfg.get_lease());
         let end = if is_probe && !is_heard { prev } else { last };
         let entries = self.log.slice(peer.next, end, self.cfg.get_max_append_bytes());
         let bytes = entries.iter().map(entry::Entry::size_bytes).sum();
--- a/comfreymill_group/src/replica/send_snapshot.rs
+++ b/comfreymill_group/src/replica/send_snapshot.rs
@@ -2,45 +2,31 @@
 use crate::message;
 use crate::replica::Replica;
 use crate::replica::election::State;
+use crate::replica::outgoing::Outgoing;
 use crate::replica::peer::Flow;
 use comfreymill_types::time;
 
 impl Replica {
-    /// Starts to send the newest snapshot to `to`.
+    /// Starts to send the newest snapshot to `to`. It is sent to its end even if a newer one is
+    /// taken meanwhile, so that a slow follower gets on.
     pub(super) fn start_snapshot(&mut self, now: time::Monotonic, to: id::VoterId) {
-        let index = self.snapshot_index();
+        let Some(snapshot) = self.snapshot.clone() else { return };
         let State::Leader(leader) = &mut self.state else { return };
         let Some(peer) = leader.peers.get_mut(&to) else { return };
         peer.probe_from(peer.next);
-        peer.flow = Flow::Snapshot { index, offset: 0 };
+        peer.flow = Flow::Snapshot(Box::new(Outgoing::new(snapshot)));
         self.send_chunk(now, to);
     }
 
-    /// Sends the next part of the snapshot to `to`.
+    /// Sends the next part of the snapshot to `to`, without data if `to` is silent.
     pub(super) fn send_chunk(&mut self, now: time::Monotonic, to: id::VoterId) {
-        let Some(snapshot) = &self.snapshot else { return };
+        let (lease, chunk_bytes) = (self.cfg.get_lease(), self.cfg.get_snapshot_chunk_bytes());
         let State::Leader(leader) = &mut self.state else { return };
         let Some(peer) = leader.peers.get_mut(&to) else { return };
-        let newest = snapshot.meta.index;
-        let offset = match peer.flow {
-            Flow::Snapshot { index, offset } if index == newest => offset,
-            _ => 0,
-        };
-        peer.flow = Flow::Snapshot { index: newest, offset };
+        let max_bytes = if peer.is_heard(now, lease) { chunk_bytes } else { 0 };
+        let Flow::Snapshot(outgoing) = &peer.flow else { return };
+        let chunk = outgoing.chunk(now, max_bytes);
         peer.waiting_since = Some(now);
-        let total = snapshot.data.len();
-        let start = usize::try_from(offset).unwrap_or(total).min(total);
-        let end = (start + self.cfg.get_snapshot_chunk_bytes()).min(total);
-        let chunk = message::SnapshotChunk {
-            index: newest.get(),
-            index_term: snapshot.meta.term.get(),
-            membership: Some((&snapshot.meta.membership).into()),
-            offset,
-            total: total as u64,
-            checksum: snapshot.checksum(),
-            data: snapshot.data.slice(start..end),
-            sent_at_micros: now.as_micros(),
-        };
         let disk = peer.disk;
         self.send(to, disk, message::Body::SnapshotChunk(chunk));
     }
@@ -53,19 +39,15 @@
         disk: id::DiskId,
         answer: message::SnapshotResponse,
     ) {
+        let sent_at = time::Monotonic::from_micros(answer.sent_at_micros);
         let Some(peer) = self.peer_mut(from, disk) else { return };
-        peer.confirm(time::Monotonic::from_micros(answer.sent_at_micros), now);
-        let answered = id::Index::new(answer.index);
-        match peer.flow {
-            Flow::Snapshot { index, offset } if index == answered => {
-                if answer.next_offset == offset && offset > 0 {
-                    return;
-                }
-                peer.flow = Flow::Snapshot { index, offset: answer.next_offset };
-                peer.waiting_since = None;
-                self.replicate(now, from);
-            }
-            _ => {}
+        peer.confirm(sent_at, now);
+        let is_awaited = peer.waiting_since == Some(sent_at);
+        let Flow::Snapshot(outgoing) = &mut peer.flow else { return };
+        if is_awaited && outgoing.ends_at(answer.index) {
+            outgoing.offset = answer.next_offset;
+            peer.waiting_since = None;
+            self.replicate(now, from);
         }
     }
 }
--- a/comfreymill_group/src/replica/status.rs
+++ b/comfreymill_group/src/replica/status.rs
@@ -79,7 +79,7 @@
                 voter: *voter,
                 matched: peer.matched,
                 silent_for: peer.heard_at.map(|heard_at| now.since(heard_at)),
-                takes_snapshot: matches!(peer.flow, crate::replica::peer::Flow::Snapshot { .. }),
+                takes_snapshot: peer.takes_snapshot(),
             })
             .collect()
     }
--- a/comfreymill_group/tests/schedule/coverage.rs
+++ b/comfreymill_group/tests/schedule/coverage.rs
@@ -13,6 +13,7 @@
     pub(crate) lost_disks: u64,
     pub(crate) refused_disks: u64,
     pub(crate) stalls: u64,
+    pub(crate) removed: u64,
 }
 
 impl Coverage {
@@ -32,7 +33,7 @@
             .collect()
     }
 
-    fn counts_mut(&mut self) -> [(&'static str, &mut u64); 12] {
+    fn counts_mut(&mut self) -> [(&'static str, &mut u64); 13] {
         [
             ("acknowledged", &mut self.acknowledged),
             ("elections", &mut self.elections),
@@ -46,6 +47,7 @@
             ("lost_disks", &mut self.lost_disks),
             ("refused_disks", &mut self.refused_disks),
             ("stalls", &mut self.stalls),
+            ("removed", &mut self.removed),
         ]
     }
 }
--- a/comfreymill_group/tests/schedule/world.rs
+++ b/comfreymill_group/tests/schedule/world.rs
@@ -210,6 +210,11 @@
                 self.checker.coverage.refused_disks += 1;
                 self.nodes[position].halted = true;
             }
+            replica::Action::Halt(replica::Halt::Removed { .. }) => {
+                assert!(self.is_removed(position), "member {from} is told that it was removed");
+                self.checker.coverage.removed += 1;
+                self.nodes[position].halted = true;
+            }
             replica::Action::Halt(halt) => panic!("{halt}"),
             replica::Action::Dropped { .. } => self.checker.coverage.overwritten += 1,
             replica::Action::Role { .. } => {}
@@ -230,6 +235,14 @@
         }
     }
 
+    /// Whether some replica that leads has a membership without the node at `position`.
+    fn is_removed(&self, position: usize) -> bool {
+        let (voter, disk) = (self.nodes[position].voter, self.nodes[position].durable.disk);
+        let replicas = self.nodes.iter().filter_map(|node| node.replica.as_ref());
+        let mut memberships = replicas.map(replica::Replica::membership);
+        memberships.any(|members| !members.is_empty() && !members.contains(voter, disk))
+    }
+
     fn sync_due(&mut self) {
         for position in 0..self.nodes.len() {
             let now = self.now;
