--- a/comfreymill_group/tests/schedule/node.rs
+++ b/comfreymill_group/tests/schedule/node.rs
@@ -49,6 +49,8 @@
     pub(crate) replica: Option<replica::Replica>,
     pub(crate) machine: Machine,
     pub(crate) halted: bool,
+    /// Commit index that the replica has shown since its start.
+    pub(crate) commit: id::Index,
     /// Until when the process gets no time to run.
     pub(crate) stalled_until: u64,
     clock_offset_micros: u64,
@@ -67,6 +69,7 @@
             replica: None,
             machine: Machine::default(),
             halted: false,
+            commit: id::Index::ZERO,
             stalled_until: 0,
             clock_offset_micros: 0,
             clock_rate_ppm: 1_000_000,
@@ -96,6 +99,7 @@
         };
         self.machine = Machine::default();
         self.halted = false;
+        self.commit = id::Index::ZERO;
         self.stalled_until = now;
         let clock = self.clock(now);
         self.replica = Some(replica::Replica::new(cfg, recovered, rng.random(), clock));
--- a/comfreymill_group/tests/schedule/world.rs
+++ b/comfreymill_group/tests/schedule/world.rs
@@ -168,6 +168,8 @@
             let node = &mut self.nodes[position];
             let Some(replica) = &mut node.replica else { return };
             let actions = replica.take_actions();
+            assert!(replica.commit_index() >= node.commit, "the commit index falls");
+            node.commit = replica.commit_index();
             if actions.is_empty() {
                 return;
             }
--- a/comfreymill_group/tests/store/folder.rs
+++ b/comfreymill_group/tests/store/folder.rs
@@ -47,24 +47,13 @@
     let disk = store::FolderDisk::open(&folder.0).expect("a folder");
     let (mut store, _) = store::Store::open(disk, model::options()).expect("opens");
     let mut largest_bytes = 0;
-    for seed in 0..30 {
-        let mut last = None;
-        for mut write in model::writes(seed, 10) {
-            write.snapshot = None;
-            write.reset = false;
-            write.entries.clear();
-            last = Some(write.clone());
-            store.write(vec![write]).expect("writes");
+    for round in 0..100 {
+        for index in round * 10 + 1..=round * 10 + 10 {
+            store.write(vec![model::append(index)]).expect("writes");
+            largest_bytes = largest_bytes.max(store.size_bytes());
         }
-        let snapshot =
-            model::writes(seed, 40).into_iter().find_map(|it| it.snapshot.filter(|_| it.reset));
-        if let (Some(mut write), Some(mut snapshot)) = (last, snapshot) {
-            snapshot.meta.index = comfreymill_group::id::Index::new(1_000 + seed);
-            write.snapshot = Some(snapshot);
-            write.reset = true;
-            store.write(vec![write]).expect("writes");
-        }
-        largest_bytes = largest_bytes.max(store.size_bytes());
+        store.write(vec![model::snapshot(round * 10 + 10)]).expect("writes");
     }
-    assert!(largest_bytes < 4_000, "files of {largest_bytes} bytes");
+    // Ten entries, one segment beyond its length and a snapshot.
+    assert!(largest_bytes < 2_000, "files of {largest_bytes} bytes");
 }
--- a/comfreymill_group/tests/store/model.rs
+++ b/comfreymill_group/tests/store/model.rs
@@ -89,6 +89,20 @@
     writes
 }
 
+/// Write of one entry.
+pub(super) fn append(index: u64) -> replica::Persist {
+    let payload = entry::Payload::Data(Bytes::from(vec![1; 40]));
+    let (index, term) = (id::Index::new(index), id::Term::new(1));
+    replica::Persist { entries: vec![entry::Entry { index, term, payload }], ..default() }
+}
+
+/// Write of a snapshot that ends at the entry `index`.
+pub(super) fn snapshot(index: u64) -> replica::Persist {
+    let mut rng = ChaCha8Rng::seed_from_u64(index);
+    let snapshot = snapshot_at(id::Index::new(index), id::Term::new(1), &mut rng);
+    replica::Persist { snapshot: Some(snapshot), ..default() }
+}
+
 fn default() -> replica::Persist {
     replica::Persist::default()
 }
