--- a/comfreymill_group/tests/scenario/disk.rs
+++ b/comfreymill_group/tests/scenario/disk.rs
@@ -1,6 +1,7 @@
-use crate::scenario::group;
+use crate::scenario::{group, older_term};
 use crate::schedule::node::Node;
-use comfreymill_group::{id, membership, replica};
+use comfreymill_group::{id, membership, message, replica};
+use comfreymill_types::time;
 
 #[test]
 fn an_empty_disk_is_refused_and_never_votes_as_its_old_self() {
@@ -77,3 +78,67 @@
     }
     panic!("{change:?} is never possible: {}", world.describe());
 }
+
+/// Lets `replica` take in the same answer of voters 2 to 5, with their disks or with others.
+fn answer_all<F>(replica: &mut replica::Replica, now: time::Monotonic, is_old: bool, body: F)
+where
+    F: Fn(u64) -> message::Body,
+{
+    for number in 2..=5 {
+        let term = replica.term().get();
+        let disk = if is_old { number * 10 } else { number * 10 + 1 };
+        let to_disk = replica.disk().get();
+        let message = message::Message { term, disk, to_disk, body: Some(body(term)) };
+        replica.step(now, id::VoterId::new(number), message);
+        for action in replica.take_actions() {
+            if let replica::Action::Persist(write) = action {
+                replica.persisted(now, write.sequence);
+            }
+        }
+    }
+}
+
+#[test]
+fn answers_of_other_disks_count_neither_for_elections_nor_for_commits_nor_for_the_lease() {
+    let mut replica = older_term::replica(1, 2, None);
+    let now = time::Monotonic::from_millis(700);
+    let term = replica.term();
+    replica.tick(now);
+    let pre_vote = |term: u64| {
+        let answer = message::PreVoteResponse { asked_term: term + 1, granted: true };
+        message::Body::PreVoteResponse(answer)
+    };
+    let vote = |_| message::Body::VoteResponse(message::VoteResponse { granted: true });
+    let accept = |_| {
+        let sent_at_micros = now.as_micros();
+        let (prev_index, rejected, index) = (1, false, 2);
+        let answer = message::AppendResponse { prev_index, rejected, index, sent_at_micros };
+        message::Body::AppendResponse(answer)
+    };
+    answer_all(&mut replica, now, false, pre_vote);
+    assert_eq!(replica.term(), term, "pre-votes of other disks count");
+    answer_all(&mut replica, now, true, pre_vote);
+    assert_eq!(replica.term(), term.next());
+    answer_all(&mut replica, now, false, vote);
+    assert_eq!(replica.role(), replica::Role::Candidate, "votes of other disks count");
+    answer_all(&mut replica, now, true, vote);
+    assert_eq!(replica.role(), replica::Role::Leader);
+    answer_all(&mut replica, now, false, accept);
+    assert_eq!(replica.commit_index(), id::Index::ZERO, "entries on other disks count");
+    assert!(!replica.lease_valid(now), "answers of other disks renew the lease");
+    answer_all(&mut replica, now, true, accept);
+    assert!(replica.commit_index() == id::Index::new(2) && replica.lease_valid(now));
+}
+
+#[test]
+fn a_message_for_another_disk_is_ignored() {
+    let mut replica = older_term::replica(1, 2, None);
+    let now = time::Monotonic::from_millis(10);
+    let body = message::Body::Heartbeat(message::Heartbeat { commit: 1, sent_at_micros: 1 });
+    for (to_disk, is_taken) in [(11, false), (10, true)] {
+        let message = message::Message { term: 5, disk: 20, to_disk, body: Some(body.clone()) };
+        replica.step(now, id::VoterId::new(2), message);
+        assert_eq!(replica.leader_hint().is_some(), is_taken);
+        assert_eq!(replica.commit_index() > id::Index::ZERO, is_taken);
+    }
+}
--- a/comfreymill_group/tests/scenario/older_term.rs
+++ b/comfreymill_group/tests/scenario/older_term.rs
@@ -11,7 +11,7 @@
 }
 
 /// Replica whose log has the membership at 1 and, if given, a no-op of `second_term` at 2.
-fn replica(number: u64, term: u64, second_term: Option<u64>) -> replica::Replica {
+pub(super) fn replica(number: u64, term: u64, second_term: Option<u64>) -> replica::Replica {
     let first = entry::Entry {
         index: id::Index::new(1),
         term: id::Term::new(1),
