fix(bench): reserve the ports of a cluster at once

The cluster reserved the ports of its control processes, freed them, then reserved those of its entries, and the system gave one port twice. Ruled out: an outgoing connection on the cluster's address, as their source is 127.0.0.1. Seen beside it: voters closed connections that carried nothing for 10 s, again and again. Change: one reservation for all ports; a voter's idle connection sends a frame every 3 s.

--- a/comfreymill_bench/src/cluster/cluster.rs
+++ b/comfreymill_bench/src/cluster/cluster.rs
@@ -34,12 +34,13 @@
         folder.write("cluster.key", KEY)?;
         folder.write("operators.token", Self::TOKEN)?;
         let host = host(folder.get_number());
-        let controls = reserve(host, 2 * cfg.controls)?;
+        // All at once, so that no port is given twice.
+        let ports = reserve(host, 2 * cfg.controls + 4 * cfg.entries)?;
+        let (controls, entries) = ports.split_at(2 * cfg.controls);
         let all: Vec<_> = controls
             .chunks(2)
             .map(|pair| ControlAddresses { peers: pair[0], operators: pair[1] })
             .collect();
-        let entries = reserve(host, 4 * cfg.entries)?;
         let mut this = Self {
             controls: Vec::new(),
             entries: Vec::new(),
--- a/comfreymill_node/src/control/session/listener.rs
+++ b/comfreymill_node/src/control/session/listener.rs
@@ -69,6 +69,9 @@
             Ok(frame) => frame,
             Err(error) => return error,
         };
+        if frame.kind() == peer::FrameKind::Alive {
+            continue;
+        }
         let input = match input(&frame, peer, session) {
             Ok(input) => input,
             Err(error) => return error,
--- a/comfreymill_node/src/control/voters.rs
+++ b/comfreymill_node/src/control/voters.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use comfreymill_group::id;
 use comfreymill_group::message;
 use comfreymill_types::id as name;
@@ -13,6 +14,7 @@
 const MAX_QUEUED_MESSAGES: usize = 1_024;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+const ALIVE_PERIOD: Duration = Duration::from_secs(3);
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Senders to the other voters.
@@ -110,6 +112,10 @@
                     .await
                     .map_err(|_| peer::PeerError::Silent)??;
             }
+            () = monoio::time::sleep(ALIVE_PERIOD) => {
+                let alive = peer::Frame::new(peer::FrameKind::Alive, 0, Bytes::new());
+                connection.writer.send(alive).await?;
+            }
             end = connection.reader.next() => {
                 // The other side sends nothing on this connection but its end.
                 end?;
--- a/comfreymill_node/src/peer/frame.rs
+++ b/comfreymill_node/src/peer/frame.rs
@@ -18,8 +18,8 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, prost::Enumeration)]
 #[repr(i32)]
 pub enum FrameKind {
-    /// Nothing; never sent.
-    None = 0,
+    /// Shows that the sender is alive.
+    Alive = 0,
     /// First frame of each side.
     Hello = 1,
     /// MAC over both hellos.
