--- a/comfreymill_group/examples/group_bench/cluster.rs
+++ b/comfreymill_group/examples/group_bench/cluster.rs
@@ -1,4 +1,5 @@
-use crate::member::{Event, Member, Queues, Shared};
+use crate::member::{Event, Member, PACED_GROUP, Queues, Shared};
+use crate::processor;
 use comfreymill_group::id;
 use std::io::{self, Write};
 use std::sync::atomic::Ordering;
@@ -8,6 +9,7 @@
 
 const COMMAND_BYTES: u64 = 200;
 const RUN: Duration = Duration::from_secs(4);
+const PACED_RUN: Duration = Duration::from_secs(10);
 const KILLS: usize = 30;
 
 /// Members of one group, with their threads.
@@ -20,7 +22,7 @@
 }
 
 impl Cluster {
-    fn start(folder: &path::Path, voters: u64) -> io::Result<Self> {
+    fn start(folder: &path::Path, voters: u64, sync: Duration) -> io::Result<Self> {
         let mut queues = Queues::new();
         let mut receivers = Vec::new();
         let mut relays = Vec::new();
@@ -32,6 +34,7 @@
         }
         let shared = Arc::new(Shared::default());
         shared.command_bytes.store(COMMAND_BYTES, Ordering::Relaxed);
+        shared.sync_micros.store(sync.as_micros() as u64, Ordering::Relaxed);
         let members = receivers.into_iter().map(|voter| (voter, None)).collect();
         let folder = folder.to_owned();
         let mut cluster = Self { folder, shared, queues, members, relays };
@@ -108,7 +111,7 @@
     W: Write,
 {
     for voters in [1, 3, 5] {
-        let cluster = Cluster::start(&folder.join("commits"), voters)?;
+        let cluster = Cluster::start(&folder.join("commits"), voters, Duration::ZERO)?;
         cluster.shared.takes_snapshots.store(true, Ordering::Relaxed);
         for window in [1, 16, 256, 2_048] {
             cluster.leader();
@@ -134,13 +137,65 @@
     Ok(())
 }
 
+/// Commits a second when each sync takes five milliseconds more.
+pub(crate) fn measure_slow_syncs<W>(folder: &path::Path, out: &mut W) -> io::Result<()>
+where
+    W: Write,
+{
+    let sync = Duration::from_millis(5);
+    let cluster = Cluster::start(&folder.join("slow"), 3, sync)?;
+    cluster.shared.takes_snapshots.store(true, Ordering::Relaxed);
+    for window in [1, 16, 256] {
+        cluster.leader();
+        cluster.set_window(window);
+        thread::sleep(Duration::from_millis(300));
+        let (start, before) = (Instant::now(), cluster.committed());
+        thread::sleep(RUN);
+        let rate = (cluster.committed() - before) as f64 / start.elapsed().as_secs_f64();
+        writeln!(out, "slow syncs: 3 voters, 5 ms a sync, {window} under way: {rate:.0}/s")?;
+    }
+    cluster.stop()
+}
+
+/// Processor time of a leader and a follower under a steady load.
+pub(crate) fn measure_pace<W>(folder: &path::Path, out: &mut W) -> io::Result<()>
+where
+    W: Write,
+{
+    let cluster = Cluster::start(&folder.join("pace"), 3, Duration::ZERO)?;
+    let leader = cluster.leader();
+    for starts in [0, 57] {
+        cluster.shared.pace.store(starts * PACED_GROUP, Ordering::Relaxed);
+        thread::sleep(Duration::from_secs(1));
+        let before = processor::ticks_by_member()?;
+        let (start, committed) = (Instant::now(), cluster.committed());
+        thread::sleep(PACED_RUN);
+        let elapsed = start.elapsed().as_secs_f64();
+        let rate = (cluster.committed() - committed) as f64 / elapsed;
+        let after = processor::ticks_by_member()?;
+        let percent = |position: usize| {
+            let voter = cluster.members[position].0.get();
+            let ticks = after.get(&voter).unwrap_or(&0) - before.get(&voter).unwrap_or(&0);
+            ticks as f64 / processor::TICKS_PER_SECOND / elapsed * 100.0
+        };
+        writeln!(
+            out,
+            "pace: 3 voters, {starts} starts of {PACED_GROUP} entries a second ({rate:.0} entries/s): \
+             leader {:.2}% of a core, follower {:.2}%",
+            percent(leader),
+            percent((leader + 1) % 3),
+        )?;
+    }
+    cluster.stop()
+}
+
 /// Time from the end of the leader's thread to the next commit.
 pub(crate) fn measure_kills<W>(folder: &path::Path, out: &mut W) -> io::Result<()>
 where
     W: Write,
 {
     for voters in [3, 5] {
-        let mut cluster = Cluster::start(&folder.join("kills"), voters)?;
+        let mut cluster = Cluster::start(&folder.join("kills"), voters, Duration::ZERO)?;
         cluster.set_window(1);
         let mut gaps = Vec::new();
         for _ in 0..KILLS {
--- a/comfreymill_group/examples/group_bench/main.rs
+++ b/comfreymill_group/examples/group_bench/main.rs
@@ -7,6 +7,8 @@
 mod files;
 mod idle;
 mod member;
+mod processor;
+mod slow_disk;
 
 use std::io::{self, Write};
 use std::{env, path};
@@ -16,6 +18,8 @@
     let folder = folder.join(format!("group_bench-{}", std::process::id()));
     let mut out = io::stdout();
     cluster::measure_commits(&folder, &mut out)?;
+    cluster::measure_slow_syncs(&folder, &mut out)?;
+    cluster::measure_pace(&folder, &mut out)?;
     cluster::measure_kills(&folder, &mut out)?;
     files::measure_restart(&folder, &mut out)?;
     files::measure_snapshot(&folder, &mut out)?;
--- a/comfreymill_group/examples/group_bench/member.rs
+++ b/comfreymill_group/examples/group_bench/member.rs
@@ -1,3 +1,4 @@
+use crate::slow_disk::SlowDisk;
 use bytes::Bytes;
 use comfreymill_group::{entry, id, message, replica, store};
 use comfreymill_types::time;
@@ -7,7 +8,9 @@
 use std::time::{Duration, Instant};
 use std::{io, path, thread};
 
-const TICK: Duration = Duration::from_millis(5);
+/// Commands proposed together under a paced load.
+pub(crate) const PACED_GROUP: u64 = 4;
+
 const MAX_EVENTS_PER_TURN: usize = 512;
 
 /// What a member of the group under measurement is told.
@@ -25,6 +28,10 @@
 pub(crate) struct Shared {
     /// Commands that the leader keeps proposed and not committed.
     pub(crate) window: AtomicU64,
+    /// Commands that the leader proposes in a second instead, in groups of [`PACED_GROUP`].
+    pub(crate) pace: AtomicU64,
+    /// Microseconds that each sync takes longer.
+    pub(crate) sync_micros: AtomicU64,
     /// Length of a command.
     pub(crate) command_bytes: AtomicU64,
     /// Commands that a leader saw committed.
@@ -49,6 +56,7 @@
     shared: Arc<Shared>,
     started: Instant,
     outstanding: u64,
+    next_group_at: time::Monotonic,
 }
 
 impl Member {
@@ -60,7 +68,8 @@
         rx: mpsc::Receiver<Event>,
         shared: &Arc<Shared>,
     ) -> io::Result<thread::JoinHandle<()>> {
-        let disk = store::FolderDisk::open(folder)?;
+        let sync = Duration::from_micros(shared.sync_micros.load(Ordering::Relaxed));
+        let disk = SlowDisk::open(folder, sync)?;
         let options = store::Options::new(id::GroupId::new(1), voter);
         let (store, recovered) = store::Store::open(disk, options).map_err(io::Error::other)?;
         let tx = queues[&voter].clone();
@@ -73,13 +82,15 @@
         let replica = replica::Replica::new(cfg, recovered, seed, time::Monotonic::ZERO);
         let (queues, shared) = (queues.clone(), Arc::clone(shared));
         let started = Instant::now();
-        let member = Self { voter, replica, writer, queues, shared, started, outstanding: 0 };
+        let (outstanding, next_group_at) = (0, time::Monotonic::ZERO);
+        let member =
+            Self { voter, replica, writer, queues, shared, started, outstanding, next_group_at };
         thread::Builder::new().name(format!("member-{voter}")).spawn(move || member.run(&rx))
     }
 
     fn run(mut self, rx: &mpsc::Receiver<Event>) {
         loop {
-            let first = match rx.recv_timeout(TICK) {
+            let first = match rx.recv_timeout(self.idle_time()) {
                 Ok(event) => Some(event),
                 Err(mpsc::RecvTimeoutError::Timeout) => None,
                 Err(mpsc::RecvTimeoutError::Disconnected) => return,
@@ -104,6 +115,19 @@
         }
     }
 
+    /// Time until something is due without an event.
+    fn idle_time(&self) -> Duration {
+        let now = self.now();
+        let wait = self.replica.next_tick_at().since(now);
+        let is_paced = self.shared.pace.load(Ordering::Relaxed) > 0;
+        if is_paced && self.replica.is_ready() { wait.min(self.group_interval()) } else { wait }
+    }
+
+    fn group_interval(&self) -> Duration {
+        let pace = self.shared.pace.load(Ordering::Relaxed).max(1);
+        Duration::from_micros(1_000_000 * PACED_GROUP / pace)
+    }
+
     fn now(&self) -> time::Monotonic {
         time::Monotonic::ZERO + self.started.elapsed()
     }
@@ -121,12 +145,11 @@
             return;
         }
         self.shared.leader.store(self.voter.get(), Ordering::Relaxed);
-        let window = self.shared.window.load(Ordering::Relaxed);
-        let bytes = self.shared.command_bytes.load(Ordering::Relaxed);
-        let count = window.saturating_sub(self.outstanding);
+        let count = self.due_commands(now);
         if count == 0 {
             return;
         }
+        let bytes = self.shared.command_bytes.load(Ordering::Relaxed);
         let command = Bytes::from(vec![7; usize::try_from(bytes).unwrap_or(0)]);
         let commands = (0..count).map(|_| command.clone()).collect();
         if self.replica.propose(now, commands).is_ok() {
@@ -134,6 +157,18 @@
         }
     }
 
+    fn due_commands(&mut self, now: time::Monotonic) -> u64 {
+        if self.shared.pace.load(Ordering::Relaxed) == 0 {
+            let window = self.shared.window.load(Ordering::Relaxed);
+            return window.saturating_sub(self.outstanding);
+        }
+        if now < self.next_group_at {
+            return 0;
+        }
+        self.next_group_at = now.max(self.next_group_at + self.group_interval());
+        PACED_GROUP
+    }
+
     fn carry_out(&mut self) {
         for action in self.replica.take_actions() {
             match action {
--- a/comfreymill_group/src/store/thread.rs
+++ b/comfreymill_group/src/store/thread.rs
@@ -27,8 +27,9 @@
         F: FnMut(Completion) + Send + 'static,
     {
         let (tx, rx) = mpsc::channel();
+        let name = format!("store-{}", store.identity().voter);
         let run = move || serve(store, &rx, on_completion);
-        let handle = thread::Builder::new().name("store".to_owned()).spawn(run)?;
+        let handle = thread::Builder::new().name(name).spawn(run)?;
         Ok(Self { tx: Some(tx), handle: Some(handle) })
     }
 
--- a/comfreymill_group/tests/scenario/mod.rs
+++ b/comfreymill_group/tests/scenario/mod.rs
@@ -1,6 +1,7 @@
 //! Single situations of a group, each with the fault that it is about.
 
 mod disk;
+mod durable;
 mod founding;
 mod group;
 mod kill;
