test(group): schedules read real files back after each restart

Cause: the schedules stood on a model of the store, not on the store. Change: in a third of the schedules each write also goes through Store, and each restart opens what a loss of power would leave and compares it with the model.

--- a/comfreymill_group/tests/schedule/mod.rs
+++ b/comfreymill_group/tests/schedule/mod.rs
@@ -5,6 +5,7 @@
 mod checker;
 mod coverage;
 mod faults;
+mod file_store;
 mod machine;
 mod network;
 pub(crate) mod node;
--- a/comfreymill_group/tests/schedule/node.rs
+++ b/comfreymill_group/tests/schedule/node.rs
@@ -1,3 +1,4 @@
+use crate::schedule::file_store::FileStore;
 use crate::schedule::machine::Machine;
 use comfreymill_group::{entry, id, replica, snapshot};
 use comfreymill_types::time;
@@ -44,6 +45,8 @@
     pub(crate) voter: id::VoterId,
     pub(crate) start: replica::Start,
     pub(crate) durable: DurableState,
+    /// Files beside `durable`, which have to hold the same.
+    pub(crate) files: Option<FileStore>,
     /// Writes handed out and not synced, with the time at which they will be.
     pub(crate) unsynced: VecDeque<(u64, replica::Persist)>,
     pub(crate) replica: Option<replica::Replica>,
@@ -65,6 +68,7 @@
             voter,
             start,
             durable: DurableState { disk, ..DurableState::default() },
+            files: None,
             unsynced: VecDeque::new(),
             replica: None,
             machine: Machine::default(),
@@ -90,6 +94,9 @@
         self.clock_rate_ppm = rates[rng.random_range(0..rates.len())];
         self.clock_offset_micros = rng.random_range(0..10_000_000);
         self.started_at = now;
+        if let Some(files) = &mut self.files {
+            files.reopen(&self.durable);
+        }
         let recovered = replica::Recovered {
             voter: self.voter,
             disk: self.durable.disk,
@@ -108,13 +115,20 @@
     /// Kills the replica; of the writes under way, the first few may reach the disk.
     pub(crate) fn crash(&mut self, rng: &mut ChaCha8Rng) {
         let survivors = rng.random_range(0..=self.unsynced.len());
-        for (_, write) in self.unsynced.drain(..).take(survivors) {
-            self.durable.write(&write);
+        for (_, write) in std::mem::take(&mut self.unsynced).into_iter().take(survivors) {
+            self.write(&write);
         }
-        self.unsynced.clear();
         self.replica = None;
     }
 
+    /// Syncs a write.
+    pub(crate) fn write(&mut self, write: &replica::Persist) {
+        self.durable.write(write);
+        if let Some(files) = &mut self.files {
+            files.write(write);
+        }
+    }
+
     /// Whether it runs and takes part.
     pub(crate) fn is_live(&self) -> bool {
         self.replica.is_some() && !self.halted
--- a/comfreymill_group/tests/schedule/runs.rs
+++ b/comfreymill_group/tests/schedule/runs.rs
@@ -13,6 +13,7 @@
 fn run(seed: u64) -> Coverage {
     let voters = [3, 3, 5, 1, 3, 4, 2, 5][usize::try_from(seed % 8).expect("small")];
     let mut world = World::with_profile(seed, voters, Profile::of(seed));
+    world.keep_files(seed.is_multiple_of(3));
     for _ in 0..STEPS {
         world.step();
     }
--- a/comfreymill_group/tests/schedule/world.rs
+++ b/comfreymill_group/tests/schedule/world.rs
@@ -13,6 +13,8 @@
 #[derive(Debug)]
 pub(crate) struct World {
     pub(crate) profile: Profile,
+    /// Whether replicas keep their state in files, too.
+    pub(crate) uses_files: bool,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) now: u64,
     pub(crate) nodes: Vec<Node>,
@@ -43,6 +45,7 @@
         let nodes = ids.iter().map(|voter| Node::new(*voter, disk(voter), start.clone())).collect();
         let mut world = Self {
             profile,
+            uses_files: false,
             rng,
             now: 1,
             nodes,
@@ -78,6 +81,9 @@
 
     /// Starts the node at `position`.
     pub(crate) fn start(&mut self, position: usize) {
+        if self.uses_files {
+            self.nodes[position].files.get_or_insert_default();
+        }
         let cfg = self.config(self.nodes[position].start.clone());
         self.nodes[position].start(&mut self.rng, self.now, cfg);
         self.perform(position);
@@ -153,6 +159,14 @@
         proposed.is_ok().then_some(number)
     }
 
+    /// Lets replicas keep their state in files, too.
+    pub(crate) fn keep_files(&mut self, uses_files: bool) {
+        self.uses_files = uses_files;
+        for node in self.nodes.iter_mut().filter(|_| uses_files) {
+            node.files.get_or_insert_default();
+        }
+    }
+
     /// States of all nodes, for the message of a failure.
     pub(crate) fn describe(&self) -> String {
         let states = self.nodes.iter().map(|node| {
@@ -255,7 +269,7 @@
             let mut newest = None;
             while node.unsynced.front().is_some_and(|(at, _)| *at <= now) {
                 let Some((_, write)) = node.unsynced.pop_front() else { break };
-                node.durable.write(&write);
+                node.write(&write);
                 newest = Some(write.sequence);
             }
             let clock = node.clock(now);
--- a/comfreymill_group/tests/store/faulty_disk.rs
+++ b/comfreymill_group/tests/store/faulty_disk.rs
@@ -4,11 +4,11 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// Files by name.
-pub(super) type Files = BTreeMap<String, Vec<u8>>;
+pub(crate) type Files = BTreeMap<String, Vec<u8>>;
 
 /// Disk in memory that fails as told and remembers what a crash would leave.
 #[derive(Clone, Debug, Default)]
-pub(super) struct FaultyDisk {
+pub(crate) struct FaultyDisk {
     state: Arc<Mutex<State>>,
 }
 
@@ -32,29 +32,29 @@
 
 /// Failure of one operation and all that follow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) struct Fault {
+pub(crate) struct Fault {
     /// Operations that succeed before.
-    pub(super) after: u64,
+    pub(crate) after: u64,
     /// Bytes of the failing append that are written all the same.
-    pub(super) partial_bytes: usize,
+    pub(crate) partial_bytes: usize,
     /// Only syncs fail, and lose what they were to sync.
-    pub(super) only_syncs: bool,
+    pub(crate) only_syncs: bool,
 }
 
 /// What a crash between two operations leaves.
 #[derive(Clone, Debug)]
-pub(super) struct Image {
+pub(crate) struct Image {
     /// After the end of the process alone.
-    pub(super) process: Files,
+    pub(crate) process: Files,
     /// After a loss of power that keeps only what was synced.
-    pub(super) power: Files,
+    pub(crate) power: Files,
     /// After a loss of power that keeps all names and a part of what was not synced.
-    pub(super) torn: Files,
+    pub(crate) torn: Files,
 }
 
 impl FaultyDisk {
     /// Disk that holds `files`.
-    pub(super) fn with_files(files: &Files) -> Self {
+    pub(crate) fn with_files(files: &Files) -> Self {
         let disk = Self::default();
         let mut state = disk.lock();
         for (name, bytes) in files {
@@ -68,17 +68,17 @@
     }
 
     /// Lets operations fail.
-    pub(super) fn fail(&self, fault: Fault) {
+    pub(crate) fn fail(&self, fault: Fault) {
         self.lock().fault = Some(fault);
     }
 
     /// Starts to keep an image before each operation.
-    pub(super) fn keep_images(&self) {
+    pub(crate) fn keep_images(&self) {
         self.lock().images = Some(Vec::new());
     }
 
     /// Images kept so far, and the present one.
-    pub(super) fn take_images(&self) -> Vec<Image> {
+    pub(crate) fn take_images(&self) -> Vec<Image> {
         let mut state = self.lock();
         let last = state.image();
         let mut images = state.images.take().unwrap_or_default();
@@ -87,22 +87,22 @@
     }
 
     /// Files as a running process sees them.
-    pub(super) fn files(&self) -> Files {
+    pub(crate) fn files(&self) -> Files {
         self.lock().image().process
     }
 
     /// Files after a loss of power.
-    pub(super) fn files_after_power_loss(&self) -> Files {
+    pub(crate) fn files_after_power_loss(&self) -> Files {
         self.lock().image().power
     }
 
     /// Number of operations so far.
-    pub(super) fn operations(&self) -> u64 {
+    pub(crate) fn operations(&self) -> u64 {
         self.lock().operations
     }
 
     /// Number of syncs of files so far.
-    pub(super) fn syncs(&self) -> u64 {
+    pub(crate) fn syncs(&self) -> u64 {
         self.lock().syncs
     }
 
--- a/comfreymill_group/tests/store/mod.rs
+++ b/comfreymill_group/tests/store/mod.rs
@@ -2,10 +2,10 @@
 
 mod crashes;
 mod damage;
-mod faulty_disk;
+pub(crate) mod faulty_disk;
 mod folder;
 mod identity;
-mod model;
+pub(crate) mod model;
 mod poison;
 mod restore;
 mod thread;
--- a/comfreymill_group/tests/store/model.rs
+++ b/comfreymill_group/tests/store/model.rs
@@ -4,36 +4,36 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-pub(super) type OpenResult =
+pub(crate) type OpenResult =
     Result<(store::Store<FaultyDisk>, replica::Recovered), store::StoreError>;
 
 /// Options of the tests, with short segments.
-pub(super) fn options() -> store::Options {
+pub(crate) fn options() -> store::Options {
     store::Options::new(id::GroupId::new(7), id::VoterId::new(3)).segment_bytes(300)
 }
 
 /// Opens a store on `files`.
-pub(super) fn open(files: &Files) -> OpenResult {
+pub(crate) fn open(files: &Files) -> OpenResult {
     store::Store::open(FaultyDisk::with_files(files), options())
 }
 
 /// What a store has to give back after some writes.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub(super) struct Model {
-    pub(super) hard_state: entry::HardState,
-    pub(super) snapshot: Option<snapshot::Snapshot>,
-    pub(super) entries: Vec<entry::Entry>,
+pub(crate) struct Model {
+    pub(crate) hard_state: entry::HardState,
+    pub(crate) snapshot: Option<snapshot::Snapshot>,
+    pub(crate) entries: Vec<entry::Entry>,
 }
 
 impl Model {
     /// Model of what was read.
-    pub(super) fn of(recovered: replica::Recovered) -> Self {
+    pub(crate) fn of(recovered: replica::Recovered) -> Self {
         let replica::Recovered { hard_state, snapshot, entries, .. } = recovered;
         Self { hard_state, snapshot, entries }
     }
 
     /// Carries out `write`.
-    pub(super) fn write(&mut self, write: &replica::Persist) {
+    pub(crate) fn write(&mut self, write: &replica::Persist) {
         self.hard_state = write.hard_state.unwrap_or(self.hard_state);
         if let Some(snapshot) = &write.snapshot {
             self.entries.retain(|entry| entry.index > snapshot.meta.index && !write.reset);
@@ -53,12 +53,12 @@
 }
 
 /// Writes of a seed, as replicas make them: appends, overwritten tails, votes and snapshots.
-pub(super) fn writes(seed: u64, count: u64) -> Vec<replica::Persist> {
+pub(crate) fn writes(seed: u64, count: u64) -> Vec<replica::Persist> {
     make_writes(seed, count, 0)
 }
 
 /// Like [`writes`], without snapshots.
-pub(super) fn writes_without_snapshots(seed: u64, count: u64) -> Vec<replica::Persist> {
+pub(crate) fn writes_without_snapshots(seed: u64, count: u64) -> Vec<replica::Persist> {
     make_writes(seed, count, 2)
 }
 
@@ -90,14 +90,14 @@
 }
 
 /// Write of one entry.
-pub(super) fn append(index: u64) -> replica::Persist {
+pub(crate) fn append(index: u64) -> replica::Persist {
     let payload = entry::Payload::Data(Bytes::from(vec![1; 40]));
     let (index, term) = (id::Index::new(index), id::Term::new(1));
     replica::Persist { entries: vec![entry::Entry { index, term, payload }], ..default() }
 }
 
 /// Write of a snapshot that ends at the entry `index`.
-pub(super) fn snapshot(index: u64) -> replica::Persist {
+pub(crate) fn snapshot(index: u64) -> replica::Persist {
     let mut rng = ChaCha8Rng::seed_from_u64(index);
     let snapshot = snapshot_at(id::Index::new(index), id::Term::new(1), &mut rng);
     replica::Persist { snapshot: Some(snapshot), ..default() }
