--- /dev/null
+++ b/comfreymill_group/src/replica/send_snapshot.rs
@@ -0,0 +1,53 @@
+use crate::id;
+use crate::message;
+use crate::replica::Replica;
+use crate::replica::election::State;
+use crate::replica::outgoing::Outgoing;
+use crate::replica::peer::Flow;
+use comfreymill_types::time;
+
+impl Replica {
+    /// Starts to send the newest snapshot to `to`. It is sent to its end even if a newer one is
+    /// taken meanwhile, so that a slow follower gets on.
+    pub(super) fn start_snapshot(&mut self, now: time::Monotonic, to: id::VoterId) {
+        let Some(snapshot) = self.snapshot.clone() else { return };
+        let State::Leader(leader) = &mut self.state else { return };
+        let Some(peer) = leader.peers.get_mut(&to) else { return };
+        peer.probe_from(peer.next);
+        peer.flow = Flow::Snapshot(Box::new(Outgoing::new(snapshot)));
+        self.send_chunk(now, to);
+    }
+
+    /// Sends the next part of the snapshot to `to`, without data if `to` is silent.
+    pub(super) fn send_chunk(&mut self, now: time::Monotonic, to: id::VoterId) {
+        let (lease, chunk_bytes) = (self.cfg.get_lease(), self.cfg.get_snapshot_chunk_bytes());
+        let State::Leader(leader) = &mut self.state else { return };
+        let Some(peer) = leader.peers.get_mut(&to) else { return };
+        let max_bytes = if peer.is_heard(now, lease) { chunk_bytes } else { 0 };
+        let Flow::Snapshot(outgoing) = &peer.flow else { return };
+        let chunk = outgoing.chunk(now, max_bytes);
+        peer.waiting_since = Some(now);
+        let disk = peer.disk;
+        self.send(to, disk, message::Body::SnapshotChunk(chunk));
+    }
+
+    /// Goes on with the snapshot where the follower says.
+    pub(super) fn handle_snapshot_response(
+        &mut self,
+        now: time::Monotonic,
+        from: id::VoterId,
+        disk: id::DiskId,
+        answer: message::SnapshotResponse,
+    ) {
+        let sent_at = time::Monotonic::from_micros(answer.sent_at_micros);
+        let Some(peer) = self.peer_mut(from, disk) else { return };
+        peer.confirm(sent_at, now);
+        let is_awaited = peer.waiting_since == Some(sent_at);
+        let Flow::Snapshot(outgoing) = &mut peer.flow else { return };
+        if is_awaited && outgoing.ends_at(answer.index) {
+            outgoing.offset = answer.next_offset;
+            peer.waiting_since = None;
+            self.replicate(now, from);
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_group/tests/store/mod.rs
@@ -0,0 +1,11 @@
+//! Files of a replica: what is read back after damage, crashes, a full disk and failed syncs.
+
+mod crashes;
+mod damage;
+pub(crate) mod faulty_disk;
+mod folder;
+mod identity;
+pub(crate) mod model;
+mod poison;
+mod restore;
+mod thread;
--- a/comfreymill_node/src/lib.rs
+++ b/comfreymill_node/src/lib.rs
@@ -1,4 +1,16 @@
 //! Processes of comfreymill: control, entry and the client of the command line.
 
+pub mod clock;
+pub mod command;
+pub mod control;
+pub mod embedded;
+pub mod entry;
+pub mod logs;
+pub mod metering;
 pub mod peer;
+pub mod protocol;
+pub mod runtime;
 pub mod settings;
+pub mod web;
+
+mod random;
--- a/comfreymill_node/src/settings/entry_settings.rs
+++ b/comfreymill_node/src/settings/entry_settings.rs
@@ -1,13 +1,14 @@
 use std::net;
 use std::path;
 
+use comfreymill_route::router;
 use comfreymill_types::document;
 use comfreymill_types::id;
 use comfreymill_types::yaml;
 
+use super::CommonSettings;
 use super::common_settings;
 use super::settings_file;
-use super::{CommonSettings, RoutingPolicy};
 
 /// Settings of an entry process.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -18,7 +19,7 @@
     upstreams: net::SocketAddr,
     callers_token_file: Option<path::PathBuf>,
     upstreams_token_file: Option<path::PathBuf>,
-    routing: RoutingPolicy,
+    routing: router::Policy,
 }
 
 impl EntrySettings {
@@ -36,7 +37,7 @@
             upstreams,
             callers_token_file: None,
             upstreams_token_file: None,
-            routing: RoutingPolicy::default(),
+            routing: router::Policy::default(),
         }
     }
 
@@ -46,7 +47,15 @@
     ///
     /// Every problem of the file.
     pub fn read(text: &[u8], folder: &path::Path) -> Result<Self, Vec<document::Problem>> {
-        settings_file::read(text, |section| Self::read_section(section, folder))
+        let node = yaml::Node::parse(text).map_err(|problem| vec![problem])?;
+        Self::read_node(&node, folder)
+    }
+
+    pub(super) fn read_node(
+        node: &yaml::Node,
+        folder: &path::Path,
+    ) -> Result<Self, Vec<document::Problem>> {
+        settings_file::read(node, |section| Self::read_section(section, folder))
     }
 
     /// Settings that every process has.
@@ -80,7 +89,7 @@
     }
 
     /// Rule by which an executor is chosen.
-    pub fn get_routing(&self) -> RoutingPolicy {
+    pub fn get_routing(&self) -> router::Policy {
         self.routing
     }
 
@@ -100,7 +109,7 @@
 
     /// Sets the rule by which an executor is chosen.
     #[must_use]
-    pub fn routing(mut self, routing: RoutingPolicy) -> Self {
+    pub fn routing(mut self, routing: router::Policy) -> Self {
         self.routing = routing;
         self
     }
@@ -131,7 +140,7 @@
         Some(settings)
     }
 
-    pub(super) fn get_listeners(&self) -> [(&'static str, net::SocketAddr); 4] {
+    fn get_listeners(&self) -> [(&'static str, net::SocketAddr); 4] {
         let network = self.common.get_network();
         [
             ("callers", self.callers),
--- /dev/null
+++ b/comfreymill_route/tests/cluster/mod.rs
@@ -0,0 +1,8 @@
+mod attempts;
+mod entry;
+mod executor;
+mod faults;
+mod leader;
+mod message;
+mod properties;
+mod world;
