--- a/comfreymill_bench/examples/batch_policy.rs
+++ b/comfreymill_bench/examples/batch_policy.rs
@@ -24,7 +24,7 @@
             batch::policy(site.parse()?, seed)
         };
         for figure in figures {
-            writeln!(out, "{figure}")?;
+            writeln!(out, "{figure} seed {}", figure.seed)?;
         }
     }
     Ok(())
--- a/comfreymill_bench/src/batch/cost.rs
+++ b/comfreymill_bench/src/batch/cost.rs
@@ -12,7 +12,7 @@
 
 use super::trial::environment;
 use super::{Site, Worker};
-use crate::Figure;
+use crate::figure::Figure;
 
 const TASKS_PER_WORKER: usize = 15;
 const TARGET_TASKS: usize = 17_600;
--- a/comfreymill_bench/src/batch/measures.rs
+++ b/comfreymill_bench/src/batch/measures.rs
@@ -4,7 +4,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::{Hidden, Kind};
-use crate::Figure;
+use crate::figure::Figure;
 
 const REQUESTS_PER_WORKER_AND_SECOND: usize = 2;
 const SIGMA: f64 = 0.5;
--- a/comfreymill_bench/src/batch/policy.rs
+++ b/comfreymill_bench/src/batch/policy.rs
@@ -1,7 +1,7 @@
 use comfreymill_batch::config;
 
 use super::{Plan, Site, Trial};
-use crate::Figure;
+use crate::figure::Figure;
 
 /// Measures every policy over the same seeded sequence of events.
 pub fn policy(site: Site, seed: u64) -> Vec<Figure> {
--- a/comfreymill_bench/src/lib.rs
+++ b/comfreymill_bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for callers, executors and workers, and the benchmark command.
 
 pub mod batch;
-mod figure;
-
-pub use figure::Figure;
+pub mod cluster;
+pub mod figure;
+pub mod route;
+pub mod standin;
--- a/comfreymill_group/tests/scenario/mod.rs
+++ b/comfreymill_group/tests/scenario/mod.rs
@@ -1,10 +1,13 @@
 //! Single situations of a group, each with the fault that it is about.
 
 mod disk;
+mod durable;
+mod founding;
 mod group;
 mod kill;
 mod limits;
 mod member;
 mod message;
+mod older_term;
 mod partition;
 mod transfer;
--- a/comfreymill_group/tests/schedule/world.rs
+++ b/comfreymill_group/tests/schedule/world.rs
@@ -13,6 +13,8 @@
 #[derive(Debug)]
 pub(crate) struct World {
     pub(crate) profile: Profile,
+    /// Whether replicas keep their state in files, too.
+    pub(crate) uses_files: bool,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) now: u64,
     pub(crate) nodes: Vec<Node>,
@@ -43,6 +45,7 @@
         let nodes = ids.iter().map(|voter| Node::new(*voter, disk(voter), start.clone())).collect();
         let mut world = Self {
             profile,
+            uses_files: false,
             rng,
             now: 1,
             nodes,
@@ -78,6 +81,9 @@
 
     /// Starts the node at `position`.
     pub(crate) fn start(&mut self, position: usize) {
+        if self.uses_files {
+            self.nodes[position].files.get_or_insert_default();
+        }
         let cfg = self.config(self.nodes[position].start.clone());
         self.nodes[position].start(&mut self.rng, self.now, cfg);
         self.perform(position);
@@ -107,6 +113,10 @@
                 continue;
             };
             let node = &mut self.nodes[position];
+            if node.stalled_until > self.now {
+                self.network.defer(node.stalled_until, from, to, message);
+                continue;
+            }
             let clock = node.clock(self.now);
             if let Some(replica) = &mut node.replica {
                 replica.step(clock, from, message);
@@ -119,7 +129,8 @@
         for position in 0..self.nodes.len() {
             let node = &mut self.nodes[position];
             let clock = node.clock(self.now);
-            if let Some(replica) = &mut node.replica {
+            let runs = node.stalled_until <= self.now;
+            if let Some(replica) = node.replica.as_mut().filter(|_| runs) {
                 replica.tick(clock);
                 self.perform(position);
             }
@@ -148,6 +159,14 @@
         proposed.is_ok().then_some(number)
     }
 
+    /// Lets replicas keep their state in files, too.
+    pub(crate) fn keep_files(&mut self, uses_files: bool) {
+        self.uses_files = uses_files;
+        for node in self.nodes.iter_mut().filter(|_| uses_files) {
+            node.files.get_or_insert_default();
+        }
+    }
+
     /// States of all nodes, for the message of a failure.
     pub(crate) fn describe(&self) -> String {
         let states = self.nodes.iter().map(|node| {
@@ -163,6 +182,8 @@
             let node = &mut self.nodes[position];
             let Some(replica) = &mut node.replica else { return };
             let actions = replica.take_actions();
+            assert!(replica.commit_index() >= node.commit, "the commit index falls");
+            node.commit = replica.commit_index();
             if actions.is_empty() {
                 return;
             }
@@ -178,6 +199,9 @@
         match action {
             replica::Action::Persist(write) => {
                 self.checker.on_write(&self.nodes[position], &write);
+                if let Some(snapshot) = &write.snapshot {
+                    self.checker.on_snapshot(&snapshot.meta);
+                }
                 let earliest = self.nodes[position].unsynced.back().map_or(0, |(at, _)| *at);
                 let delay = self.rng.random_range(0..=self.sync_max_micros);
                 let at = earliest.max(self.now + delay);
@@ -202,6 +226,11 @@
                 self.checker.coverage.refused_disks += 1;
                 self.nodes[position].halted = true;
             }
+            replica::Action::Halt(replica::Halt::Removed { .. }) => {
+                assert!(self.is_removed(position), "member {from} is told that it was removed");
+                self.checker.coverage.removed += 1;
+                self.nodes[position].halted = true;
+            }
             replica::Action::Halt(halt) => panic!("{halt}"),
             replica::Action::Dropped { .. } => self.checker.coverage.overwritten += 1,
             replica::Action::Role { .. } => {}
@@ -209,9 +238,11 @@
     }
 
     fn apply(&mut self, position: usize, entry: &entry::Entry) {
+        let term =
+            self.nodes[position].replica.as_ref().map_or(id::Term::ZERO, replica::Replica::term);
         let machine = &mut self.nodes[position].machine;
         machine.apply(entry);
-        self.checker.on_apply(entry, *machine);
+        self.checker.on_apply(entry, *machine, term);
         if let Some(number) = self.open.remove(&(position, entry.index, entry.term)) {
             if let entry::Payload::Data(data) = &entry.payload {
                 assert_eq!(checker::command_number(data), number);
@@ -220,14 +251,25 @@
         }
     }
 
+    /// Whether some replica that leads has a membership without the node at `position`.
+    fn is_removed(&self, position: usize) -> bool {
+        let (voter, disk) = (self.nodes[position].voter, self.nodes[position].durable.disk);
+        let replicas = self.nodes.iter().filter_map(|node| node.replica.as_ref());
+        let mut memberships = replicas.map(replica::Replica::membership);
+        memberships.any(|members| !members.is_empty() && !members.contains(voter, disk))
+    }
+
     fn sync_due(&mut self) {
         for position in 0..self.nodes.len() {
             let now = self.now;
             let node = &mut self.nodes[position];
+            if node.stalled_until > now {
+                continue;
+            }
             let mut newest = None;
             while node.unsynced.front().is_some_and(|(at, _)| *at <= now) {
                 let Some((_, write)) = node.unsynced.pop_front() else { break };
-                node.durable.write(&write);
+                node.write(&write);
                 newest = Some(write.sequence);
             }
             let clock = node.clock(now);
--- a/comfreymill_ledger/src/ledger/ledger.rs
+++ b/comfreymill_ledger/src/ledger/ledger.rs
@@ -66,10 +66,10 @@
             command::Command::RecordCheckpoint { attempt, checkpoint } => {
                 self.record_checkpoint(attempt, checkpoint)
             }
-            command::Command::EndAttempt { attempt, outcome, checkpoint } => {
-                self.end_attempt(attempt, &outcome, checkpoint)
+            command::Command::EndAttempt { attempt, outcome, checkpoint, parking } => {
+                self.end_attempt(attempt, &outcome, checkpoint, parking)
             }
-            command::Command::ParkTask { task, reason } => self.park_task(task, reason),
+            command::Command::ParkTask { task, parking } => self.park_task(task, parking),
             command::Command::ReleaseTask { task } => self.release_task(task),
             command::Command::OpenRequest { key, digest, owner, unrepeatable } => {
                 self.requests.open(self.now, key, digest, owner, unrepeatable)
@@ -109,6 +109,11 @@
         &self.jobs
     }
 
+    /// Whether a job was accepted under this key, even if it ended long ago.
+    pub fn is_job_key_known(&self, key: &id::IdempotencyKey) -> bool {
+        self.job_keys.contains_key(key)
+    }
+
     /// Task of this id.
     pub fn get_task(&self, task: id::TaskId) -> Option<&job::Task> {
         let index = usize::try_from(task.index).ok()?;
