feat(batch): scale the accepted slowdown by half the tail's weight

Cause: with the Trust's weights the accepted slowdown came out above the hysteresis' own bound, and the tail missed 1.1.

Change: the accepted slowdown is the bound times 0.5 over the tail's share.

--- a/comfreymill_batch/src/scheduler/cost.rs
+++ b/comfreymill_batch/src/scheduler/cost.rs
@@ -11,6 +11,7 @@
 const SPREAD_COST: f64 = 0.1;
 const STRANDED_ACCELERATOR_COST: f64 = 0.5;
 const GATE_PART: f64 = 0.8;
+const USUAL_TAIL_SHARE: f64 = 0.5;
 const MIN_TAIL_SHARE: f64 = 0.08;
 
 /// What it costs to place a task on a worker.
@@ -82,7 +83,7 @@
         let weights = self.catalog.weights(document::Stage::Production);
         let all = weights.tail_latency + weights.throughput + weights.evictions;
         let tail_share = if all > 0.0 { weights.tail_latency / all } else { 1.0 };
-        (self.cfg.get_hysteresis().upper - 1.0) / tail_share.max(MIN_TAIL_SHARE)
+        (self.cfg.get_hysteresis().upper - 1.0) * USUAL_TAIL_SHARE / tail_share.max(MIN_TAIL_SHARE)
     }
 
     fn get_crowding(&self, id: id::TaskId, worker: &fleet::Worker) -> f64 {
