feat(batch): learn sizes by job, as a mean

Cause: the learned size of a class followed its largest tasks, so that every policy reserved about twice what tasks use and half the fleet stood idle.

Change: the ratio of use to the declared size is a mean by job, and by class until a job was measured.

--- a/comfreymill_batch/src/catalog/learned.rs
+++ b/comfreymill_batch/src/catalog/learned.rs
@@ -2,22 +2,22 @@
 
 use comfreymill_types::size;
 
-const RISE: f64 = 0.3;
-const FALL: f64 = 0.01;
+const FIRST_STEPS: f64 = 20.0;
 const MAX_RATIO: f64 = 4.0;
 const RUN_TIME_STEP: f64 = 0.1;
 
-/// What was learned of the tasks of one class.
+/// What was learned of the tasks of one class or job.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Learned {
     cores_ratio: f64,
     memory_ratio: f64,
+    samples: f64,
     run_time: Option<Duration>,
 }
 
 impl Default for Learned {
     fn default() -> Self {
-        Self { cores_ratio: 1.0, memory_ratio: 1.0, run_time: None }
+        Self { cores_ratio: 1.0, memory_ratio: 1.0, samples: 0.0, run_time: None }
     }
 }
 
@@ -26,8 +26,9 @@
     pub(crate) fn observe_use(&mut self, declared: &size::Resources, used: &size::Resources) {
         let cores = ratio(used.cores.as_millis(), declared.cores.as_millis());
         let memory = ratio(used.memory.get(), declared.memory.get());
-        follow(&mut self.cores_ratio, cores);
-        follow(&mut self.memory_ratio, memory);
+        self.samples = (self.samples + 1.0).min(FIRST_STEPS);
+        self.cores_ratio += (cores - self.cores_ratio) / self.samples;
+        self.memory_ratio += (memory - self.memory_ratio) / self.samples;
     }
 
     /// Takes in the run time of a finished attempt.
@@ -37,6 +38,11 @@
         self.run_time = Some(Duration::from_secs_f64(new));
     }
 
+    /// Whether any use was measured.
+    pub(crate) fn is_known(&self) -> bool {
+        self.samples > 0.0
+    }
+
     /// Usual run time, once one attempt finished.
     pub(crate) fn get_run_time(&self) -> Option<Duration> {
         self.run_time
@@ -56,11 +62,6 @@
     if declared == 0 { 1.0 } else { (used as f64 / declared as f64).min(MAX_RATIO) }
 }
 
-fn follow(value: &mut f64, sample: f64) {
-    let step = if sample > *value { RISE } else { FALL };
-    *value += step * (sample - *value);
-}
-
 fn grow(declared: u64, ratio: f64) -> u64 {
     (declared as f64 * ratio.max(1.0)).round() as u64
 }
--- a/comfreymill_batch/src/scheduler/placement.rs
+++ b/comfreymill_batch/src/scheduler/placement.rs
@@ -128,7 +128,9 @@
     pub(super) fn get_need(&self, task: &task::Task) -> size::Resources {
         let declared = self.get_declared(task);
         let class = self.catalog.class(task.class);
-        let learned = class.learned.size(&declared);
+        let job = self.jobs.get(&task.id.job).map(|job| &job.learned);
+        let learned = job.filter(|learned| learned.is_known()).unwrap_or(&class.learned);
+        let learned = learned.size(&declared);
         let Some(spec) = &class.spec else { return declared };
         let quota = self.catalog.team(task.team).quota;
         let within_quota = quota.is_none_or(|quota| learned.fits_in(&quota));
--- a/comfreymill_batch/src/task/job_record.rs
+++ b/comfreymill_batch/src/task/job_record.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeSet;
 
+use crate::catalog;
 use crate::fleet;
 
 /// What is known of how the tasks of one job end.
@@ -11,4 +12,6 @@
     pub(crate) successes: u32,
     /// Workers on which a task failed.
     pub(crate) failed_on: BTreeSet<fleet::WorkerIndex>,
+    /// What its tasks use.
+    pub(crate) learned: catalog::Learned,
 }
