--- a/comfreymill_batch/tests/rules/outcomes.rs
+++ b/comfreymill_batch/tests/rules/outcomes.rs
@@ -195,3 +195,26 @@
     assert_eq!(assignments, [], "the worker is told nothing of it");
     assert_eq!(desk.scheduler.get_status().active, 0);
 }
+
+#[test]
+fn a_new_leader_keeps_the_greatest_life_on_record() {
+    let (mut desk, mut worker) = desk();
+    let mut tasks = Vec::new();
+    let mut attempts = Vec::new();
+    for (job, life) in [(1, 2), (2, 1)] {
+        let view = task_view(job, "issue", "check");
+        attempts.push(event::AttemptView {
+            id: id::AttemptId::new(view.id, id::AttemptNumber::new(1)),
+            worker: worker.name.clone(),
+            incarnation: id::Incarnation::new(life),
+            reserved: resources(2, 4, 0),
+        });
+        tasks.push(view);
+    }
+    attempts.reverse();
+    desk.tell(event::Event::BecameLeader { tasks, attempts });
+    let mut late = worker.heartbeat();
+    late.incarnation = id::Incarnation::new(1);
+    desk.tell(event::Event::WorkerHeartbeat(Box::new(late)));
+    assert!(!was_lost(&desk), "a heartbeat of an earlier life says nothing");
+}
--- a/comfreymill_batch/tests/rules/pressure.rs
+++ b/comfreymill_batch/tests/rules/pressure.rs
@@ -139,3 +139,25 @@
     assert!(text[1].contains("throttle to 50%"), "{text:?}");
     assert!(text.iter().all(|line| line.contains("would change with")), "{text:?}");
 }
+
+#[test]
+fn a_late_report_is_matched_with_what_ran_when_it_was_measured() {
+    let mut workers = [worker(0), worker(1)];
+    let mut desk = desk(config::Policy::InterferenceAware, &mut workers);
+    measure(&mut desk, &mut workers, 30, &[100, 100]);
+    let quiet = desk.add(task_view(1, "issue", "check"));
+    let on = desk.started_on(quiet).expect("it is placed");
+    for _ in 0..5 {
+        desk.pass_with(1, &mut workers);
+        desk.tell(event::Event::ExecutorLatency(event::LatencyReport {
+            worker: on.clone(),
+            service: name("search"),
+            p99: Duration::from_millis(300),
+            age: Duration::from_secs(20),
+        }));
+    }
+    let next = desk.add(task_view(2, "issue", "check"));
+    let records = desk.scheduler.explain(next);
+    let place = records.last().expect("it is placed").to_string();
+    assert!(place.contains("expected slowdown 1.01"), "the class is not blamed: {place}");
+}
