--- a/comfreymill_batch/src/interference/model.rs
+++ b/comfreymill_batch/src/interference/model.rs
@@ -45,6 +45,11 @@
         self.services[service.0 as usize].effect(class, load)
     }
 
+    /// Usual slowdown of the service on a worker, beyond alone.
+    pub(crate) fn get_usual(&self, service: fleet::ServiceIndex) -> f64 {
+        self.services[service.0 as usize].get_usual()
+    }
+
     /// Slowdown by a mix of classes, beyond alone.
     pub(crate) fn predict(&self, service: fleet::ServiceIndex, mix: &fleet::Mix) -> f64 {
         mix.0.iter().map(|(class, load)| self.effect(*class, service, *load)).sum()
--- a/comfreymill_batch/src/interference/service_model.rs
+++ b/comfreymill_batch/src/interference/service_model.rs
@@ -7,6 +7,7 @@
 const MIN_ALONE: f64 = 0.3;
 const MAX_ALONE: f64 = 1.05;
 const MAX_SLOWDOWN: f64 = 20.0;
+const USUAL_STEP: f64 = 0.004;
 const UNKNOWN_EFFECT: f64 = 0.1;
 
 /// What was learned of one prompt service.
@@ -15,6 +16,8 @@
     median: Median,
     fit: Regression,
     positions: HashMap<catalog::ClassIndex, usize>,
+    /// Mean of the slowdown that was expected where reports came from.
+    usual: f64,
 }
 
 impl ServiceModel {
@@ -29,6 +32,8 @@
                 .map(|(class, load)| (self.position(*class), *load))
                 .collect();
             self.fit.observe(&inputs, relative.min(MAX_SLOWDOWN));
+            let expected: f64 = mix.0.iter().map(|(class, load)| self.effect(*class, *load)).sum();
+            self.usual += USUAL_STEP * (expected - self.usual);
         }
         (relative / self.alone()).min(MAX_SLOWDOWN)
     }
@@ -41,6 +46,11 @@
         effect * load
     }
 
+    /// Usual slowdown of a worker, beyond alone.
+    pub(crate) fn get_usual(&self) -> f64 {
+        self.usual
+    }
+
     /// Latency alone as a part of the median.
     fn alone(&self) -> f64 {
         self.fit.get_intercept().clamp(MIN_ALONE, MAX_ALONE)
--- a/comfreymill_batch/src/scheduler/cost.rs
+++ b/comfreymill_batch/src/scheduler/cost.rs
@@ -12,6 +12,7 @@
 const SPREAD_COST: f64 = 0.1;
 const STRANDED_ACCELERATOR_COST: f64 = 0.5;
 const GATE_PART: f64 = 0.8;
+const USUAL_FACTOR: f64 = 1.2;
 const USUAL_TAIL_SHARE: f64 = 0.5;
 const MIN_TAIL_SHARE: f64 = 0.08;
 
@@ -53,7 +54,7 @@
         let accepted = self.get_accepted_slowdown();
         let urgent = spec.priority == Self::URGENT;
         let disturbs = slowdown > 0.0 && !urgent;
-        if disturbs && (slowdown > GATE_PART * accepted || worker.pressure.is_high()) {
+        if disturbs && (slowdown > self.get_gate(worker, accepted) || worker.pressure.is_high()) {
             return None;
         }
         Some(Cost {
@@ -64,6 +65,15 @@
         })
     }
 
+    /// Slowdown beyond which nothing that disturbs is placed on the worker: a part of what is
+    /// accepted, and not far above the usual one, so that a hole is left to quieter tasks.
+    fn get_gate(&self, worker: &fleet::Worker, accepted: f64) -> f64 {
+        let services = worker.services.iter().map(|load| self.model.get_usual(load.service));
+        let usual = services.fold(0.0, f64::max);
+        let least = GATE_PART * (self.cfg.get_hysteresis().upper - 1.0);
+        (GATE_PART * accepted).min((USUAL_FACTOR * usual).max(least))
+    }
+
     /// Slowdown of the worst service on the worker if `load` of `class` came on top.
     fn expect_slowdown(
         &self,
