feat(batch): exempt quiet classes from the gate

Cause: on a loud worker the gate refused every task, quiet ones as well, and holes stayed empty.

Change: a class that disturbs less than half as much, for its load, as what usually runs is not gated.

--- a/comfreymill_batch/src/interference/model.rs
+++ b/comfreymill_batch/src/interference/model.rs
@@ -50,6 +50,15 @@
         self.services[service.0 as usize].get_usual()
     }
 
+    /// Whether a class disturbs the service much less, for its load, than what usually runs.
+    pub(crate) fn is_quiet(
+        &self,
+        class: catalog::ClassIndex,
+        service: fleet::ServiceIndex,
+    ) -> bool {
+        self.services[service.0 as usize].is_quiet(class)
+    }
+
     /// Slowdown by a mix of classes, beyond alone.
     pub(crate) fn predict(&self, service: fleet::ServiceIndex, mix: &fleet::Mix) -> f64 {
         mix.0.iter().map(|(class, load)| self.effect(*class, service, *load)).sum()
--- a/comfreymill_batch/src/interference/service_model.rs
+++ b/comfreymill_batch/src/interference/service_model.rs
@@ -8,6 +8,7 @@
 const MAX_ALONE: f64 = 1.05;
 const MAX_SLOWDOWN: f64 = 20.0;
 const USUAL_STEP: f64 = 0.004;
+const QUIET_PART: f64 = 0.5;
 const UNKNOWN_EFFECT: f64 = 0.1;
 
 /// What was learned of one prompt service.
@@ -18,6 +19,8 @@
     positions: HashMap<catalog::ClassIndex, usize>,
     /// Mean of the slowdown that was expected where reports came from.
     usual: f64,
+    /// Mean load where reports came from.
+    usual_load: f64,
 }
 
 impl ServiceModel {
@@ -33,7 +36,9 @@
                 .collect();
             self.fit.observe(&inputs, relative.min(MAX_SLOWDOWN));
             let expected: f64 = mix.0.iter().map(|(class, load)| self.effect(*class, *load)).sum();
+            let load: f64 = mix.0.iter().map(|entry| entry.1).sum();
             self.usual += USUAL_STEP * (expected - self.usual);
+            self.usual_load += USUAL_STEP * (load - self.usual_load);
         }
         (relative / self.alone()).min(MAX_SLOWDOWN)
     }
@@ -51,6 +56,11 @@
         self.usual
     }
 
+    /// Whether a class disturbs much less, for its load, than what usually runs.
+    pub(crate) fn is_quiet(&self, class: catalog::ClassIndex) -> bool {
+        self.effect(class, self.usual_load) < QUIET_PART * self.usual
+    }
+
     /// Latency alone as a part of the median.
     fn alone(&self) -> f64 {
         self.fit.get_intercept().clamp(MIN_ALONE, MAX_ALONE)
--- a/comfreymill_batch/src/scheduler/cost.rs
+++ b/comfreymill_batch/src/scheduler/cost.rs
@@ -53,7 +53,8 @@
         let slowdown = self.expect_slowdown(worker, class, load);
         let accepted = self.get_accepted_slowdown();
         let urgent = spec.priority == Self::URGENT;
-        let disturbs = slowdown > 0.0 && !urgent;
+        let quiet = worker.services.iter().all(|load| self.model.is_quiet(class, load.service));
+        let disturbs = slowdown > 0.0 && !urgent && !quiet;
         if disturbs && (slowdown > self.get_gate(worker, accepted) || worker.pressure.is_high()) {
             return None;
         }
