test(batch): make two tests see their faults

Cause: the tests of the late report and of the greatest life on record passed with their mechanism broken: too few reports for a fit, and no look at the answer.

Change: 15 reports in place of 5, and the late heartbeat must get no answer.

--- a/comfreymill_batch/tests/rules/outcomes.rs
+++ b/comfreymill_batch/tests/rules/outcomes.rs
@@ -215,6 +215,8 @@
     desk.tell(event::Event::BecameLeader { tasks, attempts });
     let mut late = worker.heartbeat();
     late.incarnation = id::Incarnation::new(1);
+    let (incarnation, sequence) = (late.incarnation, late.sequence);
     desk.tell(event::Event::WorkerHeartbeat(Box::new(late)));
     assert!(!was_lost(&desk), "a heartbeat of an earlier life says nothing");
+    assert_eq!(desk.scheduler.desired(&worker.name, incarnation, sequence), None);
 }
--- a/comfreymill_batch/tests/rules/pressure.rs
+++ b/comfreymill_batch/tests/rules/pressure.rs
@@ -147,7 +147,7 @@
     measure(&mut desk, &mut workers, 30, &[100, 100]);
     let quiet = desk.add(task_view(1, "issue", "check"));
     let on = desk.started_on(quiet).expect("it is placed");
-    for _ in 0..5 {
+    for _ in 0..15 {
         desk.pass_with(1, &mut workers);
         desk.tell(event::Event::ExecutorLatency(event::LatencyReport {
             worker: on.clone(),
