--- a/comfreymill_bench/src/batch/cost.rs
+++ b/comfreymill_bench/src/batch/cost.rs
@@ -1,3 +1,4 @@
+use std::fs;
 use std::hint;
 use std::time::Instant;
 
@@ -45,7 +46,11 @@
     add("placement_worst", worst, "us");
     add("burst_of_2000_submissions", bench.submit(BURST) / 1_000.0, "ms");
     add("burst_of_1000_cancels", bench.cancel_last(1_000) / 1_000.0, "ms");
-    add("rebuild_of_new_leader", bench.rebuild() / 1_000.0, "ms");
+    let known = bench.tasks.len() as f64;
+    let (rebuild, grown) = bench.rebuild();
+    add("rebuild_of_new_leader", rebuild / 1_000.0, "ms");
+    add("memory_of_new_leader", grown / 1e6, "MB");
+    add("memory_of_new_leader_per_task", grown / known, "B");
     figures
 }
 
@@ -158,17 +163,38 @@
         micros(before)
     }
 
-    /// Time for a new leader to take in the ledger and a heartbeat of every worker.
-    fn rebuild(&mut self) -> f64 {
+    /// Time for a new leader to take in the ledger and a heartbeat of every worker, in
+    /// microseconds, and the memory that it then holds.
+    fn rebuild(&mut self) -> (f64, f64) {
         let (tasks, attempts) = (self.tasks.clone(), self.attempts.clone());
         let heartbeats: Vec<event::Heartbeat> = (0..self.workers.len())
             .map(|i| self.workers[i].heartbeat(self.now as f64 / 1_000.0))
             .collect();
+        let cfg = self.scheduler.get_config().clone();
+        let old = std::mem::replace(
+            &mut self.scheduler,
+            scheduler::Scheduler::new(cfg, time::Monotonic::from_millis(self.now)),
+        );
+        let stage = document::Stage::Production;
+        let environment = Box::new(environment(Site::Target));
+        self.tell(event::Event::DocumentInForce { stage, environment });
+        let resident = resident_bytes();
         let before = Instant::now();
         self.tell(event::Event::BecameLeader { tasks, attempts });
         for heartbeat in heartbeats {
             self.tell(event::Event::WorkerHeartbeat(Box::new(heartbeat)));
         }
-        micros(before)
+        let elapsed = micros(before);
+        let grown = resident_bytes() - resident;
+        drop(old);
+        (elapsed, grown)
     }
 }
+
+/// Resident memory of this process; zero where the system does not tell.
+fn resident_bytes() -> f64 {
+    const PAGE_BYTES: f64 = 4_096.0;
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|field| field.parse().ok());
+    pages.unwrap_or(0.0) * PAGE_BYTES
+}
