feat(metering): count requests, decisions, refusals and bytes where they happen

Cause: the metrics were named but nothing recorded them. Change: the entry records latency, queue wait, slots and outcome by team and class, its decisions and refusals, open requests and the version in force; the leader its decisions on tasks, their wait and evictions; peers and executors the bytes by peer and across regions. Only names of the document become labels. Gauges nobody could feed are gone. New topic process: metrics, commands against running processes, no io_uring, address in use.

--- a/comfreymill_bench/src/cluster/process.rs
+++ b/comfreymill_bench/src/cluster/process.rs
@@ -43,6 +43,18 @@
         Ok(())
     }
 
+    /// Process with the same settings and log that does not run.
+    #[must_use]
+    pub fn twin(&self) -> Self {
+        Self {
+            binary: self.binary.clone(),
+            program: self.program,
+            settings: self.settings.clone(),
+            log: self.log.clone(),
+            child: None,
+        }
+    }
+
     /// Id of the running process.
     pub fn get_id(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
--- a/comfreymill_http/src/client/connection.rs
+++ b/comfreymill_http/src/client/connection.rs
@@ -4,7 +4,7 @@
 use http::{request, response};
 use monoio::time as timer;
 
-use super::{ClientError, ClientFault, Response, Sent};
+use super::{ClientError, ClientFault, Response, Sent, Traffic};
 use crate::{body, head, hop, limits, wire};
 
 const MAX_INTERIM_RESPONSES: usize = 8;
@@ -58,6 +58,11 @@
         if self.socket.written() == self.written_before { Sent::Nothing } else { Sent::Some }
     }
 
+    /// Bytes that the connection carried so far.
+    pub fn traffic(&self) -> Traffic {
+        Traffic { sent: self.socket.written(), received: self.socket.received() }
+    }
+
     /// Whether another request may be sent: the response before was read to its end, and both
     /// sides keep the connection.
     pub fn is_reusable(&self) -> bool {
--- a/comfreymill_http/src/client/mod.rs
+++ b/comfreymill_http/src/client/mod.rs
@@ -5,9 +5,11 @@
 mod once;
 mod response;
 mod sent;
+mod traffic;
 
 pub use connection::Connection;
 pub use error::{ClientError, ClientFault};
 pub use once::request;
 pub use response::Response;
 pub use sent::Sent;
+pub use traffic::Traffic;
--- a/comfreymill_http/src/wire/socket.rs
+++ b/comfreymill_http/src/wire/socket.rs
@@ -19,13 +19,14 @@
     buf: bytes::BytesMut,
     is_eof: bool,
     written: u64,
+    received: u64,
 }
 
 impl Socket {
     pub(crate) fn new(stream: monoio::net::TcpStream) -> Self {
         // Latency only: a stream without the option still works.
         let _ = stream.set_nodelay(true);
-        Self { stream, buf: bytes::BytesMut::new(), is_eof: false, written: 0 }
+        Self { stream, buf: bytes::BytesMut::new(), is_eof: false, written: 0, received: 0 }
     }
 
     /// Address of the peer.
@@ -51,6 +52,11 @@
         self.written
     }
 
+    /// Bytes read since the socket was opened.
+    pub(crate) fn received(&self) -> u64 {
+        self.received
+    }
+
     /// Reads once into the buffer; 0 at the end of the stream.
     pub(crate) async fn fill(&mut self) -> io::Result<usize> {
         if self.is_eof {
@@ -64,6 +70,7 @@
         self.buf.unsplit(spare);
         let count = res?;
         self.is_eof = count == 0;
+        self.received += count as u64;
         Ok(count)
     }
 
--- a/comfreymill_node/src/control/core/core.rs
+++ b/comfreymill_node/src/control/core/core.rs
@@ -1,4 +1,5 @@
 use bytes::Bytes;
+use comfreymill_batch::action;
 use comfreymill_group::replica;
 use comfreymill_group::store;
 use comfreymill_ledger::codec;
@@ -125,7 +126,7 @@
             return false;
         }
         let mut was_taken = false;
-        while let Some((command, action)) = self.lead.as_mut().and_then(Lead::next_command) {
+        while let Some((command, action)) = self.next_command(now) {
             if !self.propose(now, command, Waiter::Scheduler(Box::new(action))) {
                 break;
             }
@@ -139,6 +140,10 @@
         was_taken
     }
 
+    fn next_command(&mut self, now: time::Monotonic) -> Option<(command::Command, action::Action)> {
+        self.lead.as_mut()?.next_command(now, &self.ledger)
+    }
+
     fn group_time(&self, now: time::Monotonic) -> command::GroupTime {
         match &self.lead {
             Some(lead) => lead.group_time(now),
--- a/comfreymill_node/src/control/lead/commands.rs
+++ b/comfreymill_node/src/control/lead/commands.rs
@@ -6,6 +6,7 @@
 use comfreymill_types::time;
 
 use super::Lead;
+use super::batch_metrics;
 use super::tasks;
 
 /// # Actions and commands
@@ -13,8 +14,11 @@
     /// Next action to propose with its command; actions that need no record are passed over.
     pub(in crate::control) fn next_command(
         &mut self,
+        now: time::Monotonic,
+        ledger: &ledger::Ledger,
     ) -> Option<(command::Command, action::Action)> {
         while let Some(action) = self.actions.pop_front() {
+            batch_metrics::observe_action(&action, ledger, self.group_time(now));
             match command(&action) {
                 Some(command) => return Some((command, action)),
                 None => log::debug!(target: "batch", "Decided: {action:?}."),
--- a/comfreymill_node/src/control/lead/mod.rs
+++ b/comfreymill_node/src/control/lead/mod.rs
@@ -2,6 +2,7 @@
 //! the scheduler. It is made anew from the replicated state by each leader, and filled again by
 //! announcements within one period.
 
+mod batch_metrics;
 mod commands;
 mod deadlines;
 mod entries;
--- a/comfreymill_node/src/entry/dispatch/desk.rs
+++ b/comfreymill_node/src/entry/dispatch/desk.rs
@@ -1,12 +1,17 @@
 use std::collections::HashMap;
+use std::net;
 
 use comfreymill_route::router;
 use comfreymill_types::document;
 use comfreymill_types::id;
 
-use super::DispatchOrder;
+use super::{ClassView, DispatchOrder};
+use crate::metering::observe;
 use crate::protocol;
 
+/// Part of the process in metrics.
+const PART: &str = "route";
+
 /// Router of one environment and stage with the requests that wait on it.
 pub(super) struct Desk {
     pub(super) key: protocol::DeskKey,
@@ -14,13 +19,15 @@
     pub(super) view: protocol::DocumentView,
     pub(super) document: document::Environment,
     pub(super) orders: HashMap<u64, flume::Sender<DispatchOrder>>,
+    /// Regions of the executors that are behind the link between regions.
+    pub(super) far_regions: HashMap<id::ExecutorName, id::RegionName>,
 }
 
 /// Probe that the shell has to carry out.
 pub(super) struct Probe {
     pub(super) desk: protocol::DeskKey,
     pub(super) executor: id::ExecutorName,
-    pub(super) address: std::net::SocketAddr,
+    pub(super) address: net::SocketAddr,
 }
 
 impl Desk {
@@ -32,8 +39,8 @@
     ) -> Self {
         let mut router = router::Router::new(cfg);
         router.document(&document);
-        let orders = HashMap::new();
-        Self { key: view.desk.clone(), router, view, document, orders }
+        let (orders, far_regions) = (HashMap::new(), HashMap::new());
+        Self { key: view.desk.clone(), router, view, document, orders, far_regions }
     }
 
     /// Puts a newer document in force.
@@ -47,6 +54,35 @@
         self.document = document;
     }
 
+    /// Class of a name with the team, if the document has it.
+    pub(super) fn find_class(
+        &self,
+        name: &id::ClassName,
+        team: Option<id::TeamName>,
+    ) -> Option<ClassView> {
+        let class = self.document.get_class(name)?.clone();
+        let team = team.filter(|team| self.document.get_team(team).is_some());
+        Some(ClassView { class, team })
+    }
+
+    /// Records how many requests are not over.
+    pub(super) fn observe(&self) {
+        let (open, queued) = (self.router.open_requests(), self.router.queued_requests());
+        observe::open_requests(&self.key.environment, self.key.stage, open, queued);
+    }
+
+    fn order(
+        &self,
+        executor: id::ExecutorName,
+        address: net::SocketAddr,
+        attempt: u32,
+    ) -> DispatchOrder {
+        observe::decision(PART, if attempt > 1 { "send-again" } else { "send" });
+        let slots_in_use = self.router.usage(&executor);
+        let far_region = self.far_regions.get(&executor).cloned();
+        DispatchOrder::Send { executor, address, attempt, slots_in_use, far_region }
+    }
+
     /// Hands a new request's first order out.
     pub(super) fn admitted(
         &mut self,
@@ -56,13 +92,15 @@
     ) {
         match admission {
             router::Admission::Send { executor, address, attempt } => {
-                orders.send(DispatchOrder::Send { executor, address, attempt }).ok();
+                orders.send(self.order(executor, address, attempt)).ok();
                 self.orders.insert(request, orders);
             }
             router::Admission::Queued => {
+                observe::decision(PART, "queue");
                 self.orders.insert(request, orders);
             }
             router::Admission::Refused(error) => {
+                observe::decision(PART, "refuse");
                 orders.send(DispatchOrder::Refuse(error)).ok();
             }
         }
@@ -75,15 +113,17 @@
             match action {
                 router::Action::Send { request, executor, address, attempt } => {
                     if let Some(orders) = self.orders.get(&request) {
-                        orders.send(DispatchOrder::Send { executor, address, attempt }).ok();
+                        orders.send(self.order(executor, address, attempt)).ok();
                     }
                 }
                 router::Action::Refuse { request, error } => {
                     if let Some(orders) = self.orders.remove(&request) {
+                        observe::decision(PART, "refuse");
                         orders.send(DispatchOrder::Refuse(error)).ok();
                     }
                 }
                 router::Action::Probe { executor, address } => {
+                    observe::decision(PART, "probe");
                     probes.push(Probe { desk: self.key.clone(), executor, address });
                 }
                 router::Action::DropConnections { .. } | router::Action::DemandChanged => {}
--- a/comfreymill_node/src/entry/dispatch/dispatch_order.rs
+++ b/comfreymill_node/src/entry/dispatch/dispatch_order.rs
@@ -14,6 +14,10 @@
         address: net::SocketAddr,
         /// Number of the attempt, from 1.
         attempt: u32,
+        /// Slots of the executor that this entry uses, with this one.
+        slots_in_use: u32,
+        /// Region of the executor, if it is not that of this entry.
+        far_region: Option<id::RegionName>,
     },
     /// Answer with this error; the request is over.
     Refuse(error::Error),
--- a/comfreymill_node/src/entry/dispatch/handle.rs
+++ b/comfreymill_node/src/entry/dispatch/handle.rs
@@ -1,11 +1,10 @@
 use comfreymill_route::router;
-use comfreymill_types::document;
 use comfreymill_types::error;
 use comfreymill_types::id;
 use comfreymill_types::time;
 
 use super::input::Input;
-use super::{DispatchOrder, DispatchStatus};
+use super::{ClassView, DispatchOrder, DispatchStatus};
 use crate::protocol;
 
 /// Sender of messages to the dispatcher.
@@ -34,14 +33,15 @@
         Ticket { dispatcher: self.clone(), desk, request, orders, attempt: 0, is_over: false }
     }
 
-    /// Class of a desk, if the document in force has it.
+    /// Class of a desk, if the document in force has it, with the team that the caller names.
     pub async fn class(
         &self,
         desk: protocol::DeskKey,
         class: id::ClassName,
-    ) -> Option<document::Class> {
+        team: Option<id::TeamName>,
+    ) -> Option<ClassView> {
         let (reply, rx) = flume::bounded(1);
-        self.send(Input::Class { desk, class, reply });
+        self.send(Input::Class { desk, class, team, reply });
         rx.recv_async().await.ok().flatten()
     }
 
--- a/comfreymill_node/src/entry/dispatch/input.rs
+++ b/comfreymill_node/src/entry/dispatch/input.rs
@@ -2,7 +2,7 @@
 use comfreymill_types::id;
 use comfreymill_types::time;
 
-use super::{DispatchOrder, DispatchStatus};
+use super::{ClassView, DispatchOrder, DispatchStatus};
 use crate::protocol;
 
 /// Message to the dispatcher.
@@ -34,7 +34,8 @@
     Class {
         desk: protocol::DeskKey,
         class: id::ClassName,
-        reply: flume::Sender<Option<comfreymill_types::document::Class>>,
+        team: Option<id::TeamName>,
+        reply: flume::Sender<Option<ClassView>>,
     },
     /// Somebody asks for the heartbeat to send.
     Heartbeat(flume::Sender<protocol::EntryHeartbeat>),
--- a/comfreymill_node/src/entry/dispatch/state.rs
+++ b/comfreymill_node/src/entry/dispatch/state.rs
@@ -90,10 +90,9 @@
             Input::Show(reply) => {
                 reply.send(self.show(now)).ok();
             }
-            Input::Class { desk, class, reply } => {
+            Input::Class { desk, class, team, reply } => {
                 let desk = self.desks.get(&desk);
-                let class = desk.and_then(|desk| desk.document.get_class(&class)).cloned();
-                reply.send(class).ok();
+                reply.send(desk.and_then(|desk| desk.find_class(&class, team))).ok();
             }
             Input::Heartbeat(reply) => {
                 reply.send(self.heartbeat(now)).ok();
@@ -202,6 +201,7 @@
             let services = desk.router.demand(now);
             demand.push(protocol::DeskDemand { desk: desk.key.clone(), services });
             holdings.extend(desk.router.holdings(SOURCE));
+            desk.observe();
             avoided.extend(desk.router.avoided(SOURCE));
         }
         let revision = self.revision.unwrap_or(0);
--- a/comfreymill_node/src/entry/dispatch/state_push.rs
+++ b/comfreymill_node/src/entry/dispatch/state_push.rs
@@ -7,6 +7,7 @@
 
 use super::desk::Desk;
 use super::state::{SOURCE, State};
+use crate::metering::observe;
 use crate::protocol;
 
 /// # State that the leader sends
@@ -71,6 +72,7 @@
             }
         };
         log::info!(target: "entry", "Version {} of {} is in force.", view.version, view.desk);
+        observe::version_in_force(&view.desk.environment, view.desk.stage, view.version);
         if let Some(desk) = self.desks.get_mut(&view.desk) {
             desk.replace(view, document);
         } else {
@@ -117,7 +119,9 @@
                 continue;
             }
             let mine = self.rows.values().filter(|row| row.desk == desk.key);
-            let executors = mine.map(executor_view).collect();
+            let executors = mine.clone().map(executor_view).collect();
+            let far = mine.filter(|row| row.region != *self.cfg.router.get_region());
+            desk.far_regions = far.map(|row| (row.name.clone(), row.region.clone())).collect();
             let version = self.table_version;
             desk.router.executors(now, router::Table { source: SOURCE, version, executors });
             desk.router.lease(now, SOURCE, until);
--- a/comfreymill_node/src/entry/link/pending.rs
+++ b/comfreymill_node/src/entry/link/pending.rs
@@ -5,6 +5,7 @@
 
 use super::call_error;
 use super::handle::Request;
+use crate::metering::observe;
 use crate::peer;
 use crate::protocol;
 
@@ -51,6 +52,8 @@
         if let Some(waiting) = self.calls.remove(&id) {
             // The caller may have gone away.
             waiting.reply.send(result).ok();
+        } else {
+            observe::unmatched_answer();
         }
     }
 
--- a/comfreymill_node/src/entry/operators/serve.rs
+++ b/comfreymill_node/src/entry/operators/serve.rs
@@ -6,6 +6,7 @@
 
 use super::Context;
 use super::route::Route;
+use crate::metering::observe;
 use crate::protocol;
 use crate::web;
 
@@ -23,7 +24,10 @@
     match run(cx, &req, &body).await {
         Ok(Reply::Json(body)) => web::answer_json(req, body).await,
         Ok(Reply::Text(body)) => web::answer_text(req, body).await,
-        Err(error) => web::answer_error(req, &error).await,
+        Err(error) => {
+            observe::refusal("operators", error.get_kind());
+            web::answer_error(req, &error).await
+        }
     }
 }
 
--- a/comfreymill_node/src/entry/process.rs
+++ b/comfreymill_node/src/entry/process.rs
@@ -56,8 +56,11 @@
     let beats = heartbeat::run(clock, dispatcher.clone(), link.clone(), HEARTBEAT_PERIOD);
     monoio::spawn(beats);
 
+    let regions = common.get_network().get_regions();
+    let region = regions.get_region(common.get_zone()).cloned();
     let max_body_bytes = common.get_limits().get_body().get();
     let cx = prompt::Context::new(clock, dispatcher.clone(), link.clone(), max_body_bytes)
+        .region(region)
         .token(callers_token);
     let handler = async move |req: server::Request<'_>| prompt::serve(&cx, req).await;
     let callers_end = server::Shutdown::new();
--- a/comfreymill_node/src/entry/prompt/attempt.rs
+++ b/comfreymill_node/src/entry/prompt/attempt.rs
@@ -5,8 +5,10 @@
 use comfreymill_http::client;
 use comfreymill_http::hop;
 use comfreymill_route::router;
+use comfreymill_types::id;
 
 use super::context::Context;
+use crate::metering::observe;
 use crate::web;
 
 const NOT_RUN: &str = "not-run";
@@ -23,6 +25,7 @@
 pub(super) async fn attempt(
     cx: &Context,
     address: SocketAddr,
+    far_region: Option<&id::RegionName>,
     head: &http::request::Parts,
     body: Bytes,
 ) -> (router::Outcome, Option<ExecutorAnswer>) {
@@ -31,7 +34,13 @@
         Ok(connection) => connection,
         Err(error) => return (outcome(&error), None),
     };
+    let before = connection.traffic();
     let answer = exchange(cx, &mut connection, head, body).await;
+    if let (Some(near), Some(far)) = (&cx.region, far_region) {
+        let now = connection.traffic();
+        observe::link_bytes(near.as_str(), far.as_str()).increment(now.sent - before.sent);
+        observe::link_bytes(far.as_str(), near.as_str()).increment(now.received - before.received);
+    }
     cx.pool.put(address, connection);
     match answer {
         Err(error) => (outcome(&error), None),
--- a/comfreymill_node/src/entry/prompt/context.rs
+++ b/comfreymill_node/src/entry/prompt/context.rs
@@ -1,6 +1,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use comfreymill_types::id;
+
 use super::pool::Pool;
 use crate::clock;
 use crate::entry::dispatch;
@@ -16,6 +18,7 @@
     pub(super) pool: Rc<Pool>,
     pub(super) token: Option<web::Token>,
     pub(super) max_body_bytes: u64,
+    pub(super) region: Option<id::RegionName>,
     next_request: Rc<Cell<u64>>,
 }
 
@@ -34,10 +37,18 @@
             pool: Rc::default(),
             token: None,
             max_body_bytes,
+            region: None,
             next_request: Rc::new(Cell::new(1)),
         }
     }
 
+    /// Names the region of this process.
+    #[must_use]
+    pub fn region(mut self, region: Option<id::RegionName>) -> Self {
+        self.region = region;
+        self
+    }
+
     /// Asks callers for a token.
     #[must_use]
     pub fn token(mut self, token: Option<web::Token>) -> Self {
--- a/comfreymill_node/src/entry/prompt/serve.rs
+++ b/comfreymill_node/src/entry/prompt/serve.rs
@@ -5,7 +5,6 @@
 use comfreymill_http::server;
 use comfreymill_ledger::request;
 use comfreymill_route::router;
-use comfreymill_types::document;
 use comfreymill_types::error;
 use comfreymill_types::id;
 
@@ -14,6 +13,7 @@
 use super::keyed;
 use super::target::Target;
 use crate::entry::dispatch;
+use crate::metering::observe;
 use crate::web;
 
 const NO_TEAM: &str = "none";
@@ -26,7 +26,10 @@
 pub async fn serve(cx: &Context, mut req: server::Request<'_>) -> Result<(), server::ServerError> {
     match run(cx, &mut req).await {
         Ok(answer) => req.respond(answer.status, &answer.headers, answer.body).await,
-        Err(Failure::Refused(error)) => web::answer_error(req, &error).await,
+        Err(Failure::Refused(error)) => {
+            observe::refusal("callers", error.get_kind());
+            web::answer_error(req, &error).await
+        }
         // The connection answers for a body that is at fault.
         Err(Failure::Body) => Ok(()),
     }
@@ -48,24 +51,44 @@
         token.check(req.headers())?;
     }
     let target = Target::read(req.head())?;
-    let class = find_class(cx, &target).await?;
-    let prompt = class.as_prompt().ok_or_else(|| no_prompt(&target))?;
+    let view = find_class(cx, &target).await?;
+    let began = cx.clock.now();
+    let result = run_known(cx, req, &target, &view).await;
+    let run = match &result {
+        Ok(_) => error::RunState::Run,
+        Err(Failure::Refused(error)) => error.get_kind().get_answer().run,
+        Err(Failure::Body) => error::RunState::NotRun,
+    };
+    observe::request(tenant(&view), run);
+    observe::request_latency(tenant(&view), cx.clock.now().since(began));
+    result
+}
+
+/// Runs a request whose class is known.
+async fn run_known(
+    cx: &Context,
+    req: &mut server::Request<'_>,
+    target: &Target,
+    view: &dispatch::ClassView,
+) -> Result<ExecutorAnswer, Failure> {
+    let class = &view.class;
+    let prompt = class.as_prompt().ok_or_else(|| no_prompt(target))?;
     let limit = target.time_left.unwrap_or(Duration::MAX).min(prompt.deadline.into());
     let body = req.collect(cx.max_body_bytes).await.map_err(|_| Failure::Body)?;
-    let head = executor_head(req.head(), &target);
+    let head = executor_head(req.head(), target);
     let Some(key) = &target.key else {
         if class.unrepeatable {
             let message = "the class is unrepeatable; name the request by an Idempotency-Key";
             let error = error::Error::new(error::ErrorKind::KeyRequired, message);
             return Err(error.field(web::KEY_HEADER.as_str()).into());
         }
-        return Ok(dispatch(cx, &target, &class, limit, &head, &body).await?);
+        return Ok(dispatch(cx, target, view, limit, &head, &body).await?);
     };
-    let digest = digest(&head, &target, &body);
-    match keyed::open(cx, &target, key, &class, digest, limit).await? {
+    let digest = digest(&head, target, &body);
+    match keyed::open(cx, target, key, class, digest, limit).await? {
         keyed::Opening::Stored(answer) => Ok(stored(answer)?),
         keyed::Opening::Run(key) => {
-            let result = dispatch(cx, &target, &class, limit, &head, &body).await;
+            let result = dispatch(cx, target, view, limit, &head, &body).await;
             let outcome = match &result {
                 Ok(answer) => keyed::answered(answer),
                 Err(error) => keyed::failed(error),
@@ -80,7 +103,7 @@
 async fn dispatch(
     cx: &Context,
     target: &Target,
-    class: &document::Class,
+    class: &dispatch::ClassView,
     limit: Duration,
     head: &http::request::Parts,
     body: &Bytes,
@@ -95,16 +118,24 @@
         arrival,
         deadline: Some(deadline),
         keyed: target.key.is_some(),
-        unrepeatable: class.unrepeatable,
+        unrepeatable: class.class.unrepeatable,
     };
     let mut ticket = cx.dispatcher.submit(target.desk.clone(), view);
     loop {
-        let (address, _) = match ticket.next().await {
-            dispatch::DispatchOrder::Send { address, attempt, .. } => (address, attempt),
+        let (address, far_region) = match ticket.next().await {
+            dispatch::DispatchOrder::Send {
+                address, attempt, slots_in_use, far_region, ..
+            } => {
+                if attempt == 1 {
+                    observe::queue_wait(tenant(class), cx.clock.now().since(arrival));
+                }
+                observe::slots_in_use(tenant(class), slots_in_use);
+                (address, far_region)
+            }
             dispatch::DispatchOrder::Refuse(error) => return Err(error),
         };
         let left = deadline.since(cx.clock.now());
-        let attempt = attempt::attempt(cx, address, head, body.clone());
+        let attempt = attempt::attempt(cx, address, far_region.as_ref(), head, body.clone());
         let (outcome, answer) =
             monoio::time::timeout(left, attempt).await.unwrap_or((router::Outcome::TimedOut, None));
         ticket.finished(outcome);
@@ -114,9 +145,14 @@
     }
 }
 
-async fn find_class(cx: &Context, target: &Target) -> Result<document::Class, error::Error> {
-    let class = cx.dispatcher.class(target.desk.clone(), target.class.clone()).await;
-    class.ok_or_else(|| no_prompt(target))
+async fn find_class(cx: &Context, target: &Target) -> Result<dispatch::ClassView, error::Error> {
+    let (desk, class, team) = (target.desk.clone(), target.class.clone(), target.team.clone());
+    cx.dispatcher.class(desk, class, team).await.ok_or_else(|| no_prompt(target))
+}
+
+/// Team and class in metrics: only names that the document has.
+fn tenant(view: &dispatch::ClassView) -> observe::Tenant<'_> {
+    observe::Tenant { team: view.team.as_ref(), class: &view.class.name }
 }
 
 fn no_prompt(target: &Target) -> error::Error {
--- a/comfreymill_node/src/entry/upstreams/serve.rs
+++ b/comfreymill_node/src/entry/upstreams/serve.rs
@@ -5,6 +5,7 @@
 use comfreymill_types::error;
 
 use super::Context;
+use crate::metering::observe;
 use crate::protocol;
 use crate::web;
 
@@ -20,13 +21,17 @@
 /// The upstream did not take the answer.
 pub async fn serve(cx: &Context, mut req: server::Request<'_>) -> Result<(), server::ServerError> {
     if let Some(error) = refusal(cx, &req) {
+        observe::refusal("upstreams", error.get_kind());
         return web::answer_error(req, &error).await;
     }
     // The connection answers for a body that is at fault.
     let Ok(body) = req.collect(MAX_BODY_BYTES).await else { return Ok(()) };
     match call(cx, req.uri().path(), &body).await {
         Ok(body) => web::answer_json(req, body).await,
-        Err(error) => web::answer_error(req, &error).await,
+        Err(error) => {
+            observe::refusal("upstreams", error.get_kind());
+            web::answer_error(req, &error).await
+        }
     }
 }
 
--- a/comfreymill_node/src/metering/metric.rs
+++ b/comfreymill_node/src/metering/metric.rs
@@ -118,12 +118,13 @@
     "Bytes that crossed the link between regions",
 );
 
-/// Open connections by listener.
-pub const CONNECTIONS: Metric =
-    gauge("comfreymill_open_connections", "Open connections of a listener");
+/// Requests that are not over by environment and stage.
+pub const OPEN_REQUESTS: Metric =
+    gauge("comfreymill_open_requests", "Requests of callers that are not over");
 
-/// Waiting requests or tasks by class.
-pub const QUEUE_LENGTH: Metric = gauge("comfreymill_queue_length", "Requests or tasks that wait");
+/// Requests that wait for a slot by environment and stage.
+pub const QUEUED_REQUESTS: Metric =
+    gauge("comfreymill_queued_requests", "Requests of callers that wait for a slot");
 
 /// Version in force by environment and stage.
 pub const VERSION_IN_FORCE: Metric =
@@ -141,7 +142,7 @@
     UNMATCHED_ANSWERS,
     PEER_BYTES,
     LINK_BYTES,
-    CONNECTIONS,
-    QUEUE_LENGTH,
+    OPEN_REQUESTS,
+    QUEUED_REQUESTS,
     VERSION_IN_FORCE,
 ];
--- a/comfreymill_node/src/metering/observe.rs
+++ b/comfreymill_node/src/metering/observe.rs
@@ -86,27 +86,28 @@
     metrics::counter!(metric::UNMATCHED_ANSWERS.name).increment(1);
 }
 
-/// Counts bytes exchanged with another process, named as in the settings.
-pub fn peer_bytes(peer: &str, direction: Direction, bytes: u64) {
+/// Counter of bytes exchanged with another process, named as in the settings.
+pub fn peer_bytes(peer: &str, direction: Direction) -> metrics::Counter {
     let labels = [("peer", peer.to_owned()), ("direction", direction.as_str().to_owned())];
-    metrics::counter!(metric::PEER_BYTES.name, &labels).increment(bytes);
+    metrics::counter!(metric::PEER_BYTES.name, &labels)
 }
 
-/// Counts bytes that crossed the link between two regions.
-pub fn link_bytes(from: &id::RegionName, to: &id::RegionName, bytes: u64) {
-    let labels = [("from", from.to_string()), ("to", to.to_string())];
-    metrics::counter!(metric::LINK_BYTES.name, &labels).increment(bytes);
+/// Counter of bytes that crossed the link between two regions.
+pub fn link_bytes(from: &str, to: &str) -> metrics::Counter {
+    let labels = [("from", from.to_owned()), ("to", to.to_owned())];
+    metrics::counter!(metric::LINK_BYTES.name, &labels)
 }
 
-/// Sets the number of open connections of a listener.
-pub fn connections(listener: &'static str, count: usize) {
-    metrics::gauge!(metric::CONNECTIONS.name, "listener" => listener).set(count as f64);
-}
-
-/// Sets the number of requests or tasks of a class that wait.
-pub fn queue_length(class: &id::ClassName, count: usize) {
-    let labels = [("class", class.to_string())];
-    metrics::gauge!(metric::QUEUE_LENGTH.name, &labels).set(count as f64);
+/// Sets the number of requests of an environment that are not over, and of those that wait.
+pub fn open_requests(
+    environment: &id::EnvironmentName,
+    stage: document::Stage,
+    open: usize,
+    queued: usize,
+) {
+    let labels = [("environment", environment.to_string()), ("stage", stage.to_string())];
+    metrics::gauge!(metric::OPEN_REQUESTS.name, &labels).set(open as f64);
+    metrics::gauge!(metric::QUEUED_REQUESTS.name, &labels).set(queued as f64);
 }
 
 /// Sets the version of an environment document in force here.
--- a/comfreymill_node/src/peer/connection.rs
+++ b/comfreymill_node/src/peer/connection.rs
@@ -11,9 +11,11 @@
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use super::handshake::{self, Side};
+use super::traffic::Traffic;
 use super::{Frame, Hello, Identity, PeerError};
 
 const MAX_FRAME_BYTES: usize = 8 << 20;
+const LENGTH_PREFIX_BYTES: usize = 4;
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Connection to a peer that holds the cluster's key.
@@ -30,11 +32,13 @@
 /// Frames that a peer sends.
 pub struct FrameReader {
     frames: FramedRead<StreamWrapper<OwnedReadHalf<TcpStream>>, LengthDelimitedCodec>,
+    traffic: Option<Traffic>,
 }
 
 /// Frames to a peer.
 pub struct FrameWriter {
     frames: FramedWrite<StreamWrapper<OwnedWriteHalf<TcpStream>>, LengthDelimitedCodec>,
+    traffic: Option<Traffic>,
 }
 
 impl Connection {
@@ -66,13 +70,17 @@
     async fn shake(stream: TcpStream, side: Side, identity: &Identity) -> Result<Self, PeerError> {
         stream.set_nodelay(true)?;
         let (read, write) = stream.into_split();
-        let mut reader = FrameReader { frames: FramedRead::new(StreamWrapper::new(read), codec()) };
-        let mut writer =
-            FrameWriter { frames: FramedWrite::new(StreamWrapper::new(write), codec()) };
+        let frames = FramedRead::new(StreamWrapper::new(read), codec());
+        let mut reader = FrameReader { frames, traffic: None };
+        let frames = FramedWrite::new(StreamWrapper::new(write), codec());
+        let mut writer = FrameWriter { frames, traffic: None };
         let shake = handshake::shake(side, identity, &mut reader, &mut writer);
         let peer = monoio::time::timeout(HANDSHAKE_TIMEOUT, shake)
             .await
             .map_err(|_| PeerError::Silent)??;
+        // Only a peer that proved the key gets counters of its own.
+        reader.traffic = Some(Traffic::received(&identity.hello, &peer));
+        writer.traffic = Some(Traffic::sent(&identity.hello, &peer));
         Ok(Self { peer, reader, writer })
     }
 }
@@ -85,6 +93,7 @@
     /// The connection ended or the frame is malformed.
     pub async fn next(&mut self) -> Result<Frame, PeerError> {
         let buf = self.frames.next().await.ok_or(PeerError::Closed)??;
+        count(self.traffic.as_ref(), buf.len());
         Frame::decode(buf.freeze()).map_err(|error| PeerError::Malformed(error.to_string()))
     }
 
@@ -106,6 +115,7 @@
     /// The connection failed.
     pub async fn send(&mut self, frame: Frame) -> Result<(), PeerError> {
         let buf = Bytes::from(frame.encode_to_vec());
+        count(self.traffic.as_ref(), buf.len());
         self.frames.send(buf).await.map_err(PeerError::from)
     }
 
@@ -116,6 +126,7 @@
     /// The connection failed.
     pub async fn feed(&mut self, frame: Frame) -> Result<(), PeerError> {
         let buf = Bytes::from(frame.encode_to_vec());
+        count(self.traffic.as_ref(), buf.len());
         self.frames.feed(buf).await.map_err(PeerError::from)
     }
 
@@ -141,6 +152,12 @@
     }
 }
 
+fn count(traffic: Option<&Traffic>, frame_bytes: usize) {
+    if let Some(traffic) = traffic {
+        traffic.count(LENGTH_PREFIX_BYTES + frame_bytes);
+    }
+}
+
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
 }
--- a/comfreymill_node/src/peer/mod.rs
+++ b/comfreymill_node/src/peer/mod.rs
@@ -9,6 +9,7 @@
 mod handshake;
 mod hello;
 mod peer_error;
+mod traffic;
 
 pub use cluster_key::ClusterKey;
 pub use connection::{Connection, FrameReader, FrameWriter};
--- a/tests/main.rs
+++ b/tests/main.rs
@@ -2,5 +2,6 @@
 
 mod command_line;
 mod fleet;
+mod process;
 mod support;
 mod thin_path;
--- /dev/null
+++ b/tests/process/system.rs
@@ -0,0 +1,29 @@
+use std::fs;
+
+use crate::support::Fixture;
+
+/// What the open files of a process are.
+fn open_files(process: u32) -> Vec<String> {
+    let folder = fs::read_dir(format!("/proc/{process}/fd")).expect("the process runs");
+    let links = folder.filter_map(|entry| fs::read_link(entry.ok()?.path()).ok());
+    links.map(|link| link.display().to_string()).collect()
+}
+
+#[test]
+fn no_process_uses_io_uring_or_starts_another() {
+    let mut fixture = Fixture::start(1, 1);
+    fixture.promote_document();
+    fixture.add_executor("hr-1");
+    fixture.search(0, "first");
+    for process in [&fixture.cluster.controls[0], &fixture.cluster.entries[0]] {
+        let id = process.get_id().expect("it runs");
+        let files = open_files(id);
+        assert!(files.iter().any(|file| file.contains("eventpoll")), "{files:?}");
+        assert!(!files.iter().any(|file| file.contains("io_uring")), "{files:?}");
+        for thread in fs::read_dir(format!("/proc/{id}/task")).expect("it runs") {
+            let children = thread.expect("a thread").path().join("children");
+            let children = fs::read_to_string(children).unwrap_or_default();
+            assert_eq!(children.trim(), "", "a process starts no other");
+        }
+    }
+}
