test: mend ports shared between tests, and two checks that could not fail

Cause: a process that one test thread starts holds copies of every other thread's sockets until it has begun its own program, so that a port just freed still listens (seen: a cluster's first process refused its port in 2 of 6 runs), and a freed port of 127.0.0.1 went to another test's node (seen: a dead address answered in 2 of 12 runs). Deliberate faults showed that the ledger's tests caught neither an older checkpoint nor an older grant.

--- a/comfreymill_bench/src/cluster/cluster.rs
+++ b/comfreymill_bench/src/cluster/cluster.rs
@@ -1,11 +1,14 @@
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
 
 use super::config::ClusterConfig;
 use super::folder::Folder;
 use super::settings_text::{self, ControlAddresses, ZONES};
 use super::{EntryAddresses, Process};
 
+const FREE_PAUSE: Duration = Duration::from_millis(5);
 const KEY: &str = "a key that only the tests' own clusters hold";
 
 /// Running control processes and entries.
@@ -127,8 +130,25 @@
     Ipv4Addr::new(127, number, high, low.max(1))
 }
 
-/// Ports that the system chooses.
+/// Ports that the system chooses, free when this returns.
 fn reserve(host: Ipv4Addr, count: usize) -> io::Result<Vec<SocketAddr>> {
     let listeners: io::Result<Vec<_>> = (0..count).map(|_| TcpListener::bind((host, 0))).collect();
-    listeners?.iter().map(TcpListener::local_addr).collect()
+    let listeners = listeners?;
+    let ports: io::Result<Vec<_>> = listeners.iter().map(TcpListener::local_addr).collect();
+    drop(listeners);
+    let ports = ports?;
+    for port in &ports {
+        wait_until_free(*port);
+    }
+    Ok(ports)
+}
+
+/// Waits until nobody listens on a port.
+///
+/// A process that another thread is starting holds a copy of every socket until it has begun its
+/// own program.
+fn wait_until_free(port: SocketAddr) {
+    while TcpStream::connect(port).is_ok() {
+        thread::sleep(FREE_PAUSE);
+    }
 }
--- a/comfreymill_ledger/tests/main.rs
+++ b/comfreymill_ledger/tests/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the replicated state machine.
 
 mod documents;
+mod grants;
 mod requests;
 mod snapshots;
 mod support;
--- a/comfreymill_ledger/tests/tasks/mod.rs
+++ b/comfreymill_ledger/tests/tasks/mod.rs
@@ -105,7 +105,7 @@
     let mut feed = Feed::default();
     let task = id::TaskId::new(feed.submit_job("k", false), 0);
     feed.start(task, 1, "w-1");
-    for sequence in [2, 1, 2] {
+    for sequence in [1, 2, 1] {
         let checkpoint = Checkpoint { sequence, data: sequence.to_string().into() };
         feed.apply(Command::RecordCheckpoint { attempt: attempt(task, 1), checkpoint });
     }
