fix(group): refusals and announcements grow old

Change: a refusal counts only as the answer to the newest announcement; an announcement counts for three seconds.

--- a/comfreymill_group/src/message/hello.rs
+++ b/comfreymill_group/src/message/hello.rs
@@ -4,6 +4,9 @@
     /// Whether the sender founds the group and asks for every founder's vote.
     #[prost(bool, tag = "1")]
     pub founding: bool,
+    /// Sender's clock when sent, in microseconds.
+    #[prost(uint64, tag = "2")]
+    pub sent_at_micros: u64,
 }
 
 /// Answers [`Hello`].
@@ -15,4 +18,7 @@
     /// Whether the group removed the receiver, or knows its id with another disk.
     #[prost(bool, tag = "2")]
     pub refused: bool,
+    /// `sent_at_micros` of the request; 0 if the receiver's pre-vote is answered.
+    #[prost(uint64, tag = "3")]
+    pub sent_at_micros: u64,
 }
--- a/comfreymill_group/src/replica/core.rs
+++ b/comfreymill_group/src/replica/core.rs
@@ -5,6 +5,7 @@
 use crate::replica::election::State;
 use crate::replica::incoming::Incoming;
 use crate::replica::log::Log;
+use crate::replica::newcomer::Newcomer;
 use crate::replica::outbox::Outbox;
 use crate::replica::{Action, Config, Halt, Persist, Recovered, Role};
 use crate::snapshot;
@@ -39,8 +40,10 @@
     pub(super) accepted: BTreeMap<id::VoterId, id::DiskId>,
     pub(super) founding_gate: Option<id::Sequence>,
     pub(super) hello_at: time::Monotonic,
-    /// Replicas with an empty log that announced themselves, with their disks.
-    pub(super) newcomers: BTreeMap<id::VoterId, id::DiskId>,
+    /// When the newest announcement was sent.
+    pub(super) hello_sent_at: time::Monotonic,
+    /// Replicas with an empty log that announced themselves.
+    pub(super) newcomers: BTreeMap<id::VoterId, Newcomer>,
     reported: (Role, id::Term, Option<id::VoterId>),
 }
 
@@ -79,6 +82,7 @@
             accepted: BTreeMap::new(),
             founding_gate: None,
             hello_at: now,
+            hello_sent_at: now,
             newcomers: BTreeMap::new(),
             reported: (Role::Newcomer, id::Term::ZERO, None),
         };
--- a/comfreymill_group/src/replica/founding.rs
+++ b/comfreymill_group/src/replica/founding.rs
@@ -2,6 +2,7 @@
 use crate::id;
 use crate::membership;
 use crate::message;
+use crate::replica::newcomer::Newcomer;
 use crate::replica::{Halt, Replica, Start};
 use comfreymill_types::time;
 
@@ -13,6 +14,7 @@
         if now < self.hello_at {
             return;
         }
+        self.hello_sent_at = now;
         self.hello_at = now + self.cfg.get_election_timeout_min();
         let founding = self.cfg.get_start().founder() == Some(self.voter);
         if founding {
@@ -21,7 +23,7 @@
         let peers = self.cfg.get_start().peers().to_vec();
         let own = self.voter;
         for to in peers.into_iter().filter(|peer| *peer != own) {
-            let hello = message::Hello { founding };
+            let hello = message::Hello { founding, sent_at_micros: now.as_micros() };
             self.send_synced(to, id::DiskId::ZERO, message::Body::Hello(hello));
         }
         self.try_found();
@@ -38,14 +40,19 @@
         let known = self.membership().get(from);
         let is_current = self.is_ready() && self.lease_valid(now);
         let is_other_disk = is_current && known.is_some_and(|member| member.disk != disk);
-        let mut answer = message::HelloResponse { founder_accepted: false, refused: is_other_disk };
+        let mut answer = message::HelloResponse {
+            founder_accepted: false,
+            refused: is_other_disk,
+            sent_at_micros: hello.sent_at_micros,
+        };
         if hello.founding && self.log.is_empty() {
             let founder = entry::Vote { voter: from, disk };
             answer.founder_accepted = self.accept_founder(founder);
             answer.refused = self.hard_state.vote.is_some_and(|vote| is_same_voter(vote, founder));
         }
+        self.newcomers.retain(|_, newcomer| newcomer.is_present(now));
         if known.is_none() && self.newcomers.len() < MAX_NEWCOMERS {
-            self.newcomers.insert(from, disk);
+            self.newcomers.insert(from, Newcomer { disk, heard_at: now });
         }
         self.send_synced(from, disk, message::Body::HelloResponse(answer));
     }
@@ -58,12 +65,16 @@
         answer: message::HelloResponse,
     ) {
         let voter = self.voter;
+        let is_new = self.log.is_empty();
+        let awaited = if is_new { self.hello_sent_at.as_micros() } else { 0 };
+        if answer.sent_at_micros != awaited {
+            return;
+        }
         if answer.refused {
-            let is_new = self.log.is_empty();
             self.halt(if is_new { Halt::DiskReplaced { voter } } else { Halt::Removed { voter } });
             return;
         }
-        if answer.founder_accepted && self.log.is_empty() {
+        if answer.founder_accepted && is_new {
             self.accepted.insert(from, disk);
             self.try_found();
         }
@@ -83,7 +94,8 @@
 
     /// Tells a replica that it doesn't belong to the group.
     pub(super) fn refuse(&mut self, from: id::VoterId, disk: id::DiskId) {
-        let answer = message::HelloResponse { founder_accepted: false, refused: true };
+        let (founder_accepted, refused, sent_at_micros) = (false, true, 0);
+        let answer = message::HelloResponse { founder_accepted, refused, sent_at_micros };
         self.send_synced(from, disk, message::Body::HelloResponse(answer));
     }
 
--- a/comfreymill_group/src/replica/member.rs
+++ b/comfreymill_group/src/replica/member.rs
@@ -70,7 +70,7 @@
     ) -> Result<id::Index, ChangeError> {
         self.check_change(now)?;
         let next = match change {
-            membership::Change::AddLearner(voter) => self.with_learner(voter)?,
+            membership::Change::AddLearner(voter) => self.with_learner(now, voter)?,
             membership::Change::Promote(voter) => self.with_promoted(now, voter)?,
             membership::Change::Remove(voter) => self.without(voter)?,
         };
@@ -80,9 +80,11 @@
         Ok(self.log.last_index())
     }
 
-    /// Replicas that announced themselves and are not members.
-    pub fn newcomers(&self) -> Vec<id::VoterId> {
-        self.newcomers.keys().copied().collect()
+    /// Replicas that announce themselves and are not members.
+    pub fn newcomers(&self, now: time::Monotonic) -> Vec<id::VoterId> {
+        let present = self.newcomers.iter().filter(|(_, newcomer)| newcomer.is_present(now));
+        let strangers = present.filter(|(voter, _)| self.membership().get(**voter).is_none());
+        strangers.map(|(voter, _)| *voter).collect()
     }
 
     fn check_change(&self, now: time::Monotonic) -> Result<(), ChangeError> {
@@ -103,14 +105,19 @@
         Ok(())
     }
 
-    fn with_learner(&mut self, voter: id::VoterId) -> Result<membership::Membership, ChangeError> {
+    fn with_learner(
+        &mut self,
+        now: time::Monotonic,
+        voter: id::VoterId,
+    ) -> Result<membership::Membership, ChangeError> {
         if self.membership().get(voter).is_some() {
             return Err(ChangeError::AlreadyMember { voter });
         }
-        let Some(disk) = self.newcomers.remove(&voter) else {
+        let newcomer = self.newcomers.remove(&voter).filter(|it| it.is_present(now));
+        let Some(newcomer) = newcomer else {
             return Err(ChangeError::NotAnnounced { voter });
         };
-        Ok(self.membership().with_learner(voter, disk))
+        Ok(self.membership().with_learner(voter, newcomer.disk))
     }
 
     fn with_promoted(
--- a/comfreymill_group/src/replica/mod.rs
+++ b/comfreymill_group/src/replica/mod.rs
@@ -21,6 +21,7 @@
 mod lease;
 mod log;
 mod member;
+mod newcomer;
 mod outbox;
 mod outgoing;
 mod peer;
--- /dev/null
+++ b/comfreymill_group/src/replica/newcomer.rs
@@ -0,0 +1,19 @@
+use crate::id;
+use comfreymill_types::time;
+use std::time::Duration;
+
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(3);
+
+/// Replica with an empty log that announced itself.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Newcomer {
+    pub(super) disk: id::DiskId,
+    pub(super) heard_at: time::Monotonic,
+}
+
+impl Newcomer {
+    /// Whether it has announced itself lately, as it does as long as its log is empty.
+    pub(super) fn is_present(&self, now: time::Monotonic) -> bool {
+        now.since(self.heard_at) < FORGOTTEN_AFTER
+    }
+}
--- a/comfreymill_group/src/replica/status.rs
+++ b/comfreymill_group/src/replica/status.rs
@@ -65,7 +65,7 @@
             snapshot: self.snapshot_index(),
             membership: self.membership().clone(),
             peers: self.peer_statuses(now),
-            newcomers: self.newcomers(),
+            newcomers: self.newcomers(now),
             halted: self.halted,
         }
     }
--- a/comfreymill_group/tests/schedule/checker.rs
+++ b/comfreymill_group/tests/schedule/checker.rs
@@ -71,6 +71,11 @@
         assert_eq!(members, Some(&meta.membership), "snapshot with another membership");
     }
 
+    /// Whether a committed membership lacks the replica.
+    pub(crate) fn was_removed(&self, voter: id::VoterId, disk: id::DiskId) -> bool {
+        self.memberships.values().any(|members| !members.contains(voter, disk))
+    }
+
     /// Installed state is the one that the committed entries give.
     pub(crate) fn on_install(&self, after: Machine) {
         let position = usize::try_from(after.index.get()).expect("index fits");
