--- a/comfreymill_http/src/wire/socket.rs
+++ b/comfreymill_http/src/wire/socket.rs
@@ -1,14 +1,20 @@
-use std::{io, mem, net, time};
+use std::{io, net, time};
 
 use bytes::Buf as _;
 use monoio::io::{AsyncReadRent as _, AsyncWriteRent as _};
 use monoio::time as timer;
 
-use super::{WireError, now_or_never, progress};
+use super::{WireError, now_or_never, progress, yield_now};
+
+/// Reads after which the other tasks get their turn, however fast the peer sends.
+const READS_PER_TURN: u32 = 16;
 
 const READ_BYTES: usize = 16 * 1024;
 const MIN_SPARE_BYTES: usize = 4 * 1024;
 
+/// Time for which a silent connection keeps its empty buffer.
+const KEPT_BUFFER_TIME: time::Duration = time::Duration::from_secs(1);
+
 /// A TCP stream with the bytes that were read and not yet consumed.
 ///
 /// Dropping one of its futures loses no byte: the buffer stays here while its spare capacity is
@@ -19,13 +25,14 @@
     buf: bytes::BytesMut,
     is_eof: bool,
     written: u64,
+    reads: u32,
 }
 
 impl Socket {
     pub(crate) fn new(stream: monoio::net::TcpStream) -> Self {
         // Latency only: a stream without the option still works.
         let _ = stream.set_nodelay(true);
-        Self { stream, buf: bytes::BytesMut::new(), is_eof: false, written: 0 }
+        Self { stream, buf: bytes::BytesMut::new(), is_eof: false, written: 0, reads: 0 }
     }
 
     /// Address of the peer.
@@ -56,6 +63,7 @@
         if self.is_eof {
             return Ok(0);
         }
+        self.take_turn().await;
         if self.buf.capacity() - self.buf.len() < MIN_SPARE_BYTES {
             self.buf.reserve(READ_BYTES);
         }
@@ -67,6 +75,14 @@
         Ok(count)
     }
 
+    async fn take_turn(&mut self) {
+        self.reads += 1;
+        if self.reads == READS_PER_TURN {
+            self.reads = 0;
+            yield_now().await;
+        }
+    }
+
     /// Reads once, for at most `limit`.
     pub(crate) async fn fill_within(&mut self, limit: time::Duration) -> Result<usize, WireError> {
         match timer::timeout(limit, self.fill()).await {
@@ -86,12 +102,17 @@
         Ok(count)
     }
 
-    /// Waits until there is something to read, without holding a buffer meanwhile.
+    /// Waits until there is something in the buffer or to read.
+    ///
+    /// A wait that lasts holds no buffer, so that idle connections cost little memory.
     pub(crate) async fn wait_readable(&mut self) -> io::Result<()> {
         if self.is_eof || !self.buf.is_empty() {
             return Ok(());
         }
-        drop(mem::take(&mut self.buf));
+        if let Ok(res) = timer::timeout(KEPT_BUFFER_TIME, self.fill()).await {
+            return res.map(drop);
+        }
+        self.buf = bytes::BytesMut::new();
         self.stream.readable(false).await
     }
 
