feat(node): see a sent request through without its caller

Cause: a caller that went away, or a deadline that passed, dropped the connection to the executor and left its slot in doubt for five seconds; a connection attempt cut off by the deadline was reported as an unknown outcome; connections that went silent were not dropped. Change: each request runs in a task of its own. A caller that leaves gives up what waits; what runs is read to its end, also after the deadline, and frees its slot then. A deadline before the sending is not run. Opening a connection has a quarter of the time left. The pool of idle connections is shared with the dispatcher, which drops those of a suspect executor and old ones.

--- a/comfreymill_node/src/entry/dispatch/desk.rs
+++ b/comfreymill_node/src/entry/dispatch/desk.rs
@@ -23,6 +23,23 @@
     pub(super) address: std::net::SocketAddr,
 }
 
+/// What the shell has to do for a desk.
+#[derive(Default)]
+pub(super) struct Chores {
+    /// Probes to carry out.
+    pub(super) probes: Vec<Probe>,
+    /// Executors whose idle connections to close.
+    pub(super) drops: Vec<std::net::SocketAddr>,
+}
+
+impl Chores {
+    /// Adds what another desk asks for.
+    pub(super) fn extend(&mut self, more: Self) {
+        self.probes.extend(more.probes);
+        self.drops.extend(more.drops);
+    }
+}
+
 impl Desk {
     /// Desk for a document that is in force.
     pub(super) fn new(
@@ -68,9 +85,9 @@
         }
     }
 
-    /// Hands orders out and gives the probes to carry out.
-    pub(super) fn act(&mut self) -> Vec<Probe> {
-        let mut probes = Vec::new();
+    /// Hands orders out and gives what the shell has to do.
+    pub(super) fn act(&mut self) -> Chores {
+        let mut chores = Chores::default();
         for action in self.router.take_actions() {
             match action {
                 router::Action::Send { request, executor, address, attempt } => {
@@ -84,11 +101,12 @@
                     }
                 }
                 router::Action::Probe { executor, address } => {
-                    probes.push(Probe { desk: self.key.clone(), executor, address });
+                    chores.probes.push(Probe { desk: self.key.clone(), executor, address });
                 }
-                router::Action::DropConnections { .. } | router::Action::DemandChanged => {}
+                router::Action::DropConnections { address, .. } => chores.drops.push(address),
+                router::Action::DemandChanged => {}
             }
         }
-        probes
+        chores
     }
 }
--- a/comfreymill_node/src/entry/dispatch/state.rs
+++ b/comfreymill_node/src/entry/dispatch/state.rs
@@ -6,7 +6,7 @@
 use comfreymill_types::time;
 
 use super::DispatchOrder;
-use super::desk::{Desk, Probe};
+use super::desk::{Chores, Desk};
 use super::input::Input;
 use crate::protocol;
 
@@ -51,7 +51,7 @@
     pub(super) lease_until: time::Monotonic,
     pub(super) is_unready: bool,
     pub(super) is_draining: bool,
-    pub(super) probes: Vec<Probe>,
+    pub(super) chores: Chores,
 }
 
 impl State {
@@ -66,7 +66,7 @@
             lease_until: time::Monotonic::ZERO,
             is_unready: false,
             is_draining: false,
-            probes: Vec::new(),
+            chores: Chores::default(),
         }
     }
 
@@ -105,7 +105,7 @@
     pub(super) fn tick(&mut self, now: time::Monotonic) {
         for desk in self.desks.values_mut() {
             desk.router.tick(now);
-            self.probes.extend(desk.act());
+            self.chores.extend(desk.act());
         }
     }
 
@@ -128,7 +128,7 @@
         let Some(desk) = self.desks.get_mut(key) else { return };
         let admission = desk.router.submit(now, view);
         desk.admitted(view.id, admission, orders);
-        self.probes.extend(desk.act());
+        self.chores.extend(desk.act());
     }
 
     fn refusal(&self, now: time::Monotonic, key: &protocol::DeskKey) -> Option<error::Error> {
@@ -169,7 +169,7 @@
     {
         if let Some(desk) = self.desks.get_mut(key) {
             change(desk);
-            self.probes.extend(desk.act());
+            self.chores.extend(desk.act());
         }
     }
 
@@ -177,7 +177,7 @@
         self.is_draining = true;
         for desk in self.desks.values_mut() {
             desk.router.draining();
-            self.probes.extend(desk.act());
+            self.chores.extend(desk.act());
         }
     }
 
--- a/comfreymill_node/src/entry/dispatch/state_push.rs
+++ b/comfreymill_node/src/entry/dispatch/state_push.rs
@@ -43,7 +43,7 @@
         let until = self.lease_until;
         for desk in self.desks.values_mut() {
             desk.router.lease(now, SOURCE, until);
-            self.probes.extend(desk.act());
+            self.chores.extend(desk.act());
         }
     }
 
@@ -121,7 +121,7 @@
             let version = self.table_version;
             desk.router.executors(now, router::Table { source: SOURCE, version, executors });
             desk.router.lease(now, SOURCE, until);
-            self.probes.extend(desk.act());
+            self.chores.extend(desk.act());
         }
     }
 }
--- a/comfreymill_node/src/entry/dispatch/task.rs
+++ b/comfreymill_node/src/entry/dispatch/task.rs
@@ -1,18 +1,20 @@
+use std::rc::Rc;
 use std::time::Duration;
 
 use super::handle::Dispatcher;
 use super::state::{DispatchConfig, State};
 use crate::clock;
+use crate::entry::pool;
 use crate::entry::probe;
 
 const TICK: Duration = Duration::from_millis(10);
 
 /// Starts the dispatcher's task.
-pub fn start(cfg: DispatchConfig, clock: clock::Clock) -> Dispatcher {
+pub fn start(cfg: DispatchConfig, clock: clock::Clock, pool: Rc<pool::Pool>) -> Dispatcher {
     let (tx, rx) = flume::unbounded();
     let dispatcher = Dispatcher { tx };
     let state = State::new(cfg);
-    monoio::spawn(run(state, rx, clock, dispatcher.clone()));
+    monoio::spawn(run(state, rx, clock, dispatcher.clone(), pool));
     dispatcher
 }
 
@@ -21,6 +23,7 @@
     rx: flume::Receiver<super::input::Input>,
     clock: clock::Clock,
     dispatcher: Dispatcher,
+    pool: Rc<pool::Pool>,
 ) {
     let mut ticked_at = clock.now();
     loop {
@@ -34,9 +37,13 @@
         // A busy queue must not put the tick off.
         if now.since(ticked_at) >= TICK {
             state.tick(now);
+            pool.drop_old();
             ticked_at = now;
         }
-        for probe in state.probes.drain(..) {
+        for address in state.chores.drops.drain(..) {
+            pool.drop_all(address);
+        }
+        for probe in state.chores.probes.drain(..) {
             let dispatcher = dispatcher.clone();
             monoio::spawn(async move {
                 let is_healthy = probe::is_healthy(probe.address).await;
--- a/comfreymill_node/src/entry/mod.rs
+++ b/comfreymill_node/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod heartbeat;
 pub mod link;
 pub mod operators;
+pub mod pool;
 mod probe;
 mod process;
 pub mod prompt;
--- a/comfreymill_node/src/entry/process.rs
+++ b/comfreymill_node/src/entry/process.rs
@@ -1,3 +1,4 @@
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,6 +10,7 @@
 use super::heartbeat;
 use super::link;
 use super::operators;
+use super::pool;
 use super::prompt;
 use super::upstreams;
 use crate::clock;
@@ -49,7 +51,8 @@
     let callers_token = settings.get_callers_token_file().map(web::Token::read).transpose()?;
     let upstreams_token = settings.get_upstreams_token_file().map(web::Token::read).transpose()?;
 
-    let dispatcher = dispatch::start(dispatch_config(settings)?, clock);
+    let pool = Rc::new(pool::Pool::default());
+    let dispatcher = dispatch::start(dispatch_config(settings)?, clock, pool.clone());
     let (pushes, pushed) = flume::unbounded();
     let link = link::start(link_config(settings, clock)?, pushes);
     monoio::spawn(forward(pushed, dispatcher.clone()));
@@ -57,7 +60,7 @@
     monoio::spawn(beats);
 
     let max_body_bytes = common.get_limits().get_body().get();
-    let cx = prompt::Context::new(clock, dispatcher.clone(), link.clone(), max_body_bytes)
+    let cx = prompt::Context::new(clock, dispatcher.clone(), link.clone(), pool, max_body_bytes)
         .token(callers_token);
     let handler = async move |req: server::Request<'_>| prompt::serve(&cx, req).await;
     let callers_end = server::Shutdown::new();
--- a/comfreymill_node/src/entry/prompt/attempt.rs
+++ b/comfreymill_node/src/entry/prompt/attempt.rs
@@ -1,5 +1,7 @@
+use std::cell::Cell;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use comfreymill_http::client;
@@ -10,6 +12,10 @@
 use crate::web;
 
 const NOT_RUN: &str = "not-run";
+const MAX_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const MIN_CONNECT_TIMEOUT: Duration = Duration::from_millis(20);
+// A connection that does not open leaves time for another executor.
+const CONNECT_PARTS_OF_DEADLINE: u32 = 4;
 
 /// Whole answer of an executor.
 #[derive(Clone, Debug)]
@@ -19,42 +25,58 @@
     pub(super) body: Bytes,
 }
 
-/// Sends a request to an executor and reads the whole answer.
-pub(super) async fn attempt(
-    cx: &Context,
-    address: SocketAddr,
-    head: &http::request::Parts,
-    body: Bytes,
-) -> (router::Outcome, Option<ExecutorAnswer>) {
-    let began = Instant::now();
-    let mut connection = match cx.pool.take(address).await {
-        Ok(connection) => connection,
-        Err(error) => return (outcome(&error), None),
-    };
-    let answer = exchange(cx, &mut connection, head, body).await;
-    cx.pool.put(address, connection);
-    match answer {
-        Err(error) => (outcome(&error), None),
-        Ok(answer) if is_not_run(&answer) => (router::Outcome::RefusedByUpstream, None),
-        Ok(answer) => {
-            let latency = began.elapsed();
-            let status = answer.status.as_u16();
-            (router::Outcome::Answered { latency, status }, Some(answer))
+/// One attempt of a request at an executor.
+pub(super) struct Attempt {
+    pub(super) cx: Context,
+    pub(super) address: SocketAddr,
+    pub(super) head: Rc<http::request::Parts>,
+    pub(super) body: Bytes,
+    /// Time left for the request.
+    pub(super) left: Duration,
+    /// Whether sending has begun; before it the request cannot have run.
+    pub(super) is_begun: Rc<Cell<bool>>,
+}
+
+/// End of an attempt with the answer, if a whole one came.
+pub(super) type AttemptEnd = (router::Outcome, Option<ExecutorAnswer>);
+
+impl Attempt {
+    /// Sends the request and reads the whole answer.
+    pub(super) async fn run(self) -> AttemptEnd {
+        let began = Instant::now();
+        let mut connection = match self.cx.pool.take(self.address, self.connect_timeout()).await {
+            Ok(connection) => connection,
+            Err(error) => return (outcome(&error), None),
+        };
+        self.is_begun.set(true);
+        let answer = self.exchange(&mut connection).await;
+        self.cx.pool.put(self.address, connection);
+        match answer {
+            Err(error) => (outcome(&error), None),
+            Ok(answer) if is_not_run(&answer) => (router::Outcome::RefusedByUpstream, None),
+            Ok(answer) => {
+                let latency = began.elapsed();
+                let status = answer.status.as_u16();
+                (router::Outcome::Answered { latency, status }, Some(answer))
+            }
         }
     }
-}
 
-async fn exchange(
-    cx: &Context,
-    connection: &mut client::Connection,
-    head: &http::request::Parts,
-    body: Bytes,
-) -> Result<ExecutorAnswer, client::ClientError> {
-    let mut response = connection.send(head, body).await?;
-    let body = response.collect(cx.max_body_bytes).await?;
-    let mut headers = response.take_headers();
-    hop::remove_hop_by_hop(&mut headers);
-    Ok(ExecutorAnswer { status: response.status(), headers, body })
+    fn connect_timeout(&self) -> Duration {
+        let part = self.left / CONNECT_PARTS_OF_DEADLINE;
+        part.clamp(MIN_CONNECT_TIMEOUT, MAX_CONNECT_TIMEOUT)
+    }
+
+    async fn exchange(
+        &self,
+        connection: &mut client::Connection,
+    ) -> Result<ExecutorAnswer, client::ClientError> {
+        let mut response = connection.send(&self.head, self.body.clone()).await?;
+        let body = response.collect(self.cx.max_body_bytes).await?;
+        let mut headers = response.take_headers();
+        hop::remove_hop_by_hop(&mut headers);
+        Ok(ExecutorAnswer { status: response.status(), headers, body })
+    }
 }
 
 /// Whether the executor says that it did not run the request.
--- /dev/null
+++ b/comfreymill_node/src/entry/prompt/conduct.rs
@@ -0,0 +1,129 @@
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use comfreymill_route::router;
+use comfreymill_types::document;
+use comfreymill_types::error;
+use comfreymill_types::time;
+
+use super::attempt::{Attempt, AttemptEnd, ExecutorAnswer};
+use super::context::Context;
+use super::keyed;
+use super::target::Target;
+use crate::entry::dispatch;
+
+const NO_TEAM: &str = "none";
+const SETTLE_LIMIT: Duration = Duration::from_secs(30);
+
+/// Request with all that is needed to see it through without its caller.
+#[derive(Clone)]
+pub(super) struct Conduct {
+    pub(super) cx: Context,
+    pub(super) target: Target,
+    pub(super) class: document::Class,
+    pub(super) limit: Duration,
+    pub(super) head: Rc<http::request::Parts>,
+    pub(super) body: Bytes,
+    /// Key to record the end under.
+    pub(super) key: Option<comfreymill_ledger::request::RequestKey>,
+    /// Closed when the caller goes away.
+    pub(super) caller: flume::Receiver<()>,
+}
+
+impl Conduct {
+    /// Runs the request, and records its end if it has a key.
+    pub(super) async fn run(self) -> Result<ExecutorAnswer, error::Error> {
+        let result = self.dispatch().await;
+        let Some(key) = self.key else { return result };
+        let outcome = match &result {
+            Ok(answer) => keyed::answered(answer),
+            Err(error) => keyed::failed(error),
+        };
+        keyed::close(&self.cx, key, outcome).await?;
+        result
+    }
+
+    /// Takes orders until the request is over.
+    async fn dispatch(&self) -> Result<ExecutorAnswer, error::Error> {
+        let arrival = self.cx.clock.now();
+        let deadline = arrival + self.limit;
+        let mut ticket =
+            self.cx.dispatcher.submit(self.target.desk.clone(), self.view(arrival, deadline));
+        loop {
+            let order = monoio::select! {
+                order = ticket.next() => order,
+                _ = self.caller.recv_async() => return Err(caller_gone()),
+            };
+            let address = match order {
+                dispatch::DispatchOrder::Send { address, .. } => address,
+                dispatch::DispatchOrder::Refuse(error) => return Err(error),
+            };
+            let left = deadline.since(self.cx.clock.now());
+            let is_begun = Rc::new(Cell::new(false));
+            let attempt = self.attempt(address, left, is_begun.clone());
+            let mut running = monoio::spawn(attempt.run());
+            match monoio::time::timeout(left, &mut running).await {
+                Ok((outcome, answer)) => {
+                    ticket.finished(outcome);
+                    if let Some(answer) = answer {
+                        return Ok(answer);
+                    }
+                }
+                Err(_) if is_begun.get() => {
+                    ticket.finished(router::Outcome::TimedOut);
+                    let order = ticket.next().await;
+                    monoio::spawn(settle(running, ticket));
+                    return Err(late(order));
+                }
+                Err(_) => ticket.finished(router::Outcome::NothingSent),
+            }
+        }
+    }
+
+    fn view(&self, arrival: time::Monotonic, deadline: time::Monotonic) -> router::RequestView {
+        let team = self.target.team.clone().or_else(|| NO_TEAM.parse().ok());
+        router::RequestView {
+            id: self.cx.take_number(),
+            class: self.target.class.clone(),
+            team: team.expect("the name is valid"),
+            arrival,
+            deadline: Some(deadline),
+            keyed: self.target.key.is_some(),
+            unrepeatable: self.class.unrepeatable,
+        }
+    }
+
+    fn attempt(
+        &self,
+        address: std::net::SocketAddr,
+        left: Duration,
+        is_begun: Rc<Cell<bool>>,
+    ) -> Attempt {
+        let (cx, head, body) = (self.cx.clone(), self.head.clone(), self.body.clone());
+        Attempt { cx, address, head, body, left, is_begun }
+    }
+}
+
+/// Reads on after the deadline, so that the slot is free once the executor has answered.
+async fn settle(running: monoio::task::JoinHandle<AttemptEnd>, ticket: dispatch::Ticket) {
+    let end = monoio::time::timeout(SETTLE_LIMIT, running).await;
+    if matches!(end, Ok((router::Outcome::Answered { .. }, _))) {
+        ticket.settled();
+    }
+}
+
+fn late(order: dispatch::DispatchOrder) -> error::Error {
+    match order {
+        dispatch::DispatchOrder::Refuse(error) => error,
+        dispatch::DispatchOrder::Send { .. } => {
+            let message = "the deadline passed while the request was running";
+            error::Error::new(error::ErrorKind::DeadlineExceeded, message)
+        }
+    }
+}
+
+fn caller_gone() -> error::Error {
+    error::Error::new(error::ErrorKind::CallerTimeout, "the caller went away while it waited")
+}
--- a/comfreymill_node/src/entry/prompt/context.rs
+++ b/comfreymill_node/src/entry/prompt/context.rs
@@ -1,10 +1,10 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use super::pool::Pool;
 use crate::clock;
 use crate::entry::dispatch;
 use crate::entry::link;
+use crate::entry::pool;
 use crate::web;
 
 /// What every request needs.
@@ -13,7 +13,7 @@
     pub(super) clock: clock::Clock,
     pub(super) dispatcher: dispatch::Dispatcher,
     pub(super) link: link::Link,
-    pub(super) pool: Rc<Pool>,
+    pub(super) pool: Rc<pool::Pool>,
     pub(super) token: Option<web::Token>,
     pub(super) max_body_bytes: u64,
     next_request: Rc<Cell<u64>>,
@@ -25,13 +25,14 @@
         clock: clock::Clock,
         dispatcher: dispatch::Dispatcher,
         link: link::Link,
+        pool: Rc<pool::Pool>,
         max_body_bytes: u64,
     ) -> Self {
         Self {
             clock,
             dispatcher,
             link,
-            pool: Rc::default(),
+            pool,
             token: None,
             max_body_bytes,
             next_request: Rc::new(Cell::new(1)),
--- a/comfreymill_node/src/entry/prompt/mod.rs
+++ b/comfreymill_node/src/entry/prompt/mod.rs
@@ -1,9 +1,9 @@
 //! The path of a prompt request: caller, dispatcher, executor, caller.
 
 mod attempt;
+mod conduct;
 mod context;
 mod keyed;
-mod pool;
 mod serve;
 mod target;
 
--- a/comfreymill_node/src/entry/prompt/serve.rs
+++ b/comfreymill_node/src/entry/prompt/serve.rs
@@ -1,23 +1,21 @@
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use comfreymill_http::hop;
 use comfreymill_http::server;
 use comfreymill_ledger::request;
-use comfreymill_route::router;
 use comfreymill_types::document;
 use comfreymill_types::error;
 use comfreymill_types::id;
 
-use super::attempt::{self, ExecutorAnswer};
+use super::attempt::ExecutorAnswer;
+use super::conduct::Conduct;
 use super::context::Context;
 use super::keyed;
 use super::target::Target;
-use crate::entry::dispatch;
 use crate::web;
 
-const NO_TEAM: &str = "none";
-
 /// Serves one request of a caller.
 ///
 /// # Errors
@@ -27,7 +25,7 @@
     match run(cx, &mut req).await {
         Ok(answer) => req.respond(answer.status, &answer.headers, answer.body).await,
         Err(Failure::Refused(error)) => web::answer_error(req, &error).await,
-        // The connection answers for a body that is at fault.
+        // The connection answers for a body that is at fault; a caller that went away gets none.
         Err(Failure::Body) => Ok(()),
     }
 }
@@ -53,65 +51,36 @@
     let limit = target.time_left.unwrap_or(Duration::MAX).min(prompt.deadline.into());
     let body = req.collect(cx.max_body_bytes).await.map_err(|_| Failure::Body)?;
     let head = executor_head(req.head(), &target);
-    let Some(key) = &target.key else {
-        if class.unrepeatable {
-            let message = "the class is unrepeatable; name the request by an Idempotency-Key";
-            let error = error::Error::new(error::ErrorKind::KeyRequired, message);
-            return Err(error.field(web::KEY_HEADER.as_str()).into());
+    let key = match &target.key {
+        None if class.unrepeatable => return Err(key_required().into()),
+        None => None,
+        Some(key) => {
+            let digest = digest(&head, &target, &body);
+            match keyed::open(cx, &target, key, &class, digest, limit).await? {
+                keyed::Opening::Stored(answer) => return Ok(stored(answer)?),
+                keyed::Opening::Run(key) => Some(key),
+            }
         }
-        return Ok(dispatch(cx, &target, &class, limit, &head, &body).await?);
     };
-    let digest = digest(&head, &target, &body);
-    match keyed::open(cx, &target, key, &class, digest, limit).await? {
-        keyed::Opening::Stored(answer) => Ok(stored(answer)?),
-        keyed::Opening::Run(key) => {
-            let result = dispatch(cx, &target, &class, limit, &head, &body).await;
-            let outcome = match &result {
-                Ok(answer) => keyed::answered(answer),
-                Err(error) => keyed::failed(error),
-            };
-            keyed::close(cx, key, outcome).await?;
-            Ok(result?)
+    let (caller_stays, caller) = flume::bounded(0);
+    let cx = cx.clone();
+    let head = Rc::new(head);
+    let conduct = Conduct { cx, target, class, limit, head, body, key, caller };
+    let running = monoio::spawn(conduct.run());
+    monoio::select! {
+        result = running => Ok(result?),
+        () = req.closed() => {
+            // What waits is given up; what runs is seen through, so that its slot is free again.
+            drop(caller_stays);
+            Err(Failure::Body)
         }
     }
 }
 
-/// Takes orders until the request is over.
-async fn dispatch(
-    cx: &Context,
-    target: &Target,
-    class: &document::Class,
-    limit: Duration,
-    head: &http::request::Parts,
-    body: &Bytes,
-) -> Result<ExecutorAnswer, error::Error> {
-    let arrival = cx.clock.now();
-    let deadline = arrival + limit;
-    let team = target.team.clone().or_else(|| NO_TEAM.parse().ok());
-    let view = router::RequestView {
-        id: cx.take_number(),
-        class: target.class.clone(),
-        team: team.expect("the name is valid"),
-        arrival,
-        deadline: Some(deadline),
-        keyed: target.key.is_some(),
-        unrepeatable: class.unrepeatable,
-    };
-    let mut ticket = cx.dispatcher.submit(target.desk.clone(), view);
-    loop {
-        let (address, _) = match ticket.next().await {
-            dispatch::DispatchOrder::Send { address, attempt, .. } => (address, attempt),
-            dispatch::DispatchOrder::Refuse(error) => return Err(error),
-        };
-        let left = deadline.since(cx.clock.now());
-        let attempt = attempt::attempt(cx, address, head, body.clone());
-        let (outcome, answer) =
-            monoio::time::timeout(left, attempt).await.unwrap_or((router::Outcome::TimedOut, None));
-        ticket.finished(outcome);
-        if let Some(answer) = answer {
-            return Ok(answer);
-        }
-    }
+fn key_required() -> error::Error {
+    let message = "the class is unrepeatable; name the request by an Idempotency-Key";
+    let error = error::Error::new(error::ErrorKind::KeyRequired, message);
+    error.field(web::KEY_HEADER.as_str())
 }
 
 async fn find_class(cx: &Context, target: &Target) -> Result<document::Class, error::Error> {
--- a/comfreymill_node/tests/main.rs
+++ b/comfreymill_node/tests/main.rs
@@ -3,5 +3,6 @@
 mod command;
 mod logs;
 mod metering;
+mod prompt;
 mod scratch;
 mod settings;
--- /dev/null
+++ b/comfreymill_node/tests/prompt/caller.rs
@@ -0,0 +1,57 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use comfreymill_http::client;
+use comfreymill_http::limits;
+use monoio::io::AsyncWriteRentExt as _;
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// What a caller got.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct Got {
+    pub(super) status: u16,
+    /// Kind of the error, if it is one.
+    pub(super) kind: String,
+    /// Whether the request was run, if it is an error.
+    pub(super) run: String,
+    pub(super) body: String,
+}
+
+impl Got {
+    /// Error with its table's answer.
+    pub(super) fn error(&self) -> (u16, &str, &str) {
+        (self.status, &self.kind, &self.run)
+    }
+}
+
+/// Asks for a class with a body, and takes the whole answer.
+pub(super) async fn ask(to: SocketAddr, class: &str, body: &str) -> Got {
+    let limits = limits::Limits::new();
+    let mut connection =
+        client::Connection::connect(to, limits, LIMIT).await.expect("the entry listens");
+    let req = http::Request::post(format!("/v1/trust/{class}/find")).body(());
+    let (head, ()) = req.expect("the request is well formed").into_parts();
+    let body = Bytes::from(body.to_owned());
+    let mut response = connection.send(&head, body).await.expect("the entry answers");
+    let header = |name: &str| {
+        let value = response.headers().get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let (status, kind, run) =
+        (response.status().as_u16(), header("comfreymill-error"), header("comfreymill-run"));
+    let body = response.collect(u64::MAX).await.expect("the answer is whole");
+    Got { status, kind, run, body: String::from_utf8_lossy(&body).into_owned() }
+}
+
+/// Sends a request and goes away after a time.
+pub(super) async fn ask_and_leave(to: SocketAddr, class: &str, body: &str, after: Duration) {
+    let mut stream = monoio::net::TcpStream::connect_addr(to).await.expect("the entry listens");
+    let length = body.len();
+    let text = format!(
+        "POST /v1/trust/{class}/find HTTP/1.1\r\nHost: entry\r\nContent-Length: {length}\r\n\r\n{body}"
+    );
+    stream.write_all(text.into_bytes()).await.0.expect("the entry reads");
+    monoio::time::sleep(after).await;
+}
--- /dev/null
+++ b/comfreymill_node/tests/prompt/mod.rs
@@ -0,0 +1,6 @@
+mod bed;
+mod caller;
+mod executor;
+mod failures;
+mod lateness;
+mod whole_answers;
--- /dev/null
+++ b/comfreymill_node/tests/prompt/whole_answers.rs
@@ -0,0 +1,51 @@
+use std::time::Duration;
+
+use comfreymill_node::runtime;
+
+use super::bed::Bed;
+use super::caller;
+use super::executor::{self, Behaviour, Executor};
+
+const CALLERS: usize = 60;
+
+#[test]
+fn each_caller_gets_its_own_answer() {
+    let test = async {
+        let executors = [
+            Executor::start(executor::ECHO),
+            Executor::start(Behaviour::EchoAfter(Duration::from_millis(7))),
+            Executor::start(Behaviour::EchoAfter(Duration::from_millis(3))),
+        ];
+        let bed = Bed::start(&executors.clone().map(|executor| executor.address), 4);
+        let callers = bed.callers;
+        let asking: Vec<_> = (0..CALLERS)
+            .map(|number| {
+                let body = format!("hull {number} {}", "x".repeat(number * 37));
+                monoio::spawn(async move {
+                    let got = caller::ask(callers, "patient", &body).await;
+                    (got.status, got.body == body)
+                })
+            })
+            .collect();
+        for asked in asking {
+            assert_eq!(asked.await, (200, true));
+        }
+        let runs: usize = executors.iter().map(|executor| executor.ran().len()).sum();
+        assert_eq!(runs, CALLERS);
+    };
+    runtime::block_on(test).expect("the runtime starts");
+}
+
+#[test]
+fn bytes_after_an_answer_are_not_taken_for_the_next_answer() {
+    let test = async {
+        let executor = Executor::start(Behaviour::Overlong);
+        let bed = Bed::start(&[executor.address], 1);
+        for number in 0..5 {
+            let body = format!("hull {number}");
+            let got = caller::ask(bed.callers, "patient", &body).await;
+            assert_eq!((got.status, got.body), (200, body));
+        }
+    };
+    runtime::block_on(test).expect("the runtime starts");
+}
--- a/comfreymill_route/src/router/action.rs
+++ b/comfreymill_route/src/router/action.rs
@@ -35,6 +35,8 @@
     DropConnections {
         /// Executor whose connections to close.
         executor: id::ExecutorName,
+        /// Address of the executor.
+        address: net::SocketAddr,
     },
     /// Demand changed enough to tell the granting leader before the next heartbeat.
     DemandChanged,
--- a/comfreymill_route/src/router/router_health.rs
+++ b/comfreymill_route/src/router/router_health.rs
@@ -95,8 +95,8 @@
             return;
         }
         executor.dropped_at = Some(now);
-        let name = executor.name().clone();
-        self.actions.push(Action::DropConnections { executor: name });
+        let (executor, address) = (executor.name().clone(), executor.view.address);
+        self.actions.push(Action::DropConnections { executor, address });
         self.probe_soon(ix);
         self.blame(now, ix);
     }
