--- a/comfreymill_node/src/entry/dispatch/desk.rs
+++ b/comfreymill_node/src/entry/dispatch/desk.rs
@@ -30,6 +30,23 @@
     pub(super) address: net::SocketAddr,
 }
 
+/// What the shell has to do for a desk.
+#[derive(Default)]
+pub(super) struct Chores {
+    /// Probes to carry out.
+    pub(super) probes: Vec<Probe>,
+    /// Executors whose idle connections to close.
+    pub(super) drops: Vec<net::SocketAddr>,
+}
+
+impl Chores {
+    /// Adds what another desk asks for.
+    pub(super) fn extend(&mut self, more: Self) {
+        self.probes.extend(more.probes);
+        self.drops.extend(more.drops);
+    }
+}
+
 impl Desk {
     /// Desk for a document that is in force.
     pub(super) fn new(
@@ -106,9 +123,9 @@
         }
     }
 
-    /// Hands orders out and gives the probes to carry out.
-    pub(super) fn act(&mut self) -> Vec<Probe> {
-        let mut probes = Vec::new();
+    /// Hands orders out and gives what the shell has to do.
+    pub(super) fn act(&mut self) -> Chores {
+        let mut chores = Chores::default();
         for action in self.router.take_actions() {
             match action {
                 router::Action::Send { request, executor, address, attempt } => {
@@ -124,11 +141,12 @@
                 }
                 router::Action::Probe { executor, address } => {
                     observe::decision(PART, "probe");
-                    probes.push(Probe { desk: self.key.clone(), executor, address });
+                    chores.probes.push(Probe { desk: self.key.clone(), executor, address });
                 }
-                router::Action::DropConnections { .. } | router::Action::DemandChanged => {}
+                router::Action::DropConnections { address, .. } => chores.drops.push(address),
+                router::Action::DemandChanged => {}
             }
         }
-        probes
+        chores
     }
 }
--- a/comfreymill_node/src/entry/prompt/context.rs
+++ b/comfreymill_node/src/entry/prompt/context.rs
@@ -3,10 +3,10 @@
 
 use comfreymill_types::id;
 
-use super::pool::Pool;
 use crate::clock;
 use crate::entry::dispatch;
 use crate::entry::link;
+use crate::entry::pool;
 use crate::web;
 
 /// What every request needs.
@@ -15,7 +15,7 @@
     pub(super) clock: clock::Clock,
     pub(super) dispatcher: dispatch::Dispatcher,
     pub(super) link: link::Link,
-    pub(super) pool: Rc<Pool>,
+    pub(super) pool: Rc<pool::Pool>,
     pub(super) token: Option<web::Token>,
     pub(super) max_body_bytes: u64,
     pub(super) region: Option<id::RegionName>,
@@ -28,13 +28,14 @@
         clock: clock::Clock,
         dispatcher: dispatch::Dispatcher,
         link: link::Link,
+        pool: Rc<pool::Pool>,
         max_body_bytes: u64,
     ) -> Self {
         Self {
             clock,
             dispatcher,
             link,
-            pool: Rc::default(),
+            pool,
             token: None,
             max_body_bytes,
             region: None,
--- a/comfreymill_node/src/entry/prompt/serve.rs
+++ b/comfreymill_node/src/entry/prompt/serve.rs
@@ -1,14 +1,15 @@
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use comfreymill_http::hop;
 use comfreymill_http::server;
 use comfreymill_ledger::request;
-use comfreymill_route::router;
 use comfreymill_types::error;
 use comfreymill_types::id;
 
-use super::attempt::{self, ExecutorAnswer};
+use super::attempt::ExecutorAnswer;
+use super::conduct::Conduct;
 use super::context::Context;
 use super::keyed;
 use super::target::Target;
@@ -16,8 +17,6 @@
 use crate::metering::observe;
 use crate::web;
 
-const NO_TEAM: &str = "none";
-
 /// Serves one request of a caller.
 ///
 /// # Errors
@@ -30,7 +29,7 @@
             observe::refusal("callers", error.get_kind());
             web::answer_error(req, &error).await
         }
-        // The connection answers for a body that is at fault.
+        // The connection answers for a body that is at fault; a caller that went away gets none.
         Err(Failure::Body) => Ok(()),
     }
 }
@@ -51,16 +50,16 @@
         token.check(req.headers())?;
     }
     let target = Target::read(req.head())?;
-    let view = find_class(cx, &target).await?;
+    let class = find_class(cx, &target).await?;
     let began = cx.clock.now();
-    let result = run_known(cx, req, &target, &view).await;
+    let result = run_known(cx, req, target, class.clone()).await;
     let run = match &result {
         Ok(_) => error::RunState::Run,
         Err(Failure::Refused(error)) => error.get_kind().get_answer().run,
-        Err(Failure::Body) => error::RunState::NotRun,
+        Err(Failure::Body) => error::RunState::Unknown,
     };
-    observe::request(tenant(&view), run);
-    observe::request_latency(tenant(&view), cx.clock.now().since(began));
+    observe::request(class.get_tenant(), run);
+    observe::request_latency(class.get_tenant(), cx.clock.now().since(began));
     result
 }
 
@@ -68,81 +67,44 @@
 async fn run_known(
     cx: &Context,
     req: &mut server::Request<'_>,
-    target: &Target,
-    view: &dispatch::ClassView,
+    target: Target,
+    view: dispatch::ClassView,
 ) -> Result<ExecutorAnswer, Failure> {
     let class = &view.class;
-    let prompt = class.as_prompt().ok_or_else(|| no_prompt(target))?;
+    let prompt = class.as_prompt().ok_or_else(|| no_prompt(&target))?;
     let limit = target.time_left.unwrap_or(Duration::MAX).min(prompt.deadline.into());
     let body = req.collect(cx.max_body_bytes).await.map_err(|_| Failure::Body)?;
-    let head = executor_head(req.head(), target);
-    let Some(key) = &target.key else {
-        if class.unrepeatable {
-            let message = "the class is unrepeatable; name the request by an Idempotency-Key";
-            let error = error::Error::new(error::ErrorKind::KeyRequired, message);
-            return Err(error.field(web::KEY_HEADER.as_str()).into());
+    let head = executor_head(req.head(), &target);
+    let key = match &target.key {
+        None if class.unrepeatable => return Err(key_required().into()),
+        None => None,
+        Some(key) => {
+            let digest = digest(&head, &target, &body);
+            match keyed::open(cx, &target, key, class, digest, limit).await? {
+                keyed::Opening::Stored(answer) => return Ok(stored(answer)?),
+                keyed::Opening::Run(key) => Some(key),
+            }
         }
-        return Ok(dispatch(cx, target, view, limit, &head, &body).await?);
     };
-    let digest = digest(&head, target, &body);
-    match keyed::open(cx, target, key, class, digest, limit).await? {
-        keyed::Opening::Stored(answer) => Ok(stored(answer)?),
-        keyed::Opening::Run(key) => {
-            let result = dispatch(cx, target, view, limit, &head, &body).await;
-            let outcome = match &result {
-                Ok(answer) => keyed::answered(answer),
-                Err(error) => keyed::failed(error),
-            };
-            keyed::close(cx, key, outcome).await?;
-            Ok(result?)
+    let (caller_stays, caller) = flume::bounded(0);
+    let cx = cx.clone();
+    let head = Rc::new(head);
+    let conduct = Conduct { cx, target, class: view, limit, head, body, key, caller };
+    let running = monoio::spawn(conduct.run());
+    monoio::select! {
+        result = running => Ok(result?),
+        () = req.closed() => {
+            // What waits is given up; what runs is seen through, so that its slot is free again.
+            drop(caller_stays);
+            Err(Failure::Body)
         }
     }
 }
 
-/// Takes orders until the request is over.
-async fn dispatch(
-    cx: &Context,
-    target: &Target,
-    class: &dispatch::ClassView,
-    limit: Duration,
-    head: &http::request::Parts,
-    body: &Bytes,
-) -> Result<ExecutorAnswer, error::Error> {
-    let arrival = cx.clock.now();
-    let deadline = arrival + limit;
-    let team = target.team.clone().or_else(|| NO_TEAM.parse().ok());
-    let view = router::RequestView {
-        id: cx.take_number(),
-        class: target.class.clone(),
-        team: team.expect("the name is valid"),
-        arrival,
-        deadline: Some(deadline),
-        keyed: target.key.is_some(),
-        unrepeatable: class.class.unrepeatable,
-    };
-    let mut ticket = cx.dispatcher.submit(target.desk.clone(), view);
-    loop {
-        let (address, far_region) = match ticket.next().await {
-            dispatch::DispatchOrder::Send {
-                address, attempt, slots_in_use, far_region, ..
-            } => {
-                if attempt == 1 {
-                    observe::queue_wait(tenant(class), cx.clock.now().since(arrival));
-                }
-                observe::slots_in_use(tenant(class), slots_in_use);
-                (address, far_region)
-            }
-            dispatch::DispatchOrder::Refuse(error) => return Err(error),
-        };
-        let left = deadline.since(cx.clock.now());
-        let attempt = attempt::attempt(cx, address, far_region.as_ref(), head, body.clone());
-        let (outcome, answer) =
-            monoio::time::timeout(left, attempt).await.unwrap_or((router::Outcome::TimedOut, None));
-        ticket.finished(outcome);
-        if let Some(answer) = answer {
-            return Ok(answer);
-        }
-    }
+fn key_required() -> error::Error {
+    let message = "the class is unrepeatable; name the request by an Idempotency-Key";
+    let error = error::Error::new(error::ErrorKind::KeyRequired, message);
+    error.field(web::KEY_HEADER.as_str())
 }
 
 async fn find_class(cx: &Context, target: &Target) -> Result<dispatch::ClassView, error::Error> {
@@ -150,11 +112,6 @@
     cx.dispatcher.class(desk, class, team).await.ok_or_else(|| no_prompt(target))
 }
 
-/// Team and class in metrics: only names that the document has.
-fn tenant(view: &dispatch::ClassView) -> observe::Tenant<'_> {
-    observe::Tenant { team: view.team.as_ref(), class: &view.class.name }
-}
-
 fn no_prompt(target: &Target) -> error::Error {
     let message = format!("{} has no prompt class {}", target.desk, target.class);
     error::Error::new(error::ErrorKind::NotFound, message).field("class")
