--- a/comfreymill_http/tests/client/bad_response.rs
+++ b/comfreymill_http/tests/client/bad_response.rs
@@ -1,20 +1,14 @@
-use std::time;
-
 use bytes::Bytes;
 use comfreymill_http::{body::BodyError, client, head::HeadError};
 use futures_util::future;
 
-use crate::support::{self, Upstream};
-
-const OPEN: time::Duration = time::Duration::from_secs(20);
+use crate::support::{self, Upstream, head, open};
 
 async fn fetch(method: &str, response: &str) -> Result<(u16, Bytes, bool), client::ClientError> {
     let upstream = Upstream::bind();
     let exchange = async {
-        let open = client::Connection::connect(upstream.addr, support::limits(), OPEN);
-        let mut conn = open.await?;
-        let req = http::Request::builder().method(method).uri("/x").body(()).expect("request");
-        let (head, ()) = req.into_parts();
+        let mut conn = open(upstream.addr).await;
+        let head = head(method);
         let (status, body) = {
             let mut response = conn.send(&head, Bytes::new()).await?;
             let body = response.collect(u64::MAX).await?;
--- a/comfreymill_http/tests/client/prefixes.rs
+++ b/comfreymill_http/tests/client/prefixes.rs
@@ -1,21 +1,17 @@
-use std::time;
-
 use bytes::Bytes;
 use comfreymill_http::client;
 use futures_util::future;
 use quickcheck::{Arbitrary as _, Gen, QuickCheck};
 
-use crate::support::{self, Body, Edits, Upstream};
+use crate::support::{self, Body, Edits, Upstream, head, open};
 
 const SEED: u64 = 7;
 const CASES: u64 = 15;
-const OPEN: time::Duration = time::Duration::from_secs(20);
 
 async fn fetch(upstream: &Upstream, wire: &[u8]) -> Result<Bytes, client::ClientError> {
     let exchange = async {
-        let open = client::Connection::connect(upstream.addr, support::limits(), OPEN);
-        let mut conn = open.await?;
-        let head = http::Request::new(()).into_parts().0;
+        let mut conn = open(upstream.addr).await;
+        let head = head("GET");
         conn.send(&head, Bytes::new()).await?.collect(u64::MAX).await
     };
     future::join(exchange, upstream.answer(wire)).await.0
--- a/comfreymill_http/tests/client/sending.rs
+++ b/comfreymill_http/tests/client/sending.rs
@@ -3,14 +3,10 @@
 use bytes::Bytes;
 use comfreymill_http::client;
 
-use crate::support::{self, Service, Upstream, guard};
+use crate::support::{self, Service, Upstream, guard, head, open};
 
 const OPEN: time::Duration = time::Duration::from_secs(20);
 
-fn get() -> http::request::Parts {
-    http::Request::builder().uri("/x").body(()).expect("request").into_parts().0
-}
-
 #[test]
 fn refused_connection_has_sent_nothing() {
     support::run(async {
@@ -26,20 +22,18 @@
 fn kept_connection_that_the_peer_closed_has_sent_nothing() {
     support::run(async {
         let upstream = Upstream::bind();
-        let mut conn = client::Connection::connect(upstream.addr, support::limits(), OPEN)
-            .await
-            .expect("open");
+        let mut conn = open(upstream.addr).await;
         let mut peer = upstream.accept().await;
         monoio::spawn(async move {
             peer.read_until(b"\r\n\r\n").await;
             peer.write("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na").await;
         });
-        let body = conn.send(&get(), Bytes::new()).await.expect("first").collect(9).await;
+        let body = conn.send(&head("GET"), Bytes::new()).await.expect("first").collect(9).await;
         assert_eq!(body, Ok(Bytes::from("a")));
         while !conn.is_stale().await {
             monoio::time::sleep(time::Duration::from_millis(1)).await;
         }
-        let err = conn.send(&get(), Bytes::new()).await.expect_err("stale");
+        let err = conn.send(&head("GET"), Bytes::new()).await.expect_err("stale");
         assert_eq!(err.fault, client::ClientFault::Stale);
         assert_eq!(err.sent, client::Sent::Nothing);
         assert_eq!(conn.sent(), client::Sent::Nothing);
@@ -55,9 +49,8 @@
             let mut peer = upstream.accept().await;
             peer.read().await;
         });
-        let mut conn =
-            client::Connection::connect(addr, support::limits(), OPEN).await.expect("open");
-        let err = guard(conn.send(&get(), Bytes::new())).await.expect_err("closed");
+        let mut conn = open(addr).await;
+        let err = guard(conn.send(&head("GET"), Bytes::new())).await.expect_err("closed");
         assert_eq!(err.sent, client::Sent::Some);
         assert_eq!(err.fault, client::ClientFault::Closed);
         assert!(!conn.is_reusable(), "a failed connection is not kept");
@@ -68,11 +61,9 @@
 fn connection_is_used_again_after_a_whole_response() {
     support::run(async {
         let service = Service::echo(support::limits());
-        let mut conn =
-            client::Connection::connect(service.addr, support::limits(), OPEN).await.expect("open");
+        let mut conn = open(service.addr).await;
         for text in ["one", "two", "three"] {
-            let mut head = get();
-            head.method = http::Method::POST;
+            let head = head("POST");
             let body = {
                 let mut response = conn.send(&head, Bytes::from(text)).await.expect("sent");
                 response.collect(100).await.expect("whole")
--- a/comfreymill_http/tests/client/streaming.rs
+++ b/comfreymill_http/tests/client/streaming.rs
@@ -5,17 +5,14 @@
 use futures_util::future;
 use http::{HeaderMap, StatusCode};
 
-use crate::support::{self, Peer, Service, Upstream};
-
-const OPEN: time::Duration = time::Duration::from_secs(20);
+use crate::support::{self, Peer, Service, Upstream, head, open, open_with};
 
 /// Passes requests on to an upstream, and its answers back, piece by piece.
 async fn pass_on(
     mut req: server::Request<'_>,
     upstream: std::net::SocketAddr,
 ) -> Result<(), server::ServerError> {
-    let mut conn =
-        client::Connection::connect(upstream, support::limits(), OPEN).await.expect("open");
+    let mut conn = open(upstream).await;
     let head = req.head().clone();
     let mut response = conn.send(&head, &mut req).await.expect("response");
     let headers = response.take_headers();
@@ -80,12 +77,9 @@
     for (stated, pieces, err, sent) in cases {
         support::run(async {
             let upstream = Upstream::bind();
-            let mut conn = client::Connection::connect(upstream.addr, support::limits(), OPEN)
-                .await
-                .expect("open");
+            let mut conn = open(upstream.addr).await;
             let mut peer = upstream.accept().await;
-            let mut head = http::Request::new(()).into_parts().0;
-            head.method = http::Method::POST;
+            let head = head("POST");
             let fault = conn.send(&head, Wrong { stated, pieces }).await.expect_err("source");
             let wanted = client::ClientError { fault: client::ClientFault::Source(err), sent };
             assert_eq!(fault, wanted);
@@ -102,10 +96,8 @@
 fn early_answer_of_a_peer_that_closes_is_read() {
     support::run(async {
         let service = Service::echo(support::limits().max_body_bytes(10));
-        let mut conn =
-            client::Connection::connect(service.addr, support::limits(), OPEN).await.expect("open");
-        let mut head = http::Request::new(()).into_parts().0;
-        head.method = http::Method::POST;
+        let mut conn = open(service.addr).await;
+        let head = head("POST");
         let body = Bytes::from(vec![b'x'; 8 * 1024 * 1024]);
         let mut response = conn.send(&head, body).await.expect("refusal");
         assert_eq!(response.status(), StatusCode::PAYLOAD_TOO_LARGE);
@@ -119,11 +111,10 @@
 fn early_answer_of_a_peer_that_reads_no_further_is_read() {
     support::run(async {
         let upstream = Upstream::bind();
-        let limits = support::limits().write_timeout(time::Duration::from_millis(30));
-        let mut conn =
-            client::Connection::connect(upstream.addr, limits, OPEN).await.expect("open");
+        let limits = support::limits().write_timeout(time::Duration::from_millis(500));
+        let mut conn = open_with(upstream.addr, limits).await;
         let mut peer = upstream.accept().await;
-        let head = http::Request::post("/").body(()).expect("request").into_parts().0;
+        let head = head("POST");
         let body = Bytes::from(vec![b'x'; 64 * 1024 * 1024]);
         // The answer must not be there before the request, or the connection counts as stale.
         let answer = async {
@@ -140,9 +131,8 @@
 fn dropped_send_says_whether_any_byte_was_written() {
     support::run(async {
         let upstream = Upstream::bind();
-        let open = client::Connection::connect(upstream.addr, support::limits(), OPEN);
-        let mut conn = open.await.expect("open");
-        let head = http::Request::new(()).into_parts().0;
+        let mut conn = open(upstream.addr).await;
+        let head = head("GET");
         drop(conn.send(&head, Bytes::new()));
         assert_eq!(conn.sent(), client::Sent::Nothing);
         assert!(conn.is_reusable(), "nothing was begun");
@@ -172,16 +162,15 @@
     for (response, fault) in cases {
         support::run(async {
             let upstream = Upstream::bind();
-            let mut conn = client::Connection::connect(upstream.addr, limits.clone(), OPEN)
-                .await
-                .expect("open");
+            let mut conn = open_with(upstream.addr, limits.clone()).await;
             let mut peer = upstream.accept().await;
-            peer.write(response).await;
-            let head = http::Request::new(()).into_parts().0;
-            let res = match conn.send(&head, Bytes::new()).await {
-                Ok(mut response) => response.collect(100).await,
-                Err(err) => Err(err),
+            let answer = async {
+                peer.read_until(b"\r\n\r\n").await;
+                peer.write(response).await;
             };
+            let head = head("GET");
+            let fetch = async { conn.send(&head, Bytes::new()).await?.collect(100).await };
+            let (res, ()) = future::join(fetch, answer).await;
             assert_eq!(res, Err(client::ClientError { fault, sent: client::Sent::Some }));
         });
     }
@@ -194,9 +183,8 @@
             let body = Bytes::from(vec![b'x'; 60_000]);
             req.respond(StatusCode::OK, &HeaderMap::new(), body).await
         });
-        let mut conn =
-            client::Connection::connect(service.addr, support::limits(), OPEN).await.expect("open");
-        let head = http::Request::new(()).into_parts().0;
+        let mut conn = open(service.addr).await;
+        let head = head("GET");
         conn.send(&head, Bytes::new()).await.expect("first").chunk().await.expect("some");
         assert!(!conn.is_reusable());
         let err = conn.send(&head, Bytes::new()).await.expect_err("busy");
@@ -212,8 +200,7 @@
     support::run(async {
         let upstream = Upstream::bind();
         let addr = upstream.addr;
-        let mut conn =
-            client::Connection::connect(addr, support::limits(), OPEN).await.expect("open");
+        let mut conn = open(addr).await;
         let mut peer = upstream.accept().await;
         let req = http::Request::builder()
             .uri("http://elsewhere/a?b=c")
--- a/comfreymill_http/tests/server/bad_input.rs
+++ b/comfreymill_http/tests/server/bad_input.rs
@@ -1,12 +1,15 @@
 use std::time;
 
+use comfreymill_http::limits;
+
 use crate::support::{self, Peer, Service};
 
 /// Sends the input, and gives the status and kind of the only answer before the close.
 async fn refusal(input: Vec<u8>) -> (u16, String) {
-    let limits = support::limits()
-        .head_timeout(time::Duration::from_millis(50))
-        .body_progress_timeout(time::Duration::from_millis(50));
+    refusal_within(support::limits(), input).await
+}
+
+async fn refusal_within(limits: limits::Limits, input: Vec<u8>) -> (u16, String) {
     let service = Service::echo(limits);
     let answers = Peer::exchange(service.addr, input.clone()).await;
     let shown = String::from_utf8_lossy(&input).into_owned();
@@ -148,8 +151,11 @@
         ("POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab", "body_timeout"),
         ("POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "body_timeout"),
     ];
+    let limits = support::limits()
+        .head_timeout(time::Duration::from_millis(50))
+        .body_progress_timeout(time::Duration::from_millis(50));
     for (input, kind) in cases {
-        let seen = support::run(refusal(input.into()));
+        let seen = support::run(refusal_within(limits.clone(), input.into()));
         assert_eq!(seen, (408, kind.to_owned()), "{input:?}");
     }
 }
--- a/comfreymill_http/tests/server/capacity.rs
+++ b/comfreymill_http/tests/server/capacity.rs
@@ -1,9 +1,9 @@
-use std::{cell, io::Write as _, net, rc, thread, time};
+use std::{cell, rc};
 
 use bytes::Bytes;
 use comfreymill_http::server;
 
-use crate::support::{self, Peer, Service, guard, parse_answers};
+use crate::support::{self, Peer, Service, guard, parse_answers, step};
 
 const REQUEST: &str = "GET / HTTP/1.1\r\nhost: h\r\n\r\n";
 
@@ -86,32 +86,42 @@
 }
 
 #[test]
-fn caller_that_sends_without_end_does_not_hold_up_another() {
-    let limits = support::limits().max_body_bytes(1 << 40);
-    let (addr_tx, addr_rx) = flume::bounded(1);
-    let (stop_tx, stop_rx) = flume::bounded::<()>(1);
-    let sender = thread::spawn(move || {
-        let addr: net::SocketAddr = addr_rx.recv().expect("address");
-        let mut stream = net::TcpStream::connect(addr).expect("connect");
-        let head = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 999999999999\r\n\r\n";
-        stream.write_all(head).expect("head");
-        while stop_rx.is_empty() && stream.write_all(&[b'x'; 256 * 1024]).is_ok() {}
-    });
-    support::run(async {
-        let service = Service::start(limits, async |mut req: server::Request<'_>| {
-            while req.chunk().await?.is_some() {}
-            req.respond(http::StatusCode::OK, &http::HeaderMap::new(), Bytes::new()).await
+fn caller_with_a_large_body_does_not_hold_up_another() {
+    const BODY_BYTES: usize = 4 * 1024 * 1024;
+    let reads = rc::Rc::new(cell::Cell::new(0));
+    let seen = rc::Rc::clone(&reads);
+    let (go_tx, go_rx) = flume::unbounded::<()>();
+    let limits = support::limits().max_body_bytes(BODY_BYTES as u64);
+    support::run(async move {
+        let service = Service::start(limits, async move |mut req: server::Request<'_>| {
+            if req.method() == http::Method::POST {
+                go_rx.recv_async().await.expect("the test waits");
+                while req.chunk().await?.is_some() {
+                    seen.set(seen.get() + 1);
+                }
+            }
+            let reads = Bytes::from(seen.get().to_string());
+            req.respond(http::StatusCode::OK, &http::HeaderMap::new(), reads).await
         });
-        addr_tx.send(service.addr).expect("the sender waits");
-        let mut peer = Peer::connect(service.addr).await;
-        for _ in 0..200 {
-            peer.write(REQUEST).await;
-            assert_eq!(peer.read_bodies(1).await.len(), 1);
-        }
-        stop_tx.send(()).expect("the sender runs");
-        service.shutdown.cut();
-        while !sender.is_finished() {
-            monoio::time::sleep(time::Duration::from_millis(1)).await;
-        }
+        let mut one = Peer::connect(service.addr).await;
+        one.write(REQUEST).await;
+        one.read_bodies(1).await;
+        let mut large = Peer::connect(service.addr).await;
+        let sent = monoio::spawn(async move {
+            let head =
+                format!("POST / HTTP/1.1\r\nhost: h\r\ncontent-length: {BODY_BYTES}\r\n\r\n");
+            large.write(head).await;
+            large.write(vec![b'x'; BODY_BYTES]).await;
+            large.read_bodies(1).await
+        });
+        step().await;
+        one.write(REQUEST).await;
+        go_tx.send(()).expect("the handler waits");
+        let answer = one.read_bodies(1).await;
+        let text = String::from_utf8(answer.concat()).expect("text");
+        let reads: u32 = text.parse().expect("count");
+        assert!(reads <= 32, "answered after {reads} reads");
+        assert_eq!(guard(sent).await.len(), 1);
     });
+    assert!(reads.get() > 32, "only {} reads in all", reads.get());
 }
--- a/comfreymill_http/tests/server/good_input.rs
+++ b/comfreymill_http/tests/server/good_input.rs
@@ -1,4 +1,6 @@
-use crate::support::{self, Peer, Service, parse_answers};
+use comfreymill_http::server;
+
+use crate::support::{self, Peer, Service, parse_answers, step};
 
 async fn bodies(input: &str) -> Vec<String> {
     let service = Service::echo(support::limits());
@@ -55,9 +57,15 @@
 }
 
 #[test]
-fn waiting_sender_is_asked_for_its_body() {
+fn waiting_sender_is_asked_once_for_its_body() {
     support::run(async {
-        let service = Service::echo(support::limits());
+        let service = Service::start(support::limits(), async |mut req: server::Request<'_>| {
+            let mut body = Vec::new();
+            while let Some(data) = req.chunk().await? {
+                body.extend_from_slice(&data);
+            }
+            req.respond(http::StatusCode::OK, &http::HeaderMap::new(), body.into()).await
+        });
         let mut peer = Peer::connect(service.addr).await;
         peer.write(
             "POST / HTTP/1.1\r\nhost: h\r\nexpect: 100-Continue\r\ncontent-length: 2\r\n\r\n",
@@ -65,10 +73,13 @@
         .await;
         let interim = peer.read_until(b"\r\n\r\n").await;
         assert_eq!(interim, b"HTTP/1.1 100 Continue\r\n\r\n");
-        peer.write("ok").await;
+        for byte in [b"o", b"k"] {
+            peer.write(*byte).await;
+            step().await;
+        }
         peer.finish().await;
         let answers = parse_answers(&peer.read_to_end().await);
         assert_eq!(answers.len(), 1);
-        assert_eq!(answers[0].body, b"ok");
+        assert_eq!((answers[0].status, answers[0].body.as_slice()), (200, b"ok".as_slice()));
     });
 }
--- a/comfreymill_http/tests/server/unanswered.rs
+++ b/comfreymill_http/tests/server/unanswered.rs
@@ -109,3 +109,18 @@
         assert_eq!((answers[0].status, answers[0].kind()), (505, Some("bad_version")));
     });
 }
+
+#[test]
+fn watched_caller_cannot_fill_the_memory() {
+    support::run(async {
+        let service = Service::start(support::limits(), async |mut req: server::Request<'_>| {
+            req.closed().await;
+            Ok(())
+        });
+        let mut peer = Peer::connect(service.addr).await;
+        peer.write(REQUEST).await;
+        let more = peer.write(vec![b'x'; 64 * 1024 * 1024]);
+        let taken = monoio::time::timeout(std::time::Duration::from_millis(300), more).await;
+        assert!(taken.is_err(), "the server has taken 64 MiB that it was not asked to read");
+    });
+}
