--- a/comfreymill_group/tests/store/model.rs
+++ b/comfreymill_group/tests/store/model.rs
@@ -127,8 +127,10 @@
 }
 
 fn foreign_snapshot(model: &Model, term: id::Term, rng: &mut ChaCha8Rng) -> snapshot::Snapshot {
-    let index = model.last().0.plus(rng.random_range(1..9));
-    snapshot_at(index, term, rng)
+    let older = model.entries.iter().filter(|entry| entry.term < term).map(|entry| entry.index);
+    let contradicted = older.max().filter(|_| rng.random());
+    let beyond = model.last().0.plus(rng.random_range(1..9));
+    snapshot_at(contradicted.unwrap_or(beyond), term, rng)
 }
 
 fn snapshot_at(index: id::Index, term: id::Term, rng: &mut ChaCha8Rng) -> snapshot::Snapshot {
