feat(group): a leader whose disk hangs hands the lead over

Cause: heartbeats need no disk, so a leader whose sync never returns kept its lease and acknowledged nothing. Change: a write that waits longer than twice the longest election timeout makes the leader hand over, or step down; status shows what is synced.

--- a/comfreymill_group/src/replica/core.rs
+++ b/comfreymill_group/src/replica/core.rs
@@ -36,6 +36,8 @@
     pub(super) incoming: Option<Incoming>,
     pub(super) outbox: Outbox,
     pub(super) halted: Option<Halt>,
+    /// Oldest write that is not synced, and since when it is the oldest.
+    pub(super) slow_write: Option<(id::Sequence, time::Monotonic)>,
     /// Founders that accepted this founder, with their disks.
     pub(super) accepted: BTreeMap<id::VoterId, id::DiskId>,
     pub(super) founding_gate: Option<id::Sequence>,
@@ -79,6 +81,7 @@
             incoming: None,
             outbox,
             halted: None,
+            slow_write: None,
             accepted: BTreeMap::new(),
             founding_gate: None,
             hello_at: now,
--- a/comfreymill_group/src/replica/lease.rs
+++ b/comfreymill_group/src/replica/lease.rs
@@ -60,7 +60,7 @@
         self.replicate_all(now);
     }
 
-    /// Steps down without a quorum, and sends heartbeats.
+    /// Steps down without a quorum, hands over with a stuck disk, and sends heartbeats.
     pub(super) fn tick_leader(&mut self, now: time::Monotonic) {
         let State::Leader(leader) = &self.state else { return };
         let confirmed_at = self.quorum_confirmed_at(leader, now).unwrap_or(leader.elected_at);
@@ -73,10 +73,26 @@
         if now >= leader.heartbeat_at {
             self.send_heartbeats(now);
         }
+        if self.is_disk_stuck(now) {
+            self.leave_stuck_disk(now);
+        }
         self.tick_transfer(now);
         self.retry_all(now);
     }
 
+    /// Hands the lead over, since what this leader can't sync it can't acknowledge.
+    fn leave_stuck_disk(&mut self, now: time::Monotonic) {
+        if self.is_handing_over() {
+            return;
+        }
+        log::warn!(target: "group", "replica {} waits for its disk too long", self.voter);
+        let successor = self.best_successor();
+        let handed_over = successor.map(|to| self.transfer_leadership(now, to));
+        if !matches!(handed_over, Some(Ok(()))) {
+            self.become_follower(now, self.term());
+        }
+    }
+
     /// Answers a heartbeat at once, since the promise that renews the lease needs no disk.
     pub(super) fn handle_heartbeat(
         &mut self,
--- a/comfreymill_group/src/replica/outbox.rs
+++ b/comfreymill_group/src/replica/outbox.rs
@@ -29,6 +29,11 @@
         self.durable
     }
 
+    /// Oldest write that is not synced.
+    pub(super) fn oldest_unsynced(&self) -> Option<id::Sequence> {
+        self.unsynced.front().map(|(sequence, _)| *sequence)
+    }
+
     /// Write that holds everything changed so far.
     pub(super) fn gate(&self) -> id::Sequence {
         if self.is_dirty() { self.issued.next() } else { self.issued }
--- a/comfreymill_group/src/replica/status.rs
+++ b/comfreymill_group/src/replica/status.rs
@@ -25,6 +25,8 @@
     pub commit: id::Index,
     /// Last entry of its log.
     pub last: id::Index,
+    /// Last entry that is synced here.
+    pub synced: id::Index,
     /// Last entry that the newest snapshot covers.
     pub snapshot: id::Index,
     /// Membership of the newest entry.
@@ -62,6 +64,7 @@
             serving: self.lease_valid(now) && self.is_ready(),
             commit: self.commit,
             last: self.log.last_index(),
+            synced: self.outbox.durable(),
             snapshot: self.snapshot_index(),
             membership: self.membership().clone(),
             peers: self.peer_statuses(now),
--- a/comfreymill_group/src/replica/tick.rs
+++ b/comfreymill_group/src/replica/tick.rs
@@ -8,6 +8,7 @@
         if self.halted.is_some() {
             return;
         }
+        self.watch_disk(now);
         if self.log.is_empty() {
             self.tick_newcomer(now);
             return;
@@ -29,6 +30,19 @@
         }
     }
 
+    /// Whether a write has waited for its sync for too long.
+    pub(super) fn is_disk_stuck(&self, now: time::Monotonic) -> bool {
+        let patience = self.cfg.get_election_timeout_max() * 2;
+        self.slow_write.is_some_and(|(_, since)| now.since(since) >= patience)
+    }
+
+    fn watch_disk(&mut self, now: time::Monotonic) {
+        let oldest = self.outbox.oldest_unsynced();
+        if oldest != self.slow_write.map(|(sequence, _)| sequence) {
+            self.slow_write = oldest.map(|sequence| (sequence, now));
+        }
+    }
+
     fn forget_leader(&mut self, now: time::Monotonic) {
         self.leader = None;
         self.reset_election_timer(now);
--- a/comfreymill_group/src/replica/transfer.rs
+++ b/comfreymill_group/src/replica/transfer.rs
@@ -64,6 +64,11 @@
         others.max_by_key(|voter| leader.peers.get(voter).map(|peer| (peer.matched, peer.heard_at)))
     }
 
+    /// Whether a hand-over is under way.
+    pub(super) fn is_handing_over(&self) -> bool {
+        matches!(&self.state, State::Leader(leader) if leader.transfer.is_some())
+    }
+
     /// Goes on with a hand-over, or ends it at its deadline.
     pub(super) fn tick_transfer(&mut self, now: time::Monotonic) {
         let last = self.log.last_index();
--- a/comfreymill_group/tests/scenario/partition.rs
+++ b/comfreymill_group/tests/scenario/partition.rs
@@ -75,3 +75,21 @@
     let leader = group::wait_for_leader(&mut world);
     group::commit(&mut world, leader);
 }
+
+#[test]
+fn a_leader_whose_disk_hangs_hands_over() {
+    for seed in 0..10 {
+        let (mut world, leader) = group::started(seed, 3);
+        group::commit(&mut world, leader);
+        world.nodes[leader].disk_hangs = true;
+        let held = world.propose(leader).expect("leads");
+        group::wait_until(&mut world, 3_000, |world| {
+            group::serving(world).is_some_and(|it| it != leader)
+        });
+        let next = group::wait_for_leader(&mut world);
+        group::commit(&mut world, next);
+        assert!(world.checker.is_applied(held), "a quorum has synced the command");
+        group::pass(&mut world, 3_000);
+        assert_ne!(group::serving(&world), Some(leader), "leads again with a hanging disk");
+    }
+}
--- a/comfreymill_group/tests/schedule/node.rs
+++ b/comfreymill_group/tests/schedule/node.rs
@@ -54,6 +54,8 @@
     pub(crate) halted: bool,
     /// Commit index that the replica has shown since its start.
     pub(crate) commit: id::Index,
+    /// Whether no sync returns.
+    pub(crate) disk_hangs: bool,
     /// Until when the process gets no time to run.
     pub(crate) stalled_until: u64,
     clock_offset_micros: u64,
@@ -74,6 +76,7 @@
             machine: Machine::default(),
             halted: false,
             commit: id::Index::ZERO,
+            disk_hangs: false,
             stalled_until: 0,
             clock_offset_micros: 0,
             clock_rate_ppm: 1_000_000,
--- a/comfreymill_group/tests/schedule/world.rs
+++ b/comfreymill_group/tests/schedule/world.rs
@@ -257,7 +257,7 @@
         for position in 0..self.nodes.len() {
             let now = self.now;
             let node = &mut self.nodes[position];
-            if node.stalled_until > now {
+            if node.stalled_until > now || node.disk_hangs {
                 continue;
             }
             let mut newest = None;
