--- a/comfreymill_bench/src/lib.rs
+++ b/comfreymill_bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for callers, executors and workers, and the benchmark command.
 
+pub mod batch;
 pub mod cluster;
 pub mod figure;
 pub mod route;
