feat(node): metrics, decisions and early heartbeats of the prompt path

Cause: prompt requests were counted nowhere, their decision records could not be read, slots given back waited for the next heartbeat, and a team that the document lacks had a share of its own in the queue. Change: requests, refusals, latency and wait are recorded by team and class; an answer names its request, and operators read the decisions under /v1/requests; a heartbeat is sent early when slots are returned or demand outgrew what the leader knows; teams that the document lacks share one place in the queue. A slot in doubt is held for the class's deadline at least. The test of the retry budget ends when it is exceeded, in place of running for ever.

--- a/comfreymill_node/src/entry/dispatch/desk.rs
+++ b/comfreymill_node/src/entry/dispatch/desk.rs
@@ -4,7 +4,7 @@
 use comfreymill_types::document;
 use comfreymill_types::id;
 
-use super::DispatchOrder;
+use super::{ClassView, DispatchOrder};
 use crate::protocol;
 
 /// Router of one environment and stage with the requests that wait on it.
@@ -30,6 +30,8 @@
     pub(super) probes: Vec<Probe>,
     /// Executors whose idle connections to close.
     pub(super) drops: Vec<std::net::SocketAddr>,
+    /// Whether more slots are wanted than the leader was told.
+    pub(super) is_demand_changed: bool,
 }
 
 impl Chores {
@@ -37,6 +39,7 @@
     pub(super) fn extend(&mut self, more: Self) {
         self.probes.extend(more.probes);
         self.drops.extend(more.drops);
+        self.is_demand_changed |= more.is_demand_changed;
     }
 }
 
@@ -64,6 +67,17 @@
         self.document = document;
     }
 
+    /// Class of the document, with the team if the document has it.
+    pub(super) fn class(
+        &self,
+        name: &id::ClassName,
+        team: Option<id::TeamName>,
+    ) -> Option<ClassView> {
+        let class = self.document.get_class(name)?.clone();
+        let team = team.filter(|team| self.document.get_team(team).is_some());
+        Some(ClassView { class, team })
+    }
+
     /// Hands a new request's first order out.
     pub(super) fn admitted(
         &mut self,
@@ -104,7 +118,7 @@
                     chores.probes.push(Probe { desk: self.key.clone(), executor, address });
                 }
                 router::Action::DropConnections { address, .. } => chores.drops.push(address),
-                router::Action::DemandChanged => {}
+                router::Action::DemandChanged => chores.is_demand_changed = true,
             }
         }
         chores
--- a/comfreymill_node/src/entry/dispatch/handle.rs
+++ b/comfreymill_node/src/entry/dispatch/handle.rs
@@ -1,11 +1,10 @@
 use comfreymill_route::router;
-use comfreymill_types::document;
 use comfreymill_types::error;
 use comfreymill_types::id;
 use comfreymill_types::time;
 
 use super::input::Input;
-use super::{DispatchOrder, DispatchStatus};
+use super::{ClassView, DispatchOrder, DispatchStatus};
 use crate::protocol;
 
 /// Sender of messages to the dispatcher.
@@ -39,12 +38,20 @@
         &self,
         desk: protocol::DeskKey,
         class: id::ClassName,
-    ) -> Option<document::Class> {
+        team: Option<id::TeamName>,
+    ) -> Option<ClassView> {
         let (reply, rx) = flume::bounded(1);
-        self.send(Input::Class { desk, class, reply });
+        self.send(Input::Class { desk, class, team, reply });
         rx.recv_async().await.ok().flatten()
     }
 
+    /// Decisions on the latest requests, or on one, while they are kept.
+    pub async fn decisions(&self, request: Option<u64>) -> Vec<router::Decision> {
+        let (reply, rx) = flume::bounded(1);
+        self.send(Input::Decisions { request, reply });
+        rx.recv_async().await.unwrap_or_default()
+    }
+
     /// State of the dispatcher.
     pub async fn show(&self) -> Option<DispatchStatus> {
         let (reply, rx) = flume::bounded(1);
--- a/comfreymill_node/src/entry/dispatch/input.rs
+++ b/comfreymill_node/src/entry/dispatch/input.rs
@@ -2,7 +2,7 @@
 use comfreymill_types::id;
 use comfreymill_types::time;
 
-use super::{DispatchOrder, DispatchStatus};
+use super::{ClassView, DispatchOrder, DispatchStatus};
 use crate::protocol;
 
 /// Message to the dispatcher.
@@ -34,8 +34,11 @@
     Class {
         desk: protocol::DeskKey,
         class: id::ClassName,
-        reply: flume::Sender<Option<comfreymill_types::document::Class>>,
+        team: Option<id::TeamName>,
+        reply: flume::Sender<Option<ClassView>>,
     },
+    /// Somebody asks for the latest decisions on requests, or for that on one.
+    Decisions { request: Option<u64>, reply: flume::Sender<Vec<router::Decision>> },
     /// Somebody asks for the heartbeat to send.
     Heartbeat(flume::Sender<protocol::EntryHeartbeat>),
 }
--- a/comfreymill_node/src/entry/dispatch/mod.rs
+++ b/comfreymill_node/src/entry/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! confirmed the documents, and stops when it could not confirm them for the length of the lease:
 //! a document that was accepted is then in force wherever requests are served.
 
+mod class_view;
 mod desk;
 mod dispatch_order;
 mod handle;
@@ -12,6 +13,7 @@
 mod state_push;
 mod task;
 
+pub use class_view::ClassView;
 pub use dispatch_order::DispatchOrder;
 pub use handle::{Dispatcher, Ticket};
 pub use state::{DispatchConfig, DispatchStatus};
--- a/comfreymill_node/src/entry/dispatch/state.rs
+++ b/comfreymill_node/src/entry/dispatch/state.rs
@@ -13,6 +13,9 @@
 /// Number of the only group that an entry has a link to.
 pub(super) const SOURCE: u32 = 0;
 
+/// Decisions of each environment and stage that are shown at once.
+const SHOWN_DECISIONS: usize = 50;
+
 /// What the dispatcher needs to know.
 #[derive(Clone, Debug)]
 pub struct DispatchConfig {
@@ -90,10 +93,12 @@
             Input::Show(reply) => {
                 reply.send(self.show(now)).ok();
             }
-            Input::Class { desk, class, reply } => {
+            Input::Class { desk, class, team, reply } => {
                 let desk = self.desks.get(&desk);
-                let class = desk.and_then(|desk| desk.document.get_class(&class)).cloned();
-                reply.send(class).ok();
+                reply.send(desk.and_then(|desk| desk.class(&class, team))).ok();
+            }
+            Input::Decisions { request, reply } => {
+                reply.send(self.decisions(request)).ok();
             }
             Input::Heartbeat(reply) => {
                 reply.send(self.heartbeat(now)).ok();
@@ -194,6 +199,28 @@
         }
     }
 
+    fn decisions(&self, request: Option<u64>) -> Vec<router::Decision> {
+        let routers = self.desks.values().map(|desk| &desk.router);
+        match request {
+            Some(request) => {
+                routers.filter_map(|router| router.explain(request)).cloned().collect()
+            }
+            None => routers
+                .flat_map(|router| router.decisions().take(SHOWN_DECISIONS))
+                .cloned()
+                .collect(),
+        }
+    }
+
+    /// Whether the leader should hear from this entry before the next heartbeat.
+    pub(super) fn take_is_heartbeat_due(&mut self, now: time::Monotonic) -> bool {
+        let mut is_due = std::mem::take(&mut self.chores.is_demand_changed);
+        for desk in self.desks.values_mut() {
+            is_due |= !desk.router.returnable(now).is_empty();
+        }
+        is_due
+    }
+
     fn heartbeat(&mut self, now: time::Monotonic) -> protocol::EntryHeartbeat {
         let mut demand = Vec::new();
         let mut holdings = Vec::new();
--- a/comfreymill_node/src/entry/dispatch/task.rs
+++ b/comfreymill_node/src/entry/dispatch/task.rs
@@ -9,13 +9,18 @@
 
 const TICK: Duration = Duration::from_millis(10);
 
-/// Starts the dispatcher's task.
-pub fn start(cfg: DispatchConfig, clock: clock::Clock, pool: Rc<pool::Pool>) -> Dispatcher {
+/// Starts the dispatcher's task; the receiver tells when a heartbeat should not wait.
+pub fn start(
+    cfg: DispatchConfig,
+    clock: clock::Clock,
+    pool: Rc<pool::Pool>,
+) -> (Dispatcher, flume::Receiver<()>) {
     let (tx, rx) = flume::unbounded();
     let dispatcher = Dispatcher { tx };
     let state = State::new(cfg);
-    monoio::spawn(run(state, rx, clock, dispatcher.clone(), pool));
-    dispatcher
+    let (due, heartbeats_due) = flume::bounded(1);
+    monoio::spawn(run(state, rx, clock, dispatcher.clone(), pool, due));
+    (dispatcher, heartbeats_due)
 }
 
 async fn run(
@@ -24,6 +29,7 @@
     clock: clock::Clock,
     dispatcher: Dispatcher,
     pool: Rc<pool::Pool>,
+    heartbeat_due: flume::Sender<()>,
 ) {
     let mut ticked_at = clock.now();
     loop {
@@ -38,6 +44,9 @@
         if now.since(ticked_at) >= TICK {
             state.tick(now);
             pool.drop_old();
+            if state.take_is_heartbeat_due(now) {
+                heartbeat_due.try_send(()).ok();
+            }
             ticked_at = now;
         }
         for address in state.chores.drops.drain(..) {
--- a/comfreymill_node/src/entry/heartbeat.rs
+++ b/comfreymill_node/src/entry/heartbeat.rs
@@ -7,11 +7,14 @@
 use crate::clock;
 use crate::protocol;
 
-/// Sends heartbeats for ever.
+const MIN_PERIOD: Duration = Duration::from_millis(20);
+
+/// Sends heartbeats for ever, each `period` and sooner when one is due.
 pub(super) async fn run(
     clock: clock::Clock,
     dispatcher: dispatch::Dispatcher,
     link: link::Link,
+    due: flume::Receiver<()>,
     period: Duration,
 ) {
     while let Some(heartbeat) = dispatcher.heartbeat().await {
@@ -21,6 +24,7 @@
             // Counted from the sending, so that it ends here before it ends at the leader.
             dispatcher.leased(sent_at + lease.lease.into(), lease);
         }
-        monoio::time::sleep(period).await;
+        monoio::time::sleep(MIN_PERIOD).await;
+        monoio::time::timeout(period.saturating_sub(MIN_PERIOD), due.recv_async()).await.ok();
     }
 }
--- a/comfreymill_node/src/entry/operators/route.rs
+++ b/comfreymill_node/src/entry/operators/route.rs
@@ -18,6 +18,8 @@
     Metrics,
     /// Stop gracefully.
     Drain,
+    /// Decisions on the latest requests, or on one.
+    Decisions(Option<u64>),
     /// Question or change for the leader.
     Leader(protocol::Operation),
 }
@@ -38,6 +40,11 @@
             (["readyz"], true, _) => Ok(Self::Ready),
             (["metrics"], true, _) => Ok(Self::Metrics),
             (["v1", "drain"], _, true) => Ok(Self::Drain),
+            (["v1", "requests"], true, _) => Ok(Self::Decisions(None)),
+            (["v1", "requests", number], true, _) => {
+                let number = number.parse().map_err(|_| bad("request", "it is not a number"))?;
+                Ok(Self::Decisions(Some(number)))
+            }
             (["v1", "status"], true, _) => Ok(Self::Leader(protocol::Operation::Status)),
             (["v1", "env", name, rest @ ..], ..) => environment(head, body, name, rest),
             (["v1", "jobs", rest @ ..], ..) => jobs(head, body, rest),
--- a/comfreymill_node/src/entry/operators/serve.rs
+++ b/comfreymill_node/src/entry/operators/serve.rs
@@ -48,10 +48,20 @@
             cx.drain.send(()).ok();
             Ok(Reply::Json(Bytes::from_static(b"{\"draining\":true}")))
         }
+        Route::Decisions(request) => decisions(cx, request).await,
         Route::Leader(operation) => ask(cx, operation).await,
     }
 }
 
+async fn decisions(cx: &Context, request: Option<u64>) -> Result<Reply, error::Error> {
+    let decisions = cx.dispatcher.decisions(request).await;
+    if decisions.is_empty() && request.is_some() {
+        let message = "no record of the request is kept here";
+        return Err(error::Error::new(error::ErrorKind::NotFound, message).field("request"));
+    }
+    Ok(Reply::Json(serde_json::to_vec(&decisions).unwrap_or_default().into()))
+}
+
 async fn ready(cx: &Context) -> Result<Reply, error::Error> {
     let stopped = || error::Error::new(error::ErrorKind::Draining, "the process is stopping");
     let status = cx.dispatcher.show().await.ok_or_else(stopped)?;
--- a/comfreymill_node/src/entry/process.rs
+++ b/comfreymill_node/src/entry/process.rs
@@ -52,11 +52,13 @@
     let upstreams_token = settings.get_upstreams_token_file().map(web::Token::read).transpose()?;
 
     let pool = Rc::new(pool::Pool::default());
-    let dispatcher = dispatch::start(dispatch_config(settings)?, clock, pool.clone());
+    let (dispatcher, heartbeats_due) =
+        dispatch::start(dispatch_config(settings)?, clock, pool.clone());
     let (pushes, pushed) = flume::unbounded();
     let link = link::start(link_config(settings, clock)?, pushes);
     monoio::spawn(forward(pushed, dispatcher.clone()));
-    let beats = heartbeat::run(clock, dispatcher.clone(), link.clone(), HEARTBEAT_PERIOD);
+    let beats =
+        heartbeat::run(clock, dispatcher.clone(), link.clone(), heartbeats_due, HEARTBEAT_PERIOD);
     monoio::spawn(beats);
 
     let max_body_bytes = common.get_limits().get_body().get();
--- a/comfreymill_node/src/entry/prompt/conduct.rs
+++ b/comfreymill_node/src/entry/prompt/conduct.rs
@@ -6,6 +6,7 @@
 use comfreymill_route::router;
 use comfreymill_types::document;
 use comfreymill_types::error;
+use comfreymill_types::id;
 use comfreymill_types::time;
 
 use super::attempt::{Attempt, AttemptEnd, ExecutorAnswer};
@@ -13,7 +14,9 @@
 use super::keyed;
 use super::target::Target;
 use crate::entry::dispatch;
+use crate::metering::observe;
 
+const PART: &str = "prompt";
 const NO_TEAM: &str = "none";
 const SETTLE_LIMIT: Duration = Duration::from_secs(30);
 
@@ -21,8 +24,11 @@
 #[derive(Clone)]
 pub(super) struct Conduct {
     pub(super) cx: Context,
+    pub(super) number: u64,
     pub(super) target: Target,
     pub(super) class: document::Class,
+    /// Team, if the document has it.
+    pub(super) team: Option<id::TeamName>,
     pub(super) limit: Duration,
     pub(super) head: Rc<http::request::Parts>,
     pub(super) body: Bytes,
@@ -35,7 +41,9 @@
 impl Conduct {
     /// Runs the request, and records its end if it has a key.
     pub(super) async fn run(self) -> Result<ExecutorAnswer, error::Error> {
+        let began = self.cx.clock.now();
         let result = self.dispatch().await;
+        self.observe(began, &result);
         let Some(key) = self.key else { return result };
         let outcome = match &result {
             Ok(answer) => keyed::answered(answer),
@@ -60,7 +68,9 @@
                 dispatch::DispatchOrder::Send { address, .. } => address,
                 dispatch::DispatchOrder::Refuse(error) => return Err(error),
             };
-            let left = deadline.since(self.cx.clock.now());
+            let now = self.cx.clock.now();
+            let left = deadline.since(now);
+            observe::queue_wait(self.tenant(), now.since(arrival));
             let is_begun = Rc::new(Cell::new(false));
             let attempt = self.attempt(address, left, is_begun.clone());
             let mut running = monoio::spawn(attempt.run());
@@ -82,10 +92,30 @@
         }
     }
 
+    fn tenant(&self) -> observe::Tenant<'_> {
+        observe::Tenant { team: self.team.as_ref(), class: &self.class.name }
+    }
+
+    /// Records the end of the request in the metrics.
+    fn observe(&self, began: time::Monotonic, result: &Result<ExecutorAnswer, error::Error>) {
+        let run = match result {
+            Ok(_) => error::RunState::Run,
+            Err(error) => error.get_kind().get_answer().run,
+        };
+        observe::request(self.tenant(), run);
+        match result {
+            Ok(_) => {
+                let span = self.cx.clock.now().since(began);
+                observe::request_latency(self.tenant(), span);
+            }
+            Err(error) => observe::refusal(PART, error.get_kind()),
+        }
+    }
+
     fn view(&self, arrival: time::Monotonic, deadline: time::Monotonic) -> router::RequestView {
-        let team = self.target.team.clone().or_else(|| NO_TEAM.parse().ok());
+        let team = self.team.clone().or_else(|| NO_TEAM.parse().ok());
         router::RequestView {
-            id: self.cx.take_number(),
+            id: self.number,
             class: self.target.class.clone(),
             team: team.expect("the name is valid"),
             arrival,
--- a/comfreymill_node/src/entry/prompt/serve.rs
+++ b/comfreymill_node/src/entry/prompt/serve.rs
@@ -5,7 +5,6 @@
 use comfreymill_http::hop;
 use comfreymill_http::server;
 use comfreymill_ledger::request;
-use comfreymill_types::document;
 use comfreymill_types::error;
 use comfreymill_types::id;
 
@@ -14,6 +13,7 @@
 use super::context::Context;
 use super::keyed;
 use super::target::Target;
+use crate::entry::dispatch;
 use crate::web;
 
 /// Serves one request of a caller.
@@ -46,7 +46,7 @@
         token.check(req.headers())?;
     }
     let target = Target::read(req.head())?;
-    let class = find_class(cx, &target).await?;
+    let dispatch::ClassView { class, team } = find_class(cx, &target).await?;
     let prompt = class.as_prompt().ok_or_else(|| no_prompt(&target))?;
     let limit = target.time_left.unwrap_or(Duration::MAX).min(prompt.deadline.into());
     let body = req.collect(cx.max_body_bytes).await.map_err(|_| Failure::Body)?;
@@ -65,10 +65,15 @@
     let (caller_stays, caller) = flume::bounded(0);
     let cx = cx.clone();
     let head = Rc::new(head);
-    let conduct = Conduct { cx, target, class, limit, head, body, key, caller };
+    let number = cx.take_number();
+    let conduct = Conduct { cx, number, target, class, team, limit, head, body, key, caller };
     let running = monoio::spawn(conduct.run());
     monoio::select! {
-        result = running => Ok(result?),
+        result = running => {
+            let mut answer = result?;
+            answer.headers.insert(web::REQUEST_HEADER, http::HeaderValue::from(number));
+            Ok(answer)
+        }
         () = req.closed() => {
             // What waits is given up; what runs is seen through, so that its slot is free again.
             drop(caller_stays);
@@ -83,8 +88,9 @@
     error.field(web::KEY_HEADER.as_str())
 }
 
-async fn find_class(cx: &Context, target: &Target) -> Result<document::Class, error::Error> {
-    let class = cx.dispatcher.class(target.desk.clone(), target.class.clone()).await;
+async fn find_class(cx: &Context, target: &Target) -> Result<dispatch::ClassView, error::Error> {
+    let (desk, class, team) = (target.desk.clone(), target.class.clone(), target.team.clone());
+    let class = cx.dispatcher.class(desk, class, team).await;
     class.ok_or_else(|| no_prompt(target))
 }
 
--- a/comfreymill_node/tests/prompt/bed.rs
+++ b/comfreymill_node/tests/prompt/bed.rs
@@ -41,7 +41,7 @@
         let pool = Rc::new(pool::Pool::default());
         let router = router::Config::new(name("tas-south"), name("hobart-a")).seed(1);
         let cfg = dispatch::DispatchConfig { router };
-        let dispatcher = dispatch::start(cfg, clock, pool.clone());
+        let (dispatcher, _) = dispatch::start(cfg, clock, pool.clone());
         dispatcher.push(documents());
         dispatcher.push(table(executors, slots));
         let lease = protocol::EntryLease { lease: time::Span::from_secs(60), term: 1, revision: 1 };
--- a/comfreymill_node/tests/prompt/caller.rs
+++ b/comfreymill_node/tests/prompt/caller.rs
@@ -16,6 +16,8 @@
     pub(super) kind: String,
     /// Whether the request was run, if it is an error.
     pub(super) run: String,
+    /// Number by which operators find the request.
+    pub(super) number: String,
     pub(super) body: String,
 }
 
@@ -39,10 +41,11 @@
         let value = response.headers().get(name).and_then(|value| value.to_str().ok());
         value.unwrap_or_default().to_owned()
     };
-    let (status, kind, run) =
-        (response.status().as_u16(), header("comfreymill-error"), header("comfreymill-run"));
+    let status = response.status().as_u16();
+    let (kind, run) = (header("comfreymill-error"), header("comfreymill-run"));
+    let number = header("comfreymill-request");
     let body = response.collect(u64::MAX).await.expect("the answer is whole");
-    Got { status, kind, run, body: String::from_utf8_lossy(&body).into_owned() }
+    Got { status, kind, run, number, body: String::from_utf8_lossy(&body).into_owned() }
 }
 
 /// Sends a request and goes away after a time.
--- a/comfreymill_node/tests/prompt/whole_answers.rs
+++ b/comfreymill_node/tests/prompt/whole_answers.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use comfreymill_node::runtime;
+use comfreymill_route::router;
 
 use super::bed::Bed;
 use super::caller;
@@ -49,3 +50,20 @@
     };
     runtime::block_on(test).expect("the runtime starts");
 }
+
+#[test]
+fn an_answer_names_the_request_whose_decisions_are_kept() {
+    let test = async {
+        let executor = Executor::start(executor::ECHO);
+        let bed = Bed::start(&[executor.address], 1);
+        let got = caller::ask(bed.callers, "search", "hull").await;
+        let number = got.number.parse().expect("a number");
+        let decisions = bed.dispatcher.decisions(Some(number)).await;
+        let steps: Vec<_> = decisions.into_iter().flat_map(|decision| decision.steps).collect();
+        assert!(
+            matches!(steps[..], [router::Step::Sent { .. }, router::Step::Ended { .. }]),
+            "{steps:?}"
+        );
+    };
+    runtime::block_on(test).expect("the runtime starts");
+}
--- a/comfreymill_route/src/router/config.rs
+++ b/comfreymill_route/src/router/config.rs
@@ -115,7 +115,8 @@
         self.queue_limit
     }
 
-    /// Time for which a slot counts as used after an attempt of unknown end.
+    /// Least time for which a slot counts as used after an attempt of unknown end; the class's deadline
+    /// may be longer.
     pub fn get_doubt_hold(&self) -> Duration {
         self.doubt_hold
     }
@@ -215,7 +216,8 @@
         self
     }
 
-    /// Time for which a slot counts as used after an attempt of unknown end.
+    /// Least time for which a slot counts as used after an attempt of unknown end; the class's deadline
+    /// may be longer.
     #[must_use]
     pub fn doubt_hold(mut self, doubt_hold: Duration) -> Self {
         self.doubt_hold = doubt_hold;
--- a/comfreymill_route/src/router/decision.rs
+++ b/comfreymill_route/src/router/decision.rs
@@ -5,7 +5,7 @@
 use super::Outcome;
 
 /// Record of what was decided for one request and why.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
 pub struct Decision {
     /// Number of the request.
     pub request: u64,
@@ -18,7 +18,8 @@
 }
 
 /// One step of a request's way.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Step {
     /// An executor was chosen.
     Sent {
--- a/comfreymill_route/src/router/outcome.rs
+++ b/comfreymill_route/src/router/outcome.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
 /// How an attempt ended, as the shell saw it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// A whole answer came.
     Answered {
--- a/comfreymill_route/src/router/router_finish.rs
+++ b/comfreymill_route/src/router/router_finish.rs
@@ -68,18 +68,18 @@
                 self.not_run(now, request, ix, req, outcome);
             }
             Outcome::SentNoAnswer | Outcome::TimedOut => {
-                self.doubt(now, request, req.attempt, ix);
+                self.doubt(now, request, &req, ix);
                 self.suspect(now, ix, since);
                 let error = unknown_error(outcome);
                 self.refuse(now, request, error);
             }
             Outcome::CutShort => {
-                self.doubt(now, request, req.attempt, ix);
+                self.doubt(now, request, &req, ix);
                 self.blame(now, ix);
                 let kind = error::ErrorKind::UpstreamAnswer;
                 self.refuse(now, request, error::Error::new(kind, "the answer was cut short"));
             }
-            Outcome::CallerGone => self.doubt(now, request, req.attempt, ix),
+            Outcome::CallerGone => self.doubt(now, request, &req, ix),
         }
         self.reindex(now, ix);
     }
@@ -140,10 +140,11 @@
     }
 
     /// Keeps a slot as used until its attempt is known to have ended.
-    fn doubt(&mut self, now: time::Monotonic, request: u64, attempt: u32, ix: usize) {
-        let until = now + self.cfg.get_doubt_hold();
+    fn doubt(&mut self, now: time::Monotonic, request: u64, req: &Request, ix: usize) {
+        let longest_run = self.classes[req.class].deadline;
+        let until = now + self.cfg.get_doubt_hold().max(longest_run);
         self.executors[ix].in_doubt += 1;
-        self.doubts.insert((request, attempt), Doubt { executor: ix, until });
+        self.doubts.insert((request, req.attempt), Doubt { executor: ix, until });
     }
 
     /// Frees a slot in doubt.
--- a/comfreymill_route/tests/router/outcomes.rs
+++ b/comfreymill_route/tests/router/outcomes.rs
@@ -114,6 +114,7 @@
         let mut pending = u32::from(matches!(admission, router::Admission::Send { .. }));
         while pending > 0 {
             attempts += 1;
+            assert!(attempts <= 2 * requests, "{attempts} attempts");
             router.finished(now, id, pending, Outcome::NothingSent);
             let retry = router.take_actions().into_iter().find_map(|action| match action {
                 Action::Send { attempt, .. } => Some(attempt),
