feat(http): one memory limit for the collected bodies of a listener

Cause: limits for a body and for connections do not bound the memory together: by default 4,096 times 8 MiB. Change: Limits::max_collected_bytes (256 MiB), drawn on by Request::collect as the body arrives and given back when the request is answered; beyond it 503 with kind body_memory_limit. Broken on a scratch copy: the budget not checked, and a share not given back; both caught by capacity::bodies_over_the_memory_limit_are_refused_until_one_is_given_back. Conclusion: streamed bodies need no such limit, they hold one read at a time.

--- a/comfreymill_http/src/body/error.rs
+++ b/comfreymill_http/src/body/error.rs
@@ -14,6 +14,9 @@
     /// The body is larger than the limit.
     #[error("the body is larger than the limit")]
     TooLarge,
+    /// The bodies of all requests together take more memory than the limit.
+    #[error("the bodies of all requests together take more memory than the limit")]
+    MemoryLimit,
     /// The connection ended before the body did.
     #[error("the connection ended before the body did")]
     CutShort,
--- a/comfreymill_http/src/body/reader.rs
+++ b/comfreymill_http/src/body/reader.rs
@@ -73,32 +73,52 @@
         res
     }
 
-    /// The whole body, of at most `max_bytes`.
+    /// The whole body, of at most `max_bytes`; `admit` is asked for the room of each piece.
     ///
     /// # Errors
     ///
     /// A [`BodyError`].
-    pub(crate) async fn collect(
+    pub(crate) async fn collect<A>(
         &mut self,
         socket: &mut wire::Socket,
         max_bytes: u64,
-    ) -> Result<Bytes, BodyError> {
+        mut admit: A,
+    ) -> Result<Bytes, BodyError>
+    where
+        A: FnMut(u64) -> bool,
+    {
         self.max_bytes = self.max_bytes.min(max_bytes);
-        let Some(first) = self.chunk(socket).await? else {
+        let Some(first) = self.admitted_chunk(socket, &mut admit).await? else {
             return Ok(Bytes::new());
         };
-        let Some(second) = self.chunk(socket).await? else {
+        let Some(second) = self.admitted_chunk(socket, &mut admit).await? else {
             return Ok(first);
         };
         let mut all = BytesMut::with_capacity(first.len() + second.len());
         all.extend_from_slice(&first);
         all.extend_from_slice(&second);
-        while let Some(data) = self.chunk(socket).await? {
+        while let Some(data) = self.admitted_chunk(socket, &mut admit).await? {
             all.extend_from_slice(&data);
         }
         Ok(all.freeze())
     }
 
+    async fn admitted_chunk<A>(
+        &mut self,
+        socket: &mut wire::Socket,
+        admit: &mut A,
+    ) -> Result<Option<Bytes>, BodyError>
+    where
+        A: FnMut(u64) -> bool,
+    {
+        let data = self.chunk(socket).await?;
+        if data.as_ref().is_some_and(|data| !admit(data.len() as u64)) {
+            self.error = Some(BodyError::MemoryLimit);
+            return Err(BodyError::MemoryLimit);
+        }
+        Ok(data)
+    }
+
     async fn read(&mut self, socket: &mut wire::Socket) -> Result<Option<Bytes>, BodyError> {
         if self.is_complete {
             return Ok(None);
--- a/comfreymill_http/src/client/response.rs
+++ b/comfreymill_http/src/client/response.rs
@@ -65,7 +65,7 @@
     ///
     /// A [`ClientError`] when the body is cut short, malformed, oversized or silent.
     pub async fn collect(&mut self, max_bytes: u64) -> Result<Bytes, ClientError> {
-        let res = self.body.collect(&mut self.conn.socket, max_bytes).await;
+        let res = self.body.collect(&mut self.conn.socket, max_bytes, |_| true).await;
         self.note_end();
         res.map_err(body_error)
     }
--- a/comfreymill_http/src/limits.rs
+++ b/comfreymill_http/src/limits.rs
@@ -17,6 +17,7 @@
     max_head_bytes: usize,
     max_headers: usize,
     max_body_bytes: u64,
+    max_collected_bytes: u64,
     max_drain_bytes: usize,
     head_timeout: time::Duration,
     body_progress_timeout: time::Duration,
@@ -35,6 +36,7 @@
             max_head_bytes: 16 * KIB,
             max_headers: 64,
             max_body_bytes: 8 * MIB as u64,
+            max_collected_bytes: 256 * MIB as u64,
             max_drain_bytes: 2 * MIB,
             head_timeout: time::Duration::from_secs(10),
             body_progress_timeout: time::Duration::from_secs(10),
@@ -81,6 +83,13 @@
         self
     }
 
+    /// Most bytes of collected bodies that the requests of a listener hold together.
+    #[must_use]
+    pub fn max_collected_bytes(mut self, bytes: u64) -> Self {
+        self.max_collected_bytes = bytes;
+        self
+    }
+
     /// Most bytes of an unread body that are discarded to keep a connection.
     #[must_use]
     pub fn max_drain_bytes(mut self, bytes: usize) -> Self {
@@ -169,6 +178,11 @@
         self.max_body_bytes
     }
 
+    /// Most bytes of collected bodies that the requests of a listener hold together.
+    pub fn get_max_collected_bytes(&self) -> u64 {
+        self.max_collected_bytes
+    }
+
     /// Most bytes of an unread body that are discarded.
     pub fn get_max_drain_bytes(&self) -> usize {
         self.max_drain_bytes
--- a/comfreymill_http/src/server/connection.rs
+++ b/comfreymill_http/src/server/connection.rs
@@ -6,7 +6,7 @@
 use monoio::time as timer;
 
 use super::exchange::{Answered, Exchange};
-use super::{Refusal, Request, ServerError, Shutdown};
+use super::{Refusal, Request, ServerError, Shutdown, budget};
 use crate::{body, head, limits, wire};
 
 /// Bodies up to this size are copied behind the head, to be sent in one write.
@@ -22,22 +22,26 @@
     pub(super) limits: rc::Rc<limits::Limits>,
     pub(super) exchange: Option<Exchange>,
     shutdown: Shutdown,
+    budget: budget::Budget,
     is_closed: bool,
 }
 
 impl Connection {
     /// Takes over an accepted stream.
     pub fn new(stream: monoio::net::TcpStream, limits: limits::Limits) -> Self {
-        Self::with_shutdown(stream, rc::Rc::new(limits), Shutdown::new())
+        let budget = budget::Budget::new(limits.get_max_collected_bytes());
+        Self::of_listener(stream, rc::Rc::new(limits), Shutdown::new(), budget)
     }
 
-    pub(super) fn with_shutdown(
+    /// A connection that shares its listener's shutdown and budget.
+    pub(super) fn of_listener(
         stream: monoio::net::TcpStream,
         limits: rc::Rc<limits::Limits>,
         shutdown: Shutdown,
+        budget: budget::Budget,
     ) -> Self {
         let socket = wire::Socket::new(stream);
-        Self { socket, limits, exchange: None, shutdown, is_closed: false }
+        Self { socket, limits, exchange: None, shutdown, budget, is_closed: false }
     }
 
     /// Address of the peer.
@@ -217,7 +221,8 @@
         let Some(head) = self.read_head().await? else {
             return Ok(None);
         };
-        let exchange = Exchange::new(&head, &self.limits).map_err(ServerError::Refused)?;
+        let exchange = Exchange::new(&head, &self.limits, self.budget.share())
+            .map_err(ServerError::Refused)?;
         self.exchange = Some(exchange);
         Ok(Some(head))
     }
--- a/comfreymill_http/src/server/exchange.rs
+++ b/comfreymill_http/src/server/exchange.rs
@@ -1,6 +1,6 @@
 use http::request;
 
-use super::error;
+use super::{budget, error};
 use crate::{body, head, hop, limits};
 
 /// How far the answer of a request has come.
@@ -15,6 +15,7 @@
 #[derive(Debug)]
 pub(super) struct Exchange {
     pub(super) body: body::Reader,
+    pub(super) share: budget::Share,
     pub(super) answered: Answered,
     pub(super) is_continue_due: bool,
     pub(super) is_keep_alive: bool,
@@ -27,6 +28,7 @@
     pub(super) fn new(
         head: &request::Parts,
         limits: &limits::Limits,
+        share: budget::Share,
     ) -> Result<Self, super::Refusal> {
         let framing = head::of_request(head)?;
         head::check_host(head)?;
@@ -38,6 +40,7 @@
         Ok(Self {
             is_continue_due: is_continue_due && !body.is_complete(),
             body,
+            share,
             answered: Answered::No,
             is_keep_alive: is_keep_alive(head),
             is_head: head.method == http::Method::HEAD,
--- a/comfreymill_http/src/server/mod.rs
+++ b/comfreymill_http/src/server/mod.rs
@@ -1,6 +1,7 @@
 //! Server side: connections, requests, answers and the accept loop
 
 mod answer;
+mod budget;
 mod connection;
 mod error;
 mod exchange;
--- a/comfreymill_http/src/server/refusal.rs
+++ b/comfreymill_http/src/server/refusal.rs
@@ -113,6 +113,7 @@
         BodyError::BadChunk => ("bad_chunk", http::StatusCode::BAD_REQUEST),
         BodyError::BadTrailer => ("bad_trailer", http::StatusCode::BAD_REQUEST),
         BodyError::TooLarge => ("body_too_large", http::StatusCode::PAYLOAD_TOO_LARGE),
+        BodyError::MemoryLimit => ("body_memory_limit", http::StatusCode::SERVICE_UNAVAILABLE),
         BodyError::CutShort | BodyError::Io(_) => ("body_cut_short", http::StatusCode::BAD_REQUEST),
         BodyError::TimedOut => ("body_timeout", http::StatusCode::REQUEST_TIMEOUT),
         BodyError::WrongLength => ("wrong_length", http::StatusCode::BAD_REQUEST),
--- a/comfreymill_http/src/server/request.rs
+++ b/comfreymill_http/src/server/request.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http::request;
 
+use super::exchange::Exchange;
 use super::{Answer, Connection, Refusal, ServerError};
 use crate::{body, head};
 
@@ -72,6 +73,8 @@
 
     /// The whole body, of at most `max_bytes`.
     ///
+    /// It counts against the memory for collected bodies until the request is answered.
+    ///
     /// # Errors
     ///
     /// A [`body::BodyError`]; if no answer is given afterwards, the connection answers for it.
@@ -80,7 +83,10 @@
             self.conn.send_continue().await?;
         }
         match &mut self.conn.exchange {
-            Some(exchange) => exchange.body.collect(&mut self.conn.socket, max_bytes).await,
+            Some(exchange) => {
+                let Exchange { body, share, .. } = exchange;
+                body.collect(&mut self.conn.socket, max_bytes, |bytes| share.take(bytes)).await
+            }
             None => Ok(Bytes::new()),
         }
     }
--- a/comfreymill_http/src/server/serve.rs
+++ b/comfreymill_http/src/server/serve.rs
@@ -3,7 +3,7 @@
 use futures_util::future;
 use monoio::time as timer;
 
-use super::{Connection, Refusal, Request, ServerError, Shutdown, watch};
+use super::{Connection, Refusal, Request, ServerError, Shutdown, budget, watch};
 use crate::limits;
 
 const ACCEPT_BACKOFF: time::Duration = time::Duration::from_millis(50);
@@ -22,6 +22,7 @@
     limits: rc::Rc<limits::Limits>,
     handler: H,
     shutdown: Shutdown,
+    budget: budget::Budget,
     connections: watch::Watch<usize>,
     requests: watch::Watch<usize>,
     refusals: watch::Watch<usize>,
@@ -43,6 +44,7 @@
     H: AsyncFn(Request<'_>) -> Result<(), ServerError> + 'static,
 {
     let listening = rc::Rc::new(Listening {
+        budget: budget::Budget::new(limits.get_max_collected_bytes()),
         limits: rc::Rc::new(limits),
         handler,
         shutdown,
@@ -84,10 +86,11 @@
 where
     H: AsyncFn(Request<'_>) -> Result<(), ServerError> + 'static,
 {
-    let conn = Connection::with_shutdown(
+    let conn = Connection::of_listener(
         stream,
         rc::Rc::clone(&listening.limits),
         listening.shutdown.clone(),
+        listening.budget.clone(),
     );
     if listening.connections.get() < listening.limits.get_max_connections() {
         let count = Count::new(&listening.connections);
--- a/comfreymill_http/tests/server/capacity.rs
+++ b/comfreymill_http/tests/server/capacity.rs
@@ -60,6 +60,37 @@
     });
 }
 
+#[test]
+fn bodies_over_the_memory_limit_are_refused_until_one_is_given_back() {
+    support::run(async {
+        let (go_tx, go_rx) = flume::unbounded::<()>();
+        let (held_tx, held_rx) = flume::unbounded();
+        let limits = support::limits().max_collected_bytes(100);
+        let service = Service::start(limits, async move |mut req: server::Request<'_>| {
+            let body = req.collect(u64::MAX).await?;
+            held_tx.send(()).expect("the test waits");
+            let _ = go_rx.recv_async().await;
+            req.respond(http::StatusCode::OK, &http::HeaderMap::new(), body).await
+        });
+        let post =
+            format!("POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 60\r\n\r\n{}", "x".repeat(60));
+        let mut first = Peer::connect(service.addr).await;
+        first.write(post.as_str()).await;
+        guard(held_rx.recv_async()).await.expect("held");
+
+        let refused = Peer::exchange(service.addr, post.as_str()).await;
+        assert_eq!((refused[0].status, refused[0].kind()), (503, Some("body_memory_limit")));
+        assert_eq!(refused[0].header("retry-after"), Some("1"));
+
+        for _ in 0..3 {
+            go_tx.send(()).expect("the handler waits");
+            assert_eq!(first.read_bodies(1).await.len(), 1);
+            first.write(post.as_str()).await;
+            guard(held_rx.recv_async()).await.expect("held again");
+        }
+    });
+}
+
 #[test]
 fn caller_with_many_requests_does_not_hold_up_another() {
     let log = rc::Rc::new(cell::RefCell::new(Vec::new()));
