perf(group): commands proposed together leave in one append

Cause: each call of propose sent an append of its own to each follower. Change: entries are sent when the actions are taken. Run: the new test sees two appends and one write for five calls, one to each follower; cargo test -p comfreymill_group: 59 passed in 15.7 s.

--- a/comfreymill_group/src/replica/core.rs
+++ b/comfreymill_group/src/replica/core.rs
@@ -36,6 +36,8 @@
     pub(super) incoming: Option<Incoming>,
     pub(super) outbox: Outbox,
     pub(super) halted: Option<Halt>,
+    /// When entries were proposed that were not sent yet; they leave together.
+    pub(super) replicate_at: Option<time::Monotonic>,
     /// Oldest write that is not synced, and since when it is the oldest.
     pub(super) slow_write: Option<(id::Sequence, time::Monotonic)>,
     /// Founders that accepted this founder, with their disks.
@@ -81,6 +83,7 @@
             incoming: None,
             outbox,
             halted: None,
+            replicate_at: None,
             slow_write: None,
             accepted: BTreeMap::new(),
             founding_gate: None,
@@ -95,6 +98,9 @@
 
     /// Actions since the last call, in the order to carry them out.
     pub fn take_actions(&mut self) -> Vec<Action> {
+        if let Some(now) = self.replicate_at.take() {
+            self.replicate_all(now);
+        }
         self.issue_persist();
         self.deliver();
         self.report_role();
--- a/comfreymill_group/src/replica/member.rs
+++ b/comfreymill_group/src/replica/member.rs
@@ -76,7 +76,7 @@
         };
         self.append_own(entry::Payload::Membership(next));
         self.sync_peers();
-        self.replicate_all(now);
+        self.replicate_at = Some(now);
         Ok(self.log.last_index())
     }
 
--- a/comfreymill_group/src/replica/proposal.rs
+++ b/comfreymill_group/src/replica/proposal.rs
@@ -73,7 +73,7 @@
         for data in data {
             self.append_own(entry::Payload::Data(data));
         }
-        self.replicate_all(now);
+        self.replicate_at = Some(now);
         Ok(Proposed { first, last: self.log.last_index(), term: self.term() })
     }
 
--- a/comfreymill_group/tests/scenario/limits.rs
+++ b/comfreymill_group/tests/scenario/limits.rs
@@ -117,3 +117,24 @@
     }
     assert!(replica.is_ready() && replica.lease_valid(time::Monotonic::from_millis(10)));
 }
+
+#[test]
+fn commands_proposed_together_leave_in_one_append() {
+    let (mut world, leader) = group::started(4, 3);
+    group::pass(&mut world, 500);
+    let clock = world.nodes[leader].clock(world.now);
+    let replica = world.nodes[leader].replica.as_mut().expect("running");
+    for _ in 0..5 {
+        replica.propose(clock, vec![Bytes::from_static(b"12345678")]).expect("leads");
+    }
+    let actions = replica.take_actions();
+    let appends = actions.iter().filter(|action| match action {
+        replica::Action::Send { message, .. } => {
+            matches!(&message.body, Some(message::Body::Append(it)) if it.entries.len() == 5)
+        }
+        _ => false,
+    });
+    assert_eq!(appends.count(), 2, "{actions:?}");
+    let writes = actions.iter().filter(|it| matches!(it, replica::Action::Persist(_)));
+    assert_eq!(writes.count(), 1);
+}
