feat(node): keyed requests join at the entry and their end is always recorded

Cause: a resend at the same entry polled the leader; an opening or a closing of a record whose answer was lost left the record open until the entry restarted, and an answer that had come was replaced by commit-unknown. Change: requests of a key join the run in progress at their entry. A record that may have been opened without a run is closed as not run, and an end that could not be recorded in three seconds is recorded later, while its caller has the answer; the key stays taken here meanwhile.

--- a/comfreymill_node/src/entry/prompt/conduct.rs
+++ b/comfreymill_node/src/entry/prompt/conduct.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use comfreymill_ledger::request;
 use comfreymill_route::router;
 use comfreymill_types::document;
 use comfreymill_types::error;
@@ -12,6 +13,7 @@
 use super::attempt::{Attempt, AttemptEnd, ExecutorAnswer};
 use super::context::Context;
 use super::keyed;
+use super::keys::RunEnd;
 use super::target::Target;
 use crate::entry::dispatch;
 use crate::metering::observe;
@@ -33,24 +35,48 @@
     pub(super) head: Rc<http::request::Parts>,
     pub(super) body: Bytes,
     /// Key to record the end under.
-    pub(super) key: Option<comfreymill_ledger::request::RequestKey>,
+    pub(super) key: Option<request::RequestKey>,
+    /// Digest of what is asked.
+    pub(super) digest: id::Digest,
     /// Closed when the caller goes away.
     pub(super) caller: flume::Receiver<()>,
 }
 
 impl Conduct {
-    /// Runs the request, and records its end if it has a key.
-    pub(super) async fn run(self) -> Result<ExecutorAnswer, error::Error> {
+    /// Runs the request and gives its end to `reply`.
+    pub(super) async fn run(self, reply: flume::Sender<RunEnd>) {
         let began = self.cx.clock.now();
-        let result = self.dispatch().await;
-        self.observe(began, &result);
-        let Some(key) = self.key else { return result };
-        let outcome = match &result {
-            Ok(answer) => keyed::answered(answer),
-            Err(error) => keyed::failed(error),
+        let Some(key) = &self.key else {
+            let end = self.dispatch().await;
+            self.observe(began, &end);
+            reply.send(end).ok();
+            return;
         };
-        keyed::close(&self.cx, key, outcome).await?;
-        result
+        let opening = keyed::open(&self.cx, key, &self.class, self.digest, self.limit).await;
+        let (end, outcome) = match opening {
+            Ok(keyed::Opening::Stored(answer)) => (keyed::stored(answer), None),
+            Ok(keyed::Opening::Run) => {
+                let end = self.dispatch().await;
+                let outcome = keyed::outcome(&end);
+                (end, Some(outcome))
+            }
+            // The record may be open, but nothing was sent: it is closed again.
+            Err(error) if error.get_kind() == error::ErrorKind::CommitUnknown => {
+                (Err(error), Some(request::RequestOutcome::NotRun))
+            }
+            Err(error) => (Err(error), None),
+        };
+        self.observe(began, &end);
+        let is_closed = match &outcome {
+            Some(outcome) => keyed::close(&self.cx, key, outcome).await,
+            None => true,
+        };
+        reply.send(end.clone()).ok();
+        if let Some(outcome) = outcome.filter(|_| !is_closed) {
+            // Until then the key stays taken here, so that nobody else opens its record.
+            keyed::close_later(&self.cx, key, &outcome).await;
+        }
+        self.cx.keys.finish(key, self.number, &end);
     }
 
     /// Takes orders until the request is over.
@@ -97,7 +123,7 @@
     }
 
     /// Records the end of the request in the metrics.
-    fn observe(&self, began: time::Monotonic, result: &Result<ExecutorAnswer, error::Error>) {
+    fn observe(&self, began: time::Monotonic, result: &RunEnd) {
         let run = match result {
             Ok(_) => error::RunState::Run,
             Err(error) => error.get_kind().get_answer().run,
--- a/comfreymill_node/src/entry/prompt/context.rs
+++ b/comfreymill_node/src/entry/prompt/context.rs
@@ -1,6 +1,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use super::keys::Keys;
 use crate::clock;
 use crate::entry::dispatch;
 use crate::entry::link;
@@ -14,6 +15,7 @@
     pub(super) dispatcher: dispatch::Dispatcher,
     pub(super) link: link::Link,
     pub(super) pool: Rc<pool::Pool>,
+    pub(super) keys: Rc<Keys>,
     pub(super) token: Option<web::Token>,
     pub(super) max_body_bytes: u64,
     next_request: Rc<Cell<u64>>,
@@ -33,6 +35,7 @@
             dispatcher,
             link,
             pool,
+            keys: Rc::default(),
             token: None,
             max_body_bytes,
             next_request: Rc::new(Cell::new(1)),
--- a/comfreymill_node/src/entry/prompt/keyed.rs
+++ b/comfreymill_node/src/entry/prompt/keyed.rs
@@ -7,18 +7,20 @@
 
 use super::attempt::ExecutorAnswer;
 use super::context::Context;
-use super::target::Target;
+use super::keys::RunEnd;
 use crate::protocol;
 
 const OPEN_LIMIT: Duration = Duration::from_secs(5);
-const CLOSE_LIMIT: Duration = Duration::from_secs(30);
+const CLOSE_LIMIT: Duration = Duration::from_secs(3);
+const CLOSE_PAUSE: Duration = Duration::from_millis(500);
+const MAX_CLOSE_TRIES: u32 = 600;
 const POLL_PERIOD: Duration = Duration::from_millis(50);
 
 /// What the record of a key says to the request that carries it.
 #[derive(Debug)]
 pub(super) enum Opening {
     /// This request shall run.
-    Run(request::RequestKey),
+    Run,
     /// It ran before; this is its answer.
     Stored(request::StoredAnswer),
 }
@@ -26,18 +28,11 @@
 /// Opens the record of a keyed request, and waits for a run in progress elsewhere.
 pub(super) async fn open(
     cx: &Context,
-    target: &Target,
-    key: &id::IdempotencyKey,
+    key: &request::RequestKey,
     class: &document::Class,
     digest: id::Digest,
     limit: Duration,
 ) -> Result<Opening, error::Error> {
-    let key = request::RequestKey {
-        environment: target.desk.environment.clone(),
-        stage: target.desk.stage,
-        team: target.team.clone(),
-        key: key.clone(),
-    };
     let began = cx.clock.now();
     loop {
         let call = protocol::Call::OpenRequest {
@@ -47,7 +42,7 @@
         };
         match cx.link.call(call, limit.min(OPEN_LIMIT)).await? {
             protocol::Answer::Request(protocol::KeyedRequest::Opened) => {
-                return Ok(Opening::Run(key));
+                return Ok(Opening::Run);
             }
             protocol::Answer::Request(protocol::KeyedRequest::Known(state)) => {
                 if let Some(end) = known(state) {
@@ -64,18 +59,41 @@
     }
 }
 
-/// Records how a keyed request ended.
+/// Records how a keyed request ended; whether that is committed.
 pub(super) async fn close(
     cx: &Context,
-    key: request::RequestKey,
-    outcome: request::RequestOutcome,
-) -> Result<(), error::Error> {
+    key: &request::RequestKey,
+    outcome: &request::RequestOutcome,
+) -> bool {
+    let (key, outcome) = (key.clone(), outcome.clone());
     let call = protocol::Call::CloseRequest { key, outcome };
-    cx.link.call(call, CLOSE_LIMIT).await.map(|_| ())
+    cx.link.call(call, CLOSE_LIMIT).await.is_ok()
+}
+
+/// Tries on to record the end of a request whose caller has been answered.
+pub(super) async fn close_later(
+    cx: &Context,
+    key: &request::RequestKey,
+    outcome: &request::RequestOutcome,
+) {
+    for _ in 0..MAX_CLOSE_TRIES {
+        monoio::time::sleep(CLOSE_PAUSE).await;
+        if close(cx, key, outcome).await {
+            return;
+        }
+    }
+    log::error!(target: "entry", "The end of request {key} could not be recorded.");
+}
+
+/// Outcome to record for the end of a run.
+pub(super) fn outcome(end: &RunEnd) -> request::RequestOutcome {
+    match end {
+        Ok(answer) => answered(answer),
+        Err(error) => failed(error),
+    }
 }
 
-/// Outcome to record for an answer.
-pub(super) fn answered(answer: &ExecutorAnswer) -> request::RequestOutcome {
+fn answered(answer: &ExecutorAnswer) -> request::RequestOutcome {
     let text = |value: &http::HeaderValue| value.to_str().ok().map(str::to_owned);
     let headers = answer.headers.iter();
     let headers = headers.filter_map(|(name, value)| Some((name.to_string(), text(value)?)));
@@ -86,8 +104,7 @@
     })
 }
 
-/// Outcome to record for an error.
-pub(super) fn failed(error: &error::Error) -> request::RequestOutcome {
+fn failed(error: &error::Error) -> request::RequestOutcome {
     match error.get_kind().get_answer().run {
         error::RunState::NotRun => request::RequestOutcome::NotRun,
         error::RunState::Run | error::RunState::Unknown => request::RequestOutcome::Unknown,
@@ -108,3 +125,21 @@
 fn unexpected() -> error::Error {
     error::Error::new(error::ErrorKind::Internal, "the leader's answer does not fit the call")
 }
+
+/// Answer of an earlier run.
+pub(super) fn stored(answer: request::StoredAnswer) -> Result<ExecutorAnswer, error::Error> {
+    let Some(body) = answer.body else {
+        let message = "the request ran and its answer is no longer kept";
+        return Err(error::Error::new(error::ErrorKind::AnswerNotKept, message));
+    };
+    let mut headers = http::HeaderMap::new();
+    for (name, value) in answer.headers {
+        let name = http::HeaderName::try_from(name);
+        let value = http::HeaderValue::try_from(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    let status = http::StatusCode::from_u16(answer.status).unwrap_or(http::StatusCode::OK);
+    Ok(ExecutorAnswer { status, headers, body })
+}
--- a/comfreymill_node/src/entry/prompt/mod.rs
+++ b/comfreymill_node/src/entry/prompt/mod.rs
@@ -4,6 +4,7 @@
 mod conduct;
 mod context;
 mod keyed;
+mod keys;
 mod serve;
 mod target;
 
--- a/comfreymill_node/src/entry/prompt/serve.rs
+++ b/comfreymill_node/src/entry/prompt/serve.rs
@@ -11,7 +11,7 @@
 use super::attempt::ExecutorAnswer;
 use super::conduct::Conduct;
 use super::context::Context;
-use super::keyed;
+use super::keys::{RunEnd, Turn};
 use super::target::Target;
 use crate::entry::dispatch;
 use crate::web;
@@ -51,26 +51,27 @@
     let limit = target.time_left.unwrap_or(Duration::MAX).min(prompt.deadline.into());
     let body = req.collect(cx.max_body_bytes).await.map_err(|_| Failure::Body)?;
     let head = executor_head(req.head(), &target);
-    let key = match &target.key {
-        None if class.unrepeatable => return Err(key_required().into()),
-        None => None,
-        Some(key) => {
-            let digest = digest(&head, &target, &body);
-            match keyed::open(cx, &target, key, &class, digest, limit).await? {
-                keyed::Opening::Stored(answer) => return Ok(stored(answer)?),
-                keyed::Opening::Run(key) => Some(key),
-            }
-        }
-    };
+    let key = target.request_key();
+    if key.is_none() && class.unrepeatable {
+        return Err(key_required().into());
+    }
+    let number = cx.take_number();
+    let digest = digest(&head, &target, &body);
+    if let Some(key) = &key
+        && let Turn::Wait(end) = cx.keys.begin(key, digest, number)?
+    {
+        return wait(cx, req, limit, key, number, end).await;
+    }
     let (caller_stays, caller) = flume::bounded(0);
+    let (reply, end) = flume::bounded(1);
     let cx = cx.clone();
     let head = Rc::new(head);
-    let number = cx.take_number();
-    let conduct = Conduct { cx, number, target, class, team, limit, head, body, key, caller };
-    let running = monoio::spawn(conduct.run());
+    let conduct =
+        Conduct { cx, number, target, class, team, limit, head, body, key, digest, caller };
+    monoio::spawn(conduct.run(reply));
     monoio::select! {
-        result = running => {
-            let mut answer = result?;
+        end = end.recv_async() => {
+            let mut answer = end.map_err(|_| Failure::Body)??;
             answer.headers.insert(web::REQUEST_HEADER, http::HeaderValue::from(number));
             Ok(answer)
         }
@@ -82,6 +83,30 @@
     }
 }
 
+/// Waits for the end of the run of the same key.
+async fn wait(
+    cx: &Context,
+    req: &mut server::Request<'_>,
+    limit: Duration,
+    key: &request::RequestKey,
+    number: u64,
+    end: flume::Receiver<RunEnd>,
+) -> Result<ExecutorAnswer, Failure> {
+    let end = monoio::select! {
+        end = monoio::time::timeout(limit, end.recv_async()) => end,
+        () = req.closed() => {
+            cx.keys.leave(key, number);
+            return Err(Failure::Body);
+        }
+    };
+    if let Ok(Ok(end)) = end {
+        return Ok(end?);
+    }
+    cx.keys.leave(key, number);
+    let message = "the same request is still running";
+    Err(error::Error::new(error::ErrorKind::DeadlineExceeded, message).into())
+}
+
 fn key_required() -> error::Error {
     let message = "the class is unrepeatable; name the request by an Idempotency-Key";
     let error = error::Error::new(error::ErrorKind::KeyRequired, message);
@@ -116,20 +141,3 @@
     asked.extend_from_slice(body);
     id::Digest::of(&asked)
 }
-
-fn stored(answer: request::StoredAnswer) -> Result<ExecutorAnswer, error::Error> {
-    let Some(body) = answer.body else {
-        let message = "the request ran and its answer is no longer kept";
-        return Err(error::Error::new(error::ErrorKind::AnswerNotKept, message));
-    };
-    let mut headers = http::HeaderMap::new();
-    for (name, value) in answer.headers {
-        let name = http::HeaderName::try_from(name);
-        let value = http::HeaderValue::try_from(value);
-        if let (Ok(name), Ok(value)) = (name, value) {
-            headers.append(name, value);
-        }
-    }
-    let status = http::StatusCode::from_u16(answer.status).unwrap_or(http::StatusCode::OK);
-    Ok(ExecutorAnswer { status, headers, body })
-}
--- a/comfreymill_node/src/entry/prompt/target.rs
+++ b/comfreymill_node/src/entry/prompt/target.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use comfreymill_ledger::request;
 use comfreymill_types::document;
 use comfreymill_types::error;
 use comfreymill_types::id;
@@ -23,6 +24,16 @@
 }
 
 impl Target {
+    /// Key with its scope, if the request has one.
+    pub(super) fn request_key(&self) -> Option<request::RequestKey> {
+        Some(request::RequestKey {
+            environment: self.desk.environment.clone(),
+            stage: self.desk.stage,
+            team: self.team.clone(),
+            key: self.key.clone()?,
+        })
+    }
+
     /// Reads path and headers.
     pub(super) fn read(head: &http::request::Parts) -> Result<Self, error::Error> {
         let path = head.uri.path();
--- a/comfreymill_route/src/idempotency/joins.rs
+++ b/comfreymill_route/src/idempotency/joins.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::time::Duration;
 
 use comfreymill_types::error;
@@ -16,22 +17,25 @@
     joined: Vec<u64>,
 }
 
-/// Keys in progress at this entry, bounded.
+/// Keys in progress at this entry, bounded; `K` is a key with its scope.
 #[derive(Debug)]
-pub struct Joins {
+pub struct Joins<K> {
     max_keys: usize,
     max_joined: usize,
-    runs: HashMap<id::IdempotencyKey, Run>,
+    runs: HashMap<K, Run>,
 }
 
-impl Joins {
+impl<K> Joins<K>
+where
+    K: Clone + Eq + Hash,
+{
     /// Keeps at most `max_keys` keys, each with at most `max_joined` joined requests.
     pub fn new(max_keys: usize, max_joined: usize) -> Self {
         Self { max_keys, max_joined, runs: HashMap::new() }
     }
 
     /// Takes a request with a key and the digest of its content.
-    pub fn begin(&mut self, key: &id::IdempotencyKey, digest: id::Digest, request: u64) -> Join {
+    pub fn begin(&mut self, key: &K, digest: id::Digest, request: u64) -> Join {
         let is_full = self.runs.len() >= self.max_keys;
         match self.runs.get_mut(key) {
             Some(run) if run.digest != digest => Join::Refused(reused()),
@@ -49,7 +53,7 @@
     }
 
     /// Ends the run of a key; returns the requests that joined it and get its answer.
-    pub fn finish(&mut self, key: &id::IdempotencyKey, request: u64) -> Vec<u64> {
+    pub fn finish(&mut self, key: &K, request: u64) -> Vec<u64> {
         if self.runs.get(key).is_some_and(|run| run.request == request) {
             return self.runs.remove(key).map_or_else(Vec::new, |run| run.joined);
         }
@@ -57,7 +61,7 @@
     }
 
     /// Takes out a joined request whose caller went away; the run goes on.
-    pub fn leave(&mut self, key: &id::IdempotencyKey, request: u64) {
+    pub fn leave(&mut self, key: &K, request: u64) {
         if let Some(run) = self.runs.get_mut(key) {
             run.joined.retain(|joined| *joined != request);
         }
