--- a/comfreymill_route/tests/grant/mod.rs
+++ b/comfreymill_route/tests/grant/mod.rs
@@ -254,3 +254,51 @@
     assert_eq!(slots, [1, 4]);
     assert!(shown(&mut granter, "b", 1) >= 8, "the other entry got what was left");
 }
+
+/// Granter of one executor whose 8 slots entry `a` holds and of which 4 are recalled for `b`.
+fn recalling() -> Granter {
+    let mut granter = granter();
+    granter.announced(support::announcement("e1", 1, 8));
+    granter.heartbeat(support::ms(0), &heartbeat("a", 1, 8));
+    commit(&mut granter, support::ms(1));
+    granter.heartbeat(support::ms(2), &heartbeat("b", 1, 6));
+    commit(&mut granter, support::ms(3));
+    assert_eq!(shown(&mut granter, "a", 1), 4);
+    granter
+}
+
+fn leaving(entry: &str) -> Heartbeat {
+    let mut leaving = heartbeat(entry, 1, 0);
+    leaving.draining = true;
+    leaving
+}
+
+#[test]
+fn what_was_held_under_an_older_epoch_returns_nothing() {
+    let mut granter = recalling();
+    let mut delayed = heartbeat("a", 1, 8);
+    delayed.holdings = holdings(&mut granter, "a", 1);
+    granter.heartbeat(support::ms(4), &leaving("b"));
+    commit(&mut granter, support::ms(5));
+    assert_eq!(shown(&mut granter, "a", 1), 8, "the recall is taken back");
+    granter.heartbeat(support::ms(6), &heartbeat("b", 1, 6));
+    commit(&mut granter, support::ms(7));
+    granter.heartbeat(support::ms(8), &delayed);
+    commit(&mut granter, support::ms(9));
+    assert_eq!(shown(&mut granter, "b", 1), 0);
+}
+
+#[test]
+fn a_lowered_grant_is_not_shown_larger_before_the_next_commit() {
+    let mut granter = recalling();
+    let mut returned = heartbeat("a", 1, 8);
+    returned.holdings = holdings(&mut granter, "a", 1);
+    granter.heartbeat(support::ms(4), &returned);
+    granter.heartbeat(support::ms(5), &leaving("b"));
+    granter.tick(support::ms(6));
+    assert_eq!(shown(&mut granter, "a", 1), 4);
+    for change in granter.take_changes() {
+        granter.committed(&change);
+    }
+    assert_eq!(shown(&mut granter, "a", 1), 8);
+}
