--- a/comfreymill_node/src/entry/dispatch/desk.rs
+++ b/comfreymill_node/src/entry/dispatch/desk.rs
@@ -37,6 +37,8 @@
     pub(super) probes: Vec<Probe>,
     /// Executors whose idle connections to close.
     pub(super) drops: Vec<net::SocketAddr>,
+    /// Whether more slots are wanted than the leader was told.
+    pub(super) is_demand_changed: bool,
 }
 
 impl Chores {
@@ -44,6 +46,7 @@
     pub(super) fn extend(&mut self, more: Self) {
         self.probes.extend(more.probes);
         self.drops.extend(more.drops);
+        self.is_demand_changed |= more.is_demand_changed;
     }
 }
 
@@ -71,8 +74,8 @@
         self.document = document;
     }
 
-    /// Class of a name with the team, if the document has it.
-    pub(super) fn find_class(
+    /// Class of the document, with the team if the document has it.
+    pub(super) fn class(
         &self,
         name: &id::ClassName,
         team: Option<id::TeamName>,
@@ -144,7 +147,7 @@
                     chores.probes.push(Probe { desk: self.key.clone(), executor, address });
                 }
                 router::Action::DropConnections { address, .. } => chores.drops.push(address),
-                router::Action::DemandChanged => {}
+                router::Action::DemandChanged => chores.is_demand_changed = true,
             }
         }
         chores
--- a/comfreymill_node/src/entry/dispatch/handle.rs
+++ b/comfreymill_node/src/entry/dispatch/handle.rs
@@ -45,6 +45,13 @@
         rx.recv_async().await.ok().flatten()
     }
 
+    /// Decisions on the latest requests, or on one, while they are kept.
+    pub async fn decisions(&self, request: Option<u64>) -> Vec<router::Decision> {
+        let (reply, rx) = flume::bounded(1);
+        self.send(Input::Decisions { request, reply });
+        rx.recv_async().await.unwrap_or_default()
+    }
+
     /// State of the dispatcher.
     pub async fn show(&self) -> Option<DispatchStatus> {
         let (reply, rx) = flume::bounded(1);
--- a/comfreymill_node/src/entry/dispatch/input.rs
+++ b/comfreymill_node/src/entry/dispatch/input.rs
@@ -37,6 +37,8 @@
         team: Option<id::TeamName>,
         reply: flume::Sender<Option<ClassView>>,
     },
+    /// Somebody asks for the latest decisions on requests, or for that on one.
+    Decisions { request: Option<u64>, reply: flume::Sender<Vec<router::Decision>> },
     /// Somebody asks for the heartbeat to send.
     Heartbeat(flume::Sender<protocol::EntryHeartbeat>),
 }
--- a/comfreymill_node/src/entry/prompt/conduct.rs
+++ b/comfreymill_node/src/entry/prompt/conduct.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use comfreymill_ledger::request;
 use comfreymill_route::router;
+use comfreymill_types::document;
 use comfreymill_types::error;
 use comfreymill_types::id;
 use comfreymill_types::time;
@@ -11,6 +13,7 @@
 use super::attempt::{Attempt, AttemptEnd, ExecutorAnswer};
 use super::context::Context;
 use super::keyed;
+use super::keys::RunEnd;
 use super::target::Target;
 use crate::entry::dispatch;
 use crate::metering::observe;
@@ -23,28 +26,57 @@
 #[derive(Clone)]
 pub(super) struct Conduct {
     pub(super) cx: Context,
+    pub(super) number: u64,
     pub(super) target: Target,
-    pub(super) class: dispatch::ClassView,
+    pub(super) class: document::Class,
+    /// Team, if the document has it.
+    pub(super) team: Option<id::TeamName>,
     pub(super) limit: Duration,
     pub(super) head: Rc<http::request::Parts>,
     pub(super) body: Bytes,
     /// Key to record the end under.
-    pub(super) key: Option<comfreymill_ledger::request::RequestKey>,
+    pub(super) key: Option<request::RequestKey>,
+    /// Digest of what is asked.
+    pub(super) digest: id::Digest,
     /// Closed when the caller goes away.
     pub(super) caller: flume::Receiver<()>,
 }
 
 impl Conduct {
-    /// Runs the request, and records its end if it has a key.
-    pub(super) async fn run(self) -> Result<ExecutorAnswer, error::Error> {
-        let result = self.dispatch().await;
-        let Some(key) = self.key else { return result };
-        let outcome = match &result {
-            Ok(answer) => keyed::answered(answer),
-            Err(error) => keyed::failed(error),
+    /// Runs the request and gives its end to `reply`.
+    pub(super) async fn run(self, reply: flume::Sender<RunEnd>) {
+        let began = self.cx.clock.now();
+        let Some(key) = &self.key else {
+            let end = self.dispatch().await;
+            self.observe(began, &end);
+            reply.send(end).ok();
+            return;
         };
-        keyed::close(&self.cx, key, outcome).await?;
-        result
+        let opening = keyed::open(&self.cx, key, &self.class, self.digest, self.limit).await;
+        let (end, outcome) = match opening {
+            Ok(keyed::Opening::Stored(answer)) => (keyed::stored(answer), None),
+            Ok(keyed::Opening::Run) => {
+                let end = self.dispatch().await;
+                let outcome = keyed::outcome(&end);
+                (end, Some(outcome))
+            }
+            // The record may be open, but nothing was sent: it is closed again.
+            Err(error) if error.get_kind() == error::ErrorKind::CommitUnknown => {
+                (Err(error), Some(request::RequestOutcome::NotRun))
+            }
+            Err(error) => (Err(error), None),
+        };
+        self.observe(began, &end);
+        let is_closed = match &outcome {
+            Some(outcome) => keyed::close(&self.cx, key, outcome).await,
+            None => true,
+        };
+        reply.send(end.clone()).ok();
+        if let Some(outcome) = outcome.filter(|_| !is_closed) {
+            // Until then the key stays taken here, so that nobody else opens its record.
+            keyed::close_later(&self.cx, key, &outcome).await;
+        }
+        self.cx.keys.finish(key, self.number, &end);
     }
 
     /// Takes orders until the request is over.
@@ -93,25 +125,40 @@
         }
     }
 
+    fn tenant(&self) -> observe::Tenant<'_> {
+        observe::Tenant { team: self.team.as_ref(), class: &self.class.name }
+    }
+
     /// Records the wait before the first attempt, and the use of the chosen executor.
     fn observe_send(&self, arrival: time::Monotonic, attempt: u32, slots_in_use: u32) {
-        let tenant = self.class.get_tenant();
         if attempt == FIRST_ATTEMPT {
-            observe::queue_wait(tenant, self.cx.clock.now().since(arrival));
+            observe::queue_wait(self.tenant(), self.cx.clock.now().since(arrival));
+        }
+        observe::slots_in_use(self.tenant(), slots_in_use);
+    }
+
+    /// Records the end of the request; what was not run has no latency.
+    fn observe(&self, began: time::Monotonic, result: &RunEnd) {
+        let run = match result {
+            Ok(_) => error::RunState::Run,
+            Err(error) => error.get_kind().get_answer().run,
+        };
+        observe::request(self.tenant(), run);
+        if run != error::RunState::NotRun {
+            observe::request_latency(self.tenant(), self.cx.clock.now().since(began));
         }
-        observe::slots_in_use(tenant, slots_in_use);
     }
 
     fn view(&self, arrival: time::Monotonic, deadline: time::Monotonic) -> router::RequestView {
-        let team = self.target.team.clone().or_else(|| NO_TEAM.parse().ok());
+        let team = self.team.clone().or_else(|| NO_TEAM.parse().ok());
         router::RequestView {
-            id: self.cx.take_number(),
+            id: self.number,
             class: self.target.class.clone(),
             team: team.expect("the name is valid"),
             arrival,
             deadline: Some(deadline),
             keyed: self.target.key.is_some(),
-            unrepeatable: self.class.class.unrepeatable,
+            unrepeatable: self.class.unrepeatable,
         }
     }
 
--- a/tests/process/metrics.rs
+++ b/tests/process/metrics.rs
@@ -46,7 +46,7 @@
     assert!(!text.contains("stranger"), "a name that a caller made up is no label");
     let run = r#"comfreymill_requests_total{team="counter",class="name-search",outcome="run"}"#;
     assert_eq!(value(&text, run), 1.0, "{text}");
-    let refusal = r#"comfreymill_refusals_total{part="callers",kind="not-found"}"#;
+    let refusal = r#"comfreymill_refusals_total{part="prompt",kind="not-found"}"#;
     assert!(value(&text, refusal) >= 1.0);
     assert!(value(&text, r#"comfreymill_decisions_total{part="route",decision="send"}"#) >= 2.0);
     for direction in ["sent", "received"] {
