feat(control): change voters, and prove the fleet under cuts and losses

Cause: a lost disk could not be replaced from outside, and partitions, regions apart and lost workers had no proof. Found by the new tests: a task submitted before a new leader knew its workers waited for ever instead of being parked, since nothing tried it again (fleet::batch::a_job_that_never_fits_is_refused_with_the_reason failed).

--- a/comfreymill_batch/src/scheduler/leadership.rs
+++ b/comfreymill_batch/src/scheduler/leadership.rs
@@ -20,6 +20,7 @@
         attempts: &[event::AttemptView],
     ) {
         self.leading_since = self.now;
+        self.is_settling_over = false;
         self.fleet = fleet::Fleet::default();
         self.tasks = HashMap::with_capacity(tasks.len());
         self.queue = queue::Queue::default();
@@ -52,6 +53,15 @@
         self.lift_unfit();
     }
 
+    /// Tries what waits again once it is known which workers there are, since a task that fits
+    /// none of them is parked only then.
+    pub(super) fn end_settling(&mut self) {
+        if !self.is_settling_over && self.is_settled() {
+            self.is_settling_over = true;
+            self.queue.unblock(|_, _| true);
+        }
+    }
+
     /// Whether every live worker had time to report to this leader.
     pub(super) fn is_settled(&self) -> bool {
         let settling = self.cfg.get_heartbeat_period() * SETTLING_PERIODS;
--- a/comfreymill_batch/src/scheduler/leases.rs
+++ b/comfreymill_batch/src/scheduler/leases.rs
@@ -19,6 +19,7 @@
         }
         self.scanned_at = self.now;
         self.scan_workers();
+        self.end_settling();
         self.expire_claims();
         self.probe_suspended();
         self.lift_unfit();
--- a/comfreymill_batch/src/scheduler/scheduler.rs
+++ b/comfreymill_batch/src/scheduler/scheduler.rs
@@ -22,6 +22,8 @@
     pub(super) cfg: config::Config,
     pub(super) now: time::Monotonic,
     pub(super) leading_since: time::Monotonic,
+    /// Whether what waited while workers were still unknown was tried again.
+    pub(super) is_settling_over: bool,
     pub(super) scanned_at: time::Monotonic,
     pub(super) catalog: catalog::Catalog,
     pub(super) fleet: fleet::Fleet,
@@ -54,6 +56,7 @@
             cfg,
             now,
             leading_since: now,
+            is_settling_over: false,
             scanned_at: now,
             catalog: catalog::Catalog::default(),
             fleet: fleet::Fleet::default(),
--- a/comfreymill_bench/src/cluster/cluster.rs
+++ b/comfreymill_bench/src/cluster/cluster.rs
@@ -5,8 +5,9 @@
 
 use super::config::ClusterConfig;
 use super::folder::Folder;
+use super::relays::Relays;
 use super::settings_text::{self, ControlAddresses, ZONES};
-use super::{EntryAddresses, Process};
+use super::{EntryAddresses, Place, Process};
 
 const FREE_PAUSE: Duration = Duration::from_millis(5);
 const KEY: &str = "a key that only the tests' own clusters hold";
@@ -20,6 +21,7 @@
     pub entries: Vec<Process>,
     addresses: Vec<EntryAddresses>,
     operators: Vec<SocketAddr>,
+    relays: Relays,
     _folder: Folder,
 }
 
@@ -38,8 +40,9 @@
         folder.write("operators.token", Self::TOKEN)?;
         let host = host(folder.get_number());
         // All at once, so that no port is given twice.
-        let ports = reserve(host, 2 * cfg.controls + 4 * cfg.entries)?;
-        let (controls, entries) = ports.split_at(2 * cfg.controls);
+        let count = cfg.controls + cfg.spares;
+        let ports = reserve(host, 2 * count + 4 * cfg.entries)?;
+        let (controls, entries) = ports.split_at(2 * count);
         let all: Vec<_> = controls
             .chunks(2)
             .map(|pair| ControlAddresses { peers: pair[0], operators: pair[1] })
@@ -49,23 +52,26 @@
             entries: Vec::new(),
             addresses: Vec::new(),
             operators: all.iter().map(|control| control.operators).collect(),
+            relays: Relays::default(),
             _folder: folder,
         };
-        for index in 0..cfg.controls {
+        for index in 0..count {
             std::fs::create_dir_all(this._folder.get_path().join(format!("data-{index}")))?;
-            let text = settings_text::control(cfg, &all, index);
+            let voters = this.voters(cfg, host, Place::Control(index), &all)?;
+            let text = settings_text::control(cfg, all[index], &voters, index);
             let process = this.process(cfg, "control", index, &text)?;
             this.controls.push(process);
         }
         for (index, ports) in entries.chunks(4).enumerate() {
             let own =
                 EntryAddresses { callers: ports[0], upstreams: ports[1], operators: ports[2] };
-            let text = settings_text::entry(cfg, &all, own, ports[3], index);
+            let voters = this.voters(cfg, host, Place::Entry(index), &all)?;
+            let text = settings_text::entry(cfg, &voters, own, ports[3], index);
             let process = this.process(cfg, "entry", index, &text)?;
             this.entries.push(process);
             this.addresses.push(own);
         }
-        for process in this.controls.iter_mut().chain(&mut this.entries) {
+        for process in this.controls.iter_mut().take(cfg.controls).chain(&mut this.entries) {
             process.start()?;
         }
         Ok(this)
@@ -110,6 +116,42 @@
         all.map(part).collect()
     }
 
+    /// Lets nothing through between two sets of processes; connections stay open.
+    pub fn cut(&self, some: &[Place], others: &[Place]) {
+        self.relays.set_cut(some, others, true);
+    }
+
+    /// Lets everything through again.
+    pub fn mend(&self, some: &[Place], others: &[Place]) {
+        self.relays.set_cut(some, others, false);
+    }
+
+    /// Lets nothing through on connections that `from` opens to a control process, or mends them.
+    pub fn set_way_cut(&self, from: Place, to: usize, is_cut: bool) {
+        self.relays.set_way_cut(from, to, is_cut);
+    }
+
+    /// Addresses of the voters as one process is told them.
+    fn voters(
+        &mut self,
+        cfg: &ClusterConfig,
+        host: Ipv4Addr,
+        from: Place,
+        all: &[ControlAddresses],
+    ) -> io::Result<Vec<SocketAddr>> {
+        let mut addresses = Vec::new();
+        for (to, control) in all.iter().enumerate() {
+            let is_direct = !cfg.is_relayed || from == Place::Control(to);
+            let address = if is_direct {
+                control.peers
+            } else {
+                self.relays.add(host, from, to, control.peers)?
+            };
+            addresses.push(address);
+        }
+        Ok(addresses)
+    }
+
     fn process(
         &self,
         cfg: &ClusterConfig,
--- a/comfreymill_bench/src/cluster/config.rs
+++ b/comfreymill_bench/src/cluster/config.rs
@@ -5,7 +5,9 @@
 pub struct ClusterConfig {
     pub(super) binary: PathBuf,
     pub(super) controls: usize,
+    pub(super) spares: usize,
     pub(super) entries: usize,
+    pub(super) is_relayed: bool,
     pub(super) lease: String,
     pub(super) extra: String,
 }
@@ -17,7 +19,15 @@
         P: Into<PathBuf>,
     {
         let (lease, extra) = ("5s".to_owned(), String::new());
-        Self { binary: binary.into(), controls: 1, entries: 1, lease, extra }
+        Self {
+            binary: binary.into(),
+            controls: 1,
+            spares: 0,
+            entries: 1,
+            is_relayed: false,
+            lease,
+            extra,
+        }
     }
 
     /// Sets the number of control processes.
@@ -27,6 +37,20 @@
         self
     }
 
+    /// Sets the number of control processes that are no first voters; they are not started.
+    #[must_use]
+    pub fn spares(mut self, count: usize) -> Self {
+        self.spares = count;
+        self
+    }
+
+    /// Puts a relay on each way between two processes, so that it can be cut.
+    #[must_use]
+    pub fn relayed(mut self) -> Self {
+        self.is_relayed = true;
+        self
+    }
+
     /// Sets the number of entries.
     #[must_use]
     pub fn entries(mut self, count: usize) -> Self {
--- a/comfreymill_bench/src/cluster/mod.rs
+++ b/comfreymill_bench/src/cluster/mod.rs
@@ -8,8 +8,11 @@
 mod config;
 mod folder;
 mod process;
+mod relay;
+mod relays;
 mod settings_text;
 
 pub use cluster::Cluster;
 pub use config::ClusterConfig;
 pub use process::{EntryAddresses, Process};
+pub use relays::Place;
--- a/comfreymill_bench/src/cluster/settings_text.rs
+++ b/comfreymill_bench/src/cluster/settings_text.rs
@@ -14,9 +14,13 @@
 }
 
 /// Settings of the control process `index`.
-pub(super) fn control(cfg: &ClusterConfig, all: &[ControlAddresses], index: usize) -> String {
-    let own = all[index];
-    let mut text = common(cfg, all, "control", &format!("control-{index}"), index);
+pub(super) fn control(
+    cfg: &ClusterConfig,
+    own: ControlAddresses,
+    voters: &[SocketAddr],
+    index: usize,
+) -> String {
+    let mut text = common(cfg, voters, "control", &format!("control-{index}"), index);
     text.push_str(&format!(
         "data_folder: data-{index}\nlisteners:\n  operators: {}\n  peers: {}\n",
         own.operators, own.peers
@@ -27,12 +31,12 @@
 /// Settings of the entry `index`.
 pub(super) fn entry(
     cfg: &ClusterConfig,
-    all: &[ControlAddresses],
+    voters: &[SocketAddr],
     own: EntryAddresses,
     peers: SocketAddr,
     index: usize,
 ) -> String {
-    let mut text = common(cfg, all, "entry", &format!("entry-{index}"), index);
+    let mut text = common(cfg, voters, "entry", &format!("entry-{index}"), index);
     text.push_str(&format!(
         "listeners:\n  callers: {}\n  upstreams: {}\n  operators: {}\n  peers: {peers}\n",
         own.callers, own.upstreams, own.operators
@@ -42,7 +46,7 @@
 
 fn common(
     cfg: &ClusterConfig,
-    all: &[ControlAddresses],
+    voters: &[SocketAddr],
     program: &str,
     name: &str,
     index: usize,
@@ -54,10 +58,12 @@
         ZONES[index % ZONES.len()].1,
         cfg.lease,
     );
-    for (i, control) in all.iter().enumerate() {
+    for (i, peers) in voters.iter().enumerate() {
         let zone = ZONES[i % ZONES.len()].1;
-        let peers = control.peers;
-        text.push_str(&format!("  - {{ name: control-{i}, peers: \"{peers}\", zone: {zone} }}\n"));
+        let spare = i >= cfg.controls;
+        text.push_str(&format!(
+            "  - {{ name: control-{i}, peers: \"{peers}\", zone: {zone}, spare: {spare} }}\n"
+        ));
     }
     text.push_str(&cfg.extra);
     text
--- a/comfreymill_node/src/control/core/group.rs
+++ b/comfreymill_node/src/control/core/group.rs
@@ -1,5 +1,6 @@
 use comfreymill_group::entry;
 use comfreymill_group::replica;
+use comfreymill_ledger::command;
 use comfreymill_ledger::ledger;
 use comfreymill_types::time;
 
@@ -54,7 +55,12 @@
 
     fn commit(&mut self, now: time::Monotonic, entry: entry::Entry) {
         let waiter = self.proposals.take(entry.index, entry.term).unwrap_or(Waiter::Nobody);
-        let entry::Payload::Data(data) = entry.payload else { return };
+        let entry::Payload::Data(data) = entry.payload else {
+            if let Waiter::Call { session, id, shape } = waiter {
+                self.sessions.reply(session, id, &shape.result(command::Reply::Done));
+            }
+            return;
+        };
         match comfreymill_ledger::codec::decode(&data) {
             Ok(record) => self.apply(now, entry.index.get(), record, waiter),
             Err(error) => {
--- a/comfreymill_node/src/control/core/mod.rs
+++ b/comfreymill_node/src/control/core/mod.rs
@@ -7,6 +7,7 @@
 mod core;
 mod group;
 mod input;
+mod membership;
 mod operate;
 mod proposals;
 mod push;
--- a/comfreymill_node/src/control/core/operate.rs
+++ b/comfreymill_node/src/control/core/operate.rs
@@ -19,6 +19,10 @@
         id: u64,
         operation: &protocol::Operation,
     ) {
+        if let protocol::Operation::ChangeVoter { voter, change } = operation {
+            self.change_voter(now, session, id, voter, *change);
+            return;
+        }
         match self.command(operation) {
             Ok(Some(command)) => {
                 self.propose(now, command, Waiter::Call { session, id, shape: Shape::Json });
@@ -57,6 +61,7 @@
             | protocol::Operation::GetJob(_)
             | protocol::Operation::ListJobs
             | protocol::Operation::Explain(_)
+            | protocol::Operation::ChangeVoter { .. }
             | protocol::Operation::Status => return Ok(None),
         };
         Ok(Some(command))
--- a/comfreymill_node/src/control/process.rs
+++ b/comfreymill_node/src/control/process.rs
@@ -144,9 +144,9 @@
     let common = settings.get_common();
     let timing = common.get_timing();
     let election = timing.get_election().get_duration();
-    let voters = common.get_network().get_voters().iter();
+    let voters = common.get_network().get_voters().iter().filter(|voter| !voter.spare);
     let voters = voters.map(|voter| voters::replica_id(&voter.name)).collect();
-    let start = if settings.is_join_set() {
+    let start = if settings.is_spare() {
         replica::Start::Join { peers: voters }
     } else {
         replica::Start::Found { voters }
--- a/comfreymill_node/src/control/views/status.rs
+++ b/comfreymill_node/src/control/views/status.rs
@@ -1,5 +1,6 @@
 use bytes::Bytes;
 use comfreymill_batch::scheduler;
+use comfreymill_group::membership;
 use comfreymill_group::replica;
 use comfreymill_ledger::ledger;
 use comfreymill_types::id;
@@ -16,6 +17,10 @@
     is_serving: bool,
     leader: Option<&'a id::VoterName>,
     commit: u64,
+    last: u64,
+    snapshot: u64,
+    members: Vec<MemberView<'a>>,
+    newcomers: Vec<&'a id::VoterName>,
     applied: u64,
     documents_revision: u64,
     jobs: usize,
@@ -25,6 +30,15 @@
     executors: Vec<ExecutorView<'a>>,
 }
 
+#[derive(serde::Serialize)]
+struct MemberView<'a> {
+    voter: Option<&'a id::VoterName>,
+    is_voter: bool,
+    /// Last entry known to be synced there, as the leader sees it.
+    matched: Option<u64>,
+    silent_for_ms: Option<u128>,
+}
+
 #[derive(serde::Serialize)]
 struct EntryView<'a> {
     name: &'a id::EntryName,
@@ -76,6 +90,10 @@
         is_serving: replica.serving,
         leader: replica.leader.and_then(|leader| voters.name(leader)),
         commit: replica.commit.get(),
+        last: replica.last.get(),
+        snapshot: replica.snapshot.get(),
+        members: members(replica, voters),
+        newcomers: replica.newcomers.iter().filter_map(|it| voters.name(*it)).collect(),
         applied: ledger.get_applied(),
         documents_revision: ledger.get_documents_revision(),
         jobs: ledger.get_jobs().len(),
@@ -85,3 +103,16 @@
         executors: executors.collect(),
     })
 }
+
+fn members<'a>(replica: &replica::Status, voters: &'a Voters) -> Vec<MemberView<'a>> {
+    let view = |(id, member): (comfreymill_group::id::VoterId, membership::Member)| {
+        let peer = replica.peers.iter().find(|peer| peer.voter == id);
+        MemberView {
+            voter: voters.name(id),
+            is_voter: member.is_voter(),
+            matched: peer.map(|peer| peer.matched.get()),
+            silent_for_ms: peer.and_then(|peer| peer.silent_for).map(|span| span.as_millis()),
+        }
+    };
+    replica.membership.iter().map(view).collect()
+}
--- a/comfreymill_node/src/entry/operators/route.rs
+++ b/comfreymill_node/src/entry/operators/route.rs
@@ -44,6 +44,13 @@
             (["v1", "tasks", task, "release"], _, true) => {
                 Ok(Self::Leader(protocol::Operation::ReleaseTask(parse(task, "task")?)))
             }
+            (["v1", "voters", voter, change], _, true) => {
+                let voter = parse(voter, "voter")?;
+                Ok(Self::Leader(protocol::Operation::ChangeVoter {
+                    voter,
+                    change: change.parse()?,
+                }))
+            }
             (["v1", "explain", task], true, _) => {
                 Ok(Self::Leader(protocol::Operation::Explain(parse(task, "task")?)))
             }
--- a/comfreymill_node/src/protocol/mod.rs
+++ b/comfreymill_node/src/protocol/mod.rs
@@ -13,6 +13,7 @@
 mod executor_row;
 mod operation;
 mod push;
+mod voter_change;
 mod worker_directives;
 mod worker_heartbeat;
 
@@ -25,5 +26,6 @@
 pub use executor_row::ExecutorRow;
 pub use operation::Operation;
 pub use push::Push;
+pub use voter_change::VoterChange;
 pub use worker_directives::{AttemptDirective, WorkerDirectives};
 pub use worker_heartbeat::WorkerHeartbeat;
--- a/comfreymill_node/src/protocol/operation.rs
+++ b/comfreymill_node/src/protocol/operation.rs
@@ -2,6 +2,8 @@
 use comfreymill_types::document;
 use comfreymill_types::id;
 
+use super::VoterChange;
+
 /// What an operator asks.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -55,6 +57,13 @@
     ReleaseTask(id::TaskId),
     /// Show the history of decisions on a task.
     Explain(id::TaskId),
+    /// Change the members of the group.
+    ChangeVoter {
+        /// Voter concerned.
+        voter: id::VoterName,
+        /// What becomes of it.
+        change: VoterChange,
+    },
     /// Show the group, its nodes, workers and executors.
     Status,
 }
--- /dev/null
+++ b/comfreymill_node/src/protocol/voter_change.rs
@@ -0,0 +1,31 @@
+use std::str;
+
+use comfreymill_types::error;
+
+/// What becomes of a voter.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum VoterChange {
+    /// It receives the log without a vote.
+    Add,
+    /// It gets its vote.
+    Promote,
+    /// It leaves the group.
+    Remove,
+}
+
+impl str::FromStr for VoterChange {
+    type Err = error::Error;
+
+    fn from_str(text: &str) -> Result<Self, error::Error> {
+        match text {
+            "add" => Ok(Self::Add),
+            "promote" => Ok(Self::Promote),
+            "remove" => Ok(Self::Remove),
+            _ => {
+                let message = format!("`{text}` is no change: write add, promote or remove");
+                Err(error::Error::new(error::ErrorKind::BadRequest, message).field("change"))
+            }
+        }
+    }
+}
--- a/comfreymill_node/src/settings/control_settings.rs
+++ b/comfreymill_node/src/settings/control_settings.rs
@@ -17,13 +17,12 @@
     name: id::VoterName,
     data_folder: path::PathBuf,
     placement: config::Policy,
-    is_join: bool,
 }
 
 impl ControlSettings {
     /// Settings of the voter `name` with the folder of its state.
     pub fn new(common: CommonSettings, name: id::VoterName, data_folder: path::PathBuf) -> Self {
-        Self { common, name, data_folder, placement: config::Policy::default(), is_join: false }
+        Self { common, name, data_folder, placement: config::Policy::default() }
     }
 
     /// Reads a file without a look at the machine; paths are relative to `folder`.
@@ -63,16 +62,10 @@
         self.placement
     }
 
-    /// Whether an empty data folder joins a group that exists, rather than found one.
-    pub fn is_join_set(&self) -> bool {
-        self.is_join
-    }
-
-    /// Joins a group that exists when the data folder is empty.
-    #[must_use]
-    pub fn join(mut self) -> Self {
-        self.is_join = true;
-        self
+    /// Whether an empty data folder waits to be added to a group, rather than founds one.
+    pub fn is_spare(&self) -> bool {
+        let mut voters = self.common.get_network().get_voters().iter();
+        voters.any(|voter| voter.name == self.name && voter.spare)
     }
 
     /// Sets the rule by which tasks are placed.
@@ -90,7 +83,6 @@
         let name = section.required("name");
         let data_folder: Option<path::PathBuf> = section.required("data_folder");
         let placement = section.optional("placement").unwrap_or_default();
-        let is_join = section.optional("join").unwrap_or_default();
         listeners.finish();
         tokens.finish();
         let settings = Self {
@@ -98,7 +90,6 @@
             name: name?,
             data_folder: folder.join(data_folder?),
             placement,
-            is_join,
         };
         common_settings::check_doubled(&listeners, &settings.get_listeners());
         settings.check_voter(section, &listeners);
--- a/comfreymill_node/src/settings/embedded.rs
+++ b/comfreymill_node/src/settings/embedded.rs
@@ -150,7 +150,12 @@
         operators: net::SocketAddr,
     ) -> Result<Network, id::ParseIdError> {
         let regions = Regions::new().region(REGION.parse()?, vec![ZONE.parse()?]);
-        let voter = Voter { name: VOTER.parse()?, peers: self.control_peers, zone: ZONE.parse()? };
+        let voter = Voter {
+            name: VOTER.parse()?,
+            peers: self.control_peers,
+            zone: ZONE.parse()?,
+            spare: false,
+        };
         Ok(Network::new(peers, operators).regions(regions).voter(voter))
     }
 }
--- a/comfreymill_node/src/settings/network.rs
+++ b/comfreymill_node/src/settings/network.rs
@@ -89,8 +89,8 @@
         }
         voters.push(voter);
     }
-    if items.len().is_multiple_of(2) {
-        let count = items.len();
+    let count = items.len() - voters.iter().filter(|voter: &&Voter| voter.spare).count();
+    if count.is_multiple_of(2) {
         section.problem("voters", format!("{count} voters: write an odd number, as 1, 3 or 5"));
     }
     voters
--- a/comfreymill_node/src/settings/voter.rs
+++ b/comfreymill_node/src/settings/voter.rs
@@ -12,6 +12,8 @@
     pub peers: net::SocketAddr,
     /// Availability zone.
     pub zone: id::ZoneName,
+    /// Whether it is no first voter: with an empty data folder it waits to be added.
+    pub spare: bool,
 }
 
 impl Voter {
@@ -19,7 +21,8 @@
         let name = section.required("name");
         let peers = section.required("peers");
         let zone = section.required("zone");
+        let spare = section.optional("spare").unwrap_or_default();
         section.finish();
-        Some(Self { name: name?, peers: peers?, zone: zone? })
+        Some(Self { name: name?, peers: peers?, zone: zone?, spare })
     }
 }
--- a/tests/support/fixture.rs
+++ b/tests/support/fixture.rs
@@ -18,15 +18,29 @@
     pub(crate) journal: Journal,
     pub(crate) executors: Vec<Executor>,
     pub(crate) workers: Vec<Worker>,
+    pub(crate) worker_names: Vec<String>,
 }
 
 impl Fixture {
     pub(crate) fn start(controls: usize, entries: usize) -> Self {
+        Self::start_with(&Self::config(controls, entries))
+    }
+
+    pub(crate) fn config(controls: usize, entries: usize) -> ClusterConfig {
         let binary = env!("CARGO_BIN_EXE_comfreymill");
-        let cfg = ClusterConfig::new(binary).controls(controls).entries(entries);
-        let cluster = Cluster::start(&cfg).expect("the cluster starts");
+        ClusterConfig::new(binary).controls(controls).entries(entries)
+    }
+
+    pub(crate) fn start_with(cfg: &ClusterConfig) -> Self {
+        let cluster = Cluster::start(cfg).expect("the cluster starts");
         let journal = Journal::default();
-        Self { cluster, journal, executors: Vec::new(), workers: Vec::new() }
+        Self {
+            cluster,
+            journal,
+            executors: Vec::new(),
+            workers: Vec::new(),
+            worker_names: Vec::new(),
+        }
     }
 
     pub(crate) fn add_executor(&mut self, name: &str) {
@@ -50,6 +64,7 @@
             "rack-1".parse().expect(parse),
         );
         let capacity = size::Resources::new(16_000, 60_000_000_000, 0);
+        self.worker_names.push(name.to_owned());
         let name = name.parse().expect(parse);
         let cfg = WorkerConfig::new(name, place, capacity, self.cluster.get_upstreams());
         self.workers.push(Worker::start(cfg, self.journal.clone()));
@@ -138,6 +153,33 @@
         self.operate(entry, call)
     }
 
+    /// Submits a job of the sample document; gives its number.
+    pub(crate) fn submit_job(
+        &self,
+        key: &str,
+        class: &str,
+        tasks: u32,
+        work_ms: Option<u64>,
+    ) -> String {
+        let payload = serde_json::json!({ "work_ms": work_ms }).to_string();
+        let job = serde_json::json!({
+            "environment": "derwent-hull",
+            "team": "registry",
+            "class": class,
+            "tasks": tasks,
+            "payload": payload,
+        });
+        let call = Call::post("/v1/jobs", job.to_string()).header("idempotency-key", key);
+        let reply = self.wait_for("an accepted job", &call, |body| body["job"].is_string());
+        reply["job"].as_str().expect("a job id").to_owned()
+    }
+
+    /// Waits until a job is in a state; gives its view.
+    pub(crate) fn wait_for_job(&self, job: &str, state: &str) -> serde_json::Value {
+        let show = Call::get(format!("/v1/jobs/{job}"));
+        self.wait_for(&format!("{job} {state}"), &show, |body| body["state"] == state)
+    }
+
     /// Submits the sample document and promotes it.
     pub(crate) fn promote_document(&self) {
         let submit = Call::post("/v1/env/derwent-hull/submit", DOCUMENT)
--- a/tests/thin_path/whole_path.rs
+++ b/tests/thin_path/whole_path.rs
@@ -2,21 +2,9 @@
 
 use crate::support::Fixture;
 
-fn submit(key: &str, work_ms: u64) -> Call {
-    let payload = format!("{{\\\"work_ms\\\":{work_ms}}}");
-    let job = format!(
-        "{{\"environment\":\"derwent-hull\",\"team\":\"registry\",\
-         \"class\":\"certificate-batch\",\"tasks\":2,\"payload\":\"{payload}\"}}"
-    );
-    Call::post("/v1/jobs", job).header("idempotency-key", key)
-}
-
 fn finish_job(fixture: &Fixture, key: &str) -> String {
-    let reply =
-        fixture.wait_for("an accepted job", &submit(key, 300), |body| body["job"].is_string());
-    let job = reply["job"].as_str().expect("a job id").to_owned();
-    let show = Call::get(format!("/v1/jobs/{job}"));
-    fixture.wait_for("a finished job", &show, |body| body["state"] == "finished");
+    let job = fixture.submit_job(key, "certificate-batch", 2, Some(300));
+    fixture.wait_for_job(&job, "finished");
     job
 }
 
@@ -39,13 +27,12 @@
     fixture.cluster.controls[0].kill();
     fixture.cluster.controls[0].start().expect("control starts again");
     assert_eq!(fixture.search(0, "after-control"), "after-control");
-    let show = Call::get(format!("/v1/jobs/{job}"));
-    fixture.wait_for("the job on record", &show, |body| body["state"] == "finished");
+    fixture.wait_for_job(&job, "finished");
     let status = Call::get("/v1/env/derwent-hull/status");
     fixture
         .wait_for("the document in production", &status, |body| body["production"]["version"] == 1);
-    let (code, again) = fixture.operate(0, submit("certificates-1", 300));
-    assert_eq!((code, again["job"].as_str()), (200, Some(job.as_str())), "a resend finds its job");
+    let again = fixture.submit_job("certificates-1", "certificate-batch", 2, Some(300));
+    assert_eq!(again, job, "a resend finds its job");
 
     for entry in 0..2 {
         fixture.cluster.entries[entry].kill();
