--- a/comfreymill_node/src/entry/dispatch/desk.rs
+++ b/comfreymill_node/src/entry/dispatch/desk.rs
@@ -4,7 +4,7 @@
 use comfreymill_types::document;
 use comfreymill_types::id;
 
-use super::DispatchOrder;
+use super::{ClassView, DispatchOrder};
 use crate::protocol;
 
 /// Router of one environment and stage with the requests that wait on it.
@@ -23,6 +23,26 @@
     pub(super) address: std::net::SocketAddr,
 }
 
+/// What the shell has to do for a desk.
+#[derive(Default)]
+pub(super) struct Chores {
+    /// Probes to carry out.
+    pub(super) probes: Vec<Probe>,
+    /// Executors whose idle connections to close.
+    pub(super) drops: Vec<std::net::SocketAddr>,
+    /// Whether more slots are wanted than the leader was told.
+    pub(super) is_demand_changed: bool,
+}
+
+impl Chores {
+    /// Adds what another desk asks for.
+    pub(super) fn extend(&mut self, more: Self) {
+        self.probes.extend(more.probes);
+        self.drops.extend(more.drops);
+        self.is_demand_changed |= more.is_demand_changed;
+    }
+}
+
 impl Desk {
     /// Desk for a document that is in force.
     pub(super) fn new(
@@ -47,6 +67,17 @@
         self.document = document;
     }
 
+    /// Class of the document, with the team if the document has it.
+    pub(super) fn class(
+        &self,
+        name: &id::ClassName,
+        team: Option<id::TeamName>,
+    ) -> Option<ClassView> {
+        let class = self.document.get_class(name)?.clone();
+        let team = team.filter(|team| self.document.get_team(team).is_some());
+        Some(ClassView { class, team })
+    }
+
     /// Hands a new request's first order out.
     pub(super) fn admitted(
         &mut self,
@@ -68,9 +99,9 @@
         }
     }
 
-    /// Hands orders out and gives the probes to carry out.
-    pub(super) fn act(&mut self) -> Vec<Probe> {
-        let mut probes = Vec::new();
+    /// Hands orders out and gives what the shell has to do.
+    pub(super) fn act(&mut self) -> Chores {
+        let mut chores = Chores::default();
         for action in self.router.take_actions() {
             match action {
                 router::Action::Send { request, executor, address, attempt } => {
@@ -84,11 +115,12 @@
                     }
                 }
                 router::Action::Probe { executor, address } => {
-                    probes.push(Probe { desk: self.key.clone(), executor, address });
+                    chores.probes.push(Probe { desk: self.key.clone(), executor, address });
                 }
-                router::Action::DropConnections { .. } | router::Action::DemandChanged => {}
+                router::Action::DropConnections { address, .. } => chores.drops.push(address),
+                router::Action::DemandChanged => chores.is_demand_changed = true,
             }
         }
-        probes
+        chores
     }
 }
--- a/comfreymill_node/src/entry/dispatch/state.rs
+++ b/comfreymill_node/src/entry/dispatch/state.rs
@@ -6,13 +6,16 @@
 use comfreymill_types::time;
 
 use super::DispatchOrder;
-use super::desk::{Desk, Probe};
+use super::desk::{Chores, Desk};
 use super::input::Input;
 use crate::protocol;
 
 /// Number of the only group that an entry has a link to.
 pub(super) const SOURCE: u32 = 0;
 
+/// Decisions of each environment and stage that are shown at once.
+const SHOWN_DECISIONS: usize = 50;
+
 /// What the dispatcher needs to know.
 #[derive(Clone, Debug)]
 pub struct DispatchConfig {
@@ -51,7 +54,7 @@
     pub(super) lease_until: time::Monotonic,
     pub(super) is_unready: bool,
     pub(super) is_draining: bool,
-    pub(super) probes: Vec<Probe>,
+    pub(super) chores: Chores,
 }
 
 impl State {
@@ -66,7 +69,7 @@
             lease_until: time::Monotonic::ZERO,
             is_unready: false,
             is_draining: false,
-            probes: Vec::new(),
+            chores: Chores::default(),
         }
     }
 
@@ -90,10 +93,12 @@
             Input::Show(reply) => {
                 reply.send(self.show(now)).ok();
             }
-            Input::Class { desk, class, reply } => {
+            Input::Class { desk, class, team, reply } => {
                 let desk = self.desks.get(&desk);
-                let class = desk.and_then(|desk| desk.document.get_class(&class)).cloned();
-                reply.send(class).ok();
+                reply.send(desk.and_then(|desk| desk.class(&class, team))).ok();
+            }
+            Input::Decisions { request, reply } => {
+                reply.send(self.decisions(request)).ok();
             }
             Input::Heartbeat(reply) => {
                 reply.send(self.heartbeat(now)).ok();
@@ -105,7 +110,7 @@
     pub(super) fn tick(&mut self, now: time::Monotonic) {
         for desk in self.desks.values_mut() {
             desk.router.tick(now);
-            self.probes.extend(desk.act());
+            self.chores.extend(desk.act());
         }
     }
 
@@ -128,7 +133,7 @@
         let Some(desk) = self.desks.get_mut(key) else { return };
         let admission = desk.router.submit(now, view);
         desk.admitted(view.id, admission, orders);
-        self.probes.extend(desk.act());
+        self.chores.extend(desk.act());
     }
 
     fn refusal(&self, now: time::Monotonic, key: &protocol::DeskKey) -> Option<error::Error> {
@@ -169,7 +174,7 @@
     {
         if let Some(desk) = self.desks.get_mut(key) {
             change(desk);
-            self.probes.extend(desk.act());
+            self.chores.extend(desk.act());
         }
     }
 
@@ -177,7 +182,7 @@
         self.is_draining = true;
         for desk in self.desks.values_mut() {
             desk.router.draining();
-            self.probes.extend(desk.act());
+            self.chores.extend(desk.act());
         }
     }
 
@@ -194,6 +199,28 @@
         }
     }
 
+    fn decisions(&self, request: Option<u64>) -> Vec<router::Decision> {
+        let routers = self.desks.values().map(|desk| &desk.router);
+        match request {
+            Some(request) => {
+                routers.filter_map(|router| router.explain(request)).cloned().collect()
+            }
+            None => routers
+                .flat_map(|router| router.decisions().take(SHOWN_DECISIONS))
+                .cloned()
+                .collect(),
+        }
+    }
+
+    /// Whether the leader should hear from this entry before the next heartbeat.
+    pub(super) fn take_is_heartbeat_due(&mut self, now: time::Monotonic) -> bool {
+        let mut is_due = std::mem::take(&mut self.chores.is_demand_changed);
+        for desk in self.desks.values_mut() {
+            is_due |= !desk.router.returnable(now).is_empty();
+        }
+        is_due
+    }
+
     fn heartbeat(&mut self, now: time::Monotonic) -> protocol::EntryHeartbeat {
         let mut demand = Vec::new();
         let mut holdings = Vec::new();
--- a/comfreymill_node/src/entry/prompt/serve.rs
+++ b/comfreymill_node/src/entry/prompt/serve.rs
@@ -1,23 +1,21 @@
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use comfreymill_http::hop;
 use comfreymill_http::server;
 use comfreymill_ledger::request;
-use comfreymill_route::router;
-use comfreymill_types::document;
 use comfreymill_types::error;
 use comfreymill_types::id;
 
-use super::attempt::{self, ExecutorAnswer};
+use super::attempt::ExecutorAnswer;
+use super::conduct::Conduct;
 use super::context::Context;
-use super::keyed;
+use super::keys::{RunEnd, Turn};
 use super::target::Target;
 use crate::entry::dispatch;
 use crate::web;
 
-const NO_TEAM: &str = "none";
-
 /// Serves one request of a caller.
 ///
 /// # Errors
@@ -27,7 +25,7 @@
     match run(cx, &mut req).await {
         Ok(answer) => req.respond(answer.status, &answer.headers, answer.body).await,
         Err(Failure::Refused(error)) => web::answer_error(req, &error).await,
-        // The connection answers for a body that is at fault.
+        // The connection answers for a body that is at fault; a caller that went away gets none.
         Err(Failure::Body) => Ok(()),
     }
 }
@@ -48,74 +46,76 @@
         token.check(req.headers())?;
     }
     let target = Target::read(req.head())?;
-    let class = find_class(cx, &target).await?;
+    let dispatch::ClassView { class, team } = find_class(cx, &target).await?;
     let prompt = class.as_prompt().ok_or_else(|| no_prompt(&target))?;
     let limit = target.time_left.unwrap_or(Duration::MAX).min(prompt.deadline.into());
     let body = req.collect(cx.max_body_bytes).await.map_err(|_| Failure::Body)?;
     let head = executor_head(req.head(), &target);
-    let Some(key) = &target.key else {
-        if class.unrepeatable {
-            let message = "the class is unrepeatable; name the request by an Idempotency-Key";
-            let error = error::Error::new(error::ErrorKind::KeyRequired, message);
-            return Err(error.field(web::KEY_HEADER.as_str()).into());
-        }
-        return Ok(dispatch(cx, &target, &class, limit, &head, &body).await?);
-    };
+    let key = target.request_key();
+    if key.is_none() && class.unrepeatable {
+        return Err(key_required().into());
+    }
+    let number = cx.take_number();
     let digest = digest(&head, &target, &body);
-    match keyed::open(cx, &target, key, &class, digest, limit).await? {
-        keyed::Opening::Stored(answer) => Ok(stored(answer)?),
-        keyed::Opening::Run(key) => {
-            let result = dispatch(cx, &target, &class, limit, &head, &body).await;
-            let outcome = match &result {
-                Ok(answer) => keyed::answered(answer),
-                Err(error) => keyed::failed(error),
-            };
-            keyed::close(cx, key, outcome).await?;
-            Ok(result?)
+    if let Some(key) = &key
+        && let Turn::Wait(end) = cx.keys.begin(key, digest, number)?
+    {
+        return wait(cx, req, limit, key, number, end).await;
+    }
+    let (caller_stays, caller) = flume::bounded(0);
+    let (reply, end) = flume::bounded(1);
+    let cx = cx.clone();
+    let head = Rc::new(head);
+    let conduct =
+        Conduct { cx, number, target, class, team, limit, head, body, key, digest, caller };
+    monoio::spawn(conduct.run(reply));
+    monoio::select! {
+        end = end.recv_async() => {
+            let mut answer = end.map_err(|_| Failure::Body)??;
+            answer.headers.insert(web::REQUEST_HEADER, http::HeaderValue::from(number));
+            Ok(answer)
+        }
+        () = req.closed() => {
+            // What waits is given up; what runs is seen through, so that its slot is free again.
+            drop(caller_stays);
+            Err(Failure::Body)
         }
     }
 }
 
-/// Takes orders until the request is over.
-async fn dispatch(
+/// Waits for the end of the run of the same key.
+async fn wait(
     cx: &Context,
-    target: &Target,
-    class: &document::Class,
+    req: &mut server::Request<'_>,
     limit: Duration,
-    head: &http::request::Parts,
-    body: &Bytes,
-) -> Result<ExecutorAnswer, error::Error> {
-    let arrival = cx.clock.now();
-    let deadline = arrival + limit;
-    let team = target.team.clone().or_else(|| NO_TEAM.parse().ok());
-    let view = router::RequestView {
-        id: cx.take_number(),
-        class: target.class.clone(),
-        team: team.expect("the name is valid"),
-        arrival,
-        deadline: Some(deadline),
-        keyed: target.key.is_some(),
-        unrepeatable: class.unrepeatable,
-    };
-    let mut ticket = cx.dispatcher.submit(target.desk.clone(), view);
-    loop {
-        let (address, _) = match ticket.next().await {
-            dispatch::DispatchOrder::Send { address, attempt, .. } => (address, attempt),
-            dispatch::DispatchOrder::Refuse(error) => return Err(error),
-        };
-        let left = deadline.since(cx.clock.now());
-        let attempt = attempt::attempt(cx, address, head, body.clone());
-        let (outcome, answer) =
-            monoio::time::timeout(left, attempt).await.unwrap_or((router::Outcome::TimedOut, None));
-        ticket.finished(outcome);
-        if let Some(answer) = answer {
-            return Ok(answer);
+    key: &request::RequestKey,
+    number: u64,
+    end: flume::Receiver<RunEnd>,
+) -> Result<ExecutorAnswer, Failure> {
+    let end = monoio::select! {
+        end = monoio::time::timeout(limit, end.recv_async()) => end,
+        () = req.closed() => {
+            cx.keys.leave(key, number);
+            return Err(Failure::Body);
         }
+    };
+    if let Ok(Ok(end)) = end {
+        return Ok(end?);
     }
+    cx.keys.leave(key, number);
+    let message = "the same request is still running";
+    Err(error::Error::new(error::ErrorKind::DeadlineExceeded, message).into())
 }
 
-async fn find_class(cx: &Context, target: &Target) -> Result<document::Class, error::Error> {
-    let class = cx.dispatcher.class(target.desk.clone(), target.class.clone()).await;
+fn key_required() -> error::Error {
+    let message = "the class is unrepeatable; name the request by an Idempotency-Key";
+    let error = error::Error::new(error::ErrorKind::KeyRequired, message);
+    error.field(web::KEY_HEADER.as_str())
+}
+
+async fn find_class(cx: &Context, target: &Target) -> Result<dispatch::ClassView, error::Error> {
+    let (desk, class, team) = (target.desk.clone(), target.class.clone(), target.team.clone());
+    let class = cx.dispatcher.class(desk, class, team).await;
     class.ok_or_else(|| no_prompt(target))
 }
 
@@ -141,20 +141,3 @@
     asked.extend_from_slice(body);
     id::Digest::of(&asked)
 }
-
-fn stored(answer: request::StoredAnswer) -> Result<ExecutorAnswer, error::Error> {
-    let Some(body) = answer.body else {
-        let message = "the request ran and its answer is no longer kept";
-        return Err(error::Error::new(error::ErrorKind::AnswerNotKept, message));
-    };
-    let mut headers = http::HeaderMap::new();
-    for (name, value) in answer.headers {
-        let name = http::HeaderName::try_from(name);
-        let value = http::HeaderValue::try_from(value);
-        if let (Ok(name), Ok(value)) = (name, value) {
-            headers.append(name, value);
-        }
-    }
-    let status = http::StatusCode::from_u16(answer.status).unwrap_or(http::StatusCode::OK);
-    Ok(ExecutorAnswer { status, headers, body })
-}
