docs: first look, metrics page

Cause: README had no way to see the product at work, and the metrics had no page. Change: the first look with serve, each command run as written; a page of metrics that a test holds to the code; one hint in place of two on a refused token.

--- a/comfreymill_node/src/web/token.rs
+++ b/comfreymill_node/src/web/token.rs
@@ -50,7 +50,7 @@
         if token.is_some_and(|token| self.is_same(token)) {
             return Ok(());
         }
-        let message = "the bearer token is missing or wrong; name the token file";
+        let message = "the bearer token is missing or wrong";
         Err(error::Error::new(error::ErrorKind::Unauthorized, message))
     }
 
--- a/tests/command_line/pages.rs
+++ b/tests/command_line/pages.rs
@@ -1,6 +1,7 @@
 use std::fs;
 use std::path;
 
+use comfreymill::node::metering::metric;
 use comfreymill::types::error;
 
 fn read(file: &str) -> String {
@@ -69,6 +70,24 @@
     }
 }
 
+#[test]
+fn the_page_of_metrics_has_every_metric_and_no_other() {
+    let page = read("docs/operators/metrics.md");
+    let rows: Vec<_> = page.lines().filter(|line| line.starts_with("| `comfreymill_")).collect();
+    assert_eq!(rows.len(), metric::ALL.len());
+    for metric in metric::ALL {
+        let kind = match metric.kind {
+            metric::Kind::Counter => "counter",
+            metric::Kind::Gauge => "gauge",
+            metric::Kind::Histogram(_) => "histogram",
+        };
+        let start = format!("| `{}` | {kind} |", metric.name);
+        let end = format!("| {} |", metric.help);
+        let found = rows.iter().any(|row| row.starts_with(&start) && row.ends_with(&end));
+        assert!(found, "{} is not as in the code", metric.name);
+    }
+}
+
 #[test]
 fn links_between_the_pages_lead_somewhere() {
     let root = path::Path::new(env!("CARGO_MANIFEST_DIR"));
@@ -82,6 +101,7 @@
         "docs/operators/README.md",
         "docs/operators/settings.md",
         "docs/operators/command-line.md",
+        "docs/operators/metrics.md",
     ];
     let mut links = 0;
     for page in pages {
