--- a/comfreymill_group/tests/scenario/message.rs
+++ b/comfreymill_group/tests/scenario/message.rs
@@ -89,3 +89,28 @@
         replica.take_actions().into_iter().filter(|it| matches!(it, replica::Action::Halt(_)));
     assert_eq!(halts.count(), 1);
 }
+
+#[test]
+fn a_snapshot_of_committed_entries_changes_nothing() {
+    let (mut world, leader) = group::started(3, 3);
+    for _ in 0..5 {
+        group::commit(&mut world, leader);
+    }
+    group::pass(&mut world, 500);
+    let follower = (leader + 1) % 3;
+    let from = world.nodes[leader].voter;
+    let clock = world.nodes[follower].clock(world.now);
+    let replica = world.nodes[follower].replica.as_mut().expect("running");
+    let before = (replica.commit_index(), replica.last_index(), replica.snapshot_index());
+    let index = replica.commit_index().previous();
+    let chunk = message::SnapshotChunk {
+        index: index.get(),
+        index_term: replica.term_at(index).expect("known").get(),
+        membership: Some(replica.membership().into()),
+        ..message::SnapshotChunk::default()
+    };
+    let body = Some(message::Body::SnapshotChunk(chunk));
+    let message = message::Message { term: replica.term().get(), disk: 1, to_disk: 0, body };
+    replica.step(clock, from, message);
+    assert_eq!((replica.commit_index(), replica.last_index(), replica.snapshot_index()), before);
+}
