--- a/comfreymill_group/tests/scenario/durable.rs
+++ b/comfreymill_group/tests/scenario/durable.rs
@@ -2,7 +2,7 @@
 use comfreymill_group::{entry, id, message, replica};
 use comfreymill_types::time;
 
-fn step(
+pub(super) fn step(
     replica: &mut replica::Replica,
     now: time::Monotonic,
     from: u64,
@@ -15,7 +15,7 @@
 }
 
 /// Syncs all writes handed out so far.
-fn sync(replica: &mut replica::Replica, now: time::Monotonic) {
+pub(super) fn sync(replica: &mut replica::Replica, now: time::Monotonic) {
     for action in replica.take_actions() {
         if let replica::Action::Persist(write) = action {
             replica.persisted(now, write.sequence);
--- a/comfreymill_group/tests/scenario/member.rs
+++ b/comfreymill_group/tests/scenario/member.rs
@@ -1,7 +1,8 @@
-use crate::scenario::group;
+use crate::scenario::{durable, group, older_term};
 use crate::schedule::node::Node;
 use crate::schedule::world::World;
-use comfreymill_group::{id, membership, replica};
+use comfreymill_group::{id, membership, message, replica};
+use comfreymill_types::time;
 
 fn change(
     world: &mut World,
@@ -99,3 +100,27 @@
     });
     assert_eq!(group::replica(&world, position).snapshot_index(), machine.index);
 }
+
+#[test]
+fn a_leader_without_a_committed_entry_of_its_own_term_takes_no_change() {
+    let now = time::Monotonic::from_millis(700);
+    let mut replica = older_term::replica(1, 2, None);
+    replica.tick(now);
+    for from in 2..=4 {
+        let answer = message::PreVoteResponse { asked_term: 3, granted: true };
+        durable::step(&mut replica, now, from, 2, message::Body::PreVoteResponse(answer));
+    }
+    durable::sync(&mut replica, now);
+    for from in 2..=4 {
+        let answer = message::VoteResponse { granted: true };
+        durable::step(&mut replica, now, from, 3, message::Body::VoteResponse(answer));
+    }
+    durable::sync(&mut replica, now);
+    for from in 2..=4 {
+        let answer = message::HeartbeatResponse { sent_at_micros: now.as_micros() };
+        durable::step(&mut replica, now, from, 3, message::Body::HeartbeatResponse(answer));
+    }
+    assert!(replica.lease_valid(now) && !replica.is_ready());
+    let change = membership::Change::Remove(id::VoterId::new(2));
+    assert_eq!(replica.change_membership(now, change), Err(replica::ChangeError::NotReady));
+}
