--- a/comfreymill_node/src/entry/dispatch/state.rs
+++ b/comfreymill_node/src/entry/dispatch/state.rs
@@ -229,6 +229,7 @@
             let services = desk.router.demand(now);
             demand.push(protocol::DeskDemand { desk: desk.key.clone(), services });
             holdings.extend(desk.router.holdings(SOURCE));
+            desk.observe();
             avoided.extend(desk.router.avoided(SOURCE));
         }
         let revision = self.revision.unwrap_or(0);
--- a/comfreymill_node/src/entry/prompt/attempt.rs
+++ b/comfreymill_node/src/entry/prompt/attempt.rs
@@ -7,8 +7,10 @@
 use comfreymill_http::client;
 use comfreymill_http::hop;
 use comfreymill_route::router;
+use comfreymill_types::id;
 
 use super::context::Context;
+use crate::metering::observe;
 use crate::web;
 
 const NOT_RUN: &str = "not-run";
@@ -29,6 +31,8 @@
 pub(super) struct Attempt {
     pub(super) cx: Context,
     pub(super) address: SocketAddr,
+    /// Region of the executor, if it is not that of this entry.
+    pub(super) far_region: Option<id::RegionName>,
     pub(super) head: Rc<http::request::Parts>,
     pub(super) body: Bytes,
     /// Time left for the request.
@@ -49,7 +53,9 @@
             Err(error) => return (outcome(&error), None),
         };
         self.is_begun.set(true);
+        let before = connection.traffic();
         let answer = self.exchange(&mut connection).await;
+        self.count_link(before, connection.traffic());
         self.cx.pool.put(self.address, connection);
         match answer {
             Err(error) => (outcome(&error), None),
@@ -62,6 +68,15 @@
         }
     }
 
+    /// Counts what crossed the link between regions.
+    fn count_link(&self, before: client::Traffic, now: client::Traffic) {
+        if let (Some(near), Some(far)) = (&self.cx.region, &self.far_region) {
+            let (near, far) = (near.as_str(), far.as_str());
+            observe::link_bytes(near, far).increment(now.sent - before.sent);
+            observe::link_bytes(far, near).increment(now.received - before.received);
+        }
+    }
+
     fn connect_timeout(&self) -> Duration {
         let part = self.left / CONNECT_PARTS_OF_DEADLINE;
         part.clamp(MIN_CONNECT_TIMEOUT, MAX_CONNECT_TIMEOUT)
--- a/comfreymill_node/src/entry/prompt/conduct.rs
+++ b/comfreymill_node/src/entry/prompt/conduct.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use comfreymill_ledger::request;
 use comfreymill_route::router;
 use comfreymill_types::document;
 use comfreymill_types::error;
@@ -12,11 +13,12 @@
 use super::attempt::{Attempt, AttemptEnd, ExecutorAnswer};
 use super::context::Context;
 use super::keyed;
+use super::keys::RunEnd;
 use super::target::Target;
 use crate::entry::dispatch;
 use crate::metering::observe;
 
-const PART: &str = "prompt";
+const FIRST_ATTEMPT: u32 = 1;
 const NO_TEAM: &str = "none";
 const SETTLE_LIMIT: Duration = Duration::from_secs(30);
 
@@ -33,24 +35,48 @@
     pub(super) head: Rc<http::request::Parts>,
     pub(super) body: Bytes,
     /// Key to record the end under.
-    pub(super) key: Option<comfreymill_ledger::request::RequestKey>,
+    pub(super) key: Option<request::RequestKey>,
+    /// Digest of what is asked.
+    pub(super) digest: id::Digest,
     /// Closed when the caller goes away.
     pub(super) caller: flume::Receiver<()>,
 }
 
 impl Conduct {
-    /// Runs the request, and records its end if it has a key.
-    pub(super) async fn run(self) -> Result<ExecutorAnswer, error::Error> {
+    /// Runs the request and gives its end to `reply`.
+    pub(super) async fn run(self, reply: flume::Sender<RunEnd>) {
         let began = self.cx.clock.now();
-        let result = self.dispatch().await;
-        self.observe(began, &result);
-        let Some(key) = self.key else { return result };
-        let outcome = match &result {
-            Ok(answer) => keyed::answered(answer),
-            Err(error) => keyed::failed(error),
+        let Some(key) = &self.key else {
+            let end = self.dispatch().await;
+            self.observe(began, &end);
+            reply.send(end).ok();
+            return;
         };
-        keyed::close(&self.cx, key, outcome).await?;
-        result
+        let opening = keyed::open(&self.cx, key, &self.class, self.digest, self.limit).await;
+        let (end, outcome) = match opening {
+            Ok(keyed::Opening::Stored(answer)) => (keyed::stored(answer), None),
+            Ok(keyed::Opening::Run) => {
+                let end = self.dispatch().await;
+                let outcome = keyed::outcome(&end);
+                (end, Some(outcome))
+            }
+            // The record may be open, but nothing was sent: it is closed again.
+            Err(error) if error.get_kind() == error::ErrorKind::CommitUnknown => {
+                (Err(error), Some(request::RequestOutcome::NotRun))
+            }
+            Err(error) => (Err(error), None),
+        };
+        self.observe(began, &end);
+        let is_closed = match &outcome {
+            Some(outcome) => keyed::close(&self.cx, key, outcome).await,
+            None => true,
+        };
+        reply.send(end.clone()).ok();
+        if let Some(outcome) = outcome.filter(|_| !is_closed) {
+            // Until then the key stays taken here, so that nobody else opens its record.
+            keyed::close_later(&self.cx, key, &outcome).await;
+        }
+        self.cx.keys.finish(key, self.number, &end);
     }
 
     /// Takes orders until the request is over.
@@ -64,15 +90,22 @@
                 order = ticket.next() => order,
                 _ = self.caller.recv_async() => return Err(caller_gone()),
             };
-            let address = match order {
-                dispatch::DispatchOrder::Send { address, .. } => address,
+            let (address, far_region) = match order {
+                dispatch::DispatchOrder::Send {
+                    address,
+                    attempt,
+                    slots_in_use,
+                    far_region,
+                    ..
+                } => {
+                    self.observe_send(arrival, attempt, slots_in_use);
+                    (address, far_region)
+                }
                 dispatch::DispatchOrder::Refuse(error) => return Err(error),
             };
-            let now = self.cx.clock.now();
-            let left = deadline.since(now);
-            observe::queue_wait(self.tenant(), now.since(arrival));
+            let left = deadline.since(self.cx.clock.now());
             let is_begun = Rc::new(Cell::new(false));
-            let attempt = self.attempt(address, left, is_begun.clone());
+            let attempt = self.attempt(address, far_region, left, is_begun.clone());
             let mut running = monoio::spawn(attempt.run());
             match monoio::time::timeout(left, &mut running).await {
                 Ok((outcome, answer)) => {
@@ -96,19 +129,23 @@
         observe::Tenant { team: self.team.as_ref(), class: &self.class.name }
     }
 
-    /// Records the end of the request in the metrics.
-    fn observe(&self, began: time::Monotonic, result: &Result<ExecutorAnswer, error::Error>) {
+    /// Records the wait before the first attempt, and the use of the chosen executor.
+    fn observe_send(&self, arrival: time::Monotonic, attempt: u32, slots_in_use: u32) {
+        if attempt == FIRST_ATTEMPT {
+            observe::queue_wait(self.tenant(), self.cx.clock.now().since(arrival));
+        }
+        observe::slots_in_use(self.tenant(), slots_in_use);
+    }
+
+    /// Records the end of the request; what was not run has no latency.
+    fn observe(&self, began: time::Monotonic, result: &RunEnd) {
         let run = match result {
             Ok(_) => error::RunState::Run,
             Err(error) => error.get_kind().get_answer().run,
         };
         observe::request(self.tenant(), run);
-        match result {
-            Ok(_) => {
-                let span = self.cx.clock.now().since(began);
-                observe::request_latency(self.tenant(), span);
-            }
-            Err(error) => observe::refusal(PART, error.get_kind()),
+        if run != error::RunState::NotRun {
+            observe::request_latency(self.tenant(), self.cx.clock.now().since(began));
         }
     }
 
@@ -128,11 +165,12 @@
     fn attempt(
         &self,
         address: std::net::SocketAddr,
+        far_region: Option<id::RegionName>,
         left: Duration,
         is_begun: Rc<Cell<bool>>,
     ) -> Attempt {
         let (cx, head, body) = (self.cx.clone(), self.head.clone(), self.body.clone());
-        Attempt { cx, address, head, body, left, is_begun }
+        Attempt { cx, address, far_region, head, body, left, is_begun }
     }
 }
 
