fix(prompt): an attempt that was given up never sends

Cause: found by reading: at the deadline an attempt whose connection was still opening was reported as not run, but its task went on, and would have sent the request if the connection opened within its own limit of at least 20 ms, as over the link between regions. Change: a gate between the attempt and its request: sending begins or the attempt is given up, never both. Measured: a test of 600 requests with deadlines of 20 to 1200 us, in which no request that was said not to have run reached the executor, passes before and after: on loopback a connection opens within the timer's step, so that the test does not show this fault failing. cargo test -p comfreymill_node passes.

--- a/comfreymill_node/src/entry/prompt/attempt.rs
+++ b/comfreymill_node/src/entry/prompt/attempt.rs
@@ -1,4 +1,3 @@
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -10,6 +9,7 @@
 use comfreymill_types::id;
 
 use super::context::Context;
+use super::gate::Gate;
 use crate::metering::observe;
 use crate::web;
 
@@ -37,8 +37,8 @@
     pub(super) body: Bytes,
     /// Time left for the request.
     pub(super) left: Duration,
-    /// Whether sending has begun; before it the request cannot have run.
-    pub(super) is_begun: Rc<Cell<bool>>,
+    /// Passed before the first byte is sent.
+    pub(super) gate: Gate,
 }
 
 /// End of an attempt with the answer, if a whole one came.
@@ -52,7 +52,10 @@
             Ok(connection) => connection,
             Err(error) => return (outcome(&error), None),
         };
-        self.is_begun.set(true);
+        if !self.gate.begin() {
+            self.cx.pool.put(self.address, connection);
+            return (router::Outcome::NothingSent, None);
+        }
         let before = connection.traffic();
         let answer = self.exchange(&mut connection).await;
         self.count_link(before, connection.traffic());
--- a/comfreymill_node/src/entry/prompt/conduct.rs
+++ b/comfreymill_node/src/entry/prompt/conduct.rs
@@ -1,4 +1,3 @@
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +11,7 @@
 
 use super::attempt::{Attempt, AttemptEnd, ExecutorAnswer};
 use super::context::Context;
+use super::gate::Gate;
 use super::keyed;
 use super::keys::RunEnd;
 use super::target::Target;
@@ -104,8 +104,8 @@
                 dispatch::DispatchOrder::Refuse(error) => return Err(error),
             };
             let left = deadline.since(self.cx.clock.now());
-            let is_begun = Rc::new(Cell::new(false));
-            let attempt = self.attempt(address, far_region, left, is_begun.clone());
+            let gate = Gate::default();
+            let attempt = self.attempt(address, far_region, left, gate.clone());
             let mut running = monoio::spawn(attempt.run());
             match monoio::time::timeout(left, &mut running).await {
                 Ok((outcome, answer)) => {
@@ -114,13 +114,13 @@
                         return Ok(answer);
                     }
                 }
-                Err(_) if is_begun.get() => {
+                Err(_) if gate.abandon() => ticket.finished(router::Outcome::NothingSent),
+                Err(_) => {
                     ticket.finished(router::Outcome::TimedOut);
                     let order = ticket.next().await;
                     monoio::spawn(settle(running, ticket));
                     return Err(late(order));
                 }
-                Err(_) => ticket.finished(router::Outcome::NothingSent),
             }
         }
     }
@@ -167,10 +167,10 @@
         address: std::net::SocketAddr,
         far_region: Option<id::RegionName>,
         left: Duration,
-        is_begun: Rc<Cell<bool>>,
+        gate: Gate,
     ) -> Attempt {
         let (cx, head, body) = (self.cx.clone(), self.head.clone(), self.body.clone());
-        Attempt { cx, address, far_region, head, body, left, is_begun }
+        Attempt { cx, address, far_region, head, body, left, gate }
     }
 }
 
--- a/comfreymill_node/src/entry/prompt/mod.rs
+++ b/comfreymill_node/src/entry/prompt/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod conduct;
 mod context;
+mod gate;
 mod keyed;
 mod keys;
 mod serve;
--- a/tests/fleet/prompt.rs
+++ b/tests/fleet/prompt.rs
@@ -104,3 +104,27 @@
     assert_eq!(answer.headers()["comfreymill-run"], "run");
     assert_eq!(fixture.journal.count("/cut", &RecordKind::Began), 1);
 }
+
+#[test]
+fn not_run_is_never_said_of_a_request_that_ran() {
+    let fixture = ready_fixture(1, 1);
+    let address = fixture.cluster.get_entry(0).callers;
+    let mut not_run = Vec::new();
+    for turn in 0..600 {
+        // Deadlines about as long as it takes to open a connection.
+        let name = format!("short-{turn}-");
+        let deadline = format!("{}us", 20 + turn % 60 * 20);
+        let call = search(&name).header("comfreymill-deadline", &deadline);
+        let answer = call.send_blocking(address).expect("an answer");
+        if answer.headers().get("comfreymill-run").is_some_and(|run| run == "not-run") {
+            not_run.push(name);
+        }
+    }
+    // A request that was sent behind the caller's back would arrive meanwhile.
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(!not_run.is_empty(), "some deadline is too short");
+    for name in not_run {
+        let began = fixture.journal.count(&format!("/{name}"), &RecordKind::Began);
+        assert_eq!(began, 0, "{name} was said not to have run");
+    }
+}
