--- a/comfreymill_node/tests/main.rs
+++ b/comfreymill_node/tests/main.rs
@@ -3,6 +3,7 @@
 mod command;
 mod logs;
 mod metering;
+mod peer;
 mod prompt;
 mod scratch;
 mod settings;
