test(fleet): pairs of faults, and every process restarted under load

Change: an entry killed with unrepeatable requests in flight, an executor leaving while the leader is killed, a promotion behind a silent partition, and every process restarted under load.

--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod batch;
 mod documents;
 mod leader;
+mod pairs;
 mod partition;
 mod prompt;
 mod voters;
--- a/tests/support/fixture.rs
+++ b/tests/support/fixture.rs
@@ -12,6 +12,16 @@
 
 const DOCUMENT: &str = include_str!("../../samples/environment-trust.yaml");
 
+/// Class of prompt requests that may run at most once, at the end of the sample document.
+const ISSUING: &str = "
+  - name: issue-certificate
+    unrepeatable: true
+    kind:
+      prompt:
+        service: hull-register
+        deadline: 10s
+";
+
 /// Processes and stand-ins of one test.
 pub(crate) struct Fixture {
     pub(crate) cluster: Cluster,
@@ -137,7 +147,8 @@
 
     /// Sample document as another version.
     pub(crate) fn document(version: u64) -> String {
-        DOCUMENT.replace("version: 1", &format!("version: {version}"))
+        let sample = DOCUMENT.replace("version: 1", &format!("version: {version}"));
+        format!("{sample}{ISSUING}")
     }
 
     /// Submits a version of the sample document at an entry; gives status and body.
@@ -182,7 +193,7 @@
 
     /// Submits the sample document and promotes it.
     pub(crate) fn promote_document(&self) {
-        let submit = Call::post("/v1/env/derwent-hull/submit", DOCUMENT)
+        let submit = Call::post("/v1/env/derwent-hull/submit", Self::document(1))
             .header("operation-id", "submit-1")
             .header("replaces", "0");
         let reply = self.wait_for("a trial", &submit, |body| body["version"] == 1);
