fix(entry): come back ready, and hand grants back at a stop

Cause: an entry that restarted was ready before it had slots: its grants of the former life counted until the longest deadline had passed, so that requests expired in its queue (fleet::pairs::every_process_restarts_under_load_and_no_request_is_interrupted failed). Ruled out: the listener's end, as every fault was expired-in-queue and none a broken connection. Change: a stopping entry tells the leader once nothing of it runs any more, and its grants end at once; an entry is ready only when it has the table and slots of every service that has executors. A deliberate fault (calls not sent again over a new session) was not caught by the leader tests; a call in flight at a frozen and then killed leader now shows it.

--- a/comfreymill_node/src/control/lead/entries.rs
+++ b/comfreymill_node/src/control/lead/entries.rs
@@ -55,6 +55,11 @@
                 },
             );
         }
+        if heartbeat.is_over {
+            for granter in self.granters.values_mut() {
+                granter.left(&owner.entry, owner.incarnation);
+            }
+        }
         self.collect_grants();
         is_renewed
     }
--- a/comfreymill_node/src/entry/dispatch/state.rs
+++ b/comfreymill_node/src/entry/dispatch/state.rs
@@ -31,6 +31,8 @@
     pub revision: u64,
     /// Whether the leader confirmed the documents within the lease.
     pub is_current: bool,
+    /// Whether the entry has slots of every service that has executors.
+    pub is_served: bool,
     /// Whether callers should be sent elsewhere.
     pub is_draining: bool,
     /// Requests that are not over.
@@ -52,6 +54,8 @@
     pub(super) term: u64,
     pub(super) revision: Option<u64>,
     pub(super) lease_until: time::Monotonic,
+    /// Whether the leader sent a whole table of executors.
+    pub(super) has_table: bool,
     pub(super) is_unready: bool,
     pub(super) is_draining: bool,
     pub(super) chores: Chores,
@@ -67,6 +71,7 @@
             term: 0,
             revision: None,
             lease_until: time::Monotonic::ZERO,
+            has_table: false,
             is_unready: false,
             is_draining: false,
             chores: Chores::default(),
@@ -191,6 +196,7 @@
         DispatchStatus {
             revision: self.revision.unwrap_or(0),
             is_current: self.is_current(now),
+            is_served: self.is_served(),
             is_draining: self.is_draining || self.is_unready,
             open_requests: desks.clone().map(|desk| desk.router.open_requests()).sum(),
             queued_requests: desks.clone().map(|desk| desk.router.queued_requests()).sum(),
@@ -221,6 +227,22 @@
         is_due
     }
 
+    /// Whether no request is open or may still run at an executor.
+    fn is_idle(&self) -> bool {
+        let mut desks = self.desks.values();
+        let is_closed = desks.clone().all(|desk| desk.router.open_requests() == 0);
+        is_closed && desks.all(|desk| self.rows.keys().all(|name| desk.router.usage(name) == 0))
+    }
+
+    /// Whether the entry has the leader's table, and slots of every service that has executors.
+    fn is_served(&self) -> bool {
+        let mut by_service: BTreeMap<(&protocol::DeskKey, &id::ServiceName), u32> = BTreeMap::new();
+        for row in self.rows.values().filter(|row| !row.leaving) {
+            *by_service.entry((&row.desk, &row.service)).or_default() += row.slots;
+        }
+        self.has_table && by_service.values().all(|slots| *slots > 0)
+    }
+
     fn heartbeat(&mut self, now: time::Monotonic) -> protocol::EntryHeartbeat {
         let mut demand = Vec::new();
         let mut holdings = Vec::new();
@@ -234,6 +256,7 @@
         }
         let revision = self.revision.unwrap_or(0);
         let draining = self.is_draining;
-        protocol::EntryHeartbeat { revision, demand, holdings, avoided, draining }
+        let is_over = draining && self.is_idle();
+        protocol::EntryHeartbeat { revision, demand, holdings, avoided, draining, is_over }
     }
 }
--- a/comfreymill_node/src/entry/dispatch/state_push.rs
+++ b/comfreymill_node/src/entry/dispatch/state_push.rs
@@ -23,6 +23,7 @@
                     return;
                 }
                 self.term = term;
+                self.has_table |= is_whole;
                 let changed = self.take_rows(is_whole, rows, &gone);
                 self.refresh_tables(now, Some(&changed));
             }
--- a/comfreymill_node/src/entry/operators/serve.rs
+++ b/comfreymill_node/src/entry/operators/serve.rs
@@ -76,6 +76,10 @@
         let message = "the leader has not confirmed the documents";
         return Err(error::Error::new(error::ErrorKind::NotCurrent, message));
     }
+    if !status.is_served {
+        let message = "the entry has no slots of a service that has executors";
+        return Err(error::Error::new(error::ErrorKind::NoExecutor, message));
+    }
     Ok(Reply::Json(serde_json::to_vec(&status).unwrap_or_default().into()))
 }
 
--- a/comfreymill_node/src/entry/process.rs
+++ b/comfreymill_node/src/entry/process.rs
@@ -22,6 +22,7 @@
 
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 const HEARTBEAT_PERIOD: Duration = Duration::from_millis(200);
+const FAREWELL_LIMIT: Duration = Duration::from_secs(3);
 const READINESS_NOTICE: Duration = Duration::from_secs(2);
 
 /// Runs an entry process until it is told to stop.
@@ -78,7 +79,7 @@
 
     let (drain, drains) = flume::unbounded();
     let cx = operators::Context {
-        link,
+        link: link.clone(),
         dispatcher: dispatcher.clone(),
         token: Some(operators_token),
         meter: metering::Meter::install()?,
@@ -98,7 +99,7 @@
     }
     let grace = common.get_timing().get_drain().get_duration();
     let drained = async {
-        drain_callers(&dispatcher, &callers_end, callers, grace).await;
+        drain_callers(&dispatcher, &link, &callers_end, callers, grace).await;
     };
     monoio::select! {
         () = drained => {}
@@ -113,6 +114,7 @@
 /// Stops gracefully: readiness first, then the listener, then the requests in progress.
 async fn drain_callers(
     dispatcher: &dispatch::Dispatcher,
+    link: &link::Link,
     end: &server::Shutdown,
     callers: monoio::task::JoinHandle<server::Drained>,
     grace: Duration,
@@ -127,8 +129,20 @@
     if drained.requests > 0 {
         log::warn!(target: "entry", "{} requests were cut off at the limit.", drained.requests);
     }
-    // The last heartbeat hands the grants back.
-    monoio::time::sleep(2 * HEARTBEAT_PERIOD).await;
+    monoio::time::timeout(FAREWELL_LIMIT, farewell(dispatcher, link)).await.ok();
+}
+
+/// Hands the grants back, once nothing that was sent can still run.
+async fn farewell(dispatcher: &dispatch::Dispatcher, link: &link::Link) {
+    while let Some(heartbeat) = dispatcher.heartbeat().await {
+        if heartbeat.is_over {
+            let call = crate::protocol::Call::Heartbeat(heartbeat);
+            if link.call(call, FAREWELL_LIMIT).await.is_ok() {
+                return;
+            }
+        }
+        monoio::time::sleep(HEARTBEAT_PERIOD).await;
+    }
 }
 
 async fn forward(pushed: flume::Receiver<crate::protocol::Push>, to: dispatch::Dispatcher) {
--- a/comfreymill_node/src/protocol/entry_heartbeat.rs
+++ b/comfreymill_node/src/protocol/entry_heartbeat.rs
@@ -18,6 +18,8 @@
     pub avoided: Vec<id::ExecutorName>,
     /// Whether the entry is stopping.
     pub draining: bool,
+    /// Whether nothing of this life of the entry runs or ever will.
+    pub is_over: bool,
 }
 
 /// Slots wanted by one desk.
--- a/comfreymill_route/src/grant/granter.rs
+++ b/comfreymill_route/src/grant/granter.rs
@@ -136,6 +136,14 @@
         }
     }
 
+    /// Takes word that nothing of a life of an entry runs or ever will; its grants end.
+    pub fn left(&mut self, name: &id::EntryName, incarnation: id::Incarnation) {
+        if self.entries.get(name).is_some_and(|entry| entry.incarnation == incarnation) {
+            self.entries.remove(name);
+            self.drop_entry(&(name.clone(), incarnation));
+        }
+    }
+
     /// Ends the grants of entries that can no longer use them, and follows demand.
     pub fn tick(&mut self, now: time::Monotonic) {
         self.expire(now);
--- a/tests/fleet/leader.rs
+++ b/tests/fleet/leader.rs
@@ -64,3 +64,26 @@
         fixture.cluster.controls[leader].start().expect("control starts again");
     });
 }
+
+#[test]
+fn a_call_in_flight_outlives_its_leader() {
+    let mut fixture = Fixture::start(3, 1);
+    for version in 1..=3 {
+        let leader = fixture.wait_for_leader();
+        // The entry's last call shows that it knows this leader.
+        let status = comfreymill_bench::standin::Call::get("/v1/status");
+        fixture.wait("an answer", || fixture.operate(0, status.clone()).0 == 200);
+        fixture.cluster.controls[leader].signal(Signal::SIGSTOP);
+        let answer = std::thread::scope(|scope| {
+            let fixture = &fixture;
+            let operation = format!("in-flight-{version}");
+            let call = scope.spawn(move || fixture.submit(0, version, &operation));
+            std::thread::sleep(std::time::Duration::from_millis(100));
+            fixture.cluster.controls[leader].signal(Signal::SIGKILL);
+            call.join().expect("an answer")
+        });
+        assert_eq!(answer.0, 200, "{answer:?}");
+        fixture.cluster.controls[leader].kill();
+        fixture.cluster.controls[leader].start().expect("control starts again");
+    }
+}
