--- /dev/null
+++ b/comfreymill_bench/src/idle/usage.rs
@@ -0,0 +1,46 @@
+use std::fs;
+use std::io;
+use std::time::Duration;
+
+const BYTES_PER_KIB: u64 = 1_024;
+
+/// What a process has used so far.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Usage {
+    /// Processor time of all threads.
+    pub processor: Duration,
+    /// Resident memory in bytes.
+    pub memory_bytes: u64,
+}
+
+impl Usage {
+    /// Reads the usage of a running process.
+    ///
+    /// # Errors
+    ///
+    /// The process does not run, or the system does not tell.
+    pub fn read(process: u32) -> io::Result<Self> {
+        Ok(Self { processor: read_processor(process)?, memory_bytes: read_memory(process)? })
+    }
+}
+
+fn read_processor(process: u32) -> io::Result<Duration> {
+    let mut nanos = 0;
+    for thread in fs::read_dir(format!("/proc/{process}/task"))? {
+        let text = fs::read_to_string(thread?.path().join("schedstat"))?;
+        let field = text.split_whitespace().next().and_then(|field| field.parse::<u64>().ok());
+        nanos += field.ok_or_else(|| missing("schedstat"))?;
+    }
+    Ok(Duration::from_nanos(nanos))
+}
+
+fn read_memory(process: u32) -> io::Result<u64> {
+    let text = fs::read_to_string(format!("/proc/{process}/status"))?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let field = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    Ok(field.ok_or_else(|| missing("VmRSS"))? * BYTES_PER_KIB)
+}
+
+fn missing(name: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, format!("the system tells no {name}"))
+}
--- a/comfreymill_bench/src/lib.rs
+++ b/comfreymill_bench/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod batch;
 pub mod cluster;
 pub mod figure;
+pub mod idle;
 pub mod route;
 pub mod standin;
--- a/tests/process/system.rs
+++ b/tests/process/system.rs
@@ -1,5 +1,7 @@
 use std::fs;
 
+use comfreymill_bench::idle;
+
 use crate::support::Fixture;
 
 /// What the open files of a process are.
@@ -27,3 +29,20 @@
         }
     }
 }
+
+#[test]
+fn the_usage_of_a_process_is_read_while_it_runs() {
+    let own = std::process::id();
+    let before = idle::Usage::read(own).expect("this process runs");
+    let mut sum = 0_u64;
+    while idle::Usage::read(own).expect("it runs").processor <= before.processor {
+        sum = std::hint::black_box(sum.wrapping_add(1));
+    }
+    assert!(before.memory_bytes > 1_000_000, "{before:?}");
+
+    let mut fixture = Fixture::start(1, 1);
+    let id = fixture.cluster.controls[0].get_id().expect("it runs");
+    idle::Usage::read(id).expect("it runs");
+    fixture.cluster.controls[0].kill();
+    idle::Usage::read(id).expect_err("it has ended");
+}
