--- a/comfreymill_bench/src/lib.rs
+++ b/comfreymill_bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod batch;
 pub mod cluster;
 pub mod figure;
+pub mod first_day;
 pub mod idle;
 pub mod route;
 pub mod standin;
