--- a/comfreymill_bench/src/route/tally.rs
+++ b/comfreymill_bench/src/route/tally.rs
@@ -29,7 +29,7 @@
     pub urgent_in_time: u64,
     /// Answers in time of the team with three shares.
     pub in_time_of_three: u64,
-    /// Longest time in which slots idled while requests waited, in microseconds.
+    /// Longest time in which requests waited at one entry while slots idled, in microseconds.
     pub longest_waste: u64,
     /// Requests that each slot ran at most, beyond its executor's slots.
     pub overruns: u64,
