--- a/comfreymill_batch/src/scheduler/leases.rs
+++ b/comfreymill_batch/src/scheduler/leases.rs
@@ -20,6 +20,7 @@
         }
         self.scanned_at = self.now;
         self.scan_workers();
+        self.end_settling();
         self.check_claims();
         self.probe_suspended();
         self.lift_unfit();
--- a/comfreymill_node/src/entry/dispatch/handle.rs
+++ b/comfreymill_node/src/entry/dispatch/handle.rs
@@ -33,7 +33,7 @@
         Ticket { dispatcher: self.clone(), desk, request, orders, attempt: 0, is_over: false }
     }
 
-    /// Class of a desk, if the document in force has it.
+    /// Class of a desk, if the document in force has it, with the team that the caller names.
     pub async fn class(
         &self,
         desk: protocol::DeskKey,
--- a/comfreymill_node/src/entry/prompt/conduct.rs
+++ b/comfreymill_node/src/entry/prompt/conduct.rs
@@ -18,7 +18,7 @@
 use crate::entry::dispatch;
 use crate::metering::observe;
 
-const PART: &str = "prompt";
+const FIRST_ATTEMPT: u32 = 1;
 const NO_TEAM: &str = "none";
 const SETTLE_LIMIT: Duration = Duration::from_secs(30);
 
@@ -90,15 +90,22 @@
                 order = ticket.next() => order,
                 _ = self.caller.recv_async() => return Err(caller_gone()),
             };
-            let address = match order {
-                dispatch::DispatchOrder::Send { address, .. } => address,
+            let (address, far_region) = match order {
+                dispatch::DispatchOrder::Send {
+                    address,
+                    attempt,
+                    slots_in_use,
+                    far_region,
+                    ..
+                } => {
+                    self.observe_send(arrival, attempt, slots_in_use);
+                    (address, far_region)
+                }
                 dispatch::DispatchOrder::Refuse(error) => return Err(error),
             };
-            let now = self.cx.clock.now();
-            let left = deadline.since(now);
-            observe::queue_wait(self.tenant(), now.since(arrival));
+            let left = deadline.since(self.cx.clock.now());
             let is_begun = Rc::new(Cell::new(false));
-            let attempt = self.attempt(address, left, is_begun.clone());
+            let attempt = self.attempt(address, far_region, left, is_begun.clone());
             let mut running = monoio::spawn(attempt.run());
             match monoio::time::timeout(left, &mut running).await {
                 Ok((outcome, answer)) => {
@@ -122,19 +129,23 @@
         observe::Tenant { team: self.team.as_ref(), class: &self.class.name }
     }
 
-    /// Records the end of the request in the metrics.
+    /// Records the wait before the first attempt, and the use of the chosen executor.
+    fn observe_send(&self, arrival: time::Monotonic, attempt: u32, slots_in_use: u32) {
+        if attempt == FIRST_ATTEMPT {
+            observe::queue_wait(self.tenant(), self.cx.clock.now().since(arrival));
+        }
+        observe::slots_in_use(self.tenant(), slots_in_use);
+    }
+
+    /// Records the end of the request; what was not run has no latency.
     fn observe(&self, began: time::Monotonic, result: &RunEnd) {
         let run = match result {
             Ok(_) => error::RunState::Run,
             Err(error) => error.get_kind().get_answer().run,
         };
         observe::request(self.tenant(), run);
-        match result {
-            Ok(_) => {
-                let span = self.cx.clock.now().since(began);
-                observe::request_latency(self.tenant(), span);
-            }
-            Err(error) => observe::refusal(PART, error.get_kind()),
+        if run != error::RunState::NotRun {
+            observe::request_latency(self.tenant(), self.cx.clock.now().since(began));
         }
     }
 
@@ -154,11 +165,12 @@
     fn attempt(
         &self,
         address: std::net::SocketAddr,
+        far_region: Option<id::RegionName>,
         left: Duration,
         is_begun: Rc<Cell<bool>>,
     ) -> Attempt {
         let (cx, head, body) = (self.cx.clone(), self.head.clone(), self.body.clone());
-        Attempt { cx, address, head, body, left, is_begun }
+        Attempt { cx, address, far_region, head, body, left, is_begun }
     }
 }
 
--- a/comfreymill_node/src/entry/prompt/serve.rs
+++ b/comfreymill_node/src/entry/prompt/serve.rs
@@ -14,8 +14,12 @@
 use super::keys::{RunEnd, Turn};
 use super::target::Target;
 use crate::entry::dispatch;
+use crate::metering::observe;
 use crate::web;
 
+/// Part of the process in metrics.
+const PART: &str = "prompt";
+
 /// Serves one request of a caller.
 ///
 /// # Errors
@@ -24,7 +28,10 @@
 pub async fn serve(cx: &Context, mut req: server::Request<'_>) -> Result<(), server::ServerError> {
     match run(cx, &mut req).await {
         Ok(answer) => req.respond(answer.status, &answer.headers, answer.body).await,
-        Err(Failure::Refused(error)) => web::answer_error(req, &error).await,
+        Err(Failure::Refused(error)) => {
+            observe::refusal(PART, error.get_kind());
+            web::answer_error(req, &error).await
+        }
         // The connection answers for a body that is at fault; a caller that went away gets none.
         Err(Failure::Body) => Ok(()),
     }
