fix(group): sync the parent of a new data folder

Cause: a new folder's name is in its parent, which nothing synced; and a folder in use was refused without words. Change: sync the parent once; say who holds the folder. The crash test also crashes while a store opens.

--- a/comfreymill_group/src/store/folder.rs
+++ b/comfreymill_group/src/store/folder.rs
@@ -25,9 +25,9 @@
         P: Into<path::PathBuf>,
     {
         let path = path.into();
-        fs::create_dir_all(&path)?;
+        create_folder(&path)?;
         let lock = fs::File::create(path.join(LOCK_NAME))?;
-        lock.try_lock()?;
+        lock.try_lock().map_err(in_use)?;
         Ok(Self { path, open: None, _lock: lock })
     }
 
@@ -83,3 +83,22 @@
         fs::File::open(&self.path)?.sync_all()
     }
 }
+
+/// Creates a folder whose name survives a crash.
+fn create_folder(path: &path::Path) -> io::Result<()> {
+    if path.is_dir() {
+        return Ok(());
+    }
+    fs::create_dir_all(path)?;
+    let parent = path.parent().filter(|parent| !parent.as_os_str().is_empty());
+    fs::File::open(parent.unwrap_or(path::Path::new(".")))?.sync_all()
+}
+
+fn in_use(error: fs::TryLockError) -> io::Error {
+    match error {
+        fs::TryLockError::WouldBlock => {
+            io::Error::new(io::ErrorKind::ResourceBusy, "another process uses the folder")
+        }
+        fs::TryLockError::Error(error) => error,
+    }
+}
--- a/comfreymill_group/tests/store/crashes.rs
+++ b/comfreymill_group/tests/store/crashes.rs
@@ -31,14 +31,19 @@
 
 fn check(files: &Files, allowed: &[Model], crash: &str) {
     let disk = FaultyDisk::with_files(files);
+    disk.keep_images();
     let opened = store::Store::open(disk.clone(), model::options());
     let (_, recovered) = opened.unwrap_or_else(|error| panic!("{crash}: {error}"));
     let found = Model::of(recovered);
     // A crash may come between the snapshot and the frame beside it.
     let is_allowed = allowed.contains(&found) || allowed.iter().any(|it| is_between(it, &found));
     assert!(is_allowed, "{crash}: {found:?} is none of {allowed:?}");
-    let again = model::open(&disk.files_after_power_loss()).expect("opens again");
-    assert_eq!(Model::of(again.1), found, "{crash}: a second start reads another state");
+    for image in disk.take_images() {
+        for files in [image.process, image.power, image.torn] {
+            let (_, again) = model::open(&files).expect("opens after a crash while it opened");
+            assert_eq!(Model::of(again), found, "{crash}: a second start reads another state");
+        }
+    }
 }
 
 /// Whether only the snapshot of the write to `after` reached the disk.
--- a/comfreymill_group/tests/store/folder.rs
+++ b/comfreymill_group/tests/store/folder.rs
@@ -36,7 +36,8 @@
 fn a_folder_in_use_is_refused() {
     let folder = TestFolder::new("in-use");
     let first = store::FolderDisk::open(&folder.0).expect("a folder");
-    assert!(store::FolderDisk::open(&folder.0).is_err());
+    let error = store::FolderDisk::open(&folder.0).expect_err("in use");
+    assert_eq!(error.to_string(), "another process uses the folder");
     drop(first);
     assert!(store::FolderDisk::open(&folder.0).is_ok());
 }
