--- a/comfreymill_group/tests/scenario/disk.rs
+++ b/comfreymill_group/tests/scenario/disk.rs
@@ -1,4 +1,4 @@
-use crate::scenario::{group, older_term};
+use crate::scenario::{group, single};
 use crate::schedule::node::Node;
 use comfreymill_group::{id, membership, message, replica};
 use comfreymill_types::time;
@@ -90,17 +90,13 @@
         let to_disk = replica.disk().get();
         let message = message::Message { term, disk, to_disk, body: Some(body(term)) };
         replica.step(now, id::VoterId::new(number), message);
-        for action in replica.take_actions() {
-            if let replica::Action::Persist(write) = action {
-                replica.persisted(now, write.sequence);
-            }
-        }
+        single::sync(replica, now);
     }
 }
 
 #[test]
 fn answers_of_other_disks_count_neither_for_elections_nor_for_commits_nor_for_the_lease() {
-    let mut replica = older_term::replica(1, 2, None);
+    let mut replica = single::replica(1, 2, None);
     let now = time::Monotonic::from_millis(700);
     let term = replica.term();
     replica.tick(now);
@@ -132,7 +128,7 @@
 
 #[test]
 fn a_message_for_another_disk_is_ignored() {
-    let mut replica = older_term::replica(1, 2, None);
+    let mut replica = single::replica(1, 2, None);
     let now = time::Monotonic::from_millis(10);
     let body = message::Body::Heartbeat(message::Heartbeat { commit: 1, sent_at_micros: 1 });
     for (to_disk, is_taken) in [(11, false), (10, true)] {
--- a/comfreymill_group/tests/scenario/durable.rs
+++ b/comfreymill_group/tests/scenario/durable.rs
@@ -1,28 +1,7 @@
-use crate::scenario::older_term;
+use crate::scenario::single::{self, step, sync};
 use comfreymill_group::{entry, id, message, replica};
 use comfreymill_types::time;
 
-pub(super) fn step(
-    replica: &mut replica::Replica,
-    now: time::Monotonic,
-    from: u64,
-    term: u64,
-    body: message::Body,
-) {
-    let (disk, to_disk) = (from * 10, replica.disk().get());
-    let message = message::Message { term, disk, to_disk, body: Some(body) };
-    replica.step(now, id::VoterId::new(from), message);
-}
-
-/// Syncs all writes handed out so far.
-pub(super) fn sync(replica: &mut replica::Replica, now: time::Monotonic) {
-    for action in replica.take_actions() {
-        if let replica::Action::Persist(write) = action {
-            replica.persisted(now, write.sequence);
-        }
-    }
-}
-
 fn append(term: u64, count: u64) -> message::Body {
     let record = |index| entry::EntryRecord { index, term, payload: None };
     let entries = (2..2 + count).map(record).collect();
@@ -41,7 +20,7 @@
 /// were synced at the same indexes.
 #[test]
 fn overwritten_entries_leave_nothing_synced_behind() {
-    let mut replica = older_term::replica(1, 1, None);
+    let mut replica = single::replica(1, 1, None);
     let start = time::Monotonic::from_millis(10);
     step(&mut replica, start, 2, 2, append(2, 5));
     sync(&mut replica, start);
@@ -49,17 +28,7 @@
     sync(&mut replica, start);
     assert_eq!(replica.last_index(), id::Index::new(2));
     let now = time::Monotonic::from_millis(900);
-    replica.tick(now);
-    for from in 2..=4 {
-        let answer = message::PreVoteResponse { asked_term: 4, granted: true };
-        step(&mut replica, now, from, 3, message::Body::PreVoteResponse(answer));
-    }
-    sync(&mut replica, now);
-    for from in 2..=4 {
-        let answer = message::VoteResponse { granted: true };
-        step(&mut replica, now, from, 4, message::Body::VoteResponse(answer));
-    }
-    assert_eq!(replica.role(), replica::Role::Leader);
+    single::elect(&mut replica, now);
     let noop = replica.last_index();
     let writes = replica.take_actions();
     for from in 2..=3 {
--- a/comfreymill_group/tests/scenario/member.rs
+++ b/comfreymill_group/tests/scenario/member.rs
@@ -1,4 +1,4 @@
-use crate::scenario::{durable, group, older_term};
+use crate::scenario::{group, single};
 use crate::schedule::node::Node;
 use crate::schedule::world::World;
 use comfreymill_group::{id, membership, message, replica};
@@ -104,21 +104,12 @@
 #[test]
 fn a_leader_without_a_committed_entry_of_its_own_term_takes_no_change() {
     let now = time::Monotonic::from_millis(700);
-    let mut replica = older_term::replica(1, 2, None);
-    replica.tick(now);
-    for from in 2..=4 {
-        let answer = message::PreVoteResponse { asked_term: 3, granted: true };
-        durable::step(&mut replica, now, from, 2, message::Body::PreVoteResponse(answer));
-    }
-    durable::sync(&mut replica, now);
-    for from in 2..=4 {
-        let answer = message::VoteResponse { granted: true };
-        durable::step(&mut replica, now, from, 3, message::Body::VoteResponse(answer));
-    }
-    durable::sync(&mut replica, now);
+    let mut replica = single::replica(1, 2, None);
+    single::elect(&mut replica, now);
+    single::sync(&mut replica, now);
     for from in 2..=4 {
         let answer = message::HeartbeatResponse { sent_at_micros: now.as_micros() };
-        durable::step(&mut replica, now, from, 3, message::Body::HeartbeatResponse(answer));
+        single::step(&mut replica, now, from, 3, message::Body::HeartbeatResponse(answer));
     }
     assert!(replica.lease_valid(now) && !replica.is_ready());
     let change = membership::Change::Remove(id::VoterId::new(2));
--- a/comfreymill_group/tests/scenario/mod.rs
+++ b/comfreymill_group/tests/scenario/mod.rs
@@ -10,4 +10,5 @@
 mod message;
 mod older_term;
 mod partition;
+mod single;
 mod transfer;
--- a/comfreymill_group/tests/scenario/older_term.rs
+++ b/comfreymill_group/tests/scenario/older_term.rs
@@ -1,39 +1,10 @@
-use comfreymill_group::{entry, id, membership, message, replica};
+use crate::scenario::single::replica;
+use comfreymill_group::{id, message, replica};
 use comfreymill_types::time;
 use std::collections::{BTreeMap, VecDeque};
 
 type Replicas = BTreeMap<u64, replica::Replica>;
 
-fn members() -> membership::Membership {
-    let stage = membership::Stage::Voter;
-    let member = |number: u64| membership::Member { disk: id::DiskId::new(number * 10), stage };
-    (1..=5).map(|number| (id::VoterId::new(number), member(number))).collect()
-}
-
-/// Replica whose log has the membership at 1 and, if given, a no-op of `second_term` at 2.
-pub(super) fn replica(number: u64, term: u64, second_term: Option<u64>) -> replica::Replica {
-    let first = entry::Entry {
-        index: id::Index::new(1),
-        term: id::Term::new(1),
-        payload: entry::Payload::Membership(members()),
-    };
-    let second = second_term.map(|term| entry::Entry {
-        index: id::Index::new(2),
-        term: id::Term::new(term),
-        payload: entry::Payload::Noop,
-    });
-    let recovered = replica::Recovered {
-        voter: id::VoterId::new(number),
-        disk: id::DiskId::new(number * 10),
-        hard_state: entry::HardState { term: id::Term::new(term), vote: None },
-        snapshot: None,
-        entries: [first].into_iter().chain(second).collect(),
-    };
-    let start = replica::Start::Join { peers: Vec::new() };
-    let cfg = replica::Config::new(start).max_append_bytes(1);
-    replica::Replica::new(cfg, recovered, number, time::Monotonic::ZERO)
-}
-
 /// Delivers messages until none is left; those that `passes` refuses are lost.
 fn deliver<F>(replicas: &mut Replicas, now: time::Monotonic, passes: F)
 where
--- /dev/null
+++ b/comfreymill_group/tests/scenario/single.rs
@@ -0,0 +1,72 @@
+//! One replica of a group of five, whose peers are played by the test.
+
+use comfreymill_group::{entry, id, membership, message, replica};
+use comfreymill_types::time;
+
+fn members() -> membership::Membership {
+    let stage = membership::Stage::Voter;
+    let member = |number: u64| membership::Member { disk: id::DiskId::new(number * 10), stage };
+    (1..=5).map(|number| (id::VoterId::new(number), member(number))).collect()
+}
+
+/// Replica whose log has the membership at 1 and, if given, a no-op of `second_term` at 2.
+pub(super) fn replica(number: u64, term: u64, second_term: Option<u64>) -> replica::Replica {
+    let first = entry::Entry {
+        index: id::Index::new(1),
+        term: id::Term::new(1),
+        payload: entry::Payload::Membership(members()),
+    };
+    let second = second_term.map(|term| entry::Entry {
+        index: id::Index::new(2),
+        term: id::Term::new(term),
+        payload: entry::Payload::Noop,
+    });
+    let recovered = replica::Recovered {
+        voter: id::VoterId::new(number),
+        disk: id::DiskId::new(number * 10),
+        hard_state: entry::HardState { term: id::Term::new(term), vote: None },
+        snapshot: None,
+        entries: [first].into_iter().chain(second).collect(),
+    };
+    let start = replica::Start::Join { peers: Vec::new() };
+    let cfg = replica::Config::new(start).max_append_bytes(1);
+    replica::Replica::new(cfg, recovered, number, time::Monotonic::ZERO)
+}
+
+/// Lets `replica` take in `body` of the voter `from`, which has its first disk.
+pub(super) fn step(
+    replica: &mut replica::Replica,
+    now: time::Monotonic,
+    from: u64,
+    term: u64,
+    body: message::Body,
+) {
+    let (disk, to_disk) = (from * 10, replica.disk().get());
+    let message = message::Message { term, disk, to_disk, body: Some(body) };
+    replica.step(now, id::VoterId::new(from), message);
+}
+
+/// Syncs all writes handed out so far.
+pub(super) fn sync(replica: &mut replica::Replica, now: time::Monotonic) {
+    for action in replica.take_actions() {
+        if let replica::Action::Persist(write) = action {
+            replica.persisted(now, write.sequence);
+        }
+    }
+}
+
+/// Makes `replica` the leader of the following term, with the votes of voters 2 to 4.
+pub(super) fn elect(replica: &mut replica::Replica, now: time::Monotonic) {
+    replica.tick(now);
+    let term = replica.term().get();
+    for from in 2..=4 {
+        let answer = message::PreVoteResponse { asked_term: term + 1, granted: true };
+        step(replica, now, from, term, message::Body::PreVoteResponse(answer));
+    }
+    sync(replica, now);
+    for from in 2..=4 {
+        let answer = message::VoteResponse { granted: true };
+        step(replica, now, from, term + 1, message::Body::VoteResponse(answer));
+    }
+    assert_eq!(replica.role(), replica::Role::Leader);
+}
--- a/comfreymill_group/tests/schedule/checker.rs
+++ b/comfreymill_group/tests/schedule/checker.rs
@@ -86,7 +86,7 @@
     /// An acknowledged command is committed.
     pub(crate) fn on_acknowledge(&mut self, number: u64, index: id::Index) {
         assert_eq!(self.applied.get(&number), Some(&index), "acknowledged and not committed");
-        self.coverage.acknowledged += 1;
+        self.coverage.count("acknowledged", 1);
         self.last_acknowledged = self.last_acknowledged.max(index);
     }
 
@@ -102,7 +102,7 @@
             if !replica.lease_valid(node.clock(now)) {
                 continue;
             }
-            self.coverage.valid_leases += 1;
+            self.coverage.count("valid leases", 1);
             let former = holder.replace(node.voter);
             assert_eq!(former, None, "two valid leases, one at {}", node.voter);
             if replica.is_ready() {
@@ -117,7 +117,7 @@
         match self.leaders.insert(replica.term(), identity) {
             Some(known) => assert_eq!(known, identity, "two leaders in term {}", replica.term()),
             None => {
-                self.coverage.elections += 1;
+                self.coverage.count("elections", 1);
                 self.check_completeness(replica);
             }
         }
--- a/comfreymill_group/tests/schedule/faults.rs
+++ b/comfreymill_group/tests/schedule/faults.rs
@@ -76,7 +76,7 @@
 
     /// Whether a leader was elected since the last call.
     fn has_new_leader(&mut self) -> bool {
-        let elections = self.checker.coverage.elections;
+        let elections = self.checker.coverage.get("elections");
         elections > std::mem::replace(&mut self.seen_elections, elections)
     }
 
@@ -156,7 +156,7 @@
         let position = self.leader().filter(|_| any.is_multiple_of(2)).unwrap_or(any);
         let micros = self.rng.random_range(0..1_500_000);
         self.nodes[position].stalled_until = self.now + micros;
-        self.checker.coverage.stalls += 1;
+        self.checker.coverage.count("stalls", 1);
     }
 
     fn restart_one(&mut self) {
@@ -208,7 +208,7 @@
         let Some(replica) = &mut self.nodes[position].replica else { return };
         if let Some(to) = replica.best_successor() {
             replica.transfer_leadership(clock, to).expect("a leader with another voter");
-            self.checker.coverage.transfers += 1;
+            self.checker.coverage.count("transfers", 1);
             self.perform(position);
         }
     }
@@ -225,9 +225,9 @@
             let differing = before.iter().filter(|(it, member)| after.get(*it) != Some(*member));
             let added = after.iter().filter(|(it, _)| before.get(*it).is_none());
             assert_eq!(differing.count() + added.count(), 1, "more than one member changed");
-            self.checker.coverage.changes += 1;
+            self.checker.coverage.count("changes", 1);
             let is_promotion = matches!(change, membership::Change::Promote(_));
-            self.checker.coverage.promotions += u64::from(is_promotion);
+            self.checker.coverage.count("promotions", u64::from(is_promotion));
         }
         self.perform(position);
     }
@@ -276,7 +276,7 @@
             return;
         }
         self.lost_disks += 1;
-        self.checker.coverage.lost_disks += 1;
+        self.checker.coverage.count("lost disks", 1);
         self.crash(position);
         let disk = self.fresh_disk();
         let voter = self.nodes[position].voter;
--- a/comfreymill_group/tests/schedule/runs.rs
+++ b/comfreymill_group/tests/schedule/runs.rs
@@ -60,7 +60,7 @@
     let mut coverage = Coverage::default();
     for seed in first..first + schedules.unwrap_or(DEFAULT_SCHEDULES) {
         match panic::catch_unwind(|| run(seed)) {
-            Ok(reached) => coverage.add(reached),
+            Ok(reached) => coverage.add(&reached),
             Err(_) => failed.push(seed),
         }
         if failed.len() >= 5 {
--- a/comfreymill_group/tests/schedule/world.rs
+++ b/comfreymill_group/tests/schedule/world.rs
@@ -91,14 +91,14 @@
 
     /// Kills the node at `position`.
     pub(crate) fn crash(&mut self, position: usize) {
-        self.checker.coverage.lost_writes += self.nodes[position].unsynced.len() as u64;
+        self.checker.coverage.count("lost writes", self.nodes[position].unsynced.len() as u64);
         self.nodes[position].crash(&mut self.rng);
         self.open.retain(|(node, _, _), _| *node != position);
     }
 
     /// Kills the node at `position`; nothing that was not synced reaches its disk.
     pub(crate) fn crash_and_forget(&mut self, position: usize) {
-        self.checker.coverage.lost_writes += self.nodes[position].unsynced.len() as u64;
+        self.checker.coverage.count("lost writes", self.nodes[position].unsynced.len() as u64);
         self.nodes[position].unsynced.clear();
         self.crash(position);
     }
@@ -219,22 +219,22 @@
                 let machine = Machine::from_bytes(&snapshot.data);
                 assert_eq!(machine.index, snapshot.meta.index, "snapshot at another index");
                 self.checker.on_install(machine);
-                self.checker.coverage.installed += u64::from(is_running);
+                self.checker.coverage.count("installed", u64::from(is_running));
                 self.nodes[position].machine = machine;
             }
             replica::Action::Halt(replica::Halt::DiskReplaced { .. }) => {
-                self.checker.coverage.refused_disks += 1;
+                self.checker.coverage.count("refused disks", 1);
                 self.nodes[position].halted = true;
             }
             replica::Action::Halt(replica::Halt::Removed { .. }) => {
                 let disk = self.nodes[position].durable.disk;
                 let was_removed = self.checker.was_removed(from, disk);
                 assert!(was_removed, "member {from} is told that it was removed");
-                self.checker.coverage.removed += 1;
+                self.checker.coverage.count("removed", 1);
                 self.nodes[position].halted = true;
             }
             replica::Action::Halt(halt) => panic!("{halt}"),
-            replica::Action::Dropped { .. } => self.checker.coverage.overwritten += 1,
+            replica::Action::Dropped { .. } => self.checker.coverage.count("overwritten", 1),
             replica::Action::Role { .. } => {}
         }
     }
