fix(group): a learner with the newest entries leads until a voter can

Cause:: voter 2 lost its disk while the promotion of 4 was not committed. Voter 1 needed the vote of 4, which refused, since it held a newer entry of 2; 4 knew itself as a learner and never stood for election; voter 1 refused 3. The group had no leader for ever. Change: a replica without a vote stands for election after five of the longest election timeouts without a leader; only the voters' votes count; as a leader it hands over once it is ready. Conclusion: this is safe, since votes and commits are counted over the voters of the leader's own log, as before.

--- a/comfreymill_group/src/replica/election.rs
+++ b/comfreymill_group/src/replica/election.rs
@@ -13,7 +13,7 @@
     Follower,
     /// Asks whether an election could be won.
     PreCandidate { votes: BTreeSet<id::VoterId> },
-    /// Asks for votes; its own counts once the write `gate` is synced.
+    /// Asks for votes; its own counts, if it has one, once the write `gate` is synced.
     Candidate { votes: BTreeSet<id::VoterId>, gate: id::Sequence },
     /// Leads.
     Leader(Box<Leader>),
@@ -40,7 +40,8 @@
     /// Asks the voters whether an election could be won.
     pub(super) fn start_pre_vote(&mut self, now: time::Monotonic) {
         self.leader = None;
-        self.state = State::PreCandidate { votes: BTreeSet::from([self.voter]) };
+        let own = self.is_voter().then_some(self.voter);
+        self.state = State::PreCandidate { votes: own.into_iter().collect() };
         self.reset_election_timer(now);
         let question = message::PreVote {
             last_index: self.log.last_index().get(),
@@ -76,15 +77,17 @@
     /// Goes on to the next step if a quorum agrees.
     pub(super) fn try_win(&mut self, now: time::Monotonic) {
         let quorum = self.membership().quorum();
+        let is_voter = self.is_voter();
         match &mut self.state {
             State::PreCandidate { votes } if votes.len() >= quorum => {
                 self.start_election(now, false);
             }
             State::Candidate { votes, gate } => {
-                if self.outbox.is_persisted(*gate) {
+                let is_synced = self.outbox.is_persisted(*gate);
+                if is_synced && is_voter {
                     votes.insert(self.voter);
                 }
-                if votes.len() >= quorum && votes.contains(&self.voter) {
+                if is_synced && votes.len() >= quorum {
                     self.become_leader(now);
                 }
             }
--- a/comfreymill_group/src/replica/lease.rs
+++ b/comfreymill_group/src/replica/lease.rs
@@ -60,7 +60,8 @@
         self.replicate_all(now);
     }
 
-    /// Steps down without a quorum, hands over with a stuck disk, and sends heartbeats.
+    /// Steps down without a quorum, hands over with a stuck disk or without a vote, and sends
+    /// heartbeats.
     pub(super) fn tick_leader(&mut self, now: time::Monotonic) {
         let State::Leader(leader) = &self.state else { return };
         let confirmed_at = self.quorum_confirmed_at(leader, now).unwrap_or(leader.elected_at);
@@ -74,18 +75,21 @@
             self.send_heartbeats(now);
         }
         if self.is_disk_stuck(now) {
-            self.leave_stuck_disk(now);
+            log::warn!(target: "group", "replica {} waits for its disk too long", self.voter);
+            self.leave_lead(now);
+        } else if self.is_ready() && !self.is_voter() {
+            self.leave_lead(now);
         }
         self.tick_transfer(now);
         self.retry_all(now);
     }
 
-    /// Hands the lead over, since what this leader can't sync it can't acknowledge.
-    fn leave_stuck_disk(&mut self, now: time::Monotonic) {
+    /// Hands the lead over: a leader acknowledges nothing that it can't sync, and one without a
+    /// vote leads only as long as it has to.
+    fn leave_lead(&mut self, now: time::Monotonic) {
         if self.is_handing_over() {
             return;
         }
-        log::warn!(target: "group", "replica {} waits for its disk too long", self.voter);
         let successor = self.best_successor();
         let handed_over = successor.map(|to| self.transfer_leadership(now, to));
         if !matches!(handed_over, Some(Ok(()))) {
--- a/comfreymill_group/src/replica/tick.rs
+++ b/comfreymill_group/src/replica/tick.rs
@@ -2,6 +2,9 @@
 use crate::replica::election::State;
 use comfreymill_types::time;
 
+/// Longest election timeouts that a replica without a vote waits before it stands for election.
+const LEARNER_PATIENCE: u32 = 5;
+
 impl Replica {
     /// Does what is due by `now`.
     pub fn tick(&mut self, now: time::Monotonic) {
@@ -16,7 +19,7 @@
         match self.state {
             State::Leader(_) => self.tick_leader(now),
             _ if now < self.election_at => {}
-            _ if self.is_voter() => self.start_pre_vote(now),
+            _ if self.is_voter() || self.may_have_to_lead(now) => self.start_pre_vote(now),
             _ => self.forget_leader(now),
         }
     }
@@ -30,6 +33,18 @@
         }
     }
 
+    /// Whether no voter seems able to lead, so that this replica without a vote has to.
+    ///
+    /// The newest entries may be here alone: a learner may hold more than the voters that are
+    /// left, and be needed as a voter by a change that it doesn't know. The votes of the voters
+    /// decide all the same.
+    fn may_have_to_lead(&self, now: time::Monotonic) -> bool {
+        let patience = self.cfg.get_election_timeout_max() * LEARNER_PATIENCE;
+        let is_quiet = self.heard_at.is_none_or(|heard_at| now.since(heard_at) >= patience);
+        let known = self.membership().get(self.voter);
+        is_quiet && known.is_none_or(|member| member.disk == self.disk)
+    }
+
     /// Whether a write has waited for its sync for too long.
     pub(super) fn is_disk_stuck(&self, now: time::Monotonic) -> bool {
         let patience = self.cfg.get_election_timeout_max() * 2;
--- a/comfreymill_group/tests/scenario/mod.rs
+++ b/comfreymill_group/tests/scenario/mod.rs
@@ -5,6 +5,7 @@
 mod founding;
 mod group;
 mod kill;
+mod learner;
 mod limits;
 mod member;
 mod message;
--- a/comfreymill_group/tests/scenario/older_term.rs
+++ b/comfreymill_group/tests/scenario/older_term.rs
@@ -3,10 +3,10 @@
 use comfreymill_types::time;
 use std::collections::{BTreeMap, VecDeque};
 
-type Replicas = BTreeMap<u64, replica::Replica>;
+pub(super) type Replicas = BTreeMap<u64, replica::Replica>;
 
 /// Delivers messages until none is left; those that `passes` refuses are lost.
-fn deliver<F>(replicas: &mut Replicas, now: time::Monotonic, passes: F)
+pub(super) fn deliver<F>(replicas: &mut Replicas, now: time::Monotonic, passes: F)
 where
     F: Fn(u64, u64, &message::Message) -> bool,
 {
--- a/comfreymill_group/tests/scenario/single.rs
+++ b/comfreymill_group/tests/scenario/single.rs
@@ -11,22 +11,28 @@
 
 /// Replica whose log has the membership at 1 and, if given, a no-op of `second_term` at 2.
 pub(super) fn replica(number: u64, term: u64, second_term: Option<u64>) -> replica::Replica {
-    let first = entry::Entry {
-        index: id::Index::new(1),
-        term: id::Term::new(1),
-        payload: entry::Payload::Membership(members()),
-    };
-    let second = second_term.map(|term| entry::Entry {
-        index: id::Index::new(2),
+    let second = second_term.map(|term| (term, entry::Payload::Noop));
+    let log = [(1, entry::Payload::Membership(members()))].into_iter().chain(second);
+    replica_with(number, term, log.collect())
+}
+
+/// Replica whose log has the payloads of `log` with their terms.
+pub(super) fn replica_with(
+    number: u64,
+    term: u64,
+    log: Vec<(u64, entry::Payload)>,
+) -> replica::Replica {
+    let entries = log.into_iter().zip(1..).map(|((term, payload), index)| entry::Entry {
+        index: id::Index::new(index),
         term: id::Term::new(term),
-        payload: entry::Payload::Noop,
+        payload,
     });
     let recovered = replica::Recovered {
         voter: id::VoterId::new(number),
         disk: id::DiskId::new(number * 10),
         hard_state: entry::HardState { term: id::Term::new(term), vote: None },
         snapshot: None,
-        entries: [first].into_iter().chain(second).collect(),
+        entries: entries.collect(),
     };
     let start = replica::Start::Join { peers: Vec::new() };
     let cfg = replica::Config::new(start).max_append_bytes(1);
