fix(route): a slow start gives way to requests that wait

Cause: in the property of the cluster an entry that held two slots of an executor in its slow start used one of them, while requests waited and were refused. Change: while requests wait at a tick, executors in their slow start take up to all their slots. The property is harsher: tables are shown at once after a commit, the leader plans every 20 ms, requests run for up to 300 ms, and answers carry the latency they had.

--- a/comfreymill_route/src/router/executor.rs
+++ b/comfreymill_route/src/router/executor.rs
@@ -40,6 +40,8 @@
     pub(super) dropped_at: Option<time::Monotonic>,
     /// Ejections without a success between.
     pub(super) ejections: u32,
+    /// Whether requests wait, so that its slow start gives way.
+    pub(super) is_needed: bool,
     /// End of the slow start.
     pub(super) warm_at: time::Monotonic,
     /// Slots last reported to the leader, with their epoch.
@@ -76,6 +78,7 @@
             successes: 0,
             dropped_at: None,
             ejections: 0,
+            is_needed: false,
             warm_at: time::Monotonic::ZERO,
             reported: None,
             key: None,
@@ -109,7 +112,7 @@
             return self.view.slots.min(1);
         }
         let share = self.warmth(cfg, now);
-        if share >= 1.0 {
+        if share >= 1.0 || self.is_needed {
             return self.view.slots;
         }
         let slots = (f64::from(self.view.slots) * share).ceil() as u32;
--- a/comfreymill_route/src/router/router_health.rs
+++ b/comfreymill_route/src/router/router_health.rs
@@ -47,6 +47,7 @@
             self.pools[pool].watch_load(span);
             self.expire_queue(now, pool);
             self.dispatch(now, pool);
+            self.hurry_slow_starts(now, pool);
             self.pools[pool].queue.tidy();
             self.watch_demand(pool);
         }
@@ -140,6 +141,23 @@
         }
     }
 
+    /// Lets requests that wait use all slots of executors in their slow start.
+    fn hurry_slow_starts(&mut self, now: time::Monotonic, pool: usize) {
+        let is_needed = self.pools[pool].queue.len() > 0;
+        let starting = self.pools[pool].members.iter().copied();
+        let starting = starting.filter(|ix| {
+            let executor = &self.executors[*ix];
+            executor.warm_at > now && executor.is_needed != is_needed
+        });
+        for ix in starting.collect::<Vec<_>>() {
+            self.executors[ix].is_needed = is_needed;
+            self.reindex(now, ix);
+        }
+        if is_needed {
+            self.dispatch(now, pool);
+        }
+    }
+
     fn expire_doubts(&mut self, now: time::Monotonic) {
         let over: Vec<_> = self
             .doubts
--- a/comfreymill_route/tests/cluster/attempts.rs
+++ b/comfreymill_route/tests/cluster/attempts.rs
@@ -7,7 +7,7 @@
 use super::message::{Attempt, Event};
 use super::world::World;
 
-const MAX_RUN_MILLIS: u64 = 150;
+const MAX_RUN_MILLIS: u64 = 300;
 
 /// Life of one attempt: sent, started, ended and answered.
 impl World {
@@ -20,7 +20,7 @@
     ) {
         let life = self.entries[entry].life;
         let unrepeatable = self.unrepeatable.contains(&request);
-        let attempt = Attempt { entry, life, request, number, unrepeatable };
+        let attempt = Attempt { entry, life, request, number, unrepeatable, sent_at: self.now };
         let executor = self.executor(name);
         if let Some(open) = self.entries[entry].open.get_mut(&request) {
             open.1 = Some(attempt);
@@ -83,7 +83,8 @@
         } else if self.fault(4) {
             return;
         } else {
-            Outcome::Answered { latency: Duration::from_millis(5), status: 200 }
+            let latency = self.now.since(attempt.sent_at) + Duration::from_millis(delay);
+            Outcome::Answered { latency, status: 200 }
         };
         self.after(delay, Event::Outcome { attempt, outcome });
         self.after(delay + 1, Event::Settled { attempt });
--- a/comfreymill_route/tests/cluster/message.rs
+++ b/comfreymill_route/tests/cluster/message.rs
@@ -10,25 +10,67 @@
     pub(super) request: u64,
     pub(super) number: u32,
     pub(super) unrepeatable: bool,
+    pub(super) sent_at: time::Monotonic,
 }
 
 /// What happens at a point in time.
 #[derive(Clone, Debug)]
 pub(super) enum Event {
-    EntryTick { entry: usize, life: u64 },
-    EntryBeat { entry: usize, life: u64 },
-    LeaderTick { term: u64 },
-    Announce { executor: usize },
-    Submit { entry: usize },
+    EntryTick {
+        entry: usize,
+        life: u64,
+    },
+    EntryBeat {
+        entry: usize,
+        life: u64,
+    },
+    LeaderTick {
+        term: u64,
+    },
+    Announce {
+        executor: usize,
+    },
+    Submit {
+        entry: usize,
+    },
     Heartbeat(grant::Heartbeat, time::Monotonic),
-    Table { entry: usize, life: u64, table: Option<router::Table>, lease_until: time::Monotonic },
-    Commit { term: u64, changes: Vec<grant::GrantChange> },
-    Arrive { executor: usize, attempt: Attempt },
-    RunEnds { executor: usize, life: u64, attempt: Attempt },
-    Outcome { attempt: Attempt, outcome: router::Outcome },
-    Settled { attempt: Attempt },
-    Probed { entry: usize, life: u64, executor: usize, is_healthy: bool },
-    EntryStarts { entry: usize },
-    ExecutorStarts { executor: usize },
+    Table {
+        entry: usize,
+        life: u64,
+        table: Option<router::Table>,
+        lease_until: Option<time::Monotonic>,
+    },
+    Commit {
+        term: u64,
+        changes: Vec<grant::GrantChange>,
+    },
+    Arrive {
+        executor: usize,
+        attempt: Attempt,
+    },
+    RunEnds {
+        executor: usize,
+        life: u64,
+        attempt: Attempt,
+    },
+    Outcome {
+        attempt: Attempt,
+        outcome: router::Outcome,
+    },
+    Settled {
+        attempt: Attempt,
+    },
+    Probed {
+        entry: usize,
+        life: u64,
+        executor: usize,
+        is_healthy: bool,
+    },
+    EntryStarts {
+        entry: usize,
+    },
+    ExecutorStarts {
+        executor: usize,
+    },
     Fault,
 }
--- a/comfreymill_route/tests/cluster/world.rs
+++ b/comfreymill_route/tests/cluster/world.rs
@@ -15,6 +15,7 @@
 use crate::support;
 
 pub(super) const SLOTS: usize = 4;
+const LEADER_TICK_MILLIS: u64 = 20;
 const MAX_DELAY_MILLIS: u64 = 40;
 
 /// Entries, executors and a leader over a network with faults.
@@ -143,11 +144,16 @@
                     if let Some(table) = table {
                         router.executors(self.now, table);
                     }
-                    router.lease(self.now, 0, lease_until);
+                    if let Some(until) = lease_until {
+                        router.lease(self.now, 0, until);
+                    }
                     self.act(entry);
                 }
             }
-            Event::Commit { term, changes } => self.leader.commit(term, changes),
+            Event::Commit { term, changes } => {
+                self.leader.commit(term, changes);
+                self.show_tables();
+            }
             Event::Arrive { executor, attempt } => self.arrive(executor, attempt),
             Event::RunEnds { executor, life, attempt } => self.run_ends(executor, life, attempt),
             Event::Outcome { attempt, outcome } => self.outcome(attempt, outcome),
@@ -210,7 +216,7 @@
             let granter = &mut self.leader.granter;
             let table = granter.table(self.now, &name, heartbeat.incarnation);
             let life = heartbeat.incarnation.get();
-            self.carry(entry, Event::Table { entry, life, table, lease_until: sent + LEASE });
+            self.carry(entry, Event::Table { entry, life, table, lease_until: Some(sent + LEASE) });
         }
     }
 
@@ -220,9 +226,24 @@
         }
         self.leader.granter.tick(self.now);
         let changes = self.leader.granter.take_changes();
-        let delay = self.delay().min(10);
-        self.after(delay, Event::Commit { term, changes });
-        self.after(50, Event::LeaderTick { term });
+        if !changes.is_empty() {
+            let delay = self.delay().min(10);
+            self.after(delay, Event::Commit { term, changes });
+        }
+        self.after(LEADER_TICK_MILLIS, Event::LeaderTick { term });
+    }
+
+    /// Sends each entry its table at once after a commit, as a leader does.
+    fn show_tables(&mut self) {
+        for entry in 0..self.entries.len() {
+            let life = self.entries[entry].life;
+            let name = support::name(&self.entries[entry].name);
+            let granter = &mut self.leader.granter;
+            let table = granter.table(self.now, &name, id::Incarnation::new(life));
+            if table.is_some() {
+                self.carry(entry, Event::Table { entry, life, table, lease_until: None });
+            }
+        }
     }
 
     pub(super) fn change_leader(&mut self) {
--- a/comfreymill_route/tests/router/choice.rs
+++ b/comfreymill_route/tests/router/choice.rs
@@ -106,3 +106,17 @@
     router.tick(support::ms(6_000));
     assert_eq!(router.usage(&support::name("e2")), 2);
 }
+
+#[test]
+fn a_slow_start_gives_way_to_requests_that_wait() {
+    let mut router = support::router(support::config(), 1, 8);
+    let both = vec![support::executor(1, 8), support::executor(2, 8)];
+    router.executors(support::ms(1_000), support::table(2, both));
+    for id in 0..12 {
+        router.submit(support::ms(1_000), &support::request(id, "search", support::ms(1_000)));
+    }
+    assert_eq!(router.queued_requests(), 3);
+    router.tick(support::ms(1_010));
+    assert_eq!(router.queued_requests(), 0);
+    assert_eq!(router.usage(&support::name("e2")), 4);
+}
