--- a/comfreymill_batch/src/scheduler/cost.rs
+++ b/comfreymill_batch/src/scheduler/cost.rs
@@ -8,9 +8,12 @@
 
 const SLOWDOWN_COST: f64 = 1.0;
 const FIT_COST: f64 = 0.3;
+const IMBALANCE_PART: f64 = 0.25;
 const SPREAD_COST: f64 = 0.1;
 const STRANDED_ACCELERATOR_COST: f64 = 0.5;
 const GATE_PART: f64 = 0.8;
+const USUAL_FACTOR: f64 = 1.2;
+const USUAL_TAIL_SHARE: f64 = 0.5;
 const MIN_TAIL_SHARE: f64 = 0.08;
 
 /// What it costs to place a task on a worker.
@@ -50,8 +53,9 @@
         let slowdown = self.expect_slowdown(worker, class, load);
         let accepted = self.get_accepted_slowdown();
         let urgent = spec.priority == Self::URGENT;
-        let disturbs = slowdown > 0.0 && !urgent;
-        if disturbs && (slowdown > GATE_PART * accepted || worker.pressure.is_high()) {
+        let quiet = worker.services.iter().all(|load| self.model.is_quiet(class, load.service));
+        let disturbs = slowdown > 0.0 && !urgent && !quiet;
+        if disturbs && (slowdown > self.get_gate(worker, accepted) || worker.pressure.is_high()) {
             return None;
         }
         Some(Cost {
@@ -62,6 +66,15 @@
         })
     }
 
+    /// Slowdown beyond which nothing that disturbs is placed on the worker: a part of what is
+    /// accepted, and not far above the usual one, so that a hole is left to quieter tasks.
+    fn get_gate(&self, worker: &fleet::Worker, accepted: f64) -> f64 {
+        let services = worker.services.iter().map(|load| self.model.get_usual(load.service));
+        let usual = services.fold(0.0, f64::max);
+        let least = GATE_PART * (self.cfg.get_hysteresis().upper - 1.0);
+        (GATE_PART * accepted).min((USUAL_FACTOR * usual).max(least))
+    }
+
     /// Slowdown of the worst service on the worker if `load` of `class` came on top.
     fn expect_slowdown(
         &self,
@@ -82,7 +95,7 @@
         let weights = self.catalog.weights(document::Stage::Production);
         let all = weights.tail_latency + weights.throughput + weights.evictions;
         let tail_share = if all > 0.0 { weights.tail_latency / all } else { 1.0 };
-        (self.cfg.get_hysteresis().upper - 1.0) / tail_share.max(MIN_TAIL_SHARE)
+        (self.cfg.get_hysteresis().upper - 1.0) * USUAL_TAIL_SHARE / tail_share.max(MIN_TAIL_SHARE)
     }
 
     fn get_crowding(&self, id: id::TaskId, worker: &fleet::Worker) -> f64 {
@@ -95,13 +108,14 @@
     }
 }
 
-/// Imbalance of what is left, so that neither cores nor memory nor accelerators are stranded.
+/// Room that is left too small to use, and imbalance of what is left.
 fn get_misfit(worker: &fleet::Worker, need: &size::Resources) -> f64 {
     let left = worker.get_room().saturating_sub(need);
     let part = |left: u64, all: u64| left as f64 / all.max(1) as f64;
     let cores = part(left.cores.as_millis(), worker.capacity.cores.as_millis());
     let memory = part(left.memory.get(), worker.capacity.memory.get());
+    let loose = part(left.cores.as_millis(), left.cores.as_millis() + need.cores.as_millis());
     let strands = need.accelerators == 0 && left.accelerators > 0;
     let stranded = if strands { STRANDED_ACCELERATOR_COST / FIT_COST } else { 0.0 };
-    (cores - memory).abs() + 0.25 * cores + stranded
+    loose + IMBALANCE_PART * (cores - memory).abs() + stranded
 }
