fix(bench): give relays an address that no cluster reserves ports on

Cause: a cluster reserves its ports, releases them, and then its relays bound any port of the same address: one was given the operators' port of entry-1, which then ended with its address in use, and the test waited for it in vain. Change: relays bind on an address of their own, where ports stay taken. No check is changed.

--- a/comfreymill_bench/src/cluster/cluster.rs
+++ b/comfreymill_bench/src/cluster/cluster.rs
@@ -9,6 +9,8 @@
 use super::settings_text::{self, ControlAddresses, ZONES};
 use super::{EntryAddresses, Place, Process};
 
+const FIRST_NUMBER: u8 = 2;
+const RELAY_NUMBER: u8 = 252;
 const FREE_PAUSE: Duration = Duration::from_millis(5);
 const KEY: &str = "a key that only the tests' own clusters hold";
 
@@ -57,7 +59,7 @@
         };
         for index in 0..count {
             std::fs::create_dir_all(this._folder.get_path().join(format!("data-{index}")))?;
-            let voters = this.voters(cfg, host, Place::Control(index), &all)?;
+            let voters = this.voters(cfg, relay_host(), Place::Control(index), &all)?;
             let text = settings_text::control(cfg, all[index], &voters, index);
             let process = this.process(cfg, "control", index, &text)?;
             this.controls.push(process);
@@ -65,7 +67,7 @@
         for (index, ports) in entries.chunks(4).enumerate() {
             let own =
                 EntryAddresses { callers: ports[0], upstreams: ports[1], operators: ports[2] };
-            let voters = this.voters(cfg, host, Place::Entry(index), &all)?;
+            let voters = this.voters(cfg, relay_host(), Place::Entry(index), &all)?;
             let text = settings_text::entry(cfg, &voters, own, ports[3], index);
             let process = this.process(cfg, "entry", index, &text)?;
             this.entries.push(process);
@@ -168,10 +170,17 @@
 /// Address of a cluster, of its own in this process and hardly shared with other processes.
 fn host(number: u32) -> Ipv4Addr {
     let [_, _, high, low] = std::process::id().to_be_bytes();
-    let number = u8::try_from(number % 250).unwrap_or(0) + 2;
+    let number =
+        u8::try_from(number % u32::from(RELAY_NUMBER - FIRST_NUMBER)).unwrap_or(0) + FIRST_NUMBER;
     Ipv4Addr::new(127, number, high, low.max(1))
 }
 
+/// Address of all relays: none of them can be given a port that a cluster reserved and released.
+fn relay_host() -> Ipv4Addr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, RELAY_NUMBER, high, low.max(1))
+}
+
 /// Ports that the system chooses, free when this returns.
 fn reserve(host: Ipv4Addr, count: usize) -> io::Result<Vec<SocketAddr>> {
     let listeners: io::Result<Vec<_>> = (0..count).map(|_| TcpListener::bind((host, 0))).collect();
