test(node): keys that cannot be opened and malformed requests

Cause: nothing showed that a key is free again after its record could not be opened, nor that malformed headers reach no executor. Change: a test for each over real sockets.

--- a/comfreymill_node/tests/prompt/caller.rs
+++ b/comfreymill_node/tests/prompt/caller.rs
@@ -30,11 +30,24 @@
 
 /// Asks for a class with a body, and takes the whole answer.
 pub(super) async fn ask(to: SocketAddr, class: &str, body: &str) -> Got {
+    ask_with(to, class, body, &[]).await
+}
+
+/// Asks with headers.
+pub(super) async fn ask_with(
+    to: SocketAddr,
+    class: &str,
+    body: &str,
+    headers: &[(&str, &str)],
+) -> Got {
     let limits = limits::Limits::new();
     let mut connection =
         client::Connection::connect(to, limits, LIMIT).await.expect("the entry listens");
-    let req = http::Request::post(format!("/v1/trust/{class}/find")).body(());
-    let (head, ()) = req.expect("the request is well formed").into_parts();
+    let mut req = http::Request::post(format!("/v1/trust/{class}/find"));
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    let (head, ()) = req.body(()).expect("the request is well formed").into_parts();
     let body = Bytes::from(body.to_owned());
     let mut response = connection.send(&head, body).await.expect("the entry answers");
     let header = |name: &str| {
--- a/comfreymill_node/tests/prompt/failures.rs
+++ b/comfreymill_node/tests/prompt/failures.rs
@@ -83,3 +83,38 @@
         assert_eq!(executor.ran().len(), 0);
     });
 }
+
+#[test]
+fn a_key_whose_record_cannot_be_opened_is_not_run_and_is_free_again() {
+    run(async {
+        let executor = Executor::start(executor::ECHO);
+        let bed = Bed::start(&[executor.address], 2);
+        for _ in 0..3 {
+            let headers = [("idempotency-key", "certificate-1")];
+            let got = caller::ask_with(bed.callers, "certificate", "hull", &headers).await;
+            assert_eq!(got.run, "not-run");
+        }
+        assert_eq!(executor.ran().len(), 0);
+    });
+}
+
+#[test]
+fn malformed_requests_reach_no_executor() {
+    let cases = [
+        ("idempotency-key", "two words", 400),
+        ("comfreymill-team", "No Team", 400),
+        ("comfreymill-deadline", "soon", 400),
+        ("comfreymill-stage", "rehearsal", 400),
+    ];
+    run(async move {
+        let executor = Executor::start(executor::ECHO);
+        let bed = Bed::start(&[executor.address], 2);
+        for (name, value, status) in cases {
+            let got = caller::ask_with(bed.callers, "search", "hull", &[(name, value)]).await;
+            assert_eq!((got.status, got.run.as_str()), (status, "not-run"), "{name}");
+        }
+        let unknown = caller::ask(bed.callers, "no-such-class", "hull").await;
+        assert_eq!(unknown.error(), (404, "not-found", "not-run"));
+        assert_eq!(executor.ran().len(), 0);
+    });
+}
