feat(bench): one command for the figures of the docs, with state slopes and fleet measurements

Change: comfreymill-bench with parts that can be run alone (ledger, messages, granter, batch-cost, batch-policy, route, failover, configuration, idle, starts, prompt); relays of test clusters count bytes on each way.

--- a/comfreymill_bench/src/cluster/cluster.rs
+++ b/comfreymill_bench/src/cluster/cluster.rs
@@ -7,7 +7,7 @@
 use super::folder::Folder;
 use super::relays::Relays;
 use super::settings_text::{self, ControlAddresses, ZONES};
-use super::{EntryAddresses, Place, Process};
+use super::{EntryAddresses, Place, Process, Traffic};
 
 const FREE_PAUSE: Duration = Duration::from_millis(5);
 const KEY: &str = "a key that only the tests' own clusters hold";
@@ -116,6 +116,11 @@
         all.map(part).collect()
     }
 
+    /// Bytes on each way that has a relay.
+    pub fn get_traffic(&self) -> Vec<Traffic> {
+        self.relays.get_traffic()
+    }
+
     /// Lets nothing through between two sets of processes; connections stay open.
     pub fn cut(&self, some: &[Place], others: &[Place]) {
         self.relays.set_cut(some, others, true);
--- a/comfreymill_bench/src/cluster/mod.rs
+++ b/comfreymill_bench/src/cluster/mod.rs
@@ -15,4 +15,4 @@
 pub use cluster::Cluster;
 pub use config::ClusterConfig;
 pub use process::{EntryAddresses, Process};
-pub use relays::Place;
+pub use relays::{Place, Traffic};
--- a/comfreymill_bench/src/cluster/relay.rs
+++ b/comfreymill_bench/src/cluster/relay.rs
@@ -1,7 +1,7 @@
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -19,6 +19,8 @@
 struct State {
     is_cut: AtomicBool,
     is_over: AtomicBool,
+    there_bytes: AtomicU64,
+    back_bytes: AtomicU64,
 }
 
 impl Relay {
@@ -37,6 +39,12 @@
         self.address
     }
 
+    /// Bytes that went to the target and came back.
+    pub(super) fn get_bytes(&self) -> (u64, u64) {
+        let load = |bytes: &AtomicU64| bytes.load(Ordering::Relaxed);
+        (load(&self.state.there_bytes), load(&self.state.back_bytes))
+    }
+
     /// Lets bytes vanish, or flow again; connections stay open.
     pub(super) fn set_cut(&self, is_cut: bool) {
         self.state.is_cut.store(is_cut, Ordering::Relaxed);
@@ -78,12 +86,12 @@
     let Ok(far) = TcpStream::connect(target) else { return };
     let (Ok(near_too), Ok(far_too)) = (near.try_clone(), far.try_clone()) else { return };
     let shared = Arc::clone(state);
-    thread::spawn(move || copy(near_too, far_too, &shared));
-    copy(far, near, state);
+    thread::spawn(move || copy(near_too, far_too, &shared, &shared.there_bytes));
+    copy(far, near, state, &state.back_bytes);
 }
 
 /// Copies bytes until one side ends; a cut only holds them up.
-fn copy(mut from: TcpStream, mut to: TcpStream, state: &State) {
+fn copy(mut from: TcpStream, mut to: TcpStream, state: &State, bytes: &AtomicU64) {
     let mut buf = vec![0; BUFFER_BYTES];
     // A socket without a timeout would keep its thread for ever; the ends are found by reading.
     if from.set_read_timeout(Some(POLL)).is_err() || from.set_nonblocking(false).is_err() {
@@ -97,6 +105,7 @@
         match from.read(&mut buf) {
             Ok(0) => break,
             Ok(count) => {
+                bytes.fetch_add(count as u64, Ordering::Relaxed);
                 while state.is_cut() && !state.is_over() {
                     thread::sleep(POLL);
                 }
--- a/comfreymill_bench/src/cluster/relays.rs
+++ b/comfreymill_bench/src/cluster/relays.rs
@@ -13,6 +13,19 @@
     Entry(usize),
 }
 
+/// Bytes on one way between two processes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Traffic {
+    /// Process that opened the connections.
+    pub from: Place,
+    /// Control process that accepted them.
+    pub to: usize,
+    /// Bytes sent to the control process.
+    pub there: u64,
+    /// Bytes sent back.
+    pub back: u64,
+}
+
 /// Relays by the process that connects and the control process that it connects to.
 #[derive(Debug, Default)]
 pub(super) struct Relays {
@@ -34,6 +47,15 @@
         Ok(address)
     }
 
+    /// Bytes on each way so far.
+    pub(super) fn get_traffic(&self) -> Vec<Traffic> {
+        let traffic = |((from, to), relay): (&(Place, usize), &Relay)| {
+            let (there, back) = relay.get_bytes();
+            Traffic { from: *from, to: *to, there, back }
+        };
+        self.by_way.iter().map(traffic).collect()
+    }
+
     /// Cuts or mends every way between a place of `some` and one of `others`.
     pub(super) fn set_cut(&self, some: &[Place], others: &[Place], is_cut: bool) {
         for ((from, to), relay) in &self.by_way {
--- /dev/null
+++ b/comfreymill_bench/src/fleet/mod.rs
@@ -0,0 +1,25 @@
+//! Measurements on the product's own processes over loopback, with stand-ins around them.
+
+mod configuration;
+mod cost;
+mod failover;
+#[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
+mod fleet;
+mod idle;
+mod load;
+mod prompt;
+mod sample;
+mod starts;
+mod window;
+
+pub use configuration::configuration;
+pub use failover::failover;
+pub use idle::idle;
+pub use prompt::prompt;
+pub use starts::starts;
+
+use cost::Cost;
+use fleet::Fleet;
+use load::Load;
+use sample::Sample;
+use window::Window;
--- a/comfreymill_bench/src/lib.rs
+++ b/comfreymill_bench/src/lib.rs
@@ -2,6 +2,10 @@
 
 pub mod batch;
 pub mod cluster;
+pub mod error;
 pub mod figure;
+pub mod fleet;
+pub mod part;
 pub mod route;
 pub mod standin;
+pub mod state;
--- /dev/null
+++ b/comfreymill_bench/src/part/mod.rs
@@ -0,0 +1,6 @@
+//! Parts of the benchmark command.
+
+#[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
+mod part;
+
+pub use part::{ParsePartError, Part};
--- /dev/null
+++ b/comfreymill_bench/src/part/part.rs
@@ -0,0 +1,121 @@
+use std::fmt;
+use std::path::Path;
+use std::str;
+
+use crate::batch;
+use crate::error::BenchError;
+use crate::figure::Figure;
+use crate::fleet;
+use crate::route;
+use crate::state;
+
+/// Part of the benchmark that can be run alone.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Part {
+    /// Memory, snapshots and records of the replicated state.
+    Ledger,
+    /// Sizes of messages.
+    Messages,
+    /// Work of the leader's granter.
+    Granter,
+    /// Cost of batch decisions.
+    BatchCost,
+    /// Outcomes of the batch policies.
+    BatchPolicy,
+    /// Outcomes and cost of routing.
+    Route,
+    /// Time from a leader's death to the next write.
+    Failover,
+    /// Time from acceptance of a document until it is in force.
+    Configuration,
+    /// Processor time, memory and traffic of processes without load.
+    Idle,
+    /// The same while tasks start.
+    Starts,
+    /// Prompt requests through an entry and past it.
+    Prompt,
+}
+
+/// Text is not a part of the benchmark.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("`{text}` is not a part: write one of {}", names())]
+pub struct ParsePartError {
+    text: String,
+}
+
+const FLEETS: [usize; 4] = [100, 455, 910, 4_000];
+
+impl Part {
+    /// Every part, in the order in which they run.
+    pub const ALL: [Self; 11] = [
+        Self::Ledger,
+        Self::Messages,
+        Self::Granter,
+        Self::BatchCost,
+        Self::BatchPolicy,
+        Self::Route,
+        Self::Failover,
+        Self::Configuration,
+        Self::Idle,
+        Self::Starts,
+        Self::Prompt,
+    ];
+
+    /// Runs the part; parts with processes start them from `binary`.
+    ///
+    /// # Errors
+    ///
+    /// Processes could not be started or did not do what the benchmark needs.
+    pub fn run(self, binary: &Path, seed: u64) -> Result<Vec<Figure>, BenchError> {
+        match self {
+            Self::Messages => Ok(state::message_slopes(seed)),
+            Self::Ledger => state::ledger_slopes(seed),
+            Self::Granter => Ok(state::granter_slopes(seed)),
+            Self::BatchCost => {
+                Ok(FLEETS.into_iter().flat_map(|workers| batch::cost(workers, seed)).collect())
+            }
+            Self::BatchPolicy => Ok(batch::policy(batch::Site::Trust, seed)),
+            Self::Route => {
+                let mut figures = route::measure(&route::POLICIES, seed);
+                figures.extend(route::measure_decision_cost(seed));
+                Ok(figures)
+            }
+            Self::Failover => fleet::failover(binary, seed),
+            Self::Configuration => fleet::configuration(binary, seed),
+            Self::Idle => fleet::idle(binary, seed),
+            Self::Starts => fleet::starts(binary, seed),
+            Self::Prompt => fleet::prompt(binary, seed),
+        }
+    }
+}
+
+impl fmt::Display for Part {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Messages => "messages",
+            Self::Ledger => "ledger",
+            Self::Granter => "granter",
+            Self::BatchCost => "batch-cost",
+            Self::BatchPolicy => "batch-policy",
+            Self::Route => "route",
+            Self::Failover => "failover",
+            Self::Configuration => "configuration",
+            Self::Idle => "idle",
+            Self::Starts => "starts",
+            Self::Prompt => "prompt",
+        })
+    }
+}
+
+impl str::FromStr for Part {
+    type Err = ParsePartError;
+
+    fn from_str(text: &str) -> Result<Self, ParsePartError> {
+        let found = Self::ALL.into_iter().find(|part| part.to_string() == text);
+        found.ok_or_else(|| ParsePartError { text: text.to_owned() })
+    }
+}
+
+fn names() -> String {
+    Part::ALL.map(|part| part.to_string()).join(", ")
+}
