--- a/comfreymill_bench/src/fleet/failover.rs
+++ b/comfreymill_bench/src/fleet/failover.rs
@@ -24,6 +24,7 @@
         let mut fleet = Fleet::start(&Fleet::config(binary, voters, ENTRIES))?;
         let mut sample = Sample::default();
         for number in 0..kills {
+            fleet.wait_until_caught_up()?;
             sample.add(kill_leader(&mut fleet, number % ENTRIES)?);
         }
         figures.extend(sample.figures(&format!("failover.{voters}_voters"), seed));
@@ -31,8 +32,8 @@
     Ok(figures)
 }
 
-fn kill_leader(fleet: &mut Fleet, entry: usize) -> Result<Duration, BenchError> {
-    fleet.wait_until_caught_up()?;
+/// Kills the leader and starts it again once a write was accepted; gives the time until then.
+pub(super) fn kill_leader(fleet: &mut Fleet, entry: usize) -> Result<Duration, BenchError> {
     thread::sleep(SETTLING);
     let leader = fleet.wait_for_leader()?;
     let call = fleet.next_submission().timeout(TRY_TIMEOUT);
--- a/comfreymill_bench/src/fleet/fleet.rs
+++ b/comfreymill_bench/src/fleet/fleet.rs
@@ -140,6 +140,11 @@
         })
     }
 
+    /// Term in which a control process is.
+    pub(super) fn get_term(&self, control: usize) -> i64 {
+        self.status(control)["term"].as_i64().unwrap_or(0)
+    }
+
     /// Status of a control process; null while there is none.
     fn status(&self, control: usize) -> serde_json::Value {
         if self.cluster.controls[control].get_id().is_none() {
@@ -176,7 +181,7 @@
 }
 
 /// Name that is known to be valid.
-fn name<T>(text: &str) -> T
+pub(super) fn name<T>(text: &str) -> T
 where
     T: std::str::FromStr<Err = id::ParseIdError>,
 {
--- a/comfreymill_bench/src/fleet/mod.rs
+++ b/comfreymill_bench/src/fleet/mod.rs
@@ -5,15 +5,18 @@
 mod failover;
 #[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
 mod fleet;
+mod growth;
 mod idle;
 mod load;
 mod prompt;
 mod sample;
 mod starts;
+mod swarm;
 mod window;
 
 pub use configuration::configuration;
 pub use failover::failover;
+pub use growth::growth;
 pub use idle::idle;
 pub use prompt::prompt;
 pub use starts::starts;
@@ -22,4 +25,5 @@
 use fleet::Fleet;
 use load::Load;
 use sample::Sample;
+use swarm::Swarm;
 use window::Window;
--- a/comfreymill_bench/src/part/part.rs
+++ b/comfreymill_bench/src/part/part.rs
@@ -30,6 +30,8 @@
     Configuration,
     /// Processor time, memory and traffic of processes without load.
     Idle,
+    /// The same as the fleet grows to the target, and a leader's death there.
+    Growth,
     /// The same while tasks start.
     Starts,
     /// Prompt requests through an entry and past it.
@@ -47,7 +49,7 @@
 
 impl Part {
     /// Every part, in the order in which they run.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Ledger,
         Self::Messages,
         Self::Granter,
@@ -57,6 +59,7 @@
         Self::Failover,
         Self::Configuration,
         Self::Idle,
+        Self::Growth,
         Self::Starts,
         Self::Prompt,
     ];
@@ -83,6 +86,7 @@
             Self::Failover => fleet::failover(binary, seed),
             Self::Configuration => fleet::configuration(binary, seed),
             Self::Idle => fleet::idle(binary, seed),
+            Self::Growth => fleet::growth(binary, seed),
             Self::Starts => fleet::starts(binary, seed),
             Self::Prompt => fleet::prompt(binary, seed),
         }
@@ -101,6 +105,7 @@
             Self::Failover => "failover",
             Self::Configuration => "configuration",
             Self::Idle => "idle",
+            Self::Growth => "growth",
             Self::Starts => "starts",
             Self::Prompt => "prompt",
         })
--- a/comfreymill_bench/src/state/message_slopes.rs
+++ b/comfreymill_bench/src/state/message_slopes.rs
@@ -20,7 +20,8 @@
 const INCARNATION: id::Incarnation = id::Incarnation::new(1_780_000_000_000_000);
 const EPOCH: u64 = (3 << 32) + 1;
 
-/// Sizes of the messages between entries and the leader, without framing.
+/// Sizes of the messages between entries and the leader, without framing, and of the bodies
+/// between upstreams and entries.
 pub fn message_slopes(seed: u64) -> Vec<Figure> {
     let mut figures = Vec::new();
     let mut add = |name: String, bytes: usize| {
@@ -28,6 +29,7 @@
     };
     let announce = protocol::Call::Announce(announcement());
     add("executor_announcement".to_owned(), codec::encode(&announce).len());
+    add("executor_announcement.json".to_owned(), json_bytes(&announcement()));
     for held in EXECUTORS {
         let call = protocol::Call::Heartbeat(entry_heartbeat(held));
         add(format!("entry_heartbeat.{held}_held"), codec::encode(&call).len());
@@ -36,9 +38,12 @@
         add(format!("table_push.{rows}_executors"), codec::encode(&table(rows)).len());
     }
     for attempts in ATTEMPTS {
-        let call = protocol::Call::WorkerHeartbeat(Box::new(worker_heartbeat(attempts)));
+        let (heartbeat, directives) = (worker_heartbeat(attempts), directives(attempts));
+        add(format!("worker_heartbeat.{attempts}_attempts.json"), json_bytes(&heartbeat));
+        add(format!("worker_directives.{attempts}_attempts.json"), json_bytes(&directives));
+        let call = protocol::Call::WorkerHeartbeat(Box::new(heartbeat));
         add(format!("worker_heartbeat.{attempts}_attempts"), codec::encode(&call).len());
-        let answer = protocol::Answer::Directives(directives(attempts));
+        let answer = protocol::Answer::Directives(directives);
         add(format!("worker_directives.{attempts}_attempts"), codec::encode(&answer).len());
     }
     for teams in TEAMS {
@@ -47,6 +52,13 @@
     figures
 }
 
+fn json_bytes<T>(value: &T) -> usize
+where
+    T: serde::Serialize,
+{
+    serde_json::to_vec(value).map_or(0, |json| json.len())
+}
+
 fn announcement() -> protocol::ExecutorAnnouncement {
     protocol::ExecutorAnnouncement {
         name: names::executor(17),
