--- a/comfreymill_bench/src/state/message_slopes.rs
+++ b/comfreymill_bench/src/state/message_slopes.rs
@@ -95,6 +95,7 @@
         holdings: (0..held).map(holding).collect(),
         avoided: Vec::new(),
         draining: false,
+        is_over: false,
     }
 }
 
