--- a/comfreymill_bench/src/lib.rs
+++ b/comfreymill_bench/src/lib.rs
@@ -2,8 +2,12 @@
 
 pub mod batch;
 pub mod cluster;
+pub mod error;
 pub mod figure;
 pub mod first_day;
+pub mod fleet;
 pub mod idle;
+pub mod part;
 pub mod route;
 pub mod standin;
+pub mod state;
