test(fleet): wait for a leaving executor by what the leader knows

Change: they wait until the leader shows the executor as leaving and then the 2 s of the goal, after which every search must go elsewhere.

--- a/tests/fleet/pairs.rs
+++ b/tests/fleet/pairs.rs
@@ -78,15 +78,7 @@
     let leader = fixture.wait_for_leader();
     fixture.executors[0].leave();
     fixture.cluster.controls[leader].kill();
-    fixture.wait("that only the other executor is used", || {
-        let before = fixture.journal.get_records().len();
-        for entry in 0..2 {
-            for turn in 0..8 {
-                fixture.search(entry, &format!("leave-{before}-{entry}-{turn}"));
-            }
-        }
-        fixture.journal.get_records()[before..].iter().all(|record| record.place == "hr-2")
-    });
+    fixture.wait_until_left("hr-1");
     let before = fixture.journal.get_records().len();
     for turn in 0..20 {
         fixture.search(turn % 2, &format!("left-{turn}"));
--- a/tests/fleet/prompt.rs
+++ b/tests/fleet/prompt.rs
@@ -63,13 +63,7 @@
     let mut fixture = ready_fixture(1, 1);
     fixture.add_executor("hr-2");
     fixture.executors[0].leave();
-    fixture.wait("that only the other executor is used", || {
-        let before = fixture.journal.get_records().len();
-        for turn in 0..8 {
-            fixture.search(0, &format!("leave-{before}-{turn}"));
-        }
-        fixture.journal.get_records()[before..].iter().all(|record| record.place == "hr-2")
-    });
+    fixture.wait_until_left("hr-1");
     let before = fixture.journal.get_records().len();
     for turn in 0..40 {
         fixture.search(0, &format!("left-{turn}"));
--- a/tests/support/fixture.rs
+++ b/tests/support/fixture.rs
@@ -8,6 +8,8 @@
 
 /// Longest time for which a test waits before it calls the wait endless.
 const PATIENCE: Duration = Duration::from_secs(90);
+/// Time after which a leaving executor gets no new work.
+const LEAVING_LIMIT: Duration = Duration::from_secs(2);
 const POLL: Duration = Duration::from_millis(50);
 
 const DOCUMENT: &str = include_str!("../../samples/environment-trust.yaml");
@@ -204,6 +206,16 @@
         self.wait_for("production", &promote, |body| body["digest"] == digest);
     }
 
+    /// Waits until the leader knows that an executor is leaving, and as long as its work may last.
+    pub(crate) fn wait_until_left(&self, name: &str) {
+        let status = Call::get("/v1/status");
+        self.wait_for(&format!("that {name} is leaving"), &status, |body| {
+            let executors = body["executors"].as_array().cloned().unwrap_or_default();
+            executors.iter().any(|it| it["name"] == name && it["is_leaving"] == true)
+        });
+        std::thread::sleep(LEAVING_LIMIT);
+    }
+
     /// Searches until an answer comes; gives the body.
     pub(crate) fn search(&self, entry: usize, name: &str) -> String {
         let mut answer = String::new();
