--- a/comfreymill_bench/src/cluster/config.rs
+++ b/comfreymill_bench/src/cluster/config.rs
@@ -9,6 +9,7 @@
     pub(super) entries: usize,
     pub(super) is_relayed: bool,
     pub(super) lease: String,
+    pub(super) snapshot_entries: u64,
     pub(super) extra: String,
 }
 
@@ -26,6 +27,7 @@
             entries: 1,
             is_relayed: false,
             lease,
+            snapshot_entries: 20_000,
             extra,
         }
     }
@@ -68,6 +70,13 @@
         self
     }
 
+    /// Sets the entries of the log between two snapshots.
+    #[must_use]
+    pub fn snapshot_entries(mut self, entries: u64) -> Self {
+        self.snapshot_entries = entries;
+        self
+    }
+
     /// Adds lines to every settings file.
     #[must_use]
     pub fn extra<E>(mut self, extra: E) -> Self
--- a/comfreymill_bench/src/cluster/settings_text.rs
+++ b/comfreymill_bench/src/cluster/settings_text.rs
@@ -22,8 +22,8 @@
 ) -> String {
     let mut text = common(cfg, voters, "control", &format!("control-{index}"), index);
     text.push_str(&format!(
-        "data_folder: data-{index}\nlisteners:\n  operators: {}\n  peers: {}\n",
-        own.operators, own.peers
+        "snapshot_entries: {}\ndata_folder: data-{index}\nlisteners:\n  operators: {}\n  peers: {}\n",
+        cfg.snapshot_entries, own.operators, own.peers
     ));
     text
 }
--- a/comfreymill_node/src/control/core/config.rs
+++ b/comfreymill_node/src/control/core/config.rs
@@ -9,7 +9,6 @@
 const EXECUTOR_SILENCE: Duration = Duration::from_secs(5);
 const GRANT_PERIOD: Duration = Duration::from_millis(250);
 const WORKER_PERIOD: Duration = Duration::from_secs(1);
-const SNAPSHOT_ENTRIES: u64 = 20_000;
 const PPM: f64 = 1e6;
 
 /// What the core needs to know.
@@ -51,7 +50,7 @@
             executor_silence: EXECUTOR_SILENCE,
             grant_period: GRANT_PERIOD,
             worker_period: WORKER_PERIOD,
-            snapshot_entries: SNAPSHOT_ENTRIES,
+            snapshot_entries: settings.get_snapshot_entries(),
             granter,
             scheduler,
         }
--- a/comfreymill_node/src/settings/control_settings.rs
+++ b/comfreymill_node/src/settings/control_settings.rs
@@ -10,6 +10,8 @@
 use super::common_settings;
 use super::settings_file;
 
+const SNAPSHOT_ENTRIES: u64 = 20_000;
+
 /// Settings of a control process.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ControlSettings {
@@ -17,12 +19,19 @@
     name: id::VoterName,
     data_folder: path::PathBuf,
     placement: config::Policy,
+    snapshot_entries: u64,
 }
 
 impl ControlSettings {
     /// Settings of the voter `name` with the folder of its state.
     pub fn new(common: CommonSettings, name: id::VoterName, data_folder: path::PathBuf) -> Self {
-        Self { common, name, data_folder, placement: config::Policy::default() }
+        Self {
+            common,
+            name,
+            data_folder,
+            placement: config::Policy::default(),
+            snapshot_entries: SNAPSHOT_ENTRIES,
+        }
     }
 
     /// Reads a file without a look at the machine; paths are relative to `folder`.
@@ -68,6 +77,11 @@
         voters.any(|voter| voter.name == self.name && voter.spare)
     }
 
+    /// Entries of the log between two snapshots.
+    pub fn get_snapshot_entries(&self) -> u64 {
+        self.snapshot_entries
+    }
+
     /// Sets the rule by which tasks are placed.
     #[must_use]
     pub fn placement(mut self, placement: config::Policy) -> Self {
@@ -83,6 +97,10 @@
         let name = section.required("name");
         let data_folder: Option<path::PathBuf> = section.required("data_folder");
         let placement = section.optional("placement").unwrap_or_default();
+        let snapshot_entries = section.optional("snapshot_entries").unwrap_or(SNAPSHOT_ENTRIES);
+        if snapshot_entries == 0 {
+            section.problem("snapshot_entries", "a snapshot covers at least 1 entry");
+        }
         listeners.finish();
         tokens.finish();
         let settings = Self {
@@ -90,6 +108,7 @@
             name: name?,
             data_folder: folder.join(data_folder?),
             placement,
+            snapshot_entries,
         };
         common_settings::check_doubled(&listeners, &settings.get_listeners());
         settings.check_voter(section, &listeners);
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -6,4 +6,6 @@
 mod pairs;
 mod partition;
 mod prompt;
+mod slots;
+mod snapshots;
 mod voters;
--- /dev/null
+++ b/tests/fleet/slots.rs
@@ -0,0 +1,56 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use comfreymill_bench::standin::{Behaviour, Call};
+
+use crate::support::Fixture;
+
+const SLOTS: u32 = 8;
+const CALLERS: usize = 24;
+
+#[test]
+fn an_executor_never_runs_more_than_its_slots_through_changes_of_leader_and_entry() {
+    let mut fixture = Fixture::start_with(&Fixture::config(3, 2).lease("2s"));
+    fixture.promote_document();
+    fixture.add_executor("hr-1");
+    fixture.search(0, "warm");
+    fixture.search(1, "warm");
+    fixture.executors[0].behave(Behaviour::Echo(Duration::from_millis(60)));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            let address = fixture.cluster.get_entry(caller % 2).callers;
+            let is_over = Arc::clone(&is_over);
+            thread::spawn(move || {
+                let mut turn = 0;
+                while !is_over.load(Ordering::Relaxed) {
+                    turn += 1;
+                    let target = format!("/v1/derwent-hull/name-search/load-{caller}-{turn}");
+                    // What becomes of a request does not matter here; the executor counts.
+                    Call::get(target).send_blocking(address).ok();
+                    thread::sleep(Duration::from_millis(2));
+                }
+            })
+        })
+        .collect();
+    for _ in 0..2 {
+        thread::sleep(Duration::from_millis(800));
+        let leader = fixture.wait_for_leader();
+        fixture.cluster.controls[leader].kill();
+        fixture.wait_for_leader();
+        fixture.cluster.controls[leader].start().expect("control starts again");
+        thread::sleep(Duration::from_millis(800));
+        fixture.cluster.entries[0].kill();
+        fixture.cluster.entries[0].start().expect("an entry starts again");
+    }
+    thread::sleep(Duration::from_millis(1_500));
+    is_over.store(true, Ordering::Relaxed);
+    for caller in callers {
+        caller.join().expect("a caller");
+    }
+    let most = fixture.executors[0].get_most_at_once();
+    assert!(most > SLOTS / 2, "the load was too low to show anything: {most}");
+    assert!(most <= SLOTS, "{most} requests ran at once");
+}
