fix(control): show entries the slots that are asked back of them

Cause: a restarted entry in another region sometimes never got slots (fleet::pairs::every_process_restarts_under_load_and_no_request_is_interrupted, 1 of 3 runs). Found by printing the granter's plan in a scratch copy: a recall of two slots stayed open for ever. The leader sent tables only when grants changed in the log, and a recall changes only what an entry is shown. Ruled out: shunned executors, a missing heartbeat, an entry without a link.

--- a/comfreymill_route/src/grant/granter.rs
+++ b/comfreymill_route/src/grant/granter.rs
@@ -25,6 +25,8 @@
     /// Executors that most entries have ejected, as of the last plan.
     pub(super) shunned: BTreeSet<id::ExecutorName>,
     pub(super) changes: Vec<GrantChange>,
+    /// Whether a grant was recalled, or a recall ended, since the shell last looked.
+    is_view_changed: bool,
 }
 
 impl Granter {
@@ -47,6 +49,7 @@
             entries,
             shunned: BTreeSet::new(),
             changes: Vec::new(),
+            is_view_changed: true,
         };
         for grant in grants {
             this.recover_grant(now, &grant);
@@ -156,6 +159,11 @@
         mem::take(&mut self.changes)
     }
 
+    /// Whether entries are to be shown other tables than before the last call.
+    pub fn take_is_view_changed(&mut self) -> bool {
+        mem::take(&mut self.is_view_changed)
+    }
+
     /// Sets the longest time that a request may run from now on.
     pub fn longest_deadline(&mut self, longest: Duration) {
         self.cfg = self.cfg.clone().longest_deadline(longest);
@@ -231,6 +239,7 @@
         if target < holder.target {
             holder.target = target;
             holder.view_epoch = epoch;
+            self.is_view_changed = true;
         }
     }
 
@@ -249,6 +258,7 @@
         if kept > 0 {
             holder.target += kept;
             holder.view_epoch = epoch;
+            self.is_view_changed = true;
         }
         let new = more - kept;
         if new > 0 {
