test(fleet): requests that outlast leader and entry count against the slots

Cause: the slots test did not catch a new leader that forgets the grants in the log. Change: its requests are long and keyed, and leader and entry are killed together, so that slots handed on too early show as a ninth request at once.

--- a/tests/fleet/slots.rs
+++ b/tests/fleet/slots.rs
@@ -17,7 +17,8 @@
     fixture.add_executor("hr-1");
     fixture.search(0, "warm");
     fixture.search(1, "warm");
-    fixture.executors[0].behave(Behaviour::Echo(Duration::from_millis(60)));
+    // Requests outlast the change of leader, and the entry that sent them.
+    fixture.executors[0].behave(Behaviour::Echo(Duration::from_millis(1_500)));
     let is_over = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
@@ -27,9 +28,10 @@
                 let mut turn = 0;
                 while !is_over.load(Ordering::Relaxed) {
                     turn += 1;
-                    let target = format!("/v1/derwent-hull/name-search/load-{caller}-{turn}");
+                    let key = format!("load-{caller}-{turn}");
+                    let target = format!("/v1/derwent-hull/issue-certificate/{key}");
                     // What becomes of a request does not matter here; the executor counts.
-                    Call::get(target).send_blocking(address).ok();
+                    Call::get(target).header("idempotency-key", &key).send_blocking(address).ok();
                     thread::sleep(Duration::from_millis(2));
                 }
             })
@@ -39,10 +41,10 @@
         thread::sleep(Duration::from_millis(800));
         let leader = fixture.wait_for_leader();
         fixture.cluster.controls[leader].kill();
+        fixture.cluster.entries[0].kill();
         fixture.wait_for_leader();
+        thread::sleep(Duration::from_millis(1_500));
         fixture.cluster.controls[leader].start().expect("control starts again");
-        thread::sleep(Duration::from_millis(800));
-        fixture.cluster.entries[0].kill();
         fixture.cluster.entries[0].start().expect("an entry starts again");
     }
     thread::sleep(Duration::from_millis(1_500));
