--- a/comfreymill_node/src/command/flags/general.rs
+++ b/comfreymill_node/src/command/flags/general.rs
@@ -1,9 +1,11 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use comfreymill_types::id::VoterName;
 use comfreymill_types::time::Span;
 
 use crate::command::OutputFormat;
+use crate::protocol::VoterChange;
 
 xflags::xflags! {
     /// Schedules prompt requests and batch tasks that share machines.
@@ -65,6 +67,14 @@
             required id: String
         }
 
+        /// Adds a spare voter to the group, gives it its vote, or removes a voter.
+        cmd voter {
+            /// Name of the voter in the settings.
+            required name: VoterName
+            /// What becomes of it: add, promote or remove.
+            required change: VoterChange
+        }
+
         /// Stops the node at the one address given, once its open requests are done.
         cmd drain {}
     }
--- a/comfreymill_node/src/command/flags/job.rs
+++ b/comfreymill_node/src/command/flags/job.rs
@@ -2,7 +2,7 @@
 use std::path::PathBuf;
 
 use comfreymill_types::document::Stage;
-use comfreymill_types::id::{ClassName, EnvironmentName, IdempotencyKey, JobId, TeamName};
+use comfreymill_types::id::{ClassName, EnvironmentName, IdempotencyKey, JobId, TaskId, TeamName};
 use comfreymill_types::time::Span;
 
 use crate::command::OutputFormat;
@@ -49,6 +49,12 @@
         /// Lists jobs.
         cmd list {}
 
+        /// Lets a parked task run again; first find out whether it took effect.
+        cmd release {
+            /// Id of the task, as j17.3.
+            required id: TaskId
+        }
+
         /// Cancels what is left of a job.
         cmd cancel {
             /// Id of the job, as j17.
--- a/comfreymill_node/src/command/general.rs
+++ b/comfreymill_node/src/command/general.rs
@@ -29,6 +29,9 @@
         general::ComfreymillCmd::Explain(flags) => {
             ask(&Request::get(format!("/v1/explain/{}", flags.id)), options)
         }
+        general::ComfreymillCmd::Voter(flags) => {
+            ask(&Request::post(format!("/v1/voters/{}/{}", flags.name, flags.change)), options)
+        }
         general::ComfreymillCmd::Drain(_) => drain(options),
     }
 }
--- a/comfreymill_node/src/command/job.rs
+++ b/comfreymill_node/src/command/job.rs
@@ -20,6 +20,7 @@
         job::JobCmd::Submit(flags) => submit(flags)?,
         job::JobCmd::Status(flags) => Request::get(format!("/v1/jobs/{}", flags.id)),
         job::JobCmd::List(_) => Request::get("/v1/jobs"),
+        job::JobCmd::Release(flags) => Request::post(format!("/v1/tasks/{}/release", flags.id)),
         job::JobCmd::Cancel(flags) => Request::post(format!("/v1/jobs/{}/cancel", flags.id)),
     };
     let body = Client::new(options)?.call(&request)?;
--- a/comfreymill_node/src/protocol/voter_change.rs
+++ b/comfreymill_node/src/protocol/voter_change.rs
@@ -1,3 +1,4 @@
+use std::fmt;
 use std::str;
 
 use comfreymill_types::error;
@@ -14,6 +15,16 @@
     Remove,
 }
 
+impl fmt::Display for VoterChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Add => "add",
+            Self::Promote => "promote",
+            Self::Remove => "remove",
+        })
+    }
+}
+
 impl str::FromStr for VoterChange {
     type Err = error::Error;
 
--- a/tests/command_line/client.rs
+++ b/tests/command_line/client.rs
@@ -190,7 +190,7 @@
 fn commands_ask_their_paths() {
     let node = Node::start(Behaviour::Answer(200, r#"{"version":3,"text":"name: trust\n"}"#));
     let digest = "ab".repeat(32);
-    let cases: [(&[&str], &str); 9] = [
+    let cases: [(&[&str], &str); 11] = [
         (&["status"], "GET /v1/status"),
         (&["explain", "j17"], "GET /v1/explain/j17"),
         (&["drain"], "POST /v1/drain"),
@@ -199,6 +199,8 @@
         (&["env", "status", "trust"], "GET /v1/env/trust/status"),
         (&["env", "promote", "trust", &digest], "POST /v1/env/trust/promote"),
         (&["job", "list"], "GET /v1/jobs"),
+        (&["job", "release", "j17.3"], "POST /v1/tasks/j17.3/release"),
+        (&["voter", "control-4", "promote"], "POST /v1/voters/control-4/promote"),
         (&["job", "cancel", "j17"], "POST /v1/jobs/j17/cancel"),
     ];
     for (args, expected) in cases {
--- a/tests/command_line/snapshots.rs
+++ b/tests/command_line/snapshots.rs
@@ -36,6 +36,7 @@
         "check --help",
         "status --help",
         "explain --help",
+        "voter --help",
         "drain --help",
     ];
     expect_snapshot("help_general", &lines);
@@ -54,6 +55,7 @@
         "job submit --help",
         "job status --help",
         "job list --help",
+        "job release --help",
         "job cancel --help",
     ];
     expect_snapshot("help_groups", &lines);
