--- a/comfreymill_types/src/id/attempt_id.rs
+++ b/comfreymill_types/src/id/attempt_id.rs
@@ -94,16 +94,4 @@
     }
 }
 
-impl TryFrom<String> for AttemptId {
-    type Error = ParseIdError;
-
-    fn try_from(text: String) -> Result<Self, ParseIdError> {
-        text.parse()
-    }
-}
-
-impl From<AttemptId> for String {
-    fn from(id: AttemptId) -> Self {
-        id.to_string()
-    }
-}
+text_conversions!(AttemptId);
--- a/comfreymill_types/src/id/digest.rs
+++ b/comfreymill_types/src/id/digest.rs
@@ -60,16 +60,4 @@
     }
 }
 
-impl TryFrom<String> for Digest {
-    type Error = ParseIdError;
-
-    fn try_from(text: String) -> Result<Self, ParseIdError> {
-        text.parse()
-    }
-}
-
-impl From<Digest> for String {
-    fn from(digest: Digest) -> Self {
-        digest.to_string()
-    }
-}
+text_conversions!(Digest);
--- a/comfreymill_types/src/id/mod.rs
+++ b/comfreymill_types/src/id/mod.rs
@@ -3,6 +3,9 @@
 //! A name is 1 to 63 lower-case letters, digits, dots, hyphens or underscores. A key is 1 to 255
 //! visible ASCII characters, since callers choose it.
 
+#[macro_use]
+mod macros;
+
 mod attempt_id;
 mod digest;
 mod incarnation;
--- a/comfreymill_types/src/id/name.rs
+++ b/comfreymill_types/src/id/name.rs
@@ -1,9 +1,3 @@
-use std::fmt;
-use std::str;
-use std::sync::Arc;
-
-use super::ParseIdError;
-
 const MAX_NAME_BYTES: usize = 63;
 const RULE: &str = "write 1 to 63 of a-z 0-9 . _ -, beginning with a letter or digit";
 
@@ -15,113 +9,87 @@
     first_fits && all_fit && text.len() <= MAX_NAME_BYTES
 }
 
-macro_rules! name {
-    ($(#[$doc:meta])* $type:ident, $kind:literal) => {
-        $(#[$doc])*
-        #[derive(
-            Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize,
-        )]
-        #[serde(try_from = "String", into = "String")]
-        pub struct $type(Arc<str>);
-
-        impl $type {
-            /// Name as text.
-            pub fn as_str(&self) -> &str {
-                &self.0
-            }
-        }
-
-        impl fmt::Display for $type {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
-            }
-        }
-
-        impl str::FromStr for $type {
-            type Err = ParseIdError;
-
-            fn from_str(text: &str) -> Result<Self, ParseIdError> {
-                if is_name(text) {
-                    Ok(Self(text.into()))
-                } else {
-                    Err(ParseIdError::new($kind, text, RULE))
-                }
-            }
-        }
-
-        impl TryFrom<String> for $type {
-            type Error = ParseIdError;
-
-            fn try_from(text: String) -> Result<Self, ParseIdError> {
-                text.parse()
-            }
-        }
-
-        impl From<$type> for String {
-            fn from(name: $type) -> Self {
-                name.0.as_ref().to_owned()
-            }
-        }
-    };
-}
-
-name!(
+text_id!(
     /// Name of a class of requests or tasks.
     ClassName,
-    "class name"
+    "class name",
+    is_name,
+    RULE
 );
-name!(
+text_id!(
     /// Name of a cluster, one per customer.
     ClusterName,
-    "cluster name"
+    "cluster name",
+    is_name,
+    RULE
 );
-name!(
+text_id!(
     /// Name of an entry process.
     EntryName,
-    "entry name"
+    "entry name",
+    is_name,
+    RULE
 );
-name!(
+text_id!(
     /// Name of an environment.
     EnvironmentName,
-    "environment name"
+    "environment name",
+    is_name,
+    RULE
 );
-name!(
+text_id!(
     /// Name of an executor, kept over its restarts.
     ExecutorName,
-    "executor name"
+    "executor name",
+    is_name,
+    RULE
 );
-name!(
+text_id!(
     /// Name of a rack.
     RackName,
-    "rack name"
+    "rack name",
+    is_name,
+    RULE
 );
-name!(
+text_id!(
     /// Name of a region.
     RegionName,
-    "region name"
+    "region name",
+    is_name,
+    RULE
 );
-name!(
+text_id!(
     /// Name of a prompt service.
     ServiceName,
-    "service name"
+    "service name",
+    is_name,
+    RULE
 );
-name!(
+text_id!(
     /// Name of a team.
     TeamName,
-    "team name"
+    "team name",
+    is_name,
+    RULE
 );
-name!(
+text_id!(
     /// Name of a control process.
     VoterName,
-    "voter name"
+    "voter name",
+    is_name,
+    RULE
 );
-name!(
+text_id!(
     /// Name of a worker.
     WorkerName,
-    "worker name"
+    "worker name",
+    is_name,
+    RULE
 );
-name!(
+text_id!(
     /// Name of an availability zone.
     ZoneName,
-    "zone name"
+    "zone name",
+    is_name,
+    RULE
 );
--- a/comfreymill_types/src/id/task_id.rs
+++ b/comfreymill_types/src/id/task_id.rs
@@ -50,16 +50,4 @@
     }
 }
 
-impl TryFrom<String> for TaskId {
-    type Error = ParseIdError;
-
-    fn try_from(text: String) -> Result<Self, ParseIdError> {
-        text.parse()
-    }
-}
-
-impl From<TaskId> for String {
-    fn from(id: TaskId) -> Self {
-        id.to_string()
-    }
-}
+text_conversions!(TaskId);
