refactor(entry): open and serve the listeners in a type of their own

Change: Listeners opens and serves the three sides; the contexts are made by functions of their own. Measured: tests of the processes and of the node pass; no change of behaviour.

--- /dev/null
+++ b/comfreymill_node/src/entry/listeners.rs
@@ -0,0 +1,54 @@
+use comfreymill_http::limits;
+use comfreymill_http::server;
+use comfreymill_types::error;
+use monoio::net::TcpListener;
+use monoio::task::JoinHandle;
+
+use super::operators;
+use super::prompt;
+use super::upstreams;
+use crate::runtime;
+use crate::settings;
+
+/// Open listeners of an entry.
+pub(super) struct Listeners {
+    limits: limits::Limits,
+    callers: TcpListener,
+    upstreams: TcpListener,
+    operators: TcpListener,
+}
+
+impl Listeners {
+    /// Opens every listener.
+    ///
+    /// # Errors
+    ///
+    /// `invalid-settings` that names the listener.
+    pub(super) fn open(settings: &settings::EntrySettings) -> Result<Self, error::Error> {
+        let common = settings.get_common();
+        let operators = common.get_network().get_operators();
+        Ok(Self {
+            limits: runtime::http_limits(common.get_limits()),
+            callers: runtime::listen("listeners.callers", settings.get_callers())?,
+            upstreams: runtime::listen("listeners.upstreams", settings.get_upstreams())?,
+            operators: runtime::listen("listeners.operators", operators)?,
+        })
+    }
+
+    /// Serves every side; gives the end of the callers' side, which `callers_end` begins.
+    pub(super) fn serve(
+        self,
+        callers: prompt::Context,
+        upstreams: upstreams::Context,
+        operators: operators::Context,
+        callers_end: server::Shutdown,
+    ) -> JoinHandle<server::Drained> {
+        let handler = async move |req: server::Request<'_>| operators::serve(&operators, req).await;
+        let never = server::Shutdown::new;
+        monoio::spawn(server::serve(self.operators, self.limits.clone(), handler, never()));
+        let handler = async move |req: server::Request<'_>| upstreams::serve(&upstreams, req).await;
+        monoio::spawn(server::serve(self.upstreams, self.limits.clone(), handler, never()));
+        let handler = async move |req: server::Request<'_>| prompt::serve(&callers, req).await;
+        monoio::spawn(server::serve(self.callers, self.limits, handler, callers_end))
+    }
+}
--- a/comfreymill_node/src/entry/mod.rs
+++ b/comfreymill_node/src/entry/mod.rs
@@ -3,6 +3,7 @@
 pub mod dispatch;
 mod heartbeat;
 pub mod link;
+mod listeners;
 pub mod operators;
 pub mod pool;
 mod probe;
--- a/comfreymill_node/src/entry/process.rs
+++ b/comfreymill_node/src/entry/process.rs
@@ -9,6 +9,7 @@
 use super::dispatch;
 use super::heartbeat;
 use super::link;
+use super::listeners::Listeners;
 use super::operators;
 use super::pool;
 use super::prompt;
@@ -43,15 +44,7 @@
     stop: &flume::Receiver<runtime::Stop>,
 ) -> Result<(), error::Error> {
     let clock = clock::Clock::start();
-    let common = settings.get_common();
-    let limits = runtime::http_limits(common.get_limits());
-    let callers = runtime::listen("listeners.callers", settings.get_callers())?;
-    let upstreams = runtime::listen("listeners.upstreams", settings.get_upstreams())?;
-    let operators = runtime::listen("listeners.operators", common.get_network().get_operators())?;
-    let operators_token = web::Token::read(common.get_operators_token_file())?;
-    let callers_token = settings.get_callers_token_file().map(web::Token::read).transpose()?;
-    let upstreams_token = settings.get_upstreams_token_file().map(web::Token::read).transpose()?;
-
+    let listeners = Listeners::open(settings)?;
     let pool = Rc::new(pool::Pool::default());
     let (dispatcher, heartbeats_due) =
         dispatch::start(dispatch_config(settings)?, clock, pool.clone());
@@ -62,47 +55,22 @@
         heartbeat::run(clock, dispatcher.clone(), link.clone(), heartbeats_due, HEARTBEAT_PERIOD);
     monoio::spawn(beats);
 
-    let regions = common.get_network().get_regions();
-    let region = regions.get_region(common.get_zone()).cloned();
-    let max_body_bytes = common.get_limits().get_body().get();
-    let cx = prompt::Context::new(clock, dispatcher.clone(), link.clone(), pool, max_body_bytes)
-        .region(region)
-        .token(callers_token);
-    let handler = async move |req: server::Request<'_>| prompt::serve(&cx, req).await;
-    let callers_end = server::Shutdown::new();
-    let callers =
-        monoio::spawn(server::serve(callers, limits.clone(), handler, callers_end.clone()));
-
-    let cx = upstreams::Context { link: link.clone(), token: upstreams_token };
-    let handler = async move |req: server::Request<'_>| upstreams::serve(&cx, req).await;
-    monoio::spawn(server::serve(upstreams, limits.clone(), handler, server::Shutdown::new()));
-
     let (drain, drains) = flume::unbounded();
-    let cx = operators::Context {
-        link: link.clone(),
-        dispatcher: dispatcher.clone(),
-        token: Some(operators_token),
-        meter: metering::Meter::install()?,
-        drain,
-    };
-    let handler = async move |req: server::Request<'_>| operators::serve(&cx, req).await;
-    monoio::spawn(server::serve(operators, limits, handler, server::Shutdown::new()));
+    let callers_end = server::Shutdown::new();
+    let callers = listeners.serve(
+        prompt_context(settings, clock, &dispatcher, &link, pool)?,
+        upstreams_context(settings, &link)?,
+        operators_context(settings, &dispatcher, &link, drain)?,
+        callers_end.clone(),
+    );
 
     log::info!(target: "entry", "Entry {} serves callers on {}.", settings.get_name(), settings.get_callers());
-    monoio::select! {
-        signal = stop.recv_async() => {
-            if signal != Ok(runtime::Stop::Graceful) {
-                return Ok(());
-            }
-        }
-        _ = drains.recv_async() => {}
+    if !is_graceful(stop, &drains).await {
+        return Ok(());
     }
-    let grace = common.get_timing().get_drain().get_duration();
-    let drained = async {
-        drain_callers(&dispatcher, &link, &callers_end, callers, grace).await;
-    };
+    let grace = settings.get_common().get_timing().get_drain().get_duration();
     monoio::select! {
-        () = drained => {}
+        () = drain_callers(&dispatcher, &link, &callers_end, callers, grace) => {}
         _ = stop.recv_async() => {
             let open = dispatcher.show().await.map_or(0, |status| status.open_requests);
             log::warn!(target: "entry", "Stopped at once with {open} requests in progress.");
@@ -111,6 +79,55 @@
     Ok(())
 }
 
+/// Waits until the process is told to stop; tells whether gracefully.
+async fn is_graceful(stop: &flume::Receiver<runtime::Stop>, drains: &flume::Receiver<()>) -> bool {
+    monoio::select! {
+        signal = stop.recv_async() => signal == Ok(runtime::Stop::Graceful),
+        _ = drains.recv_async() => true,
+    }
+}
+
+fn prompt_context(
+    settings: &settings::EntrySettings,
+    clock: clock::Clock,
+    dispatcher: &dispatch::Dispatcher,
+    link: &link::Link,
+    pool: Rc<pool::Pool>,
+) -> Result<prompt::Context, error::Error> {
+    let common = settings.get_common();
+    let regions = common.get_network().get_regions();
+    let region = regions.get_region(common.get_zone()).cloned();
+    let max_body_bytes = common.get_limits().get_body().get();
+    let token = settings.get_callers_token_file().map(web::Token::read).transpose()?;
+    let (dispatcher, link) = (dispatcher.clone(), link.clone());
+    let cx = prompt::Context::new(clock, dispatcher, link, pool, max_body_bytes);
+    Ok(cx.region(region).token(token))
+}
+
+fn upstreams_context(
+    settings: &settings::EntrySettings,
+    link: &link::Link,
+) -> Result<upstreams::Context, error::Error> {
+    let token = settings.get_upstreams_token_file().map(web::Token::read).transpose()?;
+    Ok(upstreams::Context { link: link.clone(), token })
+}
+
+fn operators_context(
+    settings: &settings::EntrySettings,
+    dispatcher: &dispatch::Dispatcher,
+    link: &link::Link,
+    drain: flume::Sender<()>,
+) -> Result<operators::Context, error::Error> {
+    let token = web::Token::read(settings.get_common().get_operators_token_file())?;
+    Ok(operators::Context {
+        link: link.clone(),
+        dispatcher: dispatcher.clone(),
+        token: Some(token),
+        meter: metering::Meter::install()?,
+        drain,
+    })
+}
+
 /// Stops gracefully: readiness first, then the listener, then the requests in progress.
 async fn drain_callers(
     dispatcher: &dispatch::Dispatcher,
