fix(peer): cap the connections of peers that have not proved themselves

Change: at most 64 at a time; later ones are closed at once. A test opens 300, counts the voter's open files, and then needs that voter for a quorum.

--- a/comfreymill_bench/src/cluster/cluster.rs
+++ b/comfreymill_bench/src/cluster/cluster.rs
@@ -23,6 +23,7 @@
     pub entries: Vec<Process>,
     addresses: Vec<EntryAddresses>,
     operators: Vec<SocketAddr>,
+    peers: Vec<SocketAddr>,
     relays: Relays,
     _folder: Folder,
 }
@@ -54,6 +55,7 @@
             entries: Vec::new(),
             addresses: Vec::new(),
             operators: all.iter().map(|control| control.operators).collect(),
+            peers: all.iter().map(|control| control.peers).collect(),
             relays: Relays::default(),
             _folder: folder,
         };
@@ -89,6 +91,11 @@
         self.operators[index]
     }
 
+    /// Peers' address of a control process.
+    pub fn get_peers(&self, index: usize) -> SocketAddr {
+        self.peers[index]
+    }
+
     /// Upstreams' addresses of every entry.
     pub fn get_upstreams(&self) -> Vec<SocketAddr> {
         self.addresses.iter().map(|entry| entry.upstreams).collect()
--- a/comfreymill_node/src/control/session/listener.rs
+++ b/comfreymill_node/src/control/session/listener.rs
@@ -1,3 +1,4 @@
+use std::rc::Rc;
 use std::time::Duration;
 
 use comfreymill_group::message;
@@ -8,6 +9,7 @@
 use crate::control::core::Input;
 use crate::peer;
 
+const MAX_STRANGERS: usize = 64;
 const MAX_QUEUED_FRAMES: usize = 4_096;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 const SILENCE_LIMIT: Duration = Duration::from_secs(10);
@@ -19,12 +21,18 @@
     inputs: flume::Sender<Input>,
 ) {
     let mut number = 0;
+    let strangers = Rc::new(());
     loop {
         match listener.accept().await {
+            // Each connection holds one reference until its peer has proved itself.
+            Ok(_) if Rc::strong_count(&strangers) > MAX_STRANGERS => {
+                log::warn!(target: "peer", "Too many peers have not proved themselves yet.");
+            }
             Ok((stream, _)) => {
                 number += 1;
                 let session = SessionId::new(number);
-                monoio::spawn(serve(stream, identity.clone(), inputs.clone(), session));
+                let stranger = Rc::clone(&strangers);
+                monoio::spawn(serve(stream, identity.clone(), inputs.clone(), session, stranger));
             }
             Err(error) => {
                 log::warn!(target: "peer", "No connection was accepted: {error}.");
@@ -39,6 +47,7 @@
     identity: peer::Identity,
     inputs: flume::Sender<Input>,
     session: SessionId,
+    stranger: Rc<()>,
 ) {
     let connection = match peer::Connection::accept(stream, &identity).await {
         Ok(connection) => connection,
@@ -47,6 +56,7 @@
             return;
         }
     };
+    drop(stranger);
     let (tx, rx) = flume::bounded(MAX_QUEUED_FRAMES);
     let peer::Connection { peer, reader, writer } = connection;
     monoio::spawn(write(writer, rx));
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -8,4 +8,5 @@
 mod prompt;
 mod slots;
 mod snapshots;
+mod strangers;
 mod voters;
