refactor(node): one place for the common options and the group's number

Cause: the same options were taken out of three grammars in three copies, and the number of the only group stood in two modules. Change: a macro for the options, since each grammar generates a type of its own; protocol::SOURCE. Conclusion: no change of behaviour.

--- a/comfreymill_node/src/command/flags/line.rs
+++ b/comfreymill_node/src/command/flags/line.rs
@@ -76,36 +76,33 @@
     }
 }
 
+/// Takes the common options out of a parsed line; each grammar has a type of its own for it.
+macro_rules! options {
+    ($line:ident) => {
+        Options {
+            output: $line.output.unwrap_or_default(),
+            operators: $line.operators,
+            token_file: $line.token_file,
+            timeout: $line.timeout,
+        }
+    };
+}
+
 fn parse_general(args: Vec<ffi::OsString>) -> xflags::Result<Call> {
     let line = general::Comfreymill::from_vec(args)?;
-    let options = Options {
-        output: line.output.unwrap_or_default(),
-        operators: line.operators,
-        token_file: line.token_file,
-        timeout: line.timeout,
-    };
+    let options = options!(line);
     Ok(Call { options, verb: Verb::General(line.subcommand) })
 }
 
 fn parse_env(args: Vec<ffi::OsString>) -> xflags::Result<Call> {
     let line = env::Env::from_vec(args)?;
-    let options = Options {
-        output: line.output.unwrap_or_default(),
-        operators: line.operators,
-        token_file: line.token_file,
-        timeout: line.timeout,
-    };
+    let options = options!(line);
     Ok(Call { options, verb: Verb::Env(line.subcommand) })
 }
 
 fn parse_job(args: Vec<ffi::OsString>) -> xflags::Result<Call> {
     let line = job::Job::from_vec(args)?;
-    let options = Options {
-        output: line.output.unwrap_or_default(),
-        operators: line.operators,
-        token_file: line.token_file,
-        timeout: line.timeout,
-    };
+    let options = options!(line);
     Ok(Call { options, verb: Verb::Job(line.subcommand) })
 }
 
--- a/comfreymill_node/src/control/lead/grants.rs
+++ b/comfreymill_node/src/control/lead/grants.rs
@@ -10,9 +10,6 @@
 use super::Lead;
 use crate::protocol;
 
-/// Number of the only group that an entry has a link to.
-const SOURCE: u32 = 0;
-
 /// # Grants
 impl Lead {
     /// Changes to propose, if there are any.
@@ -89,7 +86,7 @@
         let cfg = cfg.clone().longest_deadline(longest);
         self.granters
             .entry(desk.clone())
-            .or_insert_with(|| grant::Granter::recover(cfg, SOURCE, term, now, []))
+            .or_insert_with(|| grant::Granter::recover(cfg, protocol::SOURCE, term, now, []))
     }
 
     pub(super) fn recover_grants(&mut self, now: time::Monotonic, ledger: &ledger::Ledger) {
@@ -100,7 +97,7 @@
         for (desk, grants) in by_desk {
             let longest = self.get_longest_deadline(now, &desk);
             let cfg = self.granter_config.clone().longest_deadline(longest);
-            let granter = grant::Granter::recover(cfg, SOURCE, self.term, now, grants);
+            let granter = grant::Granter::recover(cfg, protocol::SOURCE, self.term, now, grants);
             self.granters.insert(desk, granter);
         }
     }
--- a/comfreymill_node/src/entry/dispatch/state.rs
+++ b/comfreymill_node/src/entry/dispatch/state.rs
@@ -10,9 +10,6 @@
 use super::input::Input;
 use crate::protocol;
 
-/// Number of the only group that an entry has a link to.
-pub(super) const SOURCE: u32 = 0;
-
 /// Decisions of each environment and stage that are shown at once.
 const SHOWN_DECISIONS: usize = 50;
 
@@ -250,9 +247,9 @@
         for desk in self.desks.values_mut() {
             let services = desk.router.demand(now);
             demand.push(protocol::DeskDemand { desk: desk.key.clone(), services });
-            holdings.extend(desk.router.holdings(SOURCE));
+            holdings.extend(desk.router.holdings(protocol::SOURCE));
             desk.observe();
-            avoided.extend(desk.router.avoided(SOURCE));
+            avoided.extend(desk.router.avoided(protocol::SOURCE));
         }
         let revision = self.revision.unwrap_or(0);
         let draining = self.is_draining;
--- a/comfreymill_node/src/entry/dispatch/state_push.rs
+++ b/comfreymill_node/src/entry/dispatch/state_push.rs
@@ -6,7 +6,7 @@
 use comfreymill_types::time;
 
 use super::desk::Desk;
-use super::state::{SOURCE, State};
+use super::state::State;
 use crate::metering::observe;
 use crate::protocol;
 
@@ -44,7 +44,7 @@
         self.lease_until = self.lease_until.max(until);
         let until = self.lease_until;
         for desk in self.desks.values_mut() {
-            desk.router.lease(now, SOURCE, until);
+            desk.router.lease(now, protocol::SOURCE, until);
             self.chores.extend(desk.act());
         }
     }
@@ -124,8 +124,9 @@
             let far = mine.filter(|row| row.region != *self.cfg.router.get_region());
             desk.far_regions = far.map(|row| (row.name.clone(), row.region.clone())).collect();
             let version = self.table_version;
-            desk.router.executors(now, router::Table { source: SOURCE, version, executors });
-            desk.router.lease(now, SOURCE, until);
+            desk.router
+                .executors(now, router::Table { source: protocol::SOURCE, version, executors });
+            desk.router.lease(now, protocol::SOURCE, until);
             self.chores.extend(desk.act());
         }
     }
--- a/comfreymill_node/src/protocol/mod.rs
+++ b/comfreymill_node/src/protocol/mod.rs
@@ -29,3 +29,6 @@
 pub use voter_change::VoterChange;
 pub use worker_directives::{AttemptDirective, WorkerDirectives};
 pub use worker_heartbeat::WorkerHeartbeat;
+
+/// Number of the group in the tables that routers are given; an entry has a link to one group.
+pub const SOURCE: u32 = 0;
