fix(control): forget an entry's connection that lost a frame

Cause: found by reading the change again: a push that did not fit the connection's queue was counted as sent, so that the entry would have lacked a document or a row of its table for as long as that connection lived; it would have refused requests as not current, or used fewer executors.

--- a/comfreymill_node/src/control/core/group.rs
+++ b/comfreymill_node/src/control/core/group.rs
@@ -26,6 +26,7 @@
             }
         }
         self.push(now);
+        self.sessions.drop_stalled();
         self.snapshot_if_due();
     }
 
--- a/comfreymill_node/src/control/core/sessions.rs
+++ b/comfreymill_node/src/control/core/sessions.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
@@ -27,6 +28,8 @@
     pub(super) revision: Option<u64>,
     pub(super) is_whole_sent: bool,
     pub(super) rows: BTreeMap<id::ExecutorName, protocol::ExecutorRow>,
+    /// Whether a frame was lost, so that the entry lacks what counts as sent to it.
+    is_stalled: Cell<bool>,
 }
 
 impl Sessions {
@@ -50,6 +53,7 @@
             revision: None,
             is_whole_sent: false,
             rows: BTreeMap::new(),
+            is_stalled: Cell::new(false),
         };
         self.open.insert(id, session);
         Ok(())
@@ -82,6 +86,11 @@
         }
     }
 
+    /// Forgets connections that lost a frame; their entries hear nothing more and connect anew.
+    pub(super) fn drop_stalled(&mut self) {
+        self.open.retain(|_, session| !session.is_stalled.get());
+    }
+
     /// Forgets what was sent, since this replica began to lead anew.
     pub(super) fn reset(&mut self) {
         for session in self.open.values_mut() {
@@ -94,10 +103,11 @@
 }
 
 impl Session {
-    /// Queues a frame; a connection that takes nothing is ended by its silence.
+    /// Queues a frame; a connection that cannot take it is stalled from then on.
     pub(super) fn send(&self, kind: peer::FrameKind, id: u64, body: Bytes) {
         if self.frames.try_send(peer::Frame::new(kind, id, body)).is_err() {
             log::warn!(target: "peer", "Entry {} takes no frames.", self.owner);
+            self.is_stalled.set(true);
         }
     }
 }
