--- /dev/null
+++ b/comfreymill_node/src/command/output_format.rs
@@ -0,0 +1,40 @@
+use std::fmt;
+use std::str;
+
+/// Shape of what a command prints.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum OutputFormat {
+    /// Lines and tables for people.
+    #[default]
+    Text,
+    /// One JSON value.
+    Json,
+}
+
+/// Text is not an output format.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("`{text}` is not a format: write text or json")]
+pub struct ParseOutputFormatError {
+    text: String,
+}
+
+impl fmt::Display for OutputFormat {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Text => "text",
+            Self::Json => "json",
+        })
+    }
+}
+
+impl str::FromStr for OutputFormat {
+    type Err = ParseOutputFormatError;
+
+    fn from_str(text: &str) -> Result<Self, ParseOutputFormatError> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(ParseOutputFormatError { text: text.to_owned() }),
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/command/programs.rs
@@ -0,0 +1,29 @@
+use std::path;
+
+use comfreymill_types::error;
+
+use crate::settings;
+
+/// Programs that the command line starts; each returns when its process is to end.
+pub trait Programs {
+    /// Runs an entry process.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot start or has to stop.
+    fn run_entry(&self, settings: settings::EntrySettings) -> Result<(), error::Error>;
+
+    /// Runs a control process.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot start or has to stop.
+    fn run_control(&self, settings: settings::ControlSettings) -> Result<(), error::Error>;
+
+    /// Runs both in one process with their state in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot start or has to stop.
+    fn run_embedded(&self, folder: &path::Path) -> Result<(), error::Error>;
+}
--- /dev/null
+++ b/comfreymill_node/src/metering/metric.rs
@@ -0,0 +1,147 @@
+//! Names, units and help of all metrics.
+
+/// Kind of a metric.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    /// Sum that only grows.
+    Counter,
+    /// Present value.
+    Gauge,
+    /// Distribution over the bounds of buckets.
+    Histogram(&'static [f64]),
+}
+
+/// Name of a metric with what it measures.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Metric {
+    /// Name, which ends in the unit.
+    pub name: &'static str,
+    /// Unit.
+    pub unit: metrics::Unit,
+    /// Help text.
+    pub help: &'static str,
+    /// Kind.
+    pub kind: Kind,
+}
+
+const LATENCY_BOUNDS_SECONDS: &[f64] = &[
+    0.000_5, 0.001, 0.002, 0.003, 0.005, 0.007_5, 0.01, 0.015, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15,
+    0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0, 60.0,
+];
+const WAIT_BOUNDS_SECONDS: &[f64] = &[
+    0.000_1, 0.001, 0.005, 0.01, 0.05, 0.1, 0.5, 1.0, 5.0, 10.0, 30.0, 60.0, 300.0, 900.0, 3_600.0,
+    14_400.0, 86_400.0,
+];
+const SLOT_BOUNDS: &[f64] = &[0.0, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0, 7.0, 8.0, 16.0, 32.0, 64.0];
+
+const fn counter(name: &'static str, unit: metrics::Unit, help: &'static str) -> Metric {
+    Metric { name, unit, help, kind: Kind::Counter }
+}
+
+const fn gauge(name: &'static str, help: &'static str) -> Metric {
+    Metric { name, unit: metrics::Unit::Count, help, kind: Kind::Gauge }
+}
+
+const fn histogram(
+    name: &'static str,
+    unit: metrics::Unit,
+    help: &'static str,
+    bounds: &'static [f64],
+) -> Metric {
+    Metric { name, unit, help, kind: Kind::Histogram(bounds) }
+}
+
+/// Time from the head of a request to the end of its answer, by team and class.
+pub const REQUEST_LATENCY: Metric = histogram(
+    "comfreymill_request_latency_seconds",
+    metrics::Unit::Seconds,
+    "Time from the head of a request to the end of its answer",
+    LATENCY_BOUNDS_SECONDS,
+);
+
+/// Time for which a request or task waited, by team and class.
+pub const QUEUE_WAIT: Metric = histogram(
+    "comfreymill_queue_wait_seconds",
+    metrics::Unit::Seconds,
+    "Time for which a request or task waited before it was sent or started",
+    WAIT_BOUNDS_SECONDS,
+);
+
+/// Slots in use at the chosen executor, by team and class.
+pub const SLOTS_IN_USE: Metric = histogram(
+    "comfreymill_slots_in_use",
+    metrics::Unit::Count,
+    "Slots in use at the chosen executor when a request was sent",
+    SLOT_BOUNDS,
+);
+
+/// Requests by team, class and outcome.
+pub const REQUESTS: Metric = counter(
+    "comfreymill_requests_total",
+    metrics::Unit::Count,
+    "Requests by what is known of their run: run, not-run, unknown",
+);
+
+/// Decisions by part and decision.
+pub const DECISIONS: Metric = counter(
+    "comfreymill_decisions_total",
+    metrics::Unit::Count,
+    "Decisions by the part that took them",
+);
+
+/// Refusals by part and kind of error.
+pub const REFUSALS: Metric =
+    counter("comfreymill_refusals_total", metrics::Unit::Count, "Refusals by kind of error");
+
+/// Evictions by team and class.
+pub const EVICTIONS: Metric =
+    counter("comfreymill_evictions_total", metrics::Unit::Count, "Tasks evicted from their worker");
+
+/// Answers that matched no open request.
+pub const UNMATCHED_ANSWERS: Metric = counter(
+    "comfreymill_unmatched_answers_total",
+    metrics::Unit::Count,
+    "Answers that were dropped since no open request was theirs",
+);
+
+/// Bytes by peer and direction.
+pub const PEER_BYTES: Metric = counter(
+    "comfreymill_peer_bytes_total",
+    metrics::Unit::Bytes,
+    "Bytes exchanged with another process, by direction: sent, received",
+);
+
+/// Bytes across the link between two regions.
+pub const LINK_BYTES: Metric = counter(
+    "comfreymill_link_bytes_total",
+    metrics::Unit::Bytes,
+    "Bytes that crossed the link between regions",
+);
+
+/// Open connections by listener.
+pub const CONNECTIONS: Metric =
+    gauge("comfreymill_open_connections", "Open connections of a listener");
+
+/// Waiting requests or tasks by class.
+pub const QUEUE_LENGTH: Metric = gauge("comfreymill_queue_length", "Requests or tasks that wait");
+
+/// Version in force by environment and stage.
+pub const VERSION_IN_FORCE: Metric =
+    gauge("comfreymill_version_in_force", "Version of the environment document in force here");
+
+/// Every metric.
+pub const ALL: [Metric; 13] = [
+    REQUEST_LATENCY,
+    QUEUE_WAIT,
+    SLOTS_IN_USE,
+    REQUESTS,
+    DECISIONS,
+    REFUSALS,
+    EVICTIONS,
+    UNMATCHED_ANSWERS,
+    PEER_BYTES,
+    LINK_BYTES,
+    CONNECTIONS,
+    QUEUE_LENGTH,
+    VERSION_IN_FORCE,
+];
--- /dev/null
+++ b/comfreymill_node/src/metering/observe.rs
@@ -0,0 +1,120 @@
+//! Recording of metrics, one function each.
+
+use std::time::Duration;
+
+use comfreymill_types::document;
+use comfreymill_types::error;
+use comfreymill_types::id;
+
+use super::metric;
+
+const NO_TEAM: &str = "none";
+
+/// Team and class to which a request or task belongs.
+#[derive(Clone, Copy, Debug)]
+pub struct Tenant<'a> {
+    /// Team, if it has one.
+    pub team: Option<&'a id::TeamName>,
+    /// Class.
+    pub class: &'a id::ClassName,
+}
+
+impl Tenant<'_> {
+    fn labels(&self) -> [(&'static str, String); 2] {
+        let team = self.team.map_or(NO_TEAM, id::TeamName::as_str);
+        [("team", team.to_owned()), ("class", self.class.as_str().to_owned())]
+    }
+}
+
+/// Direction of bytes on a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Direction {
+    /// From this process.
+    Sent,
+    /// To this process.
+    Received,
+}
+
+impl Direction {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Received => "received",
+        }
+    }
+}
+
+/// Records the time from the head of a request to the end of its answer.
+pub fn request_latency(tenant: Tenant<'_>, span: Duration) {
+    metrics::histogram!(metric::REQUEST_LATENCY.name, &tenant.labels()).record(span);
+}
+
+/// Records the time for which a request or task waited.
+pub fn queue_wait(tenant: Tenant<'_>, span: Duration) {
+    metrics::histogram!(metric::QUEUE_WAIT.name, &tenant.labels()).record(span);
+}
+
+/// Records the slots in use at the chosen executor.
+pub fn slots_in_use(tenant: Tenant<'_>, slots: u32) {
+    metrics::histogram!(metric::SLOTS_IN_USE.name, &tenant.labels()).record(slots);
+}
+
+/// Counts a request by what is known of its run.
+pub fn request(tenant: Tenant<'_>, outcome: error::RunState) {
+    let [team, class] = tenant.labels();
+    let labels = [team, class, ("outcome", outcome.to_string())];
+    metrics::counter!(metric::REQUESTS.name, &labels).increment(1);
+}
+
+/// Counts a decision of a part; both texts come from closed lists.
+pub fn decision(part: &'static str, decision: &'static str) {
+    metrics::counter!(metric::DECISIONS.name, "part" => part, "decision" => decision).increment(1);
+}
+
+/// Counts a refusal of a part.
+pub fn refusal(part: &'static str, kind: error::ErrorKind) {
+    metrics::counter!(metric::REFUSALS.name, "part" => part, "kind" => kind.as_str()).increment(1);
+}
+
+/// Counts an eviction.
+pub fn eviction(tenant: Tenant<'_>) {
+    metrics::counter!(metric::EVICTIONS.name, &tenant.labels()).increment(1);
+}
+
+/// Counts an answer that matched no open request.
+pub fn unmatched_answer() {
+    metrics::counter!(metric::UNMATCHED_ANSWERS.name).increment(1);
+}
+
+/// Counts bytes exchanged with another process, named as in the settings.
+pub fn peer_bytes(peer: &str, direction: Direction, bytes: u64) {
+    let labels = [("peer", peer.to_owned()), ("direction", direction.as_str().to_owned())];
+    metrics::counter!(metric::PEER_BYTES.name, &labels).increment(bytes);
+}
+
+/// Counts bytes that crossed the link between two regions.
+pub fn link_bytes(from: &id::RegionName, to: &id::RegionName, bytes: u64) {
+    let labels = [("from", from.to_string()), ("to", to.to_string())];
+    metrics::counter!(metric::LINK_BYTES.name, &labels).increment(bytes);
+}
+
+/// Sets the number of open connections of a listener.
+pub fn connections(listener: &'static str, count: usize) {
+    metrics::gauge!(metric::CONNECTIONS.name, "listener" => listener).set(count as f64);
+}
+
+/// Sets the number of requests or tasks of a class that wait.
+pub fn queue_length(class: &id::ClassName, count: usize) {
+    let labels = [("class", class.to_string())];
+    metrics::gauge!(metric::QUEUE_LENGTH.name, &labels).set(count as f64);
+}
+
+/// Sets the version of an environment document in force here.
+pub fn version_in_force(
+    environment: &id::EnvironmentName,
+    stage: document::Stage,
+    version: id::Version,
+) {
+    let labels = [("environment", environment.to_string()), ("stage", stage.to_string())];
+    metrics::gauge!(metric::VERSION_IN_FORCE.name, &labels).set(version.get() as f64);
+}
--- a/comfreymill_node/src/peer/cluster_key.rs
+++ b/comfreymill_node/src/peer/cluster_key.rs
@@ -9,7 +9,6 @@
 
 use super::PeerError;
 
-const MIN_KEY_BYTES: usize = 16;
 const OTHERS_MASK: u32 = 0o077;
 
 /// Secret that every process of a cluster holds.
@@ -17,6 +16,9 @@
 pub struct ClusterKey(Bytes);
 
 impl ClusterKey {
+    /// Fewest bytes of a key in a file.
+    pub const MIN_BYTES: usize = 32;
+
     /// Wraps the bytes of a key.
     pub fn new<B>(bytes: B) -> Self
     where
@@ -39,10 +41,11 @@
         }
         let bytes = fs::read(path).map_err(|e| error(e.to_string()))?;
         let key = bytes.trim_ascii();
-        if key.len() < MIN_KEY_BYTES {
+        if key.len() < Self::MIN_BYTES {
             return Err(error(format!(
-                "the key has {} bytes, {MIN_KEY_BYTES} are wanted",
-                key.len()
+                "the key has {} bytes, {} are wanted",
+                key.len(),
+                Self::MIN_BYTES
             )));
         }
         Ok(Self(Bytes::copy_from_slice(key)))
--- a/comfreymill_node/src/settings/control_settings.rs
+++ b/comfreymill_node/src/settings/control_settings.rs
@@ -30,7 +30,15 @@
     ///
     /// Every problem of the file.
     pub fn read(text: &[u8], folder: &path::Path) -> Result<Self, Vec<document::Problem>> {
-        settings_file::read(text, |section| Self::read_section(section, folder))
+        let node = yaml::Node::parse(text).map_err(|problem| vec![problem])?;
+        Self::read_node(&node, folder)
+    }
+
+    pub(super) fn read_node(
+        node: &yaml::Node,
+        folder: &path::Path,
+    ) -> Result<Self, Vec<document::Problem>> {
+        settings_file::read(node, |section| Self::read_section(section, folder))
     }
 
     /// Settings that every process has.
@@ -96,7 +104,7 @@
         }
     }
 
-    pub(super) fn get_listeners(&self) -> [(&'static str, net::SocketAddr); 2] {
+    fn get_listeners(&self) -> [(&'static str, net::SocketAddr); 2] {
         let network = self.common.get_network();
         [("operators", network.get_operators()), ("peers", network.get_peers())]
     }
--- a/comfreymill_node/src/settings/machine.rs
+++ b/comfreymill_node/src/settings/machine.rs
@@ -7,56 +7,66 @@
 use std::path;
 
 use comfreymill_types::document;
+use comfreymill_types::yaml;
 
-use super::{CommonSettings, ControlSettings, EntrySettings};
+use crate::peer;
 
-const MIN_KEY_BYTES: usize = 32;
 const MODE_GROUP_AND_OTHERS: u32 = 0o077;
+const LISTENERS: &str = "listeners";
+const KEY_FILE: &str = "key_file";
+const TOKENS: &str = "tokens";
+const DATA_FOLDER: &str = "data_folder";
+const LOG_FILE: &str = "log.file.path";
+const MIN_TOKEN_BYTES: usize = 1;
 const PROBE_FILE: &str = ".write-probe";
 
-/// Problems of an entry's settings on this machine.
-pub fn check_entry(settings: &EntrySettings) -> Vec<document::Problem> {
-    let mut problems = check_listeners(&settings.get_listeners());
-    problems.extend(check_common(settings.get_common()));
-    let tokens = [
-        ("tokens.callers", settings.get_callers_token_file()),
-        ("tokens.upstreams", settings.get_upstreams_token_file()),
-    ];
-    for (field, file) in tokens {
-        problems.extend(file.and_then(|file| check_secret(field, file, 1)));
-    }
-    problems
-}
-
-/// Problems of a control process's settings on this machine.
-pub fn check_control(settings: &ControlSettings) -> Vec<document::Problem> {
-    let mut problems = check_listeners(&settings.get_listeners());
-    problems.extend(check_common(settings.get_common()));
-    problems.extend(check_folder("data_folder", settings.get_data_folder()));
-    problems
-}
-
-fn check_common(settings: &CommonSettings) -> Vec<document::Problem> {
+/// Problems of what the settings in `node` name on this machine; paths are relative to `folder`.
+///
+/// A value that is missing or malformed is passed over, since reading the settings reports it.
+pub fn check(node: &yaml::Node, folder: &path::Path) -> Vec<document::Problem> {
     let mut problems = Vec::new();
-    problems.extend(check_secret("key_file", settings.get_key_file(), MIN_KEY_BYTES));
-    problems.extend(check_secret("tokens.operators", settings.get_operators_token_file(), 1));
-    let log_folder = settings.get_log().get_file().and_then(|file| file.path.parent());
-    problems.extend(log_folder.and_then(|folder| check_folder("log.file.path", folder)));
+    for (field, text) in list_values(node, LISTENERS) {
+        let address = text.parse().ok();
+        problems.extend(address.and_then(|address| check_listener(&field, address)));
+    }
+    for (field, text) in list_values(node, TOKENS) {
+        problems.extend(check_secret(&field, &folder.join(text), MIN_TOKEN_BYTES));
+    }
+    if let Some(text) = node.get_text(KEY_FILE) {
+        let min_bytes = peer::ClusterKey::MIN_BYTES;
+        problems.extend(check_secret(KEY_FILE, &folder.join(text), min_bytes));
+    }
+    if let Some(text) = node.get_text(DATA_FOLDER) {
+        problems.extend(check_folder(DATA_FOLDER, &folder.join(text)));
+    }
+    if let Some(text) = node.get_text(LOG_FILE) {
+        let file = folder.join(text);
+        problems.extend(file.parent().and_then(|parent| check_folder(LOG_FILE, parent)));
+    }
+    for problem in &mut problems {
+        problem.place = Some(node.find(&problem.field).get_place());
+    }
     problems
 }
 
-fn check_listeners(listeners: &[(&'static str, net::SocketAddr)]) -> Vec<document::Problem> {
-    listeners.iter().filter_map(|(key, address)| check_listener(key, *address)).collect()
+/// Fields with single values under a key.
+fn list_values<'a>(node: &'a yaml::Node, key: &str) -> Vec<(String, &'a str)> {
+    let yaml::Value::Mapping(entries) = &node.find(key).value else { return Vec::new() };
+    let values = entries.iter().filter_map(|entry| match &entry.node.value {
+        yaml::Value::Scalar(text) => Some((format!("{key}.{}", entry.key), text.as_str())),
+        yaml::Value::Null | yaml::Value::Sequence(_) | yaml::Value::Mapping(_) => None,
+    });
+    values.collect()
 }
 
-fn check_listener(key: &str, address: net::SocketAddr) -> Option<document::Problem> {
+fn check_listener(field: &str, address: net::SocketAddr) -> Option<document::Problem> {
     let error = net::TcpListener::bind(address).err()?;
     let message = match error.kind() {
         io::ErrorKind::AddrInUse => format!("`{address}` is in use"),
         io::ErrorKind::AddrNotAvailable => format!("`{address}` is not an address of this machine"),
         _ => format!("`{address}` cannot be bound: {error}"),
     };
-    Some(document::Problem::new(format!("listeners.{key}"), message))
+    Some(document::Problem::new(field, message))
 }
 
 fn check_folder(field: &str, folder: &path::Path) -> Option<document::Problem> {
--- a/comfreymill_node/src/settings/mod.rs
+++ b/comfreymill_node/src/settings/mod.rs
@@ -1,9 +1,8 @@
 //! Settings of the processes, read from one YAML file each.
 //!
 //! A file is read as a whole: every problem is reported with its line, column and field.
-//! [`EntrySettings::read`] and [`ControlSettings::read`] look at the file alone;
-//! [`machine::check_entry`] and [`machine::check_control`] look at what the machine holds, such as
-//! folders, key files and addresses in use.
+//! [`EntrySettings::read`] and [`ControlSettings::read`] look at the file alone; [`machine`] looks
+//! at what the machine holds, such as folders, key files and addresses in use.
 
 #[macro_use]
 mod values;
--- a/comfreymill_node/tests/main.rs
+++ b/comfreymill_node/tests/main.rs
@@ -1,3 +1,7 @@
 //! Tests of the processes' parts.
 
+mod command;
+mod logs;
+mod metering;
+mod scratch;
 mod settings;
--- /dev/null
+++ b/comfreymill_node/tests/metering/mod.rs
@@ -0,0 +1,93 @@
+//! Every metric is described and rendered with its labels.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use comfreymill_node::metering;
+use comfreymill_node::metering::metric;
+use comfreymill_node::metering::observe;
+use comfreymill_types::document;
+use comfreymill_types::error;
+use comfreymill_types::id;
+
+fn observe_all() {
+    let team: id::TeamName = "counter".parse().expect("valid");
+    let class: id::ClassName = "search".parse().expect("valid");
+    let [south, north] = ["south", "north"].map(|name| name.parse().expect("valid"));
+    let tenant = observe::Tenant { team: Some(&team), class: &class };
+    observe::request_latency(tenant, Duration::from_millis(4));
+    observe::queue_wait(observe::Tenant { team: None, class: &class }, Duration::from_secs(2));
+    observe::slots_in_use(tenant, 7);
+    observe::request(tenant, error::RunState::NotRun);
+    observe::decision("route", "chosen");
+    observe::refusal("callers", error::ErrorKind::QueueFull);
+    observe::eviction(tenant);
+    observe::unmatched_answer();
+    observe::peer_bytes("control-1", observe::Direction::Sent, 120);
+    observe::link_bytes(&south, &north, 64);
+    observe::connections("callers", 12);
+    observe::queue_length(&class, 3);
+    let environment = "trust".parse().expect("valid");
+    observe::version_in_force(&environment, document::Stage::Production, id::Version::new(9));
+}
+
+#[test]
+fn every_metric_is_rendered_with_help_kind_and_labels() {
+    let meter = metering::Meter::install().expect("installed");
+    observe_all();
+    let text = meter.render();
+    for metric in metric::ALL {
+        let kind = match metric.kind {
+            metric::Kind::Counter => "counter",
+            metric::Kind::Gauge => "gauge",
+            metric::Kind::Histogram(_) => "histogram",
+        };
+        assert!(text.contains(&format!("# HELP {} {}\n", metric.name, metric.help)), "{text}");
+        assert!(text.contains(&format!("# TYPE {} {kind}\n", metric.name)), "{text}");
+    }
+    let lines = [
+        r#"comfreymill_request_latency_seconds_bucket{team="counter",class="search",le="0.005"} 1"#,
+        r#"comfreymill_request_latency_seconds_bucket{team="counter",class="search",le="0.003"} 0"#,
+        r#"comfreymill_queue_wait_seconds_sum{team="none",class="search"} 2"#,
+        r#"comfreymill_slots_in_use_count{team="counter",class="search"} 1"#,
+        r#"comfreymill_requests_total{team="counter",class="search",outcome="not-run"} 1"#,
+        r#"comfreymill_decisions_total{part="route",decision="chosen"} 1"#,
+        r#"comfreymill_refusals_total{part="callers",kind="queue-full"} 1"#,
+        r#"comfreymill_evictions_total{team="counter",class="search"} 1"#,
+        "comfreymill_unmatched_answers_total 1",
+        r#"comfreymill_peer_bytes_total{peer="control-1",direction="sent"} 120"#,
+        r#"comfreymill_link_bytes_total{from="south",to="north"} 64"#,
+        r#"comfreymill_open_connections{listener="callers"} 12"#,
+        r#"comfreymill_queue_length{class="search"} 3"#,
+        r#"comfreymill_version_in_force{environment="trust",stage="production"} 9"#,
+    ];
+    for line in lines {
+        assert!(text.lines().any(|found| found == line), "{line} is not in {text}");
+    }
+}
+
+#[test]
+fn the_recorder_is_installed_once() {
+    let first = metering::Meter::install().expect("installed");
+    let second = metering::Meter::install().expect("installed before");
+    observe::decision("test", "installed-once");
+    let expected = r#"{part="test",decision="installed-once"} 1"#;
+    assert!(first.render().contains(expected));
+    assert!(second.render().contains(expected));
+}
+
+#[test]
+fn names_are_unique_and_end_in_their_unit() {
+    let names: HashSet<_> = metric::ALL.iter().map(|metric| metric.name).collect();
+    assert_eq!(names.len(), metric::ALL.len());
+    for metric in metric::ALL {
+        assert!(metric.name.starts_with("comfreymill_"), "{}", metric.name);
+        let is_counter = metric.kind == metric::Kind::Counter;
+        assert_eq!(metric.name.ends_with("_total"), is_counter, "{}", metric.name);
+        let bounds_rise = match metric.kind {
+            metric::Kind::Histogram(bounds) => bounds.is_sorted_by(|a, b| a < b),
+            metric::Kind::Counter | metric::Kind::Gauge => true,
+        };
+        assert!(bounds_rise, "{}", metric.name);
+    }
+}
--- a/comfreymill_node/tests/settings/machine.rs
+++ b/comfreymill_node/tests/settings/machine.rs
@@ -3,7 +3,7 @@
 
 use comfreymill_node::settings;
 
-use super::scratch::{self, Scratch};
+use crate::scratch::{self, Scratch};
 
 const CONTROL: &str = include_str!("../../../samples/control.yaml");
 const ENTRY: &str = include_str!("../../../samples/entry.yaml");
@@ -129,9 +129,21 @@
     expect_problem(&problems, line_of(&text, "operators.token"), "is missing: write it with mode");
 }
 
+#[test]
+fn problems_of_the_file_and_of_the_machine_are_reported_together() {
+    let scratch = Scratch::new();
+    let text = with_free_ports(CONTROL)
+        .replace("head: 64KiB", "head: 64")
+        .replace("data_folder: data", "data_folder: absent");
+    let problems = problems_of(&scratch, &text);
+    expect_problem(&problems, line_of(&text, "data_folder:"), "is missing: create it");
+    expect_problem(&problems, line_of(&text, "head: 64"), "`64` is not a size");
+    assert_eq!(problems.len(), 2, "{problems:#?}");
+}
+
 #[test]
 fn a_missing_file_is_named() {
     let scratch = Scratch::new();
     let error = settings::SettingsFile::load(&scratch.path("none.yaml")).expect_err("missing");
-    assert!(error.to_string().contains("none.yaml:cannot be read"), "{error}");
+    assert!(error.to_string().contains("none.yaml: cannot be read"), "{error}");
 }
--- a/comfreymill_node/tests/settings/mod.rs
+++ b/comfreymill_node/tests/settings/mod.rs
@@ -2,4 +2,3 @@
 
 mod alone;
 mod machine;
-mod scratch;
--- a/comfreymill_types/src/document/problem.rs
+++ b/comfreymill_types/src/document/problem.rs
@@ -1,4 +1,5 @@
 use std::fmt;
+use std::path;
 
 /// One fault of a document, with its place where known.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
@@ -20,6 +21,12 @@
     {
         Self { place: None, field: field.into(), message: message.into() }
     }
+
+    /// One line as `FILE:LINE:COLUMN: FIELD: MESSAGE`.
+    pub fn in_file(&self, file: &path::Path) -> String {
+        let gap = if self.place.is_none() { " " } else { "" };
+        format!("{}:{gap}{self}", file.display())
+    }
 }
 
 impl fmt::Display for Problem {
--- a/comfreymill_types/src/id/mod.rs
+++ b/comfreymill_types/src/id/mod.rs
@@ -26,7 +26,7 @@
 
 /// Text is not an id of the wanted kind.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("`{text}` is not a {kind}: {rule}")]
+#[error("`{text}` is no {kind}: {rule}")]
 pub struct ParseIdError {
     kind: &'static str,
     text: String,
--- a/comfreymill_types/src/yaml/node.rs
+++ b/comfreymill_types/src/yaml/node.rs
@@ -63,8 +63,8 @@
     /// Node at a path as `classes[2].deadline`, or the closest one above it that exists.
     pub fn find(&self, path: &str) -> &Self {
         let mut node = self;
-        for step in path.split(['.', '[']).filter(|step| !step.is_empty()) {
-            match node.get_child(step.trim_end_matches(']')) {
+        for step in steps_of(path) {
+            match node.get_child(step) {
                 Some(child) => node = child,
                 None => break,
             }
@@ -72,9 +72,19 @@
         node
     }
 
-    /// Single value under a key of this mapping.
-    pub fn get_text(&self, key: &str) -> Option<&str> {
-        match &self.get_child(key)?.value {
+    /// Node at a path as `classes[2].deadline`.
+    pub fn get(&self, path: &str) -> Option<&Self> {
+        steps_of(path).try_fold(self, Self::get_child)
+    }
+
+    /// Whether there is a node at the path.
+    pub fn has(&self, path: &str) -> bool {
+        self.get(path).is_some()
+    }
+
+    /// Single value at a path as `log.file.path`.
+    pub fn get_text(&self, path: &str) -> Option<&str> {
+        match &self.get(path)?.value {
             Value::Scalar(text) => Some(text),
             Value::Null | Value::Sequence(_) | Value::Mapping(_) => None,
         }
@@ -96,6 +106,11 @@
     }
 }
 
+fn steps_of(path: &str) -> impl Iterator<Item = &str> {
+    let steps = path.split(['.', '[']).filter(|step| !step.is_empty());
+    steps.map(|step| step.trim_end_matches(']'))
+}
+
 fn first_line(text: &str) -> &str {
     text.lines().next().unwrap_or_default()
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,13 @@
 //! Binary of comfreymill.
 
-fn main() {}
+mod programs;
+
+use std::env;
+use std::process;
+
+use comfreymill_node::command;
+
+fn main() -> process::ExitCode {
+    let args = env::args_os().skip(1).collect();
+    command::run(args, &programs::NodePrograms)
+}
--- /dev/null
+++ b/tests/command_line/mod.rs
@@ -0,0 +1,6 @@
+//! Help, errors and exit codes of the command line.
+
+mod binary;
+mod client;
+mod node;
+mod snapshots;
--- /dev/null
+++ b/tests/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the binary.
+
+mod command_line;
