--- /dev/null
+++ b/comfreymill_jobs/src/scheduler/ends.rs
@@ -0,0 +1,163 @@
+use std::time::Duration;
+
+use comfreymill_types::time;
+
+use super::Scheduler;
+use super::task::TaskPhase;
+use crate::id;
+use crate::state;
+use crate::worker;
+
+/// Failed runs in a row after which a worker rests.
+const FAILURES_BEFORE_REST: u32 = 3;
+/// Rest of a worker that fails what it starts.
+const FAILING_REST: Duration = Duration::from_secs(4);
+
+/// # Runs that end
+impl Scheduler {
+    /// Takes in that the log holds ends of a worker's list.
+    pub fn ends_noted(
+        &mut self,
+        now: time::Monotonic,
+        number: id::WorkerNumber,
+        ends: &[worker::End],
+        state: &state::State,
+    ) {
+        if let Some(entry) = self.workers.get_mut(&number) {
+            entry.is_noting = false;
+            entry.look_at = now;
+            if let Some(known) = state.get_workers().get(&number) {
+                entry.known.noted = known.noted;
+            }
+        }
+        for end in ends {
+            log::info!(target: "runs", task:% = end.task, run:% = end.run, worker:% = number, end:? = end.kind; "a run has ended");
+            self.end_noted(now, number, end, state);
+        }
+        if self.workers.get(&number).is_some_and(|it| it.is_over) {
+            self.bury(now, number);
+        } else {
+            self.look(now, number);
+        }
+    }
+
+    fn end_noted(
+        &mut self,
+        now: time::Monotonic,
+        number: id::WorkerNumber,
+        end: &worker::End,
+        state: &state::State,
+    ) {
+        self.judge(now, number, end);
+        let task = end.task;
+        let key = task.step.job;
+        let job = state.get_jobs().get(&key);
+        if !end.checkpoint.is_empty()
+            && let Some(entry) = self.task_mut(task)
+        {
+            entry.checkpoint.clone_from(&end.checkpoint);
+        }
+        let is_over = job.is_none_or(state::Job::is_over);
+        let is_current = self.is_current(number, end);
+        if is_over {
+            if is_current {
+                self.remove_run(number, task);
+            }
+            self.job_over(now, key);
+            return;
+        }
+        if is_current {
+            self.release(now, number, task);
+        }
+        let known = job.and_then(|job| job.occurrences.get(&task.step.occurrence));
+        let is_finished = job.is_some_and(|job| job.finished.contains(&task.step.occurrence));
+        let is_done = is_finished
+            || known.is_some_and(|it| it.steps[usize::from(task.step.step)].is_done(task.index));
+        if is_done {
+            self.task_done(now, task, known, is_finished);
+        }
+    }
+
+    fn is_current(&self, number: id::WorkerNumber, end: &worker::End) -> bool {
+        let run = self.workers.get(&number).and_then(|it| it.runs.get(&end.task));
+        run.is_some_and(|run| run.run == end.run)
+    }
+
+    /// Marks what is done, stops other runs of it, and lets later steps begin.
+    fn task_done(
+        &mut self,
+        now: time::Monotonic,
+        task: id::TaskId,
+        known: Option<&state::Occurrence>,
+        is_finished: bool,
+    ) {
+        let id::StepId { job, occurrence: number, step } = task.step;
+        let Some(entry) = self.jobs.get_mut(&job) else { return };
+        let Some(occurrence) = entry.occurrences.get_mut(&number) else { return };
+        let Some(of_step) = occurrence.steps.get_mut(usize::from(step)) else { return };
+        let mut superfluous = Vec::new();
+        let mut waiting = Vec::new();
+        for (index, entry) in of_step.tasks.iter_mut().enumerate() {
+            let index = u16::try_from(index).unwrap_or(u16::MAX);
+            let known = known.map(|it| &it.steps[usize::from(step)]);
+            let is_done = is_finished || known.is_some_and(|it| it.is_done(index));
+            if !is_done || entry.phase == TaskPhase::Done {
+                continue;
+            }
+            match entry.phase {
+                TaskPhase::Placed(worker) => superfluous.push((worker, task.step.task(index))),
+                TaskPhase::Ready => waiting.push(task.step.task(index)),
+                _ => {}
+            }
+            entry.phase = TaskPhase::Done;
+            of_step.open = of_step.open.saturating_sub(1);
+        }
+        let is_step_over = of_step.open == 0;
+        if is_finished {
+            entry.occurrences.remove(&number);
+        }
+        for task in waiting {
+            self.ready.remove(task);
+        }
+        for (worker, task) in superfluous {
+            self.stop(now, worker, task);
+        }
+        if is_step_over && !is_finished {
+            self.unblock(job, number);
+        }
+    }
+
+    /// Takes a run off its worker; its task waits for a place again if it is still wanted.
+    pub(super) fn release(&mut self, now: time::Monotonic, number: id::WorkerNumber, task: id::TaskId) {
+        let Some(run) = self.remove_run(number, task) else { return };
+        let Some(entry) = self.task_mut(task) else { return };
+        if entry.phase != TaskPhase::Placed(number) {
+            return;
+        }
+        if !run.checkpoint.is_empty() {
+            entry.checkpoint = run.checkpoint;
+        }
+        let _ = now;
+        self.make_ready(task);
+    }
+
+    fn remove_run(&mut self, number: id::WorkerNumber, task: id::TaskId) -> Option<super::run::RunEntry> {
+        self.is_dirty = true;
+        self.workers.get_mut(&number)?.remove(task)
+    }
+
+    /// Lets a worker rest that fails what it starts.
+    fn judge(&mut self, now: time::Monotonic, number: id::WorkerNumber, end: &worker::End) {
+        let Some(entry) = self.workers.get_mut(&number) else { return };
+        match end.kind {
+            worker::EndKind::Done => entry.failures = 0,
+            worker::EndKind::Failed => entry.failures += 1,
+            _ => {}
+        }
+        if entry.failures >= FAILURES_BEFORE_REST {
+            log::warn!(target: "workers", worker:% = entry.known.name, number:% = number, failures = entry.failures; "a worker fails what it starts and rests");
+            entry.rests_until = now + FAILING_REST;
+            entry.failures = FAILURES_BEFORE_REST - 1;
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_jobs/src/scheduler/inherit.rs
@@ -0,0 +1,109 @@
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use comfreymill_types::time;
+
+use super::queue::ReadyQueue;
+use super::task::{JobEntry, OccurrenceEntry, TaskPhase};
+use super::worker::WorkerEntry;
+use super::{Config, Scheduler};
+use crate::id;
+use crate::state;
+
+impl Scheduler {
+    /// Scheduler of a leader that begins with what the log holds.
+    ///
+    /// Tasks that are not done may run wherever an earlier leader started them: they are placed
+    /// only once every known worker was heard or its lease has run out.
+    pub fn new(cfg: Config, state: &state::State, since_1970: Duration, now: time::Monotonic) -> Self {
+        let lease_over_at = now + cfg.stretch(cfg.get_lease());
+        let workers = state.get_workers().iter().map(|(number, known)| {
+            (*number, WorkerEntry::new(known.clone(), lease_over_at, now))
+        });
+        let unix_ms = u64::try_from(since_1970.as_millis()).unwrap_or(u64::MAX);
+        let mut scheduler = Self {
+            cfg,
+            fence: state.get_fence(),
+            is_fenced: false,
+            routes: state.get_routes().map(|it| it.table.clone()).unwrap_or_default(),
+            jobs: BTreeMap::new(),
+            workers: workers.collect(),
+            ready: ReadyQueue::default(),
+            strangers: BTreeMap::new(),
+            has_unaccounted: true,
+            is_dirty: true,
+            ended: VecDeque::new(),
+            unix_offset_ms: unix_ms.saturating_sub(now.as_micros() / 1_000),
+            orders: Vec::new(),
+            commands: Vec::new(),
+        };
+        for (key, job) in state.get_jobs() {
+            if job.is_over() {
+                scheduler.ended.push_back((now, *key));
+            } else {
+                scheduler.inherit_job(now, *key, job);
+            }
+        }
+        scheduler
+    }
+
+    fn inherit_job(&mut self, now: time::Monotonic, key: id::JobKey, job: &state::Job) {
+        let mut entry = JobEntry {
+            queue: job.queue.clone(),
+            spec: job.spec.clone(),
+            occurrences: BTreeMap::new(),
+            next_occurrence: 0,
+            accepted_at: now,
+            has_started: !job.occurrences.is_empty() || !job.finished.is_empty(),
+        };
+        // Occurrences that are not due yet were not started by anyone, or only a little early.
+        for number in 0..job.spec.occurrences() {
+            if !self.is_due(now, &job.spec, number) && !job.occurrences.contains_key(&number) {
+                break;
+            }
+            entry.next_occurrence = number + 1;
+            if job.finished.contains(&number) {
+                continue;
+            }
+            let known = job.occurrences.get(&number);
+            let mut occurrence = OccurrenceEntry::new(&job.spec, known, now);
+            let tasks = occurrence.steps.iter_mut().flat_map(|step| step.tasks.iter_mut());
+            for task in tasks.filter(|task| task.phase == TaskPhase::Blocked) {
+                task.phase = TaskPhase::Unaccounted;
+            }
+            entry.occurrences.insert(number, occurrence);
+        }
+        self.jobs.insert(key, entry);
+    }
+
+    /// Releases the tasks of earlier leaders once no worker can hold them unseen.
+    pub(super) fn account(&mut self, now: time::Monotonic) {
+        if !self.has_unaccounted || !self.workers.values().all(|it| it.is_accounted(now)) {
+            return;
+        }
+        self.has_unaccounted = false;
+        let jobs: Vec<id::JobKey> = self.jobs.keys().copied().collect();
+        let mut released = 0;
+        for job in jobs {
+            released += self.release_unaccounted(job);
+        }
+        log::info!(target: "schedule", fence:% = self.fence, tasks = released, workers = self.workers.len(); "every worker is accounted for");
+    }
+
+    fn release_unaccounted(&mut self, job: id::JobKey) -> usize {
+        let Some(entry) = self.jobs.get_mut(&job) else { return 0 };
+        let mut released = 0;
+        for occurrence in entry.occurrences.values_mut() {
+            let tasks = occurrence.steps.iter_mut().flat_map(|step| step.tasks.iter_mut());
+            for task in tasks.filter(|task| task.phase == TaskPhase::Unaccounted) {
+                task.phase = TaskPhase::Blocked;
+                released += 1;
+            }
+        }
+        let numbers: Vec<u32> = entry.occurrences.keys().copied().collect();
+        for number in numbers {
+            self.unblock(job, number);
+        }
+        released
+    }
+}
--- /dev/null
+++ b/comfreymill_jobs/src/scheduler/jobs.rs
@@ -0,0 +1,95 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use comfreymill_types::time;
+
+use super::Scheduler;
+use super::task::{JobEntry, OccurrenceEntry, TaskPhase};
+use crate::id;
+use crate::job;
+use crate::state;
+
+/// How much earlier than its time an occurrence never begins: clocks of machines differ.
+const OCCURRENCE_MARGIN: Duration = Duration::from_millis(50);
+
+/// # Jobs that come and go
+impl Scheduler {
+    /// Takes a job in that was just accepted.
+    pub fn job_added(&mut self, now: time::Monotonic, key: id::JobKey, job: &state::Job) {
+        let entry = JobEntry {
+            queue: job.queue.clone(),
+            spec: job.spec.clone(),
+            occurrences: BTreeMap::new(),
+            next_occurrence: 0,
+            accepted_at: now,
+            has_started: false,
+        };
+        self.jobs.insert(key, entry);
+        self.begin_due(now, key);
+    }
+
+    /// Drops a job that is over; what still runs of it is stopped.
+    pub fn job_over(&mut self, now: time::Monotonic, key: id::JobKey) {
+        if self.jobs.remove(&key).is_none() {
+            return;
+        }
+        self.ready.remove_job(key);
+        self.ended.push_back((now, key));
+        let first = id::StepId { job: key, occurrence: 0, step: 0 }.task(0);
+        let last = id::StepId { job: key, occurrence: u32::MAX, step: u16::MAX }.task(u16::MAX);
+        let mut runs = Vec::new();
+        for (number, worker) in &self.workers {
+            runs.extend(worker.runs.range(first..=last).map(|(task, _)| (*number, *task)));
+        }
+        for (worker, task) in runs {
+            self.stop(now, worker, task);
+        }
+    }
+
+    /// Whether occurrence `number` may begin.
+    pub(super) fn is_due(&self, now: time::Monotonic, spec: &job::JobSpec, number: u32) -> bool {
+        let Some(schedule) = spec.schedule else { return true };
+        let unix_now = Duration::from_millis(self.unix_offset_ms + now.as_micros() / 1_000);
+        unix_now >= schedule.due_at(number) + OCCURRENCE_MARGIN
+    }
+
+    /// Begins the occurrences of a job that are due.
+    pub(super) fn begin_due(&mut self, now: time::Monotonic, key: id::JobKey) {
+        loop {
+            let Some(job) = self.jobs.get(&key) else { return };
+            let number = job.next_occurrence;
+            let spec = Arc::clone(&job.spec);
+            if number >= spec.occurrences() || !self.is_due(now, &spec, number) {
+                return;
+            }
+            if let Some(job) = self.jobs.get_mut(&key) {
+                job.next_occurrence += 1;
+                job.occurrences.insert(number, OccurrenceEntry::new(&spec, None, now));
+            }
+            self.unblock(key, number);
+        }
+    }
+
+    /// Makes the tasks ready whose steps wait for nothing any more.
+    pub(super) fn unblock(&mut self, key: id::JobKey, number: u32) {
+        let Some(job) = self.jobs.get(&key) else { return };
+        let Some(occurrence) = job.occurrences.get(&number) else { return };
+        let mut ready = Vec::new();
+        for (index, spec) in job.spec.steps.iter().enumerate() {
+            let tasks = &occurrence.steps[index].tasks;
+            let is_waiting = tasks.iter().any(|task| task.phase == TaskPhase::Blocked);
+            if !is_waiting || !occurrence.is_unblocked(spec) {
+                continue;
+            }
+            let step = u16::try_from(index).unwrap_or(u16::MAX);
+            let step = id::StepId { job: key, occurrence: number, step };
+            let blocked = tasks.iter().enumerate();
+            let blocked = blocked.filter(|(_, task)| task.phase == TaskPhase::Blocked);
+            ready.extend(blocked.map(|(it, _)| step.task(u16::try_from(it).unwrap_or(u16::MAX))));
+        }
+        for task in ready {
+            self.make_ready(task);
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_jobs/src/scheduler/looks.rs
@@ -0,0 +1,235 @@
+use std::time::Duration;
+
+use comfreymill_types::time;
+
+use super::run::{RunEntry, RunPhase};
+use super::task::TaskPhase;
+use super::{LookAnswer, Order, Scheduler};
+use crate::id;
+use crate::job;
+use crate::state;
+use crate::worker;
+
+/// Most ends in one list.
+const MAX_LISTED_ENDS: usize = 500;
+/// Pause before a worker that did not answer is looked at again.
+const SILENT_PAUSE: Duration = Duration::from_millis(250);
+/// Time between looks at a worker that runs nothing.
+const IDLE_PERIOD: Duration = Duration::from_secs(5);
+
+/// # Lists of runs and ends
+impl Scheduler {
+    /// Sends a look to a worker unless one is under way or its ends are being noted.
+    pub(super) fn look(&mut self, now: time::Monotonic, number: id::WorkerNumber) {
+        let wait = self.look_wait(number);
+        let cfg = self.cfg;
+        let Some(entry) = self.workers.get_mut(&number) else { return };
+        if entry.look_sent_at.is_some() || entry.is_noting || entry.is_over {
+            return;
+        }
+        let lease_until_ms = if entry.runs.is_empty() { None } else { entry.grant(&cfg, now) };
+        entry.look_sent_at = Some(now);
+        let noted = entry.known.noted;
+        self.orders.push(Order::Look { worker: number, noted, lease_until_ms, wait });
+    }
+
+    /// Time for which a look at a worker may wait for an end.
+    fn look_wait(&self, number: id::WorkerNumber) -> Duration {
+        let Some(entry) = self.workers.get(&number) else { return Duration::ZERO };
+        let is_asked = entry.runs.values().any(|run| !matches!(run.phase, RunPhase::Running { .. } | RunPhase::Starting));
+        if !entry.is_heard || is_asked || entry.runs.is_empty() {
+            return Duration::ZERO;
+        }
+        if self.has_mix(entry) { self.cfg.get_watch_period() } else { self.cfg.get_max_wait() }
+    }
+
+    /// Looks at the workers that are due.
+    pub(super) fn look_due(&mut self, now: time::Monotonic) {
+        let due = self.workers.iter().filter(|(_, it)| now >= it.look_at && !it.is_over);
+        let due: Vec<id::WorkerNumber> = due.map(|(number, _)| *number).collect();
+        for number in due {
+            self.look(now, number);
+        }
+    }
+
+    pub(super) fn look_answered(
+        &mut self,
+        now: time::Monotonic,
+        number: id::WorkerNumber,
+        asked_at: time::Monotonic,
+        answer: LookAnswer,
+    ) {
+        let Some(entry) = self.workers.get_mut(&number) else { return };
+        entry.look_sent_at = None;
+        match answer {
+            LookAnswer::Fenced => self.fenced(number),
+            LookAnswer::Silent => {
+                if !entry.is_silent {
+                    log::info!(target: "workers", worker:% = entry.known.name, number:% = number; "a worker does not answer");
+                }
+                entry.is_silent = true;
+                entry.look_at = now + SILENT_PAUSE;
+            }
+            LookAnswer::Report(report) => self.reported(now, number, asked_at, report),
+        }
+    }
+
+    fn reported(
+        &mut self,
+        now: time::Monotonic,
+        number: id::WorkerNumber,
+        asked_at: time::Monotonic,
+        report: worker::Report,
+    ) {
+        let cfg = self.cfg;
+        let Some(entry) = self.workers.get_mut(&number) else { return };
+        if report.born_unix_ms.is_some_and(|born| born != entry.known.born_unix_ms) {
+            self.life_over(now, number, "another life answers");
+            return;
+        }
+        if let Some(clock_ms) = report.clock_ms {
+            entry.read_clock(&cfg, clock_ms, now);
+        }
+        if !entry.is_heard || entry.is_silent {
+            log::info!(target: "workers", worker:% = entry.known.name, number:% = number, running = report.running.len(), ended = report.ended.len(); "a worker answers");
+            self.is_dirty = true;
+        }
+        entry.is_heard = true;
+        entry.is_silent = false;
+        let is_whole = report.ended.len() < MAX_LISTED_ENDS;
+        for row in &report.running {
+            self.take_row(now, number, row);
+        }
+        if is_whole {
+            self.release_missing(now, number, asked_at, &report);
+        }
+        self.note_ends(number, report.ended);
+        self.pace(now, number);
+        let Some(entry) = self.workers.get_mut(&number) else { return };
+        entry.look_at = if entry.runs.is_empty() { now + IDLE_PERIOD } else { now };
+        self.look_due_one(now, number);
+    }
+
+    fn look_due_one(&mut self, now: time::Monotonic, number: id::WorkerNumber) {
+        let Some(entry) = self.workers.get(&number) else { return };
+        let awaits_stop = entry.runs.values().any(|run| matches!(run.phase, RunPhase::Stopping { .. }));
+        // The answer to the stop brings the next look.
+        if now >= entry.look_at && !awaits_stop {
+            self.look(now, number);
+        } else if awaits_stop {
+            let pause = Duration::from_millis(50);
+            if let Some(entry) = self.workers.get_mut(&number) {
+                entry.look_at = now + pause;
+            }
+        }
+    }
+
+    fn note_ends(&mut self, number: id::WorkerNumber, ended: Vec<worker::End>) {
+        let Some(entry) = self.workers.get_mut(&number) else { return };
+        let noted = entry.known.noted;
+        let mut ends: Vec<worker::End> = ended.into_iter().filter(|end| end.number > noted).collect();
+        if ends.is_empty() {
+            return;
+        }
+        ends.sort_by_key(|end| end.number);
+        entry.is_noting = true;
+        self.commands.push(state::Command::NoteEnds { worker: number, ends });
+    }
+
+    fn take_row(&mut self, now: time::Monotonic, number: id::WorkerNumber, row: &worker::RunRow) {
+        let Some(entry) = self.workers.get_mut(&number) else { return };
+        if let Some(run) = entry.runs.get_mut(&row.task).filter(|it| it.run == row.run) {
+            if run.percent != row.percent || row.percent >= 100 {
+                run.moved_at = now;
+            }
+            run.percent = row.percent;
+            run.load = row.load;
+            if !row.checkpoint.is_empty() {
+                run.checkpoint.clone_from(&row.checkpoint);
+            }
+            if run.phase == RunPhase::Starting {
+                run.phase = RunPhase::Running { since: now };
+            }
+            return;
+        }
+        self.adopt(now, number, row);
+    }
+
+    /// Takes a run in that this leader did not start, or stops it.
+    fn adopt(&mut self, now: time::Monotonic, number: id::WorkerNumber, row: &worker::RunRow) {
+        let spec = self.step_spec(row.task.step).cloned();
+        let task = self.task_mut(row.task);
+        let is_free = task.is_some_and(|task| {
+            let is_free = matches!(task.phase, TaskPhase::Unaccounted);
+            if is_free {
+                task.phase = TaskPhase::Placed(number);
+                task.run = task.run.max(row.run);
+            }
+            is_free
+        });
+        let is_occupied = self.workers.get(&number).is_some_and(|it| it.runs.contains_key(&row.task));
+        if is_occupied {
+            // A start of an earlier run came through late; the newer one is being settled.
+            self.orders.push(Order::Stop { worker: number, task: row.task, run: row.run });
+            return;
+        }
+        let spec = spec.unwrap_or_default();
+        let run = RunEntry {
+            run: row.run,
+            phase: RunPhase::Running { since: now },
+            reserved: spec.reserved(),
+            cpu_milli: spec.needs.cpu_milli,
+            is_uncertain: false,
+            pace: 100,
+            checkpoint: row.checkpoint.clone(),
+            load: row.load,
+            percent: row.percent,
+            moved_at: now,
+            over_since: None,
+        };
+        log::info!(target: "runs", task:% = row.task, run:% = row.run, worker:% = number, is_wanted = is_free; "a run was found");
+        let Some(entry) = self.workers.get_mut(&number) else { return };
+        entry.add(row.task, run);
+        if is_free {
+            if let Some(job) = self.jobs.get_mut(&row.task.step.job) {
+                job.has_started = true;
+            }
+        } else {
+            self.stop(now, number, row.task);
+        }
+    }
+
+    /// Releases runs that the worker would have listed if they were there.
+    fn release_missing(
+        &mut self,
+        now: time::Monotonic,
+        number: id::WorkerNumber,
+        asked_at: time::Monotonic,
+        report: &worker::Report,
+    ) {
+        let Some(entry) = self.workers.get(&number) else { return };
+        let is_listed = |task: &id::TaskId, run: &RunEntry| {
+            report.running.iter().any(|row| row.task == *task && row.run == run.run)
+                || report.ended.iter().any(|end| end.task == *task && end.run == run.run)
+        };
+        let missing = entry.runs.iter().filter(|(_, run)| run.is_settled(asked_at));
+        let missing = missing.filter(|(task, run)| !is_listed(task, run));
+        let missing: Vec<id::TaskId> = missing.map(|(task, _)| *task).collect();
+        for task in missing {
+            self.release(now, number, task);
+        }
+    }
+
+    /// Whether tasks that fill run beside tasks that serve.
+    pub(super) fn has_mix(&self, entry: &super::worker::WorkerEntry) -> bool {
+        let (mut fills, mut serves) = (false, false);
+        for task in entry.runs.keys() {
+            match self.step_spec(task.step).map(job::StepSpec::kind) {
+                Some(job::StepKind::Filler) => fills = true,
+                Some(job::StepKind::Serving) => serves = true,
+                _ => {}
+            }
+        }
+        fills && serves
+    }
+}
--- /dev/null
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -0,0 +1,176 @@
+use std::collections::BTreeMap;
+
+use comfreymill_types::time;
+
+use super::run::{RunEntry, RunPhase};
+use super::task::TaskPhase;
+use super::worker::WorkerEntry;
+use super::{Order, Scheduler};
+use crate::id;
+use crate::job;
+use crate::worker;
+
+/// Share in percent of its reservation that a task that serves uses by and large.
+const SERVING_USE_PERCENT: u32 = 50;
+/// Advantage of a worker near the data, in thousandths of a core.
+const NEAR_BONUS: i64 = 100_000;
+/// Disadvantage of a worker on which a task that serves is near its target.
+const PRESSED_MALUS: i64 = 50_000;
+
+/// # Places for tasks that wait
+impl Scheduler {
+    /// Gives places to the tasks that wait, if anything has changed since the last time.
+    pub fn place(&mut self, now: time::Monotonic) {
+        if !self.is_dirty || self.is_fenced {
+            return;
+        }
+        self.is_dirty = false;
+        if self.ready.is_empty() {
+            return;
+        }
+        // Needs for which nobody has room in this round, by pool.
+        let mut refused: BTreeMap<String, Vec<worker::Resources>> = BTreeMap::new();
+        for step in self.ready.steps() {
+            self.place_step(now, step, &mut refused);
+        }
+    }
+
+    fn place_step(
+        &mut self,
+        now: time::Monotonic,
+        step: id::StepId,
+        refused: &mut BTreeMap<String, Vec<worker::Resources>>,
+    ) {
+        let Some(job) = self.jobs.get(&step.job) else { return };
+        let Some(queue) = self.routes.queue(&job.queue) else { return };
+        let pool = queue.pool.clone();
+        let Some(spec) = job.spec.steps.get(usize::from(step.step)).cloned() else { return };
+        let needs = spec.reserved();
+        let is_hopeless = |list: &Vec<worker::Resources>| list.iter().any(|it| needs.holds(it));
+        if refused.get(&pool).is_some_and(is_hopeless) {
+            return;
+        }
+        for index in self.ready.tasks(step) {
+            let Some(worker) = self.choose(now, &pool, step, &spec) else {
+                let is_picky = spec.required_label.is_some() || spec.max_per_worker.is_some();
+                if !is_picky {
+                    refused.entry(pool).or_default().push(needs);
+                }
+                return;
+            };
+            self.start(now, worker, step.task(index), &spec);
+        }
+    }
+
+    /// Worker with the best place for a task of the step.
+    fn choose(
+        &self,
+        now: time::Monotonic,
+        pool: &str,
+        step: id::StepId,
+        spec: &job::StepSpec,
+    ) -> Option<id::WorkerNumber> {
+        let needs = spec.reserved();
+        let fitting = self.workers.iter().filter(|(_, it)| {
+            it.is_usable(now)
+                && it.free().holds(&needs)
+                && it.clock.is_some()
+                && is_allowed(it, pool, step, spec)
+        });
+        let scored = fitting.map(|(number, it)| (self.score(it, spec), *number));
+        scored.max_by_key(|(score, number)| (*score, std::cmp::Reverse(*number))).map(|it| it.1)
+    }
+
+    /// How well a task of the step would fare on a worker.
+    fn score(&self, entry: &WorkerEntry, spec: &job::StepSpec) -> i64 {
+        let mut score = self.spare_cpu(entry);
+        let labels = entry.announcement.as_ref().map(|it| it.labels.as_slice()).unwrap_or_default();
+        if spec.data_rack.as_ref().is_some_and(|rack| labels.contains(rack)) {
+            score += NEAR_BONUS;
+        }
+        if spec.kind() == job::StepKind::Filler && entry.filler_pace < 100 {
+            score -= PRESSED_MALUS + i64::from(100 - entry.filler_pace) * 100;
+        }
+        score
+    }
+
+    /// Processor time that is left unused, in thousandths of a core; negative if too little is.
+    fn spare_cpu(&self, entry: &WorkerEntry) -> i64 {
+        let capacity = entry.announcement.as_ref().map_or(0, |it| it.capacity.cpu_milli);
+        let mut spare = i64::from(capacity);
+        for (task, run) in &entry.runs {
+            let kind = self.step_spec(task.step).map_or(job::StepKind::Plain, job::StepSpec::kind);
+            let used = match kind {
+                job::StepKind::Serving => run.cpu_milli * SERVING_USE_PERCENT / 100,
+                job::StepKind::Filler | job::StepKind::Plain => run.cpu_milli,
+            };
+            spare -= i64::from(used);
+        }
+        spare
+    }
+
+    fn start(
+        &mut self,
+        now: time::Monotonic,
+        number: id::WorkerNumber,
+        task: id::TaskId,
+        spec: &job::StepSpec,
+    ) {
+        let cfg = self.cfg;
+        let Some(entry) = self.task_mut(task) else { return };
+        let checkpoint = entry.checkpoint.clone();
+        let run = {
+            let entry = &*entry;
+            let number = super::task::TaskEntry { run: entry.run, ..Default::default() };
+            self.next_run(&number)
+        };
+        let Some(worker) = self.workers.get_mut(&number) else { return };
+        let Some(lease_until_ms) = worker.grant(&cfg, now) else { return };
+        worker.add(
+            task,
+            RunEntry {
+                run,
+                phase: RunPhase::Starting,
+                reserved: spec.reserved(),
+                cpu_milli: spec.needs.cpu_milli,
+                is_uncertain: false,
+                pace: 100,
+                checkpoint: String::new(),
+                load: None,
+                percent: 0,
+                moved_at: now,
+                over_since: None,
+            },
+        );
+        worker.look_at = worker.look_at.min(now + cfg.get_watch_period());
+        let free = worker.free();
+        let name = worker.known.name.clone();
+        self.ready.remove(task);
+        if let Some(entry) = self.task_mut(task) {
+            entry.phase = TaskPhase::Placed(number);
+            entry.run = run;
+        }
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        job.has_started = true;
+        let waited_ms = now.since(job.accepted_at).as_millis();
+        log::info!(target: "runs", task:% = task, run:% = run, worker:% = name, number:% = number, free_cpu = free.cpu_milli, free_mem = free.mem_mb, since_accepted_ms:% = waited_ms; "a task is started");
+        let spec = job.spec.clone();
+        let worker = number;
+        self.orders.push(Order::Start { worker, task, run, spec, lease_until_ms, checkpoint });
+    }
+}
+
+/// Whether the step's tasks may run on the worker at all.
+fn is_allowed(entry: &WorkerEntry, pool: &str, step: id::StepId, spec: &job::StepSpec) -> bool {
+    let Some(announcement) = &entry.announcement else { return false };
+    if announcement.pool != pool {
+        return false;
+    }
+    if spec.required_label.as_ref().is_some_and(|label| !announcement.labels.contains(label)) {
+        return false;
+    }
+    spec.max_per_worker.is_none_or(|most| {
+        let range = step.task(0)..=step.task(u16::MAX);
+        entry.runs.range(range).count() < usize::from(most)
+    })
+}
--- /dev/null
+++ b/comfreymill_jobs/src/scheduler/queue.rs
@@ -0,0 +1,72 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use comfreymill_types::time;
+
+use crate::id;
+
+/// Order in which steps get places: the smallest goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    /// Long-running steps go before others.
+    pub(super) is_finite: bool,
+    /// Priority of the queue.
+    pub(super) priority: u32,
+    /// When the job should be over.
+    pub(super) due_at: time::Monotonic,
+}
+
+/// Tasks that wait for a place, by step.
+#[derive(Debug, Default)]
+pub(super) struct ReadyQueue {
+    order: BTreeSet<(Rank, id::StepId)>,
+    steps: BTreeMap<id::StepId, (Rank, BTreeSet<u16>)>,
+}
+
+impl ReadyQueue {
+    /// Adds a task.
+    pub(super) fn add(&mut self, task: id::TaskId, rank: Rank) {
+        let entry = self.steps.entry(task.step).or_insert_with(|| {
+            self.order.insert((rank, task.step));
+            (rank, BTreeSet::new())
+        });
+        entry.1.insert(task.index);
+    }
+
+    /// Removes a task.
+    pub(super) fn remove(&mut self, task: id::TaskId) {
+        if let Some((rank, tasks)) = self.steps.get_mut(&task.step) {
+            tasks.remove(&task.index);
+            if tasks.is_empty() {
+                self.order.remove(&(*rank, task.step));
+                self.steps.remove(&task.step);
+            }
+        }
+    }
+
+    /// Removes all tasks of a job.
+    pub(super) fn remove_job(&mut self, job: id::JobKey) {
+        let first = id::StepId { job, occurrence: 0, step: 0 };
+        let last = id::StepId { job, occurrence: u32::MAX, step: u16::MAX };
+        let steps: Vec<id::StepId> = self.steps.range(first..=last).map(|(step, _)| *step).collect();
+        for step in steps {
+            if let Some((rank, _)) = self.steps.remove(&step) {
+                self.order.remove(&(rank, step));
+            }
+        }
+    }
+
+    /// Steps in the order in which they get places.
+    pub(super) fn steps(&self) -> Vec<id::StepId> {
+        self.order.iter().map(|(_, step)| *step).collect()
+    }
+
+    /// Tasks of a step that wait.
+    pub(super) fn tasks(&self, step: id::StepId) -> Vec<u16> {
+        self.steps.get(&step).map(|(_, tasks)| tasks.iter().copied().collect()).unwrap_or_default()
+    }
+
+    /// Whether no task waits.
+    pub(super) fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+}
--- /dev/null
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -0,0 +1,142 @@
+use std::collections::BTreeMap;
+use std::mem;
+
+use comfreymill_types::time;
+
+use super::queue::{Rank, ReadyQueue};
+use super::task::{JobEntry, TaskEntry, TaskPhase};
+use super::worker::WorkerEntry;
+use super::{Config, Order};
+use crate::id;
+use crate::job;
+use crate::routes;
+use crate::state;
+
+/// Runs of a leader are numbered from a multiple of this, so that they are above those of all
+/// earlier leaders.
+const RUNS_PER_LEADER: u64 = 1_000;
+
+/// Leader's decisions.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(super) cfg: Config,
+    pub(super) fence: id::Fence,
+    /// Whether a worker has obeyed a later leader; nothing is ordered from then on.
+    pub(super) is_fenced: bool,
+    pub(super) routes: routes::RouteTable,
+    pub(super) jobs: BTreeMap<id::JobKey, JobEntry>,
+    pub(super) workers: BTreeMap<id::WorkerNumber, WorkerEntry>,
+    pub(super) ready: ReadyQueue,
+    /// Announcements of lives that are not in the log yet.
+    pub(super) strangers: BTreeMap<id::WorkerName, super::announcements::Stranger>,
+    /// Whether tasks of earlier leaders may run at workers that were not heard yet.
+    pub(super) has_unaccounted: bool,
+    /// Whether a place may have become free, or a task may have become ready.
+    pub(super) is_dirty: bool,
+    /// Jobs that are over, in the order in which they ended.
+    pub(super) ended: std::collections::VecDeque<(time::Monotonic, id::JobKey)>,
+    /// Milliseconds since 1970 at the start of the leader's clock.
+    pub(super) unix_offset_ms: u64,
+    pub(super) orders: Vec<Order>,
+    pub(super) commands: Vec<state::Command>,
+}
+
+impl Scheduler {
+    /// Fencing token of the orders.
+    pub fn get_fence(&self) -> id::Fence {
+        self.fence
+    }
+
+    /// Whether a worker has obeyed a later leader.
+    pub fn is_fenced(&self) -> bool {
+        self.is_fenced
+    }
+
+    /// Address of a worker and the name that it has in this life.
+    pub fn worker(&self, worker: id::WorkerNumber) -> Option<&state::Worker> {
+        self.workers.get(&worker).map(|entry| &entry.known)
+    }
+
+    /// Orders since the last call, in the order to send them.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        if self.is_fenced {
+            self.orders.clear();
+        }
+        mem::take(&mut self.orders)
+    }
+
+    /// Changes of the state since the last call, in the order to propose them.
+    pub fn take_commands(&mut self) -> Vec<state::Command> {
+        mem::take(&mut self.commands)
+    }
+
+    /// Takes in that commands were not proposed; they are proposed again.
+    pub fn commands_lost(&mut self, commands: Vec<state::Command>) {
+        let own = commands.into_iter().filter(|command| {
+            !matches!(command, state::Command::Submit(_) | state::Command::Cancel { .. })
+                && !matches!(command, state::Command::SetRoutes { .. } | state::Command::Lead)
+        });
+        self.commands.extend(own);
+    }
+
+    /// Whether a task of the job was started, as far as this leader knows.
+    pub fn has_started(&self, job: id::JobKey) -> bool {
+        self.jobs.get(&job).is_some_and(|job| job.has_started)
+    }
+
+    /// Number of the queue's jobs without times of which no task was started.
+    pub fn waiting(&self, queue: &str) -> usize {
+        let of_queue = self.jobs.values().filter(|job| job.queue == queue);
+        of_queue.filter(|job| job.spec.schedule.is_none() && !job.has_started).count()
+    }
+
+    /// Tells the scheduler which routes are in force.
+    pub fn routes_changed(&mut self, table: &routes::RouteTable) {
+        self.routes = table.clone();
+        self.is_dirty = true;
+    }
+
+    pub(super) fn step_spec(&self, step: id::StepId) -> Option<&job::StepSpec> {
+        self.jobs.get(&step.job)?.spec.steps.get(usize::from(step.step))
+    }
+
+    pub(super) fn task_mut(&mut self, task: id::TaskId) -> Option<&mut TaskEntry> {
+        let occurrence = self.jobs.get_mut(&task.step.job)?;
+        let occurrence = occurrence.occurrences.get_mut(&task.step.occurrence)?;
+        let step = occurrence.steps.get_mut(usize::from(task.step.step))?;
+        step.tasks.get_mut(usize::from(task.index))
+    }
+
+    /// Rank of a step's tasks among those that wait.
+    pub(super) fn rank(&self, step: id::StepId) -> Option<Rank> {
+        let job = self.jobs.get(&step.job)?;
+        let spec = job.spec.steps.get(usize::from(step.step))?;
+        let occurrence = job.occurrences.get(&step.occurrence)?;
+        let queue = self.routes.queue(&job.queue);
+        let (stretch, target_ms) = queue.map_or((1.0, 0), |it| (it.stretch, it.target_latency_ms));
+        let chain_ms = job.spec.longest_chain_ms() as f64 * stretch;
+        let allowed_ms = chain_ms.max(0.0) as u64 + target_ms;
+        Some(Rank {
+            is_finite: !spec.is_long_running,
+            priority: queue.map_or(u32::MAX, |it| it.priority),
+            due_at: occurrence.due_at + std::time::Duration::from_millis(allowed_ms),
+        })
+    }
+
+    /// Lets a task wait for a place.
+    pub(super) fn make_ready(&mut self, task: id::TaskId) {
+        let Some(rank) = self.rank(task.step) else { return };
+        if let Some(entry) = self.task_mut(task) {
+            entry.phase = TaskPhase::Ready;
+            self.ready.add(task, rank);
+            self.is_dirty = true;
+        }
+    }
+
+    /// Number for the next run of a task.
+    pub(super) fn next_run(&self, task: &TaskEntry) -> id::Run {
+        let first = (self.fence.get().saturating_sub(1)).saturating_mul(RUNS_PER_LEADER) + 1;
+        let first = u32::try_from(first).unwrap_or(u32::MAX);
+        task.run.next().max(id::Run::new(first))
+    }
+}
--- /dev/null
+++ b/comfreymill_jobs/src/scheduler/tick.rs
@@ -0,0 +1,70 @@
+use std::time::Duration;
+
+use comfreymill_types::time;
+
+use super::run::RunPhase;
+use super::{Order, Scheduler};
+use crate::id;
+use crate::state;
+
+/// Time after which an unanswered stop is sent again.
+const STOP_RETRY: Duration = Duration::from_millis(400);
+/// Most jobs that are forgotten at once.
+const MAX_FORGOTTEN: usize = 256;
+
+/// # What time brings
+impl Scheduler {
+    /// Does what is due by `now`; `since_1970` is the time of day.
+    pub fn tick(&mut self, now: time::Monotonic, since_1970: Duration) {
+        let unix_ms = u64::try_from(since_1970.as_millis()).unwrap_or(u64::MAX);
+        self.unix_offset_ms = unix_ms.saturating_sub(now.as_micros() / 1_000);
+        self.lapse_due(now);
+        self.look_due(now);
+        self.account(now);
+        self.retry_stops(now);
+        self.begin_all_due(now);
+        self.forget(now);
+    }
+
+    fn begin_all_due(&mut self, now: time::Monotonic) {
+        let recurring = self.jobs.iter().filter(|(_, job)| job.spec.schedule.is_some());
+        let due = recurring.filter(|(_, job)| {
+            job.next_occurrence < job.spec.occurrences()
+                && self.is_due(now, &job.spec, job.next_occurrence)
+        });
+        let due: Vec<id::JobKey> = due.map(|(key, _)| *key).collect();
+        for key in due {
+            self.begin_due(now, key);
+        }
+    }
+
+    fn retry_stops(&mut self, now: time::Monotonic) {
+        for (number, worker) in &mut self.workers {
+            for (task, run) in &mut worker.runs {
+                if let RunPhase::Stopping { sent_at } = &mut run.phase
+                    && now.since(*sent_at) >= STOP_RETRY
+                    && !worker.is_silent
+                {
+                    *sent_at = now;
+                    let order = Order::Stop { worker: *number, task: *task, run: run.run };
+                    self.orders.push(order);
+                }
+            }
+        }
+    }
+
+    fn forget(&mut self, now: time::Monotonic) {
+        let mut jobs = Vec::new();
+        while let Some((ended_at, key)) = self.ended.front() {
+            let is_kept = now.since(*ended_at) < self.cfg.get_status_kept();
+            if is_kept || jobs.len() >= MAX_FORGOTTEN {
+                break;
+            }
+            jobs.push(*key);
+            self.ended.pop_front();
+        }
+        if !jobs.is_empty() {
+            self.commands.push(state::Command::Forget { jobs });
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -0,0 +1,129 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use comfreymill_types::time;
+
+use super::Config;
+use super::run::RunEntry;
+use crate::id;
+use crate::state;
+use crate::worker;
+
+/// Life of a worker as the leader sees it.
+#[derive(Debug)]
+pub(super) struct WorkerEntry {
+    pub(super) known: state::Worker,
+    /// Its newest announcement to this leader.
+    pub(super) announcement: Option<worker::Announcement>,
+    /// Whether it has answered a look of this leader.
+    pub(super) is_heard: bool,
+    /// Whether its newest look failed.
+    pub(super) is_silent: bool,
+    /// Whether its life is over; what it listed before may still be on its way into the log.
+    pub(super) is_over: bool,
+    /// Whether ends that it listed are on their way into the log.
+    pub(super) is_noting: bool,
+    /// What runs there, is being started or being stopped, by task.
+    pub(super) runs: BTreeMap<id::TaskId, RunEntry>,
+    /// What the runs take of it.
+    pub(super) reserved: worker::Resources,
+    /// When the look that is under way was sent.
+    pub(super) look_sent_at: Option<time::Monotonic>,
+    /// When it is to be looked at next.
+    pub(super) look_at: time::Monotonic,
+    /// Latest moment at which a lease granted so far ends.
+    pub(super) lease_over_at: time::Monotonic,
+    /// Reading of its clock in milliseconds, and when it was received.
+    pub(super) clock: Option<(u64, time::Monotonic)>,
+    /// Until when nothing is placed there.
+    pub(super) rests_until: time::Monotonic,
+    /// Failed runs since the last one that was done.
+    pub(super) failures: u32,
+    /// When the shares of its fillers were last changed.
+    pub(super) paced_at: time::Monotonic,
+    /// Share for fillers there, in percent.
+    pub(super) filler_pace: u32,
+}
+
+impl WorkerEntry {
+    /// Worker that this leader has not heard yet; an earlier leader may have granted it a lease
+    /// that ends at `lease_over_at`.
+    pub(super) fn new(
+        known: state::Worker,
+        lease_over_at: time::Monotonic,
+        now: time::Monotonic,
+    ) -> Self {
+        Self {
+            known,
+            announcement: None,
+            is_heard: false,
+            is_silent: false,
+            is_over: false,
+            is_noting: false,
+            runs: BTreeMap::new(),
+            reserved: worker::Resources::default(),
+            look_sent_at: None,
+            look_at: now,
+            lease_over_at,
+            clock: None,
+            rests_until: time::Monotonic::ZERO,
+            failures: 0,
+            paced_at: time::Monotonic::ZERO,
+            filler_pace: 100,
+        }
+    }
+
+    /// Whether its runs are known, or none is left.
+    pub(super) fn is_accounted(&self, now: time::Monotonic) -> bool {
+        self.is_heard || self.is_over || now >= self.lease_over_at
+    }
+
+    /// Whether tasks may be placed there.
+    pub(super) fn is_usable(&self, now: time::Monotonic) -> bool {
+        let is_staying = self.announcement.as_ref().is_some_and(|it| it.leaving_in.is_none());
+        is_staying && self.is_heard && !self.is_silent && !self.is_over && now >= self.rests_until
+    }
+
+    /// What is not reserved.
+    pub(super) fn free(&self) -> worker::Resources {
+        let capacity = self.announcement.as_ref().map(|it| it.capacity).unwrap_or_default();
+        capacity.saturating_sub(&self.reserved)
+    }
+
+    /// Takes a reading of its clock in; an older reading that says less is ignored.
+    pub(super) fn read_clock(&mut self, cfg: &Config, clock_ms: u64, now: time::Monotonic) {
+        if self.clock_ms(cfg, now).is_none_or(|estimate| clock_ms > estimate) {
+            self.clock = Some((clock_ms, now));
+        }
+    }
+
+    /// What its clock shows at least.
+    pub(super) fn clock_ms(&self, cfg: &Config, now: time::Monotonic) -> Option<u64> {
+        let (clock_ms, at) = self.clock?;
+        Some(clock_ms + millis(cfg.shrink(now.since(at))))
+    }
+
+    /// Grants a lease from `now` on; gives its end on the worker's clock.
+    pub(super) fn grant(&mut self, cfg: &Config, now: time::Monotonic) -> Option<u64> {
+        let clock_ms = self.clock_ms(cfg, now)?;
+        self.lease_over_at = self.lease_over_at.max(now + cfg.stretch(cfg.get_lease()));
+        Some(clock_ms + millis(cfg.get_lease()))
+    }
+
+    /// Adds a run.
+    pub(super) fn add(&mut self, task: id::TaskId, run: RunEntry) {
+        self.reserved += run.reserved;
+        self.runs.insert(task, run);
+    }
+
+    /// Removes a run.
+    pub(super) fn remove(&mut self, task: id::TaskId) -> Option<RunEntry> {
+        let run = self.runs.remove(&task)?;
+        self.reserved = self.reserved.saturating_sub(&run.reserved);
+        Some(run)
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/comfreymill_jobs/src/state/apply.rs
@@ -0,0 +1,121 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use super::state::Routes;
+use super::{Command, Job, JobStatus, State, Submission, Worker};
+use crate::id;
+use crate::worker;
+
+/// What a command changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// A leader has its token.
+    Leads(id::Fence),
+    /// Other routes are in force.
+    RoutesChanged,
+    /// A job was accepted.
+    JobAdded(id::JobKey),
+    /// A job is over by its caller's wish.
+    JobCancelled(id::JobKey),
+    /// No job has that key.
+    NoSuchJob(id::JobKey),
+    /// A life of a worker was added.
+    WorkerAdded(id::WorkerNumber),
+    /// Lives of workers are over.
+    WorkersDropped(Vec<id::WorkerNumber>),
+    /// Ends were noted, up to the number given.
+    EndsNoted {
+        /// Worker.
+        worker: id::WorkerNumber,
+        /// Ends that were not noted before.
+        ends: Vec<worker::End>,
+    },
+    /// Nothing, or nothing that others wait for.
+    None,
+}
+
+impl State {
+    /// Applies a command of the entry at `index`.
+    pub fn apply(&mut self, index: u64, command: Command) -> Effect {
+        self.applied = index;
+        match command {
+            Command::Lead => {
+                self.fence = self.fence.next();
+                Effect::Leads(self.fence)
+            }
+            Command::SetRoutes { table, document } => {
+                let current = self.routes.as_ref().map(|routes| routes.table.version);
+                if current.is_some_and(|current| table.version <= current) {
+                    return Effect::None;
+                }
+                self.routes = Some(Routes { table: *table, document });
+                Effect::RoutesChanged
+            }
+            Command::Submit(submission) => self.submit(*submission),
+            Command::Cancel { job } => self.cancel(job),
+            Command::AddWorker { name, born_unix_ms, address } => {
+                self.last_worker = self.last_worker.next();
+                let worker = Worker { name, born_unix_ms, address, noted: 0 };
+                self.workers.insert(self.last_worker, worker);
+                Effect::WorkerAdded(self.last_worker)
+            }
+            Command::DropWorkers { workers } => {
+                self.workers.retain(|number, _| !workers.contains(number));
+                Effect::WorkersDropped(workers)
+            }
+            Command::NoteEnds { worker, ends } => self.note(worker, ends),
+            Command::Forget { jobs } => {
+                for key in jobs {
+                    if self.jobs.get(&key).is_some_and(Job::is_over) {
+                        self.jobs.remove(&key);
+                    }
+                }
+                Effect::None
+            }
+        }
+    }
+
+    fn submit(&mut self, submission: Submission) -> Effect {
+        let Submission { job: key, queue, max_attempts, spec } = submission;
+        if self.jobs.contains_key(&key) {
+            return Effect::None;
+        }
+        let job = Job {
+            queue,
+            max_attempts,
+            spec: Arc::new(spec),
+            status: JobStatus::Open,
+            occurrences: BTreeMap::new(),
+            finished: BTreeSet::new(),
+        };
+        self.jobs.insert(key, job);
+        Effect::JobAdded(key)
+    }
+
+    fn cancel(&mut self, key: id::JobKey) -> Effect {
+        match self.jobs.get_mut(&key) {
+            None => Effect::NoSuchJob(key),
+            Some(job) if job.is_over() => Effect::None,
+            Some(job) => {
+                job.end(JobStatus::Cancelled);
+                Effect::JobCancelled(key)
+            }
+        }
+    }
+
+    fn note(&mut self, number: id::WorkerNumber, ends: Vec<worker::End>) -> Effect {
+        let Some(worker) = self.workers.get_mut(&number) else { return Effect::None };
+        let mut fresh = Vec::with_capacity(ends.len());
+        for end in ends {
+            if end.number <= worker.noted {
+                continue;
+            }
+            worker.noted = end.number;
+            if let Some(job) = self.jobs.get_mut(&end.task.step.job) {
+                job.note(&end);
+            }
+            fresh.push(end);
+        }
+        Effect::EndsNoted { worker: number, ends: fresh }
+    }
+}
--- /dev/null
+++ b/comfreymill_jobs/src/state/mod.rs
@@ -0,0 +1,16 @@
+//! What the log builds: deterministic, without a clock.
+
+mod apply;
+mod command;
+mod job;
+#[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
+mod state;
+mod step;
+mod worker;
+
+pub use apply::Effect;
+pub use command::{Command, Submission};
+pub use job::{Job, JobStatus, Occurrence};
+pub use state::{Routes, State, StateError};
+pub use step::StepState;
+pub use worker::Worker;
--- /dev/null
+++ b/comfreymill_jobs/src/state/step.rs
@@ -0,0 +1,81 @@
+use std::collections::BTreeMap;
+
+use crate::id;
+use crate::job;
+use crate::worker;
+
+/// What is known of the tasks of a step of one occurrence.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct StepState {
+    /// Tasks that are not done.
+    pub open: u16,
+    /// Whether a task is done, by index.
+    pub done: Vec<bool>,
+    /// Failed runs by task; of a gang, by its run, under index 0.
+    pub failures: BTreeMap<u16, u32>,
+    /// Highest run known to have failed, of a gang.
+    pub gang_failed: id::Run,
+    /// Newest checkpoints by task.
+    pub checkpoints: BTreeMap<u16, String>,
+    /// Highest run known by task.
+    pub runs: BTreeMap<u16, id::Run>,
+}
+
+impl StepState {
+    /// Step of which nothing has run.
+    pub(super) fn new(spec: &job::StepSpec) -> Self {
+        Self { open: spec.count, done: vec![false; usize::from(spec.count)], ..Self::default() }
+    }
+
+    /// Whether task `index` is done.
+    pub fn is_done(&self, index: u16) -> bool {
+        self.done.get(usize::from(index)).copied().unwrap_or(true)
+    }
+
+    /// Notes an end; tells the failed runs of its task or gang where this one failed.
+    pub(super) fn note(&mut self, spec: &job::StepSpec, end: &worker::End) -> Option<u32> {
+        let index = end.task.index;
+        let run = self.runs.entry(index).or_default();
+        *run = (*run).max(end.run);
+        if !end.checkpoint.is_empty() && !self.is_done(index) {
+            self.checkpoints.insert(index, end.checkpoint.clone());
+        }
+        match end.kind {
+            worker::EndKind::Done if spec.is_gang => {
+                self.done.fill(true);
+                self.open = 0;
+                self.checkpoints.clear();
+                None
+            }
+            worker::EndKind::Done if !spec.is_long_running => {
+                self.finish(index);
+                None
+            }
+            worker::EndKind::Failed if !spec.is_long_running && !self.is_done(index) => {
+                Some(self.fail(spec, end))
+            }
+            _ => None,
+        }
+    }
+
+    fn finish(&mut self, index: u16) {
+        if let Some(done) = self.done.get_mut(usize::from(index))
+            && !*done
+        {
+            *done = true;
+            self.open -= 1;
+            self.checkpoints.remove(&index);
+        }
+    }
+
+    fn fail(&mut self, spec: &job::StepSpec, end: &worker::End) -> u32 {
+        let index = if spec.is_gang { 0 } else { end.task.index };
+        let failures = self.failures.entry(index).or_default();
+        // Several members of a gang may list the failure of the same run.
+        if !spec.is_gang || end.run > self.gang_failed {
+            *failures += 1;
+            self.gang_failed = end.run;
+        }
+        *failures
+    }
+}
--- /dev/null
+++ b/comfreymill_jobs/src/worker/resources.rs
@@ -0,0 +1,37 @@
+use std::ops;
+
+/// Processors, memory and accelerators.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Resources {
+    /// Processor time in thousandths of a core.
+    pub cpu_milli: u32,
+    /// Memory in MB.
+    pub mem_mb: u32,
+    /// Accelerators.
+    pub gpus: u32,
+}
+
+impl Resources {
+    /// Whether `other` fits into this.
+    pub const fn holds(&self, other: &Self) -> bool {
+        other.cpu_milli <= self.cpu_milli && other.mem_mb <= self.mem_mb && other.gpus <= self.gpus
+    }
+
+    /// What is left of this without `other`.
+    #[must_use]
+    pub const fn saturating_sub(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            mem_mb: self.mem_mb.saturating_sub(other.mem_mb),
+            gpus: self.gpus.saturating_sub(other.gpus),
+        }
+    }
+}
+
+impl ops::AddAssign for Resources {
+    fn add_assign(&mut self, other: Self) {
+        self.cpu_milli = self.cpu_milli.saturating_add(other.cpu_milli);
+        self.mem_mb = self.mem_mb.saturating_add(other.mem_mb);
+        self.gpus = self.gpus.saturating_add(other.gpus);
+    }
+}
--- a/comfreymill_node/src/clock/mod.rs
+++ b/comfreymill_node/src/clock/mod.rs
@@ -4,3 +4,4 @@
 mod clock;
 
 pub use clock::Clock;
+pub(crate) use clock::since_1970;
--- a/comfreymill_node/src/command/flags/general.rs
+++ b/comfreymill_node/src/command/flags/general.rs
@@ -36,6 +36,18 @@
             required --settings file: PathBuf
         }
 
+        /// Runs a gateway process: callers of jobs talk to it.
+        cmd gateway {
+            /// Settings file.
+            required --settings file: PathBuf
+        }
+
+        /// Runs a scheduler process: a voter that places jobs on workers it calls.
+        cmd scheduler {
+            /// Settings file.
+            required --settings file: PathBuf
+        }
+
         /// Runs both in one process on loopback, with one voter and no settings file.
         cmd serve {
             /// Folder of the state, the key and the token; created if it is missing.
--- a/comfreymill_node/src/command/general.rs
+++ b/comfreymill_node/src/command/general.rs
@@ -20,6 +20,8 @@
     match verb {
         general::ComfreymillCmd::Entry(flags) => run_entry(&flags.settings, programs),
         general::ComfreymillCmd::Control(flags) => run_control(&flags.settings, programs),
+        general::ComfreymillCmd::Gateway(flags) => run_gateway(&flags.settings, programs),
+        general::ComfreymillCmd::Scheduler(flags) => run_scheduler(&flags.settings, programs),
         general::ComfreymillCmd::Serve(flags) => run_embedded(flags, programs),
         general::ComfreymillCmd::Check(flags) => check::execute(&flags, options),
         general::ComfreymillCmd::Env(_) | general::ComfreymillCmd::Job(_) => {
@@ -45,7 +47,7 @@
             let _logs = logs::start(entry.get_common().get_log(), Some(file))?;
             programs.run_entry(entry).map(|()| String::new())
         }
-        settings::SettingsFile::Control(_) => Err(wrong_program(file, "control")),
+        other => Err(wrong_program(file, other.get_program())),
     }
 }
 
@@ -58,7 +60,33 @@
             let _logs = logs::start(control.get_common().get_log(), Some(file))?;
             programs.run_control(control).map(|()| String::new())
         }
-        settings::SettingsFile::Entry(_) => Err(wrong_program(file, "entry")),
+        other => Err(wrong_program(file, other.get_program())),
+    }
+}
+
+fn run_gateway<P>(file: &path::Path, programs: &P) -> Output
+where
+    P: Programs,
+{
+    match load_alone(file)? {
+        settings::SettingsFile::Gateway(gateway) => {
+            let _logs = logs::start(gateway.get_node().get_log(), Some(file))?;
+            programs.run_gateway(gateway).map(|()| String::new())
+        }
+        other => Err(wrong_program(file, other.get_program())),
+    }
+}
+
+fn run_scheduler<P>(file: &path::Path, programs: &P) -> Output
+where
+    P: Programs,
+{
+    match load_alone(file)? {
+        settings::SettingsFile::Scheduler(scheduler) => {
+            let _logs = logs::start(scheduler.get_node().get_log(), Some(file))?;
+            programs.run_scheduler(scheduler).map(|()| String::new())
+        }
+        other => Err(wrong_program(file, other.get_program())),
     }
 }
 
@@ -72,12 +100,18 @@
 }
 
 fn load(file: &path::Path) -> Result<settings::SettingsFile, error::Error> {
-    settings::SettingsFile::load(file).map_err(|error| {
-        error::Error::new(
-            ErrorKind::InvalidSettings,
-            format!("the settings cannot be used:\n{error}"),
-        )
-    })
+    settings::SettingsFile::load(file).map_err(|error| unusable(&error))
+}
+
+/// Settings without a look at the machine: a probe file that a loss of power leaves behind would
+/// be taken for damage of the state.
+fn load_alone(file: &path::Path) -> Result<settings::SettingsFile, error::Error> {
+    settings::SettingsFile::load_alone(file).map_err(|error| unusable(&error))
+}
+
+fn unusable(error: &settings::SettingsError) -> error::Error {
+    let message = format!("the settings cannot be used:\n{error}");
+    error::Error::new(ErrorKind::InvalidSettings, message)
 }
 
 fn wrong_program(file: &path::Path, program: &str) -> error::Error {
--- a/comfreymill_node/src/command/programs.rs
+++ b/comfreymill_node/src/command/programs.rs
@@ -20,6 +20,20 @@
     /// The process cannot start or has to stop.
     fn run_control(&self, settings: settings::ControlSettings) -> Result<(), error::Error>;
 
+    /// Runs a gateway process.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot start or has to stop.
+    fn run_gateway(&self, settings: settings::GatewaySettings) -> Result<(), error::Error>;
+
+    /// Runs a scheduler process.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot start or has to stop.
+    fn run_scheduler(&self, settings: settings::SchedulerSettings) -> Result<(), error::Error>;
+
     /// Runs both in one process with their state in `folder`.
     ///
     /// # Errors
--- a/comfreymill_node/src/control/core/core.rs
+++ b/comfreymill_node/src/control/core/core.rs
@@ -10,12 +10,12 @@
 
 use super::config::CoreConfig;
 use super::input::Input;
-use super::proposals::Proposals;
 use super::sessions::Sessions;
 use super::waiter::Waiter;
 use crate::control::lead::Lead;
 use crate::control::views;
 use crate::control::voters::Voters;
+use crate::proposals::Proposals;
 
 /// Replica, replicated state and, while this replica leads, the leader's decisions.
 pub(in crate::control) struct Core {
@@ -24,7 +24,7 @@
     pub(super) store: store::Thread,
     pub(super) voters: Voters,
     pub(super) ledger: ledger::Ledger,
-    pub(super) proposals: Proposals,
+    pub(super) proposals: Proposals<Waiter>,
     pub(super) sessions: Sessions,
     pub(super) lead: Option<Lead>,
     pub(super) failure: Option<String>,
--- a/comfreymill_node/src/control/core/mod.rs
+++ b/comfreymill_node/src/control/core/mod.rs
@@ -9,7 +9,6 @@
 mod input;
 mod membership;
 mod operate;
-mod proposals;
 mod push;
 mod sessions;
 mod task;
--- /dev/null
+++ b/comfreymill_node/src/gateway/callers.rs
@@ -0,0 +1,109 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use comfreymill_http::server;
+use comfreymill_platform as platform;
+use http::{HeaderValue, Method, StatusCode, header};
+
+use crate::jobcall::{Call, Client, Lost, Reply};
+
+/// Longest wait for the leader: a new one is elected well within it.
+const PATIENCE: Duration = Duration::from_millis(2_500);
+/// Part of the caller's time that is left for the answer's journey.
+const JOURNEY: Duration = Duration::from_millis(150);
+/// Most bytes of a submission.
+const MAX_BODY_BYTES: u64 = 1 << 20;
+/// When a caller should come back whose request was not run, in seconds.
+const RETRY_AFTER_S: &str = "1";
+
+/// Answer to a caller.
+struct Answer {
+    status: StatusCode,
+    body: Bytes,
+    outcome: &'static str,
+}
+
+/// Answers one request of a caller.
+///
+/// # Errors
+///
+/// The caller did not take the answer, or its body is malformed.
+pub(super) async fn serve(
+    leader: &Client,
+    mut req: server::Request<'_>,
+) -> Result<(), server::ServerError> {
+    let method = req.method().clone();
+    let host = host(&req);
+    let path = req.uri().path().to_owned();
+    let patience = platform::caller_patience(req.headers()).unwrap_or(PATIENCE);
+    let patience = patience.saturating_sub(JOURNEY).min(PATIENCE);
+    let body = req.collect(MAX_BODY_BYTES).await?;
+    let began = std::time::Instant::now();
+    let answer = match call(&method, &host, &path, &body) {
+        Ok(call) => answer(leader.call(&call, patience).await),
+        Err(answer) => answer,
+    };
+    let took_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
+    log::info!(target: "requests", method = method.as_str(), host = host.as_str(), path = path.as_str(), status = answer.status.as_u16(), outcome = answer.outcome, took_ms; "a request is answered");
+    let mut headers = http::HeaderMap::new();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S));
+    }
+    req.respond(answer.status, &headers, answer.body).await
+}
+
+fn host(req: &server::Request<'_>) -> String {
+    let named = req.headers().get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = named.or_else(|| req.uri().host()).unwrap_or_default();
+    host.rsplit_once(':').map_or(host, |(name, _)| name).to_owned()
+}
+
+/// What to ask the leader.
+fn call(method: &Method, host: &str, path: &str, body: &[u8]) -> Result<Call, Answer> {
+    let (host, path) = (host.to_owned(), path.to_owned());
+    match *method {
+        Method::POST => match platform::decode_job(body) {
+            Ok(spec) => Ok(Call::Submit { host, path, spec: Box::new(spec) }),
+            Err(error) => Err(Answer {
+                status: StatusCode::BAD_REQUEST,
+                body: error.to_string().into(),
+                outcome: "malformed",
+            }),
+        },
+        Method::GET => Ok(Call::Show { host, path }),
+        Method::DELETE => Ok(Call::Cancel { host, path }),
+        _ => Err(Answer {
+            status: StatusCode::METHOD_NOT_ALLOWED,
+            body: Bytes::new(),
+            outcome: "method",
+        }),
+    }
+}
+
+fn answer(result: Result<Reply, Lost>) -> Answer {
+    let (status, body, outcome) = match result {
+        Ok(Reply::Done) => (StatusCode::OK, Bytes::from_static(b"{}"), "done"),
+        Ok(Reply::Job(phase)) => {
+            (StatusCode::OK, platform::encode_state(phase.as_str()), phase.as_str())
+        }
+        Ok(Reply::Waiting(waiting)) => {
+            let waiting = usize::try_from(waiting).unwrap_or(usize::MAX);
+            (StatusCode::OK, platform::encode_waiting(waiting), "waiting")
+        }
+        Ok(Reply::NoSuchJob) => (StatusCode::GONE, Bytes::new(), "no such job"),
+        Ok(Reply::NoSuchQueue) => (StatusCode::NOT_FOUND, Bytes::new(), "no such queue"),
+        Ok(Reply::Malformed(reason)) => (StatusCode::BAD_REQUEST, reason.into(), "malformed"),
+        Ok(Reply::NoRoutes) => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new(), "no routes"),
+        Ok(reply) => {
+            log::warn!(target: "requests", reply:? = reply; "an unexpected reply");
+            (StatusCode::GATEWAY_TIMEOUT, Bytes::new(), "unexpected")
+        }
+        // Whether the leader took it is not known, so it may not be called refused.
+        Err(Lost { was_sent: true }) => (StatusCode::GATEWAY_TIMEOUT, Bytes::new(), "unknown"),
+        Err(Lost { was_sent: false }) => {
+            (StatusCode::SERVICE_UNAVAILABLE, Bytes::new(), "no leader")
+        }
+    };
+    Answer { status, body, outcome }
+}
--- /dev/null
+++ b/comfreymill_node/src/gateway/ready.rs
@@ -0,0 +1,36 @@
+use std::cell::Cell;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use comfreymill_http::server;
+use comfreymill_platform as platform;
+use http::StatusCode;
+
+use crate::jobcall::Client;
+
+/// Whether the process takes callers.
+#[derive(Clone, Debug)]
+pub(super) struct Readiness {
+    /// Calls to the leader.
+    pub(super) leader: Client,
+    /// Set once the process is stopping.
+    pub(super) is_draining: Rc<Cell<bool>>,
+}
+
+/// Answers one probe.
+///
+/// # Errors
+///
+/// The prober did not take the answer.
+pub(super) async fn serve(
+    readiness: &Readiness,
+    req: server::Request<'_>,
+) -> Result<(), server::ServerError> {
+    let is_ready = !readiness.is_draining.get() && readiness.leader.is_connected();
+    let status = match (platform::is_readiness_probe(req.uri().path()), is_ready) {
+        (false, _) => StatusCode::NOT_FOUND,
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    req.respond(status, &http::HeaderMap::new(), Bytes::new()).await
+}
--- /dev/null
+++ b/comfreymill_node/src/jobcall/client.rs
@@ -0,0 +1,80 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+
+use super::link::{self, Asked, LinkConfig};
+use super::{Call, Members, Reply, codec};
+
+/// Pause before a call is sent again.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Longest wait for the answer to one sending: a leader that serves answers within a sync and two
+/// journeys between regions.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// No answer came in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Lost {
+    /// Whether a leader may have taken the call.
+    pub(crate) was_sent: bool,
+}
+
+/// Calls to whichever process leads.
+#[derive(Clone, Debug)]
+pub(crate) struct Client {
+    asked: flume::Sender<Asked>,
+    members: Rc<RefCell<Members>>,
+}
+
+impl Client {
+    /// Starts the task that keeps a connection to the leader.
+    pub(crate) fn start(cfg: LinkConfig) -> Self {
+        let (asked, rx) = flume::unbounded();
+        let members = Rc::new(RefCell::new(Members::default()));
+        monoio::spawn(link::run(cfg, rx, Rc::clone(&members)));
+        Self { asked, members }
+    }
+
+    /// Whether a leader is known and connected.
+    pub(crate) fn is_connected(&self) -> bool {
+        self.members.borrow().leader.is_some()
+    }
+
+    /// Asks the leader, again and again until it has answered or `patience` is over.
+    ///
+    /// # Errors
+    ///
+    /// No leader answered in time.
+    pub(crate) async fn call(&self, call: &Call, patience: Duration) -> Result<Reply, Lost> {
+        let body = codec::encode(call);
+        let began = Instant::now();
+        let mut was_sent = false;
+        loop {
+            let left = patience.saturating_sub(began.elapsed());
+            match self.attempt(body.clone(), left.min(ATTEMPT_TIMEOUT)).await {
+                Ok(Reply::Unknown) => was_sent = true,
+                Ok(Reply::NotLeader) => {}
+                Ok(reply) => return Ok(reply),
+                Err(lost) => was_sent |= lost.was_sent,
+            }
+            if began.elapsed() + RETRY_PAUSE >= patience {
+                return Err(Lost { was_sent });
+            }
+            monoio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    async fn attempt(&self, body: Bytes, limit: Duration) -> Result<Reply, Lost> {
+        let sent = Rc::new(std::cell::Cell::new(false));
+        let (reply, rx) = flume::bounded(1);
+        let asked = Asked { body, reply, sent: Rc::clone(&sent) };
+        if self.asked.send(asked).is_err() {
+            return Err(Lost { was_sent: false });
+        }
+        match monoio::time::timeout(limit, rx.recv_async()).await {
+            Ok(Ok(reply)) => Ok(reply),
+            _ => Err(Lost { was_sent: sent.get() }),
+        }
+    }
+}
--- a/comfreymill_node/src/lib.rs
+++ b/comfreymill_node/src/lib.rs
@@ -5,12 +5,16 @@
 pub mod control;
 pub mod embedded;
 pub mod entry;
+pub mod gateway;
 pub mod logs;
 pub mod metering;
 pub mod peer;
 pub mod protocol;
 pub mod runtime;
+pub mod scheduler;
 pub mod settings;
 pub mod web;
 
+mod jobcall;
+mod proposals;
 mod random;
--- a/comfreymill_node/src/logs/appender.rs
+++ b/comfreymill_node/src/logs/appender.rs
@@ -7,6 +7,7 @@
 use log4rs::config;
 use log4rs::encode;
 
+use super::event_queue::EventQueue;
 use crate::settings;
 
 const APPENDER: &str = "main";
@@ -19,6 +20,7 @@
 /// The log file cannot be opened.
 pub(super) fn build_config(cfg: &settings::LogSettings) -> io::Result<config::Config> {
     let appender = match cfg.get_file() {
+        None if cfg.get_format() == settings::LogFormat::Events => Box::new(EventQueue::start()?),
         Some(file) => build_file(file, build_encoder(cfg.get_format()))?,
         None => build_console(build_encoder(cfg.get_format())),
     };
@@ -30,7 +32,9 @@
 fn build_encoder(format: settings::LogFormat) -> Box<dyn encode::Encode> {
     match format {
         settings::LogFormat::Text => Box::new(encode::pattern::PatternEncoder::new(TEXT_PATTERN)),
-        settings::LogFormat::Json => Box::new(encode::json::JsonEncoder::new()),
+        settings::LogFormat::Json | settings::LogFormat::Events => {
+            Box::new(encode::json::JsonEncoder::new())
+        }
     }
 }
 
--- a/comfreymill_node/src/logs/logger.rs
+++ b/comfreymill_node/src/logs/logger.rs
@@ -46,7 +46,7 @@
     fn log(&self, record: &log::Record<'_>) {
         match self.format {
             settings::LogFormat::Text => self.log_escaped(record),
-            settings::LogFormat::Json => self.inner.log(record),
+            settings::LogFormat::Json | settings::LogFormat::Events => self.inner.log(record),
         }
     }
 
--- a/comfreymill_node/src/logs/mod.rs
+++ b/comfreymill_node/src/logs/mod.rs
@@ -5,6 +5,8 @@
 //! again; all else takes a restart.
 
 mod appender;
+mod event;
+mod event_queue;
 mod logger;
 mod logs_handle;
 mod reload;
--- /dev/null
+++ b/comfreymill_node/src/scheduler/control/mod.rs
@@ -0,0 +1,5 @@
+//! Listener for workers and operators.
+
+mod serve;
+
+pub(super) use serve::{Context, serve};
--- /dev/null
+++ b/comfreymill_node/src/scheduler/control/serve.rs
@@ -0,0 +1,120 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use comfreymill_http::server;
+use comfreymill_jobs::worker;
+use comfreymill_platform as platform;
+use http::StatusCode;
+
+use crate::jobcall::{Call, Client, Lost, Reply};
+use crate::scheduler::core::Input;
+
+/// Longest wait for the leader's answer to a worker, which gives up after a second.
+const WORKER_PATIENCE: Duration = Duration::from_millis(900);
+/// Longest wait for the leader's answer to an operator.
+const OPERATOR_PATIENCE: Duration = Duration::from_millis(2_500);
+/// Longest wait for an answer of this process's own core.
+const OWN_PATIENCE: Duration = Duration::from_millis(900);
+/// Most bytes of an announcement or of routes.
+const MAX_BODY_BYTES: u64 = 4 << 20;
+
+/// What the listener's requests need.
+#[derive(Clone, Debug)]
+pub(in crate::scheduler) struct Context {
+    /// Core of this process.
+    pub(in crate::scheduler) inputs: flume::Sender<Input>,
+    /// Calls to the leader, where this process doesn't lead.
+    pub(in crate::scheduler) leader: Client,
+}
+
+/// Answers one request.
+///
+/// # Errors
+///
+/// The caller did not take the answer, or its body is malformed.
+pub(in crate::scheduler) async fn serve(
+    cx: &Context,
+    mut req: server::Request<'_>,
+) -> Result<(), server::ServerError> {
+    let request = platform::control_request(req.method(), req.uri().path());
+    let (status, body) = match request {
+        platform::ControlRequest::Announce { name } => {
+            let body = req.collect(MAX_BODY_BYTES).await?;
+            announce(cx, &name, &body).await
+        }
+        platform::ControlRequest::Depart { name } => {
+            let call = Call::Depart(worker::Departure { name });
+            outcome(cx.ask(call, WORKER_PATIENCE).await)
+        }
+        platform::ControlRequest::PutRoutes => {
+            let body = req.collect(MAX_BODY_BYTES).await?;
+            put_routes(cx, body).await
+        }
+        platform::ControlRequest::GetRoutes => {
+            outcome(cx.ask(Call::GetRoutes, OPERATOR_PATIENCE).await)
+        }
+        platform::ControlRequest::Unknown => (StatusCode::NOT_FOUND, Bytes::new()),
+    };
+    let mut headers = http::HeaderMap::new();
+    let json = http::HeaderValue::from_static("application/json");
+    headers.insert(http::header::CONTENT_TYPE, json);
+    req.respond(status, &headers, body).await
+}
+
+async fn announce(cx: &Context, name: &str, body: &[u8]) -> (StatusCode, Bytes) {
+    match platform::decode_announcement(name, body) {
+        Ok(announcement) => {
+            let call = Call::Announce(Box::new(announcement));
+            outcome(cx.ask(call, WORKER_PATIENCE).await)
+        }
+        Err(error) => {
+            log::info!(target: "workers", worker = name, reason:% = error; "an announcement can't be read");
+            (StatusCode::BAD_REQUEST, error.to_string().into())
+        }
+    }
+}
+
+async fn put_routes(cx: &Context, document: Bytes) -> (StatusCode, Bytes) {
+    match platform::decode_routes(&document) {
+        Ok(table) => {
+            let call = Call::PutRoutes { table: Box::new(table), document };
+            outcome(cx.ask(call, OPERATOR_PATIENCE).await)
+        }
+        Err(error) => {
+            log::info!(target: "routes", reason:% = error; "routes are refused");
+            (StatusCode::BAD_REQUEST, error.to_string().into())
+        }
+    }
+}
+
+fn outcome(result: Result<Reply, Lost>) -> (StatusCode, Bytes) {
+    match result {
+        Ok(Reply::Done) => (StatusCode::OK, Bytes::from_static(b"{}")),
+        Ok(Reply::Heard(next)) => (StatusCode::OK, platform::encode_acknowledgement(next)),
+        Ok(Reply::Routes(document)) => (StatusCode::OK, document),
+        Ok(Reply::NoRoutes) => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        Ok(Reply::Malformed(reason)) => (StatusCode::BAD_REQUEST, reason.into()),
+        Ok(reply) => {
+            log::warn!(target: "control", reply:? = reply; "an unexpected reply");
+            (StatusCode::SERVICE_UNAVAILABLE, Bytes::new())
+        }
+        Err(_) => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+    }
+}
+
+impl Context {
+    /// Asks this process's core, or the leader if that is another process.
+    async fn ask(&self, call: Call, patience: Duration) -> Result<Reply, Lost> {
+        let (reply, rx) = flume::bounded(1);
+        let ask = Input::Ask { call: call.clone(), reply };
+        if self.inputs.send(ask).is_err() {
+            return Err(Lost { was_sent: false });
+        }
+        match monoio::time::timeout(OWN_PATIENCE.min(patience), rx.recv_async()).await {
+            Ok(Ok(Reply::NotLeader | Reply::Unknown)) => {}
+            Ok(Ok(reply)) => return Ok(reply),
+            _ => return Err(Lost { was_sent: true }),
+        }
+        self.leader.call(&call, patience).await
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/scheduler/core/calls.rs
@@ -0,0 +1,122 @@
+use bytes::Bytes;
+use comfreymill_jobs::id;
+use comfreymill_jobs::job;
+use comfreymill_jobs::routes;
+use comfreymill_jobs::state;
+use comfreymill_types::time;
+
+use super::core::Core;
+use super::lead;
+use super::waiter::{ReplyTo, Waiter};
+use crate::jobcall::{Call, Reply};
+use crate::scheduler::peers::SessionId;
+
+/// # Calls
+impl Core {
+    pub(super) fn call_of(&mut self, now: time::Monotonic, session: SessionId, id: u64, call: Call) {
+        let Some(frames) = self.sessions.get(&session).cloned() else { return };
+        self.call(now, call, ReplyTo::Session { session, id, frames });
+    }
+
+    pub(super) fn ask(&mut self, now: time::Monotonic, call: Call, reply: flume::Sender<Reply>) {
+        self.call(now, call, ReplyTo::Local(reply));
+    }
+
+    fn call(&mut self, now: time::Monotonic, call: Call, reply: ReplyTo) {
+        let is_leading = self.lead.as_ref().is_some_and(|lead| !lead.scheduler.is_fenced());
+        if !is_leading || !self.is_serving(now) || self.is_draining {
+            reply.send(&Reply::NotLeader);
+            return;
+        }
+        match call {
+            Call::Submit { host, path, spec } => self.submit(&host, &path, *spec, reply),
+            Call::Show { host, path } => reply.send(&self.show_job(&host, &path)),
+            Call::Cancel { host, path } => self.cancel(&host, &path, reply),
+            Call::Announce(announcement) => {
+                if let Some(lead) = &mut self.lead {
+                    lead.scheduler.announced(now, *announcement);
+                }
+                reply.send(&Reply::Heard(Some(self.cfg.control)));
+            }
+            Call::Depart(departure) => {
+                if let Some(lead) = &mut self.lead {
+                    lead.scheduler.departed(now, &departure);
+                }
+                reply.send(&Reply::Done);
+            }
+            Call::PutRoutes { table, document } => self.put_routes(table, document, reply),
+            Call::GetRoutes => reply.send(&lead::routes_reply(&self.state)),
+        }
+    }
+
+    /// Queue that a request is for, and the rest of its path.
+    fn find<'p>(&self, host: &str, path: &'p str) -> Result<(&routes::Queue, &'p str), Reply> {
+        let routes = self.state.get_routes().ok_or(Reply::NoRoutes)?;
+        routes.table.find(host, path).ok_or(Reply::NoSuchQueue)
+    }
+
+    fn submit(&mut self, host: &str, path: &str, spec: job::JobSpec, reply: ReplyTo) {
+        let (queue, key) = match self.find(host, path) {
+            Ok(found) => found,
+            Err(refusal) => return reply.send(&refusal),
+        };
+        let key: id::JobKey = match key.parse() {
+            Ok(key) => key,
+            Err(error) => return reply.send(&Reply::Malformed(error.to_string())),
+        };
+        if self.state.get_jobs().contains_key(&key) {
+            return reply.send(&Reply::Done);
+        }
+        let submission = state::Submission {
+            job: key,
+            queue: queue.name.clone(),
+            max_attempts: queue.max_attempts,
+            spec,
+        };
+        self.commit_for(state::Command::Submit(Box::new(submission)), reply, Reply::Done);
+    }
+
+    fn cancel(&mut self, host: &str, path: &str, reply: ReplyTo) {
+        let key = match self.find(host, path) {
+            Ok((_, key)) => key,
+            Err(refusal) => return reply.send(&refusal),
+        };
+        match key.parse::<id::JobKey>() {
+            Ok(job) => self.commit_for(state::Command::Cancel { job }, reply, Reply::Done),
+            Err(_) => reply.send(&Reply::NoSuchJob),
+        }
+    }
+
+    fn show_job(&self, host: &str, path: &str) -> Reply {
+        let (queue, key) = match self.find(host, path) {
+            Ok(found) => found,
+            Err(refusal) => return refusal,
+        };
+        let Some(lead) = &self.lead else { return Reply::NotLeader };
+        if key.is_empty() {
+            let waiting = lead.scheduler.waiting(&queue.name);
+            return Reply::Waiting(u64::try_from(waiting).unwrap_or(u64::MAX));
+        }
+        let key: Option<id::JobKey> = key.parse().ok();
+        let known = key.and_then(|key| Some((key, self.state.get_jobs().get(&key)?)));
+        match known {
+            Some((key, job)) => Reply::Job(lead::phase(job, lead.scheduler.has_started(key))),
+            None => Reply::NoSuchJob,
+        }
+    }
+
+    fn put_routes(&mut self, table: Box<routes::RouteTable>, document: Bytes, reply: ReplyTo) {
+        let current = self.state.get_routes().map(|routes| routes.table.version);
+        log::info!(target: "routes", version = table.version, in_force:? = current; "routes arrive");
+        if current.is_some_and(|current| table.version <= current) {
+            return reply.send(&Reply::Done);
+        }
+        self.commit_for(state::Command::SetRoutes { table, document }, reply, Reply::Done);
+    }
+
+    /// Proposes a command with this turn's others; `done` is sent once it is committed.
+    fn commit_for(&mut self, command: state::Command, reply: ReplyTo, done: Reply) {
+        self.waiters.push(Waiter { position: self.commands.len(), reply, done });
+        self.commands.push(command);
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/scheduler/core/commit.rs
@@ -0,0 +1,134 @@
+use comfreymill_group::entry;
+use comfreymill_group::replica;
+use comfreymill_jobs::state;
+use comfreymill_types::time;
+
+use super::core::Core;
+use crate::jobcall;
+
+/// # What the replica asks for
+impl Core {
+    /// Carries out actions until there are none left.
+    pub(super) fn pump(&mut self, now: time::Monotonic) {
+        loop {
+            let actions = self.replica.take_actions();
+            let is_idle = actions.is_empty();
+            for action in actions {
+                self.act(now, action);
+            }
+            self.follow_role(now);
+            self.carry_out_decisions(now);
+            let has_proposed = self.propose_commands(now);
+            if is_idle && !has_proposed {
+                break;
+            }
+        }
+        self.snapshot_if_due();
+    }
+
+    fn act(&mut self, now: time::Monotonic, action: replica::Action) {
+        match action {
+            replica::Action::Persist(write) => self.store.write(write),
+            replica::Action::Send { to, message } => self.links.send(to, &message),
+            replica::Action::Commit { entries } => {
+                for entry in entries {
+                    self.commit(now, entry);
+                }
+            }
+            replica::Action::InstallSnapshot(snapshot) => {
+                match state::State::from_snapshot(&snapshot.data) {
+                    Ok(state) => self.state = state,
+                    Err(error) => self.failure = Some(error.to_string()),
+                }
+            }
+            replica::Action::Role { role, term, leader } => {
+                log::info!(target: "group", role:% = role, term = term.get(), leader = leader.map_or(0, |it| it.get()); "this replica has another role");
+            }
+            // The waiters were told when this replica stopped leading.
+            replica::Action::Dropped { .. } => {}
+            replica::Action::Halt(halt) => self.failure = Some(halt.to_string()),
+        }
+    }
+
+    fn commit(&mut self, now: time::Monotonic, entry: entry::Entry) {
+        let waiters = self.proposals.take(entry.index, entry.term).unwrap_or_default();
+        let entry::Payload::Data(data) = entry.payload else { return };
+        let commands: Vec<state::Command> = match jobcall::decode(&data) {
+            Ok(commands) => commands,
+            Err(error) => {
+                self.failure = Some(format!("entry {} of the log: {error}", entry.index));
+                return;
+            }
+        };
+        let mut waiters = waiters.into_iter().peekable();
+        for (position, command) in commands.into_iter().enumerate() {
+            let effect = self.state.apply(entry.index.get(), command);
+            let is_missing = matches!(effect, state::Effect::NoSuchJob(_));
+            self.follow(now, entry.term.get(), effect);
+            while let Some(waiter) = waiters.next_if(|it| it.position == position) {
+                let reply = if is_missing { jobcall::Reply::NoSuchJob } else { waiter.done };
+                waiter.reply.send(&reply);
+            }
+        }
+    }
+
+    /// Tells the leader's decisions what has changed.
+    fn follow(&mut self, now: time::Monotonic, term: u64, effect: state::Effect) {
+        if let state::Effect::Leads(_) = effect {
+            self.lead = None;
+            self.begin_to_lead(now, term);
+            return;
+        }
+        let Some(lead) = &mut self.lead else { return };
+        let scheduler = &mut lead.scheduler;
+        match effect {
+            state::Effect::RoutesChanged => {
+                if let Some(routes) = self.state.get_routes() {
+                    log::info!(target: "routes", version = routes.table.version, queues = routes.table.queues.len(); "routes are in force");
+                    scheduler.routes_changed(&routes.table);
+                }
+            }
+            state::Effect::JobAdded(key) => {
+                if let Some(job) = self.state.get_jobs().get(&key) {
+                    log::info!(target: "jobs", job:% = key, queue = job.queue.as_str(), steps = job.spec.steps.len(); "a job is accepted");
+                    scheduler.job_added(now, key, job);
+                }
+            }
+            state::Effect::JobCancelled(key) => {
+                log::info!(target: "jobs", job:% = key; "a job is cancelled");
+                scheduler.job_over(now, key);
+            }
+            state::Effect::WorkerAdded(number) => {
+                if let Some(worker) = self.state.get_workers().get(&number) {
+                    scheduler.worker_added(now, number, worker);
+                }
+            }
+            state::Effect::WorkersDropped(workers) => {
+                for worker in workers {
+                    lead.courier.forget(worker);
+                }
+            }
+            state::Effect::EndsNoted { worker, ends } => {
+                scheduler.ends_noted(now, worker, &ends, &self.state);
+            }
+            state::Effect::Leads(_) | state::Effect::NoSuchJob(_) | state::Effect::None => {}
+        }
+    }
+
+    fn snapshot_if_due(&mut self) {
+        let applied = self.state.get_applied();
+        let covered = self.replica.snapshot_index().get();
+        if applied.saturating_sub(covered) < self.cfg.snapshot_entries {
+            return;
+        }
+        match self.state.to_snapshot() {
+            Ok(data) => {
+                let index = comfreymill_group::id::Index::new(applied);
+                if self.replica.snapshot_taken(index, data) {
+                    log::info!(target: "group", entry = applied; "a snapshot covers the log");
+                }
+            }
+            Err(error) => self.failure = Some(error.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/scheduler/core/mod.rs
@@ -0,0 +1,15 @@
+//! Task that owns the replica, the state and, while this replica leads, the leader's decisions.
+
+mod calls;
+mod commit;
+#[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
+mod core;
+mod input;
+mod lead;
+mod membership;
+mod task;
+mod waiter;
+
+pub(super) use self::core::{Core, CoreConfig};
+pub(super) use input::Input;
+pub(super) use task::run;
--- /dev/null
+++ b/comfreymill_node/src/scheduler/courier/carry.rs
@@ -0,0 +1,167 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use comfreymill_http::client;
+use comfreymill_http::limits;
+use comfreymill_jobs::id;
+use comfreymill_jobs::scheduler;
+use comfreymill_platform as platform;
+
+use super::Delivered;
+use crate::clock;
+use crate::scheduler::core::Input;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for an answer beyond what the worker was asked to wait.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Most bytes of an answer: 500 ends and a full worker's runs are well below it.
+const MAX_ANSWER_BYTES: u64 = 1 << 20;
+
+/// Worker that orders are carried to.
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    pub(super) worker: id::WorkerNumber,
+    pub(super) name: id::WorkerName,
+    pub(super) address: SocketAddr,
+    pub(super) fence: id::Fence,
+    pub(super) clock: clock::Clock,
+}
+
+/// What came back.
+enum Outcome {
+    /// An answer.
+    Answered(http::StatusCode, Bytes),
+    /// Nothing listens there.
+    Refused,
+    /// Nothing reached the worker.
+    NotSent,
+    /// Something may have reached the worker.
+    Unanswered,
+}
+
+/// Carries the orders of a queue one after the other over a connection of its own.
+pub(super) async fn run(
+    target: Target,
+    orders: flume::Receiver<scheduler::Order>,
+    inputs: flume::Sender<Input>,
+) {
+    let mut connection = None;
+    while let Ok(order) = orders.recv_async().await {
+        let sent_at = target.clock.now();
+        let (request, wait) = request(&target, &order);
+        let outcome = exchange(&target, &mut connection, request, wait).await;
+        let answer = answer(&order, outcome);
+        let Target { worker, fence, .. } = target;
+        let delivered = Delivered { fence, worker, sent_at, answer };
+        if inputs.send(Input::Delivered(Box::new(delivered))).is_err() {
+            return;
+        }
+    }
+}
+
+fn request(target: &Target, order: &scheduler::Order) -> (platform::Outbound, Duration) {
+    let (name, fence) = (&target.name, target.fence);
+    match order {
+        scheduler::Order::Start { task, run, spec, lease_until_ms, checkpoint, .. } => {
+            let run = (*task, *run);
+            let call = platform::start(name, fence, run, &spec.payload, *lease_until_ms, checkpoint);
+            (call, Duration::ZERO)
+        }
+        scheduler::Order::Stop { task, run, .. } => {
+            (platform::stop(name, fence, *task, *run), Duration::ZERO)
+        }
+        scheduler::Order::Look { noted, lease_until_ms, wait, .. } => {
+            (platform::look(name, fence, *noted, *lease_until_ms, *wait), *wait)
+        }
+        scheduler::Order::Pace { task, run, percent, .. } => {
+            (platform::pace(name, fence, (*task, *run), *percent), Duration::ZERO)
+        }
+    }
+}
+
+async fn exchange(
+    target: &Target,
+    slot: &mut Option<client::Connection>,
+    request: platform::Outbound,
+    wait: Duration,
+) -> Outcome {
+    // A kept connection may have been closed meanwhile; that is found before anything is sent.
+    if let Some(kept) = slot
+        && kept.is_stale().await
+    {
+        *slot = None;
+    }
+    if slot.is_none() {
+        let limits = limits::Limits::new().response_timeout(Duration::from_secs(30));
+        match client::Connection::connect(target.address, limits, CONNECT_TIMEOUT).await {
+            Ok(connection) => *slot = Some(connection),
+            Err(error) => {
+                let refused = client::ClientFault::Connect(std::io::ErrorKind::ConnectionRefused);
+                return if error.fault == refused { Outcome::Refused } else { Outcome::NotSent };
+            }
+        }
+    }
+    let Some(connection) = slot else { return Outcome::NotSent };
+    let talk = async {
+        let mut response = connection.send(&request.head, request.body).await?;
+        let body = response.collect(MAX_ANSWER_BYTES).await?;
+        Ok::<_, client::ClientError>((response.status(), body))
+    };
+    let result = monoio::time::timeout(wait + ANSWER_TIMEOUT, talk).await;
+    match result {
+        Ok(Ok((status, body))) => Outcome::Answered(status, body),
+        Ok(Err(error)) => {
+            *slot = None;
+            if error.sent == client::Sent::Nothing { Outcome::NotSent } else { Outcome::Unanswered }
+        }
+        Err(_) => {
+            let sent = connection.sent();
+            *slot = None;
+            if sent == client::Sent::Nothing { Outcome::NotSent } else { Outcome::Unanswered }
+        }
+    }
+}
+
+fn answer(order: &scheduler::Order, outcome: Outcome) -> scheduler::Answer {
+    if matches!(outcome, Outcome::Refused) {
+        return scheduler::Answer::LifeOver;
+    }
+    if let Outcome::Answered(http::StatusCode::MISDIRECTED_REQUEST, _) = outcome {
+        return scheduler::Answer::LifeOver;
+    }
+    match order {
+        scheduler::Order::Start { task, run, .. } => {
+            let (answer, clock_ms) = match outcome {
+                Outcome::Answered(status, body) => platform::decode_start(status, &body),
+                Outcome::NotSent => (scheduler::StartAnswer::NotSent, None),
+                Outcome::Unanswered | Outcome::Refused => (scheduler::StartAnswer::Unknown, None),
+            };
+            scheduler::Answer::Start { task: *task, run: *run, answer, clock_ms }
+        }
+        scheduler::Order::Stop { task, run, .. } | scheduler::Order::Pace { task, run, .. } => {
+            let is_taken = match outcome {
+                Outcome::Answered(status, _) => platform::decode_taken(status),
+                _ => false,
+            };
+            match order {
+                scheduler::Order::Stop { .. } => {
+                    scheduler::Answer::Stop { task: *task, run: *run, is_taken }
+                }
+                _ => scheduler::Answer::Pace { task: *task, run: *run, is_taken },
+            }
+        }
+        scheduler::Order::Look { .. } => {
+            let answer = match outcome {
+                Outcome::Answered(status, body) => {
+                    platform::decode_look(status, &body).unwrap_or_else(|error| {
+                        log::warn!(target: "workers", worker:% = order.worker(), reason:% = error; "a list can't be read");
+                        scheduler::LookAnswer::Silent
+                    })
+                }
+                _ => scheduler::LookAnswer::Silent,
+            };
+            scheduler::Answer::Look(answer)
+        }
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/scheduler/courier/courier.rs
@@ -0,0 +1,91 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use comfreymill_jobs::id;
+use comfreymill_jobs::scheduler;
+use comfreymill_types::time;
+
+use super::carry;
+use crate::clock;
+use crate::scheduler::core::Input;
+
+/// Connections for orders to one worker, beside the one that waits for ends.
+const ORDER_CONNECTIONS: usize = 2;
+
+/// What became of an order.
+#[derive(Debug)]
+pub(in crate::scheduler) struct Delivered {
+    /// Token of the leader that gave the order.
+    pub(in crate::scheduler) fence: id::Fence,
+    /// Worker.
+    pub(in crate::scheduler) worker: id::WorkerNumber,
+    /// When the order was sent.
+    pub(in crate::scheduler) sent_at: time::Monotonic,
+    /// Answer.
+    pub(in crate::scheduler) answer: scheduler::Answer,
+}
+
+/// Carries a leader's orders.
+#[derive(Debug)]
+pub(in crate::scheduler) struct Courier {
+    fence: id::Fence,
+    clock: clock::Clock,
+    inputs: flume::Sender<Input>,
+    routes: BTreeMap<id::WorkerNumber, Route>,
+}
+
+/// Queues of orders to one worker.
+#[derive(Debug)]
+struct Route {
+    looks: flume::Sender<scheduler::Order>,
+    orders: flume::Sender<scheduler::Order>,
+}
+
+impl Courier {
+    /// Courier of the leader with the token `fence`.
+    pub(in crate::scheduler) fn new(
+        fence: id::Fence,
+        clock: clock::Clock,
+        inputs: flume::Sender<Input>,
+    ) -> Self {
+        Self { fence, clock, inputs, routes: BTreeMap::new() }
+    }
+
+    /// Sends an order to the worker `name` at `address`.
+    pub(in crate::scheduler) fn send(
+        &mut self,
+        order: scheduler::Order,
+        name: &id::WorkerName,
+        address: SocketAddr,
+    ) {
+        let worker = order.worker();
+        let (fence, clock, inputs) = (self.fence, self.clock, &self.inputs);
+        let route = self.routes.entry(worker).or_insert_with(|| {
+            let target = carry::Target { worker, name: name.clone(), address, fence, clock };
+            Route::start(&target, inputs)
+        });
+        let queue = match order {
+            scheduler::Order::Look { .. } => &route.looks,
+            _ => &route.orders,
+        };
+        // The tasks end only with the queue.
+        queue.send(order).ok();
+    }
+
+    /// Ends the connections to a worker.
+    pub(in crate::scheduler) fn forget(&mut self, worker: id::WorkerNumber) {
+        self.routes.remove(&worker);
+    }
+}
+
+impl Route {
+    fn start(target: &carry::Target, inputs: &flume::Sender<Input>) -> Self {
+        let (looks, rx) = flume::unbounded();
+        monoio::spawn(carry::run(target.clone(), rx, inputs.clone()));
+        let (orders, rx) = flume::unbounded();
+        for _ in 0..ORDER_CONNECTIONS {
+            monoio::spawn(carry::run(target.clone(), rx.clone(), inputs.clone()));
+        }
+        Self { looks, orders }
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -0,0 +1,139 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use comfreymill_group::id as group_id;
+use comfreymill_group::replica;
+use comfreymill_group::store;
+use comfreymill_http::limits;
+use comfreymill_http::server;
+use comfreymill_jobs::scheduler;
+use comfreymill_types::error;
+
+use super::control;
+use super::core::{self, Core, Input};
+use super::member_id;
+use super::peers::{self, Links};
+use crate::clock;
+use crate::jobcall;
+use crate::peer;
+use crate::runtime;
+use crate::settings;
+
+/// Time for a successor to take the lead before the process ends.
+const HAND_OVER: Duration = Duration::from_millis(400);
+/// Shortest election time-out: a quorum may lie in two regions, 20 ms apart, with syncs of 6 ms.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between heartbeats of the leader to its followers.
+const GROUP_HEARTBEAT: Duration = Duration::from_millis(100);
+/// Bound on how far the rates of members' clocks differ, in parts per million.
+const CLOCK_DRIFT_PPM: u32 = 20_000;
+/// Group that schedulers form.
+const GROUP: u64 = 1;
+
+/// Runs a scheduler process until it is told to stop.
+///
+/// # Errors
+///
+/// It cannot start, or its data folder fails.
+pub fn run(
+    settings: &settings::SchedulerSettings,
+    stop: &flume::Receiver<runtime::Stop>,
+) -> Result<(), error::Error> {
+    let ended = runtime::block_on(serve(settings, stop));
+    ended.map_err(|e| error::Error::new(error::ErrorKind::Internal, e.to_string()))?
+}
+
+async fn serve(
+    settings: &settings::SchedulerSettings,
+    stop: &flume::Receiver<runtime::Stop>,
+) -> Result<(), error::Error> {
+    let clock = clock::Clock::start();
+    let node = settings.get_node();
+    let peers_address = SocketAddr::from((node.get_address(), node.get_peers_port()));
+    let peers = runtime::listen("listeners.peers", peers_address)?;
+    let listener = runtime::listen("listeners.control", settings.get_control())?;
+    let (inputs, rx) = flume::unbounded();
+    let (replica, thread) = open(settings, clock, &inputs)?;
+    let identity = node.identity(peer::Role::Control, replica.voter().get());
+    let links = Links::new(identity.clone(), node.get_peers_port());
+    log::info!(target: "process", name = node.get_name(), member = replica.voter().get(), peers:% = peers_address, control:% = settings.get_control(); "the scheduler starts");
+    let cfg = core::CoreConfig {
+        clock,
+        address: node.get_address(),
+        control: settings.get_control(),
+        decisions: scheduler::Config::new(settings.get_lease()),
+        voters: settings.get_voters(),
+        snapshot_entries: settings.get_snapshot_entries(),
+    };
+    let core = Core::new(cfg, replica, thread, links, inputs.clone());
+    monoio::spawn(peers::listen(peers, identity, inputs.clone()));
+    let leader = jobcall::Client::start(node.link(peer::Role::Entry));
+    let cx = control::Context { inputs: inputs.clone(), leader };
+    let handler = async move |req: server::Request<'_>| control::serve(&cx, req).await;
+    let shutdown = server::Shutdown::new();
+    let served = server::serve(listener, limits::Limits::new(), handler, shutdown.clone());
+    monoio::spawn(served);
+    monoio::select! {
+        failure = core::run(core, rx) => {
+            log::error!(target: "process", reason = failure.as_str(); "the scheduler ends");
+            Err(error::Error::new(error::ErrorKind::Storage, failure))
+        }
+        () = stopped(stop, &inputs, &shutdown) => Ok(()),
+    }
+}
+
+/// Waits for the end, and hands the leadership over before it.
+async fn stopped(
+    stop: &flume::Receiver<runtime::Stop>,
+    inputs: &flume::Sender<Input>,
+    shutdown: &server::Shutdown,
+) {
+    if stop.recv_async().await == Ok(runtime::Stop::Graceful) {
+        log::info!(target: "process", "the scheduler is stopping");
+        let (done, rx) = flume::bounded(1);
+        inputs.send(Input::Drain(done)).ok();
+        rx.recv_async().await.ok();
+        shutdown.begin(HAND_OVER);
+        monoio::time::sleep(HAND_OVER).await;
+    }
+    log::info!(target: "process", "the scheduler has stopped");
+}
+
+/// Opens the data folder; an empty one joins the group, or founds it where the settings say so.
+fn open(
+    settings: &settings::SchedulerSettings,
+    clock: clock::Clock,
+    inputs: &flume::Sender<Input>,
+) -> Result<(replica::Replica, store::Thread), error::Error> {
+    let storage = |text: String| error::Error::new(error::ErrorKind::Storage, text);
+    let folder = settings.get_data_folder();
+    let disk = store::FolderDisk::open(folder)
+        .map_err(|source| storage(format!("data folder {}: {source}", folder.display())))?;
+    let node = settings.get_node();
+    let founders: Vec<group_id::VoterId> =
+        node.get_seeds().iter().map(|seed| member_id::founder(*seed)).collect();
+    let own = member_id::founder(node.get_address());
+    let founds = settings.is_founding() && founders.contains(&own);
+    let member = if founds { own } else { member_id::newcomer(node.get_address()) };
+    let options = store::Options::new(group_id::GroupId::new(GROUP), member).keep_voter();
+    let (opened, recovered) =
+        store::Store::open(disk, options).map_err(|error| storage(error.to_string()))?;
+    let completions = inputs.clone();
+    let on_completion = move |completion| {
+        completions.send(Input::Store(completion)).ok();
+    };
+    let thread = store::Thread::spawn(opened, on_completion)
+        .map_err(|e| storage(format!("the store's thread: {e}")))?;
+    let start = if founds {
+        replica::Start::Found { voters: founders }
+    } else {
+        replica::Start::Join { peers: founders }
+    };
+    let cfg = replica::Config::new(start)
+        .election_timeout(ELECTION_TIMEOUT, ELECTION_TIMEOUT * 2)
+        .heartbeat(GROUP_HEARTBEAT)
+        .clock_drift_ppm(CLOCK_DRIFT_PPM);
+    let replica = replica::Replica::new(cfg, recovered, rand::random(), clock.now());
+    Ok((replica, thread))
+}
+
--- a/comfreymill_node/src/settings/log_format.rs
+++ b/comfreymill_node/src/settings/log_format.rs
@@ -6,5 +6,7 @@
         Text = "text",
         /// One JSON object.
         Json = "json",
+        /// One JSON object with the fields of the event, on stdout, never blocking.
+        Events = "events",
     }
 }
--- a/comfreymill_node/src/settings/machine.rs
+++ b/comfreymill_node/src/settings/machine.rs
@@ -51,7 +51,9 @@
 
 /// Fields with single values under a key.
 fn list_values<'a>(node: &'a yaml::Node, key: &str) -> Vec<(String, &'a str)> {
-    let yaml::Value::Mapping(entries) = &node.find(key).value else { return Vec::new() };
+    let Some(yaml::Value::Mapping(entries)) = node.get(key).map(|it| &it.value) else {
+        return Vec::new();
+    };
     let values = entries.iter().filter_map(|entry| match &entry.node.value {
         yaml::Value::Scalar(text) => Some((format!("{key}.{}", entry.key), text.as_str())),
         yaml::Value::Null | yaml::Value::Sequence(_) | yaml::Value::Mapping(_) => None,
--- /dev/null
+++ b/comfreymill_node/src/settings/node_settings.rs
@@ -0,0 +1,124 @@
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path;
+
+use bytes::Bytes;
+use comfreymill_types::yaml;
+
+use super::{LogFormat, LogSettings};
+use crate::jobcall;
+use crate::peer;
+use crate::runtime;
+
+const CLUSTER: &str = "comfreymill";
+
+/// Settings that gateways and schedulers have.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NodeSettings {
+    name: String,
+    zone: String,
+    region: String,
+    address: Ipv4Addr,
+    peers_port: u16,
+    seeds: Vec<Ipv4Addr>,
+    key: String,
+    log: LogSettings,
+}
+
+impl NodeSettings {
+    /// Name of the process.
+    pub fn get_name(&self) -> &str {
+        &self.name
+    }
+
+    /// Address of the machine.
+    pub fn get_address(&self) -> Ipv4Addr {
+        self.address
+    }
+
+    /// Port on which schedulers listen for other processes; the same on every machine.
+    pub fn get_peers_port(&self) -> u16 {
+        self.peers_port
+    }
+
+    /// Machines with schedulers that are asked first.
+    pub fn get_seeds(&self) -> &[Ipv4Addr] {
+        &self.seeds
+    }
+
+    /// Logs of the process.
+    pub fn get_log(&self) -> &LogSettings {
+        &self.log
+    }
+
+    /// Who the process is towards others.
+    pub(crate) fn identity(&self, role: peer::Role, replica: u64) -> peer::Identity {
+        let hello = peer::Hello {
+            version: peer::Hello::VERSION,
+            cluster: CLUSTER.to_owned(),
+            name: self.name.clone(),
+            role: role.into(),
+            incarnation: runtime::incarnation().get(),
+            region: self.region.clone(),
+            zone: self.zone.clone(),
+            replica,
+            nonce: Bytes::new(),
+        };
+        let key = peer::ClusterKey::new(Bytes::copy_from_slice(self.key.as_bytes()));
+        peer::Identity { hello, key }
+    }
+
+    /// How the process finds the leader.
+    pub(crate) fn link(&self, role: peer::Role) -> jobcall::LinkConfig {
+        jobcall::LinkConfig {
+            identity: self.identity(role, 0),
+            seeds: self.seeds.clone(),
+            peers_port: self.peers_port,
+        }
+    }
+
+    pub(super) fn read(section: &yaml::Section<'_>) -> Option<Self> {
+        let name = section.required("name");
+        let zone = section.required("zone");
+        let region = section.required("region");
+        let address = section.required("address");
+        let peers_port = section.required("peers_port");
+        let seeds: Option<SeedList> = section.required("seeds");
+        let key: Option<String> = section.required("key");
+        let log = section.section("log");
+        let default = LogSettings::default().format(LogFormat::Events);
+        let log = log.map_or(default, |log| LogSettings::read(&log, path::Path::new("")));
+        if key.as_ref().is_some_and(|key| key.len() < peer::ClusterKey::MIN_BYTES) {
+            section.problem("key", format!("write at least {} bytes", peer::ClusterKey::MIN_BYTES));
+        }
+        Some(Self {
+            name: name?,
+            zone: zone?,
+            region: region?,
+            address: address?,
+            peers_port: peers_port?,
+            seeds: seeds?.0,
+            key: key?,
+            log,
+        })
+    }
+}
+
+/// Addresses separated by commas; a port is allowed and left out.
+struct SeedList(Vec<Ipv4Addr>);
+
+impl std::str::FromStr for SeedList {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let items = text.split(',').map(str::trim).filter(|item| !item.is_empty());
+        let seeds = items.map(|item| {
+            let with_port = item.parse().ok().and_then(|address: SocketAddr| match address {
+                SocketAddr::V4(address) => Some(*address.ip()),
+                SocketAddr::V6(_) => None,
+            });
+            let address = with_port.or_else(|| item.parse().ok());
+            address.ok_or_else(|| format!("`{item}` is no IPv4 address, with or without a port"))
+        });
+        seeds.collect::<Result<_, _>>().map(Self)
+    }
+}
--- /dev/null
+++ b/comfreymill_node/src/settings/scheduler_settings.rs
@@ -0,0 +1,94 @@
+use std::net::SocketAddr;
+use std::path;
+use std::time::Duration;
+
+use comfreymill_types::time;
+use comfreymill_types::yaml;
+
+use super::NodeSettings;
+use super::settings_file;
+
+/// Voters that bear the loss of two at once.
+const VOTERS: usize = 5;
+/// A log of so many entries is read in well under a second.
+const SNAPSHOT_ENTRIES: u64 = 4_000;
+
+/// Settings of a scheduler process.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SchedulerSettings {
+    node: NodeSettings,
+    control: SocketAddr,
+    data_folder: path::PathBuf,
+    is_founding: bool,
+    lease: Duration,
+    voters: usize,
+    snapshot_entries: u64,
+}
+
+impl SchedulerSettings {
+    /// Settings that gateways have too.
+    pub fn get_node(&self) -> &NodeSettings {
+        &self.node
+    }
+
+    /// Where workers and operators reach the process.
+    pub fn get_control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// Folder of the state.
+    pub fn get_data_folder(&self) -> &path::Path {
+        &self.data_folder
+    }
+
+    /// Whether an empty folder may found a group.
+    pub fn is_founding(&self) -> bool {
+        self.is_founding
+    }
+
+    /// Length of a worker's lease.
+    pub fn get_lease(&self) -> Duration {
+        self.lease
+    }
+
+    /// Voters that the group should have.
+    pub fn get_voters(&self) -> usize {
+        self.voters
+    }
+
+    /// Entries of the log between two snapshots.
+    pub fn get_snapshot_entries(&self) -> u64 {
+        self.snapshot_entries
+    }
+
+    pub(super) fn read_section(
+        section: &yaml::Section<'_>,
+        folder: &path::Path,
+    ) -> Option<Self> {
+        settings_file::read_program(section, settings_file::SCHEDULER);
+        let node = NodeSettings::read(section);
+        let listeners = section.required_section("listeners");
+        let control = listeners.required("control");
+        listeners.finish();
+        let data_folder: Option<path::PathBuf> = section.required("data_folder");
+        let is_founding = section.required("founding");
+        let lease: Option<time::Span> = section.required("lease");
+        let voters = section.optional("voters").unwrap_or(VOTERS);
+        let snapshot_entries = section.optional("snapshot_entries").unwrap_or(SNAPSHOT_ENTRIES);
+        if voters == 0 {
+            section.problem("voters", "a group has at least 1 voter");
+        }
+        if snapshot_entries == 0 {
+            section.problem("snapshot_entries", "a snapshot covers at least 1 entry");
+        }
+        Some(Self {
+            node: node?,
+            control: control?,
+            data_folder: folder.join(data_folder?),
+            is_founding: is_founding?,
+            lease: lease?.into(),
+            voters,
+            snapshot_entries,
+        })
+    }
+}
--- a/comfreymill_node/src/settings/settings_file.rs
+++ b/comfreymill_node/src/settings/settings_file.rs
@@ -6,19 +6,28 @@
 use comfreymill_types::document;
 use comfreymill_types::yaml;
 
-use super::{CommonSettings, ControlSettings, EntrySettings, ParseWordError, machine};
+use super::{
+    ControlSettings, EntrySettings, GatewaySettings, LogSettings, ParseWordError,
+    SchedulerSettings, machine,
+};
 
 const PROGRAM: &str = "program";
 pub(super) const ENTRY: &str = "entry";
 pub(super) const CONTROL: &str = "control";
+pub(super) const GATEWAY: &str = "gateway";
+pub(super) const SCHEDULER: &str = "scheduler";
 
-/// Settings of either program, as the file's key `program` says.
+/// Settings of one of the programs, as the file's key `program` says.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum SettingsFile {
     /// Settings of an entry process.
     Entry(EntrySettings),
     /// Settings of a control process.
     Control(ControlSettings),
+    /// Settings of a gateway process.
+    Gateway(GatewaySettings),
+    /// Settings of a scheduler process.
+    Scheduler(SchedulerSettings),
 }
 
 /// Settings file with all its problems.
@@ -94,15 +103,34 @@
     fn read_node(node: &yaml::Node, folder: &path::Path) -> Result<Self, Vec<document::Problem>> {
         match node.get_text(PROGRAM) {
             Some(CONTROL) => ControlSettings::read_node(node, folder).map(Self::Control),
+            Some(GATEWAY) => read(node, GatewaySettings::read_section).map(Self::Gateway),
+            Some(SCHEDULER) => {
+                let read_section = |section: &yaml::Section<'_>| {
+                    SchedulerSettings::read_section(section, folder)
+                };
+                read(node, read_section).map(Self::Scheduler)
+            }
             _ => EntrySettings::read_node(node, folder).map(Self::Entry),
         }
     }
 
-    /// Settings that every process has.
-    pub fn get_common(&self) -> &CommonSettings {
+    /// Logs of the process.
+    pub fn get_log(&self) -> &LogSettings {
+        match self {
+            Self::Entry(settings) => settings.get_common().get_log(),
+            Self::Control(settings) => settings.get_common().get_log(),
+            Self::Gateway(settings) => settings.get_node().get_log(),
+            Self::Scheduler(settings) => settings.get_node().get_log(),
+        }
+    }
+
+    /// Word for the program that the settings are for.
+    pub fn get_program(&self) -> &'static str {
         match self {
-            Self::Entry(settings) => settings.get_common(),
-            Self::Control(settings) => settings.get_common(),
+            Self::Entry(_) => ENTRY,
+            Self::Control(_) => CONTROL,
+            Self::Gateway(_) => GATEWAY,
+            Self::Scheduler(_) => SCHEDULER,
         }
     }
 }
@@ -127,7 +155,7 @@
 
 /// Reads the key that says which program the file is for.
 pub(super) fn read_program(section: &yaml::Section<'_>, program: &'static str) {
-    let known = [ENTRY, CONTROL];
+    let known = [ENTRY, CONTROL, GATEWAY, SCHEDULER];
     let named: Option<String> = section.required(PROGRAM);
     match named {
         Some(name) if !known.contains(&name.as_str()) => {
--- a/src/programs.rs
+++ b/src/programs.rs
@@ -5,7 +5,9 @@
 use comfreymill_node::control;
 use comfreymill_node::embedded;
 use comfreymill_node::entry;
+use comfreymill_node::gateway;
 use comfreymill_node::runtime;
+use comfreymill_node::scheduler;
 use comfreymill_node::settings;
 use comfreymill_types::error;
 
@@ -23,6 +25,16 @@
         control::run(&settings, &stop).map_err(error::Error::from)
     }
 
+    fn run_gateway(&self, settings: settings::GatewaySettings) -> Result<(), error::Error> {
+        let stop = runtime::stop_on_signals().map_err(|error| no_signals(&error))?;
+        gateway::run(&settings, &stop)
+    }
+
+    fn run_scheduler(&self, settings: settings::SchedulerSettings) -> Result<(), error::Error> {
+        let stop = runtime::stop_on_signals().map_err(|error| no_signals(&error))?;
+        scheduler::run(&settings, &stop)
+    }
+
     fn run_embedded(&self, folder: &path::Path) -> Result<(), error::Error> {
         let stop = runtime::stop_on_signals().map_err(|error| no_signals(&error))?;
         embedded::run(&settings::Embedded::new(folder), &stop)
