feat(jobs): learn interference by image, pack serving tasks by image

Cause: fillers were paced to nothing, since every worker held serving tasks of several images and some filler pressed one of them. Change: effects of filler images on serving images are fitted from lists (the regression of comfreymill_batch); serving tasks are packed by image, fillers go where they disturb little and where processors are idle, and only those that press are slowed down.

--- a/comfreymill_batch/src/interference/mod.rs
+++ b/comfreymill_batch/src/interference/mod.rs
@@ -13,5 +13,5 @@
 
 pub(crate) use median::Median;
 pub(crate) use model::Model;
-pub(crate) use regression::Regression;
+pub use regression::Regression;
 pub(crate) use service_model::ServiceModel;
--- a/comfreymill_batch/src/interference/regression.rs
+++ b/comfreymill_batch/src/interference/regression.rs
@@ -8,7 +8,7 @@
 
 /// Linear fit by least squares with forgetting; the first unknown is the intercept.
 #[derive(Clone, Debug)]
-pub(crate) struct Regression {
+pub struct Regression {
     /// Sums of products of the inputs, row by row.
     products: Vec<Vec<f64>>,
     /// Sums of products of the inputs and the output.
@@ -34,13 +34,13 @@
 
 impl Regression {
     /// Adds an input that was not seen before; its position.
-    pub(crate) fn add_input(&mut self) -> usize {
+    pub fn add_input(&mut self) -> usize {
         self.grow(PRIOR_EFFECT);
         self.solution.len() - 1
     }
 
     /// Takes in one report: inputs by position, the intercept left out.
-    pub(crate) fn observe(&mut self, inputs: &[(usize, f64)], output: f64) {
+    pub fn observe(&mut self, inputs: &[(usize, f64)], output: f64) {
         for row in &mut self.products {
             row.iter_mut().for_each(|product| *product *= FORGETTING);
         }
@@ -60,12 +60,12 @@
     }
 
     /// Intercept: the output without any input.
-    pub(crate) fn get_intercept(&self) -> f64 {
+    pub fn get_intercept(&self) -> f64 {
         self.solution[0]
     }
 
     /// Effect of one unit of the input at `position`.
-    pub(crate) fn get_effect(&self, position: usize) -> f64 {
+    pub fn get_effect(&self, position: usize) -> f64 {
         self.solution[position]
     }
 
--- a/comfreymill_batch/src/lib.rs
+++ b/comfreymill_batch/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod decision;
 pub mod event;
 mod fleet;
-mod interference;
+pub mod interference;
 mod queue;
 pub mod scheduler;
 mod task;
--- a/comfreymill_jobs/src/scheduler/inherit.rs
+++ b/comfreymill_jobs/src/scheduler/inherit.rs
@@ -3,6 +3,7 @@
 
 use comfreymill_types::time;
 
+use super::interference::Interference;
 use super::queue::ReadyQueue;
 use super::task::{JobEntry, OccurrenceEntry, TaskPhase};
 use super::worker::WorkerEntry;
@@ -29,6 +30,7 @@
             jobs: BTreeMap::new(),
             workers: workers.collect(),
             ready: ReadyQueue::default(),
+            interference: Interference::default(),
             strangers: BTreeMap::new(),
             has_unaccounted: true,
             is_dirty: true,
--- a/comfreymill_jobs/src/scheduler/looks.rs
+++ b/comfreymill_jobs/src/scheduler/looks.rs
@@ -185,7 +185,6 @@
             load: row.load,
             percent: row.percent,
             moved_at: now,
-            over_since: None,
         };
         log::info!(target: "runs", task:% = row.task, run:% = row.run, worker:% = number, is_wanted = is_free; "a run was found");
         let Some(entry) = self.workers.get_mut(&number) else { return };
--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -11,6 +11,7 @@
 mod ends;
 mod fleet;
 mod inherit;
+mod interference;
 mod jobs;
 mod looks;
 mod order;
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -14,8 +14,14 @@
 const SERVING_USE_PERCENT: u32 = 50;
 /// Advantage of a worker near the data, in thousandths of a core.
 const NEAR_BONUS: i64 = 100_000;
-/// Disadvantage of a worker on which a task that serves is near its target.
-const PRESSED_MALUS: i64 = 50_000;
+/// Advantage of a worker for each task of the same image that serves there, likewise.
+const SAME_IMAGE_BONUS: i64 = 20_000;
+/// Disadvantage of a worker for each task of another image that serves there, likewise.
+const OTHER_IMAGE_MALUS: i64 = 20_000;
+/// Disadvantage of a worker for each unit by which the logarithm of a tail would rise, likewise.
+const PRESSURE_COST: f64 = 60_000.0;
+/// Part of its processor time that has to be idle where a filler is placed, in percent.
+const MIN_FILLER_PERCENT: i64 = 50;
 
 /// # Places for tasks that wait
 impl Scheduler {
@@ -77,23 +83,63 @@
                 && it.clock.is_some()
                 && is_allowed(it, pool, step, spec)
         });
-        let scored = fitting.map(|(number, it)| (self.score(it, spec), *number));
+        let scored = fitting.filter_map(|(number, it)| Some((self.score(it, spec)?, *number)));
         scored.max_by_key(|(score, number)| (*score, std::cmp::Reverse(*number))).map(|it| it.1)
     }
 
     /// How well a task of the step would fare on a worker.
-    fn score(&self, entry: &WorkerEntry, spec: &job::StepSpec) -> i64 {
-        let mut score = self.spare_cpu(entry);
+    fn score(&self, entry: &WorkerEntry, spec: &job::StepSpec) -> Option<i64> {
+        let mut score = match spec.kind() {
+            job::StepKind::Plain => self.spare_cpu(entry),
+            job::StepKind::Serving => self.score_serving(entry, spec),
+            job::StepKind::Filler => self.score_filler(entry, spec)?,
+        };
         let labels = entry.announcement.as_ref().map(|it| it.labels.as_slice()).unwrap_or_default();
         if spec.data_rack.as_ref().is_some_and(|rack| labels.contains(rack)) {
             score += NEAR_BONUS;
         }
-        if spec.kind() == job::StepKind::Filler && entry.filler_pace < 100 {
-            score -= PRESSED_MALUS + i64::from(100 - entry.filler_pace) * 100;
+        Some(score)
+    }
+
+    /// Tasks of one image are packed together: what disturbs one of them disturbs all, and fillers
+    /// find places beside images that they don't disturb.
+    fn score_serving(&self, entry: &WorkerEntry, spec: &job::StepSpec) -> i64 {
+        let mut score = -i64::from(entry.free().cpu_milli);
+        for task in entry.runs.keys() {
+            let Some(other) = self.step_spec(task.step) else { continue };
+            match other.kind() {
+                job::StepKind::Serving if other.image == spec.image => score += SAME_IMAGE_BONUS,
+                job::StepKind::Serving => score -= OTHER_IMAGE_MALUS,
+                job::StepKind::Filler => {
+                    let (image, filler) = (image_of(spec), image_of(other));
+                    score -= (self.interference.effect(image, filler) * PRESSURE_COST / 10.0) as i64;
+                }
+                job::StepKind::Plain => {}
+            }
         }
         score
     }
 
+    /// Fillers go where processors are idle and where they disturb little; nowhere if there is
+    /// nothing left for them.
+    fn score_filler(&self, entry: &WorkerEntry, spec: &job::StepSpec) -> Option<i64> {
+        let spare = self.spare_cpu(entry);
+        if spare < i64::from(spec.needs.cpu_milli) * MIN_FILLER_PERCENT / 100 {
+            return None;
+        }
+        let capacity = entry.announcement.as_ref().map_or(1, |it| it.capacity.cpu_milli.max(1));
+        let share = f64::from(spec.needs.cpu_milli) / f64::from(capacity);
+        let mut pressure = 0.0;
+        for task in entry.runs.keys() {
+            let Some(other) = self.step_spec(task.step) else { continue };
+            if other.kind() == job::StepKind::Serving {
+                let effect = self.interference.effect(image_of(other), image_of(spec));
+                pressure = f64::max(pressure, effect * share);
+            }
+        }
+        Some(spare - (pressure * PRESSURE_COST) as i64)
+    }
+
     /// Processor time that is left unused, in thousandths of a core; negative if too little is.
     fn spare_cpu(&self, entry: &WorkerEntry) -> i64 {
         let capacity = entry.announcement.as_ref().map_or(0, |it| it.capacity.cpu_milli);
@@ -139,7 +185,6 @@
                 load: None,
                 percent: 0,
                 moved_at: now,
-                over_since: None,
             },
         );
         worker.look_at = worker.look_at.min(now + cfg.get_watch_period());
@@ -174,3 +219,7 @@
         entry.runs.range(range).count() < usize::from(most)
     })
 }
+
+fn image_of(spec: &job::StepSpec) -> &str {
+    spec.image.as_deref().unwrap_or_default()
+}
--- a/comfreymill_jobs/src/scheduler/run.rs
+++ b/comfreymill_jobs/src/scheduler/run.rs
@@ -26,8 +26,6 @@
     pub(super) percent: u32,
     /// When the progress last changed.
     pub(super) moved_at: time::Monotonic,
-    /// When its tail went over its target, if it is over it.
-    pub(super) over_since: Option<time::Monotonic>,
 }
 
 /// How far a run is.
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -3,6 +3,7 @@
 
 use comfreymill_types::time;
 
+use super::interference::Interference;
 use super::queue::{Rank, ReadyQueue};
 use super::task::{JobEntry, TaskEntry, TaskPhase};
 use super::worker::WorkerEntry;
@@ -27,6 +28,7 @@
     pub(super) jobs: BTreeMap<id::JobKey, JobEntry>,
     pub(super) workers: BTreeMap<id::WorkerNumber, WorkerEntry>,
     pub(super) ready: ReadyQueue,
+    pub(super) interference: Interference,
     /// Announcements of lives that are not in the log yet.
     pub(super) strangers: BTreeMap<id::WorkerName, super::announcements::Stranger>,
     /// Whether tasks of earlier leaders may run at workers that were not heard yet.
--- a/comfreymill_jobs/src/scheduler/starts.rs
+++ b/comfreymill_jobs/src/scheduler/starts.rs
@@ -75,12 +75,6 @@
             StartAnswer::Started => {
                 run.phase = RunPhase::Running { since: now };
                 run.moved_at = now;
-                let pace = entry.filler_pace;
-                let is_filler = run.reserved.cpu_milli < run.cpu_milli;
-                if is_filler && pace < 100 {
-                    run.pace = pace;
-                    self.orders.push(Order::Pace { worker, task, run: number, percent: pace });
-                }
             }
             StartAnswer::Refused(Refusal::Superseded) | StartAnswer::Unknown => {
                 run.is_uncertain = true;
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -41,8 +41,6 @@
     pub(super) failures: u32,
     /// When the shares of its fillers were last changed.
     pub(super) paced_at: time::Monotonic,
-    /// Share for fillers there, in percent.
-    pub(super) filler_pace: u32,
 }
 
 impl WorkerEntry {
@@ -69,7 +67,6 @@
             rests_until: time::Monotonic::ZERO,
             failures: 0,
             paced_at: time::Monotonic::ZERO,
-            filler_pace: 100,
         }
     }
 
