--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -70,9 +70,9 @@
         }
     }
 
-    /// Whether its runs are known, or none is left.
+    /// Whether its runs are known, or none is left, and all ends that it listed are in the log.
     pub(super) fn is_accounted(&self, now: time::Monotonic) -> bool {
-        self.is_heard || self.is_over || now >= self.lease_over_at
+        !self.is_noting && (self.is_heard || self.is_over || now >= self.lease_over_at)
     }
 
     /// Whether tasks may be placed there.
