--- a/comfreymill_jobs/src/scheduler/inherit.rs
+++ b/comfreymill_jobs/src/scheduler/inherit.rs
@@ -36,6 +36,7 @@
             is_dirty: true,
             ended: VecDeque::new(),
             unix_offset_ms: unix_ms.saturating_sub(now.as_micros() / 1_000),
+            reported_at: now,
             orders: Vec::new(),
             commands: Vec::new(),
         };
--- a/comfreymill_jobs/src/scheduler/looks.rs
+++ b/comfreymill_jobs/src/scheduler/looks.rs
@@ -2,7 +2,7 @@
 
 use comfreymill_types::time;
 
-use super::run::{RunEntry, RunPhase};
+use super::run::{self, RunEntry, RunPhase};
 use super::task::TaskPhase;
 use super::{LookAnswer, Order, Scheduler};
 use crate::id;
@@ -36,8 +36,11 @@
     /// Time for which a look at a worker may wait for an end.
     fn look_wait(&self, number: id::WorkerNumber) -> Duration {
         let Some(entry) = self.workers.get(&number) else { return Duration::ZERO };
-        let is_asked = entry.runs.values().any(|run| !matches!(run.phase, RunPhase::Running { .. } | RunPhase::Starting));
-        if !entry.is_heard || is_asked || entry.runs.is_empty() {
+        // A run that may not be there has no end that an answer could wait for.
+        let is_doubtful = entry.runs.values().any(|run| {
+            run.is_uncertain && matches!(run.phase, RunPhase::StopTaken { .. })
+        });
+        if !entry.is_heard || is_doubtful || entry.runs.is_empty() {
             return Duration::ZERO;
         }
         if self.has_mix(entry) { self.cfg.get_watch_period() } else { self.cfg.get_max_wait() }
@@ -107,20 +110,8 @@
         self.pace(now, number);
         let Some(entry) = self.workers.get_mut(&number) else { return };
         entry.look_at = if entry.runs.is_empty() { now + IDLE_PERIOD } else { now };
-        self.look_due_one(now, number);
-    }
-
-    fn look_due_one(&mut self, now: time::Monotonic, number: id::WorkerNumber) {
-        let Some(entry) = self.workers.get(&number) else { return };
-        let awaits_stop = entry.runs.values().any(|run| matches!(run.phase, RunPhase::Stopping { .. }));
-        // The answer to the stop brings the next look.
-        if now >= entry.look_at && !awaits_stop {
+        if now >= entry.look_at {
             self.look(now, number);
-        } else if awaits_stop {
-            let pause = Duration::from_millis(50);
-            if let Some(entry) = self.workers.get_mut(&number) {
-                entry.look_at = now + pause;
-            }
         }
     }
 
@@ -180,9 +171,12 @@
             reserved: spec.reserved(),
             cpu_milli: spec.needs.cpu_milli,
             is_uncertain: false,
-            pace: 100,
+            pace: run::UNKNOWN_PACE,
             checkpoint: row.checkpoint.clone(),
             load: row.load,
+            over_since: None,
+            alone: None,
+            slowed_since: None,
             percent: row.percent,
             moved_at: now,
         };
--- a/comfreymill_jobs/src/scheduler/pacing.rs
+++ b/comfreymill_jobs/src/scheduler/pacing.rs
@@ -4,7 +4,7 @@
 use comfreymill_types::time;
 
 use super::interference::Mix;
-use super::run::RunPhase;
+use super::run::{RunPhase, UNKNOWN_PACE};
 use super::worker::WorkerEntry;
 use super::{Order, Scheduler};
 use crate::id;
@@ -18,12 +18,21 @@
 const MIN_CHANGE: u32 = 15;
 /// Most by which a pace is raised at once, in percent.
 const MAX_RAISE: u32 = 30;
-/// Pace of a run whose last order was not taken.
-const UNKNOWN_PACE: u32 = u32::MAX;
+/// Time over the target after which every filler beside a task rests, whatever was learned.
+const MAX_OVER: Duration = Duration::from_millis(1_500);
 
-/// Task that serves, and its tail as a multiple of its target.
+/// Tail alone that is kept of an older, higher estimate: load swings within seconds.
+const KEPT_ALONE: f64 = 0.7;
+/// Pace below which a filler is better moved, in percent.
+const MOVED_BELOW: u32 = 40;
+/// Time at a low pace after which a filler is moved.
+const MOVED_AFTER: Duration = Duration::from_millis(1_000);
+
+/// Task that serves.
 struct Served {
+    task: id::TaskId,
     image: String,
+    /// Its tail as a multiple of its target.
     tail: f64,
 }
 
@@ -35,44 +44,141 @@
         let Some(entry) = self.workers.get(&number) else { return };
         let served = self.served(entry);
         let mix = self.mix(entry);
-        if served.is_empty() || mix.is_empty() {
-            return;
-        }
         for it in &served {
             self.interference.observe(&it.image, it.tail, &mix);
         }
+        let alone = self.estimate_alone(number, &served, &mix);
+        let is_long_over = self.note_over(now, number);
         let Some(entry) = self.workers.get(&number) else { return };
         if now.since(entry.paced_at) < PACE_PERIOD {
             return;
         }
+        let full = self.full_mix(entry);
+        let paces = self.wanted_paces(&alone, &full);
         let mut orders = Vec::new();
-        let paces = self.wanted_paces(&served, &mix);
         for (task, run) in &entry.runs {
             let Some(spec) = self.step_spec(task.step) else { continue };
             if spec.kind() != job::StepKind::Filler || !matches!(run.phase, RunPhase::Running { .. }) {
                 continue;
             }
             let image = spec.image.as_deref().unwrap_or_default();
-            let change = paces.get(image).copied().unwrap_or(1.0);
-            let present = if run.pace == UNKNOWN_PACE { 100 } else { run.pace };
-            let wanted = wanted_pace(present, change);
-            if run.pace == UNKNOWN_PACE || wanted.abs_diff(present) >= MIN_CHANGE || (wanted != present && (wanted == 0 || wanted == 100)) {
-                orders.push((*task, run.run, present, wanted));
+            let wanted = if is_long_over { 0 } else { paces.get(image).copied().unwrap_or(100) };
+            let wanted = wanted.min(run.pace.saturating_add(MAX_RAISE));
+            if run.pace == UNKNOWN_PACE || is_worth(run.pace, wanted) {
+                orders.push((*task, run.run, run.pace, wanted));
             }
         }
-        if orders.is_empty() {
-            return;
-        }
-        let worst = served.iter().map(|it| it.tail).fold(0.0, f64::max);
+        self.order_paces(now, number, orders);
+        self.move_slowed(now, number);
+    }
+
+    fn order_paces(
+        &mut self,
+        now: time::Monotonic,
+        number: id::WorkerNumber,
+        orders: Vec<(id::TaskId, id::Run, u32, u32)>,
+    ) {
         let Some(entry) = self.workers.get_mut(&number) else { return };
-        entry.paced_at = now;
+        if !orders.is_empty() {
+            entry.paced_at = now;
+        }
         for (task, run, from, to) in orders {
-            log::info!(target: "pace", task:% = task, run:% = run, worker:% = entry.known.name, tail_percent = (worst * 100.0) as u64, from, to; "a filler changes its pace");
+            log::info!(target: "pace", task:% = task, run:% = run, worker:% = entry.known.name, from, to; "a filler changes its pace");
             if let Some(run) = entry.runs.get_mut(&task) {
                 run.pace = to;
+                run.slowed_since = (to < MOVED_BELOW).then(|| run.slowed_since.unwrap_or(now));
             }
             self.orders.push(Order::Pace { worker: number, task, run, percent: to });
+            self.is_dirty = true;
+        }
+    }
+
+    /// Moves a filler that has been slow for long to a place where it disturbs nobody.
+    fn move_slowed(&mut self, now: time::Monotonic, number: id::WorkerNumber) {
+        let Some(entry) = self.workers.get(&number) else { return };
+        let slow = entry.runs.iter().filter(|(_, run)| {
+            run.slowed_since.is_some_and(|since| now.since(since) >= MOVED_AFTER)
+                && matches!(run.phase, RunPhase::Running { .. })
+        });
+        let slow: Vec<id::TaskId> = slow.map(|(task, _)| *task).collect();
+        for task in slow {
+            let Some(spec) = self.step_spec(task.step).cloned() else { continue };
+            if spec.has_checkpoints && self.has_quiet_place(now, number, task, &spec) {
+                self.stop(now, number, task);
+            }
+        }
+    }
+
+    /// Whether another worker has room for a filler that disturbs nobody there.
+    fn has_quiet_place(
+        &self,
+        now: time::Monotonic,
+        number: id::WorkerNumber,
+        task: id::TaskId,
+        spec: &job::StepSpec,
+    ) -> bool {
+        let Some(queue) = self.jobs.get(&task.step.job).map(|job| &job.queue) else { return false };
+        let Some(pool) = self.routes.queue(queue).map(|queue| queue.pool.clone()) else {
+            return false;
+        };
+        self.workers.iter().any(|(other, entry)| {
+            *other != number
+                && self.fits(now, entry, &pool, task.step, spec)
+                && self.spare_cpu(entry) >= i64::from(spec.needs.cpu_milli)
+                && !self.presses_any(entry, spec)
+        })
+    }
+
+    fn presses_any(&self, entry: &WorkerEntry, spec: &job::StepSpec) -> bool {
+        let filler = spec.image.as_deref().unwrap_or_default();
+        entry.runs.keys().any(|task| {
+            let other = self.step_spec(task.step);
+            other.is_some_and(|other| {
+                other.kind() == job::StepKind::Serving
+                    && self.interference.effect(other.image.as_deref().unwrap_or_default(), filler)
+                        > 0.0
+            })
+        })
+    }
+
+    /// Estimates the tails without the fillers, by image: the highest of each, as logarithms.
+    fn estimate_alone(
+        &mut self,
+        number: id::WorkerNumber,
+        served: &[Served],
+        mix: &Mix,
+    ) -> BTreeMap<String, f64> {
+        let mut alone: BTreeMap<String, f64> = BTreeMap::new();
+        let Some(entry) = self.workers.get_mut(&number) else { return alone };
+        for it in served {
+            let now = it.tail.ln() - self.interference.pressure(&it.image, mix);
+            let Some(run) = entry.runs.get_mut(&it.task) else { continue };
+            let kept = run.alone.map_or(now, |old| KEPT_ALONE * old + (1.0 - KEPT_ALONE) * now);
+            let estimate = kept.max(now);
+            run.alone = Some(estimate);
+            let highest = alone.entry(it.image.clone()).or_insert(estimate);
+            *highest = highest.max(estimate);
         }
+        alone
+    }
+
+    /// Notes which tasks are over their targets; tells whether one has been so for long.
+    fn note_over(&mut self, now: time::Monotonic, number: id::WorkerNumber) -> bool {
+        let Some(entry) = self.workers.get(&number) else { return false };
+        let targets: Vec<(id::TaskId, u32)> = entry
+            .runs
+            .keys()
+            .filter_map(|task| Some((*task, self.step_spec(task.step)?.tail_target_ms?)))
+            .collect();
+        let Some(entry) = self.workers.get_mut(&number) else { return false };
+        let mut is_long_over = false;
+        for (task, target) in targets {
+            let Some(run) = entry.runs.get_mut(&task) else { continue };
+            let is_over = run.load.is_some_and(|tail| tail >= target);
+            run.over_since = if is_over { run.over_since.or(Some(now)) } else { None };
+            is_long_over |= run.over_since.is_some_and(|since| now.since(since) >= MAX_OVER);
+        }
+        is_long_over
     }
 
     /// Takes in whether a worker took a pace; one that was not taken is ordered again.
@@ -112,46 +218,52 @@
             let (Some(target), Some(tail)) = (spec.tail_target_ms, run.load) else { continue };
             if tail > 0 && spec.kind() == job::StepKind::Serving {
                 let tail = f64::from(tail) / f64::from(target.max(1));
-                served.push(Served { image: spec.image.clone().unwrap_or_default(), tail });
+                let task = *task;
+                served.push(Served { task, image: spec.image.clone().unwrap_or_default(), tail });
             }
         }
         served
     }
 
-    /// Factor for the paces of fillers, by image: below one for those that bring a tail near its
-    /// target.
-    fn wanted_paces(&self, served: &[Served], mix: &Mix) -> BTreeMap<String, f64> {
-        let mut factors: BTreeMap<String, f64> = BTreeMap::new();
-        for it in served {
-            let pressure = self.interference.pressure(&it.image, mix);
-            // What the fillers may add to the tail as it would be without them.
-            let allowed = (STEERED_PART / it.tail).ln() + pressure;
-            let is_over = it.tail > 1.0;
-            for filler in mix.keys() {
-                let presses = self.interference.effect(&it.image, filler) > 0.0;
-                if !presses && !(is_over && pressure <= f64::EPSILON) {
-                    continue;
-                }
-                let factor = if pressure <= f64::EPSILON {
-                    0.5
-                } else {
-                    (allowed / pressure).clamp(0.0, 10.0)
-                };
-                let least = factors.entry(filler.clone()).or_insert(10.0);
-                *least = least.min(factor);
+    /// Use of a worker by fillers if all worked at full speed, by image.
+    fn full_mix(&self, entry: &WorkerEntry) -> Mix {
+        let capacity = entry.announcement.as_ref().map_or(0, |it| it.capacity.cpu_milli);
+        let mut mix = Mix::new();
+        for (task, run) in &entry.runs {
+            let Some(spec) = self.step_spec(task.step) else { continue };
+            if spec.kind() == job::StepKind::Filler {
+                let image = spec.image.clone().unwrap_or_default();
+                let share = f64::from(run.cpu_milli) / f64::from(capacity.max(1));
+                *mix.entry(image).or_default() += share;
             }
         }
-        // A filler that presses nobody may work at full speed.
-        for filler in mix.keys() {
-            factors.entry(filler.clone()).or_insert(10.0);
+        mix
+    }
+
+    /// Paces of fillers in percent, by image, at which no tail goes over the part of its target to
+    /// which it is steered.
+    fn wanted_paces(&self, alone: &BTreeMap<String, f64>, full: &Mix) -> BTreeMap<String, u32> {
+        let mut paces = BTreeMap::new();
+        for (image, alone) in alone {
+            let pressure = self.interference.pressure(image, full);
+            if pressure <= f64::EPSILON {
+                continue;
+            }
+            let allowed = STEERED_PART.ln() - alone;
+            let pace = (allowed / pressure * 100.0).clamp(0.0, 100.0) as u32;
+            let pace = if pace < MIN_CHANGE { 0 } else { pace };
+            for filler in full.keys() {
+                if self.interference.effect(image, filler) > 0.0 {
+                    let least = paces.entry(filler.clone()).or_insert(100);
+                    *least = pace.min(*least);
+                }
+            }
         }
-        factors
+        paces
     }
 }
 
-/// Pace after `factor`; it rises step by step, since a filler at rest shows no effect.
-fn wanted_pace(present: u32, factor: f64) -> u32 {
-    let wanted = (f64::from(present.max(10)) * factor).clamp(0.0, 100.0) as u32;
-    let wanted = wanted.min(present + MAX_RAISE);
-    if wanted < 10 { 0 } else { wanted }
+/// Whether a change of pace is worth an order.
+fn is_worth(from: u32, to: u32) -> bool {
+    to.abs_diff(from) >= MIN_CHANGE || (to != from && (to == 0 || to == 100))
 }
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -76,17 +76,27 @@
         step: id::StepId,
         spec: &job::StepSpec,
     ) -> Option<id::WorkerNumber> {
-        let needs = spec.reserved();
-        let fitting = self.workers.iter().filter(|(_, it)| {
-            it.is_usable(now)
-                && it.free().holds(&needs)
-                && it.clock.is_some()
-                && is_allowed(it, pool, step, spec)
-        });
+        let fitting = self.workers.iter();
+        let fitting = fitting.filter(|(_, it)| self.fits(now, it, pool, step, spec));
         let scored = fitting.filter_map(|(number, it)| Some((self.score(it, spec)?, *number)));
         scored.max_by_key(|(score, number)| (*score, std::cmp::Reverse(*number))).map(|it| it.1)
     }
 
+    /// Whether a worker may run a task of the step, and has room for it.
+    pub(super) fn fits(
+        &self,
+        now: time::Monotonic,
+        entry: &WorkerEntry,
+        pool: &str,
+        step: id::StepId,
+        spec: &job::StepSpec,
+    ) -> bool {
+        entry.is_usable(now)
+            && entry.clock.is_some()
+            && entry.free().holds(&spec.reserved())
+            && is_allowed(entry, pool, step, spec)
+    }
+
     /// How well a task of the step would fare on a worker.
     fn score(&self, entry: &WorkerEntry, spec: &job::StepSpec) -> Option<i64> {
         let mut score = match spec.kind() {
@@ -141,14 +151,15 @@
     }
 
     /// Processor time that is left unused, in thousandths of a core; negative if too little is.
-    fn spare_cpu(&self, entry: &WorkerEntry) -> i64 {
+    pub(super) fn spare_cpu(&self, entry: &WorkerEntry) -> i64 {
         let capacity = entry.announcement.as_ref().map_or(0, |it| it.capacity.cpu_milli);
         let mut spare = i64::from(capacity);
         for (task, run) in &entry.runs {
             let kind = self.step_spec(task.step).map_or(job::StepKind::Plain, job::StepSpec::kind);
             let used = match kind {
                 job::StepKind::Serving => run.cpu_milli * SERVING_USE_PERCENT / 100,
-                job::StepKind::Filler | job::StepKind::Plain => run.cpu_milli,
+                job::StepKind::Filler => run.cpu_milli * run.pace.min(100) / 100,
+                job::StepKind::Plain => run.cpu_milli,
             };
             spare -= i64::from(used);
         }
@@ -183,6 +194,9 @@
                 pace: 100,
                 checkpoint: String::new(),
                 load: None,
+                over_since: None,
+                alone: None,
+                slowed_since: None,
                 percent: 0,
                 moved_at: now,
             },
--- a/comfreymill_jobs/src/scheduler/queue.rs
+++ b/comfreymill_jobs/src/scheduler/queue.rs
@@ -65,6 +65,11 @@
         self.steps.get(&step).map(|(_, tasks)| tasks.iter().copied().collect()).unwrap_or_default()
     }
 
+    /// Number of tasks that wait.
+    pub(super) fn len(&self) -> usize {
+        self.steps.values().map(|(_, tasks)| tasks.len()).sum()
+    }
+
     /// Whether no task waits.
     pub(super) fn is_empty(&self) -> bool {
         self.order.is_empty()
--- a/comfreymill_jobs/src/scheduler/run.rs
+++ b/comfreymill_jobs/src/scheduler/run.rs
@@ -3,6 +3,9 @@
 use crate::id;
 use crate::worker;
 
+/// Pace of a run whose last order was not taken, or that an earlier leader started.
+pub(super) const UNKNOWN_PACE: u32 = u32::MAX;
+
 /// Run that a worker was told to start, or was found to have.
 #[derive(Clone, Debug)]
 pub(super) struct RunEntry {
@@ -24,6 +27,12 @@
     pub(super) load: Option<u32>,
     /// Progress that the worker listed.
     pub(super) percent: u32,
+    /// Logarithm of its tail without fillers, as a multiple of its target.
+    pub(super) alone: Option<f64>,
+    /// Since when it works at a low pace.
+    pub(super) slowed_since: Option<time::Monotonic>,
+    /// When its tail went over its target, if it is over it.
+    pub(super) over_since: Option<time::Monotonic>,
     /// When the progress last changed.
     pub(super) moved_at: time::Monotonic,
 }
