fix(jobs): no filler joins a worker on which a tail is over its target

Cause: fillers started at full pace beside a task that was over its target (HARM). Change: such workers take no fillers until the tail is back.

--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -133,6 +133,10 @@
     /// Fillers go where processors are idle and where they disturb little; nowhere if there is
     /// nothing left for them.
     fn score_filler(&self, entry: &WorkerEntry, spec: &job::StepSpec) -> Option<i64> {
+        // No filler joins a worker on which a tail is over its target.
+        if entry.runs.values().any(|run| run.over_since.is_some()) {
+            return None;
+        }
         let spare = self.spare_cpu(entry);
         if spare < i64::from(spec.needs.cpu_milli) * MIN_FILLER_PERCENT / 100 {
             return None;
