perf(jobs): keep each worker's use and images instead of summing over its runs

Cause: placing a task looked up every run of every worker; at 350 workers the leader used all of its 0.32 cores and its backlog took 389 MB. Change: workers keep their use, serving images and late tails; images are numbered.

--- a/comfreymill_jobs/src/scheduler/looks.rs
+++ b/comfreymill_jobs/src/scheduler/looks.rs
@@ -6,7 +6,6 @@
 use super::task::TaskPhase;
 use super::{LookAnswer, Order, Scheduler};
 use crate::id;
-use crate::job;
 use crate::state;
 use crate::worker;
 
@@ -43,7 +42,7 @@
         if !entry.is_heard || is_doubtful || entry.runs.is_empty() {
             return Duration::ZERO;
         }
-        if self.has_mix(entry) { self.cfg.get_watch_period() } else { self.cfg.get_max_wait() }
+        if entry.has_mix() { self.cfg.get_watch_period() } else { self.cfg.get_max_wait() }
     }
 
     /// Looks at the workers that are due.
@@ -165,21 +164,13 @@
             return;
         }
         let spec = spec.unwrap_or_default();
-        let run = RunEntry {
-            run: row.run,
-            phase: RunPhase::Running { since: now },
-            reserved: spec.reserved(),
-            cpu_milli: spec.needs.cpu_milli,
-            is_uncertain: false,
-            pace: run::UNKNOWN_PACE,
-            checkpoint: row.checkpoint.clone(),
-            load: row.load,
-            over_since: None,
-            alone: None,
-            slowed_since: None,
-            percent: row.percent,
-            moved_at: now,
-        };
+        let image = self.interference.intern(spec.image.as_deref());
+        let phase = RunPhase::Running { since: now };
+        let mut run = RunEntry::new(row.run, phase, &spec, image, now);
+        run.pace = run::UNKNOWN_PACE;
+        run.checkpoint.clone_from(&row.checkpoint);
+        run.load = row.load;
+        run.percent = row.percent;
         log::info!(target: "runs", task:% = row.task, run:% = row.run, worker:% = number, is_wanted = is_free; "a run was found");
         let Some(entry) = self.workers.get_mut(&number) else { return };
         entry.add(row.task, run);
@@ -212,17 +203,4 @@
             self.release(now, number, task);
         }
     }
-
-    /// Whether tasks that fill run beside tasks that serve.
-    pub(super) fn has_mix(&self, entry: &super::worker::WorkerEntry) -> bool {
-        let (mut fills, mut serves) = (false, false);
-        for task in entry.runs.keys() {
-            match self.step_spec(task.step).map(job::StepSpec::kind) {
-                Some(job::StepKind::Filler) => fills = true,
-                Some(job::StepKind::Serving) => serves = true,
-                _ => {}
-            }
-        }
-        fills && serves
-    }
 }
--- a/comfreymill_jobs/src/scheduler/pacing.rs
+++ b/comfreymill_jobs/src/scheduler/pacing.rs
@@ -3,8 +3,8 @@
 
 use comfreymill_types::time;
 
-use super::interference::Mix;
-use super::run::{RunPhase, UNKNOWN_PACE};
+use super::interference::{Image, Mix};
+use super::run::{RunEntry, RunPhase, UNKNOWN_PACE};
 use super::worker::WorkerEntry;
 use super::{Order, Scheduler};
 use crate::id;
@@ -31,7 +31,7 @@
 /// Task that serves.
 struct Served {
     task: id::TaskId,
-    image: String,
+    image: Image,
     /// Its tail as a multiple of its target.
     tail: f64,
 }
@@ -45,7 +45,7 @@
         let served = self.served(entry);
         let mix = self.mix(entry);
         for it in &served {
-            self.interference.observe(&it.image, it.tail, &mix);
+            self.interference.observe(it.image, it.tail, &mix);
         }
         let alone = self.estimate_alone(number, &served, &mix);
         let is_long_over = self.note_over(now, number);
@@ -57,12 +57,11 @@
         let paces = self.wanted_paces(&alone, &full);
         let mut orders = Vec::new();
         for (task, run) in &entry.runs {
-            let Some(spec) = self.step_spec(task.step) else { continue };
-            if spec.kind() != job::StepKind::Filler || !matches!(run.phase, RunPhase::Running { .. }) {
+            if run.kind != job::StepKind::Filler || !matches!(run.phase, RunPhase::Running { .. }) {
                 continue;
             }
-            let image = spec.image.as_deref().unwrap_or_default();
-            let wanted = if is_long_over { 0 } else { paces.get(image).copied().unwrap_or(100) };
+            let wanted = paces.get(&run.image).copied().unwrap_or(100);
+            let wanted = if is_long_over { 0 } else { wanted };
             let wanted = wanted.min(run.pace.saturating_add(MAX_RAISE));
             if run.pace == UNKNOWN_PACE || is_worth(run.pace, wanted) {
                 orders.push((*task, run.run, run.pace, wanted));
@@ -84,8 +83,8 @@
         }
         for (task, run, from, to) in orders {
             log::info!(target: "pace", task:% = task, run:% = run, worker:% = entry.known.name, from, to; "a filler changes its pace");
+            entry.set_pace(task, to);
             if let Some(run) = entry.runs.get_mut(&task) {
-                run.pace = to;
                 run.slowed_since = (to < MOVED_BELOW).then(|| run.slowed_since.unwrap_or(now));
             }
             self.orders.push(Order::Pace { worker: number, task, run, percent: to });
@@ -103,7 +102,8 @@
         let slow: Vec<id::TaskId> = slow.map(|(task, _)| *task).collect();
         for task in slow {
             let Some(spec) = self.step_spec(task.step).cloned() else { continue };
-            if spec.has_checkpoints && self.has_quiet_place(now, number, task, &spec) {
+            let image = self.interference.intern(spec.image.as_deref());
+            if spec.has_checkpoints && self.has_quiet_place(now, number, task, &spec, image) {
                 self.stop(now, number, task);
             }
         }
@@ -116,6 +116,7 @@
         number: id::WorkerNumber,
         task: id::TaskId,
         spec: &job::StepSpec,
+        image: Image,
     ) -> bool {
         let Some(queue) = self.jobs.get(&task.step.job).map(|job| &job.queue) else { return false };
         let Some(pool) = self.routes.queue(queue).map(|queue| queue.pool.clone()) else {
@@ -124,21 +125,13 @@
         self.workers.iter().any(|(other, entry)| {
             *other != number
                 && self.fits(now, entry, &pool, task.step, spec)
-                && self.spare_cpu(entry) >= i64::from(spec.needs.cpu_milli)
-                && !self.presses_any(entry, spec)
+                && entry.spare_cpu() >= i64::from(spec.needs.cpu_milli)
+                && !self.presses_any(entry, image)
         })
     }
 
-    fn presses_any(&self, entry: &WorkerEntry, spec: &job::StepSpec) -> bool {
-        let filler = spec.image.as_deref().unwrap_or_default();
-        entry.runs.keys().any(|task| {
-            let other = self.step_spec(task.step);
-            other.is_some_and(|other| {
-                other.kind() == job::StepKind::Serving
-                    && self.interference.effect(other.image.as_deref().unwrap_or_default(), filler)
-                        > 0.0
-            })
-        })
+    fn presses_any(&self, entry: &WorkerEntry, filler: Image) -> bool {
+        entry.serving.keys().any(|image| self.interference.effect(*image, filler) > 0.0)
     }
 
     /// Estimates the tails without the fillers, by image: the highest of each, as logarithms.
@@ -147,16 +140,16 @@
         number: id::WorkerNumber,
         served: &[Served],
         mix: &Mix,
-    ) -> BTreeMap<String, f64> {
-        let mut alone: BTreeMap<String, f64> = BTreeMap::new();
+    ) -> BTreeMap<Image, f64> {
+        let mut alone: BTreeMap<Image, f64> = BTreeMap::new();
         let Some(entry) = self.workers.get_mut(&number) else { return alone };
         for it in served {
-            let now = it.tail.ln() - self.interference.pressure(&it.image, mix);
+            let now = it.tail.ln() - self.interference.pressure(it.image, mix);
             let Some(run) = entry.runs.get_mut(&it.task) else { continue };
             let kept = run.alone.map_or(now, |old| KEPT_ALONE * old + (1.0 - KEPT_ALONE) * now);
             let estimate = kept.max(now);
             run.alone = Some(estimate);
-            let highest = alone.entry(it.image.clone()).or_insert(estimate);
+            let highest = alone.entry(it.image).or_insert(estimate);
             *highest = highest.max(estimate);
         }
         alone
@@ -164,18 +157,14 @@
 
     /// Notes which tasks are over their targets; tells whether one has been so for long.
     fn note_over(&mut self, now: time::Monotonic, number: id::WorkerNumber) -> bool {
-        let Some(entry) = self.workers.get(&number) else { return false };
-        let targets: Vec<(id::TaskId, u32)> = entry
-            .runs
-            .keys()
-            .filter_map(|task| Some((*task, self.step_spec(task.step)?.tail_target_ms?)))
-            .collect();
         let Some(entry) = self.workers.get_mut(&number) else { return false };
         let mut is_long_over = false;
-        for (task, target) in targets {
-            let Some(run) = entry.runs.get_mut(&task) else { continue };
+        entry.has_late_tail = false;
+        for run in entry.runs.values_mut() {
+            let Some(target) = run.tail_target_ms else { continue };
             let is_over = run.load.is_some_and(|tail| tail >= target);
             run.over_since = if is_over { run.over_since.or(Some(now)) } else { None };
+            entry.has_late_tail |= is_over;
             is_long_over |= run.over_since.is_some_and(|since| now.since(since) >= MAX_OVER);
         }
         is_long_over
@@ -190,36 +179,23 @@
         is_taken: bool,
     ) {
         let Some(entry) = self.workers.get_mut(&number) else { return };
-        let Some(run) = entry.runs.get_mut(&task).filter(|it| it.run == run) else { return };
-        if !is_taken {
-            run.pace = UNKNOWN_PACE;
+        if !is_taken && entry.runs.get(&task).is_some_and(|it| it.run == run) {
+            entry.set_pace(task, UNKNOWN_PACE);
         }
     }
 
     /// Use of a worker by fillers, by image.
     pub(super) fn mix(&self, entry: &WorkerEntry) -> Mix {
-        let capacity = entry.announcement.as_ref().map_or(0, |it| it.capacity.cpu_milli);
-        let mut mix = Mix::new();
-        for (task, run) in &entry.runs {
-            let Some(spec) = self.step_spec(task.step) else { continue };
-            let Some(load) = run.load.filter(|_| spec.kind() == job::StepKind::Filler) else {
-                continue;
-            };
-            let image = spec.image.clone().unwrap_or_default();
-            *mix.entry(image).or_default() += f64::from(load) / f64::from(capacity.max(1));
-        }
-        mix
+        mix_of(entry, |run| run.load)
     }
 
     fn served(&self, entry: &WorkerEntry) -> Vec<Served> {
         let mut served = Vec::new();
         for (task, run) in &entry.runs {
-            let Some(spec) = self.step_spec(task.step) else { continue };
-            let (Some(target), Some(tail)) = (spec.tail_target_ms, run.load) else { continue };
-            if tail > 0 && spec.kind() == job::StepKind::Serving {
+            let (Some(target), Some(tail)) = (run.tail_target_ms, run.load) else { continue };
+            if tail > 0 && run.kind == job::StepKind::Serving {
                 let tail = f64::from(tail) / f64::from(target.max(1));
-                let task = *task;
-                served.push(Served { task, image: spec.image.clone().unwrap_or_default(), tail });
+                served.push(Served { task: *task, image: run.image, tail });
             }
         }
         served
@@ -227,25 +203,15 @@
 
     /// Use of a worker by fillers if all worked at full speed, by image.
     fn full_mix(&self, entry: &WorkerEntry) -> Mix {
-        let capacity = entry.announcement.as_ref().map_or(0, |it| it.capacity.cpu_milli);
-        let mut mix = Mix::new();
-        for (task, run) in &entry.runs {
-            let Some(spec) = self.step_spec(task.step) else { continue };
-            if spec.kind() == job::StepKind::Filler {
-                let image = spec.image.clone().unwrap_or_default();
-                let share = f64::from(run.cpu_milli) / f64::from(capacity.max(1));
-                *mix.entry(image).or_default() += share;
-            }
-        }
-        mix
+        mix_of(entry, |run| Some(run.cpu_milli))
     }
 
     /// Paces of fillers in percent, by image, at which no tail goes over the part of its target to
     /// which it is steered.
-    fn wanted_paces(&self, alone: &BTreeMap<String, f64>, full: &Mix) -> BTreeMap<String, u32> {
+    fn wanted_paces(&self, alone: &BTreeMap<Image, f64>, full: &Mix) -> BTreeMap<Image, u32> {
         let mut paces = BTreeMap::new();
         for (image, alone) in alone {
-            let pressure = self.interference.pressure(image, full);
+            let pressure = self.interference.pressure(*image, full);
             if pressure <= f64::EPSILON {
                 continue;
             }
@@ -253,8 +219,8 @@
             let pace = (allowed / pressure * 100.0).clamp(0.0, 100.0) as u32;
             let pace = if pace < MIN_CHANGE { 0 } else { pace };
             for filler in full.keys() {
-                if self.interference.effect(image, filler) > 0.0 {
-                    let least = paces.entry(filler.clone()).or_insert(100);
+                if self.interference.effect(*image, *filler) > 0.0 {
+                    let least = paces.entry(*filler).or_insert(100);
                     *least = pace.min(*least);
                 }
             }
@@ -267,3 +233,17 @@
 fn is_worth(from: u32, to: u32) -> bool {
     to.abs_diff(from) >= MIN_CHANGE || (to != from && (to == 0 || to == 100))
 }
+
+/// Fillers' shares of a worker's processors, by image; `cpu_milli` gives what a run counts for.
+fn mix_of<F>(entry: &WorkerEntry, cpu_milli: F) -> Mix
+where
+    F: Fn(&RunEntry) -> Option<u32>,
+{
+    let capacity = entry.announcement.as_ref().map_or(0, |it| it.capacity.cpu_milli);
+    let mut mix = Mix::new();
+    for run in entry.runs.values().filter(|run| run.kind == job::StepKind::Filler) {
+        let Some(cpu_milli) = cpu_milli(run) else { continue };
+        *mix.entry(run.image).or_default() += f64::from(cpu_milli) / f64::from(capacity.max(1));
+    }
+    mix
+}
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -2,6 +2,7 @@
 
 use comfreymill_types::time;
 
+use super::interference::Image;
 use super::run::{RunEntry, RunPhase};
 use super::task::TaskPhase;
 use super::worker::WorkerEntry;
@@ -10,8 +11,6 @@
 use crate::job;
 use crate::worker;
 
-/// Share in percent of its reservation that a task that serves uses by and large.
-const SERVING_USE_PERCENT: u32 = 50;
 /// Advantage of a worker near the data, in thousandths of a core.
 const NEAR_BONUS: i64 = 100_000;
 /// Advantage of a worker for each task of the same image that serves there, likewise.
@@ -20,6 +19,8 @@
 const OTHER_IMAGE_MALUS: i64 = 20_000;
 /// Disadvantage of a worker for each unit by which the logarithm of a tail would rise, likewise.
 const PRESSURE_COST: f64 = 60_000.0;
+/// Disadvantage of a worker for a task that serves, for each unit of a filler's effect, likewise.
+const FILLER_COST: f64 = 6_000.0;
 /// Part of its processor time that has to be idle where a filler is placed, in percent.
 const MIN_FILLER_PERCENT: i64 = 50;
 
@@ -56,8 +57,9 @@
         if refused.get(&pool).is_some_and(is_hopeless) {
             return;
         }
+        let image = self.interference.intern(spec.image.as_deref());
         for index in self.ready.tasks(step) {
-            let Some(worker) = self.choose(now, &pool, step, &spec) else {
+            let Some(worker) = self.choose(now, &pool, step, &spec, image) else {
                 let is_picky = spec.required_label.is_some() || spec.max_per_worker.is_some();
                 if !is_picky {
                     refused.entry(pool).or_default().push(needs);
@@ -75,10 +77,11 @@
         pool: &str,
         step: id::StepId,
         spec: &job::StepSpec,
+        image: Image,
     ) -> Option<id::WorkerNumber> {
         let fitting = self.workers.iter();
         let fitting = fitting.filter(|(_, it)| self.fits(now, it, pool, step, spec));
-        let scored = fitting.filter_map(|(number, it)| Some((self.score(it, spec)?, *number)));
+        let scored = fitting.filter_map(|(number, it)| Some((self.score(it, spec, image)?, *number)));
         scored.max_by_key(|(score, number)| (*score, std::cmp::Reverse(*number))).map(|it| it.1)
     }
 
@@ -98,11 +101,11 @@
     }
 
     /// How well a task of the step would fare on a worker.
-    fn score(&self, entry: &WorkerEntry, spec: &job::StepSpec) -> Option<i64> {
+    fn score(&self, entry: &WorkerEntry, spec: &job::StepSpec, image: Image) -> Option<i64> {
         let mut score = match spec.kind() {
-            job::StepKind::Plain => self.spare_cpu(entry),
-            job::StepKind::Serving => self.score_serving(entry, spec),
-            job::StepKind::Filler => self.score_filler(entry, spec)?,
+            job::StepKind::Plain => entry.spare_cpu(),
+            job::StepKind::Serving => self.score_serving(entry, image),
+            job::StepKind::Filler => self.score_filler(entry, spec, image)?,
         };
         let labels = entry.announcement.as_ref().map(|it| it.labels.as_slice()).unwrap_or_default();
         if spec.data_rack.as_ref().is_some_and(|rack| labels.contains(rack)) {
@@ -113,63 +116,37 @@
 
     /// Tasks of one image are packed together: what disturbs one of them disturbs all, and fillers
     /// find places beside images that they don't disturb.
-    fn score_serving(&self, entry: &WorkerEntry, spec: &job::StepSpec) -> i64 {
+    fn score_serving(&self, entry: &WorkerEntry, image: Image) -> i64 {
         let mut score = -i64::from(entry.free().cpu_milli);
-        for task in entry.runs.keys() {
-            let Some(other) = self.step_spec(task.step) else { continue };
-            match other.kind() {
-                job::StepKind::Serving if other.image == spec.image => score += SAME_IMAGE_BONUS,
-                job::StepKind::Serving => score -= OTHER_IMAGE_MALUS,
-                job::StepKind::Filler => {
-                    let (image, filler) = (image_of(spec), image_of(other));
-                    score -= (self.interference.effect(image, filler) * PRESSURE_COST / 10.0) as i64;
-                }
-                job::StepKind::Plain => {}
-            }
+        for (other, count) in &entry.serving {
+            let count = i64::from(*count);
+            score += if *other == image { SAME_IMAGE_BONUS } else { -OTHER_IMAGE_MALUS } * count;
+        }
+        for run in entry.runs.values().filter(|run| run.kind == job::StepKind::Filler) {
+            let effect = self.interference.effect(image, run.image);
+            score -= (effect * FILLER_COST) as i64;
         }
         score
     }
 
     /// Fillers go where processors are idle and where they disturb little; nowhere if there is
     /// nothing left for them.
-    fn score_filler(&self, entry: &WorkerEntry, spec: &job::StepSpec) -> Option<i64> {
+    fn score_filler(&self, entry: &WorkerEntry, spec: &job::StepSpec, image: Image) -> Option<i64> {
         // No filler joins a worker on which a tail is over its target.
-        if entry.runs.values().any(|run| run.over_since.is_some()) {
+        if entry.has_late_tail {
             return None;
         }
-        let spare = self.spare_cpu(entry);
+        let spare = entry.spare_cpu();
         if spare < i64::from(spec.needs.cpu_milli) * MIN_FILLER_PERCENT / 100 {
             return None;
         }
         let capacity = entry.announcement.as_ref().map_or(1, |it| it.capacity.cpu_milli.max(1));
         let share = f64::from(spec.needs.cpu_milli) / f64::from(capacity);
-        let mut pressure = 0.0;
-        for task in entry.runs.keys() {
-            let Some(other) = self.step_spec(task.step) else { continue };
-            if other.kind() == job::StepKind::Serving {
-                let effect = self.interference.effect(image_of(other), image_of(spec));
-                pressure = f64::max(pressure, effect * share);
-            }
-        }
+        let effects = entry.serving.keys().map(|it| self.interference.effect(*it, image));
+        let pressure = effects.fold(0.0, f64::max) * share;
         Some(spare - (pressure * PRESSURE_COST) as i64)
     }
 
-    /// Processor time that is left unused, in thousandths of a core; negative if too little is.
-    pub(super) fn spare_cpu(&self, entry: &WorkerEntry) -> i64 {
-        let capacity = entry.announcement.as_ref().map_or(0, |it| it.capacity.cpu_milli);
-        let mut spare = i64::from(capacity);
-        for (task, run) in &entry.runs {
-            let kind = self.step_spec(task.step).map_or(job::StepKind::Plain, job::StepSpec::kind);
-            let used = match kind {
-                job::StepKind::Serving => run.cpu_milli * SERVING_USE_PERCENT / 100,
-                job::StepKind::Filler => run.cpu_milli * run.pace.min(100) / 100,
-                job::StepKind::Plain => run.cpu_milli,
-            };
-            spare -= i64::from(used);
-        }
-        spare
-    }
-
     fn start(
         &mut self,
         now: time::Monotonic,
@@ -178,6 +155,7 @@
         spec: &job::StepSpec,
     ) {
         let cfg = self.cfg;
+        let image = self.interference.intern(spec.image.as_deref());
         let Some(entry) = self.task_mut(task) else { return };
         let checkpoint = entry.checkpoint.clone();
         let run = {
@@ -187,24 +165,8 @@
         };
         let Some(worker) = self.workers.get_mut(&number) else { return };
         let Some(lease_until_ms) = worker.grant(&cfg, now) else { return };
-        worker.add(
-            task,
-            RunEntry {
-                run,
-                phase: RunPhase::Starting,
-                reserved: spec.reserved(),
-                cpu_milli: spec.needs.cpu_milli,
-                is_uncertain: false,
-                pace: 100,
-                checkpoint: String::new(),
-                load: None,
-                over_since: None,
-                alone: None,
-                slowed_since: None,
-                percent: 0,
-                moved_at: now,
-            },
-        );
+        let entry = RunEntry::new(run, RunPhase::Starting, spec, image, now);
+        worker.add(task, entry);
         worker.look_at = worker.look_at.min(now + cfg.get_watch_period());
         let free = worker.free();
         let name = worker.known.name.clone();
@@ -237,7 +199,3 @@
         entry.runs.range(range).count() < usize::from(most)
     })
 }
-
-fn image_of(spec: &job::StepSpec) -> &str {
-    spec.image.as_deref().unwrap_or_default()
-}
--- a/comfreymill_jobs/src/scheduler/run.rs
+++ b/comfreymill_jobs/src/scheduler/run.rs
@@ -1,6 +1,8 @@
 use comfreymill_types::time;
 
+use super::interference::Image;
 use crate::id;
+use crate::job;
 use crate::worker;
 
 /// Pace of a run whose last order was not taken, or that an earlier leader started.
@@ -15,6 +17,12 @@
     pub(super) phase: RunPhase,
     /// What it takes of the worker.
     pub(super) reserved: worker::Resources,
+    /// How it uses the worker.
+    pub(super) kind: job::StepKind,
+    /// Image that it runs.
+    pub(super) image: Image,
+    /// Bound on its tail in milliseconds, if it serves.
+    pub(super) tail_target_ms: Option<u32>,
     /// Processor time that it uses at full speed, in thousandths of a core.
     pub(super) cpu_milli: u32,
     /// Whether a start of it may still be carried out although it was answered otherwise.
@@ -59,7 +67,48 @@
     },
 }
 
+/// Share in percent of its reservation that a task that serves uses by and large.
+const SERVING_USE_PERCENT: u32 = 50;
+
 impl RunEntry {
+    /// Run of a task of `spec` that is in `phase`.
+    pub(super) fn new(
+        run: id::Run,
+        phase: RunPhase,
+        spec: &job::StepSpec,
+        image: Image,
+        now: time::Monotonic,
+    ) -> Self {
+        Self {
+            run,
+            phase,
+            reserved: spec.reserved(),
+            kind: spec.kind(),
+            image,
+            tail_target_ms: spec.tail_target_ms,
+            cpu_milli: spec.needs.cpu_milli,
+            is_uncertain: false,
+            pace: 100,
+            checkpoint: String::new(),
+            load: None,
+            percent: 0,
+            alone: None,
+            slowed_since: None,
+            over_since: None,
+            moved_at: now,
+        }
+    }
+
+    /// Processor time that it uses by and large, in thousandths of a core.
+    pub(super) fn used_cpu(&self) -> i64 {
+        let used = match self.kind {
+            job::StepKind::Serving => self.cpu_milli * SERVING_USE_PERCENT / 100,
+            job::StepKind::Filler => self.cpu_milli * self.pace.min(100) / 100,
+            job::StepKind::Plain => self.cpu_milli,
+        };
+        i64::from(used)
+    }
+
     /// Whether a list that was asked for at `asked_at` would show the run if it were there.
     pub(super) fn is_settled(&self, asked_at: time::Monotonic) -> bool {
         match self.phase {
--- a/comfreymill_jobs/src/scheduler/tick.rs
+++ b/comfreymill_jobs/src/scheduler/tick.rs
@@ -36,7 +36,7 @@
         }
         self.reported_at = now;
         let usable = self.workers.values().filter(|it| it.is_usable(now)).count();
-        let spare: i64 = self.workers.values().map(|it| self.spare_cpu(it).max(0)).sum();
+        let spare: i64 = self.workers.values().map(|it| it.spare_cpu().max(0)).sum();
         let used: f64 = self.workers.values().map(|it| self.mix(it).values().sum::<f64>()).sum();
         let runs: usize = self.workers.values().map(|it| it.runs.len()).sum();
         let resting = self.workers.values().flat_map(|it| it.runs.values());
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -4,8 +4,10 @@
 use comfreymill_types::time;
 
 use super::Config;
+use super::interference::Image;
 use super::run::RunEntry;
 use crate::id;
+use crate::job;
 use crate::state;
 use crate::worker;
 
@@ -27,6 +29,14 @@
     pub(super) runs: BTreeMap<id::TaskId, RunEntry>,
     /// What the runs take of it.
     pub(super) reserved: worker::Resources,
+    /// Processor time that the runs use by and large, in thousandths of a core.
+    pub(super) used_cpu: i64,
+    /// Images of the tasks that serve there, with their numbers.
+    pub(super) serving: BTreeMap<Image, u32>,
+    /// Number of fillers there.
+    pub(super) fillers: u32,
+    /// Whether a tail is over its target there.
+    pub(super) has_late_tail: bool,
     /// When the look that is under way was sent.
     pub(super) look_sent_at: Option<time::Monotonic>,
     /// When it is to be looked at next.
@@ -60,6 +70,10 @@
             is_noting: false,
             runs: BTreeMap::new(),
             reserved: worker::Resources::default(),
+            used_cpu: 0,
+            serving: BTreeMap::new(),
+            fillers: 0,
+            has_late_tail: false,
             look_sent_at: None,
             look_at: now,
             lease_over_at,
@@ -107,9 +121,26 @@
         Some(clock_ms + millis(cfg.get_lease()))
     }
 
+    /// Processor time that is left unused, in thousandths of a core; negative if too little is.
+    pub(super) fn spare_cpu(&self) -> i64 {
+        let capacity = self.announcement.as_ref().map_or(0, |it| it.capacity.cpu_milli);
+        i64::from(capacity) - self.used_cpu
+    }
+
+    /// Whether tasks that fill run beside tasks that serve.
+    pub(super) fn has_mix(&self) -> bool {
+        self.fillers > 0 && !self.serving.is_empty()
+    }
+
     /// Adds a run.
     pub(super) fn add(&mut self, task: id::TaskId, run: RunEntry) {
         self.reserved += run.reserved;
+        self.used_cpu += run.used_cpu();
+        match run.kind {
+            job::StepKind::Serving => *self.serving.entry(run.image).or_default() += 1,
+            job::StepKind::Filler => self.fillers += 1,
+            job::StepKind::Plain => {}
+        }
         self.runs.insert(task, run);
     }
 
@@ -117,8 +148,30 @@
     pub(super) fn remove(&mut self, task: id::TaskId) -> Option<RunEntry> {
         let run = self.runs.remove(&task)?;
         self.reserved = self.reserved.saturating_sub(&run.reserved);
+        self.used_cpu -= run.used_cpu();
+        match run.kind {
+            job::StepKind::Serving => {
+                let left = self.serving.get_mut(&run.image).map_or(0, |count| {
+                    *count -= 1;
+                    *count
+                });
+                if left == 0 {
+                    self.serving.remove(&run.image);
+                }
+            }
+            job::StepKind::Filler => self.fillers = self.fillers.saturating_sub(1),
+            job::StepKind::Plain => {}
+        }
         Some(run)
     }
+
+    /// Notes the pace of a run.
+    pub(super) fn set_pace(&mut self, task: id::TaskId, pace: u32) {
+        let Some(run) = self.runs.get_mut(&task) else { return };
+        self.used_cpu -= run.used_cpu();
+        run.pace = pace;
+        self.used_cpu += run.used_cpu();
+    }
 }
 
 fn millis(span: Duration) -> u64 {
