--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -21,8 +21,8 @@
             return;
         }
         let is_outdated = self.workers.values().any(|it| {
-            let is_same = it.known.name == announcement.name
-                || it.known.address == announcement.address;
+            let is_same =
+                it.known.name == announcement.name || it.known.address == announcement.address;
             is_same && it.known.born_unix_ms > announcement.born_unix_ms
         });
         if is_outdated {
@@ -30,9 +30,8 @@
             return;
         }
         let stranger = self.strangers.get(&announcement.name);
-        let is_asked = stranger.is_some_and(|it| {
-            it.announcement.born_unix_ms == announcement.born_unix_ms
-        });
+        let is_asked =
+            stranger.is_some_and(|it| it.announcement.born_unix_ms == announcement.born_unix_ms);
         if !is_asked {
             self.commands.push(state::Command::AddWorker {
                 name: announcement.name.clone(),
@@ -45,7 +44,12 @@
     }
 
     /// Takes a life in that the log now holds, and ends earlier lives at its name or address.
-    pub fn worker_added(&mut self, now: time::Monotonic, number: id::WorkerNumber, known: &state::Worker) {
+    pub fn worker_added(
+        &mut self,
+        now: time::Monotonic,
+        number: id::WorkerNumber,
+        known: &state::Worker,
+    ) {
         let earlier: Vec<id::WorkerNumber> = self
             .workers
             .iter()
@@ -89,8 +93,7 @@
     /// Address of the life that an announcement is of.
     fn find_life(&self, announcement: &worker::Announcement) -> Option<id::WorkerNumber> {
         let same = self.workers.iter().find(|(_, it)| {
-            it.known.name == announcement.name
-                && it.known.born_unix_ms == announcement.born_unix_ms
+            it.known.name == announcement.name && it.known.born_unix_ms == announcement.born_unix_ms
         });
         same.map(|(number, _)| *number)
     }
--- a/comfreymill_jobs/src/scheduler/ends.rs
+++ b/comfreymill_jobs/src/scheduler/ends.rs
@@ -128,7 +128,12 @@
     }
 
     /// Takes a run off its worker; its task waits for a place again if it is still wanted.
-    pub(super) fn release(&mut self, now: time::Monotonic, number: id::WorkerNumber, task: id::TaskId) {
+    pub(super) fn release(
+        &mut self,
+        now: time::Monotonic,
+        number: id::WorkerNumber,
+        task: id::TaskId,
+    ) {
         let Some(run) = self.remove_run(number, task) else { return };
         let Some(entry) = self.task_mut(task) else { return };
         if entry.phase != TaskPhase::Placed(number) {
@@ -141,7 +146,11 @@
         self.make_ready(task);
     }
 
-    fn remove_run(&mut self, number: id::WorkerNumber, task: id::TaskId) -> Option<super::run::RunEntry> {
+    fn remove_run(
+        &mut self,
+        number: id::WorkerNumber,
+        task: id::TaskId,
+    ) -> Option<super::run::RunEntry> {
         self.is_dirty = true;
         self.workers.get_mut(&number)?.remove(task)
     }
--- a/comfreymill_jobs/src/scheduler/fleet.rs
+++ b/comfreymill_jobs/src/scheduler/fleet.rs
@@ -7,7 +7,12 @@
 /// # Workers that are lost
 impl Scheduler {
     /// Takes in that a worker's life is over: nothing runs there any more.
-    pub(super) fn life_over(&mut self, now: time::Monotonic, number: id::WorkerNumber, reason: &str) {
+    pub(super) fn life_over(
+        &mut self,
+        now: time::Monotonic,
+        number: id::WorkerNumber,
+        reason: &str,
+    ) {
         let Some(entry) = self.workers.get_mut(&number) else { return };
         if entry.is_over {
             return;
@@ -29,9 +34,10 @@
 
     /// Releases what ran on a worker whose lease has run out.
     pub(super) fn lapse_due(&mut self, now: time::Monotonic) {
-        let lapsed = self.workers.iter().filter(|(_, it)| {
-            now >= it.lease_over_at && !it.runs.is_empty() && !it.is_noting
-        });
+        let lapsed = self
+            .workers
+            .iter()
+            .filter(|(_, it)| now >= it.lease_over_at && !it.runs.is_empty() && !it.is_noting);
         let lapsed: Vec<id::WorkerNumber> = lapsed.map(|(number, _)| *number).collect();
         for number in lapsed {
             if let Some(entry) = self.workers.get_mut(&number) {
--- a/comfreymill_jobs/src/scheduler/inherit.rs
+++ b/comfreymill_jobs/src/scheduler/inherit.rs
@@ -16,11 +16,17 @@
     ///
     /// Tasks that are not done may run wherever an earlier leader started them: they are placed
     /// only once every known worker was heard or its lease has run out.
-    pub fn new(cfg: Config, state: &state::State, since_1970: Duration, now: time::Monotonic) -> Self {
+    pub fn new(
+        cfg: Config,
+        state: &state::State,
+        since_1970: Duration,
+        now: time::Monotonic,
+    ) -> Self {
         let lease_over_at = now + cfg.stretch(cfg.get_lease());
-        let workers = state.get_workers().iter().map(|(number, known)| {
-            (*number, WorkerEntry::new(known.clone(), lease_over_at, now))
-        });
+        let workers = state
+            .get_workers()
+            .iter()
+            .map(|(number, known)| (*number, WorkerEntry::new(known.clone(), lease_over_at, now)));
         let unix_ms = u64::try_from(since_1970.as_millis()).unwrap_or(u64::MAX);
         let mut scheduler = Self {
             cfg,
@@ -36,6 +42,7 @@
             is_dirty: true,
             ended: VecDeque::new(),
             unix_offset_ms: unix_ms.saturating_sub(now.as_micros() / 1_000),
+            placed_at: now,
             reported_at: now,
             orders: Vec::new(),
             commands: Vec::new(),
--- a/comfreymill_jobs/src/scheduler/looks.rs
+++ b/comfreymill_jobs/src/scheduler/looks.rs
@@ -26,7 +26,9 @@
         if entry.look_sent_at.is_some() || entry.is_noting || entry.is_over {
             return;
         }
-        let lease_until_ms = if entry.runs.is_empty() { None } else { entry.grant(&cfg, now) };
+        // A look that a silent worker may still take must not put the end of its lease off.
+        let is_renewed = !entry.runs.is_empty() && !entry.is_silent;
+        let lease_until_ms = if is_renewed { entry.grant(&cfg, now) } else { None };
         entry.look_sent_at = Some(now);
         let noted = entry.known.noted;
         self.orders.push(Order::Look { worker: number, noted, lease_until_ms, wait });
@@ -36,9 +38,10 @@
     fn look_wait(&self, number: id::WorkerNumber) -> Duration {
         let Some(entry) = self.workers.get(&number) else { return Duration::ZERO };
         // A run that may not be there has no end that an answer could wait for.
-        let is_doubtful = entry.runs.values().any(|run| {
-            run.is_uncertain && matches!(run.phase, RunPhase::StopTaken { .. })
-        });
+        let is_doubtful = entry
+            .runs
+            .values()
+            .any(|run| run.is_uncertain && matches!(run.phase, RunPhase::StopTaken { .. }));
         if !entry.is_heard || is_doubtful || entry.runs.is_empty() {
             return Duration::ZERO;
         }
@@ -117,7 +120,8 @@
     fn note_ends(&mut self, number: id::WorkerNumber, ended: Vec<worker::End>) {
         let Some(entry) = self.workers.get_mut(&number) else { return };
         let noted = entry.known.noted;
-        let mut ends: Vec<worker::End> = ended.into_iter().filter(|end| end.number > noted).collect();
+        let mut ends: Vec<worker::End> =
+            ended.into_iter().filter(|end| end.number > noted).collect();
         if ends.is_empty() {
             return;
         }
@@ -157,7 +161,8 @@
             }
             is_free
         });
-        let is_occupied = self.workers.get(&number).is_some_and(|it| it.runs.contains_key(&row.task));
+        let is_occupied =
+            self.workers.get(&number).is_some_and(|it| it.runs.contains_key(&row.task));
         if is_occupied {
             // A start of an earlier run came through late; the newer one is being settled.
             self.orders.push(Order::Stop { worker: number, task: row.task, run: row.run });
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -32,6 +32,7 @@
             return;
         }
         self.is_dirty = false;
+        self.placed_at = now;
         if self.ready.is_empty() {
             return;
         }
@@ -81,7 +82,8 @@
     ) -> Option<id::WorkerNumber> {
         let fitting = self.workers.iter();
         let fitting = fitting.filter(|(_, it)| self.fits(now, it, pool, step, spec));
-        let scored = fitting.filter_map(|(number, it)| Some((self.score(it, spec, image)?, *number)));
+        let scored =
+            fitting.filter_map(|(number, it)| Some((self.score(it, spec, image)?, *number)));
         scored.max_by_key(|(score, number)| (*score, std::cmp::Reverse(*number))).map(|it| it.1)
     }
 
--- a/comfreymill_jobs/src/scheduler/queue.rs
+++ b/comfreymill_jobs/src/scheduler/queue.rs
@@ -47,7 +47,8 @@
     pub(super) fn remove_job(&mut self, job: id::JobKey) {
         let first = id::StepId { job, occurrence: 0, step: 0 };
         let last = id::StepId { job, occurrence: u32::MAX, step: u16::MAX };
-        let steps: Vec<id::StepId> = self.steps.range(first..=last).map(|(step, _)| *step).collect();
+        let steps: Vec<id::StepId> =
+            self.steps.range(first..=last).map(|(step, _)| *step).collect();
         for step in steps {
             if let Some((rank, _)) = self.steps.remove(&step) {
                 self.order.remove(&(rank, step));
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -39,6 +39,8 @@
     pub(super) ended: std::collections::VecDeque<(time::Monotonic, id::JobKey)>,
     /// Milliseconds since 1970 at the start of the leader's clock.
     pub(super) unix_offset_ms: u64,
+    /// When places were last given.
+    pub(super) placed_at: time::Monotonic,
     /// When the fleet was last logged.
     pub(super) reported_at: time::Monotonic,
     pub(super) orders: Vec<Order>,
--- a/comfreymill_jobs/src/scheduler/starts.rs
+++ b/comfreymill_jobs/src/scheduler/starts.rs
@@ -39,7 +39,12 @@
     }
 
     /// Orders a run to be stopped; it keeps its place until its end is known.
-    pub(super) fn stop(&mut self, now: time::Monotonic, worker: id::WorkerNumber, task: id::TaskId) {
+    pub(super) fn stop(
+        &mut self,
+        now: time::Monotonic,
+        worker: id::WorkerNumber,
+        task: id::TaskId,
+    ) {
         let Some(entry) = self.workers.get_mut(&worker) else { return };
         let Some(run) = entry.runs.get_mut(&task) else { return };
         if !run.is_wanted() {
--- a/comfreymill_jobs/src/scheduler/tick.rs
+++ b/comfreymill_jobs/src/scheduler/tick.rs
@@ -11,6 +11,8 @@
 const STOP_RETRY: Duration = Duration::from_millis(400);
 /// Time between lines on the fleet as a whole.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
+/// Longest time between tries to place tasks that wait.
+const PLACEMENT_PERIOD: Duration = Duration::from_millis(100);
 /// Most jobs that are forgotten at once.
 const MAX_FORGOTTEN: usize = 256;
 
@@ -27,6 +29,14 @@
         self.begin_all_due(now);
         self.forget(now);
         self.report_fleet(now);
+        self.retry_placement(now);
+    }
+
+    /// Tries places again for tasks that wait: workers that rested may be back.
+    fn retry_placement(&mut self, now: time::Monotonic) {
+        if !self.ready.is_empty() && now.since(self.placed_at) >= PLACEMENT_PERIOD {
+            self.is_dirty = true;
+        }
     }
 
     /// Logs how full the workers are, from time to time.
--- a/comfreymill_jobs/src/state/step.rs
+++ b/comfreymill_jobs/src/state/step.rs
@@ -13,8 +13,8 @@
     pub done: Vec<bool>,
     /// Failed runs by task; of a gang, by its run, under index 0.
     pub failures: BTreeMap<u16, u32>,
-    /// Highest run known to have failed, of a gang.
-    pub gang_failed: id::Run,
+    /// Highest run known to have failed, by task; of a gang, under index 0.
+    pub failed_runs: BTreeMap<u16, id::Run>,
     /// Newest checkpoints by task.
     pub checkpoints: BTreeMap<u16, String>,
     /// Highest run known by task.
@@ -71,10 +71,12 @@
     fn fail(&mut self, spec: &job::StepSpec, end: &worker::End) -> u32 {
         let index = if spec.is_gang { 0 } else { end.task.index };
         let failures = self.failures.entry(index).or_default();
-        // Several members of a gang may list the failure of the same run.
-        if !spec.is_gang || end.run > self.gang_failed {
+        // Several members of a gang may list the failure of the same run, and a life that was
+        // dropped and taken in again lists its ends anew.
+        let newest = self.failed_runs.entry(index).or_default();
+        if end.run > *newest {
             *failures += 1;
-            self.gang_failed = end.run;
+            *newest = end.run;
         }
         *failures
     }
--- /dev/null
+++ b/comfreymill_jobs/tests/routes/mod.rs
@@ -0,0 +1,40 @@
+//! The longest prefix wins, and tables whose parts don't fit are refused.
+
+use comfreymill_jobs::routes::{Pool, RouteTable};
+
+use crate::support::{pool, queue};
+
+fn table() -> RouteTable {
+    RouteTable {
+        version: 3,
+        queues: vec![queue("all", "/a/"), queue("inner", "/a/b/")],
+        pools: vec![pool()],
+        ..RouteTable::default()
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = table();
+    let (found, rest) = table.find("desk.example", "/a/b/0001").expect("a queue");
+    assert_eq!((found.name.as_str(), rest), ("inner", "0001"));
+    let (found, rest) = table.find("DESK.example", "/a/x").expect("a queue");
+    assert_eq!((found.name.as_str(), rest), ("all", "x"));
+    assert!(table.find("other.example", "/a/x").is_none());
+    assert!(table.find("desk.example", "/b").is_none());
+}
+
+#[test]
+fn a_table_whose_parts_do_not_fit_names_the_field() {
+    let mut unknown = table();
+    unknown.queues[1].pool = "nobody".to_owned();
+    assert_eq!(unknown.check().expect_err("unknown pool").field, "queues[1].pool");
+    let mut doubled = table();
+    doubled.queues[1].prefix = "/a/".to_owned();
+    assert_eq!(doubled.check().expect_err("same place").field, "queues[1].prefix");
+    let mut timeless = table();
+    timeless.queues[0].timeout_ms = 0;
+    assert_eq!(timeless.check().expect_err("no time").field, "queues[0].timeout");
+    let _: &Pool = table().pool("workers").expect("a pool");
+    assert!(table().check().is_ok());
+}
--- /dev/null
+++ b/comfreymill_jobs/tests/scheduler/interference.rs
@@ -0,0 +1,105 @@
+//! Fillers give way to tasks that serve.
+
+use std::time::Duration;
+
+use comfreymill_jobs::id::WorkerNumber;
+use comfreymill_jobs::job::StepSpec;
+use comfreymill_jobs::scheduler::{Order, StartAnswer};
+use comfreymill_jobs::worker::{Report, RunRow};
+
+use crate::support::{Leader, Start, spec, step};
+
+const TARGET_MS: u32 = 50;
+
+fn serving(count: u16, image: &str) -> StepSpec {
+    let mut step = step(count);
+    step.is_long_running = true;
+    step.tail_target_ms = Some(TARGET_MS);
+    step.image = Some(image.to_owned());
+    step
+}
+
+fn filler(count: u16) -> StepSpec {
+    let mut step = step(count);
+    step.is_filler = true;
+    step.image = Some("filler".to_owned());
+    step
+}
+
+/// List in which serving tasks have the tail given and fillers use one core.
+fn report(starts: &[Start], tail_ms: u32) -> Report {
+    let row = |start: &Start| RunRow {
+        load: Some(if start.task.step.step == 0 { tail_ms } else { 1_000 }),
+        ..start.row()
+    };
+    Report { running: starts.iter().map(row).collect(), ..Report::default() }
+}
+
+fn with_mix() -> (Leader, WorkerNumber, Vec<Start>) {
+    let mut leader = Leader::new();
+    let worker = leader.worker("w");
+    leader.submit(spec(vec![serving(1, "watch"), filler(2)]));
+    let starts = leader.take_starts();
+    assert_eq!(starts.len(), 3);
+    for start in &starts {
+        leader.started(start, StartAnswer::Started);
+    }
+    (leader, worker, starts)
+}
+
+#[test]
+fn every_filler_rests_when_a_tail_stays_over_its_target() {
+    let (mut leader, worker, starts) = with_mix();
+    for _ in 0..6 {
+        leader.pass(Duration::from_millis(500));
+        leader.report(worker, report(&starts, 3 * TARGET_MS));
+    }
+    let rests = |start: &&Start| {
+        let paces = leader.orders.iter().filter_map(|order| match order {
+            Order::Pace { task, percent, .. } if *task == start.task => Some(*percent),
+            _ => None,
+        });
+        paces.last() == Some(0)
+    };
+    assert_eq!(starts.iter().filter(rests).count(), 2);
+}
+
+#[test]
+fn no_filler_joins_a_worker_on_which_a_tail_is_over_its_target() {
+    let mut leader = Leader::new();
+    let worker = leader.worker("w");
+    let mut after = filler(1);
+    after.depends_on = vec![1];
+    leader.submit(spec(vec![serving(1, "watch"), filler(1), after]));
+    let starts = leader.take_starts();
+    for start in &starts {
+        leader.started(start, StartAnswer::Started);
+    }
+    leader.report(worker, report(&starts, 2 * TARGET_MS));
+    let done = starts[1].end(1, comfreymill_jobs::worker::EndKind::Done);
+    let mut list = report(&starts[..1], 2 * TARGET_MS);
+    list.ended = vec![done];
+    leader.report(worker, list);
+    assert!(leader.take_starts().is_empty());
+    leader.report(worker, report(&starts[..1], TARGET_MS / 5));
+    leader.pass(Duration::from_millis(100));
+    assert_eq!(leader.take_starts().len(), 1);
+}
+
+#[test]
+fn tasks_of_one_image_are_packed_together() {
+    let mut leader = Leader::new();
+    leader.worker("first");
+    leader.worker("second");
+    leader.submit(spec(vec![serving(2, "watch"), serving(2, "other")]));
+    let starts = leader.take_starts();
+    let place = |step: u16| {
+        let mut places: Vec<_> =
+            starts.iter().filter(|it| it.task.step.step == step).map(|it| it.worker).collect();
+        places.dedup();
+        places
+    };
+    assert_eq!(place(0).len(), 1);
+    assert_eq!(place(1).len(), 1);
+    assert_ne!(place(0), place(1));
+}
--- /dev/null
+++ b/comfreymill_jobs/tests/scheduler/leases.rs
@@ -0,0 +1,127 @@
+//! A task is started again only when its last run is known to be over.
+
+use std::time::Duration;
+
+use comfreymill_jobs::scheduler::{Answer, LookAnswer, Order, Refusal, StartAnswer};
+use comfreymill_jobs::worker::{EndKind, Report};
+
+use crate::support::{LEASE, Leader, Start, ended, running, spec, step};
+
+fn one_started() -> (Leader, Start) {
+    let mut leader = Leader::new();
+    leader.worker("first");
+    leader.submit(spec(vec![step(1)]));
+    let start = leader.take_starts()[0];
+    leader.worker("other");
+    (leader, start)
+}
+
+fn silent(leader: &mut Leader, start: &Start) {
+    let answer = Answer::Look(LookAnswer::Silent);
+    leader.scheduler.answered(leader.now, start.worker, leader.now, answer);
+    leader.turn();
+}
+
+#[test]
+fn an_unanswered_start_is_stopped_and_not_repeated_before_the_list_shows_nothing() {
+    let (mut leader, start) = one_started();
+    leader.started(&start, StartAnswer::Unknown);
+    let stop = |it: &Order| matches!(it, Order::Stop { task, .. } if *task == start.task);
+    assert!(leader.orders.iter().any(stop));
+    // The list was asked for before the stop was taken, so it proves nothing.
+    leader.report(start.worker, Report::default());
+    assert!(leader.take_starts().is_empty());
+    let Start { task, run, worker } = start;
+    let answer = Answer::Stop { task, run, is_taken: true };
+    leader.scheduler.answered(leader.now, worker, leader.now, answer);
+    leader.turn();
+    assert!(leader.take_starts().is_empty());
+    leader.report(worker, Report::default());
+    let starts = leader.take_starts();
+    assert_eq!(starts.len(), 1);
+    assert!(starts[0].run > run, "runs rise");
+}
+
+#[test]
+fn a_refused_start_goes_elsewhere_at_once() {
+    let (mut leader, start) = one_started();
+    leader.started(&start, StartAnswer::Refused(Refusal::NoRoom));
+    let starts = leader.take_starts();
+    assert_eq!(starts.len(), 1);
+    assert_ne!(starts[0].worker, start.worker);
+}
+
+#[test]
+fn a_silent_workers_task_waits_for_the_end_of_its_lease_on_a_slow_clock() {
+    let (mut leader, start) = one_started();
+    leader.started(&start, StartAnswer::Started);
+    silent(&mut leader, &start);
+    leader.pass(LEASE);
+    assert!(leader.take_starts().is_empty(), "the worker's clock may be 2% slow");
+    leader.pass(LEASE / 40);
+    let starts = leader.take_starts();
+    assert_eq!(starts.len(), 1);
+    assert_ne!(starts[0].worker, start.worker);
+}
+
+#[test]
+fn a_later_life_ends_the_runs_of_the_one_before() {
+    let (mut leader, start) = one_started();
+    leader.started(&start, StartAnswer::Started);
+    let reborn = leader.announcement("first", 11);
+    leader.scheduler.announced(leader.now, reborn);
+    leader.turn();
+    assert_eq!(leader.take_starts().len(), 1);
+}
+
+#[test]
+fn an_announcement_of_an_older_life_changes_nothing() {
+    let (mut leader, start) = one_started();
+    leader.started(&start, StartAnswer::Started);
+    let older = leader.announcement("first", 9);
+    leader.scheduler.announced(leader.now, older);
+    leader.turn();
+    assert!(leader.take_starts().is_empty());
+    assert_eq!(leader.state.get_workers().len(), 2);
+}
+
+#[test]
+fn a_done_task_of_a_lost_worker_is_not_started_again_once_it_was_listed() {
+    let (mut leader, start) = one_started();
+    leader.started(&start, StartAnswer::Started);
+    leader.is_held = true;
+    leader.report(start.worker, ended(vec![start.end(1, EndKind::Done)]));
+    leader.scheduler.answered(leader.now, start.worker, leader.now, Answer::LifeOver);
+    leader.turn();
+    leader.pass(LEASE * 2);
+    assert!(leader.take_starts().is_empty());
+    leader.release();
+    assert!(leader.take_starts().is_empty());
+}
+
+#[test]
+fn nothing_is_ordered_once_a_worker_obeys_a_later_leader() {
+    let (mut leader, start) = one_started();
+    leader.started(&start, StartAnswer::Refused(Refusal::Fenced));
+    leader.orders.clear();
+    leader.pass(LEASE * 2);
+    assert!(leader.orders.is_empty());
+    assert!(leader.scheduler.is_fenced());
+}
+
+#[test]
+fn a_long_running_task_is_started_again_however_it_ends() {
+    let mut leader = Leader::new();
+    let worker = leader.worker("w");
+    let mut lasting = step(1);
+    lasting.is_long_running = true;
+    leader.submit(spec(vec![lasting]));
+    for (number, kind) in (1..).zip([EndKind::Failed, EndKind::Failed, EndKind::Lapsed]) {
+        let start = leader.take_starts()[0];
+        leader.started(&start, StartAnswer::Started);
+        leader.report(worker, running(&[start]));
+        leader.report(worker, ended(vec![start.end(number, kind)]));
+        leader.pass(Duration::from_secs(5));
+    }
+    assert_eq!(leader.take_starts().len(), 1);
+}
--- /dev/null
+++ b/comfreymill_jobs/tests/scheduler/order.rs
@@ -0,0 +1,114 @@
+//! What is started, in which order and where.
+
+use std::time::Duration;
+
+use comfreymill_jobs::job::Schedule;
+use comfreymill_jobs::scheduler::{Order, StartAnswer};
+use comfreymill_jobs::state::Command;
+use comfreymill_jobs::worker::EndKind;
+
+use crate::support::{KEY, Leader, ended, running, spec, step, task};
+
+#[test]
+fn a_step_waits_for_all_tasks_of_the_steps_before() {
+    let mut leader = Leader::new();
+    let worker = leader.worker("w");
+    let mut second = step(1);
+    second.depends_on = vec![0];
+    leader.submit(spec(vec![step(2), second]));
+    let starts = leader.take_starts();
+    assert_eq!(starts.len(), 2);
+    for start in &starts {
+        leader.started(start, StartAnswer::Started);
+    }
+    let mut list = running(&starts[1..]);
+    list.ended = vec![starts[0].end(1, EndKind::Done)];
+    leader.report(worker, list);
+    assert!(leader.take_starts().is_empty());
+    leader.report(worker, ended(vec![starts[1].end(2, EndKind::Done)]));
+    let starts = leader.take_starts();
+    assert_eq!(starts.iter().map(|it| it.task).collect::<Vec<_>>(), [task(1, 0)]);
+}
+
+#[test]
+fn no_worker_is_given_more_than_it_holds() {
+    let mut leader = Leader::new();
+    leader.worker("w");
+    leader.submit(spec(vec![step(12)]));
+    assert_eq!(leader.take_starts().len(), 8, "8 cores of memory and processors are there");
+}
+
+#[test]
+fn labels_and_the_bound_for_one_worker_are_kept() {
+    let mut leader = Leader::new();
+    let near = leader.worker("near");
+    leader.worker("far");
+    let mut labelled = step(1);
+    labelled.required_label = Some("rack-near".to_owned());
+    let mut apart = step(6);
+    apart.max_per_worker = Some(2);
+    leader.submit(spec(vec![labelled, apart]));
+    let starts = leader.take_starts();
+    let of_step = |step: u16| starts.iter().filter(move |it| it.task.step.step == step);
+    assert!(of_step(0).all(|it| it.worker == near));
+    assert_eq!(of_step(0).count(), 1);
+    assert_eq!(of_step(1).count(), 4, "two on each of two workers");
+}
+
+#[test]
+fn a_leaving_worker_gets_no_start() {
+    let mut leader = Leader::new();
+    leader.worker("w");
+    let mut leaving = leader.announcement("w", 10);
+    leaving.leaving_in = Some(Duration::from_millis(2_500));
+    leader.scheduler.announced(leader.now, leaving);
+    leader.submit(spec(vec![step(1)]));
+    leader.pass(Duration::from_millis(100));
+    assert!(leader.take_starts().is_empty());
+}
+
+#[test]
+fn a_late_announcement_does_not_call_a_leaving_worker_back() {
+    let mut leader = Leader::new();
+    leader.worker("w");
+    let older = leader.announcement("w", 10);
+    let mut leaving = leader.announcement("w", 10);
+    leaving.leaving_in = Some(Duration::from_millis(2_500));
+    leader.scheduler.announced(leader.now, leaving);
+    leader.scheduler.announced(leader.now, older);
+    leader.submit(spec(vec![step(1)]));
+    assert!(leader.take_starts().is_empty());
+}
+
+#[test]
+fn an_occurrence_does_not_begin_before_its_time() {
+    let mut leader = Leader::new();
+    leader.worker("w");
+    let mut recurring = spec(vec![step(1)]);
+    let first_unix_ms = 1_700_000_000_000 + 4_000;
+    recurring.schedule = Some(Schedule { count: 2, first_unix_ms, interval_ms: 1_000 });
+    leader.pass(Duration::from_millis(1));
+    leader.submit(recurring);
+    leader.pass(Duration::from_millis(2_900));
+    assert!(leader.take_starts().is_empty());
+    leader.pass(Duration::from_millis(200));
+    assert_eq!(leader.take_starts().len(), 1);
+    leader.pass(Duration::from_millis(1_000));
+    let starts = leader.take_starts();
+    assert_eq!(starts.iter().map(|it| it.task.step.occurrence).collect::<Vec<_>>(), [1]);
+}
+
+#[test]
+fn what_runs_of_a_cancelled_job_is_stopped_and_nothing_more_is_started() {
+    let mut leader = Leader::new();
+    leader.worker("w");
+    leader.submit(spec(vec![step(9)]));
+    let starts = leader.take_starts();
+    leader.started(&starts[0], StartAnswer::Started);
+    leader.commit(vec![Command::Cancel { job: KEY }]);
+    leader.turn();
+    let stops = leader.orders.iter().filter(|it| matches!(it, Order::Stop { .. })).count();
+    assert_eq!(stops, starts.len());
+    leader.pass(Duration::from_secs(1));
+    assert!(leader.take_starts().is_empty());
+}
--- /dev/null
+++ b/comfreymill_jobs/tests/scheduler/succession.rs
@@ -0,0 +1,92 @@
+//! A new leader starts nothing that may still run for an earlier one.
+
+use std::time::Duration;
+
+use comfreymill_jobs::scheduler::{Order, StartAnswer};
+use comfreymill_jobs::worker::{EndKind, Report};
+
+use crate::support::{LEASE, Leader, Start, ended, running, spec, step};
+
+fn succeeded() -> (Leader, Vec<Start>) {
+    let mut leader = Leader::new();
+    leader.worker("first");
+    leader.worker("second");
+    leader.submit(spec(vec![step(2)]));
+    let starts = leader.take_starts();
+    for start in &starts {
+        leader.started(start, StartAnswer::Started);
+    }
+    assert_ne!(starts[0].worker, starts[1].worker, "each worker has one");
+    (leader.succeed(), starts)
+}
+
+/// Announces both workers again, as they do within a heartbeat.
+fn announce(leader: &mut Leader) {
+    for name in ["first", "second"] {
+        let mut announcement = leader.announcement(name, 10);
+        announcement.sequence += 100;
+        leader.scheduler.announced(leader.now, announcement);
+    }
+    leader.pass(Duration::from_millis(1));
+}
+
+#[test]
+fn runs_that_are_found_are_kept() {
+    let (mut leader, starts) = succeeded();
+    announce(&mut leader);
+    for start in &starts {
+        leader.report(start.worker, running(&[*start]));
+    }
+    leader.pass(Duration::from_millis(100));
+    assert!(leader.take_starts().is_empty());
+}
+
+#[test]
+fn an_unheard_worker_holds_back_what_may_run_there_until_its_lease_is_over() {
+    let (mut leader, starts) = succeeded();
+    announce(&mut leader);
+    leader.report(starts[0].worker, Report::default());
+    leader.pass(LEASE - Duration::from_millis(100));
+    assert!(leader.take_starts().is_empty());
+    leader.pass(LEASE / 10);
+    assert_eq!(leader.take_starts().len(), 2);
+}
+
+#[test]
+fn listed_ends_are_in_the_log_before_anything_is_started_again() {
+    let (mut leader, starts) = succeeded();
+    announce(&mut leader);
+    leader.is_held = true;
+    for start in &starts {
+        leader.report(start.worker, ended(vec![start.end(1, EndKind::Done)]));
+    }
+    leader.pass(Duration::from_millis(100));
+    assert!(leader.take_starts().is_empty(), "both are done, which only the lists say");
+    leader.release();
+    leader.pass(Duration::from_millis(100));
+    assert!(leader.take_starts().is_empty());
+}
+
+#[test]
+fn runs_of_a_later_leader_have_higher_numbers() {
+    let (mut leader, starts) = succeeded();
+    announce(&mut leader);
+    for start in &starts {
+        leader.report(start.worker, Report::default());
+    }
+    leader.pass(Duration::from_millis(100));
+    let again = leader.take_starts();
+    assert_eq!(again.len(), 2);
+    assert!(again.iter().all(|it| starts.iter().all(|old| it.run > old.run)));
+}
+
+#[test]
+fn a_run_that_nobody_wants_is_stopped() {
+    let (mut leader, starts) = succeeded();
+    announce(&mut leader);
+    let mut stranger = starts[0];
+    stranger.task.step.job = comfreymill_jobs::id::JobKey::new(1);
+    leader.report(stranger.worker, running(&[stranger]));
+    let stop = |it: &Order| matches!(it, Order::Stop { task, .. } if *task == stranger.task);
+    assert!(leader.orders.iter().any(stop));
+}
--- /dev/null
+++ b/comfreymill_jobs/tests/state/mod.rs
@@ -0,0 +1,101 @@
+//! What the log builds: everything may be sent again, and snapshots hold all of it.
+
+use comfreymill_jobs::state::{Command, Effect, JobStatus, State, Submission};
+use comfreymill_jobs::worker::{End, EndKind};
+use comfreymill_jobs::{id, routes};
+
+use crate::support::{KEY, spec, step, task};
+
+fn submit() -> Command {
+    let spec = spec(vec![step(2)]);
+    let queue = "desk".to_owned();
+    Command::Submit(Box::new(Submission { job: KEY, queue, max_attempts: 2, spec }))
+}
+
+fn add_worker() -> Command {
+    let address = "10.0.0.1:80".parse().expect("an address");
+    Command::AddWorker { name: id::WorkerName::new("w"), born_unix_ms: 1, address }
+}
+
+fn note(number: u64, index: u16, run: u32, kind: EndKind) -> Command {
+    let (task, run, checkpoint) = (task(0, index), id::Run::new(run), String::new());
+    let ends = vec![End { number, task, run, kind, checkpoint }];
+    Command::NoteEnds { worker: id::WorkerNumber::new(1), ends }
+}
+
+fn routes(version: u64, document: &'static str) -> Command {
+    let table = routes::RouteTable { version, ..routes::RouteTable::default() };
+    Command::SetRoutes { table: Box::new(table), document: document.into() }
+}
+
+fn state_of(commands: Vec<Command>) -> State {
+    let mut state = State::default();
+    for (index, command) in (1..).zip(commands) {
+        state.apply(index, command);
+    }
+    state
+}
+
+#[test]
+fn a_job_sent_again_stays_one_job() {
+    let mut state = state_of(vec![submit()]);
+    assert_eq!(state.apply(2, submit()), Effect::None);
+    assert_eq!(state.get_jobs().len(), 1);
+}
+
+#[test]
+fn a_job_is_completed_by_the_last_of_its_tasks() {
+    let done = |number, index| note(number, index, 1, EndKind::Done);
+    let mut state = state_of(vec![add_worker(), submit(), done(1, 0)]);
+    assert_eq!(state.get_jobs()[&KEY].status, JobStatus::Open);
+    state.apply(4, done(2, 1));
+    assert_eq!(state.get_jobs()[&KEY].status, JobStatus::Completed);
+}
+
+#[test]
+fn an_end_that_is_listed_again_counts_once() {
+    let failed = |number, run| note(number, 0, run, EndKind::Failed);
+    let mut state = state_of(vec![add_worker(), submit(), failed(1, 1), failed(1, 1)]);
+    assert_eq!(state.get_jobs()[&KEY].status, JobStatus::Open);
+    // The same life was dropped and taken in again: its list begins anew.
+    state.apply(5, Command::DropWorkers { workers: vec![id::WorkerNumber::new(1)] });
+    state.apply(6, add_worker());
+    let Command::NoteEnds { ends, .. } = failed(1, 1) else { unreachable!("it notes ends") };
+    state.apply(7, Command::NoteEnds { worker: id::WorkerNumber::new(2), ends });
+    assert_eq!(state.get_jobs()[&KEY].status, JobStatus::Open, "one failed run is not two");
+}
+
+#[test]
+fn a_job_has_failed_when_a_task_has_failed_as_often_as_it_may() {
+    let failed = |number, run| note(number, 0, run, EndKind::Failed);
+    let state = state_of(vec![add_worker(), submit(), failed(1, 1), failed(2, 2)]);
+    assert_eq!(state.get_jobs()[&KEY].status, JobStatus::Failed);
+}
+
+#[test]
+fn only_a_higher_version_of_the_routes_takes_effect() {
+    let mut state = state_of(vec![routes(7, "seven")]);
+    for (version, document) in [(7, "other"), (6, "older")] {
+        assert_eq!(state.apply(2, routes(version, document)), Effect::None);
+        assert_eq!(state.get_routes().expect("routes").document, "seven");
+    }
+    assert_eq!(state.apply(3, routes(9, "nine")), Effect::RoutesChanged);
+}
+
+#[test]
+fn cancelling_an_unknown_job_is_told_from_cancelling_again() {
+    let mut state = state_of(vec![]);
+    assert_eq!(state.apply(1, Command::Cancel { job: KEY }), Effect::NoSuchJob(KEY));
+    state.apply(2, submit());
+    assert_eq!(state.apply(3, Command::Cancel { job: KEY }), Effect::JobCancelled(KEY));
+    assert_eq!(state.apply(4, Command::Cancel { job: KEY }), Effect::None);
+}
+
+#[test]
+fn a_snapshot_holds_the_whole_state() {
+    let failed = note(1, 0, 1, EndKind::Failed);
+    let state = state_of(vec![Command::Lead, routes(3, "doc"), add_worker(), submit(), failed]);
+    let data = state.to_snapshot().expect("encoded");
+    assert_eq!(State::from_snapshot(&data).expect("decoded"), state);
+    assert!(State::from_snapshot(&data[..data.len() / 2]).is_err());
+}
--- /dev/null
+++ b/comfreymill_jobs/tests/support/mod.rs
@@ -0,0 +1,247 @@
+//! A leader's scheduler with the state that its commands build, and hand-written workers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use comfreymill_jobs::scheduler::{Answer, Config, LookAnswer, Order, Scheduler, StartAnswer};
+use comfreymill_jobs::state::{Command, Effect, State, Submission};
+use comfreymill_jobs::{id, job, routes, worker};
+use comfreymill_types::time::Monotonic;
+
+pub(crate) const LEASE: Duration = Duration::from_secs(6);
+pub(crate) const KEY: id::JobKey = id::JobKey::new(0x5c0e_7a21_d94b_36f8);
+const UNIX: Duration = Duration::from_secs(1_700_000_000);
+
+pub(crate) fn queue(name: &str, prefix: &str) -> routes::Queue {
+    routes::Queue {
+        name: name.to_owned(),
+        host: "desk.example".to_owned(),
+        prefix: prefix.to_owned(),
+        pool: "workers".to_owned(),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 1.5,
+        target_latency_ms: 500,
+        timeout_ms: 3_000,
+        advice: None,
+    }
+}
+
+pub(crate) fn pool() -> routes::Pool {
+    routes::Pool { name: "workers".to_owned(), is_guarded: true, is_standby: false }
+}
+
+pub(crate) fn step(count: u16) -> job::StepSpec {
+    let needs = worker::Resources { cpu_milli: 2_000, mem_mb: 1_000, gpus: 0 };
+    job::StepSpec { count, needs, estimate_ms: 800, ..job::StepSpec::default() }
+}
+
+pub(crate) fn spec(steps: Vec<job::StepSpec>) -> job::JobSpec {
+    job::JobSpec { payload: "work".to_owned(), steps, schedule: None }
+}
+
+pub(crate) fn task(step: u16, index: u16) -> id::TaskId {
+    id::StepId { job: KEY, occurrence: 0, step }.task(index)
+}
+
+/// Leader with its state; the log commits at once unless it is held.
+pub(crate) struct Leader {
+    pub(crate) state: State,
+    pub(crate) scheduler: Scheduler,
+    pub(crate) now: Monotonic,
+    /// Whether commands wait instead of being committed.
+    pub(crate) is_held: bool,
+    held: Vec<Command>,
+    index: u64,
+    sequences: BTreeMap<String, u64>,
+    pub(crate) orders: Vec<Order>,
+}
+
+impl Leader {
+    /// First leader of a new group, with routes to one pool.
+    pub(crate) fn new() -> Self {
+        let mut state = State::default();
+        state.apply(1, Command::Lead);
+        let queues = vec![queue("desk", "/desk/")];
+        let table =
+            routes::RouteTable { version: 1, queues, pools: vec![pool()], ..Default::default() };
+        let document = "{}".into();
+        state.apply(2, Command::SetRoutes { table: Box::new(table), document });
+        Self::of(state, Monotonic::from_millis(1_000))
+    }
+
+    /// Leader that begins with what the log holds.
+    pub(crate) fn of(state: State, now: Monotonic) -> Self {
+        let scheduler = Scheduler::new(Config::new(LEASE), &state, UNIX, now);
+        Self {
+            state,
+            scheduler,
+            now,
+            is_held: false,
+            held: Vec::new(),
+            index: 100,
+            sequences: BTreeMap::new(),
+            orders: Vec::new(),
+        }
+    }
+
+    /// Next leader with the same log.
+    pub(crate) fn succeed(mut self) -> Self {
+        self.state.apply(self.index + 1, Command::Lead);
+        Self::of(self.state, self.now)
+    }
+
+    /// Lets time pass, and does what is due.
+    pub(crate) fn pass(&mut self, span: Duration) {
+        self.now = self.now + span;
+        let since_start = Duration::from_micros(self.now.as_micros());
+        self.scheduler.tick(self.now, UNIX + since_start);
+        self.turn();
+    }
+
+    /// Commits what waits, places tasks and collects orders.
+    pub(crate) fn turn(&mut self) {
+        loop {
+            self.scheduler.place(self.now);
+            self.orders.extend(self.scheduler.take_orders());
+            let commands = self.scheduler.take_commands();
+            if commands.is_empty() {
+                return;
+            }
+            if self.is_held {
+                self.held.extend(commands);
+                continue;
+            }
+            self.commit(commands);
+        }
+    }
+
+    /// Commits what was held.
+    pub(crate) fn release(&mut self) {
+        self.is_held = false;
+        let held = std::mem::take(&mut self.held);
+        self.commit(held);
+        self.turn();
+    }
+
+    pub(crate) fn commit(&mut self, commands: Vec<Command>) {
+        for command in commands {
+            self.index += 1;
+            let effect = self.state.apply(self.index, command);
+            self.follow(effect);
+        }
+    }
+
+    fn follow(&mut self, effect: Effect) {
+        let (now, state) = (self.now, &self.state);
+        match effect {
+            Effect::JobAdded(key) => self.scheduler.job_added(now, key, &state.get_jobs()[&key]),
+            Effect::JobCancelled(key) => self.scheduler.job_over(now, key),
+            Effect::WorkerAdded(number) => {
+                self.scheduler.worker_added(now, number, &state.get_workers()[&number]);
+            }
+            Effect::EndsNoted { worker, ends } => {
+                self.scheduler.ends_noted(now, worker, &ends, state);
+            }
+            _ => {}
+        }
+    }
+
+    /// Accepts a job of the queue.
+    pub(crate) fn submit(&mut self, spec: job::JobSpec) {
+        let submission = Submission { job: KEY, queue: "desk".to_owned(), max_attempts: 2, spec };
+        self.commit(vec![Command::Submit(Box::new(submission))]);
+        self.turn();
+    }
+
+    /// Announcement of a worker with room for eight tasks.
+    pub(crate) fn announcement(&mut self, name: &str, born: u64) -> worker::Announcement {
+        let sequence = self.sequences.entry(format!("{name}/{born}")).or_default();
+        *sequence += 1;
+        let number = name.bytes().map(u64::from).sum::<u64>() % 200;
+        worker::Announcement {
+            name: id::WorkerName::new(name),
+            born_unix_ms: born,
+            sequence: *sequence,
+            address: format!("10.0.0.{number}:80").parse().expect("an address"),
+            pool: "workers".to_owned(),
+            zone: "south".to_owned(),
+            capacity: worker::Resources { cpu_milli: 16_000, mem_mb: 8_000, gpus: 0 },
+            labels: vec!["a".to_owned(), format!("rack-{name}")],
+            leaving_in: None,
+            clock_ms: Some(5_000),
+            machine: None,
+        }
+    }
+
+    /// Worker that has announced itself and answered its first look; gives its number.
+    pub(crate) fn worker(&mut self, name: &str) -> id::WorkerNumber {
+        let announcement = self.announcement(name, 10);
+        self.scheduler.announced(self.now, announcement);
+        self.turn();
+        let known = self.state.get_workers().iter().find(|(_, it)| it.name.as_str() == name);
+        let number = *known.expect("the worker is in the log").0;
+        self.report(number, worker::Report::default());
+        number
+    }
+
+    /// Gives a look's answer with the worker's clock.
+    pub(crate) fn report(&mut self, number: id::WorkerNumber, report: worker::Report) {
+        let clock_ms = Some(5_000 + self.now.as_micros() / 1_000);
+        let report = worker::Report { clock_ms, ..report };
+        let answer = Answer::Look(LookAnswer::Report(report));
+        self.scheduler.answered(self.now, number, self.now, answer);
+        self.turn();
+    }
+
+    /// Gives the answer to a start.
+    pub(crate) fn started(&mut self, start: &Start, answer: StartAnswer) {
+        let Start { worker, task, run } = *start;
+        let answer = Answer::Start { task, run, answer, clock_ms: None };
+        self.scheduler.answered(self.now, worker, self.now, answer);
+        self.turn();
+    }
+
+    /// Starts among the orders so far, which are forgotten.
+    pub(crate) fn take_starts(&mut self) -> Vec<Start> {
+        let orders = std::mem::take(&mut self.orders);
+        let starts = orders.into_iter().filter_map(|order| match order {
+            Order::Start { worker, task, run, .. } => Some(Start { worker, task, run }),
+            _ => None,
+        });
+        starts.collect()
+    }
+}
+
+/// Order to start a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Start {
+    pub(crate) worker: id::WorkerNumber,
+    pub(crate) task: id::TaskId,
+    pub(crate) run: id::Run,
+}
+
+impl Start {
+    /// Row of a list that shows the run.
+    pub(crate) fn row(&self) -> worker::RunRow {
+        let checkpoint = String::new();
+        worker::RunRow { task: self.task, run: self.run, checkpoint, percent: 10, load: None }
+    }
+
+    /// End of the run.
+    pub(crate) fn end(&self, number: u64, kind: worker::EndKind) -> worker::End {
+        let checkpoint = String::new();
+        worker::End { number, task: self.task, run: self.run, kind, checkpoint }
+    }
+}
+
+/// List with runs in progress.
+pub(crate) fn running(starts: &[Start]) -> worker::Report {
+    let running = starts.iter().map(Start::row).collect();
+    worker::Report { running, ..worker::Report::default() }
+}
+
+/// List with ends.
+pub(crate) fn ended(ends: Vec<worker::End>) -> worker::Report {
+    worker::Report { ended: ends, ..worker::Report::default() }
+}
--- a/comfreymill_node/src/gateway/callers.rs
+++ b/comfreymill_node/src/gateway/callers.rs
@@ -6,6 +6,7 @@
 use http::{HeaderValue, Method, StatusCode, header};
 
 use crate::jobcall::{Call, Client, Lost, Reply};
+use crate::metering::observe;
 
 /// Longest wait for the leader: a new one is elected well within it.
 const PATIENCE: Duration = Duration::from_millis(2_500);
@@ -43,6 +44,7 @@
         Ok(call) => answer(leader.call(&call, patience).await),
         Err(answer) => answer,
     };
+    observe::job_request(known_method(&method), answer.outcome, began.elapsed());
     let took_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
     log::info!(target: "requests", method = method.as_str(), host = host.as_str(), path = path.as_str(), status = answer.status.as_u16(), outcome = answer.outcome, took_ms; "a request is answered");
     let mut headers = http::HeaderMap::new();
@@ -59,6 +61,16 @@
     host.rsplit_once(':').map_or(host, |(name, _)| name).to_owned()
 }
 
+/// Label for a method; what callers make up is no label.
+fn known_method(method: &Method) -> &'static str {
+    match *method {
+        Method::POST => "POST",
+        Method::GET => "GET",
+        Method::DELETE => "DELETE",
+        _ => "other",
+    }
+}
+
 /// What to ask the leader.
 fn call(method: &Method, host: &str, path: &str, body: &[u8]) -> Result<Call, Answer> {
     let (host, path) = (host.to_owned(), path.to_owned());
--- a/comfreymill_node/src/gateway/process.rs
+++ b/comfreymill_node/src/gateway/process.rs
@@ -9,9 +9,11 @@
 use super::callers;
 use super::ready::{self, Readiness};
 use crate::jobcall;
+use crate::metering;
 use crate::peer;
 use crate::runtime;
 use crate::settings;
+use crate::web;
 
 /// Time for the balancer to notice that the process takes no more callers: two probes, one a second.
 const READINESS_NOTICE: Duration = Duration::from_millis(2_300);
@@ -49,6 +51,17 @@
     let limits = limits::Limits::new().idle_timeout(IDLE_TIMEOUT);
     monoio::spawn(server::serve(probes, limits.clone(), probe, server::Shutdown::new()));
 
+    if let Some(address) = node.get_metrics() {
+        let listener = runtime::listen("metrics", address)?;
+        let (meter, observed) = (metering::Meter::install()?, leader.clone());
+        let observer = async move |req: server::Request<'_>| {
+            let status = async || ready::status(&observed);
+            web::answer_observer(req, &meter, status).await
+        };
+        let limits = limits::Limits::new();
+        monoio::spawn(server::serve(listener, limits, observer, server::Shutdown::new()));
+    }
+
     let handler = async move |req: server::Request<'_>| callers::serve(&leader, req).await;
     let shutdown = server::Shutdown::new();
     let served = monoio::spawn(server::serve(callers, limits, handler, shutdown.clone()));
--- a/comfreymill_node/src/gateway/ready.rs
+++ b/comfreymill_node/src/gateway/ready.rs
@@ -34,3 +34,8 @@
     };
     req.respond(status, &http::HeaderMap::new(), Bytes::new()).await
 }
+
+/// Status as JSON text.
+pub(super) fn status(leader: &Client) -> Bytes {
+    serde_json::json!({ "leader_connected": leader.is_connected() }).to_string().into()
+}
--- a/comfreymill_node/src/jobcall/mod.rs
+++ b/comfreymill_node/src/jobcall/mod.rs
@@ -12,7 +12,7 @@
 
 pub(crate) use call::Call;
 pub(crate) use client::{Client, Lost};
-pub(crate) use codec::{MalformedError, decode, encode};
+pub(crate) use codec::{decode, encode};
 pub(crate) use link::LinkConfig;
 pub(crate) use members::Members;
 pub(crate) use reply::{Phase, Reply};
--- a/comfreymill_node/src/logs/event_queue.rs
+++ b/comfreymill_node/src/logs/event_queue.rs
@@ -71,7 +71,11 @@
     let mut out = io::stdout().lock();
     let _ = out.write_all(&taken.lines);
     if taken.left_out > 0 {
-        let _ = writeln!(out, "{{\"level\":\"WARN\",\"part\":\"logs\",\"event\":\"events were left out\",\"count\":{}}}", taken.left_out);
+        let _ = writeln!(
+            out,
+            "{{\"level\":\"WARN\",\"part\":\"logs\",\"event\":\"events were left out\",\"count\":{}}}",
+            taken.left_out
+        );
     }
     let _ = out.flush();
 }
--- a/comfreymill_node/src/metering/metric.rs
+++ b/comfreymill_node/src/metering/metric.rs
@@ -130,8 +130,46 @@
 pub const VERSION_IN_FORCE: Metric =
     gauge("comfreymill_version_in_force", "Version of the environment document in force here");
 
+/// Requests about jobs by method and outcome.
+pub const JOB_REQUESTS: Metric = counter(
+    "comfreymill_job_requests_total",
+    metrics::Unit::Count,
+    "Requests about jobs by method and outcome",
+);
+
+/// Time of requests about jobs by method.
+pub const JOB_REQUEST_LATENCY: Metric = histogram(
+    "comfreymill_job_request_latency_seconds",
+    metrics::Unit::Seconds,
+    "Time from the body of a request about jobs to its answer",
+    LATENCY_BOUNDS_SECONDS,
+);
+
+/// Orders to workers by kind and outcome.
+pub const ORDERS: Metric = counter(
+    "comfreymill_orders_total",
+    metrics::Unit::Count,
+    "Orders to workers by kind and outcome",
+);
+
+/// Time of orders by kind.
+pub const ORDER_LATENCY: Metric = histogram(
+    "comfreymill_order_latency_seconds",
+    metrics::Unit::Seconds,
+    "Time from the sending of an order to a worker to its answer",
+    LATENCY_BOUNDS_SECONDS,
+);
+
+/// Time of commits.
+pub const COMMIT_LATENCY: Metric = histogram(
+    "comfreymill_commit_latency_seconds",
+    metrics::Unit::Seconds,
+    "Time from the proposal of commands to their commit",
+    LATENCY_BOUNDS_SECONDS,
+);
+
 /// Every metric.
-pub const ALL: [Metric; 13] = [
+pub const ALL: [Metric; 18] = [
     REQUEST_LATENCY,
     QUEUE_WAIT,
     SLOTS_IN_USE,
@@ -145,4 +183,9 @@
     OPEN_REQUESTS,
     QUEUED_REQUESTS,
     VERSION_IN_FORCE,
+    JOB_REQUESTS,
+    JOB_REQUEST_LATENCY,
+    ORDERS,
+    ORDER_LATENCY,
+    COMMIT_LATENCY,
 ];
--- a/comfreymill_node/src/metering/observe.rs
+++ b/comfreymill_node/src/metering/observe.rs
@@ -119,3 +119,22 @@
     let labels = [("environment", environment.to_string()), ("stage", stage.to_string())];
     metrics::gauge!(metric::VERSION_IN_FORCE.name, &labels).set(version.get() as f64);
 }
+
+/// Counts a request about jobs.
+pub fn job_request(method: &'static str, outcome: &'static str, span: Duration) {
+    let labels = [("method", method), ("outcome", outcome)];
+    metrics::counter!(metric::JOB_REQUESTS.name, &labels).increment(1);
+    metrics::histogram!(metric::JOB_REQUEST_LATENCY.name, "method" => method).record(span);
+}
+
+/// Counts an order to a worker.
+pub fn order(kind: &'static str, outcome: &'static str, span: Duration) {
+    let labels = [("kind", kind), ("outcome", outcome)];
+    metrics::counter!(metric::ORDERS.name, &labels).increment(1);
+    metrics::histogram!(metric::ORDER_LATENCY.name, "kind" => kind).record(span);
+}
+
+/// Records the time of a commit.
+pub fn commit(span: Duration) {
+    metrics::histogram!(metric::COMMIT_LATENCY.name).record(span);
+}
--- a/comfreymill_node/src/scheduler/core/calls.rs
+++ b/comfreymill_node/src/scheduler/core/calls.rs
@@ -13,9 +13,15 @@
 
 /// # Calls
 impl Core {
-    pub(super) fn call_of(&mut self, now: time::Monotonic, session: SessionId, id: u64, call: Call) {
+    pub(super) fn call_of(
+        &mut self,
+        now: time::Monotonic,
+        session: SessionId,
+        id: u64,
+        call: Call,
+    ) {
         let Some(frames) = self.sessions.get(&session).cloned() else { return };
-        self.call(now, call, ReplyTo::Session { session, id, frames });
+        self.call(now, call, ReplyTo::Session { id, frames });
     }
 
     pub(super) fn ask(&mut self, now: time::Monotonic, call: Call, reply: flume::Sender<Reply>) {
--- a/comfreymill_node/src/scheduler/core/commit.rs
+++ b/comfreymill_node/src/scheduler/core/commit.rs
@@ -1,10 +1,12 @@
 use comfreymill_group::entry;
+use comfreymill_group::id;
 use comfreymill_group::replica;
 use comfreymill_jobs::state;
 use comfreymill_types::time;
 
 use super::core::Core;
 use crate::jobcall;
+use crate::metering::observe;
 
 /// # What the replica asks for
 impl Core {
@@ -42,7 +44,7 @@
                 }
             }
             replica::Action::Role { role, term, leader } => {
-                log::info!(target: "group", role:% = role, term = term.get(), leader = leader.map_or(0, |it| it.get()); "this replica has another role");
+                log::info!(target: "group", role:% = role, term = term.get(), leader = leader.map_or(0, id::VoterId::get); "this replica has another role");
             }
             // The waiters were told when this replica stopped leading.
             replica::Action::Dropped { .. } => {}
@@ -51,7 +53,11 @@
     }
 
     fn commit(&mut self, now: time::Monotonic, entry: entry::Entry) {
-        let waiters = self.proposals.take(entry.index, entry.term).unwrap_or_default();
+        let waiting = self.proposals.take(entry.index, entry.term);
+        if let Some(waiting) = &waiting {
+            observe::commit(now.since(waiting.proposed_at));
+        }
+        let waiters = waiting.unwrap_or_default().callers;
         let entry::Payload::Data(data) = entry.payload else { return };
         let commands: Vec<state::Command> = match jobcall::decode(&data) {
             Ok(commands) => commands,
@@ -123,7 +129,7 @@
         }
         match self.state.to_snapshot() {
             Ok(data) => {
-                let index = comfreymill_group::id::Index::new(applied);
+                let index = id::Index::new(applied);
                 if self.replica.snapshot_taken(index, data) {
                     log::info!(target: "group", entry = applied; "a snapshot covers the log");
                 }
--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -11,7 +11,7 @@
 
 use super::input::Input;
 use super::lead::Lead;
-use super::waiter::Waiter;
+use super::waiter::{Waiter, Waiting};
 use crate::clock;
 use crate::jobcall;
 use crate::peer;
@@ -42,7 +42,7 @@
     pub(super) store: store::Thread,
     pub(super) links: Links,
     pub(super) state: state::State,
-    pub(super) proposals: Proposals<Vec<Waiter>>,
+    pub(super) proposals: Proposals<Waiting>,
     /// Commands of this turn, with those who wait for them.
     pub(super) commands: Vec<state::Command>,
     pub(super) waiters: Vec<Waiter>,
--- a/comfreymill_node/src/scheduler/core/lead.rs
+++ b/comfreymill_node/src/scheduler/core/lead.rs
@@ -4,6 +4,7 @@
 use comfreymill_types::time;
 
 use super::core::Core;
+use super::waiter::Waiting;
 use crate::clock;
 use crate::jobcall;
 use crate::scheduler::courier::{Courier, Delivered};
@@ -87,7 +88,8 @@
         let waiters = std::mem::take(&mut self.waiters);
         match self.replica.propose(now, vec![jobcall::encode(&commands)]) {
             Ok(proposed) => {
-                self.proposals.add(proposed.first, proposed.term, waiters);
+                let waiting = Waiting { callers: waiters, proposed_at: now };
+                self.proposals.add(proposed.first, proposed.term, waiting);
                 true
             }
             Err(error) => {
@@ -108,7 +110,8 @@
 
     /// Tells everyone who waits that what became of a proposal is not known here.
     fn drop_waiters(&mut self) {
-        for waiter in self.proposals.take_all().into_iter().flatten() {
+        let waiting = self.proposals.take_all().into_iter().flat_map(|it| it.callers);
+        for waiter in waiting {
             waiter.reply.send(&jobcall::Reply::Unknown);
         }
     }
--- a/comfreymill_node/src/scheduler/core/membership.rs
+++ b/comfreymill_node/src/scheduler/core/membership.rs
@@ -42,7 +42,9 @@
             let address = member_id::address(member);
             status.newcomers.iter().any(|it| member_id::address(*it) == address)
                 || members.iter().any(|(other, _)| {
-                    other != member && member_id::address(other) == address && !is_older(other, member, status)
+                    other != member
+                        && member_id::address(other) == address
+                        && !is_older(other, member, status)
                 })
         };
         let is_silent = |member: id::VoterId| {
--- a/comfreymill_node/src/scheduler/core/waiter.rs
+++ b/comfreymill_node/src/scheduler/core/waiter.rs
@@ -1,14 +1,14 @@
 use bytes::Bytes;
+use comfreymill_types::time;
 
 use crate::jobcall;
 use crate::peer;
-use crate::scheduler::peers::SessionId;
 
 /// Where a reply goes.
 #[derive(Clone, Debug)]
 pub(super) enum ReplyTo {
     /// To another process.
-    Session { session: SessionId, id: u64, frames: flume::Sender<peer::Frame> },
+    Session { id: u64, frames: flume::Sender<peer::Frame> },
     /// To a listener of this process.
     Local(flume::Sender<jobcall::Reply>),
 }
@@ -24,6 +24,15 @@
     pub(super) done: jobcall::Reply,
 }
 
+/// Those who wait for an entry of the log.
+#[derive(Debug, Default)]
+pub(super) struct Waiting {
+    /// Callers, in the order of their commands.
+    pub(super) callers: Vec<Waiter>,
+    /// When the entry was proposed.
+    pub(super) proposed_at: time::Monotonic,
+}
+
 impl ReplyTo {
     /// Sends the reply; a caller that is gone doesn't get it.
     pub(super) fn send(&self, reply: &jobcall::Reply) {
--- a/comfreymill_node/src/scheduler/courier/carry.rs
+++ b/comfreymill_node/src/scheduler/courier/carry.rs
@@ -10,6 +10,7 @@
 
 use super::Delivered;
 use crate::clock;
+use crate::metering::observe;
 use crate::scheduler::core::Input;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -40,6 +41,29 @@
     Unanswered,
 }
 
+impl Outcome {
+    /// Label for metrics.
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Answered(status, _) if status.is_success() => "taken",
+            Self::Answered(..) => "refused",
+            Self::Refused => "not listening",
+            Self::NotSent => "not sent",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
+/// Label for metrics.
+fn kind(order: &scheduler::Order) -> &'static str {
+    match order {
+        scheduler::Order::Start { .. } => "start",
+        scheduler::Order::Stop { .. } => "stop",
+        scheduler::Order::Look { .. } => "look",
+        scheduler::Order::Pace { .. } => "pace",
+    }
+}
+
 /// Carries the orders of a queue one after the other over a connection of its own.
 pub(super) async fn run(
     target: Target,
@@ -51,6 +75,8 @@
         let sent_at = target.clock.now();
         let (request, wait) = request(&target, &order);
         let outcome = exchange(&target, &mut connection, request, wait).await;
+        let took = target.clock.now().since(sent_at);
+        observe::order(kind(&order), outcome.label(), took);
         let answer = answer(&order, outcome);
         let Target { worker, fence, .. } = target;
         let delivered = Delivered { fence, worker, sent_at, answer };
@@ -65,7 +91,8 @@
     match order {
         scheduler::Order::Start { task, run, spec, lease_until_ms, checkpoint, .. } => {
             let run = (*task, *run);
-            let call = platform::start(name, fence, run, &spec.payload, *lease_until_ms, checkpoint);
+            let call =
+                platform::start(name, fence, run, &spec.payload, *lease_until_ms, checkpoint);
             (call, Duration::ZERO)
         }
         scheduler::Order::Stop { task, run, .. } => {
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use comfreymill_group::id as group_id;
 use comfreymill_group::replica;
 use comfreymill_group::store;
@@ -15,9 +16,11 @@
 use super::peers::{self, Links};
 use crate::clock;
 use crate::jobcall;
+use crate::metering;
 use crate::peer;
 use crate::runtime;
 use crate::settings;
+use crate::web;
 
 /// Time for a successor to take the lead before the process ends.
 const HAND_OVER: Duration = Duration::from_millis(400);
@@ -70,6 +73,15 @@
     let leader = jobcall::Client::start(node.link(peer::Role::Entry));
     let cx = control::Context { inputs: inputs.clone(), leader };
     let handler = async move |req: server::Request<'_>| control::serve(&cx, req).await;
+    if let Some(address) = node.get_metrics() {
+        let observers = runtime::listen("metrics", address)?;
+        let (meter, asked) = (metering::Meter::install()?, inputs.clone());
+        let observer = async move |req: server::Request<'_>| {
+            web::answer_observer(req, &meter, async || show(&asked).await).await
+        };
+        let limits = limits::Limits::new();
+        monoio::spawn(server::serve(observers, limits, observer, server::Shutdown::new()));
+    }
     let shutdown = server::Shutdown::new();
     let served = server::serve(listener, limits::Limits::new(), handler, shutdown.clone());
     monoio::spawn(served);
@@ -82,6 +94,13 @@
     }
 }
 
+/// Status of the core as JSON text; empty if the process is ending.
+async fn show(inputs: &flume::Sender<Input>) -> Bytes {
+    let (reply, rx) = flume::bounded(1);
+    inputs.send(Input::Show(reply)).ok();
+    rx.recv_async().await.unwrap_or_default()
+}
+
 /// Waits for the end, and hands the leadership over before it.
 async fn stopped(
     stop: &flume::Receiver<runtime::Stop>,
@@ -136,4 +155,3 @@
     let replica = replica::Replica::new(cfg, recovered, rand::random(), clock.now());
     Ok((replica, thread))
 }
-
--- a/comfreymill_node/src/settings/node_settings.rs
+++ b/comfreymill_node/src/settings/node_settings.rs
@@ -22,6 +22,7 @@
     seeds: Vec<Ipv4Addr>,
     key: String,
     log: LogSettings,
+    metrics: Option<SocketAddr>,
 }
 
 impl NodeSettings {
@@ -45,6 +46,11 @@
         &self.seeds
     }
 
+    /// Where metrics and status are served, if anywhere.
+    pub fn get_metrics(&self) -> Option<SocketAddr> {
+        self.metrics
+    }
+
     /// Logs of the process.
     pub fn get_log(&self) -> &LogSettings {
         &self.log
@@ -83,6 +89,7 @@
         let address = section.required("address");
         let peers_port = section.required("peers_port");
         let seeds: Option<SeedList> = section.required("seeds");
+        let metrics = section.optional("metrics");
         let key: Option<String> = section.required("key");
         let log = section.section("log");
         let default = LogSettings::default().format(LogFormat::Events);
@@ -99,6 +106,7 @@
             seeds: seeds?.0,
             key: key?,
             log,
+            metrics,
         })
     }
 }
--- a/comfreymill_node/src/settings/scheduler_settings.rs
+++ b/comfreymill_node/src/settings/scheduler_settings.rs
@@ -61,10 +61,7 @@
         self.snapshot_entries
     }
 
-    pub(super) fn read_section(
-        section: &yaml::Section<'_>,
-        folder: &path::Path,
-    ) -> Option<Self> {
+    pub(super) fn read_section(section: &yaml::Section<'_>, folder: &path::Path) -> Option<Self> {
         settings_file::read_program(section, settings_file::SCHEDULER);
         let node = NodeSettings::read(section);
         let listeners = section.required_section("listeners");
--- a/comfreymill_node/src/settings/settings_file.rs
+++ b/comfreymill_node/src/settings/settings_file.rs
@@ -105,9 +105,8 @@
             Some(CONTROL) => ControlSettings::read_node(node, folder).map(Self::Control),
             Some(GATEWAY) => read(node, GatewaySettings::read_section).map(Self::Gateway),
             Some(SCHEDULER) => {
-                let read_section = |section: &yaml::Section<'_>| {
-                    SchedulerSettings::read_section(section, folder)
-                };
+                let read_section =
+                    |section: &yaml::Section<'_>| SchedulerSettings::read_section(section, folder);
                 read(node, read_section).map(Self::Scheduler)
             }
             _ => EntrySettings::read_node(node, folder).map(Self::Entry),
--- a/comfreymill_node/src/web/mod.rs
+++ b/comfreymill_node/src/web/mod.rs
@@ -2,10 +2,12 @@
 
 mod answers;
 mod error_body;
+mod observers;
 mod token;
 
 pub use answers::{answer_error, answer_json, answer_text, header};
 pub use error_body::ErrorBody;
+pub use observers::answer_observer;
 pub use token::Token;
 
 use http::header::HeaderName;
--- a/comfreymill_node/tests/metering/mod.rs
+++ b/comfreymill_node/tests/metering/mod.rs
@@ -26,6 +26,9 @@
     observe::link_bytes("south", "north").increment(64);
     let environment = "trust".parse().expect("valid");
     observe::open_requests(&environment, document::Stage::Trial, 12, 3);
+    observe::job_request("POST", "done", Duration::from_millis(12));
+    observe::order("start", "answered", Duration::from_millis(3));
+    observe::commit(Duration::from_millis(8));
     observe::version_in_force(&environment, document::Stage::Production, id::Version::new(9));
 }
 
@@ -53,6 +56,11 @@
         r#"comfreymill_refusals_total{part="callers",kind="queue-full"} 1"#,
         r#"comfreymill_evictions_total{team="counter",class="search"} 1"#,
         "comfreymill_unmatched_answers_total 1",
+        r#"comfreymill_job_requests_total{method="POST",outcome="done"} 1"#,
+        r#"comfreymill_job_request_latency_seconds_bucket{method="POST",le="0.015"} 1"#,
+        r#"comfreymill_orders_total{kind="start",outcome="answered"} 1"#,
+        r#"comfreymill_order_latency_seconds_bucket{kind="start",le="0.002"} 0"#,
+        r#"comfreymill_commit_latency_seconds_bucket{le="0.01"} 1"#,
         r#"comfreymill_peer_bytes_total{peer="control-1",direction="sent"} 120"#,
         r#"comfreymill_link_bytes_total{from="south",to="north"} 64"#,
         r#"comfreymill_open_requests{environment="trust",stage="trial"} 12"#,
