feat(jobs): short tasks go before lasting ones

Change: short tasks get places first, lasting ones next, fillers last; tails are steered to 0.6 of their targets.

--- a/comfreymill_jobs/src/scheduler/pacing.rs
+++ b/comfreymill_jobs/src/scheduler/pacing.rs
@@ -13,7 +13,7 @@
 /// Least time between changes of pace: the load that workers list covers half a second.
 const PACE_PERIOD: Duration = Duration::from_millis(500);
 /// Part of its target to which a tail is steered; the rest is for its load, which swings.
-const STEERED_PART: f64 = 0.7;
+const STEERED_PART: f64 = 0.6;
 /// Least change of a pace that is worth an order, in percent.
 const MIN_CHANGE: u32 = 15;
 /// Most by which a pace is raised at once, in percent.
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -18,7 +18,7 @@
 /// Disadvantage of a worker for each task of another image that serves there, likewise.
 const OTHER_IMAGE_MALUS: i64 = 20_000;
 /// Disadvantage of a worker for each unit by which the logarithm of a tail would rise, likewise.
-const PRESSURE_COST: f64 = 60_000.0;
+const PRESSURE_COST: f64 = 200_000.0;
 /// Disadvantage of a worker for a task that serves, for each unit of a filler's effect, likewise.
 const FILLER_COST: f64 = 6_000.0;
 /// Part of its processor time that has to be idle where a filler is placed, in percent.
--- a/comfreymill_jobs/src/scheduler/queue.rs
+++ b/comfreymill_jobs/src/scheduler/queue.rs
@@ -4,11 +4,23 @@
 
 use crate::id;
 
+/// Steps of one turn get places before those of the next.
+///
+/// A task that lasts earns for its time what a short one earns for its end, and keeps its place for
+/// a minute: short tasks go first, else nothing that becomes free would ever reach them. Fillers
+/// take what both leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Turn {
+    Short,
+    Lasting,
+    Filling,
+}
+
 /// Order in which steps get places: the smallest goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
-    /// Long-running steps go before others.
-    pub(super) is_finite: bool,
+    /// How the tasks use a worker.
+    pub(super) turn: Turn,
     /// Priority of the queue.
     pub(super) priority: u32,
     /// When the job should be over.
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -4,7 +4,7 @@
 use comfreymill_types::time;
 
 use super::interference::Interference;
-use super::queue::{Rank, ReadyQueue};
+use super::queue::{Rank, ReadyQueue, Turn};
 use super::task::{JobEntry, TaskEntry, TaskPhase};
 use super::worker::WorkerEntry;
 use super::{Config, Order};
@@ -123,7 +123,11 @@
         let chain_ms = job.spec.longest_chain_ms() as f64 * stretch;
         let allowed_ms = chain_ms.max(0.0) as u64 + target_ms;
         Some(Rank {
-            is_finite: !spec.is_long_running,
+            turn: match spec.kind() {
+                job::StepKind::Filler => Turn::Filling,
+                _ if spec.is_long_running => Turn::Lasting,
+                _ => Turn::Short,
+            },
             priority: queue.map_or(u32::MAX, |it| it.priority),
             due_at: occurrence.due_at + std::time::Duration::from_millis(allowed_ms),
         })
--- a/comfreymill_jobs/tests/scheduler/interference.rs
+++ b/comfreymill_jobs/tests/scheduler/interference.rs
@@ -59,7 +59,7 @@
             Order::Pace { task, percent, .. } if *task == start.task => Some(*percent),
             _ => None,
         });
-        paces.last() == Some(0)
+        paces.fold(None, |_, pace| Some(pace)) == Some(0)
     };
     assert_eq!(starts.iter().filter(rests).count(), 2);
 }
--- a/comfreymill_jobs/tests/scheduler/order.rs
+++ b/comfreymill_jobs/tests/scheduler/order.rs
@@ -112,3 +112,27 @@
     leader.pass(Duration::from_secs(1));
     assert!(leader.take_starts().is_empty());
 }
+
+#[test]
+fn short_tasks_go_before_lasting_ones_when_room_is_scarce() {
+    let mut leader = Leader::new();
+    let worker = leader.worker("w");
+    let mut lasting = step(12);
+    lasting.is_long_running = true;
+    let mut short = step(2);
+    short.depends_on = vec![0];
+    let mut first = step(8);
+    first.depends_on = Vec::new();
+    leader.submit(spec(vec![first, short, lasting]));
+    let starts = leader.take_starts();
+    assert!(starts.iter().all(|it| it.task.step.step == 0), "{starts:?}");
+    for start in &starts {
+        leader.started(start, StartAnswer::Started);
+    }
+    let done = |number: u64| starts[number as usize - 1].end(number, EndKind::Done);
+    let ends = (1..=8).map(done).collect();
+    leader.report(worker, ended(ends));
+    let starts = leader.take_starts();
+    let of_step = |step: u16| starts.iter().filter(|it| it.task.step.step == step).count();
+    assert_eq!((of_step(1), of_step(2)), (2, 6));
+}
--- a/tests/command_line/snapshots.rs
+++ b/tests/command_line/snapshots.rs
@@ -32,6 +32,8 @@
         "--help",
         "entry --help",
         "control -h",
+        "gateway --help",
+        "scheduler --help",
         "serve --help",
         "check --help",
         "status --help",
