feat(command): story tells what logs say of an id; decisions log their inputs

Cause: on-call engineers have only logs; a placement did not show the age of the list behind it, nor a waiting task what was free. Change: comfreymill story ID FILE..., the age of lists and the version of routes with each start, a line a second on what waits first.

--- a/comfreymill_jobs/src/scheduler/looks.rs
+++ b/comfreymill_jobs/src/scheduler/looks.rs
@@ -99,6 +99,7 @@
             log::info!(target: "workers", worker:% = entry.known.name, number:% = number, running = report.running.len(), ended = report.ended.len(); "a worker answers");
             self.is_dirty = true;
         }
+        entry.reported_at = now;
         entry.is_heard = true;
         entry.is_silent = false;
         let is_whole = report.ended.len() < MAX_LISTED_ENDS;
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -21,6 +21,8 @@
 const PRESSURE_COST: f64 = 200_000.0;
 /// Disadvantage of a worker for a task that serves, for each unit of a filler's effect, likewise.
 const FILLER_COST: f64 = 6_000.0;
+/// Least time between lines on tasks that wait.
+const WAITING_PERIOD: std::time::Duration = std::time::Duration::from_secs(1);
 /// Part of its processor time that has to be idle where a filler is placed, in percent.
 const MIN_FILLER_PERCENT: i64 = 50;
 
@@ -61,6 +63,7 @@
         let image = self.interference.intern(spec.image.as_deref());
         for index in self.ready.tasks(step) {
             let Some(worker) = self.choose(now, &pool, step, &spec, image) else {
+                self.note_waiting(now, step.task(index), &spec);
                 let is_picky = spec.required_label.is_some() || spec.max_per_worker.is_some();
                 if !is_picky {
                     refused.entry(pool).or_default().push(needs);
@@ -71,6 +74,22 @@
         }
     }
 
+    /// Logs, at most once a second, what waits first and what is free.
+    fn note_waiting(&mut self, now: time::Monotonic, task: id::TaskId, spec: &job::StepSpec) {
+        if now.since(self.waiting_noted_at) < WAITING_PERIOD {
+            return;
+        }
+        self.waiting_noted_at = now;
+        let usable = self.workers.values().filter(|it| it.is_usable(now));
+        let (mut most_cpu, mut most_mem, mut count) = (0, 0, 0_u64);
+        for worker in usable {
+            most_cpu = most_cpu.max(worker.free().cpu_milli);
+            most_mem = most_mem.max(worker.free().mem_mb);
+            count += 1;
+        }
+        log::info!(target: "runs", task:% = task, needs_cpu = spec.reserved().cpu_milli, needs_mem = spec.needs.mem_mb, most_free_cpu = most_cpu, most_free_mem = most_mem, usable = count, waiting = self.ready.len(), routes = self.routes.version; "a task waits for a place");
+    }
+
     /// Worker with the best place for a task of the step.
     fn choose(
         &self,
@@ -171,6 +190,8 @@
         worker.add(task, entry);
         worker.look_at = worker.look_at.min(now + cfg.get_watch_period());
         let free = worker.free();
+        let report_age_ms = now.since(worker.reported_at).as_millis() as u64;
+        let tails = worker.serving.len();
         let name = worker.known.name.clone();
         self.ready.remove(task);
         if let Some(entry) = self.task_mut(task) {
@@ -180,7 +201,7 @@
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         job.has_started = true;
         let waited_ms = now.since(job.accepted_at).as_millis();
-        log::info!(target: "runs", task:% = task, run:% = run, worker:% = name, number:% = number, free_cpu = free.cpu_milli, free_mem = free.mem_mb, since_accepted_ms:% = waited_ms; "a task is started");
+        log::info!(target: "runs", task:% = task, run:% = run, worker:% = name, number:% = number, free_cpu = free.cpu_milli, free_mem = free.mem_mb, report_age_ms, serving_images = tails, routes = self.routes.version, since_accepted_ms:% = waited_ms; "a task is started");
         let spec = job.spec.clone();
         let worker = number;
         self.orders.push(Order::Start { worker, task, run, spec, lease_until_ms, checkpoint });
--- a/comfreymill_jobs/src/scheduler/starts.rs
+++ b/comfreymill_jobs/src/scheduler/starts.rs
@@ -66,7 +66,9 @@
         let Some(entry) = self.workers.get_mut(&worker) else { return };
         let Some(run) = entry.runs.get_mut(&task).filter(|it| it.run == number) else { return };
         let name = entry.known.name.clone();
-        if answer != StartAnswer::Started {
+        if answer == StartAnswer::Started {
+            log::debug!(target: "runs", task:% = task, run:% = number, worker:% = name; "a start was taken");
+        } else {
             log::info!(target: "runs", task:% = task, run:% = number, worker:% = name, answer:? = answer; "a start was not carried out");
         }
         if answer == StartAnswer::Refused(Refusal::Fenced) {
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -17,6 +17,8 @@
     pub(super) known: state::Worker,
     /// Its newest announcement to this leader.
     pub(super) announcement: Option<worker::Announcement>,
+    /// When it last listed its runs.
+    pub(super) reported_at: time::Monotonic,
     /// Whether it has answered a look of this leader.
     pub(super) is_heard: bool,
     /// Whether its newest look failed.
@@ -64,6 +66,7 @@
         Self {
             known,
             announcement: None,
+            reported_at: now,
             is_heard: false,
             is_silent: false,
             is_over: false,
--- a/comfreymill_node/src/command/flags/general.rs
+++ b/comfreymill_node/src/command/flags/general.rs
@@ -87,6 +87,14 @@
             required change: VoterChange
         }
 
+        /// Tells from log files what happened to a job, a task or a worker, in order of time.
+        cmd story {
+            /// Id of the job, task or worker.
+            required id: String
+            /// Log files of any number of processes.
+            repeated files: PathBuf
+        }
+
         /// Stops the node at the one address given, once its open requests are done.
         cmd drain {}
     }
--- a/comfreymill_node/src/command/general.rs
+++ b/comfreymill_node/src/command/general.rs
@@ -6,7 +6,7 @@
 use super::client::Client;
 use super::flags::{Options, general};
 use super::request::Request;
-use super::{Output, Programs, check, render};
+use super::{Output, Programs, check, render, story};
 use crate::logs;
 use crate::settings;
 
@@ -34,6 +34,7 @@
         general::ComfreymillCmd::Voter(flags) => {
             ask(&Request::post(format!("/v1/voters/{}/{}", flags.name, flags.change)), options)
         }
+        general::ComfreymillCmd::Story(flags) => story::tell(&flags.id, &flags.files),
         general::ComfreymillCmd::Drain(_) => drain(options),
     }
 }
--- a/comfreymill_node/src/command/mod.rs
+++ b/comfreymill_node/src/command/mod.rs
@@ -21,6 +21,7 @@
 mod render;
 mod request;
 mod run;
+mod story;
 
 pub use line_diff::line_diff;
 pub use output_format::{OutputFormat, ParseOutputFormatError};
--- a/tests/command_line/mod.rs
+++ b/tests/command_line/mod.rs
@@ -5,3 +5,4 @@
 mod node;
 mod pages;
 mod snapshots;
+mod story;
--- a/tests/command_line/snapshots.rs
+++ b/tests/command_line/snapshots.rs
@@ -38,6 +38,7 @@
         "check --help",
         "status --help",
         "explain --help",
+        "story --help",
         "voter --help",
         "drain --help",
     ];
