--- a/comfreymill_jobs/src/scheduler/pacing.rs
+++ b/comfreymill_jobs/src/scheduler/pacing.rs
@@ -124,7 +124,7 @@
         };
         self.workers.iter().any(|(other, entry)| {
             *other != number
-                && self.fits(now, entry, &pool, task.step, spec)
+                && self.fits(now, entry, &pool, task, spec)
                 && entry.spare_cpu() >= i64::from(spec.needs.cpu_milli)
                 && !self.presses_any(entry, image)
         })
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -62,7 +62,7 @@
         }
         let image = self.interference.intern(spec.image.as_deref());
         for index in self.ready.tasks(step) {
-            let Some(worker) = self.choose(now, &pool, step, &spec, image) else {
+            let Some(worker) = self.choose(now, &pool, step.task(index), &spec, image) else {
                 self.note_waiting(now, step.task(index), &spec);
                 let is_picky = spec.required_label.is_some() || spec.max_per_worker.is_some();
                 if !is_picky {
@@ -95,12 +95,12 @@
         &self,
         now: time::Monotonic,
         pool: &str,
-        step: id::StepId,
+        task: id::TaskId,
         spec: &job::StepSpec,
         image: Image,
     ) -> Option<id::WorkerNumber> {
         let fitting = self.workers.iter();
-        let fitting = fitting.filter(|(_, it)| self.fits(now, it, pool, step, spec));
+        let fitting = fitting.filter(|(_, it)| self.fits(now, it, pool, task, spec));
         let scored =
             fitting.filter_map(|(number, it)| Some((self.score(it, spec, image)?, *number)));
         scored.max_by_key(|(score, number)| (*score, std::cmp::Reverse(*number))).map(|it| it.1)
@@ -112,13 +112,15 @@
         now: time::Monotonic,
         entry: &WorkerEntry,
         pool: &str,
-        step: id::StepId,
+        task: id::TaskId,
         spec: &job::StepSpec,
     ) -> bool {
+        // A run of the task that is still being stopped there keeps its place.
         entry.is_usable(now)
+            && !entry.runs.contains_key(&task)
             && entry.clock.is_some()
             && entry.free().holds(&spec.reserved())
-            && is_allowed(entry, pool, step, spec)
+            && is_allowed(entry, pool, task.step, spec)
     }
 
     /// How well a task of the step would fare on a worker.
--- a/comfreymill_jobs/tests/scheduler/succession.rs
+++ b/comfreymill_jobs/tests/scheduler/succession.rs
@@ -90,3 +90,23 @@
     let stop = |it: &Order| matches!(it, Order::Stop { task, .. } if *task == stranger.task);
     assert!(leader.orders.iter().any(stop));
 }
+
+#[test]
+fn a_run_that_is_being_stopped_keeps_its_place_and_gives_it_back() {
+    let mut leader = Leader::new();
+    let worker = leader.worker("first");
+    leader.submit(spec(vec![step(1)]));
+    let start = leader.take_starts()[0];
+    // A start of an earlier leader came through late: the task is wanted, this run is not.
+    let answer = StartAnswer::Refused(comfreymill_jobs::scheduler::Refusal::NoRoom);
+    leader.started(&start, answer);
+    leader.report(worker, running(&[start]));
+    leader.pass(Duration::from_secs(1));
+    assert!(leader.take_starts().is_empty(), "the only worker still holds an old run");
+    leader.report(worker, ended(vec![start.end(1, EndKind::Stopped)]));
+    leader.pass(Duration::from_secs(1));
+    assert_eq!(leader.take_starts().len(), 1);
+    leader.report(worker, Report::default());
+    leader.submit_as(2, spec(vec![step(7)]));
+    assert_eq!(leader.take_starts().len(), 7, "no room is lost");
+}
--- a/comfreymill_jobs/tests/support/mod.rs
+++ b/comfreymill_jobs/tests/support/mod.rs
@@ -149,7 +149,13 @@
 
     /// Accepts a job of the queue.
     pub(crate) fn submit(&mut self, spec: job::JobSpec) {
-        let submission = Submission { job: KEY, queue: "desk".to_owned(), max_attempts: 2, spec };
+        self.submit_as(KEY.get(), spec);
+    }
+
+    /// Accepts a job with a key of its own.
+    pub(crate) fn submit_as(&mut self, key: u64, spec: job::JobSpec) {
+        let (job, queue) = (id::JobKey::new(key), "desk".to_owned());
+        let submission = Submission { job, queue, max_attempts: 2, spec };
         self.commit(vec![Command::Submit(Box::new(submission))]);
         self.turn();
     }
