fix(scheduler): newcomers reach the leader, removed members join again

A new leader took members that it had not heard yet for lost, and a removed member ended again and again. After a change of leader the effects of fillers were learned without capacities. Change: newcomers announce themselves to every known member; silence counts from the start of the leadership; a removed member clears its folder and joins; lists of workers that have not announced themselves teach nothing; what stdout doesn't take waits, so no log line is torn. Samples and tests of the new settings.

--- a/comfreymill_group/src/replica/config.rs
+++ b/comfreymill_group/src/replica/config.rs
@@ -166,6 +166,10 @@
         Ok(())
     }
 
+    pub(super) fn start_mut(&mut self) -> &mut Start {
+        &mut self.start
+    }
+
     /// How an empty replica begins.
     pub fn get_start(&self) -> &Start {
         &self.start
--- a/comfreymill_group/src/replica/newcomer.rs
+++ b/comfreymill_group/src/replica/newcomer.rs
@@ -1,4 +1,5 @@
 use crate::id;
+use crate::replica::{Replica, Start};
 use comfreymill_types::time;
 use std::time::Duration;
 
@@ -17,3 +18,15 @@
         now.since(self.heard_at) < FORGOTTEN_AFTER
     }
 }
+
+impl Replica {
+    /// Names the members that a replica with an empty log announces itself to; a founder keeps
+    /// those that it founds with.
+    ///
+    /// Only a leader takes a newcomer in, so those named by the settings may not be enough.
+    pub fn announce_to(&mut self, peers: Vec<id::VoterId>) {
+        if let Start::Join { peers: named } = self.cfg.start_mut() {
+            *named = peers;
+        }
+    }
+}
--- a/comfreymill_group/tests/scenario/member.rs
+++ b/comfreymill_group/tests/scenario/member.rs
@@ -115,3 +115,21 @@
     let change = membership::Change::Remove(id::VoterId::new(2));
     assert_eq!(replica.change_membership(now, change), Err(replica::ChangeError::NotReady));
 }
+
+#[test]
+fn a_newcomer_that_knows_only_followers_is_taken_in_once_it_is_told_of_the_leader() {
+    let (mut world, leader) = group::started(7, 3);
+    let led_by = world.nodes[leader].voter;
+    let followers = world.nodes.iter().map(|node| node.voter).filter(|it| *it != led_by);
+    let (voter, peers) = (id::VoterId::new(8), followers.collect());
+    world.nodes.push(Node::new(voter, id::DiskId::new(88), replica::Start::Join { peers }));
+    let newcomer = world.nodes.len() - 1;
+    world.start(newcomer);
+    group::pass(&mut world, 1_000);
+    let refused = Err(replica::ChangeError::NotAnnounced { voter });
+    assert_eq!(change(&mut world, leader, membership::Change::AddLearner(voter)), refused);
+    let replica = world.nodes[newcomer].replica.as_mut().expect("running");
+    replica.announce_to(vec![led_by]);
+    group::pass(&mut world, 1_000);
+    change(&mut world, leader, membership::Change::AddLearner(voter)).expect("it is announced");
+}
--- a/comfreymill_jobs/src/scheduler/pacing.rs
+++ b/comfreymill_jobs/src/scheduler/pacing.rs
@@ -42,6 +42,10 @@
     /// up again.
     pub(super) fn pace(&mut self, now: time::Monotonic, number: id::WorkerNumber) {
         let Some(entry) = self.workers.get(&number) else { return };
+        // Without its capacity, what a worker's fillers use says nothing.
+        if entry.announcement.is_none() {
+            return;
+        }
         let served = self.served(entry);
         let mix = self.mix(entry);
         for it in &served {
--- a/comfreymill_node/src/jobcall/client.rs
+++ b/comfreymill_node/src/jobcall/client.rs
@@ -41,6 +41,11 @@
         self.members.borrow().leader.is_some()
     }
 
+    /// Who takes part in the group, as far as is known.
+    pub(crate) fn members(&self) -> Members {
+        self.members.borrow().clone()
+    }
+
     /// Asks the leader, again and again until it has answered or `patience` is over.
     ///
     /// # Errors
--- a/comfreymill_node/src/logs/event_queue.rs
+++ b/comfreymill_node/src/logs/event_queue.rs
@@ -62,20 +62,46 @@
     }
 }
 
-/// Writes what waits; a reader that is gone can't be told of it.
+/// Writes what waits as far as the reader takes it; the rest waits on, so that no line is torn.
 fn write_out(waiting: &Mutex<Waiting>) {
-    let taken = mem::take(&mut *waiting.lock().unwrap_or_else(PoisonError::into_inner));
-    if taken.lines.is_empty() && taken.left_out == 0 {
-        return;
+    let lock = || waiting.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut taken = mem::take(&mut *lock());
+    if taken.left_out > 0 {
+        let note = Left {
+            level: "WARN",
+            part: "logs",
+            event: "events were left out",
+            count: taken.left_out,
+        };
+        // A vector takes whatever is written.
+        if serde_json::to_writer(&mut taken.lines, &note).is_ok() {
+            taken.lines.push(b'\n');
+        }
     }
     let mut out = io::stdout().lock();
-    let _ = out.write_all(&taken.lines);
-    if taken.left_out > 0 {
-        let _ = writeln!(
-            out,
-            "{{\"level\":\"WARN\",\"part\":\"logs\",\"event\":\"events were left out\",\"count\":{}}}",
-            taken.left_out
-        );
+    let mut written = 0;
+    while written < taken.lines.len() {
+        match out.write(&taken.lines[written..]) {
+            Ok(count) if count > 0 => written += count,
+            // The reader is slow, or gone, of which nobody can be told.
+            _ => break,
+        }
     }
+    // Flushing fails only where writing does.
     let _ = out.flush();
+    if written < taken.lines.len() {
+        let mut waiting = lock();
+        let newer = mem::take(&mut waiting.lines);
+        waiting.lines = taken.lines.split_off(written);
+        waiting.lines.extend(newer);
+    }
+}
+
+/// Line that tells how many events were left out.
+#[derive(serde::Serialize)]
+struct Left {
+    level: &'static str,
+    part: &'static str,
+    event: &'static str,
+    count: u64,
 }
--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -29,6 +29,10 @@
     pub(in crate::scheduler) control: SocketAddr,
     /// Timings of the decisions.
     pub(in crate::scheduler) decisions: scheduler::Config,
+    /// Calls to the leader, which know who takes part.
+    pub(in crate::scheduler) leader: jobcall::Client,
+    /// Machines that are asked first.
+    pub(in crate::scheduler) seeds: Vec<Ipv4Addr>,
     /// Voters that the group should have.
     pub(in crate::scheduler) voters: usize,
     /// Entries of the log between two snapshots.
@@ -113,6 +117,7 @@
 
     /// Does what is due by `now`.
     pub(super) fn tick(&mut self, now: time::Monotonic) {
+        self.announce();
         self.replica.tick(now);
         if self.is_serving(now) {
             let since_1970 = clock::since_1970();
@@ -133,6 +138,12 @@
         self.failure.as_deref()
     }
 
+    /// Whether the group has removed this replica.
+    pub(super) fn was_removed(&self) -> bool {
+        let halted = self.replica.halted();
+        matches!(halted, Some(replica::Halt::Removed { .. } | replica::Halt::DiskReplaced { .. }))
+    }
+
     fn stored(&mut self, now: time::Monotonic, completion: store::Completion) {
         match completion {
             store::Completion::Synced(sequence) => self.replica.persisted(now, sequence),
--- a/comfreymill_node/src/scheduler/core/lead.rs
+++ b/comfreymill_node/src/scheduler/core/lead.rs
@@ -19,6 +19,8 @@
     pub(super) courier: Courier,
     /// Term of the leadership.
     pub(super) term: u64,
+    /// When it began.
+    pub(super) began_at: time::Monotonic,
 }
 
 /// # Leading
@@ -53,7 +55,7 @@
             scheduler::Scheduler::new(self.cfg.decisions, &self.state, clock::since_1970(), now);
         let courier = Courier::new(fence, self.cfg.clock, self.inputs.clone());
         log::info!(target: "group", term = entry_term, fence:% = fence, jobs = self.state.get_jobs().len(), workers = self.state.get_workers().len(); "this process leads");
-        self.lead = Some(Lead { scheduler, courier, term: entry_term });
+        self.lead = Some(Lead { scheduler, courier, term: entry_term, began_at: now });
     }
 
     /// Takes in what became of an order of this leader.
--- a/comfreymill_node/src/scheduler/core/membership.rs
+++ b/comfreymill_node/src/scheduler/core/membership.rs
@@ -17,6 +17,22 @@
 
 /// # Members that come and go
 impl Core {
+    /// Lets a replica with an empty log announce itself to every member that is known: the leader
+    /// may be none of the seeds.
+    pub(super) fn announce(&mut self) {
+        if self.replica.role() != replica::Role::Newcomer {
+            return;
+        }
+        let members = self.cfg.leader.members();
+        let mut addresses = self.cfg.seeds.clone();
+        addresses.extend(members.leader);
+        addresses.extend(members.all);
+        addresses.sort_unstable();
+        addresses.dedup();
+        let others = addresses.into_iter().filter(|address| *address != self.cfg.address);
+        self.replica.announce_to(others.map(member_id::founder).collect());
+    }
+
     /// Takes newcomers in, and replaces members that are lost, one change at a time.
     pub(super) fn tend_members(&mut self, now: time::Monotonic) {
         if now.since(self.members_checked_at) < CHECK_PERIOD {
@@ -24,7 +40,9 @@
         }
         self.members_checked_at = now;
         let status = self.replica.status(now);
-        let Some(change) = self.next_change(&status) else { return };
+        let Some(lead) = &self.lead else { return };
+        let led_for = now.since(lead.began_at);
+        let Some(change) = self.next_change(&status, led_for) else { return };
         match self.replica.change_membership(now, change) {
             Ok(index) => {
                 log::info!(target: "group", change:? = change, entry = index.get(); "the members change");
@@ -35,7 +53,11 @@
         }
     }
 
-    fn next_change(&self, status: &replica::Status) -> Option<membership::Change> {
+    fn next_change(
+        &self,
+        status: &replica::Status,
+        led_for: Duration,
+    ) -> Option<membership::Change> {
         let members = &status.membership;
         // A member whose address has a newcomer has lost its folder for good.
         let is_replaced = |member: id::VoterId| {
@@ -49,7 +71,8 @@
         };
         let is_silent = |member: id::VoterId| {
             let peer = status.peers.iter().find(|peer| peer.voter == member);
-            peer.is_some_and(|peer| peer.silent_for.is_none_or(|silent| silent > LOST_AFTER))
+            // A leader that has just begun has heard nobody yet.
+            peer.is_some_and(|peer| peer.silent_for.unwrap_or(led_for) > LOST_AFTER)
         };
         let others: Vec<(id::VoterId, membership::Member)> =
             members.iter().filter(|(member, _)| *member != status.voter).collect();
--- a/comfreymill_node/src/scheduler/core/mod.rs
+++ b/comfreymill_node/src/scheduler/core/mod.rs
@@ -12,4 +12,4 @@
 
 pub(super) use self::core::{Core, CoreConfig};
 pub(super) use input::Input;
-pub(super) use task::run;
+pub(super) use task::{Ended, run};
--- a/comfreymill_node/src/scheduler/core/task.rs
+++ b/comfreymill_node/src/scheduler/core/task.rs
@@ -3,8 +3,17 @@
 
 const MAX_INPUTS_PER_TURN: usize = 256;
 
-/// Runs the core until its process must end; gives the reason.
-pub(in crate::scheduler) async fn run(mut core: Core, inputs: flume::Receiver<Input>) -> String {
+/// Why a core has ended.
+#[derive(Debug)]
+pub(in crate::scheduler) enum Ended {
+    /// The group has removed the replica; it may come back with an empty folder.
+    Removed,
+    /// The process can't go on.
+    Failed(String),
+}
+
+/// Runs the core until it ends.
+pub(in crate::scheduler) async fn run(mut core: Core, inputs: &flume::Receiver<Input>) -> Ended {
     let clock = core.cfg.clock;
     let mut ticked_at = clock.now();
     loop {
@@ -12,7 +21,7 @@
         let now = clock.now();
         match input {
             Ok(Ok(input)) => core.handle(now, input),
-            Ok(Err(_)) => return "every sender is gone".to_owned(),
+            Ok(Err(_)) => return Ended::Failed("every sender is gone".to_owned()),
             Err(_) => {}
         }
         for input in inputs.try_iter().take(MAX_INPUTS_PER_TURN) {
@@ -24,8 +33,11 @@
             ticked_at = now;
         }
         core.pump(now);
+        if core.was_removed() {
+            return Ended::Removed;
+        }
         if let Some(failure) = core.get_failure() {
-            return failure.to_owned();
+            return Ended::Failed(failure.to_owned());
         }
     }
 }
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -1,4 +1,7 @@
+use std::fs;
+use std::io;
 use std::net::SocketAddr;
+use std::path;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -56,11 +59,14 @@
     let peers = runtime::listen("listeners.peers", peers_address)?;
     let listener = runtime::listen("listeners.control", settings.get_control())?;
     let (inputs, rx) = flume::unbounded();
-    let (replica, thread) = open(settings, clock, &inputs)?;
+    let (replica, thread) = open(settings, settings.is_founding(), clock, &inputs)?;
     let identity = node.identity(peer::Role::Control, replica.voter().get());
     let links = Links::new(identity.clone(), node.get_peers_port());
     log::info!(target: "process", name = node.get_name(), member = replica.voter().get(), peers:% = peers_address, control:% = settings.get_control(); "the scheduler starts");
+    let leader = jobcall::Client::start(node.link(peer::Role::Entry));
     let cfg = core::CoreConfig {
+        leader: leader.clone(),
+        seeds: node.get_seeds().to_vec(),
         clock,
         address: node.get_address(),
         control: settings.get_control(),
@@ -68,9 +74,8 @@
         voters: settings.get_voters(),
         snapshot_entries: settings.get_snapshot_entries(),
     };
-    let core = Core::new(cfg, replica, thread, links, inputs.clone());
+    let core = Core::new(cfg.clone(), replica, thread, links, inputs.clone());
     monoio::spawn(peers::listen(peers, identity, inputs.clone()));
-    let leader = jobcall::Client::start(node.link(peer::Role::Entry));
     let cx = control::Context { inputs: inputs.clone(), leader };
     let handler = async move |req: server::Request<'_>| control::serve(&cx, req).await;
     if let Some(address) = node.get_metrics() {
@@ -86,7 +91,7 @@
     let served = server::serve(listener, limits::Limits::new(), handler, shutdown.clone());
     monoio::spawn(served);
     monoio::select! {
-        failure = core::run(core, rx) => {
+        failure = run_core(core, &rx, settings, &cfg, &inputs) => {
             log::error!(target: "process", reason = failure.as_str(); "the scheduler ends");
             Err(error::Error::new(error::ErrorKind::Storage, failure))
         }
@@ -94,6 +99,47 @@
     }
 }
 
+/// Runs the core; one that the group has removed joins it again with an empty folder.
+async fn run_core(
+    mut core: Core,
+    rx: &flume::Receiver<Input>,
+    settings: &settings::SchedulerSettings,
+    cfg: &core::CoreConfig,
+    inputs: &flume::Sender<Input>,
+) -> String {
+    loop {
+        match core::run(core, rx).await {
+            core::Ended::Failed(failure) => return failure,
+            core::Ended::Removed => {}
+        }
+        log::warn!(target: "process", "the group has removed this member: it joins again with an empty folder");
+        let cleared = clear(settings.get_data_folder());
+        let opened = cleared.and_then(|()| open(settings, false, cfg.clock, inputs));
+        let (replica, thread) = match opened {
+            Ok(opened) => opened,
+            Err(error) => return error.to_string(),
+        };
+        let node = settings.get_node();
+        let identity = node.identity(peer::Role::Control, replica.voter().get());
+        let links = Links::new(identity, node.get_peers_port());
+        core = Core::new(cfg.clone(), replica, thread, links, inputs.clone());
+    }
+}
+
+/// Removes the files of a replica that the group has removed.
+fn clear(folder: &path::Path) -> Result<(), error::Error> {
+    let remove = || {
+        for file in fs::read_dir(folder)? {
+            fs::remove_file(file?.path())?;
+        }
+        fs::File::open(folder)?.sync_all()
+    };
+    remove().map_err(|source: io::Error| {
+        let message = format!("data folder {}: {source}", folder.display());
+        error::Error::new(error::ErrorKind::Storage, message)
+    })
+}
+
 /// Status of the core as JSON text; empty if the process is ending.
 async fn show(inputs: &flume::Sender<Input>) -> Bytes {
     let (reply, rx) = flume::bounded(1);
@@ -121,6 +167,7 @@
 /// Opens the data folder; an empty one joins the group, or founds it where the settings say so.
 fn open(
     settings: &settings::SchedulerSettings,
+    is_founding: bool,
     clock: clock::Clock,
     inputs: &flume::Sender<Input>,
 ) -> Result<(replica::Replica, store::Thread), error::Error> {
@@ -132,7 +179,7 @@
     let founders: Vec<group_id::VoterId> =
         node.get_seeds().iter().map(|seed| member_id::founder(*seed)).collect();
     let own = member_id::founder(node.get_address());
-    let founds = settings.is_founding() && founders.contains(&own);
+    let founds = is_founding && founders.contains(&own);
     let member = if founds { own } else { member_id::newcomer(node.get_address()) };
     let options = store::Options::new(group_id::GroupId::new(GROUP), member).keep_voter();
     let (opened, recovered) =
--- a/comfreymill_node/tests/settings/mod.rs
+++ b/comfreymill_node/tests/settings/mod.rs
@@ -3,3 +3,4 @@
 mod alone;
 mod embedded;
 mod machine;
+mod nodes;
--- /dev/null
+++ b/comfreymill_node/tests/settings/nodes.rs
@@ -0,0 +1,63 @@
+//! Settings of gateways and schedulers.
+
+use std::path;
+use std::time::Duration;
+
+use comfreymill_node::settings;
+
+const GATEWAY: &str = include_str!("../../../samples/gateway.yaml");
+const SCHEDULER: &str = include_str!("../../../samples/scheduler.yaml");
+
+fn read(text: &str) -> Result<settings::SettingsFile, Vec<String>> {
+    let read = settings::SettingsFile::read(text.as_bytes(), path::Path::new("folder"));
+    read.map_err(|problems| problems.iter().map(ToString::to_string).collect())
+}
+
+#[test]
+fn the_samples_are_valid() {
+    let settings::SettingsFile::Gateway(gateway) = read(GATEWAY).expect("valid") else {
+        panic!("it is a gateway's");
+    };
+    assert_eq!(gateway.get_callers().port(), 7_400);
+    assert_eq!(gateway.get_node().get_log().get_format(), settings::LogFormat::Events);
+    let settings::SettingsFile::Scheduler(scheduler) = read(SCHEDULER).expect("valid") else {
+        panic!("it is a scheduler's");
+    };
+    assert_eq!(scheduler.get_lease(), Duration::from_secs(6));
+    assert_eq!(scheduler.get_data_folder(), path::Path::new("folder/data/scheduler"));
+    assert!(scheduler.is_founding());
+}
+
+#[test]
+fn seeds_may_have_ports_and_are_separated_by_commas() {
+    let text = SCHEDULER.replace("seeds: 127.0.0.1", "seeds: \"10.1.0.6:8166, 10.2.0.41\"");
+    let settings::SettingsFile::Scheduler(scheduler) = read(&text).expect("valid") else {
+        panic!("it is a scheduler's");
+    };
+    let seeds: Vec<String> =
+        scheduler.get_node().get_seeds().iter().map(ToString::to_string).collect();
+    assert_eq!(seeds, ["10.1.0.6", "10.2.0.41"]);
+}
+
+#[test]
+fn each_fault_is_named() {
+    #[rustfmt::skip]
+    let cases = [
+        ("lease: 6s", "lease: 6", "13:", "lease: `6` is not a time"),
+        ("founding: true", "founding: perhaps", "12:", "founding:"),
+        ("voters: 5", "voters: 0", "14:", "voters: a group has at least 1 voter"),
+        ("snapshot_entries: 4000", "snapshot_entries: 0", "15:", "snapshot_entries: a snapshot covers"),
+        ("seeds: 127.0.0.1", "seeds: hobart", "7:", "seeds: `hobart` is no IPv4 address"),
+        ("key: a text of at least 32 bytes that every process of the group has", "key: short", "8:", "key: write at least 32 bytes"),
+        ("  control: 127.0.0.1:7415", "  control: 7415", "11:", "listeners.control:"),
+        ("metrics: 127.0.0.1:7414", "metrics: 7414", "9:", "metrics:"),
+        ("  level: info", "  level: loud", "17:", "log.level:"),
+        ("data_folder: data/scheduler\n", "", "1:", "data_folder: is missing"),
+        ("zone: hobart-a", "zones: hobart-a", "3:", "zones: is not known here"),
+    ];
+    for (from, to, line, expected) in cases {
+        let problems = read(&SCHEDULER.replacen(from, to, 1)).expect_err(to);
+        let is_named = problems.iter().any(|it| it.starts_with(line) && it.contains(expected));
+        assert!(is_named, "{to}: {line} {expected} in {problems:#?}");
+    }
+}
