--- a/comfreymill_node/tests/settings/nodes.rs
+++ b/comfreymill_node/tests/settings/nodes.rs
@@ -43,15 +43,15 @@
 fn each_fault_is_named() {
     #[rustfmt::skip]
     let cases = [
-        ("lease: 6s", "lease: 6", "13:", "lease: `6` is not a time"),
-        ("founding: true", "founding: perhaps", "12:", "founding:"),
-        ("voters: 5", "voters: 0", "14:", "voters: a group has at least 1 voter"),
-        ("snapshot_entries: 4000", "snapshot_entries: 0", "15:", "snapshot_entries: a snapshot covers"),
+        ("lease: 6s", "lease: 6", "14:", "lease: `6` is not a time"),
+        ("founding: true", "founding: perhaps", "13:", "founding:"),
+        ("voters: 5", "voters: 0", "15:", "voters: a group has at least 1 voter"),
+        ("snapshot_entries: 4000", "snapshot_entries: 0", "16:", "snapshot_entries: a snapshot covers"),
         ("seeds: 127.0.0.1", "seeds: hobart", "7:", "seeds: `hobart` is no IPv4 address"),
         ("key: a text of at least 32 bytes that every process of the group has", "key: short", "8:", "key: write at least 32 bytes"),
         ("  control: 127.0.0.1:7415", "  control: 7415", "11:", "listeners.control:"),
         ("metrics: 127.0.0.1:7414", "metrics: 7414", "9:", "metrics:"),
-        ("  level: info", "  level: loud", "17:", "log.level:"),
+        ("  level: info", "  level: loud", "18:", "log.level:"),
         ("data_folder: data/scheduler\n", "", "1:", "data_folder: is missing"),
         ("zone: hobart-a", "zones: hobart-a", "3:", "zones: is not known here"),
     ];
