fix(jobs): a worker that is accounted for once stays so

Cause: a new leader released inherited tasks only in a moment in which no worker at all had ends on their way into the log. Change: each worker is settled by its first list, its committed ends, or its lease.

--- a/comfreymill_jobs/src/scheduler/inherit.rs
+++ b/comfreymill_jobs/src/scheduler/inherit.rs
@@ -89,7 +89,16 @@
 
     /// Releases the tasks of earlier leaders once no worker can hold them unseen.
     pub(super) fn account(&mut self, now: time::Monotonic) {
-        if !self.has_unaccounted || !self.workers.values().all(|it| it.is_accounted(now)) {
+        if !self.has_unaccounted {
+            return;
+        }
+        // Busy workers list new ends all the time; only those of their first list count.
+        let mut is_complete = true;
+        for worker in self.workers.values_mut() {
+            worker.is_settled |= worker.is_accounted(now);
+            is_complete &= worker.is_settled;
+        }
+        if !is_complete {
             return;
         }
         self.has_unaccounted = false;
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -21,6 +21,8 @@
     pub(super) reported_at: time::Monotonic,
     /// Whether it has answered a look of this leader.
     pub(super) is_heard: bool,
+    /// Whether all that earlier leaders started there is known; once it is, it stays so.
+    pub(super) is_settled: bool,
     /// Whether its newest look failed.
     pub(super) is_silent: bool,
     /// Whether its life is over; what it listed before may still be on its way into the log.
@@ -68,6 +70,7 @@
             announcement: None,
             reported_at: now,
             is_heard: false,
+            is_settled: false,
             is_silent: false,
             is_over: false,
             is_noting: false,
--- a/comfreymill_jobs/tests/scheduler/succession.rs
+++ b/comfreymill_jobs/tests/scheduler/succession.rs
@@ -110,3 +110,18 @@
     leader.submit_as(2, spec(vec![step(7)]));
     assert_eq!(leader.take_starts().len(), 7, "no room is lost");
 }
+
+#[test]
+fn workers_that_list_new_ends_all_the_time_hold_nothing_back() {
+    let (mut leader, starts) = succeeded();
+    announce(&mut leader);
+    leader.report(starts[0].worker, running(&starts[..1]));
+    leader.pass(Duration::from_millis(20));
+    // The first worker's ends are on their way into the log whenever the other is settled.
+    leader.is_held = true;
+    leader.report(starts[0].worker, ended(vec![starts[0].end(1, EndKind::Done)]));
+    leader.report(starts[1].worker, Report::default());
+    leader.pass(Duration::from_millis(20));
+    let again = leader.take_starts();
+    assert_eq!(again.iter().map(|it| it.task).collect::<Vec<_>>(), [starts[1].task]);
+}
