feat(jobs): levels of tail latencies by job, not by image

With one level for each image, half of a unit of the logarithm was noise, so effects were wrong by 1 to 2, and paces followed it. Change: recent averages for each job; effects are fitted to the differences from them, in which the level cancels out; headroom starts from the level of the job.

--- a/comfreymill_jobs/src/scheduler/interference.rs
+++ b/comfreymill_jobs/src/scheduler/interference.rs
@@ -3,16 +3,21 @@
 use comfreymill_batch::interference;
 use comfreymill_types::time;
 
+use super::load_average::LoadAverage;
+use crate::id;
+
 /// Model of how fillers raise the tail latencies of serving tasks, learned from worker reports.
 ///
-/// The logarithm of a tail latency is modelled as the level of the serving image plus, for each
-/// image of fillers on the same worker, its effect times the share of the worker's processors that
-/// these fillers use. Levels follow the request load within seconds, while effects are constant;
-/// the differences between workers make it possible to tell the two apart.
+/// The logarithm of a tail latency is modelled as the level of the serving job plus, for each image
+/// of fillers on the same worker, its effect times the share of the worker's processors that these
+/// fillers use. Each job has users of its own, so levels follow the request load of each job within
+/// seconds. Effects are constant and depend on the images only. They are fitted to the differences
+/// between a report and the recent average of its job, in which the level cancels out.
 #[derive(Debug, Default)]
 pub(super) struct Interference {
     images: BTreeMap<String, ImageId>,
     services: BTreeMap<ImageId, ServiceModel>,
+    loads: BTreeMap<id::JobKey, LoadAverage>,
 }
 
 /// Shares of a worker's processors that fillers use, by image.
@@ -26,9 +31,6 @@
 struct ServiceModel {
     fit: interference::Regression,
     positions: BTreeMap<ImageId, usize>,
-    /// Current average of the logarithm of the image's tail latencies without fillers.
-    level: f64,
-    level_updated_at: time::Monotonic,
 }
 
 impl Default for ServiceModel {
@@ -36,8 +38,6 @@
         Self {
             fit: interference::Regression::default().forgetting(FORGETTING_FACTOR),
             positions: BTreeMap::new(),
-            level: 0.0,
-            level_updated_at: time::Monotonic::ZERO,
         }
     }
 }
@@ -50,10 +50,8 @@
 /// Factor by which each observation reduces the weight of earlier ones: an image with 250 tasks,
 /// each reported twice a second, is learned from the last 40 s.
 const FORGETTING_FACTOR: f64 = 0.999_95;
-/// Time constant, in seconds, of the average of an image's level. Request load changes all tail
-/// latencies of an image within seconds, which must not be attributed to fillers that started in
-/// the meantime.
-const LEVEL_TIME_CONSTANT_SECONDS: f64 = 1.0;
+/// Weight of recent reports that an average needs before differences from it are learned from.
+const MIN_AVERAGE_WEIGHT: f64 = 0.5;
 /// The regression expects an intercept near this value, so it is added to all outputs.
 const INTERCEPT: f64 = 1.0;
 
@@ -69,16 +67,16 @@
         next
     }
 
-    /// Learns from a tail latency, given as a multiple of its target, observed beside a mix of
-    /// fillers.
+    /// Learns from a tail latency of a task of `job`, given as a multiple of its target, observed
+    /// beside a mix of fillers.
     pub(super) fn observe(
         &mut self,
         now: time::Monotonic,
+        job: id::JobKey,
         image: ImageId,
         tail: f64,
         shares: &FillerShares,
     ) {
-        let rise = self.log_rise(image, shares);
         let model = self.services.entry(image).or_default();
         let mut inputs = Vec::with_capacity(shares.len());
         for (filler, share) in shares {
@@ -86,11 +84,27 @@
             let position = model.positions.entry(*filler).or_insert_with(|| fit.add_input());
             inputs.push((*position, *share));
         }
-        let since = now.since(model.level_updated_at).as_secs_f64();
-        model.level_updated_at = now;
-        let weight = 1.0 - (-since / LEVEL_TIME_CONSTANT_SECONDS).exp();
-        model.level += weight * (tail.ln() - rise - model.level);
-        model.fit.observe(&inputs, tail.ln() - model.level + INTERCEPT);
+        let average = self.loads.entry(job).or_default();
+        average.decay(now);
+        if average.get_weight() >= MIN_AVERAGE_WEIGHT {
+            let output = tail.ln() - average.log_tail() + INTERCEPT;
+            model.fit.observe(&differences(&inputs, average), output);
+        }
+        average.add(tail.ln(), &inputs);
+    }
+
+    /// Returns the logarithm of the current tail latency of a job's tasks without fillers, as a
+    /// multiple of the target, if the job's tasks have reported.
+    pub(super) fn level(&self, job: id::JobKey, image: ImageId) -> Option<f64> {
+        let average = self.loads.get(&job)?;
+        let model = self.services.get(&image)?;
+        let rise = average.shares().map(|(position, share)| model.effect_at(position) * share);
+        Some(average.log_tail() - rise.sum::<f64>())
+    }
+
+    /// Drops the averages of a job that is over.
+    pub(super) fn job_over(&mut self, job: id::JobKey) {
+        self.loads.remove(&job);
     }
 
     /// Returns the rise of the logarithm of the image's tail latency beside a filler that uses all
@@ -98,8 +112,7 @@
     pub(super) fn effect(&self, image: ImageId, filler: ImageId) -> f64 {
         let Some(model) = self.services.get(&image) else { return UNKNOWN_EFFECT };
         let Some(position) = model.positions.get(&filler) else { return UNKNOWN_EFFECT };
-        let effect = model.fit.get_effect(*position);
-        if effect < MIN_EFFECT { 0.0 } else { effect }
+        model.effect_at(*position)
     }
 
     /// Returns the rise of the logarithm of the image's tail latency beside a mix of fillers.
@@ -107,3 +120,21 @@
         shares.iter().map(|(filler, share)| self.effect(image, *filler) * share).sum()
     }
 }
+
+impl ServiceModel {
+    /// Returns the effect of the filler image at `position`; 0 if it is too low to be told from
+    /// noise.
+    fn effect_at(&self, position: usize) -> f64 {
+        let effect = self.fit.get_effect(position);
+        if effect < MIN_EFFECT { 0.0 } else { effect }
+    }
+}
+
+/// Returns by how much the shares of fillers differ from the average of the job.
+fn differences(inputs: &[(usize, f64)], average: &LoadAverage) -> Vec<(usize, f64)> {
+    let mut differences: BTreeMap<usize, f64> = inputs.iter().copied().collect();
+    for (position, share) in average.shares() {
+        *differences.entry(position).or_default() -= share;
+    }
+    differences.into_iter().collect()
+}
--- a/comfreymill_jobs/src/scheduler/jobs.rs
+++ b/comfreymill_jobs/src/scheduler/jobs.rs
@@ -36,6 +36,7 @@
             return;
         }
         self.ready.remove_job(key);
+        self.interference.job_over(key);
         self.ended.push_back((now, key));
         let first = id::StepId { job: key, occurrence: 0, step: 0 }.task(0);
         let last = id::StepId { job: key, occurrence: u32::MAX, step: u16::MAX }.task(u16::MAX);
--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -13,6 +13,7 @@
 mod holding;
 mod interference;
 mod jobs;
+mod load_average;
 mod lost_workers;
 mod order;
 mod pacing;
--- a/comfreymill_jobs/src/scheduler/pacing.rs
+++ b/comfreymill_jobs/src/scheduler/pacing.rs
@@ -26,9 +26,6 @@
 /// regardless of the learned effects.
 const MAX_TIME_OVER_TARGET: Duration = Duration::from_millis(1_500);
 
-/// Weight of the previous estimate of a tail latency without fillers when a new estimate is lower;
-/// load varies within seconds.
-const BASELINE_WEIGHT: f64 = 0.7;
 /// Pace, in percent, below which a filler should move to another worker.
 const MOVE_BELOW_PERCENT: u32 = 40;
 /// Time below that pace after which a filler is moved.
@@ -47,13 +44,15 @@
     /// Learns from a worker's report, slows down fillers that bring a tail latency near its target,
     /// and speeds them up again when there is room.
     pub(super) fn pace(&mut self, now: time::Monotonic, number: id::WorkerNumber) {
+        let Some(entry) = self.workers.get_mut(&number) else { return };
+        entry.headroom = None;
         let Some(entry) = self.workers.get(&number) else { return };
         let samples = self.tail_samples(entry);
         let shares = self.filler_shares(entry);
         for sample in &samples {
-            self.interference.observe(now, sample.image, sample.tail, &shares);
+            let job = sample.task.step.job;
+            self.interference.observe(now, job, sample.image, sample.tail, &shares);
         }
-        self.estimate_baselines(number, &samples, &shares);
         let is_over_for_long = self.update_over_target(now, number);
         let Some(entry) = self.workers.get(&number) else { return };
         if entry.fillers == 0 || now.since(entry.paced_at) < PACE_PERIOD {
@@ -178,8 +177,10 @@
         let Some(entry) = self.workers.get(&number) else { return };
         let full = self.full_speed_shares(entry);
         let mut baseline: BTreeMap<ImageId, f64> = BTreeMap::new();
-        for run in entry.runs.values().filter(|run| run.kind == job::StepKind::Serving) {
-            let Some(estimate) = run.baseline else { continue };
+        let serving = entry.runs.iter().filter(|(_, run)| run.kind == job::StepKind::Serving);
+        for (task, run) in serving {
+            let level = self.interference.level(task.step.job, run.image);
+            let Some(estimate) = level else { continue };
             let highest = baseline.entry(run.image).or_insert(estimate);
             *highest = highest.max(estimate);
         }
@@ -193,25 +194,6 @@
         }
     }
 
-    /// Estimates the logarithms of the tail latencies without fillers.
-    fn estimate_baselines(
-        &mut self,
-        number: id::WorkerNumber,
-        samples: &[TailSample],
-        shares: &FillerShares,
-    ) {
-        let Some(entry) = self.workers.get_mut(&number) else { return };
-        entry.headroom = None;
-        for sample in samples {
-            let current = sample.tail.ln() - self.interference.log_rise(sample.image, shares);
-            let Some(run) = entry.runs.get_mut(&sample.task) else { continue };
-            let smoothed = run
-                .baseline
-                .map_or(current, |old| BASELINE_WEIGHT * old + (1.0 - BASELINE_WEIGHT) * current);
-            run.baseline = Some(smoothed.max(current));
-        }
-    }
-
     /// Updates which tasks exceed their targets; returns whether one has done so for
     /// `MAX_TIME_OVER_TARGET`.
     fn update_over_target(&mut self, now: time::Monotonic, number: id::WorkerNumber) -> bool {
--- a/comfreymill_jobs/src/scheduler/run.rs
+++ b/comfreymill_jobs/src/scheduler/run.rs
@@ -38,8 +38,6 @@
     pub(super) load: Option<u32>,
     /// Latest progress that the worker reported, in percent.
     pub(super) percent: u32,
-    /// Estimated logarithm of the tail latency without fillers, as a multiple of its target.
-    pub(super) baseline: Option<f64>,
     /// Time since which the run works at a low pace.
     pub(super) slowed_since: Option<time::Monotonic>,
     /// Time since which the tail latency exceeds its target.
@@ -96,7 +94,6 @@
             checkpoint: String::new(),
             load: None,
             percent: 0,
-            baseline: None,
             slowed_since: None,
             over_since: None,
             progressed_at: now,
