feat(jobs): steer serving tasks by slack, with trend and deviations

Half of the pairs of images have effects of 4 to 20, the others below 1. Change: the model fits slack (target / tail); the level is extrapolated by its trend while it falls, and half of a negative deviation of a task counts; fillers with the largest effects are slowed down first; a filler that never ran beside an image counts with the mean effect, so it is tried where there is room for it.

--- a/comfreymill_batch/src/interference/regression.rs
+++ b/comfreymill_batch/src/interference/regression.rs
@@ -21,6 +21,8 @@
     unfitted: u32,
     /// Factor by which each report reduces the weight of the earlier ones.
     forgetting: f64,
+    /// Coefficient assumed for an input, and the weight of that assumption.
+    prior: (f64, f64),
 }
 
 impl Default for Regression {
@@ -32,6 +34,7 @@
             reports: 0,
             unfitted: 0,
             forgetting: FORGETTING,
+            prior: (PRIOR_EFFECT, PRIOR_STRENGTH),
         };
         fit.grow(PRIOR_ALONE);
         fit
@@ -46,9 +49,17 @@
         self
     }
 
+    /// Sets the coefficient assumed for inputs that are added later, and the weight of that
+    /// assumption as a sum of squared inputs.
+    #[must_use]
+    pub fn prior(mut self, effect: f64, strength: f64) -> Self {
+        self.prior = (effect, strength);
+        self
+    }
+
     /// Adds an input variable and returns its position.
     pub fn add_input(&mut self) -> usize {
-        self.grow(PRIOR_EFFECT);
+        self.grow(self.prior.0);
         self.solution.len() - 1
     }
 
@@ -100,7 +111,7 @@
         let width = self.solution.len();
         let mut rows: Vec<Vec<f64>> = Vec::with_capacity(width);
         for i in 0..width {
-            let (prior, strength) = prior_of(i);
+            let (prior, strength) = self.prior_of(i);
             let mut row = self.products[i].clone();
             row[i] += strength;
             row.push(self.targets[i] + strength * prior);
@@ -110,10 +121,11 @@
             self.solution = solution;
         }
     }
-}
 
-fn prior_of(position: usize) -> (f64, f64) {
-    if position == 0 { (PRIOR_ALONE, PRIOR_ALONE_STRENGTH) } else { (PRIOR_EFFECT, PRIOR_STRENGTH) }
+    /// Returns the coefficient assumed at `position`, and the weight of that assumption.
+    fn prior_of(&self, position: usize) -> (f64, f64) {
+        if position == 0 { (PRIOR_ALONE, PRIOR_ALONE_STRENGTH) } else { self.prior }
+    }
 }
 
 /// Solves the system by Gaussian elimination. The priors make the matrix positive definite, so no
--- a/comfreymill_jobs/src/scheduler/interference.rs
+++ b/comfreymill_jobs/src/scheduler/interference.rs
@@ -6,13 +6,16 @@
 use super::load_average::LoadAverage;
 use crate::id;
 
-/// Model of how fillers raise the tail latencies of serving tasks, learned from worker reports.
+/// Model of how fillers slow down serving tasks, learned from worker reports.
 ///
-/// The logarithm of a tail latency is modelled as the level of the serving job plus, for each image
-/// of fillers on the same worker, its effect times the share of the worker's processors that these
-/// fillers use. Each job has users of its own, so levels follow the request load of each job within
-/// seconds. Effects are constant and depend on the images only. They are fitted to the differences
-/// between a report and the recent average of its job, in which the level cancels out.
+/// The slack of a serving task is the target of its tail latency divided by the tail latency: 1 at
+/// the target, higher below it. As in a queue near saturation, the reciprocal of the latency falls
+/// linearly with everything that uses the worker, so the slack is modelled as the level of the
+/// serving job less, for each image of fillers on the worker, its effect times the share of the
+/// worker's processors that these fillers use. Each job has users of its own, so levels follow the
+/// request load of each job within seconds. Effects are constant and depend on the images only.
+/// They are fitted to the differences between a report and the recent average of its job, in which
+/// the level cancels out.
 #[derive(Debug, Default)]
 pub(super) struct Interference {
     images: BTreeMap<String, ImageId>,
@@ -36,22 +39,24 @@
 impl Default for ServiceModel {
     fn default() -> Self {
         Self {
-            fit: interference::Regression::default().forgetting(FORGETTING_FACTOR),
+            fit: interference::Regression::default()
+                .forgetting(FORGETTING_FACTOR)
+                .prior(PRIOR_EFFECT, PRIOR_STRENGTH),
             positions: BTreeMap::new(),
         }
     }
 }
 
-/// Assumed effect of a filler that never ran beside the image; high enough that workers with a
-/// known lower effect are preferred.
-const UNKNOWN_EFFECT: f64 = 0.3;
-/// Effects below this cannot be distinguished from noise and count as 0.
-const MIN_EFFECT: f64 = 1.0;
+/// Effect assumed for a filler that never ran beside an image. About half of the pairs have effects
+/// between 4 and 20, the others below 1.
+const PRIOR_EFFECT: f64 = 5.0;
+/// Weight of the assumed effect, as a sum of squared differences of shares.
+const PRIOR_STRENGTH: f64 = 0.01;
 /// Factor by which each observation reduces the weight of earlier ones: an image with 250 tasks,
 /// each reported twice a second, is learned from the last 40 s.
 const FORGETTING_FACTOR: f64 = 0.999_95;
 /// Weight of recent reports that an average needs before differences from it are learned from.
-const MIN_AVERAGE_WEIGHT: f64 = 0.5;
+const MIN_AVERAGE_WEIGHT: f64 = 0.3;
 /// The regression expects an intercept near this value, so it is added to all outputs.
 const INTERCEPT: f64 = 1.0;
 
@@ -67,16 +72,16 @@
         next
     }
 
-    /// Learns from a tail latency of a task of `job`, given as a multiple of its target, observed
-    /// beside a mix of fillers.
+    /// Learns from the slack of a task of `job`, observed beside a mix of fillers.
     pub(super) fn observe(
         &mut self,
         now: time::Monotonic,
         job: id::JobKey,
         image: ImageId,
-        tail: f64,
+        slack: f64,
         shares: &FillerShares,
     ) {
+        let alone = slack + self.loss(image, shares);
         let model = self.services.entry(image).or_default();
         let mut inputs = Vec::with_capacity(shares.len());
         for (filler, share) in shares {
@@ -87,19 +92,16 @@
         let average = self.loads.entry(job).or_default();
         average.decay(now);
         if average.get_weight() >= MIN_AVERAGE_WEIGHT {
-            let output = tail.ln() - average.log_tail() + INTERCEPT;
+            let output = average.slack() - slack + INTERCEPT;
             model.fit.observe(&differences(&inputs, average), output);
         }
-        average.add(tail.ln(), &inputs);
+        average.add(slack, alone, &inputs);
     }
 
-    /// Returns the logarithm of the current tail latency of a job's tasks without fillers, as a
-    /// multiple of the target, if the job's tasks have reported.
-    pub(super) fn level(&self, job: id::JobKey, image: ImageId) -> Option<f64> {
-        let average = self.loads.get(&job)?;
-        let model = self.services.get(&image)?;
-        let rise = average.shares().map(|(position, share)| model.effect_at(position) * share);
-        Some(average.log_tail() - rise.sum::<f64>())
+    /// Returns the lowest slack without fillers that is expected for a job's tasks until the next
+    /// change of pace, if the job's tasks have reported.
+    pub(super) fn level(&self, job: id::JobKey) -> Option<f64> {
+        self.loads.get(&job).map(LoadAverage::lowest_level)
     }
 
     /// Drops the averages of a job that is over.
@@ -107,26 +109,24 @@
         self.loads.remove(&job);
     }
 
-    /// Returns the rise of the logarithm of the image's tail latency beside a filler that uses all
-    /// processors of a worker.
+    /// Returns the loss of slack of the image's tasks beside a filler that uses all processors of a
+    /// worker.
     pub(super) fn effect(&self, image: ImageId, filler: ImageId) -> f64 {
-        let Some(model) = self.services.get(&image) else { return UNKNOWN_EFFECT };
-        let Some(position) = model.positions.get(&filler) else { return UNKNOWN_EFFECT };
+        let Some(model) = self.services.get(&image) else { return PRIOR_EFFECT };
+        let Some(position) = model.positions.get(&filler) else { return PRIOR_EFFECT };
         model.effect_at(*position)
     }
 
-    /// Returns the rise of the logarithm of the image's tail latency beside a mix of fillers.
-    pub(super) fn log_rise(&self, image: ImageId, shares: &FillerShares) -> f64 {
+    /// Returns the loss of slack of the image's tasks beside a mix of fillers.
+    pub(super) fn loss(&self, image: ImageId, shares: &FillerShares) -> f64 {
         shares.iter().map(|(filler, share)| self.effect(image, *filler) * share).sum()
     }
 }
 
 impl ServiceModel {
-    /// Returns the effect of the filler image at `position`; 0 if it is too low to be told from
-    /// noise.
+    /// Returns the effect of the filler image at `position`; an estimate below 0 is noise.
     fn effect_at(&self, position: usize) -> f64 {
-        let effect = self.fit.get_effect(position);
-        if effect < MIN_EFFECT { 0.0 } else { effect }
+        self.fit.get_effect(position).max(0.0)
     }
 }
 
--- a/comfreymill_jobs/src/scheduler/pacing.rs
+++ b/comfreymill_jobs/src/scheduler/pacing.rs
@@ -12,12 +12,16 @@
 
 /// Minimum time between changes of pace on a worker; the load that workers report covers 500 ms.
 const PACE_PERIOD: Duration = Duration::from_millis(500);
-/// Fraction of its target to which a tail latency is steered; the rest is a margin for variations
-/// in load.
-const TARGET_FRACTION: f64 = 0.75;
-/// Rise of the logarithm of a tail latency that counts as none; about the rise assumed for a filler
-/// image that never ran beside the serving image.
-const NEGLIGIBLE_RISE: f64 = 0.05;
+/// Slack to which serving tasks are steered; the excess over 1 is a margin for variations in load
+/// until the next change of pace.
+const STEERED_SLACK: f64 = 1.35;
+/// Loss of slack that counts as none.
+const NEGLIGIBLE_LOSS: f64 = 0.05;
+/// Part of a task's deviation from the level of its job that is expected to last until the next
+/// change of pace; deviations last about a second.
+const DEVIATION_PERSISTENCE: f64 = 0.5;
+/// Minimum effect of a filler image that is slowed down; slowing down others gains next to nothing.
+const MIN_SLOWED_EFFECT: f64 = 1.5;
 /// Minimum change of pace that is worth an order, in percentage points.
 const MIN_PACE_CHANGE: u32 = 15;
 /// Maximum increase of a pace in one order, in percentage points.
@@ -31,12 +35,11 @@
 /// Time below that pace after which a filler is moved.
 const MOVE_AFTER: Duration = Duration::from_millis(1_000);
 
-/// Tail latency that a serving task reported.
-struct TailSample {
+/// Slack of a serving task, from the tail latency that it reported.
+struct SlackSample {
     task: id::TaskId,
     image: ImageId,
-    /// Tail latency as a multiple of its target.
-    tail: f64,
+    slack: f64,
 }
 
 /// # Pace of fillers beside serving tasks
@@ -47,12 +50,13 @@
         let Some(entry) = self.workers.get_mut(&number) else { return };
         entry.headroom = None;
         let Some(entry) = self.workers.get(&number) else { return };
-        let samples = self.tail_samples(entry);
+        let samples = self.slack_samples(entry);
         let shares = self.filler_shares(entry);
         for sample in &samples {
             let job = sample.task.step.job;
-            self.interference.observe(now, job, sample.image, sample.tail, &shares);
+            self.interference.observe(now, job, sample.image, sample.slack, &shares);
         }
+        self.update_deviations(number, &samples, &shares);
         let is_over_for_long = self.update_over_target(now, number);
         let Some(entry) = self.workers.get(&number) else { return };
         if entry.fillers == 0 || now.since(entry.paced_at) < PACE_PERIOD {
@@ -158,8 +162,8 @@
         let Some(headroom) = &entry.headroom else { return false };
         let share = entry.share(spec.needs.cpu_milli);
         headroom.iter().all(|(image, headroom)| {
-            let rise = self.interference.effect(*image, filler) * share;
-            rise <= NEGLIGIBLE_RISE || rise <= *headroom
+            let loss = self.interference.effect(*image, filler) * share;
+            loss <= NEGLIGIBLE_LOSS || loss <= *headroom
         })
     }
 
@@ -176,17 +180,17 @@
     fn compute_headroom_of(&mut self, number: id::WorkerNumber) {
         let Some(entry) = self.workers.get(&number) else { return };
         let full = self.full_speed_shares(entry);
-        let mut baseline: BTreeMap<ImageId, f64> = BTreeMap::new();
+        let mut levels: BTreeMap<ImageId, f64> = BTreeMap::new();
         let serving = entry.runs.iter().filter(|(_, run)| run.kind == job::StepKind::Serving);
         for (task, run) in serving {
-            let level = self.interference.level(task.step.job, run.image);
-            let Some(estimate) = level else { continue };
-            let highest = baseline.entry(run.image).or_insert(estimate);
-            *highest = highest.max(estimate);
+            let Some(level) = self.interference.level(task.step.job) else { continue };
+            let level = level + run.deviation.min(0.0) * DEVIATION_PERSISTENCE;
+            let lowest = levels.entry(run.image).or_insert(level);
+            *lowest = lowest.min(level);
         }
-        let headroom = baseline.iter().map(|(image, baseline)| {
-            let rise = self.interference.log_rise(*image, &full);
-            (*image, TARGET_FRACTION.ln() - baseline - rise)
+        let headroom = levels.iter().map(|(image, level)| {
+            let loss = self.interference.loss(*image, &full);
+            (*image, level - loss - STEERED_SLACK)
         });
         let headroom = headroom.collect();
         if let Some(entry) = self.workers.get_mut(&number) {
@@ -194,6 +198,23 @@
         }
     }
 
+    /// Updates by how much the slack of each serving task differs from what the level of its job and
+    /// the fillers beside it explain.
+    fn update_deviations(
+        &mut self,
+        number: id::WorkerNumber,
+        samples: &[SlackSample],
+        shares: &FillerShares,
+    ) {
+        let Some(entry) = self.workers.get_mut(&number) else { return };
+        for sample in samples {
+            let Some(level) = self.interference.level(sample.task.step.job) else { continue };
+            let Some(run) = entry.runs.get_mut(&sample.task) else { continue };
+            let alone = sample.slack + self.interference.loss(sample.image, shares);
+            run.deviation = alone - level;
+        }
+    }
+
     /// Updates which tasks exceed their targets; returns whether one has done so for
     /// `MAX_TIME_OVER_TARGET`.
     fn update_over_target(&mut self, now: time::Monotonic, number: id::WorkerNumber) -> bool {
@@ -230,14 +251,14 @@
         filler_shares_of(entry, |run| run.load)
     }
 
-    /// Returns the tail latencies that the serving tasks on a worker reported.
-    fn tail_samples(&self, entry: &WorkerEntry) -> Vec<TailSample> {
+    /// Returns the slack of the serving tasks on a worker that reported their tail latencies.
+    fn slack_samples(&self, entry: &WorkerEntry) -> Vec<SlackSample> {
         let mut samples = Vec::new();
         for (task, run) in &entry.runs {
             let (Some(target), Some(tail)) = (run.tail_target_ms, run.load) else { continue };
             if tail > 0 && run.kind == job::StepKind::Serving {
-                let tail = f64::from(tail) / f64::from(target.max(1));
-                samples.push(TailSample { task: *task, image: run.image, tail });
+                let slack = f64::from(target) / f64::from(tail);
+                samples.push(SlackSample { task: *task, image: run.image, slack });
             }
         }
         samples
@@ -249,24 +270,30 @@
         filler_shares_of(entry, |run| Some(run.cpu_milli))
     }
 
-    /// Returns the paces of fillers in percent, by image, at which no tail latency exceeds
-    /// `TARGET_FRACTION` of its target.
+    /// Returns the paces of fillers in percent, by image, at which no slack is below
+    /// `STEERED_SLACK`. The images with the largest effects are slowed down first, which costs the
+    /// least work.
     fn target_paces(&self, entry: &WorkerEntry) -> BTreeMap<ImageId, u32> {
         let full = self.full_speed_shares(entry);
         let mut paces = BTreeMap::new();
         for (image, headroom) in entry.headroom.iter().flatten() {
-            let rise = self.interference.log_rise(*image, &full);
-            if rise <= f64::EPSILON {
-                continue;
-            }
-            // The headroom already excludes the rise caused by the fillers at full speed.
-            let pace = ((1.0 + headroom / rise) * 100.0).clamp(0.0, 100.0) as u32;
-            let pace = if pace < MIN_PACE_CHANGE { 0 } else { pace };
-            for filler in full.keys() {
-                if self.interference.effect(*image, *filler) > 0.0 {
-                    let least = paces.entry(*filler).or_insert(100);
-                    *least = pace.min(*least);
+            let effect = |filler: &ImageId| self.interference.effect(*image, *filler);
+            let mut fillers: Vec<(ImageId, f64, f64)> =
+                full.iter().map(|(filler, share)| (*filler, effect(filler), *share)).collect();
+            fillers.sort_by(|a, b| b.1.total_cmp(&a.1));
+            // The headroom already excludes the loss caused by the fillers at full speed.
+            let mut missing = -headroom;
+            for (filler, effect, share) in fillers {
+                let loss = effect * share;
+                if missing <= 0.0 || effect < MIN_SLOWED_EFFECT || loss <= 0.0 {
+                    break;
                 }
+                let saved = missing.min(loss);
+                missing -= saved;
+                let pace = ((1.0 - saved / loss) * 100.0) as u32;
+                let pace = if pace < MIN_PACE_CHANGE { 0 } else { pace };
+                let lowest = paces.entry(filler).or_insert(100);
+                *lowest = pace.min(*lowest);
             }
         }
         paces
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -17,12 +17,11 @@
 const SAME_IMAGE_BONUS: i64 = 20_000;
 /// Penalty for each serving task of another image on the worker, in thousandths of a core.
 const OTHER_IMAGE_PENALTY: i64 = 20_000;
-/// Penalty for each unit by which the logarithm of a tail latency would rise, in thousandths of a
-/// core.
-const RISE_PENALTY: f64 = 200_000.0;
+/// Penalty for each unit of slack that a serving task would lose, in thousandths of a core.
+const LOSS_PENALTY: f64 = 50_000.0;
 /// Penalty for a serving task, for each unit of the effect of a filler on the worker, in
 /// thousandths of a core.
-const FILLER_EFFECT_PENALTY: f64 = 6_000.0;
+const FILLER_EFFECT_PENALTY: f64 = 2_000.0;
 /// Part of a filler's processor demand that has to be idle on its worker, in percent.
 const MIN_IDLE_PERCENT: i64 = 50;
 
@@ -151,7 +150,7 @@
     }
 
     /// Returns the score of a worker for a filler. Fillers go where processors are idle and the
-    /// rise of tail latencies is small; a worker without idle processors or headroom is excluded.
+    /// loss of slack is small; a worker without idle processors or headroom is excluded.
     fn score_filler(
         &self,
         entry: &WorkerEntry,
@@ -168,8 +167,8 @@
         let share = entry.share(spec.needs.cpu_milli);
         let serving = entry.serving.keys();
         let effects = serving.map(|other| self.interference.effect(*other, image));
-        let rise = effects.fold(0.0, f64::max) * share;
-        Some(spare - (rise * RISE_PENALTY) as i64)
+        let loss = effects.fold(0.0, f64::max) * share;
+        Some(spare - (loss * LOSS_PENALTY) as i64)
     }
 
     /// Starts a task on a worker, and grants the worker a lease for it.
--- a/comfreymill_jobs/src/scheduler/run.rs
+++ b/comfreymill_jobs/src/scheduler/run.rs
@@ -38,6 +38,9 @@
     pub(super) load: Option<u32>,
     /// Latest progress that the worker reported, in percent.
     pub(super) percent: u32,
+    /// Latest difference of a serving task's slack from what the level of its job and the fillers
+    /// beside it explain.
+    pub(super) deviation: f64,
     /// Time since which the run works at a low pace.
     pub(super) slowed_since: Option<time::Monotonic>,
     /// Time since which the tail latency exceeds its target.
@@ -94,6 +97,7 @@
             checkpoint: String::new(),
             load: None,
             percent: 0,
+            deviation: 0.0,
             slowed_since: None,
             over_since: None,
             progressed_at: now,
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -42,9 +42,8 @@
     pub(super) serving: BTreeMap<ImageId, u32>,
     /// Number of fillers on the worker.
     pub(super) fillers: u32,
-    /// By how much the logarithm of the tail latency of each serving image may rise, with all
-    /// fillers at full speed, before fillers would be slowed down; `None` if it has to be computed
-    /// again.
+    /// How much slack each serving image may lose, with all fillers at full speed, before fillers
+    /// would be slowed down; `None` if it has to be computed again.
     pub(super) headroom: Option<Vec<(ImageId, f64)>>,
     /// Whether a tail latency on the worker exceeds its target.
     pub(super) has_tail_over_target: bool,
