fix(jobs): commit a worker's departure before acknowledging it

A leader acknowledged that workers were leaving, ended, and the next leader started tasks on them 5 s later, because departures were only in the memory of the first. Change: a departure is in the log before it is acknowledged; a new leader places nothing on a leaving worker, takes long-running tasks off it after its first report, and ignores announcements sent before the departure.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -1,6 +1,6 @@
 use comfreymill_types::time;
 
-use super::Scheduler;
+use super::{Acknowledgement, Scheduler};
 use crate::id;
 use crate::state;
 use crate::worker;
@@ -13,14 +13,21 @@
 
 /// # Announcements of workers
 impl Scheduler {
-    /// Handles an announcement; one of an older incarnation or one overtaken by a newer
-    /// announcement is ignored.
-    pub fn announced(&mut self, now: time::Monotonic, announcement: worker::Announcement) {
+    /// Handles an announcement and returns when it may be acknowledged; one of an older incarnation
+    /// or one overtaken by a newer announcement is ignored.
+    ///
+    /// A worker that was told that its departure is known must get no task from any later leader, so
+    /// the departure is committed first.
+    pub fn announced(
+        &mut self,
+        now: time::Monotonic,
+        announcement: worker::Announcement,
+    ) -> Acknowledgement {
         let number = self.find_incarnation(&announcement);
         if let Some(number) = number {
-            self.update_announcement(now, number, announcement);
-            return;
+            return self.update_announcement(now, number, announcement);
         }
+        let is_leaving = announcement.leaving_in.is_some();
         let is_outdated = self.workers.values().any(|worker| {
             let other = &worker.replicated.announced;
             let is_same = other.name == announcement.name || other.address == announcement.address;
@@ -28,7 +35,7 @@
         });
         if is_outdated {
             log::info!(target: "workers", worker:% = announcement.name, born = announcement.born_unix_ms; "an announcement of an older incarnation is ignored");
-            return;
+            return Acknowledgement::Now;
         }
         let pending = self.pending_workers.get(&announcement.name);
         let is_proposed = pending
@@ -39,6 +46,14 @@
         }
         let pending = PendingWorker { announcement };
         self.pending_workers.insert(pending.announcement.name.clone(), pending);
+        if is_leaving { Acknowledgement::OnceAdded } else { Acknowledgement::Now }
+    }
+
+    /// Handles the entry of a leaving worker in the log.
+    pub fn worker_leaving(&mut self, number: id::WorkerNumber, state: &state::State) {
+        if let Some(entry) = self.workers.get_mut(&number) {
+            entry.leaving_since = state.get_leaving().get(&number).copied();
+        }
     }
 
     /// Handles a worker incarnation that was added to the log; earlier incarnations with the same
@@ -64,20 +79,27 @@
         for earlier in earlier {
             self.worker_gone(now, earlier, "a later incarnation has announced itself");
         }
-        let entry = super::worker::WorkerEntry::new(replicated.clone(), now, now);
+        let announced = &replicated.announced;
+        let leaving_since = announced.leaving_in.map(|_| announced.sequence);
+        let entry = super::worker::WorkerEntry::new(replicated.clone(), leaving_since, now, now);
         self.workers.insert(number, entry);
         log::info!(target: "workers", worker:% = replicated.announced.name, number:% = number, address:% = replicated.announced.address, born = replicated.announced.born_unix_ms; "a worker is registered");
         if let Some(pending) = self.pending_workers.remove(&replicated.announced.name)
             && pending.announcement.born_unix_ms == replicated.announced.born_unix_ms
         {
-            self.update_announcement(now, number, pending.announcement);
+            // A departure is committed with the next announcement, which is not acknowledged before.
+            let _ = self.update_announcement(now, number, pending.announcement);
         }
         self.poll(now, number);
     }
 
     /// Handles the departure of a worker; its runs end with it, at the latest when its lease
-    /// expires.
-    pub fn departed(&mut self, now: time::Monotonic, departure: &worker::Departure) {
+    /// expires. Returns the command to commit before it is acknowledged, if there is one.
+    pub fn departed(
+        &mut self,
+        now: time::Monotonic,
+        departure: &worker::Departure,
+    ) -> Option<state::Command> {
         self.pending_workers.remove(&departure.name);
         let gone: Vec<id::WorkerNumber> = self
             .workers
@@ -85,12 +107,17 @@
             .filter(|(_, worker)| worker.replicated.announced.name == departure.name)
             .map(|(number, _)| *number)
             .collect();
+        let mut command = None;
         for number in gone {
             let Some(entry) = self.workers.get_mut(&number) else { continue };
             entry.announcement.leaving_in.get_or_insert_default();
             entry.next_poll_at = now;
             log::info!(target: "workers", worker:% = departure.name, number:% = number; "a worker has announced its departure");
+            if entry.leaving_since.is_none() {
+                command = Some(state::Command::MarkLeaving { worker: number, sequence: u64::MAX });
+            }
         }
+        command
     }
 
     /// Returns the number of the incarnation that sent an announcement, if it is in the log.
@@ -107,13 +134,14 @@
         now: time::Monotonic,
         number: id::WorkerNumber,
         announcement: worker::Announcement,
-    ) {
+    ) -> Acknowledgement {
         let cfg = self.cfg;
-        let Some(entry) = self.workers.get_mut(&number) else { return };
-        let is_outdated =
-            entry.has_announced && announcement.sequence <= entry.announcement.sequence;
+        let Some(entry) = self.workers.get_mut(&number) else { return Acknowledgement::Now };
+        let sequence = announcement.sequence;
+        let is_outdated = (entry.has_announced && sequence <= entry.announcement.sequence)
+            || entry.leaving_since.is_some_and(|since| sequence < since);
         if entry.is_gone || is_outdated {
-            return;
+            return Acknowledgement::Now;
         }
         if let Some(clock_ms) = announcement.clock_ms {
             entry.update_clock(&cfg, clock_ms, now);
@@ -123,17 +151,25 @@
         let is_new = !entry.has_announced;
         entry.announcement = announcement;
         entry.has_announced = true;
+        let is_committed = entry.leaving_since.is_some();
         if is_leaving && !was_leaving {
+            log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, runs = entry.runs.len(); "a worker is leaving");
+        }
+        if is_leaving {
             self.evacuate(now, number);
         }
         self.needs_placement |= is_new || was_leaving != is_leaving;
+        if is_leaving && !is_committed {
+            Acknowledgement::Committed(state::Command::MarkLeaving { worker: number, sequence })
+        } else {
+            Acknowledgement::Now
+        }
     }
 
     /// Stops the long-running tasks on a worker that is leaving, so that they move to other
     /// workers.
-    fn evacuate(&mut self, now: time::Monotonic, number: id::WorkerNumber) {
+    pub(super) fn evacuate(&mut self, now: time::Monotonic, number: id::WorkerNumber) {
         let Some(entry) = self.workers.get(&number) else { return };
-        log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, runs = entry.runs.len(); "a worker is leaving");
         let tasks: Vec<id::TaskId> = entry.runs.keys().copied().collect();
         for task in tasks {
             if self.step_spec(task.step).is_some_and(|spec| spec.is_long_running) {
--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 //! without an answer may still be carried out later, so it is followed by a stop order, after which
 //! the worker refuses the start.
 
+mod acknowledgement;
 mod announcements;
 mod answer;
 mod config;
@@ -30,6 +31,7 @@
 mod tick;
 mod worker;
 
+pub use acknowledgement::Acknowledgement;
 pub use answer::{Answer, PollAnswer, Refusal, StartAnswer};
 pub use config::Config;
 pub use order::Order;
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -4,6 +4,7 @@
 
 use super::run::{self, RunEntry, RunPhase};
 use super::task::TaskPhase;
+use super::worker::WorkerEntry;
 use super::{Order, PollAnswer, Scheduler};
 use crate::id;
 use crate::state;
@@ -115,6 +116,11 @@
             self.release_missing(now, number, asked_at, &report);
         }
         self.record_ends(number, report.ended);
+        // Runs that this leader did not start may have been adopted since the announcement.
+        let is_leaving = |worker: &WorkerEntry| worker.announcement.leaving_in.is_some();
+        if self.workers.get(&number).is_some_and(is_leaving) {
+            self.evacuate(now, number);
+        }
         self.pace(now, number);
         let Some(entry) = self.workers.get_mut(&number) else { return };
         entry.next_poll_at = if entry.runs.is_empty() { now + IDLE_POLL_PERIOD } else { now };
--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -25,7 +25,8 @@
     ) -> Self {
         let lease_over_at = now + cfg.max_leader_time(cfg.get_lease());
         let workers = state.get_workers().iter().map(|(number, worker)| {
-            (*number, WorkerEntry::new(worker.clone(), lease_over_at, now))
+            let leaving_since = state.get_leaving().get(number).copied();
+            (*number, WorkerEntry::new(worker.clone(), leaving_since, lease_over_at, now))
         });
         let unix_ms = u64::try_from(since_1970.as_millis()).unwrap_or(u64::MAX);
         let mut scheduler = Self {
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -19,6 +19,9 @@
     pub(super) announcement: worker::Announcement,
     /// Whether the worker has announced itself to this leader.
     pub(super) has_announced: bool,
+    /// Sequence number of the announcement that said that the worker is leaving, once that is in the
+    /// log.
+    pub(super) leaving_since: Option<u64>,
     /// Time of the worker's last report.
     pub(super) reported_at: time::Monotonic,
     /// Whether the worker has answered a poll of this leader.
@@ -67,15 +70,17 @@
 
 impl WorkerEntry {
     /// Creates the entry of a worker that has not reported to this leader yet; an earlier leader
-    /// may have granted it a lease that ends at `lease_over_at`.
+    /// may have granted it a lease that ends at `lease_over_at`. `leaving_since` is the sequence
+    /// number of the announcement that said that it is leaving, if it is.
     pub(super) fn new(
         replicated: state::Worker,
+        leaving_since: Option<u64>,
         lease_over_at: time::Monotonic,
         now: time::Monotonic,
     ) -> Self {
-        // The departure time and the clock reading of the first announcement are out of date.
+        // The clock reading of the first announcement is out of date.
         let announcement = worker::Announcement {
-            leaving_in: None,
+            leaving_in: leaving_since.map(|_| Duration::ZERO),
             clock_ms: None,
             ..replicated.announced.clone()
         };
@@ -83,6 +88,7 @@
             replicated,
             announcement,
             has_announced: false,
+            leaving_since,
             reported_at: now,
             has_answered: false,
             had_known_runs: false,
--- a/comfreymill_jobs/src/state/apply.rs
+++ b/comfreymill_jobs/src/state/apply.rs
@@ -21,6 +21,8 @@
     NoSuchJob(id::JobKey),
     /// A worker incarnation was added.
     WorkerAdded(id::WorkerNumber),
+    /// A worker incarnation is leaving.
+    WorkerLeaving(id::WorkerNumber),
     /// Worker incarnations were removed.
     WorkersDropped(Vec<id::WorkerNumber>),
     /// Ends of runs were recorded.
@@ -55,12 +57,16 @@
             Command::Cancel { job } => self.cancel(job),
             Command::AddWorker { announced } => {
                 self.last_worker = self.last_worker.next();
+                if announced.leaving_in.is_some() {
+                    self.leaving.insert(self.last_worker, announced.sequence);
+                }
                 let worker = Worker { announced: *announced, noted: 0 };
                 self.workers.insert(self.last_worker, worker);
                 Effect::WorkerAdded(self.last_worker)
             }
             Command::DropWorkers { workers } => {
                 self.workers.retain(|number, _| !workers.contains(number));
+                self.leaving.retain(|number, _| !workers.contains(number));
                 Effect::WorkersDropped(workers)
             }
             Command::NoteEnds { worker, ends } => self.record_ends(worker, ends),
@@ -72,6 +78,14 @@
                 }
                 Effect::None
             }
+            Command::MarkLeaving { worker, sequence } => {
+                if !self.workers.contains_key(&worker) {
+                    return Effect::None;
+                }
+                let newest = self.leaving.entry(worker).or_default();
+                *newest = sequence.max(*newest);
+                Effect::WorkerLeaving(worker)
+            }
         }
     }
 
--- a/comfreymill_jobs/src/state/command.rs
+++ b/comfreymill_jobs/src/state/command.rs
@@ -46,6 +46,13 @@
         /// Keys of the jobs.
         jobs: Vec<id::JobKey>,
     },
+    /// Records that a worker is leaving and gets no more tasks.
+    MarkLeaving {
+        /// Number of the incarnation.
+        worker: id::WorkerNumber,
+        /// Sequence number of the announcement that said so; later ones may say otherwise.
+        sequence: u64,
+    },
 }
 
 /// Job with the queue that it was submitted to.
--- a/comfreymill_jobs/src/state/state.rs
+++ b/comfreymill_jobs/src/state/state.rs
@@ -21,6 +21,8 @@
     pub(super) workers: BTreeMap<id::WorkerNumber, Worker>,
     /// Number of the newest worker incarnation.
     pub(super) last_worker: id::WorkerNumber,
+    /// Workers that are leaving, with the sequence numbers of the announcements that said so.
+    pub(super) leaving: BTreeMap<id::WorkerNumber, u64>,
 }
 
 /// Routes in force, decoded and as received.
@@ -42,6 +44,9 @@
     pub source: postcard::Error,
 }
 
+/// Encoding of a map without entries.
+const EMPTY_MAP: &[u8] = &[0];
+
 impl State {
     /// Decodes the state from a snapshot.
     ///
@@ -49,7 +54,14 @@
     ///
     /// Returns an error if the snapshot is malformed.
     pub fn from_snapshot(data: &[u8]) -> Result<Self, StateError> {
-        postcard::from_bytes(data).map_err(|source| StateError { what: "snapshot", source })
+        let decoded = postcard::from_bytes(data).or_else(|error| match error {
+            // A snapshot of version 0.1 ends before the leaving workers.
+            postcard::Error::DeserializeUnexpectedEnd => {
+                postcard::from_bytes(&[data, EMPTY_MAP].concat())
+            }
+            _ => Err(error),
+        });
+        decoded.map_err(|source| StateError { what: "snapshot", source })
     }
 
     /// Encodes this state as a snapshot.
@@ -86,4 +98,10 @@
     pub fn get_workers(&self) -> &BTreeMap<id::WorkerNumber, Worker> {
         &self.workers
     }
+
+    /// Returns the workers that are leaving, with the sequence numbers of the announcements that
+    /// said so.
+    pub fn get_leaving(&self) -> &BTreeMap<id::WorkerNumber, u64> {
+        &self.leaving
+    }
 }
--- a/comfreymill_jobs/tests/scheduler/leases.rs
+++ b/comfreymill_jobs/tests/scheduler/leases.rs
@@ -69,7 +69,7 @@
     let (mut leader, start) = one_started();
     leader.started(&start, StartAnswer::Started);
     let later = leader.announcement("first", 11);
-    leader.scheduler.announced(leader.now, later);
+    leader.announce(later);
     leader.settle();
     assert_eq!(leader.take_starts().len(), 1);
 }
@@ -79,7 +79,7 @@
     let (mut leader, start) = one_started();
     leader.started(&start, StartAnswer::Started);
     let older = leader.announcement("first", 9);
-    leader.scheduler.announced(leader.now, older);
+    leader.announce(older);
     leader.settle();
     assert!(leader.take_starts().is_empty());
     assert_eq!(leader.state.get_workers().len(), 2);
--- a/comfreymill_jobs/tests/scheduler/order.rs
+++ b/comfreymill_jobs/tests/scheduler/order.rs
@@ -61,7 +61,7 @@
     leader.worker("w");
     let mut leaving = leader.announcement("w", 10);
     leaving.leaving_in = Some(Duration::from_millis(2_500));
-    leader.scheduler.announced(leader.now, leaving);
+    leader.announce(leaving);
     leader.submit(spec(vec![step(1)]));
     leader.advance(Duration::from_millis(100));
     assert!(leader.take_starts().is_empty());
@@ -74,8 +74,8 @@
     let older = leader.announcement("w", 10);
     let mut leaving = leader.announcement("w", 10);
     leaving.leaving_in = Some(Duration::from_millis(2_500));
-    leader.scheduler.announced(leader.now, leaving);
-    leader.scheduler.announced(leader.now, older);
+    leader.announce(leaving);
+    leader.announce(older);
     leader.submit(spec(vec![step(1)]));
     assert!(leader.take_starts().is_empty());
 }
--- a/comfreymill_jobs/tests/scheduler/succession.rs
+++ b/comfreymill_jobs/tests/scheduler/succession.rs
@@ -27,7 +27,7 @@
     for name in ["first", "second"] {
         let mut announcement = leader.announcement(name, 10);
         announcement.sequence += 100;
-        leader.scheduler.announced(leader.now, announcement);
+        leader.announce(announcement);
     }
     leader.advance(Duration::from_millis(1));
 }
@@ -148,3 +148,56 @@
     leader.advance(Duration::from_millis(1));
     assert_eq!(leader.take_starts().len(), 3);
 }
+
+/// A leader acknowledges that a worker is leaving and ends; the next one has heard from the worker
+/// only through a report of its runs.
+#[test]
+fn a_worker_whose_departure_was_acknowledged_gets_no_task_from_the_next_leader() {
+    let (mut leader, starts) = with_next_leader();
+    let late = leader.announcement("first", 10);
+    let mut leaving = leader.announcement("first", 10);
+    leaving.leaving_in = Some(Duration::from_millis(2_500));
+    assert!(leader.announce(leaving));
+    let mut leader = leader.into_next_leader();
+    leader.advance(Duration::from_millis(1));
+    for start in &starts {
+        leader.report(start.worker, running(&[*start]));
+    }
+    // An announcement that was sent before the departure arrives late.
+    leader.announce(late);
+    leader.submit_as(0x0dd, spec(vec![step(3)]));
+    leader.advance(Duration::from_millis(1));
+    let started = leader.take_starts();
+    assert_eq!(started.len(), 3);
+    assert!(started.iter().all(|start| start.worker == starts[1].worker), "{started:?}");
+}
+
+#[test]
+fn long_running_tasks_leave_a_leaving_worker_that_the_next_leader_finds() {
+    let mut leader = Leader::new();
+    let worker = leader.worker("first");
+    let mut lasting = step(1);
+    lasting.is_long_running = true;
+    leader.submit(spec(vec![lasting]));
+    let start = leader.take_starts()[0];
+    leader.started(&start, StartAnswer::Started);
+    let mut leaving = leader.announcement("first", 10);
+    leaving.leaving_in = Some(Duration::from_millis(2_500));
+    leader.announce(leaving);
+    let mut leader = leader.into_next_leader();
+    leader.advance(Duration::from_millis(1));
+    leader.report(worker, running(&[start]));
+    let is_stop = |order: &Order| matches!(order, Order::Stop { task, .. } if *task == start.task);
+    assert!(leader.orders.iter().any(is_stop));
+}
+
+#[test]
+fn a_departure_is_not_acknowledged_before_the_worker_is_in_the_log() {
+    let mut leader = Leader::new();
+    let mut leaving = leader.announcement("w", 10);
+    leaving.leaving_in = Some(Duration::from_millis(2_500));
+    assert!(!leader.announce(leaving.clone()));
+    leaving.sequence += 1;
+    assert!(leader.announce(leaving));
+    assert_eq!(leader.state.get_leaving().len(), 1);
+}
--- a/comfreymill_jobs/tests/state/mod.rs
+++ b/comfreymill_jobs/tests/state/mod.rs
@@ -98,3 +98,12 @@
     assert_eq!(State::from_snapshot(&data).expect("decoded"), state);
     assert!(State::from_snapshot(&data[..data.len() / 2]).is_err());
 }
+
+#[test]
+fn a_snapshot_without_leaving_workers_is_read() {
+    let state = state_of(vec![add_worker(), submit()]);
+    let data = state.to_snapshot().expect("the state is encoded");
+    let earlier = &data[..data.len() - 1];
+    assert_eq!(State::from_snapshot(earlier).expect("the state is decoded"), state);
+    assert!(State::from_snapshot(&data[..data.len() - 2]).is_err());
+}
--- a/comfreymill_jobs/tests/support/mod.rs
+++ b/comfreymill_jobs/tests/support/mod.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use comfreymill_jobs::scheduler::{Answer, Config, Order, PollAnswer, Scheduler, StartAnswer};
+use comfreymill_jobs::scheduler::{
+    Acknowledgement, Answer, Config, Order, PollAnswer, Scheduler, StartAnswer,
+};
 use comfreymill_jobs::state::{Command, Effect, State, Submission};
 use comfreymill_jobs::{id, job, routes, worker};
 use comfreymill_types::time::Monotonic;
@@ -158,6 +160,7 @@
             Effect::WorkerAdded(number) => {
                 self.scheduler.worker_added(now, number, &state.get_workers()[&number]);
             }
+            Effect::WorkerLeaving(number) => self.scheduler.worker_leaving(number, state),
             Effect::EndsNoted { worker, ends } => {
                 self.scheduler.ends_noted(now, worker, &ends, state);
             }
@@ -188,8 +191,7 @@
     /// Adds a worker that has announced itself and answered its first poll; returns its number.
     pub(crate) fn worker(&mut self, name: &str) -> id::WorkerNumber {
         let announcement = self.announcement(name, 10);
-        self.scheduler.announced(self.now, announcement);
-        self.settle();
+        self.announce(announcement);
         let mut workers = self.state.get_workers().iter();
         let known = workers.find(|(_, worker)| worker.announced.name.as_str() == name);
         let number = *known.expect("the worker is in the log").0;
@@ -197,6 +199,18 @@
         number
     }
 
+    /// Handles an announcement and commits what has to be committed before it is acknowledged;
+    /// returns whether it is acknowledged then.
+    pub(crate) fn announce(&mut self, announcement: worker::Announcement) -> bool {
+        let acknowledgement = self.scheduler.announced(self.now, announcement);
+        let is_acknowledged = acknowledgement != Acknowledgement::OnceAdded;
+        if let Acknowledgement::Committed(command) = acknowledgement {
+            self.commit(vec![command]);
+        }
+        self.settle();
+        is_acknowledged
+    }
+
     /// Answers a poll with a report and the worker's clock.
     pub(crate) fn report(&mut self, number: id::WorkerNumber, report: worker::Report) {
         let clock_ms = Some(5_000 + self.now.as_micros() / 1_000);
--- a/comfreymill_node/src/scheduler/core/calls.rs
+++ b/comfreymill_node/src/scheduler/core/calls.rs
@@ -2,6 +2,7 @@
 use comfreymill_jobs::id;
 use comfreymill_jobs::job;
 use comfreymill_jobs::routes;
+use comfreymill_jobs::scheduler;
 use comfreymill_jobs::state;
 use comfreymill_types::time;
 
@@ -45,16 +46,22 @@
             Call::Show { host, path } => reply.send(&self.show_job(&host, &path)),
             Call::Cancel { host, path } => self.cancel(&host, &path, reply),
             Call::Announce(announcement) => {
-                if let Some(leadership) = &mut self.leadership {
-                    leadership.scheduler.announced(now, *announcement);
+                let heard = Reply::Heard(Some(self.cfg.control));
+                let Some(leadership) = &mut self.leadership else { return };
+                match leadership.scheduler.announced(now, *announcement) {
+                    scheduler::Acknowledgement::Now => reply.send(&heard),
+                    scheduler::Acknowledgement::Committed(command) => {
+                        self.queue_command(command, reply, heard);
+                    }
+                    scheduler::Acknowledgement::OnceAdded => reply.send(&Reply::NotLeader),
                 }
-                reply.send(&Reply::Heard(Some(self.cfg.control)));
             }
             Call::Depart(departure) => {
-                if let Some(leadership) = &mut self.leadership {
-                    leadership.scheduler.departed(now, &departure);
+                let Some(leadership) = &mut self.leadership else { return };
+                match leadership.scheduler.departed(now, &departure) {
+                    Some(command) => self.queue_command(command, reply, Reply::Done),
+                    None => reply.send(&Reply::Done),
                 }
-                reply.send(&Reply::Done);
             }
             Call::PutRoutes { table, document } => self.put_routes(table, document, reply),
             Call::GetRoutes => reply.send(&leadership::routes_reply(&self.state)),
--- a/comfreymill_node/src/scheduler/core/commit.rs
+++ b/comfreymill_node/src/scheduler/core/commit.rs
@@ -109,6 +109,9 @@
                     scheduler.worker_added(now, number, worker);
                 }
             }
+            state::Effect::WorkerLeaving(number) => {
+                scheduler.worker_leaving(number, &self.state);
+            }
             state::Effect::WorkersDropped(workers) => {
                 for worker in workers {
                     leadership.order_sender.remove_worker(worker);
