fix(node): bound the connections to workers by the descriptors of the process

Change: a setting descriptors; at most half of them are for connections to workers, idle ones are closed after 5 s, and order connections above seven eighths of the bound are closed after use; the listener has a bound of its own.

--- a/comfreymill_node/src/scheduler/orders/delivery.rs
+++ b/comfreymill_node/src/scheduler/orders/delivery.rs
@@ -9,6 +9,7 @@
 use comfreymill_platform as platform;
 
 use super::OrderResult;
+use super::connections::{Connections, Permit};
 use crate::clock;
 use crate::metering::observe;
 use crate::scheduler::core::Input;
@@ -17,6 +18,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum time for an answer, in addition to the delay that the order allows the worker.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time without orders after which a connection is closed; each occupies a descriptor.
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
 /// Maximum size of an answer; 500 ends and the runs of a full worker take far less.
 const MAX_ANSWER_BYTES: u64 = 1 << 20;
 
@@ -30,6 +33,12 @@
     pub(super) clock: clock::Clock,
 }
 
+/// Connection to a worker, kept open between orders.
+struct Slot {
+    connection: Option<client::Connection>,
+    _permit: Permit,
+}
+
 /// Outcome of sending an order.
 enum Outcome {
     /// The worker answered with this status and body.
@@ -68,16 +77,27 @@
 /// Sends the orders of a queue one at a time over a dedicated connection.
 pub(super) async fn run(
     target: Target,
+    connections: Connections,
     orders: flume::Receiver<scheduler::Order>,
     inputs: flume::Sender<Input>,
 ) {
     // Two tasks on one receiver can wake each other endlessly; see `WorkerQueues`.
     debug_assert_eq!(orders.receiver_count(), 1, "the order queue has more than one receiver");
     let mut connection = None;
-    while let Ok(order) = orders.recv_async().await {
+    while let Some(order) = next_order(&orders, &mut connection).await {
         let sent_at = target.clock.now();
         let (request, wait) = to_request(&target, &order);
-        let outcome = exchange(&target, &mut connection, request, wait).await;
+        let is_poll = matches!(order, scheduler::Order::Poll { .. });
+        if connection.is_none() {
+            let permit =
+                if is_poll { connections.open() } else { connections.wait_to_open().await };
+            connection = Some(Slot { connection: None, _permit: permit });
+        }
+        let Some(slot) = &mut connection else { return };
+        let outcome = exchange(&target, &mut slot.connection, request, wait).await;
+        if slot.connection.is_none() || (!is_poll && connections.is_scarce() && orders.is_empty()) {
+            connection = None;
+        }
         let duration = target.clock.now().since(sent_at);
         observe::order(kind_label(&order), outcome.label(), duration);
         let answer = to_answer(&order, outcome);
@@ -89,6 +109,20 @@
     }
 }
 
+/// Returns the next order; closes the connection after `IDLE_LIMIT` without one.
+async fn next_order(
+    orders: &flume::Receiver<scheduler::Order>,
+    connection: &mut Option<Slot>,
+) -> Option<scheduler::Order> {
+    if connection.is_some() {
+        match monoio::time::timeout(IDLE_LIMIT, orders.recv_async()).await {
+            Ok(received) => return received.ok(),
+            Err(_) => *connection = None,
+        }
+    }
+    orders.recv_async().await.ok()
+}
+
 fn to_request(target: &Target, order: &scheduler::Order) -> (platform::Outbound, Duration) {
     let (name, fence) = (&target.name, target.fence);
     match order {
--- a/comfreymill_node/src/scheduler/orders/mod.rs
+++ b/comfreymill_node/src/scheduler/orders/mod.rs
@@ -1,5 +1,6 @@
 //! Delivery of orders to workers and of their answers to the core. It makes no decisions.
 
+mod connections;
 mod delivery;
 mod order_sender;
 
--- a/comfreymill_node/src/scheduler/orders/order_sender.rs
+++ b/comfreymill_node/src/scheduler/orders/order_sender.rs
@@ -6,6 +6,7 @@
 use comfreymill_jobs::scheduler;
 use comfreymill_types::time;
 
+use super::connections::Connections;
 use super::delivery;
 use crate::clock;
 use crate::scheduler::core::Input;
@@ -32,6 +33,7 @@
     fence: id::Fence,
     clock: clock::Clock,
     inputs: flume::Sender<Input>,
+    connections: Connections,
     queues: BTreeMap<id::WorkerNumber, WorkerQueues>,
 }
 
@@ -47,13 +49,16 @@
 }
 
 impl OrderSender {
-    /// Creates the sender of the leader with the fencing token `fence`.
+    /// Creates the sender of the leader with the fencing token `fence`, in a process that may use
+    /// `descriptors` descriptors.
     pub(in crate::scheduler) fn new(
         fence: id::Fence,
         clock: clock::Clock,
         inputs: flume::Sender<Input>,
+        descriptors: usize,
     ) -> Self {
-        Self { fence, clock, inputs, queues: BTreeMap::new() }
+        let connections = Connections::new(descriptors);
+        Self { fence, clock, inputs, connections, queues: BTreeMap::new() }
     }
 
     /// Sends an order to the worker `name` at `address`.
@@ -65,9 +70,10 @@
     ) {
         let worker = order.worker();
         let (fence, clock, inputs) = (self.fence, self.clock, &self.inputs);
+        let connections = &self.connections;
         let worker_queues = self.queues.entry(worker).or_insert_with(|| {
             let target = delivery::Target { worker, name: name.clone(), address, fence, clock };
-            WorkerQueues::start(&target, inputs)
+            WorkerQueues::start(&target, connections, inputs)
         });
         // A task ends only after its queue is closed, or when the core has ended.
         worker_queues.queue_for(&order).send(order).ok();
@@ -80,10 +86,15 @@
 }
 
 impl WorkerQueues {
-    fn start(target: &delivery::Target, inputs: &flume::Sender<Input>) -> Self {
+    fn start(
+        target: &delivery::Target,
+        connections: &Connections,
+        inputs: &flume::Sender<Input>,
+    ) -> Self {
         let queue = || {
             let (orders, rx) = flume::unbounded();
-            monoio::spawn(delivery::run(target.clone(), rx, inputs.clone()));
+            let connections = connections.clone();
+            monoio::spawn(delivery::run(target.clone(), connections, rx, inputs.clone()));
             orders
         };
         Self { polls: queue(), orders: std::array::from_fn(|_| queue()) }
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -73,6 +73,7 @@
         control: settings.get_control(),
         decisions: scheduler::Config::new(settings.get_lease()),
         voters: settings.get_voters(),
+        descriptors: settings.get_descriptors(),
         snapshot_entries: settings.get_snapshot_entries(),
     };
     let core = Core::new(cfg.clone(), replica, thread, links, inputs.clone());
@@ -89,7 +90,8 @@
         monoio::spawn(server::serve(observers, limits, observer, server::Shutdown::new()));
     }
     let shutdown = server::Shutdown::new();
-    let served = server::serve(listener, limits::Limits::new(), handler, shutdown.clone());
+    let limits = limits::Limits::new().max_connections(settings.get_descriptors() * 3 / 8);
+    let served = server::serve(listener, limits, handler, shutdown.clone());
     monoio::spawn(served);
     monoio::select! {
         failure = run_core(core, &rx, settings, &cfg, &inputs) => {
--- a/comfreymill_node/src/settings/scheduler_settings.rs
+++ b/comfreymill_node/src/settings/scheduler_settings.rs
@@ -13,6 +13,11 @@
 /// A log of this many entries is read in well under a second.
 const SNAPSHOT_ENTRIES: u64 = 4_000;
 
+/// Common limit of descriptors of a process.
+const DESCRIPTORS: usize = 4_096;
+/// Number of descriptors below which a scheduler can't serve its listeners and its members.
+const MIN_DESCRIPTORS: usize = 64;
+
 /// Settings of a scheduler process.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SchedulerSettings {
@@ -22,6 +27,7 @@
     is_founding: bool,
     lease: Duration,
     voters: usize,
+    descriptors: usize,
     snapshot_entries: u64,
 }
 
@@ -56,6 +62,11 @@
         self.voters
     }
 
+    /// Number of descriptors that the process may use.
+    pub fn get_descriptors(&self) -> usize {
+        self.descriptors
+    }
+
     /// Number of log entries between two snapshots.
     pub fn get_snapshot_entries(&self) -> u64 {
         self.snapshot_entries
@@ -72,6 +83,10 @@
         let lease: Option<time::Span> = section.required("lease");
         let voters = section.optional("voters").unwrap_or(VOTERS);
         let snapshot_entries = section.optional("snapshot_entries").unwrap_or(SNAPSHOT_ENTRIES);
+        let descriptors = section.optional("descriptors").unwrap_or(DESCRIPTORS);
+        if descriptors < MIN_DESCRIPTORS {
+            section.problem("descriptors", "a scheduler needs at least 64 descriptors");
+        }
         if voters == 0 {
             section.problem("voters", "a group has at least 1 voter");
         }
@@ -85,6 +100,7 @@
             is_founding: is_founding?,
             lease: lease?.into(),
             voters,
+            descriptors,
             snapshot_entries,
         })
     }
