--- a/tests/platform/test_bed.rs
+++ b/tests/platform/test_bed.rs
@@ -27,13 +27,18 @@
 impl TestBed {
     /// Starts a group of one scheduler and a gateway, and sets routes to one pool.
     pub(super) fn start() -> Self {
+        Self::with_descriptors(4_096)
+    }
+
+    /// Starts the processes with a scheduler that may use `descriptors` descriptors.
+    pub(super) fn with_descriptors(descriptors: usize) -> Self {
         let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
         let [_, _, high, low] = std::process::id().to_be_bytes();
         let address = Ipv4Addr::new(127, 200_u8.wrapping_add(number) | 1, high, low | 1);
         let folder = std::env::temp_dir().join(format!("comfreymill-bed-{address}"));
         fs::create_dir_all(&folder).expect("the folder is made");
         let mut bed = Self { address, folder, processes: Vec::new() };
-        bed.run("scheduler", &bed.scheduler_settings());
+        bed.run("scheduler", &bed.scheduler_settings(descriptors));
         bed.run("gateway", &bed.gateway_settings());
         bed.wait("routes to be accepted", || standin::put_routes(bed.control()));
         bed
@@ -70,6 +75,12 @@
         }
     }
 
+    /// Returns the number of descriptors that the scheduler has open.
+    pub(super) fn scheduler_descriptors(&self) -> usize {
+        let folder = format!("/proc/{}/fd", self.processes[0].id());
+        fs::read_dir(folder).expect("the process runs").count()
+    }
+
     /// Returns the processor time that the scheduler has used.
     pub(super) fn scheduler_cpu(&self) -> Duration {
         let id = self.processes[0].id();
@@ -91,11 +102,12 @@
         self.processes.push(command.spawn().expect("the program starts"));
     }
 
-    fn scheduler_settings(&self) -> String {
+    fn scheduler_settings(&self, descriptors: usize) -> String {
         let sample = include_str!("../../samples/scheduler.yaml");
         let data = self.folder.join("data");
         let text = sample.replace("127.0.0.1", &self.address.to_string());
         text.replace("voters: 5", "voters: 1")
+            .replace("descriptors: 4096", &format!("descriptors: {descriptors}"))
             .replace("data/scheduler", data.to_str().expect("the path is text"))
     }
 
--- a/tests/platform/whole_path.rs
+++ b/tests/platform/whole_path.rs
@@ -37,3 +37,23 @@
     let used = bed.scheduler_cpu() - before;
     assert!(used < Duration::from_millis(500), "{used:?} of a second were used while idle");
 }
+
+/// A leader with three connections to each worker ran out of descriptors and ended.
+#[test]
+fn a_scheduler_with_many_workers_keeps_to_its_descriptors() {
+    const DESCRIPTORS: usize = 64;
+    let bed = TestBed::with_descriptors(DESCRIPTORS);
+    let caller = bed.caller();
+    for number in 0..25 {
+        standin::start_worker(&format!("w-{number}"), bed.get_address(), bed.control());
+    }
+    for job in JOBS {
+        bed.wait("a job to be accepted", || caller.submit(job, TASKS));
+    }
+    let mut most = 0;
+    for job in JOBS {
+        bed.wait("a job to be completed", || caller.is_completed(job));
+        most = bed.scheduler_descriptors().max(most);
+    }
+    assert!(most <= DESCRIPTORS, "{most} descriptors were open");
+}
