--- a/comfreymill_node/src/scheduler/core/leadership.rs
+++ b/comfreymill_node/src/scheduler/core/leadership.rs
@@ -77,10 +77,11 @@
         }
         let Some(leadership) = &mut self.leadership else { return };
         leadership.scheduler.place(now);
+        let workers = self.state.get_workers().len();
         for order in leadership.scheduler.take_orders() {
             let Some(worker) = leadership.scheduler.worker(order.worker()) else { continue };
             let announced = &worker.announced;
-            leadership.order_sender.send(order, &announced.name, announced.address);
+            leadership.order_sender.send(order, &announced.name, announced.address, workers);
         }
         self.commands.extend(leadership.scheduler.take_commands());
     }
--- a/comfreymill_node/src/scheduler/orders/connections.rs
+++ b/comfreymill_node/src/scheduler/orders/connections.rs
@@ -29,6 +29,12 @@
         Self { open: Rc::new(Cell::new(0)), most: descriptors / 2 }
     }
 
+    /// Returns how many connections for orders each of `workers` workers may have, beside the one
+    /// for polls: a second one lets orders to distant workers overlap.
+    pub(super) fn orders_per_worker(&self, workers: usize) -> usize {
+        if workers.saturating_mul(3) <= self.most { 2 } else { 1 }
+    }
+
     /// Counts a connection that is opened regardless of the bound, for polls: without them, the
     /// worker's lease would expire.
     pub(super) fn open(&self) -> Permit {
@@ -46,7 +52,7 @@
 
     /// Returns whether idle connections should be closed, so that others can be opened.
     pub(super) fn is_scarce(&self) -> bool {
-        self.open.get() > self.most - self.most / 8
+        self.open.get() > self.most - self.most / 16
     }
 }
 
--- a/comfreymill_node/src/scheduler/orders/order_sender.rs
+++ b/comfreymill_node/src/scheduler/orders/order_sender.rs
@@ -11,9 +11,6 @@
 use crate::clock;
 use crate::scheduler::core::Input;
 
-/// Number of connections to a worker for starts, stops and paces; polls use a separate one.
-const ORDER_CONNECTIONS: usize = 2;
-
 /// Result of an order to a worker.
 #[derive(Debug)]
 pub(in crate::scheduler) struct OrderResult {
@@ -45,7 +42,8 @@
 #[derive(Debug)]
 struct WorkerQueues {
     polls: flume::Sender<scheduler::Order>,
-    orders: [flume::Sender<scheduler::Order>; ORDER_CONNECTIONS],
+    /// Queues for starts, stops and paces, created with the first such order.
+    orders: Vec<flume::Sender<scheduler::Order>>,
 }
 
 impl OrderSender {
@@ -61,22 +59,34 @@
         Self { fence, clock, inputs, connections, queues: BTreeMap::new() }
     }
 
-    /// Sends an order to the worker `name` at `address`.
+    /// Sends an order to the worker `name` at `address`, one of `workers` workers.
     pub(in crate::scheduler) fn send(
         &mut self,
         order: scheduler::Order,
         name: &id::WorkerName,
         address: SocketAddr,
+        workers: usize,
     ) {
         let worker = order.worker();
-        let (fence, clock, inputs) = (self.fence, self.clock, &self.inputs);
-        let connections = &self.connections;
-        let worker_queues = self.queues.entry(worker).or_insert_with(|| {
-            let target = delivery::Target { worker, name: name.clone(), address, fence, clock };
-            WorkerQueues::start(&target, connections, inputs)
-        });
+        let (fence, clock) = (self.fence, self.clock);
+        let target = || delivery::Target { worker, name: name.clone(), address, fence, clock };
+        let (connections, inputs) = (&self.connections, &self.inputs);
+        let start_queue = || {
+            let (orders, rx) = flume::unbounded();
+            let connections = connections.clone();
+            monoio::spawn(delivery::run(target(), connections, rx, inputs.clone()));
+            orders
+        };
+        let queues = self
+            .queues
+            .entry(worker)
+            .or_insert_with(|| WorkerQueues { polls: start_queue(), orders: Vec::new() });
+        if order.task().is_some() && queues.orders.is_empty() {
+            let count = connections.orders_per_worker(workers);
+            queues.orders.extend((0..count).map(|_| start_queue()));
+        }
         // A task ends only after its queue is closed, or when the core has ended.
-        worker_queues.queue_for(&order).send(order).ok();
+        queues.queue_for(&order).send(order).ok();
     }
 
     /// Closes the order queues of a worker; orders that are already queued are still sent.
@@ -86,27 +96,13 @@
 }
 
 impl WorkerQueues {
-    fn start(
-        target: &delivery::Target,
-        connections: &Connections,
-        inputs: &flume::Sender<Input>,
-    ) -> Self {
-        let queue = || {
-            let (orders, rx) = flume::unbounded();
-            let connections = connections.clone();
-            monoio::spawn(delivery::run(target.clone(), connections, rx, inputs.clone()));
-            orders
-        };
-        Self { polls: queue(), orders: std::array::from_fn(|_| queue()) }
-    }
-
     /// Returns the queue for an order. All orders that concern a task use the same queue, so that
     /// a stop cannot overtake the start.
     fn queue_for(&self, order: &scheduler::Order) -> &flume::Sender<scheduler::Order> {
         let Some(task) = order.task() else { return &self.polls };
         let mut hasher = DefaultHasher::new();
         task.hash(&mut hasher);
-        let position = hasher.finish() % ORDER_CONNECTIONS as u64;
+        let position = hasher.finish() % self.orders.len() as u64;
         &self.orders[position as usize]
     }
 }
