feat(jobs): jobs that can be in time go before late ones

Change: within a class and priority, steps are placed by lateness (in time, late, too late to be of use), then by due time. A test replays such a burst and fails without it (1 job in time instead of 2).

--- a/comfreymill_jobs/src/job/spec.rs
+++ b/comfreymill_jobs/src/job/spec.rs
@@ -22,6 +22,22 @@
         self.steps.iter().any(|step| step.is_long_running)
     }
 
+    /// Returns the estimated duration of the longest path from the start of `step` to the end of the
+    /// job, in milliseconds.
+    pub fn remaining_path_ms(&self, step: u16) -> u64 {
+        let mut paths = vec![None; self.steps.len()];
+        for (index, spec) in self.steps.iter().enumerate() {
+            let before =
+                spec.depends_on.iter().filter_map(|index| *paths.get(usize::from(*index))?);
+            let before = before.max();
+            let is_first = index == usize::from(step);
+            paths[index] = before
+                .or(is_first.then_some(0))
+                .map(|before: u64| before + u64::from(spec.estimate_ms));
+        }
+        paths.into_iter().flatten().max().unwrap_or_default()
+    }
+
     /// Returns the estimated duration of the critical path through the steps, in milliseconds.
     pub fn critical_path_ms(&self) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
--- a/comfreymill_jobs/src/scheduler/queue.rs
+++ b/comfreymill_jobs/src/scheduler/queue.rs
@@ -26,6 +26,29 @@
     pub(super) priority: u32,
     /// Time by which the job should be completed.
     pub(super) due_at: time::Monotonic,
+    /// Time after which the completion of the job is of no use to its caller.
+    pub(super) useless_at: time::Monotonic,
+}
+
+/// Whether a job can still be completed in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Lateness {
+    InTime,
+    Late,
+    Useless,
+}
+
+impl Rank {
+    /// Returns the lateness of a job that ends at `end` at the earliest.
+    pub(super) fn lateness(&self, end: time::Monotonic) -> Lateness {
+        if end <= self.due_at {
+            Lateness::InTime
+        } else if end <= self.useless_at {
+            Lateness::Late
+        } else {
+            Lateness::Useless
+        }
+    }
 }
 
 /// Tasks that are ready to be placed, by step.
@@ -71,8 +94,8 @@
     }
 
     /// Returns the steps in placement order.
-    pub(super) fn steps(&self) -> Vec<id::StepId> {
-        self.order.iter().map(|(_, step)| *step).collect()
+    pub(super) fn steps(&self) -> Vec<(Rank, id::StepId)> {
+        self.order.iter().copied().collect()
     }
 
     /// Returns the first task of a class in placement order.
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -17,6 +17,9 @@
 /// all earlier leaders.
 const RUNS_PER_LEADER: u64 = 1_000;
 
+/// Multiple of the time allowed for a job after which its completion is of no use.
+const USELESS_AFTER: u64 = 3;
+
 /// Scheduler of one leader; decides where tasks run.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -134,6 +137,8 @@
             },
             priority: queue.map_or(u32::MAX, |queue| queue.priority),
             due_at: occurrence.due_at + std::time::Duration::from_millis(allowed_ms),
+            useless_at: occurrence.due_at
+                + std::time::Duration::from_millis(allowed_ms.saturating_mul(USELESS_AFTER)),
         })
     }
 
--- a/comfreymill_jobs/tests/scheduler/order.rs
+++ b/comfreymill_jobs/tests/scheduler/order.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use comfreymill_jobs::id;
 use comfreymill_jobs::job::Schedule;
 use comfreymill_jobs::scheduler::{Order, StartAnswer};
 use comfreymill_jobs::state::Command;
@@ -137,3 +138,37 @@
     let of_step = |step: u16| starts.iter().filter(|start| start.task.step.step == step).count();
     assert_eq!((of_step(1), of_step(2)), (2, 6));
 }
+
+/// A burst of jobs that fill the only worker four times over, all due at nearly the same time: those
+/// that got no room in time must not delay the next ones.
+#[test]
+fn jobs_that_can_be_in_time_go_before_late_ones() {
+    let mut leader = Leader::new();
+    let worker = leader.worker("w");
+    // A job may take 1.5 times its estimate of 800 ms and 500 ms, 1,700 ms in all.
+    for key in 1..=4 {
+        leader.submit_as(key, spec(vec![step(8)]));
+        leader.advance(Duration::from_millis(20));
+    }
+    let mut completed_in_time = 0;
+    for round in 0..4_u64 {
+        let starts = leader.take_starts();
+        assert_eq!(starts.len(), 8, "no room is left unused");
+        for start in &starts {
+            leader.started(start, StartAnswer::Started);
+        }
+        leader.advance(Duration::from_millis(1_000));
+        if round == 0 {
+            // A job that arrives in the meantime can be in time if it is next; the waiting ones,
+            // of which one could have been, are 1 s old.
+            leader.submit_as(9, spec(vec![step(8)]));
+        }
+        let is_last = starts.iter().all(|start| start.task.step.job == id::JobKey::new(9));
+        completed_in_time += u32::from(round < 2 && (is_last || round == 0));
+        let ends = (1..).zip(&starts).map(|(n, start)| start.end(8 * round + n, EndKind::Done));
+        leader.report(worker, ended(ends.collect()));
+    }
+    assert_eq!(completed_in_time, 2, "the first job and the one that arrived 1 s later");
+    let left = leader.take_starts();
+    assert_eq!(left.len(), 8, "late jobs run as well");
+}
