--- a/comfreymill_jobs/src/scheduler/pacing.rs
+++ b/comfreymill_jobs/src/scheduler/pacing.rs
@@ -35,6 +35,9 @@
 /// Time below that pace after which a filler is moved.
 const MOVE_AFTER: Duration = Duration::from_millis(1_000);
 
+/// Reported tail latency, in percent of the target, from which the target may be exceeded.
+const NEAR_TARGET_PERCENT: u64 = 90;
+
 /// Slack of a serving task, from the tail latency that it reported.
 struct SlackSample {
     task: id::TaskId,
@@ -215,7 +218,7 @@
         }
     }
 
-    /// Updates which tasks exceed their targets; returns whether one has done so for
+    /// Updates which tasks exceed their targets; returns whether one may have done so for
     /// `MAX_TIME_OVER_TARGET`.
     fn update_over_target(&mut self, now: time::Monotonic, number: id::WorkerNumber) -> bool {
         let Some(entry) = self.workers.get_mut(&number) else { return false };
@@ -223,9 +226,12 @@
         entry.has_tail_over_target = false;
         for run in entry.runs.values_mut() {
             let Some(target) = run.tail_target_ms else { continue };
-            let is_over = run.load.is_some_and(|tail| tail >= target);
-            run.over_since = if is_over { run.over_since.or(Some(now)) } else { None };
-            entry.has_tail_over_target |= is_over;
+            entry.has_tail_over_target |= run.load.is_some_and(|tail| tail >= target);
+            // Reports are rough: a tail that stays slightly over its target is also reported below.
+            let is_near = run.load.is_some_and(|tail| {
+                u64::from(tail) * 100 >= u64::from(target) * NEAR_TARGET_PERCENT
+            });
+            run.over_since = if is_near { run.over_since.or(Some(now)) } else { None };
             is_over_for_long |=
                 run.over_since.is_some_and(|since| now.since(since) >= MAX_TIME_OVER_TARGET);
         }
--- a/comfreymill_jobs/src/scheduler/run.rs
+++ b/comfreymill_jobs/src/scheduler/run.rs
@@ -43,7 +43,7 @@
     pub(super) deviation: f64,
     /// Time since which the run works at a low pace.
     pub(super) slowed_since: Option<time::Monotonic>,
-    /// Time since which the tail latency exceeds its target.
+    /// Time since which the tail latency may exceed its target.
     pub(super) over_since: Option<time::Monotonic>,
     /// Time at which the progress last changed.
     pub(super) progressed_at: time::Monotonic,
--- a/comfreymill_jobs/tests/scheduler/interference.rs
+++ b/comfreymill_jobs/tests/scheduler/interference.rs
@@ -47,6 +47,18 @@
     (leader, worker, starts)
 }
 
+/// Returns the number of runs whose latest order of pace paused them.
+fn count_paused(leader: &Leader, starts: &[Start]) -> usize {
+    let is_paused = |start: &&Start| {
+        let mut paces = leader.orders.iter().filter_map(|order| match order {
+            Order::Pace { task, percent, .. } if *task == start.task => Some(*percent),
+            _ => None,
+        });
+        paces.next_back() == Some(0)
+    };
+    starts.iter().filter(is_paused).count()
+}
+
 #[test]
 fn every_filler_is_paused_when_a_tail_stays_over_its_target() {
     let (mut leader, worker, starts) = with_fillers_beside_serving();
@@ -54,14 +66,20 @@
         leader.advance(Duration::from_millis(500));
         leader.report(worker, report(&starts, 3 * TARGET_MS));
     }
-    let rests = |start: &&Start| {
-        let paces = leader.orders.iter().filter_map(|order| match order {
-            Order::Pace { task, percent, .. } if *task == start.task => Some(*percent),
-            _ => None,
-        });
-        paces.fold(None, |_, pace| Some(pace)) == Some(0)
-    };
-    assert_eq!(starts.iter().filter(rests).count(), 2);
+    assert_eq!(count_paused(&leader, &starts), 2);
+}
+
+/// Recorded on a day of vltavin-stany-grown: a tail stayed slightly over its target for 4.5 s, but
+/// some of the reports, which are rough, were below it.
+#[test]
+fn every_filler_is_paused_when_only_some_reports_are_over_the_target() {
+    let (mut leader, worker, starts) = with_fillers_beside_serving();
+    for round in 0..8 {
+        leader.advance(Duration::from_millis(500));
+        let tail_ms = if round % 2 == 0 { TARGET_MS + 3 } else { TARGET_MS - 3 };
+        leader.report(worker, report(&starts, tail_ms));
+    }
+    assert_eq!(count_paused(&leader, &starts), 2);
 }
 
 #[test]
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -3,5 +3,6 @@
 mod holding;
 mod interference;
 mod leases;
+mod load;
 mod order;
 mod succession;
