--- a/comfreymill_node/tests/settings/nodes.rs
+++ b/comfreymill_node/tests/settings/nodes.rs
@@ -47,6 +47,7 @@
         ("founding: true", "founding: perhaps", "13:", "founding:"),
         ("voters: 5", "voters: 0", "15:", "voters: a group has at least 1 voter"),
         ("snapshot_entries: 4000", "snapshot_entries: 0", "16:", "snapshot_entries: a snapshot covers"),
+        ("descriptors: 4096", "descriptors: 10", "17:", "descriptors: a scheduler needs"),
         ("seeds: 127.0.0.1", "seeds: hobart", "7:", "seeds: `hobart` is not an IPv4 address"),
         ("key: a text of at least 32 bytes that every process of the group has", "key: short", "8:", "key: write at least 32 bytes"),
         ("  control: 127.0.0.1:7415", "  control: 7415", "11:", "listeners.control:"),
