feat(node): time that orders wait in their queues

The logs showed when a start was decided and when it was answered, not when it was sent, so a start that waited could not be told from a worker that carries it out late. Adds the histogram comfreymill_order_queue_wait_seconds and a line for waits of 1 s and more.

--- a/comfreymill_node/src/metering/metric.rs
+++ b/comfreymill_node/src/metering/metric.rs
@@ -160,6 +160,14 @@
     LATENCY_BOUNDS_SECONDS,
 );
 
+/// Time from the decision on an order to its sending, by kind.
+pub const ORDER_QUEUE_WAIT: Metric = histogram(
+    "comfreymill_order_queue_wait_seconds",
+    metrics::Unit::Seconds,
+    "Time that an order to a worker waited for earlier orders before it was sent",
+    LATENCY_BOUNDS_SECONDS,
+);
+
 /// Time from the proposal of commands to their commit.
 pub const COMMIT_LATENCY: Metric = histogram(
     "comfreymill_commit_latency_seconds",
@@ -169,7 +177,7 @@
 );
 
 /// All metrics.
-pub const ALL: [Metric; 18] = [
+pub const ALL: [Metric; 19] = [
     REQUEST_LATENCY,
     QUEUE_WAIT,
     SLOTS_IN_USE,
@@ -187,5 +195,6 @@
     JOB_REQUEST_LATENCY,
     ORDERS,
     ORDER_LATENCY,
+    ORDER_QUEUE_WAIT,
     COMMIT_LATENCY,
 ];
--- a/comfreymill_node/src/scheduler/orders/delivery.rs
+++ b/comfreymill_node/src/scheduler/orders/delivery.rs
@@ -10,6 +10,7 @@
 
 use super::OrderResult;
 use super::connections::{Connections, Permit};
+use super::queued_order::QueuedOrder;
 use crate::clock;
 use crate::metering::observe;
 use crate::scheduler::core::Input;
@@ -20,6 +21,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time without orders after which a connection is closed; each occupies a descriptor.
 const IDLE_LIMIT: Duration = Duration::from_secs(5);
+/// Time in the queue after which an order is logged.
+const LONG_QUEUE_WAIT: Duration = Duration::from_secs(1);
 /// Maximum size of an answer; 500 ends and the runs of a full worker take far less.
 const MAX_ANSWER_BYTES: u64 = 1 << 20;
 
@@ -78,14 +81,13 @@
 pub(super) async fn run(
     target: Target,
     connections: Connections,
-    orders: flume::Receiver<scheduler::Order>,
+    orders: flume::Receiver<QueuedOrder>,
     inputs: flume::Sender<Input>,
 ) {
     // Two tasks on one receiver can wake each other endlessly; see `WorkerQueues`.
     debug_assert_eq!(orders.receiver_count(), 1, "the order queue has more than one receiver");
     let mut connection = None;
-    while let Some(order) = next_order(&orders, &mut connection).await {
-        let sent_at = target.clock.now();
+    while let Some(QueuedOrder { order, queued_at }) = next_order(&orders, &mut connection).await {
         let (request, wait) = to_request(&target, &order);
         let is_poll = matches!(order, scheduler::Order::Poll { .. });
         if connection.is_none() {
@@ -94,6 +96,8 @@
             connection = Some(Slot { connection: None, _permit: permit });
         }
         let Some(slot) = &mut connection else { return };
+        let sent_at = target.clock.now();
+        report_queue_wait(&target, &order, sent_at.since(queued_at));
         let outcome = exchange(&target, &mut slot.connection, request, wait).await;
         if slot.connection.is_none() || (!is_poll && connections.is_scarce() && orders.is_empty()) {
             connection = None;
@@ -109,11 +113,22 @@
     }
 }
 
+/// Records how long an order waited in its queue; logs a long wait.
+fn report_queue_wait(target: &Target, order: &scheduler::Order, wait: Duration) {
+    let kind = kind_label(order);
+    observe::order_queue_wait(kind, wait);
+    if let Some(task) = order.task()
+        && wait >= LONG_QUEUE_WAIT
+    {
+        log::info!(target: "runs", task:% = task, worker:% = target.name, kind, waited_ms = wait.as_millis() as u64; "an order waited for earlier orders to its worker");
+    }
+}
+
 /// Returns the next order; closes the connection after `IDLE_LIMIT` without one.
 async fn next_order(
-    orders: &flume::Receiver<scheduler::Order>,
+    orders: &flume::Receiver<QueuedOrder>,
     connection: &mut Option<Slot>,
-) -> Option<scheduler::Order> {
+) -> Option<QueuedOrder> {
     if connection.is_some() {
         match monoio::time::timeout(IDLE_LIMIT, orders.recv_async()).await {
             Ok(received) => return received.ok(),
--- a/comfreymill_node/src/scheduler/orders/mod.rs
+++ b/comfreymill_node/src/scheduler/orders/mod.rs
@@ -3,5 +3,6 @@
 mod connections;
 mod delivery;
 mod order_sender;
+mod queued_order;
 
 pub(super) use order_sender::{OrderResult, OrderSender};
--- a/comfreymill_node/src/scheduler/orders/order_sender.rs
+++ b/comfreymill_node/src/scheduler/orders/order_sender.rs
@@ -8,6 +8,7 @@
 
 use super::connections::Connections;
 use super::delivery;
+use super::queued_order::QueuedOrder;
 use crate::clock;
 use crate::scheduler::core::Input;
 
@@ -41,9 +42,9 @@
 /// of `monoio` never compare as equal.
 #[derive(Debug)]
 struct WorkerQueues {
-    polls: flume::Sender<scheduler::Order>,
+    polls: flume::Sender<QueuedOrder>,
     /// Queues for starts, stops and paces, created with the first such order.
-    orders: Vec<flume::Sender<scheduler::Order>>,
+    orders: Vec<flume::Sender<QueuedOrder>>,
 }
 
 impl OrderSender {
@@ -86,7 +87,8 @@
             queues.orders.extend((0..count).map(|_| start_queue()));
         }
         // A task ends only after its queue is closed, or when the core has ended.
-        queues.queue_for(&order).send(order).ok();
+        let queue = queues.queue_for(&order);
+        queue.send(QueuedOrder { order, queued_at: clock.now() }).ok();
     }
 
     /// Closes the order queues of a worker; orders that are already queued are still sent.
@@ -98,7 +100,7 @@
 impl WorkerQueues {
     /// Returns the queue for an order. All orders that concern a task use the same queue, so that
     /// a stop cannot overtake the start.
-    fn queue_for(&self, order: &scheduler::Order) -> &flume::Sender<scheduler::Order> {
+    fn queue_for(&self, order: &scheduler::Order) -> &flume::Sender<QueuedOrder> {
         let Some(task) = order.task() else { return &self.polls };
         let mut hasher = DefaultHasher::new();
         task.hash(&mut hasher);
--- a/comfreymill_node/tests/metering/mod.rs
+++ b/comfreymill_node/tests/metering/mod.rs
@@ -28,6 +28,7 @@
     observe::open_requests(&environment, document::Stage::Trial, 12, 3);
     observe::job_request("POST", "done", Duration::from_millis(12));
     observe::order("start", "answered", Duration::from_millis(3));
+    observe::order_queue_wait("stop", Duration::from_millis(900));
     observe::commit(Duration::from_millis(8));
     observe::version_in_force(&environment, document::Stage::Production, id::Version::new(9));
 }
