--- a/comfreymill_jobs/src/scheduler/order.rs
+++ b/comfreymill_jobs/src/scheduler/order.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use comfreymill_types::time;
+
 use crate::id;
 use crate::job;
 
@@ -21,6 +23,9 @@
         lease_until_ms: u64,
         /// Checkpoint to resume from; empty if there is none.
         checkpoint: String,
+        /// Time after which the order must not be sent any more: by then the job may have been
+        /// cancelled, or the worker may have said that it is leaving.
+        valid_until: time::Monotonic,
     },
     /// Stops a run; the worker refuses a start of the run that arrives later.
     Stop {
@@ -67,6 +72,11 @@
         }
     }
 
+    /// Returns whether the decision behind the order is too old for it to be sent at `now`.
+    pub fn has_expired(&self, now: time::Monotonic) -> bool {
+        matches!(self, Self::Start { valid_until, .. } if now > *valid_until)
+    }
+
     /// Returns the task that the order concerns; a poll concerns none.
     pub fn task(&self) -> Option<id::TaskId> {
         match self {
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -12,6 +12,9 @@
 use crate::job;
 use crate::worker;
 
+/// Time for which a start order may wait to be sent; workers that are leaving and callers that
+/// cancel a job allow a few seconds until the last start.
+const START_VALIDITY: Duration = Duration::from_secs(1);
 /// Bonus in the score of a worker that is near the data, in thousandths of a core.
 const DATA_RACK_BONUS: i64 = 100_000;
 /// Bonus for each serving task of the same image on the worker, in thousandths of a core.
@@ -222,7 +225,16 @@
         log::info!(target: "runs", task:% = task, run:% = run, worker:% = name, number:% = number, free_cpu = free.cpu_milli, free_mem = free.mem_mb, report_age_ms, serving_images = tails, routes = self.routes.version, since_accepted_ms:% = waited_ms; "a task is started");
         let spec = job.spec.clone();
         let worker = number;
-        self.orders.push(Order::Start { worker, task, run, spec, lease_until_ms, checkpoint });
+        let valid_until = now + START_VALIDITY;
+        self.orders.push(Order::Start {
+            worker,
+            task,
+            run,
+            spec,
+            lease_until_ms,
+            checkpoint,
+            valid_until,
+        });
     }
 }
 
--- a/comfreymill_jobs/tests/scheduler/order.rs
+++ b/comfreymill_jobs/tests/scheduler/order.rs
@@ -172,3 +172,15 @@
     let left = leader.take_starts();
     assert_eq!(left.len(), 8, "late jobs run as well");
 }
+
+#[test]
+fn a_start_order_expires_before_a_departure_takes_effect() {
+    let mut leader = Leader::new();
+    leader.worker("w");
+    leader.submit(spec(vec![step(1)]));
+    let is_start = |order: &&Order| matches!(order, Order::Start { .. });
+    let start = leader.orders.iter().find(is_start).expect("a start");
+    assert!(!start.has_expired(leader.now + Duration::from_millis(500)));
+    // Workers serve for 2.5 s after their departure is acknowledged.
+    assert!(start.has_expired(leader.now + Duration::from_millis(2_000)));
+}
--- a/comfreymill_node/src/scheduler/orders/delivery.rs
+++ b/comfreymill_node/src/scheduler/orders/delivery.rs
@@ -50,6 +50,8 @@
     Refused,
     /// No part of the request was sent.
     NotSent,
+    /// The order waited too long for earlier ones, and was not sent.
+    Expired,
     /// The request may have reached the worker, but no complete answer arrived.
     Unanswered,
 }
@@ -62,6 +64,7 @@
             Self::Answered(..) => "refused",
             Self::Refused => "not listening",
             Self::NotSent => "not sent",
+            Self::Expired => "expired",
             Self::Unanswered => "unanswered",
         }
     }
@@ -98,7 +101,11 @@
         let Some(slot) = &mut connection else { return };
         let sent_at = target.clock.now();
         report_queue_wait(&target, &order, sent_at.since(queued_at));
-        let outcome = exchange(&target, &mut slot.connection, request, wait).await;
+        let outcome = if order.has_expired(sent_at) {
+            Outcome::Expired
+        } else {
+            exchange(&target, &mut slot.connection, request, wait).await
+        };
         if slot.connection.is_none() || (!is_poll && connections.is_scarce() && orders.is_empty()) {
             connection = None;
         }
@@ -214,7 +221,7 @@
         scheduler::Order::Start { task, run, .. } => {
             let (answer, clock_ms) = match outcome {
                 Outcome::Answered(status, body) => platform::decode_start(status, &body),
-                Outcome::NotSent => (scheduler::StartAnswer::NotSent, None),
+                Outcome::NotSent | Outcome::Expired => (scheduler::StartAnswer::NotSent, None),
                 Outcome::Unanswered | Outcome::Refused => (scheduler::StartAnswer::Unknown, None),
             };
             scheduler::Answer::Start { task: *task, run: *run, answer, clock_ms }
--- a/tests/platform/whole_path.rs
+++ b/tests/platform/whole_path.rs
@@ -57,3 +57,19 @@
     }
     assert!(most <= DESCRIPTORS, "{most} descriptors were open");
 }
+
+/// Starts that waited behind unanswered ones were sent seconds after the decision, to workers that
+/// had said in between that they were leaving.
+#[test]
+fn a_start_that_waited_behind_unanswered_orders_is_not_sent_late() {
+    const JOB: u64 = 0x5c0e_7a21_0000_0000;
+    const TASKS: usize = 8;
+    let bed = TestBed::start();
+    let caller = bed.caller();
+    let worker = standin::start_mute_worker("mute", bed.get_address(), bed.control());
+    bed.wait("a job to be accepted", || caller.submit(JOB, TASKS as u64));
+    bed.wait("the job to be completed", || caller.is_completed(JOB));
+    let started = worker.lock().expect("no thread panics");
+    let first_placement = started.iter().filter(|(_, run)| *run == 1).count();
+    assert!(first_placement < TASKS, "every order was sent, however long it had waited");
+}
