fix(jobs): a job counts as waiting until a worker has begun a task

Change: it leaves the count when a worker answers that it has started, or reports the run or its end.

--- a/comfreymill_jobs/src/scheduler/jobs.rs
+++ b/comfreymill_jobs/src/scheduler/jobs.rs
@@ -49,6 +49,14 @@
         }
     }
 
+    /// Records that a worker has begun a task of the job; an order to start one does not count,
+    /// since it may never be carried out.
+    pub(super) fn mark_started(&mut self, key: id::JobKey) {
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.has_started = true;
+        }
+    }
+
     /// Returns whether occurrence `number` may begin.
     pub(super) fn is_due(&self, now: time::Monotonic, spec: &job::JobSpec, number: u32) -> bool {
         let Some(schedule) = spec.schedule else { return true };
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -160,6 +160,7 @@
             }
             if run.phase == RunPhase::Starting {
                 run.phase = RunPhase::Running { since: now };
+                self.mark_started(status.task.step.job);
             }
             return;
         }
@@ -204,9 +205,7 @@
         let Some(entry) = self.workers.get_mut(&number) else { return };
         entry.add(status.task, run);
         if is_free {
-            if let Some(job) = self.jobs.get_mut(&status.task.step.job) {
-                job.has_started = true;
-            }
+            self.mark_started(status.task.step.job);
         } else {
             self.stop(now, number, status.task);
         }
--- a/comfreymill_jobs/src/scheduler/starts.rs
+++ b/comfreymill_jobs/src/scheduler/starts.rs
@@ -85,6 +85,7 @@
             StartAnswer::Started => {
                 run.phase = RunPhase::Running { since: now };
                 run.progressed_at = now;
+                self.mark_started(task.step.job);
             }
             StartAnswer::Refused(Refusal::Superseded) | StartAnswer::Unknown => {
                 run.is_start_uncertain = true;
--- a/comfreymill_jobs/src/scheduler/task.rs
+++ b/comfreymill_jobs/src/scheduler/task.rs
@@ -17,7 +17,7 @@
     pub(super) next_occurrence: u32,
     /// Time at which this leader learned of the job.
     pub(super) accepted_at: time::Monotonic,
-    /// Whether a task of the job was ever started, as far as this leader knows.
+    /// Whether a worker has begun a task of the job, as far as this leader knows.
     pub(super) has_started: bool,
 }
 
--- a/comfreymill_jobs/tests/scheduler/order.rs
+++ b/comfreymill_jobs/tests/scheduler/order.rs
@@ -184,3 +184,19 @@
     // Workers serve for 2.5 s after their departure is acknowledged.
     assert!(start.has_expired(leader.now + Duration::from_millis(2_000)));
 }
+
+/// Start orders that no worker carried out made their jobs disappear from the count.
+#[test]
+fn a_job_counts_as_waiting_until_a_worker_has_begun_a_task() {
+    let mut leader = Leader::new();
+    leader.worker("w");
+    leader.submit(spec(vec![step(1)]));
+    let start = leader.take_starts()[0];
+    assert_eq!(leader.scheduler.count_waiting_jobs("batch"), 1);
+    leader.started(&start, StartAnswer::NotSent);
+    assert_eq!(leader.scheduler.count_waiting_jobs("batch"), 1);
+    leader.advance(Duration::from_secs(2));
+    let start = leader.take_starts()[0];
+    leader.started(&start, StartAnswer::Started);
+    assert_eq!(leader.scheduler.count_waiting_jobs("batch"), 0);
+}
