--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -111,6 +111,7 @@
         for number in gone {
             let Some(entry) = self.workers.get_mut(&number) else { continue };
             entry.announcement.leaving_in.get_or_insert_default();
+            entry.has_departed = true;
             entry.next_poll_at = now;
             log::info!(target: "workers", worker:% = departure.name, number:% = number; "a worker has announced its departure");
             if entry.leaving_since.is_none() {
--- a/comfreymill_jobs/src/scheduler/answer.rs
+++ b/comfreymill_jobs/src/scheduler/answer.rs
@@ -35,8 +35,7 @@
     },
     /// Outcome of a poll.
     Poll(PollAnswer),
-    /// The worker incarnation is gone: another incarnation answers, or nothing listens at its
-    /// address.
+    /// The worker incarnation is gone: another incarnation answers.
     WorkerGone,
 }
 
@@ -81,4 +80,7 @@
     Fenced,
     /// No usable answer arrived in time.
     NoAnswer,
+    /// The connection was refused. The worker may have ended, or a network between refuses
+    /// connections to it while it works on.
+    Unreachable,
 }
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -74,17 +74,27 @@
         entry.poll_sent_at = None;
         match answer {
             PollAnswer::Fenced => self.fenced(number),
-            PollAnswer::NoAnswer => {
-                if !entry.is_unresponsive {
-                    log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number; "a worker does not answer");
+            PollAnswer::NoAnswer => self.poll_failed(now, number, "no answer in time"),
+            PollAnswer::Unreachable => {
+                if entry.has_departed || now >= entry.lease_over_at {
+                    self.worker_gone(now, number, "it refuses connections and its runs have ended");
+                } else {
+                    self.poll_failed(now, number, "it refuses connections");
                 }
-                entry.is_unresponsive = true;
-                entry.next_poll_at = now + UNRESPONSIVE_POLL_DELAY;
             }
             PollAnswer::Report(report) => self.report_received(now, number, asked_at, report),
         }
     }
 
+    fn poll_failed(&mut self, now: time::Monotonic, number: id::WorkerNumber, reason: &str) {
+        let Some(entry) = self.workers.get_mut(&number) else { return };
+        if !entry.is_unresponsive {
+            log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, reason; "a worker does not answer");
+        }
+        entry.is_unresponsive = true;
+        entry.next_poll_at = now + UNRESPONSIVE_POLL_DELAY;
+    }
+
     fn report_received(
         &mut self,
         now: time::Monotonic,
--- a/comfreymill_jobs/src/scheduler/starts.rs
+++ b/comfreymill_jobs/src/scheduler/starts.rs
@@ -36,7 +36,7 @@
             }
             Answer::Poll(answer) => self.poll_answered(now, worker, asked_at, answer),
             Answer::WorkerGone => {
-                self.worker_gone(now, worker, "another incarnation answers, or nothing listens");
+                self.worker_gone(now, worker, "another incarnation answers");
             }
         }
     }
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -22,6 +22,8 @@
     /// Sequence number of the announcement that said that the worker is leaving, once that is in the
     /// log.
     pub(super) leaving_since: Option<u64>,
+    /// Whether the worker has said that it ends now.
+    pub(super) has_departed: bool,
     /// Time of the worker's last report.
     pub(super) reported_at: time::Monotonic,
     /// Whether the worker has answered a poll of this leader.
@@ -89,6 +91,7 @@
             announcement,
             has_announced: false,
             leaving_since,
+            has_departed: false,
             reported_at: now,
             has_answered: false,
             had_known_runs: false,
--- a/comfreymill_jobs/tests/scheduler/leases.rs
+++ b/comfreymill_jobs/tests/scheduler/leases.rs
@@ -125,3 +125,25 @@
     }
     assert_eq!(leader.take_starts().len(), 1);
 }
+
+/// A cut that resets connections made a worker that was running on count as gone, and its tasks ran
+/// twice.
+#[test]
+fn tasks_of_a_worker_that_refuses_connections_wait_for_the_end_of_its_lease() {
+    let (mut leader, start) = one_started();
+    leader.started(&start, StartAnswer::Started);
+    let refuse = |leader: &mut Leader| {
+        let answer = Answer::Poll(PollAnswer::Unreachable);
+        leader.scheduler.answered(leader.now, start.worker, leader.now, answer);
+        leader.settle();
+    };
+    refuse(&mut leader);
+    leader.advance(LEASE);
+    refuse(&mut leader);
+    assert!(leader.take_starts().is_empty(), "the worker's clock may be 2% slow");
+    leader.advance(LEASE / 10);
+    refuse(&mut leader);
+    assert_eq!(leader.take_starts().len(), 1);
+    let is_known = leader.state.get_workers().contains_key(&start.worker);
+    assert!(!is_known, "nothing can run there any more");
+}
--- a/comfreymill_node/src/scheduler/orders/delivery.rs
+++ b/comfreymill_node/src/scheduler/orders/delivery.rs
@@ -46,7 +46,7 @@
 enum Outcome {
     /// The worker answered with this status and body.
     Answered(http::StatusCode, Bytes),
-    /// The connection was refused: nothing listens at the worker's address.
+    /// The connection was refused by the worker's machine or by the network.
     Refused,
     /// No part of the request was sent.
     NotSent,
@@ -211,9 +211,6 @@
 }
 
 fn to_answer(order: &scheduler::Order, outcome: Outcome) -> scheduler::Answer {
-    if matches!(outcome, Outcome::Refused) {
-        return scheduler::Answer::WorkerGone;
-    }
     if let Outcome::Answered(http::StatusCode::MISDIRECTED_REQUEST, _) = outcome {
         return scheduler::Answer::WorkerGone;
     }
@@ -221,8 +218,10 @@
         scheduler::Order::Start { task, run, .. } => {
             let (answer, clock_ms) = match outcome {
                 Outcome::Answered(status, body) => platform::decode_start(status, &body),
-                Outcome::NotSent | Outcome::Expired => (scheduler::StartAnswer::NotSent, None),
-                Outcome::Unanswered | Outcome::Refused => (scheduler::StartAnswer::Unknown, None),
+                Outcome::NotSent | Outcome::Expired | Outcome::Refused => {
+                    (scheduler::StartAnswer::NotSent, None)
+                }
+                Outcome::Unanswered => (scheduler::StartAnswer::Unknown, None),
             };
             scheduler::Answer::Start { task: *task, run: *run, answer, clock_ms }
         }
@@ -246,6 +245,7 @@
                         scheduler::PollAnswer::NoAnswer
                     })
                 }
+                Outcome::Refused => scheduler::PollAnswer::Unreachable,
                 _ => scheduler::PollAnswer::NoAnswer,
             };
             scheduler::Answer::Poll(answer)
