test(platform): an address of its own for each test bed

Cause: the second octet was made odd by setting a bit, so that beds 2 and 3 of one process shared an address and the tests of one ran on the scheduler of the other. Seen as time-outs as soon as there were four beds.

--- a/tests/platform/test_bed.rs
+++ b/tests/platform/test_bed.rs
@@ -34,7 +34,7 @@
     pub(super) fn with_descriptors(descriptors: usize) -> Self {
         let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
         let [_, _, high, low] = std::process::id().to_be_bytes();
-        let address = Ipv4Addr::new(127, 200_u8.wrapping_add(number) | 1, high, low | 1);
+        let address = Ipv4Addr::new(127, 200_u8.wrapping_add(2 * number) | 1, high, low | 1);
         let folder = std::env::temp_dir().join(format!("comfreymill-bed-{address}"));
         fs::create_dir_all(&folder).expect("the folder is made");
         let mut bed = Self { address, folder, processes: Vec::new() };
@@ -75,6 +75,15 @@
         }
     }
 
+    /// Returns what `comfreymill explain` prints about a job.
+    pub(super) fn explain(&self, job: u64) -> String {
+        let operators = SocketAddr::from((self.address, 7_414)).to_string();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_comfreymill"));
+        command.args(["explain", &format!("{job:016x}"), "--operators", &operators]);
+        let output = command.output().expect("the command runs");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    }
+
     /// Returns the number of descriptors that the scheduler has open.
     pub(super) fn scheduler_descriptors(&self) -> usize {
         let folder = format!("/proc/{}/fd", self.processes[0].id());
