--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -1,5 +1,6 @@
 use comfreymill_types::time;
 
+use super::worker::WorkerEntry;
 use super::{Acknowledgement, Scheduler};
 use crate::id;
 use crate::state;
@@ -81,7 +82,8 @@
         }
         let announced = &replicated.announced;
         let leaving_since = announced.leaving_in.map(|_| announced.sequence);
-        let entry = super::worker::WorkerEntry::new(replicated.clone(), leaving_since, now, now);
+        let mut entry = WorkerEntry::new(replicated.clone(), leaving_since, now, now);
+        entry.registered_at = Some(now);
         self.workers.insert(number, entry);
         log::info!(target: "workers", worker:% = replicated.announced.name, number:% = number, address:% = replicated.announced.address, born = replicated.announced.born_unix_ms; "a worker is registered");
         if let Some(pending) = self.pending_workers.remove(&replicated.announced.name)
--- /dev/null
+++ b/comfreymill_jobs/src/scheduler/crashes.rs
@@ -0,0 +1,186 @@
+//! Tasks that crash the workers that start them.
+//!
+//! Load pattern: a share of the jobs of one class has a task that crashes each worker within
+//! milliseconds of its start, along with all other runs there; a crashed worker is back after some
+//! seconds. Unbounded restarts bring down the whole fleet.
+//!
+//! Every crash is counted in the log, for all tasks that were running on the worker, before any of
+//! them is started again. A task under which a worker has crashed is started apart from others: on
+//! a worker where nothing else was started lately, and on which nothing else is started for a
+//! moment, if there is room on such a worker. If a second worker crashes right after it was the
+//! last to be started there, this identifies the task. Otherwise the job is given up after
+//! `MAX_SUSPECTED` crashes shortly after a start, or `MAX_CRASHES` in all.
+
+use std::time::Duration;
+
+use comfreymill_types::time;
+
+use super::Scheduler;
+use super::run::RunEntry;
+use super::worker::WorkerEntry;
+use crate::id;
+use crate::state;
+
+/// Number of crashes shortly after its start after which a task is given up.
+const MAX_SUSPECTED: u32 = 3;
+/// Number of crashes, however long after its start, after which a task is given up. Crashes that
+/// have other causes hit a long task several times.
+const MAX_CRASHES: u32 = 4;
+/// Time after its start within which a run may have caused a crash, and for which a task under
+/// which a worker has crashed is kept apart from other starts.
+const SUSPECT_PERIOD: Duration = Duration::from_secs(1);
+/// Time before the last start on a worker within which no other start may lie for the last one to
+/// be identified as the cause of a crash.
+const MIN_START_GAP: Duration = Duration::from_millis(100);
+/// Time after its start from which a long-running task is not held responsible for a crash.
+const LONG_RUNNING_CLEARANCE: Duration = Duration::from_secs(10);
+/// Time after its registration for which a worker may be one that keeps crashing by itself.
+const NEW_WORKER_PERIOD: Duration = Duration::from_secs(10);
+/// Penalty in the score of a worker that does not suit a start apart from others, in thousandths
+/// of a core.
+const ISOLATION_PENALTY: i64 = 1_000_000;
+
+/// Run that may have been in progress when its worker crashed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CrashCandidate {
+    task: id::TaskId,
+    run: id::Run,
+    /// Time from its start to the crash; `None` if this leader did not start it.
+    age: Option<Duration>,
+}
+
+impl CrashCandidate {
+    fn is_suspect(&self) -> bool {
+        self.age.is_some_and(|age| age <= SUSPECT_PERIOD)
+    }
+}
+
+/// # Crashes of workers
+impl Scheduler {
+    /// Returns the command that counts the crash of a worker for the tasks that were running on it,
+    /// and removes the worker; `None` if no task may have caused the crash.
+    pub(super) fn crash_command(
+        &self,
+        now: time::Monotonic,
+        number: id::WorkerNumber,
+    ) -> Option<state::Command> {
+        let entry = self.workers.get(&number)?;
+        // The runs on a leaving worker end with it as planned.
+        if entry.announcement.leaving_in.is_some() {
+            return None;
+        }
+        let mut candidates = entry.crash_candidates(now);
+        candidates.retain(|candidate| self.jobs.contains_key(&candidate.task.step.job));
+        if candidates.is_empty() {
+            return None;
+        }
+        let last = last_started(&candidates).filter(|_| !entry.is_new(now));
+        let is_given_up = |candidate: &&CrashCandidate| {
+            let record = self.crash_record(candidate.task);
+            let is_identified = last == Some(candidate.task) && record.suspected > 0;
+            let is_repeated = candidate.is_suspect() && record.suspected + 1 >= MAX_SUSPECTED;
+            is_identified || is_repeated || record.crashes + 1 >= MAX_CRASHES
+        };
+        let given_up = candidates.iter().filter(is_given_up).map(|candidate| candidate.task);
+        let given_up = given_up.collect();
+        let runs = candidates.iter().map(|candidate| {
+            let CrashCandidate { task, run, .. } = *candidate;
+            state::CrashedRun { task, run, is_suspect: candidate.is_suspect() }
+        });
+        Some(state::Command::NoteCrash { worker: number, runs: runs.collect(), given_up })
+    }
+
+    /// Handles a crash that was committed to the log: the tasks that were running on the worker
+    /// become ready again, except those of jobs that are given up.
+    pub fn crash_noted(
+        &mut self,
+        now: time::Monotonic,
+        number: id::WorkerNumber,
+        runs: &[state::CrashedRun],
+        given_up: &[id::JobKey],
+        state: &state::State,
+    ) {
+        for crashed in runs {
+            log::info!(target: "runs", task:% = crashed.task, run:% = crashed.run, worker:% = number, is_suspect = crashed.is_suspect; "a worker has crashed under a run");
+            if let Some(entry) = self.task_mut(crashed.task) {
+                entry.crashes = state.get_crashes(crashed.task);
+            }
+        }
+        for job in given_up {
+            if let Some(reason) = state.get_given_up(*job) {
+                log::warn!(target: "jobs", job:% = job, task:% = reason.task, crashes = reason.crashes; "a job is given up: workers keep crashing under one of its tasks");
+            }
+            self.job_over(now, *job);
+        }
+        self.release_all(now, number);
+        self.workers.remove(&number);
+    }
+
+    /// Returns the crashes of workers under a task.
+    pub(super) fn crash_record(&self, task: id::TaskId) -> state::CrashRecord {
+        let job = self.jobs.get(&task.step.job);
+        let occurrence = job.and_then(|job| job.occurrences.get(&task.step.occurrence));
+        let step = occurrence.and_then(|entry| entry.steps.get(usize::from(task.step.step)));
+        let entry = step.and_then(|step| step.tasks.get(usize::from(task.index)));
+        entry.map(|entry| entry.crashes).unwrap_or_default()
+    }
+}
+
+/// Returns the task that was started last before a crash, if it was started shortly before and apart
+/// from all others.
+fn last_started(candidates: &[CrashCandidate]) -> Option<id::TaskId> {
+    let suspects = candidates.iter().filter(|candidate| candidate.is_suspect());
+    let last = suspects.min_by_key(|candidate| candidate.age)?;
+    let is_close = |age: Duration| Some(age) <= last.age.map(|age| age + MIN_START_GAP);
+    let mut others = candidates.iter().filter(|candidate| candidate.task != last.task);
+    let is_apart = !others.any(|candidate| candidate.age.is_some_and(is_close));
+    is_apart.then_some(last.task)
+}
+
+impl WorkerEntry {
+    /// Returns the runs that may have caused a crash of the worker: all but long-running tasks that
+    /// had been running for long.
+    fn crash_candidates(&self, now: time::Monotonic) -> Vec<CrashCandidate> {
+        let crashed_at = self.silent_since.unwrap_or(now);
+        let of_run = |task: &id::TaskId, run: &RunEntry| {
+            let age = run.started_at.map(|started_at| crashed_at.since(started_at));
+            let is_cleared =
+                run.is_long_running && age.is_none_or(|age| age > LONG_RUNNING_CLEARANCE);
+            (!is_cleared).then_some(CrashCandidate { task: *task, run: run.run, age })
+        };
+        let runs = self.runs.iter().filter_map(|(task, run)| of_run(task, run));
+        runs.chain(self.lapsed.iter().copied()).collect()
+    }
+
+    /// Keeps the runs that end with the worker's lease, in case it turns out that the worker has
+    /// crashed.
+    pub(super) fn keep_lapsed(&mut self, now: time::Monotonic) {
+        self.lapsed = self.crash_candidates(now);
+    }
+
+    /// Returns whether the worker was registered so recently that it may be one that keeps crashing
+    /// by itself.
+    fn is_new(&self, now: time::Monotonic) -> bool {
+        self.registered_at.is_some_and(|at| now.since(at) < NEW_WORKER_PERIOD)
+    }
+
+    /// Returns the penalty in the score of the worker for a task, so that tasks under which a worker
+    /// has crashed are started apart from others.
+    pub(super) fn isolation_penalty(&self, now: time::Monotonic, has_crashes: bool) -> i64 {
+        let is_apart = now < self.apart_until;
+        if !has_crashes {
+            return if is_apart { ISOLATION_PENALTY } else { 0 };
+        }
+        let has_started_lately = self.started_at.is_some_and(|at| now.since(at) < SUSPECT_PERIOD);
+        let reasons = [is_apart || has_started_lately, self.is_new(now)];
+        reasons.into_iter().filter(|applies| *applies).count() as i64 * ISOLATION_PENALTY
+    }
+
+    /// Records the start of a run; one of a task under which a worker has crashed is kept apart.
+    pub(super) fn record_start(&mut self, now: time::Monotonic, has_crashes: bool) {
+        self.started_at = Some(now);
+        if has_crashes {
+            self.apart_until = now + SUSPECT_PERIOD;
+        }
+    }
+}
--- a/comfreymill_jobs/src/scheduler/lost_workers.rs
+++ b/comfreymill_jobs/src/scheduler/lost_workers.rs
@@ -25,8 +25,17 @@
         }
     }
 
-    /// Releases the runs of a worker that is gone, and removes the worker from the log.
+    /// Releases the runs of a worker that is gone, and removes the worker from the log; a crash is
+    /// committed first.
     pub(super) fn drop_worker(&mut self, now: time::Monotonic, number: id::WorkerNumber) {
+        if let Some(command) = self.crash_command(now, number) {
+            let Some(entry) = self.workers.get_mut(&number) else { return };
+            if !entry.has_uncommitted_crash {
+                entry.has_uncommitted_crash = true;
+                self.commands.push(command);
+            }
+            return;
+        }
         self.release_all(now, number);
         self.workers.remove(&number);
         self.commands.push(state::Command::DropWorkers { workers: vec![number] });
@@ -38,18 +47,20 @@
             .workers
             .iter()
             .filter(|(_, worker)| now >= worker.lease_over_at)
-            .filter(|(_, worker)| !worker.runs.is_empty() && !worker.has_uncommitted_ends);
+            .filter(|(_, worker)| !worker.runs.is_empty() && !worker.is_gone)
+            .filter(|(_, worker)| !worker.has_uncommitted_ends);
         let lapsed: Vec<id::WorkerNumber> = lapsed.map(|(number, _)| *number).collect();
         for number in lapsed {
             if let Some(entry) = self.workers.get_mut(&number) {
                 log::warn!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, runs = entry.runs.len(); "a worker's lease has expired");
                 entry.is_unresponsive = true;
+                entry.keep_lapsed(now);
             }
             self.release_all(now, number);
         }
     }
 
-    fn release_all(&mut self, now: time::Monotonic, number: id::WorkerNumber) {
+    pub(super) fn release_all(&mut self, now: time::Monotonic, number: id::WorkerNumber) {
         let Some(entry) = self.workers.get(&number) else { return };
         let tasks: Vec<id::TaskId> = entry.runs.keys().copied().collect();
         for task in tasks {
--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -10,6 +10,7 @@
 mod announcements;
 mod answer;
 mod config;
+mod crashes;
 mod ends;
 mod holding;
 mod interference;
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -115,8 +115,11 @@
     ) -> Option<id::WorkerNumber> {
         let fitting = self.workers.iter();
         let fitting = fitting.filter(|(_, worker)| self.fits(now, worker, pool, task, spec));
-        let scored = fitting
-            .filter_map(|(number, worker)| Some((self.score(worker, spec, image)?, *number)));
+        let has_crashes = self.crash_record(task).crashes > 0;
+        let scored = fitting.filter_map(|(number, worker)| {
+            let penalty = worker.isolation_penalty(now, has_crashes);
+            Some((self.score(worker, spec, image)? - penalty, *number))
+        });
         let best = scored.max_by_key(|(score, number)| (*score, std::cmp::Reverse(*number)));
         best.map(|(_, number)| number)
     }
@@ -204,11 +207,13 @@
         let image = self.interference.intern(spec.image.as_deref());
         let Some(entry) = self.task_mut(task) else { return };
         let (last, checkpoint) = (entry.run, entry.checkpoint.clone());
+        let has_crashes = entry.crashes.crashes > 0;
         let run = self.next_run(last);
         let Some(worker) = self.workers.get_mut(&number) else { return };
         let Some(lease_until_ms) = worker.grant_lease(&cfg, now) else { return };
         let entry = RunEntry::new(run, RunPhase::Starting, spec, image, now);
         worker.add(task, entry);
+        worker.record_start(now, has_crashes);
         worker.next_poll_at = worker.next_poll_at.min(now + cfg.get_mixed_poll_period());
         let free = worker.free();
         let report_age_ms = now.since(worker.reported_at).as_millis() as u64;
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -92,6 +92,7 @@
             log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, reason; "a worker does not answer");
         }
         entry.is_unresponsive = true;
+        entry.silent_since.get_or_insert(now);
         entry.next_poll_at = now + UNRESPONSIVE_POLL_DELAY;
     }
 
@@ -118,6 +119,8 @@
         entry.reported_at = now;
         entry.has_answered = true;
         entry.is_unresponsive = false;
+        entry.silent_since = None;
+        entry.lapsed.clear();
         let is_complete = report.ended.len() < MAX_REPORTED_ENDS;
         for status in &report.running {
             self.update_run(now, number, status);
--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -53,13 +53,19 @@
             if job.is_over() {
                 scheduler.ended.push_back((now, *key));
             } else {
-                scheduler.restore_job(now, *key, job);
+                scheduler.restore_job(now, *key, job, state);
             }
         }
         scheduler
     }
 
-    fn restore_job(&mut self, now: time::Monotonic, key: id::JobKey, job: &state::Job) {
+    fn restore_job(
+        &mut self,
+        now: time::Monotonic,
+        key: id::JobKey,
+        job: &state::Job,
+        state: &state::State,
+    ) {
         let mut entry = JobEntry {
             queue: job.queue.clone(),
             spec: job.spec.clone(),
@@ -80,9 +86,14 @@
             }
             let recorded = job.occurrences.get(&number);
             let mut occurrence = OccurrenceEntry::new(&job.spec, recorded, now);
-            let tasks = occurrence.steps.iter_mut().flat_map(|step| step.tasks.iter_mut());
-            for task in tasks.filter(|task| task.phase == TaskPhase::Blocked) {
-                task.phase = TaskPhase::Unreconciled;
+            for (index, step) in (0..).zip(&mut occurrence.steps) {
+                let step_id = id::StepId { job: key, occurrence: number, step: index };
+                for (index, task) in (0..).zip(&mut step.tasks) {
+                    if task.phase == TaskPhase::Blocked {
+                        task.phase = TaskPhase::Unreconciled;
+                        task.crashes = state.get_crashes(step_id.task(index));
+                    }
+                }
             }
             entry.occurrences.insert(number, occurrence);
         }
--- a/comfreymill_jobs/src/scheduler/run.rs
+++ b/comfreymill_jobs/src/scheduler/run.rs
@@ -47,6 +47,8 @@
     pub(super) over_since: Option<time::Monotonic>,
     /// Time at which the progress last changed.
     pub(super) progressed_at: time::Monotonic,
+    /// Time at which this leader decided to start the run; `None` if it was reported.
+    pub(super) started_at: Option<time::Monotonic>,
 }
 
 /// Phase of a run, as the leader knows it.
@@ -101,6 +103,7 @@
             slowed_since: None,
             over_since: None,
             progressed_at: now,
+            started_at: (phase == RunPhase::Starting).then_some(now),
         }
     }
 
--- a/comfreymill_jobs/src/scheduler/task.rs
+++ b/comfreymill_jobs/src/scheduler/task.rs
@@ -44,6 +44,8 @@
     pub(super) run: id::Run,
     /// Checkpoint to resume from; empty if there is none.
     pub(super) checkpoint: String,
+    /// Crashes of workers under the task.
+    pub(super) crashes: state::CrashRecord,
 }
 
 /// Phase of a task.
@@ -87,6 +89,7 @@
             phase: if recorded.is_done(index) { TaskPhase::Done } else { TaskPhase::Blocked },
             run: recorded.runs.get(&index).copied().unwrap_or_default(),
             checkpoint: recorded.checkpoints.get(&index).cloned().unwrap_or_default(),
+            crashes: state::CrashRecord::default(),
         };
         let count = u16::try_from(recorded.done.len()).unwrap_or(u16::MAX);
         Self { open: recorded.open, tasks: (0..count).map(task).collect() }
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -4,6 +4,7 @@
 use comfreymill_types::time;
 
 use super::Config;
+use super::crashes::CrashCandidate;
 use super::interference::ImageId;
 use super::run::RunEntry;
 use crate::id;
@@ -37,6 +38,18 @@
     pub(super) is_gone: bool,
     /// Whether ends that the worker reported are being committed to the log.
     pub(super) has_uncommitted_ends: bool,
+    /// Whether the crash of the worker is being committed to the log.
+    pub(super) has_uncommitted_crash: bool,
+    /// Time since which the worker has not answered.
+    pub(super) silent_since: Option<time::Monotonic>,
+    /// Time at which this leader registered the worker; `None` if an earlier leader did.
+    pub(super) registered_at: Option<time::Monotonic>,
+    /// Time of the last start.
+    pub(super) started_at: Option<time::Monotonic>,
+    /// Time until which other starts avoid the worker, because of a task that may crash it.
+    pub(super) apart_until: time::Monotonic,
+    /// Runs that ended with the worker's lease since its last answer.
+    pub(super) lapsed: Vec<CrashCandidate>,
     /// Runs that are in progress, being started or being stopped on the worker, by task.
     pub(super) runs: BTreeMap<id::TaskId, RunEntry>,
     /// Resources that the runs reserve.
@@ -98,6 +111,12 @@
             is_unresponsive: false,
             is_gone: false,
             has_uncommitted_ends: false,
+            has_uncommitted_crash: false,
+            silent_since: None,
+            registered_at: None,
+            started_at: None,
+            apart_until: time::Monotonic::ZERO,
+            lapsed: Vec::new(),
             runs: BTreeMap::new(),
             reserved: worker::Resources::default(),
             used_cpu: 0,
--- a/comfreymill_jobs/src/state/apply.rs
+++ b/comfreymill_jobs/src/state/apply.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use super::state::Routes;
-use super::{Command, Job, JobStatus, State, Submission, Worker};
+use super::{Command, CrashedRun, GivenUp, Job, JobStatus, State, Submission, Worker};
 use crate::id;
 use crate::worker;
 
@@ -25,6 +25,15 @@
     WorkerLeaving(id::WorkerNumber),
     /// Worker incarnations were removed.
     WorkersDropped(Vec<id::WorkerNumber>),
+    /// A worker incarnation has crashed and was removed.
+    WorkerCrashed {
+        /// Number of the incarnation.
+        worker: id::WorkerNumber,
+        /// Runs that were in progress.
+        runs: Vec<CrashedRun>,
+        /// Jobs that are given up.
+        given_up: Vec<id::JobKey>,
+    },
     /// Ends of runs were recorded.
     EndsNoted {
         /// Worker that reported the ends.
@@ -65,8 +74,7 @@
                 Effect::WorkerAdded(self.last_worker)
             }
             Command::DropWorkers { workers } => {
-                self.workers.retain(|number, _| !workers.contains(number));
-                self.leaving.retain(|number, _| !workers.contains(number));
+                self.drop_workers(&workers);
                 Effect::WorkersDropped(workers)
             }
             Command::NoteEnds { worker, ends } => self.record_ends(worker, ends),
@@ -74,6 +82,7 @@
                 for key in jobs {
                     if self.jobs.get(&key).is_some_and(Job::is_over) {
                         self.jobs.remove(&key);
+                        self.given_up.remove(&key);
                     }
                 }
                 Effect::None
@@ -86,6 +95,49 @@
                 *newest = sequence.max(*newest);
                 Effect::WorkerLeaving(worker)
             }
+            Command::NoteCrash { worker, runs, given_up } => {
+                self.note_crash(worker, runs, &given_up)
+            }
+        }
+    }
+
+    fn drop_workers(&mut self, workers: &[id::WorkerNumber]) {
+        self.workers.retain(|number, _| !workers.contains(number));
+        self.leaving.retain(|number, _| !workers.contains(number));
+    }
+
+    fn note_crash(
+        &mut self,
+        worker: id::WorkerNumber,
+        runs: Vec<CrashedRun>,
+        given_up: &[id::TaskId],
+    ) -> Effect {
+        self.drop_workers(&[worker]);
+        for crashed in &runs {
+            let job = self.jobs.get(&crashed.task.step.job);
+            if job.is_some_and(|job| job.is_open(crashed.task)) {
+                self.crashes.entry(crashed.task).or_default().count(crashed);
+            }
+        }
+        let mut jobs = Vec::new();
+        for task in given_up {
+            let key = task.step.job;
+            if let Some(job) = self.jobs.get_mut(&key).filter(|job| job.is_open(*task)) {
+                job.end(JobStatus::Failed);
+                let crashes = self.crashes.get(task).map_or(0, |record| record.crashes);
+                self.given_up.insert(key, GivenUp { task: *task, crashes });
+                self.forget_crashes(key);
+                jobs.push(key);
+            }
+        }
+        Effect::WorkerCrashed { worker, runs, given_up: jobs }
+    }
+
+    /// Drops the crashes under the tasks of a job that is over.
+    fn forget_crashes(&mut self, job: id::JobKey) {
+        let tasks: Vec<id::TaskId> = self.get_job_crashes(job).map(|(task, _)| task).collect();
+        for task in tasks {
+            self.crashes.remove(&task);
         }
     }
 
@@ -112,6 +164,7 @@
             Some(job) if job.is_over() => Effect::None,
             Some(job) => {
                 job.end(JobStatus::Cancelled);
+                self.forget_crashes(key);
                 Effect::JobCancelled(key)
             }
         }
@@ -125,11 +178,18 @@
                 continue;
             }
             worker.noted = end.number;
-            if let Some(job) = self.jobs.get_mut(&end.task.step.job) {
-                job.record_end(&end);
-            }
             fresh.push(end);
         }
+        for end in &fresh {
+            let key = end.task.step.job;
+            let Some(job) = self.jobs.get_mut(&key) else { continue };
+            job.record_end(end);
+            if job.is_over() {
+                self.forget_crashes(key);
+            } else if !job.is_open(end.task) {
+                self.crashes.remove(&end.task);
+            }
+        }
         Effect::EndsNoted { worker: number, ends: fresh }
     }
 }
--- a/comfreymill_jobs/src/state/command.rs
+++ b/comfreymill_jobs/src/state/command.rs
@@ -1,5 +1,6 @@
 use bytes::Bytes;
 
+use super::CrashedRun;
 use crate::id;
 use crate::job;
 use crate::routes;
@@ -53,6 +54,16 @@
         /// Sequence number of the announcement that said so; later ones may say otherwise.
         sequence: u64,
     },
+    /// Removes a worker incarnation that has crashed, and counts the crash for the tasks that were
+    /// running there.
+    NoteCrash {
+        /// Number of the incarnation.
+        worker: id::WorkerNumber,
+        /// Runs that were in progress.
+        runs: Vec<CrashedRun>,
+        /// Tasks whose jobs are given up, since they crash the workers that start them.
+        given_up: Vec<id::TaskId>,
+    },
 }
 
 /// Job with the queue that it was submitted to.
--- a/comfreymill_jobs/src/state/job.rs
+++ b/comfreymill_jobs/src/state/job.rs
@@ -68,6 +68,17 @@
         self.status != JobStatus::Open
     }
 
+    /// Returns whether a task of the job still has to be done.
+    pub(super) fn is_open(&self, task: id::TaskId) -> bool {
+        let id::StepId { occurrence, step, .. } = task.step;
+        if self.is_over() || self.finished.contains(&occurrence) {
+            return false;
+        }
+        let recorded = self.occurrences.get(&occurrence);
+        let step = recorded.and_then(|occurrence| occurrence.steps.get(usize::from(step)));
+        !step.is_some_and(|step| step.is_done(task.index))
+    }
+
     /// Records the end of a run of one of the job's tasks.
     pub(super) fn record_end(&mut self, end: &worker::End) {
         let id::StepId { occurrence: number, step, .. } = end.task.step;
--- a/comfreymill_jobs/src/state/state.rs
+++ b/comfreymill_jobs/src/state/state.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use super::{Job, Worker};
+use super::{CrashRecord, GivenUp, Job, Worker};
 use crate::id;
 use crate::routes;
 
@@ -23,6 +23,10 @@
     pub(super) last_worker: id::WorkerNumber,
     /// Workers that are leaving, with the sequence numbers of the announcements that said so.
     pub(super) leaving: BTreeMap<id::WorkerNumber, u64>,
+    /// Crashes of workers under tasks of jobs that are not over.
+    pub(super) crashes: BTreeMap<id::TaskId, CrashRecord>,
+    /// Jobs that were given up, as long as their outcome is retained.
+    pub(super) given_up: BTreeMap<id::JobKey, GivenUp>,
 }
 
 /// Routes in force, decoded and as received.
@@ -44,8 +48,8 @@
     pub source: postcard::Error,
 }
 
-/// Encoding of a map without entries.
-const EMPTY_MAP: &[u8] = &[0];
+/// Encoding of the maps that were added to the end of the state since version 0.1, without entries.
+const ADDED_MAPS: &[u8] = &[0, 0, 0];
 
 impl State {
     /// Decodes the state from a snapshot.
@@ -54,13 +58,14 @@
     ///
     /// Returns an error if the snapshot is malformed.
     pub fn from_snapshot(data: &[u8]) -> Result<Self, StateError> {
-        let decoded = postcard::from_bytes(data).or_else(|error| match error {
-            // A snapshot of version 0.1 ends before the leaving workers.
-            postcard::Error::DeserializeUnexpectedEnd => {
-                postcard::from_bytes(&[data, EMPTY_MAP].concat())
+        let mut decoded = postcard::from_bytes(data);
+        // A snapshot of an earlier version ends before the maps that were added later.
+        for missing in 1..=ADDED_MAPS.len() {
+            if decoded != Err(postcard::Error::DeserializeUnexpectedEnd) {
+                break;
             }
-            _ => Err(error),
-        });
+            decoded = postcard::from_bytes(&[data, &ADDED_MAPS[..missing]].concat());
+        }
         decoded.map_err(|source| StateError { what: "snapshot", source })
     }
 
@@ -99,6 +104,26 @@
         &self.workers
     }
 
+    /// Returns the crashes of workers under the runs of a task.
+    pub fn get_crashes(&self, task: id::TaskId) -> CrashRecord {
+        self.crashes.get(&task).copied().unwrap_or_default()
+    }
+
+    /// Returns the tasks of an open job under which workers have crashed.
+    pub fn get_job_crashes(
+        &self,
+        job: id::JobKey,
+    ) -> impl Iterator<Item = (id::TaskId, CrashRecord)> + '_ {
+        let first = id::StepId { job, occurrence: 0, step: 0 }.task(0);
+        let last = id::StepId { job, occurrence: u32::MAX, step: u16::MAX }.task(u16::MAX);
+        self.crashes.range(first..=last).map(|(task, record)| (*task, *record))
+    }
+
+    /// Returns why a job was given up, if it was.
+    pub fn get_given_up(&self, job: id::JobKey) -> Option<&GivenUp> {
+        self.given_up.get(&job)
+    }
+
     /// Returns the workers that are leaving, with the sequence numbers of the announcements that
     /// said so.
     pub fn get_leaving(&self) -> &BTreeMap<id::WorkerNumber, u64> {
--- /dev/null
+++ b/comfreymill_jobs/tests/scheduler/crashes.rs
@@ -0,0 +1,202 @@
+//! Tasks that crash the workers that start them are given up; the tasks beside them are not.
+
+use std::time::Duration;
+
+use comfreymill_jobs::id::{JobKey, TaskId, WorkerNumber};
+use comfreymill_jobs::scheduler::{Order, StartAnswer};
+use comfreymill_jobs::state::JobStatus;
+use comfreymill_jobs::worker::EndKind;
+
+use crate::support::{KEY, Leader, Start, ended, running, spec, step};
+
+/// Time after which workers no longer count as new.
+const SETTLED: Duration = Duration::from_secs(11);
+const DEADLY: u64 = 0xdead;
+
+/// Returns a leader with workers that were registered long ago.
+fn with_workers(count: usize) -> Leader {
+    let mut leader = Leader::new();
+    for number in 0..count {
+        leader.worker(&name(number));
+    }
+    leader.advance(SETTLED);
+    leader
+}
+
+fn name(number: usize) -> String {
+    format!("w{number}")
+}
+
+/// Lets a worker crash: its next incarnation announces itself and reports that it runs nothing.
+fn crash(leader: &mut Leader, worker: WorkerNumber) {
+    let announced = leader.state.get_workers()[&worker].announced.clone();
+    let later = leader.announcement(announced.name.as_str(), announced.born_unix_ms + 1);
+    leader.announce(later);
+    leader.worker_reports_nothing(announced.name.as_str());
+}
+
+/// Starts whatever is ordered; each start of a deadly task crashes its worker. Returns the number of
+/// crashes.
+fn run_until_idle(leader: &mut Leader) -> u32 {
+    let mut crashes = 0;
+    loop {
+        leader.advance(Duration::from_millis(100));
+        let starts = leader.take_starts();
+        if starts.is_empty() {
+            return crashes;
+        }
+        for start in &starts {
+            leader.started(start, StartAnswer::Started);
+        }
+        for start in starts.iter().filter(|start| is_deadly(start.task)) {
+            if leader.state.get_workers().contains_key(&start.worker) {
+                crashes += 1;
+                assert!(crashes < 20, "the task goes on to crash workers");
+                crash(leader, start.worker);
+            }
+        }
+    }
+}
+
+fn is_deadly(task: TaskId) -> bool {
+    task.step.job == JobKey::new(DEADLY) && task.index == 0
+}
+
+fn status(leader: &Leader, key: u64) -> JobStatus {
+    leader.state.get_jobs()[&JobKey::new(key)].status
+}
+
+#[test]
+fn a_task_that_crashes_every_worker_is_given_up_after_the_second() {
+    let mut leader = with_workers(8);
+    leader.submit_as(DEADLY, spec(vec![step(1)]));
+    assert_eq!(run_until_idle(&mut leader), 2);
+    assert_eq!(status(&leader, DEADLY), JobStatus::Failed);
+    let reason = leader.state.get_given_up(JobKey::new(DEADLY)).expect("a reason");
+    assert_eq!((reason.crashes, reason.task.index), (2, 0));
+}
+
+/// The leader was killed in the middle of a series of crashes, and the next one began to count anew.
+#[test]
+fn crashes_count_across_changes_of_leader() {
+    let mut leader = with_workers(8);
+    leader.submit_as(DEADLY, spec(vec![step(1)]));
+    let mut crashes = 0;
+    while status(&leader, DEADLY) == JobStatus::Open {
+        assert!(crashes < 3, "the task goes on to crash workers");
+        let start = leader.take_starts()[0];
+        leader.started(&start, StartAnswer::Started);
+        crash(&mut leader, start.worker);
+        crashes += 1;
+        leader = leader.into_next_leader();
+        leader.advance(Duration::from_millis(1));
+        for number in 0..8 {
+            leader.worker_reports_nothing(&name(number));
+        }
+        leader.advance(Duration::from_millis(100));
+    }
+    assert_eq!(status(&leader, DEADLY), JobStatus::Failed);
+}
+
+#[test]
+fn a_task_on_workers_that_are_new_is_given_up_after_the_third_crash() {
+    let mut leader = Leader::new();
+    for number in 0..8 {
+        leader.worker(&name(number));
+    }
+    leader.submit_as(DEADLY, spec(vec![step(1)]));
+    assert_eq!(run_until_idle(&mut leader), 3);
+    assert_eq!(status(&leader, DEADLY), JobStatus::Failed);
+}
+
+/// A deadly task is started together with others, which all lose their workers as often as it does
+/// unless they are kept apart.
+#[test]
+fn jobs_beside_a_deadly_task_are_not_given_up() {
+    let mut leader = with_workers(12);
+    leader.submit_as(DEADLY, spec(vec![step(4)]));
+    for key in 1..=8 {
+        leader.submit_as(key, spec(vec![step(3)]));
+    }
+    assert!(run_until_idle(&mut leader) <= 3);
+    assert_eq!(status(&leader, DEADLY), JobStatus::Failed);
+    for key in 1..=8 {
+        assert_eq!(status(&leader, key), JobStatus::Open, "job {key}");
+    }
+}
+
+#[test]
+fn a_long_running_task_is_not_held_responsible_for_crashes_long_after_its_start() {
+    let mut leader = with_workers(8);
+    let mut lasting = step(1);
+    lasting.is_long_running = true;
+    leader.submit(spec(vec![lasting]));
+    for _ in 0..6 {
+        let start = leader.take_starts()[0];
+        leader.started(&start, StartAnswer::Started);
+        leader.report(start.worker, running(&[start]));
+        leader.advance(SETTLED);
+        leader.report(start.worker, running(&[start]));
+        crash(&mut leader, start.worker);
+        leader.advance(Duration::from_millis(100));
+    }
+    assert_eq!(status(&leader, KEY.get()), JobStatus::Open);
+    assert_eq!(leader.take_starts().len(), 1);
+}
+
+#[test]
+fn the_end_of_a_worker_that_was_leaving_is_not_a_crash() {
+    let mut leader = with_workers(8);
+    leader.submit(spec(vec![step(1)]));
+    for _ in 0..4 {
+        let start = leader.take_starts()[0];
+        leader.started(&start, StartAnswer::Started);
+        let announced = leader.state.get_workers()[&start.worker].announced.clone();
+        let mut leaving = leader.announcement(announced.name.as_str(), announced.born_unix_ms);
+        leaving.leaving_in = Some(Duration::from_millis(100));
+        leader.announce(leaving);
+        crash(&mut leader, start.worker);
+        leader.advance(Duration::from_millis(100));
+    }
+    assert_eq!(status(&leader, KEY.get()), JobStatus::Open);
+}
+
+/// A worker that was silent until its lease had expired turns out to have crashed.
+#[test]
+fn a_crash_that_is_learned_of_after_the_lease_counts_for_the_runs_that_lapsed() {
+    let mut leader = with_workers(8);
+    leader.submit_as(DEADLY, spec(vec![step(1)]));
+    let mut crashes = 0;
+    while status(&leader, DEADLY) == JobStatus::Open {
+        assert!(crashes < 3, "the task goes on to crash workers");
+        let start = leader.take_starts()[0];
+        leader.started(&start, StartAnswer::Started);
+        leader.leaves_poll_unanswered(start.worker);
+        leader.advance(crate::support::LEASE * 2);
+        crash(&mut leader, start.worker);
+        crashes += 1;
+    }
+    assert_eq!(status(&leader, DEADLY), JobStatus::Failed);
+}
+
+/// The next start of a task under which a worker has crashed must identify it.
+#[test]
+fn nothing_else_is_started_beside_a_task_under_which_a_worker_has_crashed() {
+    let mut leader = with_workers(6);
+    leader.submit_as(DEADLY, spec(vec![step(1)]));
+    let first = leader.take_starts()[0];
+    leader.started(&first, StartAnswer::Started);
+    crash(&mut leader, first.worker);
+    leader.advance(Duration::from_millis(100));
+    let again: Vec<Start> = leader.take_starts();
+    assert_eq!(again.len(), 1);
+    leader.started(&again[0], StartAnswer::Started);
+    leader.submit_as(1, spec(vec![step(12)]));
+    let others = leader.take_starts();
+    assert_eq!(others.len(), 12);
+    assert!(others.iter().all(|start| start.worker != again[0].worker), "{others:?}");
+    let done = again[0].end(1, EndKind::Done);
+    leader.report(again[0].worker, ended(vec![done]));
+    assert_eq!(status(&leader, DEADLY), JobStatus::Completed);
+    assert!(!leader.orders.iter().any(|order| matches!(order, Order::Stop { .. })));
+}
--- a/comfreymill_jobs/tests/support/mod.rs
+++ b/comfreymill_jobs/tests/support/mod.rs
@@ -161,6 +161,9 @@
                 self.scheduler.worker_added(now, number, &state.get_workers()[&number]);
             }
             Effect::WorkerLeaving(number) => self.scheduler.worker_leaving(number, state),
+            Effect::WorkerCrashed { worker, runs, given_up } => {
+                self.scheduler.crash_noted(now, worker, &runs, &given_up, state);
+            }
             Effect::EndsNoted { worker, ends } => {
                 self.scheduler.ends_noted(now, worker, &ends, state);
             }
@@ -199,6 +202,21 @@
         number
     }
 
+    /// Answers a poll of the worker's latest incarnation with an empty report.
+    pub(crate) fn worker_reports_nothing(&mut self, name: &str) {
+        let workers = self.state.get_workers().iter();
+        let mut named = workers.filter(|(_, worker)| worker.announced.name.as_str() == name);
+        let number = *named.next_back().expect("the worker is in the log").0;
+        self.report(number, worker::Report::default());
+    }
+
+    /// Lets a poll of a worker time out.
+    pub(crate) fn leaves_poll_unanswered(&mut self, number: id::WorkerNumber) {
+        let answer = Answer::Poll(PollAnswer::NoAnswer);
+        self.scheduler.answered(self.now, number, self.now, answer);
+        self.settle();
+    }
+
     /// Handles an announcement and commits what has to be committed before it is acknowledged;
     /// returns whether it is acknowledged then.
     pub(crate) fn announce(&mut self, announcement: worker::Announcement) -> bool {
--- a/comfreymill_node/src/scheduler/core/commit.rs
+++ b/comfreymill_node/src/scheduler/core/commit.rs
@@ -117,6 +117,10 @@
                     leadership.order_sender.remove_worker(worker);
                 }
             }
+            state::Effect::WorkerCrashed { worker, runs, given_up } => {
+                leadership.order_sender.remove_worker(worker);
+                scheduler.crash_noted(now, worker, &runs, &given_up, &self.state);
+            }
             state::Effect::EndsNoted { worker, ends } => {
                 scheduler.ends_noted(now, worker, &ends, &self.state);
             }
--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -16,6 +16,7 @@
 use crate::jobcall;
 use crate::peer;
 use crate::proposals::Proposals;
+use crate::scheduler::explanation;
 use crate::scheduler::links::Links;
 
 /// Configuration of the core.
@@ -114,6 +115,9 @@
             Input::Status(reply) => {
                 reply.send(self.status_json(now)).ok();
             }
+            Input::Explain { key, reply } => {
+                reply.send(explanation::explain(&self.state, &key)).ok();
+            }
             Input::Drain(done) => {
                 self.drain(now);
                 done.send(()).ok();
--- a/comfreymill_node/src/scheduler/core/input.rs
+++ b/comfreymill_node/src/scheduler/core/input.rs
@@ -4,6 +4,7 @@
 use comfreymill_group::id;
 use comfreymill_group::message;
 use comfreymill_group::store;
+use comfreymill_types::error;
 
 use crate::jobcall;
 use crate::peer::{self, SessionId};
@@ -28,6 +29,8 @@
     OrderResult(Box<OrderResult>),
     /// Request for the status as JSON text.
     Status(flume::Sender<Bytes>),
+    /// Request for the reason of a job's state as JSON text.
+    Explain { key: String, reply: flume::Sender<Result<Bytes, error::Error>> },
     /// The process is stopping and must hand over the leadership.
     Drain(flume::Sender<()>),
 }
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -34,6 +34,8 @@
 const GROUP_HEARTBEAT: Duration = Duration::from_millis(100);
 /// Upper bound on the difference between the rates of members' clocks, in parts per million.
 const CLOCK_DRIFT_PPM: u32 = 20_000;
+/// Path under which observers ask for the reason of a job's state.
+const EXPLAIN_PATH: &str = "/v1/explain/";
 /// Id of the group that the schedulers form.
 const GROUP: u64 = 1;
 
@@ -84,6 +86,13 @@
         let observers = runtime::listen("metrics", address)?;
         let (meter, status_inputs) = (metering::Meter::install()?, inputs.clone());
         let observer = async move |req: server::Request<'_>| {
+            if let Some(key) = req.uri().path().strip_prefix(EXPLAIN_PATH) {
+                let explained = fetch_explanation(&status_inputs, key.to_owned()).await;
+                return match explained {
+                    Ok(body) => web::answer_json(req, body).await,
+                    Err(error) => web::answer_error(req, &error).await,
+                };
+            }
             web::answer_observer(req, &meter, async || fetch_status(&status_inputs).await).await
         };
         let limits = limits::Limits::new();
@@ -151,6 +160,18 @@
     rx.recv_async().await.unwrap_or_default()
 }
 
+/// Returns why a job is in its state, as JSON text.
+async fn fetch_explanation(
+    inputs: &flume::Sender<Input>,
+    key: String,
+) -> Result<Bytes, error::Error> {
+    let (reply, rx) = flume::bounded(1);
+    inputs.send(Input::Explain { key, reply }).ok();
+    rx.recv_async().await.unwrap_or_else(|_| {
+        Err(error::Error::new(error::ErrorKind::Draining, "the scheduler is stopping"))
+    })
+}
+
 /// Waits for the request to stop; a graceful stop hands over the leadership first.
 async fn wait_for_stop(
     stop: &flume::Receiver<runtime::Stop>,
--- a/tests/platform/whole_path.rs
+++ b/tests/platform/whole_path.rs
@@ -73,3 +73,23 @@
     let first_placement = started.iter().filter(|(_, run)| *run == 1).count();
     assert!(first_placement < TASKS, "every order was sent, however long it had waited");
 }
+
+/// A task that crashed each worker that started it was started on one after the other, without end.
+#[test]
+fn a_task_that_crashes_its_workers_is_given_up() {
+    const JOB: u64 = 0x5c0e_7a21_0000_0000;
+    const MOST_CRASHES: usize = 3;
+    let bed = TestBed::start();
+    let caller = bed.caller();
+    let start = |number| {
+        standin::start_crashing_worker(&format!("w-{number}"), bed.get_address(), bed.control())
+    };
+    let workers: Vec<standin::Started> = (0..6).map(start).collect();
+    bed.wait("a job to be accepted", || caller.submit(JOB, 1));
+    bed.wait("the job to fail", || caller.state(JOB).is_some_and(|state| state == "failed"));
+    let crashes = workers.iter().map(|worker| worker.lock().expect("no thread panics").len());
+    assert!(crashes.sum::<usize>() <= MOST_CRASHES);
+    let explanation = bed.explain(JOB);
+    assert!(explanation.contains("given up"), "{explanation}");
+    assert!(explanation.contains("5c0e7a2100000000.0.0.0"), "{explanation}");
+}
