--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -206,6 +206,7 @@
             self.orders.push(Order::Stop { worker: number, task: status.task, run: status.run });
             return;
         }
+        let is_known = spec.is_some();
         let spec = spec.unwrap_or_default();
         let image = self.interference.intern(spec.image.as_deref());
         let phase = RunPhase::Running { since: now };
@@ -216,6 +217,10 @@
         run.percent = status.percent;
         log::info!(target: "runs", task:% = status.task, run:% = status.run, worker:% = number, is_wanted = is_free; "a run that this leader did not start was reported");
         let Some(entry) = self.workers.get_mut(&number) else { return };
+        if !is_known {
+            // The needs of a task whose job is over are not known to a new leader.
+            run.reserved = entry.free();
+        }
         entry.add(status.task, run);
         if is_free {
             self.mark_started(status.task.step.job);
--- a/comfreymill_jobs/tests/scheduler/succession.rs
+++ b/comfreymill_jobs/tests/scheduler/succession.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use comfreymill_jobs::scheduler::{Order, StartAnswer};
+use comfreymill_jobs::state::Command;
 use comfreymill_jobs::worker::{EndKind, Report};
 
-use crate::support::{LEASE, Leader, Start, ended, running, spec, step};
+use crate::support::{KEY, LEASE, Leader, Start, ended, running, spec, step};
 
 fn with_next_leader() -> (Leader, Vec<Start>) {
     let mut leader = Leader::new();
@@ -201,3 +202,22 @@
     assert!(leader.announce(leaving));
     assert_eq!(leader.state.get_leaving().len(), 1);
 }
+
+/// What is being stopped still counts, also if the job that it belonged to is over.
+#[test]
+fn nothing_is_placed_beside_a_run_of_unknown_size_until_it_has_ended() {
+    let mut leader = Leader::new();
+    let worker = leader.worker("w");
+    leader.submit(spec(vec![step(8)]));
+    let starts = leader.take_starts();
+    leader.commit(vec![Command::Cancel { job: KEY }]);
+    let mut leader = leader.into_next_leader();
+    leader.advance(Duration::from_millis(1));
+    leader.report(worker, running(&starts));
+    leader.submit_as(2, spec(vec![step(1)]));
+    assert!(leader.take_starts().is_empty());
+    let ends = (1..).zip(&starts).map(|(number, start)| start.end(number, EndKind::Stopped));
+    leader.report(worker, ended(ends.collect()));
+    leader.advance(Duration::from_millis(100));
+    assert_eq!(leader.take_starts().len(), 1);
+}
