--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -152,6 +152,13 @@
         let was_leaving = entry.announcement.leaving_in.is_some();
         let is_leaving = announcement.leaving_in.is_some();
         let is_new = !entry.has_announced;
+        // A new leader places tasks by the capacity in the log until it hears from the worker.
+        let capacity = announcement.capacity;
+        if entry.replicated.announced.capacity != capacity {
+            entry.replicated.announced.capacity = capacity;
+            log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, cpu = capacity.cpu_milli, mem = capacity.mem_mb, gpus = capacity.gpus; "a worker's capacity has changed");
+            self.commands.push(state::Command::SetCapacity { worker: number, capacity });
+        }
         entry.announcement = announcement;
         entry.has_announced = true;
         let is_committed = entry.leaving_since.is_some();
--- a/comfreymill_jobs/src/state/apply.rs
+++ b/comfreymill_jobs/src/state/apply.rs
@@ -98,6 +98,12 @@
             Command::NoteCrash { worker, runs, given_up } => {
                 self.note_crash(worker, runs, &given_up)
             }
+            Command::SetCapacity { worker, capacity } => {
+                if let Some(worker) = self.workers.get_mut(&worker) {
+                    worker.announced.capacity = capacity;
+                }
+                Effect::None
+            }
         }
     }
 
--- a/comfreymill_jobs/src/state/command.rs
+++ b/comfreymill_jobs/src/state/command.rs
@@ -64,6 +64,13 @@
         /// Tasks whose jobs are given up, since they crash the workers that start them.
         given_up: Vec<id::TaskId>,
     },
+    /// Records that the capacity of a worker has changed.
+    SetCapacity {
+        /// Number of the incarnation.
+        worker: id::WorkerNumber,
+        /// New capacity.
+        capacity: worker::Resources,
+    },
 }
 
 /// Job with the queue that it was submitted to.
--- a/comfreymill_jobs/tests/scheduler/order.rs
+++ b/comfreymill_jobs/tests/scheduler/order.rs
@@ -200,3 +200,27 @@
     leader.started(&start, StartAnswer::Started);
     assert_eq!(leader.scheduler.count_waiting_jobs("batch"), 0);
 }
+
+#[test]
+fn a_worker_that_has_shrunk_below_its_load_gets_nothing_until_it_grows() {
+    let mut leader = Leader::new();
+    let worker = leader.worker("w");
+    leader.submit(spec(vec![step(4)]));
+    let starts = leader.take_starts();
+    let resize = |leader: &mut Leader, cpu_milli: u32| {
+        let mut announcement = leader.announcement("w", 10);
+        announcement.capacity.cpu_milli = cpu_milli;
+        leader.announce(announcement);
+        leader.advance(Duration::from_millis(100));
+    };
+    resize(&mut leader, 6_000);
+    leader.submit_as(1, spec(vec![step(1)]));
+    assert!(leader.take_starts().is_empty());
+    // Three of the four tasks fill what is left; the end of one frees nothing.
+    let mut report = running(&starts[1..]);
+    report.ended = vec![starts[0].end(1, EndKind::Done)];
+    leader.report(worker, report);
+    assert!(leader.take_starts().is_empty());
+    resize(&mut leader, 8_000);
+    assert_eq!(leader.take_starts().len(), 1);
+}
--- a/comfreymill_jobs/tests/scheduler/succession.rs
+++ b/comfreymill_jobs/tests/scheduler/succession.rs
@@ -203,6 +203,22 @@
     assert_eq!(leader.state.get_leaving().len(), 1);
 }
 
+/// A worker that does not guard its capacity shrank, and the next leader placed tasks by the capacity
+/// that it had announced first.
+#[test]
+fn the_next_leader_keeps_to_the_capacity_of_a_worker_that_has_shrunk() {
+    let mut leader = Leader::new();
+    let worker = leader.worker("w");
+    let mut shrunk = leader.announcement("w", 10);
+    shrunk.capacity.cpu_milli = 6_000;
+    leader.announce(shrunk);
+    let mut leader = leader.into_next_leader();
+    leader.advance(Duration::from_millis(1));
+    leader.report(worker, Report::default());
+    leader.submit(spec(vec![step(8)]));
+    assert_eq!(leader.take_starts().len(), 3, "6 of 16 cores are left for tasks of 2");
+}
+
 /// What is being stopped still counts, also if the job that it belonged to is over.
 #[test]
 fn nothing_is_placed_beside_a_run_of_unknown_size_until_it_has_ended() {
