fix(jobs): a delayed announcement does not bring a departed worker back (DRAIN)

Cause: what was known of a departure was dropped with the worker, so an announcement from before it, delayed by the network, added the same incarnation again as usable. The test failed before, with and without a change of leader.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -34,8 +34,8 @@
             let is_same = other.name == announcement.name || other.address == announcement.address;
             is_same && other.born_unix_ms > announcement.born_unix_ms
         });
-        if is_outdated {
-            log::info!(target: "workers", worker:% = announcement.name, born = announcement.born_unix_ms; "an announcement of an older incarnation is ignored");
+        if is_outdated || self.departures.supersede(&announcement) {
+            log::info!(target: "workers", worker:% = announcement.name, born = announcement.born_unix_ms, sequence = announcement.sequence; "an announcement of an older incarnation, or from before its departure, is ignored");
             return Acknowledgement::Now;
         }
         let pending = self.pending_workers.get(&announcement.name);
--- a/comfreymill_jobs/src/scheduler/lost_workers.rs
+++ b/comfreymill_jobs/src/scheduler/lost_workers.rs
@@ -37,7 +37,11 @@
             return;
         }
         self.release_all(now, number);
-        self.workers.remove(&number);
+        if let Some(entry) = self.workers.remove(&number)
+            && let Some(sequence) = entry.leaving_since
+        {
+            self.departures.record(&entry.replicated.announced, sequence);
+        }
         self.commands.push(state::Command::DropWorkers { workers: vec![number] });
     }
 
--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -39,6 +39,7 @@
             ready: ReadyQueue::default(),
             interference: Interference::default(),
             pending_workers: BTreeMap::new(),
+            departures: state.get_departures().clone(),
             has_unreconciled: true,
             needs_placement: true,
             ended: VecDeque::new(),
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -34,6 +34,8 @@
     pub(super) interference: Interference,
     /// Workers that have announced an incarnation that is not in the log yet.
     pub(super) pending_workers: BTreeMap<id::WorkerName, super::announcements::PendingWorker>,
+    /// Workers that were removed after they had said that they were leaving.
+    pub(super) departures: state::Departures,
     /// Whether tasks of earlier leaders may run on workers that have not reported yet.
     pub(super) has_unreconciled: bool,
     /// Whether capacity may have become free or a task may have become ready since the last
--- a/comfreymill_jobs/src/state/apply.rs
+++ b/comfreymill_jobs/src/state/apply.rs
@@ -108,8 +108,12 @@
     }
 
     fn drop_workers(&mut self, workers: &[id::WorkerNumber]) {
-        self.workers.retain(|number, _| !workers.contains(number));
-        self.leaving.retain(|number, _| !workers.contains(number));
+        for number in workers {
+            let dropped = self.workers.remove(number);
+            if let (Some(worker), Some(sequence)) = (dropped, self.leaving.remove(number)) {
+                self.departures.record(&worker.announced, sequence);
+            }
+        }
     }
 
     fn note_crash(
--- a/comfreymill_jobs/src/state/mod.rs
+++ b/comfreymill_jobs/src/state/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod command;
 mod crash;
+mod departures;
 mod job;
 #[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
 mod state;
@@ -12,6 +13,7 @@
 pub use apply::Effect;
 pub use command::{Command, Submission};
 pub use crash::{CrashRecord, CrashedRun, GivenUp};
+pub use departures::Departures;
 pub use job::{Job, JobStatus, Occurrence};
 pub use state::{Routes, State, StateError};
 pub use step::StepState;
--- a/comfreymill_jobs/src/state/state.rs
+++ b/comfreymill_jobs/src/state/state.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use super::{CrashRecord, GivenUp, Job, Worker};
+use super::{CrashRecord, Departures, GivenUp, Job, Worker};
 use crate::id;
 use crate::routes;
 
@@ -27,6 +27,8 @@
     pub(super) crashes: BTreeMap<id::TaskId, CrashRecord>,
     /// Jobs that were given up, as long as their outcome is retained.
     pub(super) given_up: BTreeMap<id::JobKey, GivenUp>,
+    /// Workers that were removed after they had said that they were leaving.
+    pub(super) departures: Departures,
 }
 
 /// Routes in force, decoded and as received.
@@ -48,8 +50,8 @@
     pub source: postcard::Error,
 }
 
-/// Encoding of the maps that were added to the end of the state since version 0.1, without entries.
-const ADDED_MAPS: &[u8] = &[0, 0, 0];
+/// Encoding of the fields that were added to the end of the state since version 0.1, all empty.
+const ADDED_FIELDS: &[u8] = &[0, 0, 0, 0];
 
 impl State {
     /// Decodes the state from a snapshot.
@@ -59,12 +61,12 @@
     /// Returns an error if the snapshot is malformed.
     pub fn from_snapshot(data: &[u8]) -> Result<Self, StateError> {
         let mut decoded = postcard::from_bytes(data);
-        // A snapshot of an earlier version ends before the maps that were added later.
-        for missing in 1..=ADDED_MAPS.len() {
+        // A snapshot of an earlier version ends before the fields that were added later.
+        for missing in 1..=ADDED_FIELDS.len() {
             if decoded != Err(postcard::Error::DeserializeUnexpectedEnd) {
                 break;
             }
-            decoded = postcard::from_bytes(&[data, &ADDED_MAPS[..missing]].concat());
+            decoded = postcard::from_bytes(&[data, &ADDED_FIELDS[..missing]].concat());
         }
         decoded.map_err(|source| StateError { what: "snapshot", source })
     }
@@ -124,6 +126,11 @@
         self.given_up.get(&job)
     }
 
+    /// Returns the workers that were removed after they had said that they were leaving.
+    pub fn get_departures(&self) -> &Departures {
+        &self.departures
+    }
+
     /// Returns the workers that are leaving, with the sequence numbers of the announcements that
     /// said so.
     pub fn get_leaving(&self) -> &BTreeMap<id::WorkerNumber, u64> {
--- a/comfreymill_jobs/tests/scheduler/succession.rs
+++ b/comfreymill_jobs/tests/scheduler/succession.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use comfreymill_jobs::scheduler::{Order, StartAnswer};
+use comfreymill_jobs::scheduler::{Answer, Order, StartAnswer};
 use comfreymill_jobs::state::Command;
 use comfreymill_jobs::worker::{EndKind, Report};
 
@@ -237,3 +237,24 @@
     leader.advance(Duration::from_millis(100));
     assert_eq!(leader.take_starts().len(), 1);
 }
+
+/// A leaving worker was removed, and an announcement that was delayed since before its departure
+/// brought it back.
+#[test]
+fn a_delayed_announcement_does_not_bring_a_departed_worker_back() {
+    for has_next_leader in [false, true] {
+        let mut leader = Leader::new();
+        let worker = leader.worker("w");
+        let delayed = leader.announcement("w", 10);
+        let mut leaving = leader.announcement("w", 10);
+        leaving.leaving_in = Some(Duration::from_millis(2_500));
+        leader.announce(leaving);
+        leader.scheduler.answered(leader.now, worker, leader.now, Answer::WorkerGone);
+        leader.settle();
+        if has_next_leader {
+            leader = leader.into_next_leader();
+        }
+        leader.announce(delayed);
+        assert!(leader.state.get_workers().is_empty(), "next leader: {has_next_leader}");
+    }
+}
--- a/comfreymill_jobs/tests/state/mod.rs
+++ b/comfreymill_jobs/tests/state/mod.rs
@@ -103,10 +103,10 @@
 fn a_snapshot_without_leaving_workers_and_crashes_is_read() {
     let state = state_of(vec![add_worker(), submit()]);
     let data = state.to_snapshot().expect("the state is encoded");
-    // Each of the three maps that were added later takes one byte if it is empty.
-    for missing in 1..=3 {
+    // Each of the four fields that were added later takes one byte if it is empty.
+    for missing in 1..=4 {
         let earlier = &data[..data.len() - missing];
         assert_eq!(State::from_snapshot(earlier).expect("the state is decoded"), state);
     }
-    assert!(State::from_snapshot(&data[..data.len() - 4]).is_err());
+    assert!(State::from_snapshot(&data[..data.len() - 5]).is_err());
 }
