fix(jobs): no announcement is acknowledged while a departure is uncommitted (DRAIN)

Found by reading. Cause: an announcement that was repeated or overtaken was acknowledged at once, also while the departure of its worker waited to be committed; if the leader ended then, the next one knew nothing. Change: it waits for the same command. The test failed before.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -144,7 +144,7 @@
         let is_outdated = (entry.has_announced && sequence <= entry.announcement.sequence)
             || entry.leaving_since.is_some_and(|since| sequence < since);
         if entry.is_gone || is_outdated {
-            return Acknowledgement::Now;
+            return entry.departure_acknowledgement(number);
         }
         if let Some(clock_ms) = announcement.clock_ms {
             entry.update_clock(&cfg, clock_ms, now);
@@ -161,7 +161,7 @@
         }
         entry.announcement = announcement;
         entry.has_announced = true;
-        let is_committed = entry.leaving_since.is_some();
+        let acknowledgement = entry.departure_acknowledgement(number);
         if is_leaving && !was_leaving {
             log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, runs = entry.runs.len(); "a worker is leaving");
         }
@@ -169,11 +169,7 @@
             self.evacuate(now, number);
         }
         self.needs_placement |= is_new || was_leaving != is_leaving;
-        if is_leaving && !is_committed {
-            Acknowledgement::Committed(state::Command::MarkLeaving { worker: number, sequence })
-        } else {
-            Acknowledgement::Now
-        }
+        acknowledgement
     }
 
     /// Stops the long-running tasks on a worker that is leaving, so that they move to other
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -3,10 +3,10 @@
 
 use comfreymill_types::time;
 
-use super::Config;
 use super::crashes::CrashCandidate;
 use super::interference::ImageId;
 use super::run::RunEntry;
+use super::{Acknowledgement, Config};
 use crate::id;
 use crate::job;
 use crate::state;
@@ -151,6 +151,16 @@
             && now >= self.backoff_until
     }
 
+    /// Returns when an announcement of the worker may be acknowledged: while its departure is not in
+    /// the log, none may, since the worker would take it for the acknowledgement of its departure.
+    pub(super) fn departure_acknowledgement(&self, number: id::WorkerNumber) -> Acknowledgement {
+        if self.announcement.leaving_in.is_none() || self.leaving_since.is_some() {
+            return Acknowledgement::Now;
+        }
+        let sequence = self.announcement.sequence;
+        Acknowledgement::Committed(state::Command::MarkLeaving { worker: number, sequence })
+    }
+
     /// Returns the resources that are not reserved.
     pub(super) fn free(&self) -> worker::Resources {
         self.announcement.capacity.saturating_sub(&self.reserved)
--- a/comfreymill_jobs/tests/scheduler/succession.rs
+++ b/comfreymill_jobs/tests/scheduler/succession.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use comfreymill_jobs::scheduler::{Answer, Order, StartAnswer};
+use comfreymill_jobs::scheduler::{Acknowledgement, Answer, Order, StartAnswer};
 use comfreymill_jobs::state::Command;
 use comfreymill_jobs::worker::{EndKind, Report};
 
@@ -258,3 +258,17 @@
         assert!(leader.state.get_workers().is_empty(), "next leader: {has_next_leader}");
     }
 }
+
+/// The log was slow to commit a departure, and an announcement that came again was acknowledged in
+/// the meantime.
+#[test]
+fn a_repeated_departure_is_not_acknowledged_before_it_is_committed() {
+    let mut leader = Leader::new();
+    leader.worker("w");
+    let mut leaving = leader.announcement("w", 10);
+    leaving.leaving_in = Some(Duration::from_millis(2_500));
+    for _ in 0..2 {
+        let acknowledgement = leader.scheduler.announced(leader.now, leaving.clone());
+        assert!(matches!(acknowledgement, Acknowledgement::Committed(_)), "{acknowledgement:?}");
+    }
+}
