test(platform): a stand-in worker that shrinks and grows (LIMIT)

The stand-in does not guard its capacity and keeps its runs; the scheduler process gives it no more than its latest heartbeat says.

--- a/tests/platform/test_bed.rs
+++ b/tests/platform/test_bed.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Returns whether the scheduler has logged an event at least `times` times.
+    pub(super) fn has_logged(&self, event: &str, times: usize) -> bool {
+        self.logs().matches(event).count() >= times
+    }
+
     /// Returns what `comfreymill explain` prints about a job.
     pub(super) fn explain(&self, job: u64) -> String {
         let operators = SocketAddr::from((self.address, 7_414)).to_string();
--- a/tests/platform/whole_path.rs
+++ b/tests/platform/whole_path.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -93,3 +94,33 @@
     assert!(explanation.contains("given up"), "{explanation}");
     assert!(explanation.contains("5c0e7a2100000000.0.0.0"), "{explanation}");
 }
+
+/// The capacity of a worker that does not guard it shrinks and grows again while it has runs.
+#[test]
+fn a_worker_that_shrinks_gets_no_more_than_it_holds() {
+    const CHANGED: &str = "a worker's capacity has changed";
+    let bed = TestBed::start();
+    let caller = bed.caller();
+    let cpu_milli = standin::capacity(1_600);
+    let start = |name: &str, cpu_milli| {
+        standin::start_resizable_worker(name, bed.get_address(), bed.control(), cpu_milli)
+    };
+    let count = |worker: &standin::Started| worker.lock().expect("no thread panics").len();
+    let shrinking = start("shrinking", &cpu_milli);
+    bed.wait("a job to be accepted", || caller.submit(1, 4));
+    bed.wait("its tasks to be started", || count(&shrinking) == 4);
+
+    cpu_milli.store(800, Ordering::Relaxed);
+    bed.wait("the worker to shrink", || bed.has_logged(CHANGED, 1));
+    bed.wait("a job to be accepted", || caller.submit(2, 12));
+    bed.wait("the worker to be full", || count(&shrinking) >= 8);
+    let other = start("other", &standin::capacity(1_600));
+    bed.wait("all tasks to be started", || count(&shrinking) + count(&other) == 16);
+    assert_eq!(count(&shrinking), 8, "0.8 cores hold 8 tasks of 0.1");
+
+    cpu_milli.store(1_200, Ordering::Relaxed);
+    bed.wait("the worker to grow", || bed.has_logged(CHANGED, 2));
+    bed.wait("a job to be accepted", || caller.submit(3, 12));
+    bed.wait("all tasks to be started", || count(&shrinking) + count(&other) == 28);
+    assert_eq!(count(&shrinking), 12, "1.2 cores hold 12 tasks of 0.1");
+}
