fix(bench): the stand-in worker starts no attempt whose lease is over

Cause of the known red test fleet::batch::tasks_run_once_each_through_changes_of_leader, as its entry says: an answer that waited longer than the lease it grants was followed.

--- a/comfreymill_bench/src/standin/worker.rs
+++ b/comfreymill_bench/src/standin/worker.rs
@@ -138,7 +138,9 @@
         let assignment = directive.assignment;
         let id = assignment.attempt;
         if !self.attempts.contains_key(&id) {
-            if assignment.directive == action::Directive::Stop {
+            // The answer may have waited longer than the lease that it grants.
+            let has_lapsed = lease_until <= Instant::now();
+            if assignment.directive == action::Directive::Stop || has_lapsed {
                 return;
             }
             self.check_capacity(id, &assignment.reserved);
