fix(node): shares of the descriptors of a scheduler

Cause of the known red test a_scheduler_with_many_workers_keeps_to_its_descriptors (68 open with a bound of 64): the shares for workers and listener left too few for files, links and refusals when the bound is small, and polls took from the share of orders.

--- a/comfreymill_http/src/limits.rs
+++ b/comfreymill_http/src/limits.rs
@@ -27,6 +27,8 @@
     response_timeout: time::Duration,
     linger_timeout: time::Duration,
     max_connections: usize,
+    /// Largest number of connections over the limit that are refused with a response at a time.
+    max_refusals: usize,
     max_requests_in_progress: usize,
 }
 
@@ -46,6 +48,7 @@
             response_timeout: time::Duration::from_secs(60),
             linger_timeout: time::Duration::from_secs(2),
             max_connections: 4096,
+            max_refusals: 64,
             max_requests_in_progress: 4096,
         }
     }
@@ -156,6 +159,14 @@
         self
     }
 
+    /// Sets the largest number of connections over the limit that are refused with a response at a
+    /// time; any more are closed without one.
+    #[must_use]
+    pub fn max_refusals(mut self, count: usize) -> Self {
+        self.max_refusals = count;
+        self
+    }
+
     /// Sets the largest number of requests in progress at a listener.
     #[must_use]
     pub fn max_requests_in_progress(mut self, count: usize) -> Self {
@@ -233,6 +244,13 @@
         self.max_connections
     }
 
+    /// Returns the largest number of connections over the limit that are refused with a response at
+    /// a time.
+    #[must_use]
+    pub fn get_max_refusals(&self) -> usize {
+        self.max_refusals
+    }
+
     /// Returns the largest number of requests in progress at a listener.
     pub fn get_max_requests_in_progress(&self) -> usize {
         self.max_requests_in_progress
--- a/comfreymill_http/src/server/serve.rs
+++ b/comfreymill_http/src/server/serve.rs
@@ -9,10 +9,6 @@
 /// Delay after a failed `accept`.
 const ACCEPT_BACKOFF: time::Duration = time::Duration::from_millis(50);
 
-/// Largest number of connections over the limit that are refused with a response at a time; any
-/// more are closed without one.
-const MAX_LINGERING_REFUSALS: usize = 64;
-
 /// Connections and requests that a graceful shutdown aborted at the end of its grace period.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DrainReport {
@@ -102,7 +98,7 @@
     if state.connections.get() < state.limits.get_max_connections() {
         let count = CountGuard::new(&state.connections);
         spawn(state, count, serve_connection(conn, rc::Rc::clone(state)));
-    } else if state.refusals.get() < MAX_LINGERING_REFUSALS {
+    } else if state.refusals.get() < state.limits.get_max_refusals() {
         let count = CountGuard::new(&state.refusals);
         spawn(state, count, refuse(conn));
     }
--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -36,8 +36,8 @@
     pub(in crate::scheduler) seeds: Vec<Ipv4Addr>,
     /// Desired number of voters in the group.
     pub(in crate::scheduler) voters: usize,
-    /// Number of descriptors that the process may use.
-    pub(in crate::scheduler) descriptors: usize,
+    /// Maximum number of connections to workers.
+    pub(in crate::scheduler) worker_connections: usize,
     /// Number of log entries between two snapshots.
     pub(in crate::scheduler) snapshot_entries: u64,
 }
--- a/comfreymill_node/src/scheduler/core/leadership.rs
+++ b/comfreymill_node/src/scheduler/core/leadership.rs
@@ -54,8 +54,12 @@
         let fence = self.state.get_fence();
         let scheduler =
             scheduler::Scheduler::new(self.cfg.decisions, &self.state, clock::since_1970(), now);
-        let order_sender =
-            OrderSender::new(fence, self.cfg.clock, self.inputs.clone(), self.cfg.descriptors);
+        let order_sender = OrderSender::new(
+            fence,
+            self.cfg.clock,
+            self.inputs.clone(),
+            self.cfg.worker_connections,
+        );
         log::info!(target: "group", term = entry_term, fence:% = fence, jobs = self.state.get_jobs().len(), workers = self.state.get_workers().len(); "this process leads");
         self.leadership =
             Some(Leadership { scheduler, order_sender, term: entry_term, began_at: now });
--- a/comfreymill_node/src/scheduler/mod.rs
+++ b/comfreymill_node/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 
 mod control;
 mod core;
+mod descriptor_budget;
 mod explanation;
 mod links;
 mod member_id;
--- a/comfreymill_node/src/scheduler/orders/connections.rs
+++ b/comfreymill_node/src/scheduler/orders/connections.rs
@@ -5,28 +5,29 @@
 /// Interval between attempts to open a connection while the maximum number is open.
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Number of open connections to workers and its bounds, shared by all delivery tasks.
+/// Number of connections for orders that may be open however many polls are.
+const MIN_FOR_ORDERS: usize = 4;
+
+/// Number of open connections to workers and its bound, shared by all delivery tasks.
 ///
-/// A leader of many workers must not use up the descriptors of its process: its store, its listener
-/// and its links to the other members need some as well. With a connection for polls and two for
-/// orders to each of 890 workers and their own connections for announcements, 4,096 were too few.
+/// Polls take what they need, since without them a worker's lease expires. Orders share the rest.
 #[derive(Clone, Debug)]
 pub(super) struct Connections {
-    open: Rc<Cell<usize>>,
+    for_polls: Rc<Cell<usize>>,
+    for_orders: Rc<Cell<usize>>,
     most: usize,
 }
 
 /// One open connection; it is counted until it is dropped.
 #[derive(Debug)]
 pub(super) struct Permit {
-    open: Rc<Cell<usize>>,
+    count: Rc<Cell<usize>>,
 }
 
 impl Connections {
-    /// Creates the count for a process that may use `descriptors` descriptors. Half of them are for
-    /// connections to workers, since each worker also keeps one for its announcements.
-    pub(super) fn new(descriptors: usize) -> Self {
-        Self { open: Rc::new(Cell::new(0)), most: descriptors / 2 }
+    /// Creates the count with a bound of `most` connections.
+    pub(super) fn new(most: usize) -> Self {
+        Self { for_polls: Rc::default(), for_orders: Rc::default(), most }
     }
 
     /// Returns how many connections for orders each of `workers` workers may have, beside the one
@@ -35,29 +36,40 @@
         if workers.saturating_mul(3) <= self.most { 2 } else { 1 }
     }
 
-    /// Counts a connection that is opened regardless of the bound, for polls: without them, the
-    /// worker's lease would expire.
-    pub(super) fn open(&self) -> Permit {
-        self.open.set(self.open.get() + 1);
-        Permit { open: Rc::clone(&self.open) }
+    /// Counts a connection that is opened for polls.
+    pub(super) fn open_for_polls(&self) -> Permit {
+        Permit::new(&self.for_polls)
     }
 
-    /// Waits until a connection may be opened, and counts it.
-    pub(super) async fn wait_to_open(&self) -> Permit {
-        while self.open.get() >= self.most {
+    /// Waits until a connection may be opened for orders, and counts it.
+    pub(super) async fn open_for_orders(&self) -> Permit {
+        while self.for_orders.get() >= self.most_for_orders() {
             monoio::time::sleep(RETRY_INTERVAL).await;
         }
-        self.open()
+        Permit::new(&self.for_orders)
     }
 
-    /// Returns whether idle connections should be closed, so that others can be opened.
+    /// Returns whether connections for orders should be closed after use, so that others can be
+    /// opened.
     pub(super) fn is_scarce(&self) -> bool {
-        self.open.get() > self.most - self.most / 16
+        let most = self.most_for_orders();
+        self.for_orders.get() > most - most / 8
+    }
+
+    fn most_for_orders(&self) -> usize {
+        self.most.saturating_sub(self.for_polls.get()).max(MIN_FOR_ORDERS)
+    }
+}
+
+impl Permit {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self { count: Rc::clone(count) }
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.open.set(self.open.get().saturating_sub(1));
+        self.count.set(self.count.get().saturating_sub(1));
     }
 }
--- a/comfreymill_node/src/scheduler/orders/delivery.rs
+++ b/comfreymill_node/src/scheduler/orders/delivery.rs
@@ -94,8 +94,11 @@
         let (request, wait) = to_request(&target, &order);
         let is_poll = matches!(order, scheduler::Order::Poll { .. });
         if connection.is_none() {
-            let permit =
-                if is_poll { connections.open() } else { connections.wait_to_open().await };
+            let permit = if is_poll {
+                connections.open_for_polls()
+            } else {
+                connections.open_for_orders().await
+            };
             connection = Some(Slot { connection: None, _permit: permit });
         }
         let Some(slot) = &mut connection else { return };
--- a/comfreymill_node/src/scheduler/orders/order_sender.rs
+++ b/comfreymill_node/src/scheduler/orders/order_sender.rs
@@ -48,15 +48,15 @@
 }
 
 impl OrderSender {
-    /// Creates the sender of the leader with the fencing token `fence`, in a process that may use
-    /// `descriptors` descriptors.
+    /// Creates the sender of the leader with the fencing token `fence`, which may have `most`
+    /// connections.
     pub(in crate::scheduler) fn new(
         fence: id::Fence,
         clock: clock::Clock,
         inputs: flume::Sender<Input>,
-        descriptors: usize,
+        most: usize,
     ) -> Self {
-        let connections = Connections::new(descriptors);
+        let connections = Connections::new(most);
         Self { fence, clock, inputs, connections, queues: BTreeMap::new() }
     }
 
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -15,6 +15,7 @@
 
 use super::control;
 use super::core::{self, Core, Input};
+use super::descriptor_budget::DescriptorBudget;
 use super::links::Links;
 use super::member_id;
 use crate::clock;
@@ -67,6 +68,7 @@
     let links = Links::new(identity.clone(), node.get_peers_port());
     log::info!(target: "process", name = node.get_name(), member = replica.voter().get(), peers:% = peers_address, control:% = settings.get_control(); "the scheduler starts");
     let leader = jobcall::Client::start(node.link(peer::Role::Entry));
+    let budget = DescriptorBudget::new(settings.get_descriptors());
     let cfg = core::CoreConfig {
         leader: leader.clone(),
         seeds: node.get_seeds().to_vec(),
@@ -75,7 +77,7 @@
         control: settings.get_control(),
         decisions: scheduler::Config::new(settings.get_lease()),
         voters: settings.get_voters(),
-        descriptors: settings.get_descriptors(),
+        worker_connections: budget.workers,
         snapshot_entries: settings.get_snapshot_entries(),
     };
     let core = Core::new(cfg.clone(), replica, thread, links, inputs.clone());
@@ -99,7 +101,8 @@
         monoio::spawn(server::serve(observers, limits, observer, server::Shutdown::new()));
     }
     let shutdown = server::Shutdown::new();
-    let limits = limits::Limits::new().max_connections(settings.get_descriptors() * 3 / 8);
+    let limits =
+        limits::Limits::new().max_connections(budget.listener).max_refusals(budget.refusals);
     let served = server::serve(listener, limits, handler, shutdown.clone());
     monoio::spawn(served);
     monoio::select! {
