--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -9,12 +9,14 @@
 mod acknowledgement;
 mod announcements;
 mod answer;
+mod choice;
 mod config;
 mod crashes;
 mod ends;
 mod holding;
 mod interference;
 mod jobs;
+mod launch;
 mod load_average;
 mod lost_workers;
 mod order;
@@ -30,6 +32,7 @@
 mod starts;
 mod task;
 mod tick;
+mod turns;
 mod worker;
 
 pub use acknowledgement::Acknowledgement;
--- a/comfreymill_jobs/src/scheduler/report.rs
+++ b/comfreymill_jobs/src/scheduler/report.rs
@@ -3,7 +3,7 @@
 use comfreymill_types::time;
 
 use super::Scheduler;
-use super::placement::is_allowed;
+use super::choice::is_allowed;
 use super::queue::PlacementClass;
 use super::run::RunEntry;
 use super::worker::WorkerEntry;
