feat(bench): measure the decisions of a leader at size

The time of a placement was only known from profiles of whole clusters. The part `decisions` places plain and serving tasks and fillers on nearly full fleets of 66 to 2,000 workers with 1,000 and 10,000 tasks waiting, without network.

--- /dev/null
+++ b/comfreymill_bench/src/decisions/mod.rs
@@ -0,0 +1,7 @@
+//! Cost of the decisions of a scheduler that leads, without network.
+
+mod cost;
+mod leader;
+mod load;
+
+pub use cost::cost;
--- a/comfreymill_bench/src/lib.rs
+++ b/comfreymill_bench/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod batch;
 pub mod cluster;
+pub mod decisions;
 pub mod error;
 pub mod figure;
 pub mod first_day;
--- a/comfreymill_bench/src/part/part.rs
+++ b/comfreymill_bench/src/part/part.rs
@@ -3,6 +3,7 @@
 use std::str;
 
 use crate::batch;
+use crate::decisions;
 use crate::error::BenchError;
 use crate::figure::Figure;
 use crate::fleet;
@@ -20,6 +21,8 @@
     Granter,
     /// Processor time and memory of batch decisions.
     BatchCost,
+    /// Time of the placements of a scheduler that leads.
+    Decisions,
     /// Simulated results of the batch policies.
     BatchPolicy,
     /// Simulated results of the routing policies, and the cost of their decisions.
@@ -46,14 +49,16 @@
 }
 
 const FLEET_SIZES: [usize; 4] = [100, 455, 910, 4_000];
+const DECISION_FLEET_SIZES: [u32; 4] = [66, 490, 890, 2_000];
 
 impl Part {
     /// All parts, in the order in which they run.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::Ledger,
         Self::Messages,
         Self::Granter,
         Self::BatchCost,
+        Self::Decisions,
         Self::BatchPolicy,
         Self::Route,
         Self::Failover,
@@ -77,6 +82,10 @@
             Self::BatchCost => {
                 Ok(FLEET_SIZES.into_iter().flat_map(|workers| batch::cost(workers, seed)).collect())
             }
+            Self::Decisions => Ok(DECISION_FLEET_SIZES
+                .into_iter()
+                .flat_map(|workers| decisions::cost(workers, seed))
+                .collect()),
             Self::BatchPolicy => Ok(batch::policy(batch::Site::Trust, seed)),
             Self::Route => {
                 let mut figures = route::measure(&route::POLICIES, seed);
@@ -100,6 +109,7 @@
             Self::Ledger => "ledger",
             Self::Granter => "granter",
             Self::BatchCost => "batch-cost",
+            Self::Decisions => "decisions",
             Self::BatchPolicy => "batch-policy",
             Self::Route => "route",
             Self::Failover => "failover",
