perf(jobs): choose workers by indexes of room, score and due time

A placement looked at every worker and compared the strings of its pool and labels; announcements, ticks and the ends of jobs looped over all workers or all jobs, too.

`Workers` now keeps the entries with indexes that are derived from them: workers by free room in each pool and label that was asked for, scores by image and needs for serving tasks and fillers, names and addresses, and timers of polls, leases and backoffs. Mutable access marks an entry as changed, and the changed ones are indexed again before the next search, so no change can be missed. Scores of serving tasks and fillers are computed again for changed workers; what other workers' reports have taught since then corrects at most eight of the best ones. A capacity that changes now starts a round, too.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use comfreymill_types::time;
 
 use super::worker::WorkerEntry;
@@ -29,10 +31,8 @@
             return self.update_announcement(now, number, announcement);
         }
         let is_leaving = announcement.leaving_in.is_some();
-        let is_outdated = self.workers.values().any(|worker| {
-            let other = &worker.replicated.announced;
-            let is_same = other.name == announcement.name || other.address == announcement.address;
-            is_same && other.born_unix_ms > announcement.born_unix_ms
+        let is_outdated = self.workers.similar(&announcement).any(|(_, worker)| {
+            worker.replicated.announced.born_unix_ms > announcement.born_unix_ms
         });
         if is_outdated || self.departures.supersede(&announcement) {
             log::info!(target: "workers", worker:% = announcement.name, born = announcement.born_unix_ms, sequence = announcement.sequence; "an announcement of an older incarnation, or from before its departure, is ignored");
@@ -65,17 +65,13 @@
         number: id::WorkerNumber,
         replicated: &state::Worker,
     ) {
-        let earlier: Vec<id::WorkerNumber> = self
+        let earlier: BTreeSet<id::WorkerNumber> = self
             .workers
-            .iter()
-            .filter(|(_, other)| {
-                other.replicated.announced.name == replicated.announced.name
-                    || other.replicated.announced.address == replicated.announced.address
-            })
+            .similar(&replicated.announced)
             .filter(|(_, other)| {
                 other.replicated.announced.born_unix_ms <= replicated.announced.born_unix_ms
             })
-            .map(|(number, _)| *number)
+            .map(|(number, _)| number)
             .collect();
         for earlier in earlier {
             self.worker_gone(now, earlier, "a later incarnation has announced itself");
@@ -103,12 +99,8 @@
         departure: &worker::Departure,
     ) -> Option<state::Command> {
         self.pending_workers.remove(&departure.name);
-        let gone: Vec<id::WorkerNumber> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.replicated.announced.name == departure.name)
-            .map(|(number, _)| *number)
-            .collect();
+        let gone = self.workers.named(&departure.name);
+        let gone: Vec<id::WorkerNumber> = gone.map(|(number, _)| number).collect();
         let mut command = None;
         for number in gone {
             let Some(entry) = self.workers.get_mut(&number) else { continue };
@@ -125,11 +117,11 @@
 
     /// Returns the number of the incarnation that sent an announcement, if it is in the log.
     fn find_incarnation(&self, announcement: &worker::Announcement) -> Option<id::WorkerNumber> {
-        let same = self.workers.iter().find(|(_, worker)| {
-            worker.replicated.announced.name == announcement.name
-                && worker.replicated.announced.born_unix_ms == announcement.born_unix_ms
+        let mut named = self.workers.named(&announcement.name);
+        let same = named.find(|(_, worker)| {
+            worker.replicated.announced.born_unix_ms == announcement.born_unix_ms
         });
-        same.map(|(number, _)| *number)
+        same.map(|(number, _)| number)
     }
 
     fn update_announcement(
@@ -154,7 +146,8 @@
         let is_new = !entry.has_announced;
         // A new leader places tasks by the capacity in the log until it hears from the worker.
         let capacity = announcement.capacity;
-        if entry.replicated.announced.capacity != capacity {
+        let has_resized = entry.replicated.announced.capacity != capacity;
+        if has_resized {
             entry.replicated.announced.capacity = capacity;
             log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, cpu = capacity.cpu_milli, mem = capacity.mem_mb, gpus = capacity.gpus; "a worker's capacity has changed");
             self.commands.push(state::Command::SetCapacity { worker: number, capacity });
@@ -168,7 +161,7 @@
         if is_leaving {
             self.evacuate(now, number);
         }
-        self.needs_placement |= is_new || was_leaving != is_leaving;
+        self.needs_placement |= is_new || has_resized || was_leaving != is_leaving;
         acknowledgement
     }
 
--- a/comfreymill_jobs/src/scheduler/choice.rs
+++ b/comfreymill_jobs/src/scheduler/choice.rs
@@ -1,117 +1,206 @@
+//! Choice of a worker for a task.
+//!
+//! Load pattern: a thousand starts a second on hundreds of workers that are nearly full. A plain
+//! task is searched for by free room, where the first worker that it fits on is the best. Serving
+//! tasks and fillers are searched for by score, which is computed again only for workers that have
+//! changed since the last search for the same image and needs; what the reports of other workers
+//! taught about the image since then is taken into account for the best workers only.
+
 use comfreymill_types::time;
 
 use super::Scheduler;
 use super::interference::ImageId;
+use super::score::Scorer;
 use super::worker::WorkerEntry;
+use super::workers::{PoolId, ScoreKey};
 use crate::id;
 use crate::job;
 
-/// Bonus in the score of a worker that is near the data, in thousandths of a core.
-const DATA_RACK_BONUS: i64 = 100_000;
-/// Bonus for each serving task of the same image on the worker, in thousandths of a core.
-const SAME_IMAGE_BONUS: i64 = 20_000;
-/// Penalty for each serving task of another image on the worker, in thousandths of a core.
-const OTHER_IMAGE_PENALTY: i64 = 20_000;
-/// Penalty for each unit of slack that a serving task would lose, in thousandths of a core.
-const LOSS_PENALTY: f64 = 50_000.0;
-/// Penalty for a serving task, for each unit of the effect of a filler on the worker, in
-/// thousandths of a core.
-const FILLER_EFFECT_PENALTY: f64 = 2_000.0;
-/// Part of a filler's processor demand that has to be idle on its worker, in percent.
-const MIN_IDLE_PERCENT: i64 = 50;
+/// Maximum number of workers whose scores are corrected in one search.
+const MAX_CORRECTED: u32 = 8;
 
 /// # Choice of a worker for a task
 impl Scheduler {
     /// Returns the worker with the highest score for a task of the step, among those that have
     /// room.
     pub(super) fn choose_worker(
-        &self,
+        &mut self,
         now: time::Monotonic,
         pool: &str,
         task: id::TaskId,
         spec: &job::StepSpec,
         image: ImageId,
     ) -> Option<id::WorkerNumber> {
-        let fitting = self.workers.iter();
-        let fitting = fitting.filter(|(_, worker)| self.fits(now, worker, pool, task, spec));
-        let has_crashes = self.crash_record(task).crashes > 0;
-        let scored = fitting.filter_map(|(number, worker)| {
-            let penalty = worker.isolation_penalty(now, has_crashes);
-            Some((self.score(worker, spec, image)? - penalty, *number))
-        });
-        let best = scored.max_by_key(|(score, number)| (*score, std::cmp::Reverse(*number)));
-        best.map(|(_, number)| number)
+        self.workers.refresh(now);
+        let pool = self.workers.pool(pool);
+        if spec.kind() == job::StepKind::Filler {
+            self.compute_headroom();
+        }
+        if self.crash_record(task).crashes > 0 {
+            self.choose_apart(now, pool, task, spec, image)
+        } else if spec.kind() == job::StepKind::Plain {
+            self.choose_by_room(now, pool, task, spec, image)
+        } else {
+            self.choose_by_score(now, pool, task, spec, image)
+        }
     }
 
-    /// Returns whether a worker may run a task of the step and has room for it.
-    pub(super) fn fits(
-        &self,
+    /// Chooses a worker for a task under which a worker has crashed, which depends on the times of
+    /// the last starts on all workers; such tasks are rare.
+    fn choose_apart(
+        &mut self,
         now: time::Monotonic,
-        entry: &WorkerEntry,
-        pool: &str,
+        pool: PoolId,
         task: id::TaskId,
         spec: &job::StepSpec,
-    ) -> bool {
-        // A worker that is still stopping a run of the task cannot get another run of it.
-        entry.is_usable(now)
-            && !entry.runs.contains_key(&task)
-            && entry.clock.is_some()
-            && !entry.is_held
-            && entry.free().covers(&spec.reserved())
-            && is_allowed(entry, pool, task.step, spec)
+        image: ImageId,
+    ) -> Option<id::WorkerNumber> {
+        let scorer = Scorer::new(&self.interference, spec, image);
+        let mut best = None;
+        self.steps += self.workers.best_fits(pool, None, spec.reserved(), |number, worker| {
+            let score = worker.fits(now, task, spec).then(|| scorer.score(worker)).flatten();
+            if let Some(score) = score {
+                let score = score - worker.isolation_penalty(now, true);
+                best = best.max(Some((score, std::cmp::Reverse(number))));
+            }
+            false
+        });
+        best.map(|(_, number)| number.0)
     }
 
-    /// Returns the score of a worker for a task of the step, or `None` if the task must not run
-    /// there; higher is better.
-    fn score(&self, entry: &WorkerEntry, spec: &job::StepSpec, image: ImageId) -> Option<i64> {
-        let mut score = match spec.kind() {
-            job::StepKind::Plain => -i64::from(entry.free().cpu_milli),
-            job::StepKind::Serving => self.score_serving(entry, image),
-            job::StepKind::Filler => self.score_filler(entry, spec, image)?,
-        };
-        let labels = &entry.announcement.labels;
-        if spec.data_rack.as_ref().is_some_and(|rack| labels.contains(rack)) {
-            score += DATA_RACK_BONUS;
+    /// Chooses the worker with the least free processor time, and prefers the rack of the task's
+    /// data.
+    fn choose_by_room(
+        &mut self,
+        now: time::Monotonic,
+        pool: PoolId,
+        task: id::TaskId,
+        spec: &job::StepSpec,
+        image: ImageId,
+    ) -> Option<id::WorkerNumber> {
+        let scorer = Scorer::new(&self.interference, spec, image);
+        let mut best = None;
+        let mut examined = 0;
+        let rack = spec.data_rack.as_deref().map(Some);
+        for label in rack.into_iter().chain([spec.required_label.as_deref()]) {
+            examined += self.workers.best_fits(pool, label, spec.reserved(), |number, worker| {
+                if !worker.fits(now, task, spec) {
+                    return false;
+                }
+                let penalty = worker.isolation_penalty(now, false);
+                let score = scorer.score(worker).map(|score| score - penalty);
+                best = best.max(score.map(|score| (score, std::cmp::Reverse(number))));
+                penalty == 0
+            });
         }
-        Some(score)
+        self.steps += examined;
+        best.map(|(_, number)| number.0)
     }
 
-    /// Returns the score of a worker for a serving task. Tasks of one image are packed together: a
-    /// filler that slows down one of them slows down all, so this leaves more workers without
-    /// images that a given filler affects.
-    fn score_serving(&self, entry: &WorkerEntry, image: ImageId) -> i64 {
-        let mut score = -i64::from(entry.free().cpu_milli);
-        for (other, count) in &entry.serving {
-            let count = i64::from(*count);
-            score += if *other == image { SAME_IMAGE_BONUS } else { -OTHER_IMAGE_PENALTY } * count;
-        }
-        for run in entry.runs.values().filter(|run| run.kind == job::StepKind::Filler) {
-            let effect = self.interference.effect(image, run.image);
-            score -= (effect * FILLER_EFFECT_PENALTY) as i64;
+    /// Chooses the worker with the highest score.
+    fn choose_by_score(
+        &mut self,
+        now: time::Monotonic,
+        pool: PoolId,
+        task: id::TaskId,
+        spec: &job::StepSpec,
+        image: ImageId,
+    ) -> Option<id::WorkerNumber> {
+        let key = ScoreKey::new(spec, image);
+        let scorer = Scorer::new(&self.interference, spec, image);
+        let mut examined =
+            self.workers.update_scores(pool, &key, |worker| scorer.score_with_room(worker));
+        let (mut last, mut best, mut corrected) = (None, None, 0);
+        while let Some((score, number)) = self.workers.next_scored(pool, &key, last) {
+            // A worker after this one has at most this score, as far as it is known.
+            if best.is_some_and(|(best, _)| best >= score) || corrected > MAX_CORRECTED {
+                break;
+            }
+            examined += 1;
+            let Some(worker) = self.workers.get(&number) else { break };
+            let current = scorer.score_with_room(worker);
+            if current == Some(score) {
+                last = Some((score, number));
+            } else {
+                self.workers.set_score(pool, &key, number, current);
+                corrected += u32::from(best.is_some());
+            }
+            let Some(worker) = self.workers.get(&number) else { break };
+            if let Some(current) = current.filter(|_| worker.fits(now, task, spec)) {
+                let current = current - worker.isolation_penalty(now, false);
+                best = best.max(Some((current, std::cmp::Reverse(number))));
+            }
         }
-        score
+        self.steps += examined;
+        best.map(|(_, number)| number.0)
     }
 
-    /// Returns the score of a worker for a filler. Fillers go where processors are idle and the
-    /// loss of slack is small; a worker without idle processors or headroom is excluded.
-    fn score_filler(
-        &self,
-        entry: &WorkerEntry,
+    /// Returns whether another worker has room for a filler, idle processors for all of it, and
+    /// headroom, as far as the workers with the highest scores show.
+    pub(super) fn has_worker_with_headroom(
+        &mut self,
+        now: time::Monotonic,
+        number: id::WorkerNumber,
+        task: id::TaskId,
         spec: &job::StepSpec,
         image: ImageId,
-    ) -> Option<i64> {
-        if !self.admits_filler(entry, spec, image) {
-            return None;
+    ) -> bool {
+        let Some(queue) = self.jobs.get(&task.step.job).map(|job| &job.queue) else { return false };
+        let Some(queue) = self.routes.queue(queue) else { return false };
+        let pool = self.workers.pool(&queue.pool);
+        self.workers.refresh(now);
+        self.compute_headroom();
+        let key = ScoreKey::new(spec, image);
+        let scorer = Scorer::new(&self.interference, spec, image);
+        let mut examined =
+            self.workers.update_scores(pool, &key, |worker| scorer.score_with_room(worker));
+        let mut last = None;
+        let mut is_found = false;
+        for _ in 0..MAX_CORRECTED {
+            last = self.workers.next_scored(pool, &key, last);
+            let Some((_, other)) = last else { break };
+            examined += 1;
+            is_found |= other != number
+                && self.workers.get(&other).is_some_and(|worker| {
+                    worker.fits(now, task, spec)
+                        && worker.spare_cpu() >= i64::from(spec.needs.cpu_milli)
+                        && scorer.admits_filler(worker)
+                });
+            if is_found {
+                break;
+            }
         }
-        let spare = entry.spare_cpu();
-        if spare < i64::from(spec.needs.cpu_milli) * MIN_IDLE_PERCENT / 100 {
-            return None;
+        self.steps += examined;
+        is_found
+    }
+}
+
+impl WorkerEntry {
+    /// Returns whether the worker may run a task of the step and has room for it, if it is in the
+    /// task's pool.
+    pub(super) fn fits(
+        &self,
+        now: time::Monotonic,
+        task: id::TaskId,
+        spec: &job::StepSpec,
+    ) -> bool {
+        // A worker that is still stopping a run of the task cannot get another run of it.
+        self.is_placeable(now)
+            && !self.runs.contains_key(&task)
+            && self.free().covers(&spec.reserved())
+            && self.is_within_limits(task.step, spec)
+    }
+
+    /// Returns whether the step's tasks may run on the worker, regardless of pool and free resources.
+    fn is_within_limits(&self, step: id::StepId, spec: &job::StepSpec) -> bool {
+        let labels = &self.announcement.labels;
+        if spec.required_label.as_ref().is_some_and(|label| !labels.contains(label)) {
+            return false;
         }
-        let share = entry.share(spec.needs.cpu_milli);
-        let serving = entry.serving.keys();
-        let effects = serving.map(|other| self.interference.effect(*other, image));
-        let loss = effects.fold(0.0, f64::max) * share;
-        Some(spare - (loss * LOSS_PENALTY) as i64)
+        spec.max_per_worker.is_none_or(|most| {
+            let range = step.task(0)..=step.task(u16::MAX);
+            self.runs.range(range).count() < usize::from(most)
+        })
     }
 }
 
@@ -122,15 +211,5 @@
     step: id::StepId,
     spec: &job::StepSpec,
 ) -> bool {
-    let announcement = &entry.announcement;
-    if announcement.pool != pool {
-        return false;
-    }
-    if spec.required_label.as_ref().is_some_and(|label| !announcement.labels.contains(label)) {
-        return false;
-    }
-    spec.max_per_worker.is_none_or(|most| {
-        let range = step.task(0)..=step.task(u16::MAX);
-        entry.runs.range(range).count() < usize::from(most)
-    })
+    entry.announcement.pool == pool && entry.is_within_limits(step, spec)
 }
--- a/comfreymill_jobs/src/scheduler/holding.rs
+++ b/comfreymill_jobs/src/scheduler/holding.rs
@@ -1,3 +1,4 @@
+use std::mem;
 use std::time::Duration;
 
 use comfreymill_types::time;
@@ -13,7 +14,7 @@
 /// Waiting time after which a worker is held for a long-running task. Users count such a task as
 /// lost once it has not run for 9 s, and a held worker takes about 4 s to become free.
 const HOLD_AFTER: Duration = Duration::from_secs(2);
-/// Minimum time between updates of the held workers; each examines all workers for each task.
+/// Minimum time between updates of the held workers.
 const HOLD_UPDATE_PERIOD: Duration = Duration::from_millis(50);
 /// The number of held workers is at most the number of all workers divided by this, plus 1, so that
 /// other waiting tasks still get placed.
@@ -30,8 +31,10 @@
             return;
         }
         self.holds_updated_at = now;
-        for worker in self.workers.values_mut() {
-            worker.is_held = false;
+        for number in mem::take(&mut self.held) {
+            if let Some(worker) = self.workers.get_mut(&number) {
+                worker.is_held = false;
+            }
         }
         let most = self.workers.len() / MAX_HELD_DIVISOR + 1;
         for task in self.ready.waiting_at_least(now, PlacementClass::Lasting, HOLD_AFTER, most) {
@@ -50,6 +53,7 @@
             && let Some(worker) = self.workers.get_mut(&number)
         {
             worker.is_held = true;
+            self.held.push(number);
             log::debug!(target: "runs", task:% = task, worker:% = worker.replicated.announced.name; "a worker is held for a task");
         }
     }
@@ -58,29 +62,32 @@
     /// task once their short runs end. Its free capacity grows while it is held, so later calls
     /// choose the same worker.
     fn choose_worker_to_hold(
-        &self,
+        &mut self,
         now: time::Monotonic,
         pool: &str,
         task: id::TaskId,
         spec: &job::StepSpec,
     ) -> Option<id::WorkerNumber> {
         let needs = spec.reserved();
-        let workers = self.workers.iter();
-        let usable = workers.filter(|(_, worker)| worker.is_usable(now) && !worker.is_held);
-        let allowed = usable.filter(|(_, worker)| {
-            !worker.runs.contains_key(&task) && is_allowed(worker, pool, task.step, spec)
+        let mut best = None;
+        self.workers.refresh(now);
+        let id = self.workers.pool(pool);
+        self.steps += self.workers.roomiest(id, |number, worker| {
+            let is_clearing = worker.is_placeable(now)
+                && !worker.runs.contains_key(&task)
+                && has_room_once_cleared(worker, &needs)
+                && is_allowed(worker, pool, task.step, spec);
+            if is_clearing {
+                best = best.max(Some((worker.free().cpu_milli, number)));
+            }
+            is_clearing
         });
-        let clearing = allowed.filter(|(_, worker)| has_room_once_cleared(worker, &needs));
-        clearing.max_by_key(|(_, worker)| worker.free().cpu_milli).map(|(number, _)| *number)
+        best.map(|(_, number)| number)
     }
 }
 
 /// Returns whether a worker has room for `needs` once all runs have ended except the long-running
 /// ones that are not being stopped.
 fn has_room_once_cleared(entry: &WorkerEntry, needs: &worker::Resources) -> bool {
-    let mut free = entry.free();
-    for run in entry.runs.values().filter(|run| !run.is_long_running || !run.is_active()) {
-        free += run.reserved;
-    }
-    free.covers(needs)
+    entry.announcement.capacity.saturating_sub(&entry.lasting).covers(needs)
 }
--- a/comfreymill_jobs/src/scheduler/jobs.rs
+++ b/comfreymill_jobs/src/scheduler/jobs.rs
@@ -26,25 +26,22 @@
             accepted_at: now,
             has_started: false,
         };
+        if entry.spec.schedule.is_some() {
+            self.recurring.insert(key);
+        }
         self.jobs.insert(key, entry);
         self.begin_due(now, key);
     }
 
     /// Removes a job that is over and stops its remaining runs.
     pub fn job_over(&mut self, now: time::Monotonic, key: id::JobKey) {
-        if self.jobs.remove(&key).is_none() {
-            return;
-        }
+        let Some(job) = self.jobs.remove(&key) else { return };
+        self.recurring.remove(&key);
         self.ready.remove_job(key);
         self.interference.job_over(key);
         self.ended.push_back((now, key));
-        let first = id::StepId { job: key, occurrence: 0, step: 0 }.task(0);
-        let last = id::StepId { job: key, occurrence: u32::MAX, step: u16::MAX }.task(u16::MAX);
-        let mut runs = Vec::new();
-        for (number, worker) in &self.workers {
-            runs.extend(worker.runs.range(first..=last).map(|(task, _)| (*number, *task)));
-        }
-        for (worker, task) in runs {
+        for (worker, task) in job.placed(key) {
+            self.steps += 1;
             self.stop(now, worker, task);
         }
     }
--- a/comfreymill_jobs/src/scheduler/lost_workers.rs
+++ b/comfreymill_jobs/src/scheduler/lost_workers.rs
@@ -4,6 +4,9 @@
 use crate::id;
 use crate::state;
 
+/// Maximum number of workers whose leases are checked in one tick.
+const MAX_EXPIRED_LEASES: usize = 32;
+
 /// # Loss of workers
 impl Scheduler {
     /// Handles the end of a worker incarnation: none of its runs continues.
@@ -47,15 +50,15 @@
 
     /// Releases the runs of workers whose leases have expired.
     pub(super) fn expire_leases(&mut self, now: time::Monotonic) {
-        let lapsed = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| now >= worker.lease_over_at)
-            .filter(|(_, worker)| !worker.runs.is_empty() && !worker.is_gone)
-            .filter(|(_, worker)| !worker.has_uncommitted_ends);
-        let lapsed: Vec<id::WorkerNumber> = lapsed.map(|(number, _)| *number).collect();
-        for number in lapsed {
-            if let Some(entry) = self.workers.get_mut(&number) {
+        self.workers.refresh(now);
+        for number in self.workers.due_leases(now, MAX_EXPIRED_LEASES) {
+            self.steps += 1;
+            // An extended lease gets its timer when the worker is indexed again.
+            let Some(entry) = self.workers.get_mut(&number) else { continue };
+            if entry.lease_due_at().is_none_or(|end| now < end) {
+                continue;
+            }
+            {
                 log::warn!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, runs = entry.runs.len(); "a worker's lease has expired");
                 entry.is_unresponsive = true;
                 entry.keep_lapsed(now);
--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -29,11 +29,13 @@
 mod run;
 #[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
 mod scheduler;
+mod score;
 mod starts;
 mod task;
 mod tick;
 mod turns;
 mod worker;
+mod workers;
 
 pub use acknowledgement::Acknowledgement;
 pub use answer::{Answer, PollAnswer, Refusal, StartAnswer};
--- a/comfreymill_jobs/src/scheduler/pacing.rs
+++ b/comfreymill_jobs/src/scheduler/pacing.rs
@@ -15,8 +15,6 @@
 /// Slack to which serving tasks are steered; the excess over 1 is a margin for variations in load
 /// until the next change of pace.
 const STEERED_SLACK: f64 = 1.35;
-/// Loss of slack that counts as none.
-const NEGLIGIBLE_LOSS: f64 = 0.05;
 /// Part of a task's deviation from the level of its job that is expected to last until the next
 /// change of pace; deviations last about a second.
 const DEVIATION_PERSISTENCE: f64 = 0.5;
@@ -115,9 +113,6 @@
                 && matches!(run.phase, RunPhase::Running { .. })
         });
         let slow: Vec<id::TaskId> = slow.map(|(task, _)| *task).collect();
-        if !slow.is_empty() {
-            self.compute_headroom();
-        }
         for task in slow {
             let Some(spec) = self.step_spec(task.step).cloned() else { continue };
             let image = self.interference.intern(spec.image.as_deref());
@@ -129,52 +124,10 @@
         }
     }
 
-    /// Returns whether another worker has room for a filler and its serving tasks leave headroom
-    /// for it.
-    fn has_worker_with_headroom(
-        &self,
-        now: time::Monotonic,
-        number: id::WorkerNumber,
-        task: id::TaskId,
-        spec: &job::StepSpec,
-        image: ImageId,
-    ) -> bool {
-        let Some(queue) = self.jobs.get(&task.step.job).map(|job| &job.queue) else { return false };
-        let Some(pool) = self.routes.queue(queue).map(|queue| queue.pool.clone()) else {
-            return false;
-        };
-        self.workers.iter().any(|(other, entry)| {
-            *other != number
-                && self.fits(now, entry, &pool, task, spec)
-                && entry.spare_cpu() >= i64::from(spec.needs.cpu_milli)
-                && self.admits_filler(entry, spec, image)
-        })
-    }
-
-    /// Returns whether the tail latencies on a worker leave enough headroom for a filler to run
-    /// there at full speed.
-    pub(super) fn admits_filler(
-        &self,
-        entry: &WorkerEntry,
-        spec: &job::StepSpec,
-        filler: ImageId,
-    ) -> bool {
-        if entry.has_tail_over_target {
-            return false;
-        }
-        let Some(headroom) = &entry.headroom else { return false };
-        let share = entry.share(spec.needs.cpu_milli);
-        headroom.iter().all(|(image, headroom)| {
-            let loss = self.interference.effect(*image, filler) * share;
-            loss <= NEGLIGIBLE_LOSS || loss <= *headroom
-        })
-    }
-
-    /// Computes the headroom of all workers for which it is unknown.
+    /// Computes the headroom of all workers for which it is unknown: those that have changed.
     pub(super) fn compute_headroom(&mut self) {
-        let unknown = self.workers.iter().filter(|(_, worker)| worker.headroom.is_none());
-        let unknown: Vec<id::WorkerNumber> = unknown.map(|(number, _)| *number).collect();
-        for number in unknown {
+        for number in self.workers.take_unknown_headroom() {
+            self.steps += 1;
             self.compute_headroom_of(number);
         }
     }
@@ -196,9 +149,7 @@
             (*image, level - loss - STEERED_SLACK)
         });
         let headroom = headroom.collect();
-        if let Some(entry) = self.workers.get_mut(&number) {
-            entry.headroom = Some(headroom);
-        }
+        self.workers.set_headroom(number, headroom);
     }
 
     /// Updates by how much the slack of each serving task differs from what the level of its job and
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -17,6 +17,10 @@
 /// Time between polls of a worker without runs.
 const IDLE_POLL_PERIOD: Duration = Duration::from_secs(5);
 
+/// Maximum number of workers polled in one tick; a new leader polls all workers, whose reports would
+/// otherwise arrive at once.
+const MAX_POLLS_PER_TICK: usize = 64;
+
 /// # Polls of workers
 impl Scheduler {
     /// Polls a worker unless a poll is in flight or ends that it reported are being recorded.
@@ -55,10 +59,9 @@
 
     /// Polls the workers that are due.
     pub(super) fn poll_due(&mut self, now: time::Monotonic) {
-        let workers = self.workers.iter();
-        let due = workers.filter(|(_, worker)| now >= worker.next_poll_at && !worker.is_gone);
-        let due: Vec<id::WorkerNumber> = due.map(|(number, _)| *number).collect();
-        for number in due {
+        self.workers.refresh(now);
+        for number in self.workers.due_polls(now, MAX_POLLS_PER_TICK) {
+            self.steps += 1;
             self.poll(now, number);
         }
     }
--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use comfreymill_types::time;
@@ -7,6 +7,7 @@
 use super::queue::ReadyQueue;
 use super::task::{JobEntry, OccurrenceEntry, TaskPhase};
 use super::worker::WorkerEntry;
+use super::workers::Workers;
 use super::{Config, Scheduler};
 use crate::id;
 use crate::state;
@@ -24,10 +25,12 @@
         now: time::Monotonic,
     ) -> Self {
         let lease_over_at = now + cfg.max_leader_time(cfg.get_lease());
-        let workers = state.get_workers().iter().map(|(number, worker)| {
+        let mut workers = Workers::default();
+        for (number, worker) in state.get_workers() {
             let leaving_since = state.get_leaving().get(number).copied();
-            (*number, WorkerEntry::new(worker.clone(), leaving_since, lease_over_at, now))
-        });
+            let entry = WorkerEntry::new(worker.clone(), leaving_since, lease_over_at, now);
+            workers.insert(*number, entry);
+        }
         let unix_ms = u64::try_from(since_1970.as_millis()).unwrap_or(u64::MAX);
         let mut scheduler = Self {
             cfg,
@@ -35,7 +38,8 @@
             is_fenced: false,
             routes: state.get_routes().map(|routes| routes.table.clone()).unwrap_or_default(),
             jobs: BTreeMap::new(),
-            workers: workers.collect(),
+            unheard: state.get_workers().keys().copied().collect(),
+            workers,
             ready: ReadyQueue::default(),
             interference: Interference::default(),
             pending_workers: BTreeMap::new(),
@@ -47,6 +51,10 @@
             placed_at: now,
             holds_updated_at: time::Monotonic::ZERO,
             fleet_logged_at: now,
+            held: Vec::new(),
+            stops: VecDeque::new(),
+            recurring: BTreeSet::new(),
+            steps: 0,
             orders: Vec::new(),
             commands: Vec::new(),
         };
@@ -98,6 +106,9 @@
             }
             entry.occurrences.insert(number, occurrence);
         }
+        if entry.spec.schedule.is_some() {
+            self.recurring.insert(key);
+        }
         self.jobs.insert(key, entry);
     }
 
@@ -108,12 +119,11 @@
             return;
         }
         // Busy workers report new ends all the time; only those of their first report matter.
-        let mut is_complete = true;
-        for worker in self.workers.values_mut() {
-            worker.had_known_runs |= worker.has_known_runs(now);
-            is_complete &= worker.had_known_runs;
-        }
-        if !is_complete {
+        self.steps += self.unheard.len() as u64;
+        self.unheard.retain(|number| {
+            self.workers.get(number).is_some_and(|worker| !worker.has_known_runs(now))
+        });
+        if !self.unheard.is_empty() {
             return;
         }
         self.has_unreconciled = false;
--- a/comfreymill_jobs/src/scheduler/run.rs
+++ b/comfreymill_jobs/src/scheduler/run.rs
@@ -126,6 +126,11 @@
         }
     }
 
+    /// Returns whether the run lasts until its job is cancelled and is not being stopped.
+    pub(super) fn is_lasting(&self) -> bool {
+        self.is_long_running && self.is_active()
+    }
+
     /// Returns whether the run is not being stopped.
     pub(super) fn is_active(&self) -> bool {
         matches!(self.phase, RunPhase::Starting | RunPhase::Running { .. })
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::mem;
 
 use comfreymill_types::time;
@@ -6,7 +6,7 @@
 use super::interference::Interference;
 use super::queue::{PlacementClass, Rank, ReadyQueue};
 use super::task::{JobEntry, TaskEntry, TaskPhase};
-use super::worker::WorkerEntry;
+use super::workers::Workers;
 use super::{Config, Order};
 use crate::id;
 use crate::job;
@@ -29,20 +29,22 @@
     pub(super) is_fenced: bool,
     pub(super) routes: routes::RouteTable,
     pub(super) jobs: BTreeMap<id::JobKey, JobEntry>,
-    pub(super) workers: BTreeMap<id::WorkerNumber, WorkerEntry>,
+    pub(super) workers: Workers,
     pub(super) ready: ReadyQueue,
     pub(super) interference: Interference,
     /// Workers that have announced an incarnation that is not in the log yet.
     pub(super) pending_workers: BTreeMap<id::WorkerName, super::announcements::PendingWorker>,
     /// Workers that were removed after they had said that they were leaving.
     pub(super) departures: state::Departures,
+    /// Workers whose runs that earlier leaders started are not known yet.
+    pub(super) unheard: Vec<id::WorkerNumber>,
     /// Whether tasks of earlier leaders may run on workers that have not reported yet.
     pub(super) has_unreconciled: bool,
     /// Whether capacity may have become free or a task may have become ready since the last
     /// placement.
     pub(super) needs_placement: bool,
     /// Jobs that are over, in the order in which they ended.
-    pub(super) ended: std::collections::VecDeque<(time::Monotonic, id::JobKey)>,
+    pub(super) ended: VecDeque<(time::Monotonic, id::JobKey)>,
     /// Milliseconds from the Unix epoch to the start of the leader's monotonic clock.
     pub(super) unix_offset_ms: u64,
     /// When tasks were last placed.
@@ -51,6 +53,14 @@
     pub(super) holds_updated_at: time::Monotonic,
     /// When the state of the fleet was last logged.
     pub(super) fleet_logged_at: time::Monotonic,
+    /// Workers that are held for long-running tasks.
+    pub(super) held: Vec<id::WorkerNumber>,
+    /// Stop orders in flight, with the times at which they were sent, the earliest first.
+    pub(super) stops: VecDeque<(time::Monotonic, id::WorkerNumber, id::TaskId)>,
+    /// Open jobs that have a schedule.
+    pub(super) recurring: BTreeSet<id::JobKey>,
+    /// Number of steps of work done so far: workers, tasks and jobs looked at.
+    pub(super) steps: u64,
     pub(super) orders: Vec<Order>,
     pub(super) commands: Vec<state::Command>,
 }
@@ -71,6 +81,11 @@
         self.workers.get(&worker).map(|entry| &entry.replicated)
     }
 
+    /// Returns the number of workers, tasks and jobs that decisions have looked at so far.
+    pub fn get_steps(&self) -> u64 {
+        self.steps
+    }
+
     /// Takes the orders given since the last call, in the sequence in which to send them.
     pub fn take_orders(&mut self) -> Vec<Order> {
         if self.is_fenced {
--- a/comfreymill_jobs/src/scheduler/starts.rs
+++ b/comfreymill_jobs/src/scheduler/starts.rs
@@ -49,13 +49,10 @@
         task: id::TaskId,
     ) {
         let Some(entry) = self.workers.get_mut(&worker) else { return };
-        let Some(run) = entry.runs.get_mut(&task) else { return };
-        if !run.is_active() {
-            return;
-        }
-        run.phase = RunPhase::Stopping { sent_at: now };
-        log::info!(target: "runs", task:% = task, run:% = run.run, worker:% = entry.replicated.announced.name; "a run is stopped");
-        self.orders.push(Order::Stop { worker, task, run: run.run });
+        let Some(run) = entry.begin_stop(now, task) else { return };
+        log::info!(target: "runs", task:% = task, run:% = run, worker:% = entry.replicated.announced.name; "a run is stopped");
+        self.orders.push(Order::Stop { worker, task, run });
+        self.stops.push_back((now, worker, task));
     }
 
     fn start_answered(
--- a/comfreymill_jobs/src/scheduler/task.rs
+++ b/comfreymill_jobs/src/scheduler/task.rs
@@ -64,6 +64,25 @@
     Done,
 }
 
+impl JobEntry {
+    /// Returns the tasks that a worker runs or may run, in ascending order; all other runs of the
+    /// job are being stopped already.
+    pub(super) fn placed(
+        &self,
+        key: id::JobKey,
+    ) -> impl Iterator<Item = (id::WorkerNumber, id::TaskId)> {
+        self.occurrences.iter().flat_map(move |(number, occurrence)| {
+            (0..).zip(&occurrence.steps).flat_map(move |(step, entry)| {
+                let step = id::StepId { job: key, occurrence: *number, step };
+                (0..).zip(&entry.tasks).filter_map(move |(index, task)| match task.phase {
+                    TaskPhase::Placed(worker) => Some((worker, step.task(index))),
+                    _ => None,
+                })
+            })
+        })
+    }
+}
+
 impl OccurrenceEntry {
     /// Creates the entry from the replicated state of the occurrence, if there is any.
     pub(super) fn new(
--- a/comfreymill_jobs/src/scheduler/tick.rs
+++ b/comfreymill_jobs/src/scheduler/tick.rs
@@ -14,6 +14,9 @@
 /// Maximum number of jobs that one command removes.
 const MAX_REMOVED_JOBS: usize = 256;
 
+/// Maximum number of stop orders that are checked in one tick.
+const MAX_STOP_RETRIES: usize = 256;
+
 /// # Periodic work
 impl Scheduler {
     /// Does the work that is due at `now`; `since_1970` is the time of day.
@@ -39,27 +42,36 @@
     }
 
     fn begin_all_due(&mut self, now: time::Monotonic) {
-        let recurring = self.jobs.iter().filter(|(_, job)| job.spec.schedule.is_some());
-        let due = recurring.filter(|(_, job)| {
-            job.next_occurrence < job.spec.occurrences()
-                && self.is_due(now, &job.spec, job.next_occurrence)
+        let due = self.recurring.iter().filter(|key| {
+            self.jobs.get(key).is_some_and(|job| {
+                job.next_occurrence < job.spec.occurrences()
+                    && self.is_due(now, &job.spec, job.next_occurrence)
+            })
         });
-        let due: Vec<id::JobKey> = due.map(|(key, _)| *key).collect();
+        let due: Vec<id::JobKey> = due.copied().collect();
         for key in due {
             self.begin_due(now, key);
         }
     }
 
     fn retry_stops(&mut self, now: time::Monotonic) {
-        for (number, worker) in &mut self.workers {
-            for (task, run) in &mut worker.runs {
-                if let RunPhase::Stopping { sent_at } = &mut run.phase
-                    && now.since(*sent_at) >= STOP_RETRY
-                    && !worker.is_unresponsive
-                {
-                    *sent_at = now;
-                    let order = Order::Stop { worker: *number, task: *task, run: run.run };
-                    self.orders.push(order);
+        for _ in 0..MAX_STOP_RETRIES {
+            let Some((at, number, task)) = self.stops.pop_front() else { return };
+            if now.since(at) < STOP_RETRY {
+                self.stops.push_front((at, number, task));
+                return;
+            }
+            self.steps += 1;
+            let Some(worker) = self.workers.get_mut(&number) else { continue };
+            let is_unresponsive = worker.is_unresponsive;
+            let Some(run) = worker.runs.get_mut(&task) else { continue };
+            if let RunPhase::Stopping { sent_at } = &mut run.phase
+                && *sent_at == at
+            {
+                *sent_at = now;
+                self.stops.push_back((now, number, task));
+                if !is_unresponsive {
+                    self.orders.push(Order::Stop { worker: number, task, run: run.run });
                 }
             }
         }
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -5,7 +5,7 @@
 
 use super::crashes::CrashCandidate;
 use super::interference::ImageId;
-use super::run::RunEntry;
+use super::run::{RunEntry, RunPhase};
 use super::{Acknowledgement, Config};
 use crate::id;
 use crate::job;
@@ -29,9 +29,6 @@
     pub(super) reported_at: time::Monotonic,
     /// Whether the worker has answered a poll of this leader.
     pub(super) has_answered: bool,
-    /// Whether all runs that earlier leaders started on the worker are known; once set, it stays
-    /// set.
-    pub(super) had_known_runs: bool,
     /// Whether the worker did not answer the latest poll.
     pub(super) is_unresponsive: bool,
     /// Whether the incarnation is gone; ends that it reported may not be committed yet.
@@ -54,6 +51,8 @@
     pub(super) runs: BTreeMap<id::TaskId, RunEntry>,
     /// Resources that the runs reserve.
     pub(super) reserved: worker::Resources,
+    /// Part of them that long-running runs reserve which are not being stopped.
+    pub(super) lasting: worker::Resources,
     /// Estimated processor time that the runs use, in thousandths of a core.
     pub(super) used_cpu: i64,
     /// Number of serving tasks on the worker, by image.
@@ -107,7 +106,6 @@
             has_departed: false,
             reported_at: now,
             has_answered: false,
-            had_known_runs: false,
             is_unresponsive: false,
             is_gone: false,
             has_uncommitted_ends: false,
@@ -119,6 +117,7 @@
             lapsed: Vec::new(),
             runs: BTreeMap::new(),
             reserved: worker::Resources::default(),
+            lasting: worker::Resources::default(),
             used_cpu: 0,
             serving: BTreeMap::new(),
             fillers: 0,
@@ -151,6 +150,24 @@
             && now >= self.backoff_until
     }
 
+    /// Returns whether tasks can be placed on the worker, where it has room for them.
+    pub(super) fn is_placeable(&self, now: time::Monotonic) -> bool {
+        self.is_usable(now) && self.clock.is_some() && !self.is_held
+    }
+
+    /// Returns when to poll the worker; `None` while a poll is in flight, or before what the last one
+    /// reported is in the log.
+    pub(super) fn poll_due_at(&self) -> Option<time::Monotonic> {
+        let can_poll = self.poll_sent_at.is_none() && !self.has_uncommitted_ends && !self.is_gone;
+        can_poll.then_some(self.next_poll_at)
+    }
+
+    /// Returns when the runs of the worker end with its lease, if it has any whose ends are unknown.
+    pub(super) fn lease_due_at(&self) -> Option<time::Monotonic> {
+        let has_runs = !self.runs.is_empty() && !self.is_gone && !self.has_uncommitted_ends;
+        has_runs.then_some(self.lease_over_at)
+    }
+
     /// Returns when an announcement of the worker may be acknowledged: while its departure is not in
     /// the log, none may, since the worker would take it for the acknowledgement of its departure.
     pub(super) fn departure_acknowledgement(&self, number: id::WorkerNumber) -> Acknowledgement {
@@ -208,6 +225,9 @@
     pub(super) fn add(&mut self, task: id::TaskId, run: RunEntry) {
         self.headroom = None;
         self.reserved += run.reserved;
+        if run.is_lasting() {
+            self.lasting += run.reserved;
+        }
         self.used_cpu += run.used_cpu();
         match run.kind {
             job::StepKind::Serving => *self.serving.entry(run.image).or_default() += 1,
@@ -222,6 +242,9 @@
         let run = self.runs.remove(&task)?;
         self.headroom = None;
         self.reserved = self.reserved.saturating_sub(&run.reserved);
+        if run.is_lasting() {
+            self.lasting = self.lasting.saturating_sub(&run.reserved);
+        }
         self.used_cpu -= run.used_cpu();
         match run.kind {
             job::StepKind::Serving => {
@@ -239,6 +262,16 @@
         Some(run)
     }
 
+    /// Marks a run as being stopped, unless it is already; returns its number.
+    pub(super) fn begin_stop(&mut self, now: time::Monotonic, task: id::TaskId) -> Option<id::Run> {
+        let run = self.runs.get_mut(&task).filter(|run| run.is_active())?;
+        if run.is_lasting() {
+            self.lasting = self.lasting.saturating_sub(&run.reserved);
+        }
+        run.phase = RunPhase::Stopping { sent_at: now };
+        Some(run.run)
+    }
+
     /// Sets the pace of a run and updates the processor time in use.
     pub(super) fn set_pace(&mut self, task: id::TaskId, pace: u32) {
         let Some(run) = self.runs.get_mut(&task) else { return };
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler's decisions, including under failures.
 
+mod choice;
 mod crashes;
 mod holding;
 mod interference;
