fix(group): don't send entries again to a follower that is only slow

Cause: appends unanswered for 200 ms were sent again from the last match, also while the follower's responses showed progress.

Change: a retry waits for two measured round trips, counted from the last progress, and each further one without progress twice as long; silence begins anew.

--- a/comfreymill_group/src/replica/peer.rs
+++ b/comfreymill_group/src/replica/peer.rs
@@ -38,8 +38,21 @@
     pub(super) confirmed_at: Option<time::Monotonic>,
     /// When the newest response arrived.
     pub(super) last_response_at: Option<time::Monotonic>,
+    /// Time from the newest answered message to its response.
+    round_trip: Duration,
+    /// When a response last showed that the peer has more entries.
+    progressed_at: time::Monotonic,
+    /// Number of retries since then.
+    retries: u32,
 }
 
+/// Time without a response after which a peer was cut off, so that retries begin anew.
+const SILENCE: Duration = Duration::from_secs(1);
+/// Maximum time until the first retry, however slow the peer is.
+const MAX_TIMEOUT: Duration = Duration::from_secs(2);
+/// Number of retries after which the time until the next one no longer doubles.
+const MAX_DOUBLINGS: u32 = 3;
+
 impl Peer {
     /// Creates the state of a peer whose log is unknown; the first append starts at `next`.
     pub(super) fn new(disk: id::DiskId, next: id::Index) -> Self {
@@ -53,17 +66,43 @@
             waiting_since: None,
             confirmed_at: None,
             last_response_at: None,
+            round_trip: Duration::ZERO,
+            progressed_at: time::Monotonic::ZERO,
+            retries: 0,
         }
     }
 
     /// Records a response to a message sent at `sent_at`.
     pub(super) fn confirm(&mut self, sent_at: time::Monotonic, now: time::Monotonic) {
+        if self.last_response_at.is_none_or(|at| now.since(at) >= SILENCE) {
+            self.retries = 0;
+        }
         self.last_response_at = Some(now);
         if sent_at <= now {
+            if sent_at > time::Monotonic::ZERO {
+                self.round_trip = now.since(sent_at);
+            }
             self.confirmed_at = self.confirmed_at.max(Some(sent_at));
         }
     }
 
+    /// Returns whether the oldest unanswered message has to be sent again, and counts the retry.
+    ///
+    /// A peer whose responses are late, or keep showing progress, is slow and has lost nothing.
+    /// Sending the entries again would make it slower, so a retry waits for two round trips, and
+    /// each further one without progress twice as long.
+    pub(super) fn begin_retry(&mut self, now: time::Monotonic, retry: Duration) -> bool {
+        let appended_at = self.in_flight.front().map(|append| append.sent_at);
+        let Some(sent_at) = self.waiting_since.or(appended_at) else { return false };
+        let quiet_since = sent_at.max(self.progressed_at);
+        let timeout = retry.max((self.round_trip * 2).min(MAX_TIMEOUT));
+        let is_due = now.since(quiet_since) >= timeout * 2_u32.pow(self.retries.min(MAX_DOUBLINGS));
+        if is_due {
+            self.retries += 1;
+        }
+        is_due
+    }
+
     /// Returns whether a response arrived within `max_age` before `now`.
     pub(super) fn has_recent_response(&self, now: time::Monotonic, max_age: Duration) -> bool {
         self.last_response_at.is_some_and(|last_response_at| now.since(last_response_at) < max_age)
@@ -87,7 +126,10 @@
     }
 
     /// Records that the logs match up to `index`.
-    pub(super) fn accept(&mut self, index: id::Index) {
+    pub(super) fn accept(&mut self, index: id::Index, now: time::Monotonic) {
+        if index > self.matched {
+            self.progressed(now);
+        }
         self.matched = self.matched.max(index);
         self.next = self.next.max(self.matched.next());
         while self.in_flight.front().is_some_and(|append| append.last <= self.matched) {
@@ -98,6 +140,12 @@
         self.waiting_since = None;
     }
 
+    /// Records that a response showed progress.
+    pub(super) fn progressed(&mut self, now: time::Monotonic) {
+        self.progressed_at = now;
+        self.retries = 0;
+    }
+
     /// Returns to probing, from `next`.
     pub(super) fn probe_from(&mut self, next: id::Index) {
         self.next = next.max(self.matched.next());
--- a/comfreymill_group/src/replica/replicate.rs
+++ b/comfreymill_group/src/replica/replicate.rs
@@ -25,13 +25,10 @@
         for to in self.peer_ids() {
             let State::Leader(leader) = &mut self.state else { return };
             let Some(peer) = leader.peers.get_mut(&to) else { continue };
-            let oldest = peer.in_flight.front().map(|append| append.sent_at);
-            let is_late = oldest.is_some_and(|sent_at| now.since(sent_at) >= retry);
-            if is_late && peer.is_streaming() {
-                peer.probe_from(peer.matched.next());
-            }
-            let is_unanswered = peer.waiting_since.is_some_and(|at| now.since(at) >= retry);
-            if is_unanswered {
+            if peer.begin_retry(now, retry) {
+                if peer.is_streaming() {
+                    peer.probe_from(peer.matched.next());
+                }
                 peer.waiting_since = None;
             }
             self.replicate(now, to);
@@ -52,7 +49,7 @@
         let index = id::Index::new(response.index);
         let prev = id::Index::new(response.prev_index);
         if !response.rejected {
-            peer.accept(index.min(last));
+            peer.accept(index.min(last), now);
             self.try_commit();
             self.tick_transfer(now);
         } else if prev > peer.matched && prev < peer.next {
--- a/comfreymill_group/src/replica/send_snapshot.rs
+++ b/comfreymill_group/src/replica/send_snapshot.rs
@@ -47,6 +47,7 @@
         if is_awaited && outgoing.ends_at(response.index) {
             outgoing.offset = response.next_offset;
             peer.waiting_since = None;
+            peer.progressed(now);
             self.replicate(now, from);
         }
     }
--- a/comfreymill_group/tests/scenario/mod.rs
+++ b/comfreymill_group/tests/scenario/mod.rs
@@ -12,4 +12,5 @@
 mod older_term;
 mod partition;
 mod single;
+mod slow;
 mod transfer;
