feat(node): bounded turns of the scheduler's loop, by kind of input

Cause: the loop handled up to 256 inputs of all kinds in the order of their arrival and then a whole round of placement. After one pause of the leader its heartbeats waited behind thousands of answers, it lost its lease, and the next leader began with more.

Change: inputs wait in a queue for each kind, most urgent first, with a quota for each turn; the loop gives way to the connections after each turn; rounds of placement leave as much time to inputs as they take. Every step reads the clock again, and orders are sent only if the lease is valid after the placement. Metrics and a log line each second show turns, their parts, waits, backlogs and heartbeats.

--- a/comfreymill_node/src/metering/metric.rs
+++ b/comfreymill_node/src/metering/metric.rs
@@ -176,8 +176,44 @@
     LATENCY_BOUNDS_SECONDS,
 );
 
+/// Duration of a turn of the scheduler's loop.
+pub const LOOP_TURN: Metric = histogram(
+    "comfreymill_loop_turn_seconds",
+    metrics::Unit::Seconds,
+    "Duration of a turn of the scheduler's loop, during which nothing else is served",
+    LATENCY_BOUNDS_SECONDS,
+);
+
+/// Time spent on one part of a turn of the scheduler's loop, by part.
+pub const LOOP_PART: Metric = histogram(
+    "comfreymill_loop_part_seconds",
+    metrics::Unit::Seconds,
+    "Time spent on one part of a turn of the scheduler's loop",
+    LATENCY_BOUNDS_SECONDS,
+);
+
+/// Time from the arrival of an input of the scheduler's loop to its turn, by kind.
+pub const LOOP_INPUT_WAIT: Metric = histogram(
+    "comfreymill_loop_input_wait_seconds",
+    metrics::Unit::Seconds,
+    "Time from the arrival of an input of the scheduler's loop to its turn",
+    LATENCY_BOUNDS_SECONDS,
+);
+
+/// Inputs of the scheduler's loop that wait for their turns, by kind.
+pub const LOOP_BACKLOG: Metric =
+    gauge("comfreymill_loop_backlog", "Inputs of the scheduler's loop that wait for their turns");
+
+/// Time from the sending of a heartbeat by the leader of the group to the handling of the response.
+pub const HEARTBEAT_ROUND_TRIP: Metric = histogram(
+    "comfreymill_heartbeat_round_trip_seconds",
+    metrics::Unit::Seconds,
+    "Time from a heartbeat of the group's leader to the handling of the response",
+    LATENCY_BOUNDS_SECONDS,
+);
+
 /// All metrics.
-pub const ALL: [Metric; 19] = [
+pub const ALL: [Metric; 24] = [
     REQUEST_LATENCY,
     QUEUE_WAIT,
     SLOTS_IN_USE,
@@ -197,4 +233,9 @@
     ORDER_LATENCY,
     ORDER_QUEUE_WAIT,
     COMMIT_LATENCY,
+    LOOP_TURN,
+    LOOP_PART,
+    LOOP_INPUT_WAIT,
+    LOOP_BACKLOG,
+    HEARTBEAT_ROUND_TRIP,
 ];
--- a/comfreymill_node/src/metering/mod.rs
+++ b/comfreymill_node/src/metering/mod.rs
@@ -4,8 +4,10 @@
 //! functions of [`observe`]. Labels come from documents, settings and closed lists, never from
 //! callers. [`Meter`] renders the text for `/metrics`.
 
+mod loop_metrics;
 mod meter;
 pub mod metric;
 pub mod observe;
 
+pub use loop_metrics::LoopMetrics;
 pub use meter::Meter;
--- a/comfreymill_node/src/scheduler/core/commit.rs
+++ b/comfreymill_node/src/scheduler/core/commit.rs
@@ -5,22 +5,26 @@
 use comfreymill_types::time;
 
 use super::core::Core;
+use super::load::Part;
 use crate::jobcall;
 use crate::metering::observe;
 
 /// # Replica actions
 impl Core {
     /// Runs the replica's actions and the decisions that follow from them until none are left.
-    pub(super) fn run_actions(&mut self, now: time::Monotonic) {
+    ///
+    /// Every step reads the clock again: the process may have been suspended before it, and then a
+    /// lease that was valid at the start of the turn is not valid any more.
+    pub(super) fn run_actions(&mut self) {
         loop {
             let actions = self.replica.take_actions();
             let is_idle = actions.is_empty();
             for action in actions {
-                self.run_action(now, action);
+                self.run_action(self.cfg.clock.now(), action);
             }
-            self.update_leadership(now);
-            self.issue_orders(now);
-            let has_proposed = self.propose_commands(now);
+            self.update_leadership(self.cfg.clock.now());
+            self.issue_orders();
+            let has_proposed = self.propose_commands(self.cfg.clock.now());
             if is_idle && !has_proposed {
                 break;
             }
@@ -36,6 +40,7 @@
                 for entry in entries {
                     self.commit(now, entry);
                 }
+                self.load.spent(Part::Commit, now, self.cfg.clock.now());
             }
             replica::Action::InstallSnapshot(snapshot) => {
                 match state::State::from_snapshot(&snapshot.data) {
@@ -135,6 +140,7 @@
         if applied.saturating_sub(covered) < self.cfg.snapshot_entries {
             return;
         }
+        let began = self.cfg.clock.now();
         match self.state.to_snapshot() {
             Ok(data) => {
                 let index = id::Index::new(applied);
@@ -144,5 +150,6 @@
             }
             Err(error) => self.failure = Some(error.to_string()),
         }
+        self.load.spent(Part::Snapshot, began, self.cfg.clock.now());
     }
 }
--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use comfreymill_group::message;
 use comfreymill_group::replica;
 use comfreymill_group::store;
 use comfreymill_jobs::scheduler;
@@ -11,6 +12,7 @@
 
 use super::input::Input;
 use super::leadership::Leadership;
+use super::load::Load;
 use super::waiter::{PendingEntry, Waiter};
 use crate::clock;
 use crate::jobcall;
@@ -18,6 +20,10 @@
 use crate::proposals::Proposals;
 use crate::scheduler::explanation;
 use crate::scheduler::links::Links;
+use crate::scheduler::turns;
+
+/// Minimum interval between rounds of placement; a commit takes about as long.
+const PLACEMENT_PERIOD: Duration = Duration::from_millis(10);
 
 /// Configuration of the core.
 #[derive(Clone, Debug)]
@@ -66,6 +72,9 @@
     pub(super) failure: Option<String>,
     pub(super) is_draining: bool,
     pub(super) members_checked_at: time::Monotonic,
+    /// When tasks are placed next.
+    pub(super) placement: turns::Pacer,
+    pub(super) load: Load,
 }
 
 impl Core {
@@ -94,6 +103,8 @@
             failure: None,
             is_draining: false,
             members_checked_at: time::Monotonic::ZERO,
+            placement: turns::Pacer::new(PLACEMENT_PERIOD),
+            load: Load::new(),
         }
     }
 
@@ -109,7 +120,15 @@
             }
             Input::Call { session, id, call } => self.handle_session_call(now, session, id, call),
             Input::LocalCall { call, reply } => self.handle_local_call(now, call, reply),
-            Input::Group { from, message } => self.replica.step(now, from, message),
+            Input::Group { from, message } => {
+                if let Some(message::Body::HeartbeatResponse(response)) = &message.body
+                    && response.sent_at_micros > 0
+                {
+                    let sent_at = time::Monotonic::from_micros(response.sent_at_micros);
+                    self.load.heartbeat_answered(now.since(sent_at));
+                }
+                self.replica.step(now, from, message);
+            }
             Input::Store(completion) => self.handle_completion(now, completion),
             Input::OrderResult(result) => self.handle_order_result(now, *result),
             Input::Status(reply) => {
--- a/comfreymill_node/src/scheduler/core/input.rs
+++ b/comfreymill_node/src/scheduler/core/input.rs
@@ -9,6 +9,7 @@
 use crate::jobcall;
 use crate::peer::{self, SessionId};
 use crate::scheduler::orders::OrderResult;
+use crate::scheduler::turns;
 
 /// Input of the core.
 #[derive(Debug)]
@@ -35,6 +36,34 @@
     Drain(flume::Sender<()>),
 }
 
+impl Input {
+    /// Returns the kind of the input, by which the loop decides when to handle it.
+    pub(super) fn kind(&self) -> turns::Kind {
+        match self {
+            Self::Opened { .. }
+            | Self::Closed(_)
+            | Self::Group { .. }
+            | Self::Store(_)
+            | Self::Drain(_) => turns::Kind::Agreement,
+            Self::Call { call, .. } | Self::LocalCall { call, .. } => call_kind(call),
+            Self::OrderResult(_) => turns::Kind::Report,
+            Self::Status(_) | Self::Explain { .. } => turns::Kind::Operator,
+        }
+    }
+}
+
+fn call_kind(call: &jobcall::Call) -> turns::Kind {
+    match call {
+        jobcall::Call::Cancel { .. } | jobcall::Call::Depart(_) => turns::Kind::Departure,
+        jobcall::Call::Announce(announcement) if announcement.leaving_in.is_some() => {
+            turns::Kind::Departure
+        }
+        jobcall::Call::Announce(_) => turns::Kind::Announcement,
+        jobcall::Call::Submit { .. } | jobcall::Call::Show { .. } => turns::Kind::Caller,
+        jobcall::Call::PutRoutes { .. } | jobcall::Call::GetRoutes => turns::Kind::Operator,
+    }
+}
+
 impl peer::Inbound for Input {
     const IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 
--- a/comfreymill_node/src/scheduler/core/leadership.rs
+++ b/comfreymill_node/src/scheduler/core/leadership.rs
@@ -4,6 +4,7 @@
 use comfreymill_types::time;
 
 use super::core::Core;
+use super::load::Part;
 use super::waiter::PendingEntry;
 use crate::clock;
 use crate::jobcall;
@@ -63,6 +64,7 @@
         log::info!(target: "group", term = entry_term, fence:% = fence, jobs = self.state.get_jobs().len(), workers = self.state.get_workers().len(); "this process leads");
         self.leadership =
             Some(Leadership { scheduler, order_sender, term: entry_term, began_at: now });
+        self.load.spent(Part::Takeover, now, self.cfg.clock.now());
     }
 
     /// Passes the result of an order to the scheduler, if this leader issued the order.
@@ -74,13 +76,26 @@
         }
     }
 
-    /// Places tasks, sends the resulting orders to workers and queues the commands to propose.
-    pub(super) fn issue_orders(&mut self, now: time::Monotonic) {
-        if !self.is_serving(now) {
+    /// Places tasks if a round is due, sends the resulting orders to workers and queues the commands
+    /// to propose.
+    pub(super) fn issue_orders(&mut self) {
+        let began = self.cfg.clock.now();
+        if !self.is_serving(began) {
+            return;
+        }
+        let Some(leadership) = &mut self.leadership else { return };
+        if self.placement.is_due(began) {
+            leadership.scheduler.place(began);
+            let now = self.cfg.clock.now();
+            self.placement.done(began, now);
+            self.load.spent(Part::Placement, began, now);
+        }
+        // The process may have been suspended during the placement. Orders stay with the scheduler
+        // then, and are sent only by a leader whose lease is valid again.
+        if !self.is_serving(self.cfg.clock.now()) {
             return;
         }
         let Some(leadership) = &mut self.leadership else { return };
-        leadership.scheduler.place(now);
         let workers = self.state.get_workers().len();
         for order in leadership.scheduler.take_orders() {
             let Some(worker) = leadership.scheduler.worker(order.worker()) else { continue };
--- a/comfreymill_node/src/scheduler/core/mod.rs
+++ b/comfreymill_node/src/scheduler/core/mod.rs
@@ -6,6 +6,7 @@
 mod core;
 mod input;
 mod leadership;
+mod load;
 mod membership;
 mod task;
 mod waiter;
--- a/comfreymill_node/src/scheduler/core/task.rs
+++ b/comfreymill_node/src/scheduler/core/task.rs
@@ -1,8 +1,9 @@
+use std::task;
+
 use super::core::Core;
 use super::input::Input;
-
-/// Maximum number of queued inputs handled before the replica's actions run.
-const MAX_INPUTS_PER_TURN: usize = 256;
+use super::load::Part;
+use crate::scheduler::turns;
 
 /// Reason why the core has ended.
 #[derive(Debug)]
@@ -16,26 +17,45 @@
 /// Runs the core until it ends.
 pub(in crate::scheduler) async fn run(mut core: Core, inputs: &flume::Receiver<Input>) -> Ended {
     let clock = core.cfg.clock;
+    let mut backlog = turns::Backlog::default();
     let mut ticked_at = clock.now();
+    let mut ended_at = ticked_at;
     loop {
-        let input = monoio::time::timeout(Core::TICK, inputs.recv_async()).await;
-        let now = clock.now();
-        match input {
-            Ok(Ok(input)) => core.handle(now, input),
-            Ok(Err(_)) => {
-                return Ended::Failed("the input channel of the core is closed".to_owned());
+        if backlog.is_empty() {
+            match monoio::time::timeout(Core::TICK, inputs.recv_async()).await {
+                Ok(Ok(input)) => backlog.push(input.kind(), clock.now(), input),
+                Ok(Err(_)) => {
+                    return Ended::Failed("the input channel of the core is closed".to_owned());
+                }
+                Err(_) => {}
             }
-            Err(_) => {}
+        } else {
+            yield_to_connections().await;
+        }
+        let began = clock.now();
+        let gap = began.since(ended_at);
+        for input in inputs.try_iter() {
+            backlog.push(input.kind(), began, input);
         }
-        for input in inputs.try_iter().take(MAX_INPUTS_PER_TURN) {
-            core.handle(now, input);
+        backlog.begin_turn();
+        while let Some(queued) = backlog.next_input() {
+            let now = clock.now();
+            core.load.input_taken(queued.kind, now.since(queued.queued_at));
+            core.handle(now, queued.input);
+            core.load.spent(Part::Inputs(queued.kind), now, clock.now());
         }
-        // The time-out above never expires while the queue is busy, so ticks are checked here.
+        let now = clock.now();
+        // The time-out above never expires while inputs wait, so ticks are checked here.
         if now.since(ticked_at) >= Core::TICK {
             core.tick(now);
             ticked_at = now;
+            core.load.spent(Part::Timers, now, clock.now());
         }
-        core.run_actions(now);
+        core.run_actions();
+        ended_at = clock.now();
+        core.load.turn_ended(began, ended_at, gap);
+        let is_leading = core.leadership.is_some();
+        core.load.report(ended_at, is_leading, &backlog);
         if core.was_removed() {
             return Ended::Removed;
         }
@@ -44,3 +64,16 @@
         }
     }
 }
+
+/// Lets the tasks of the connections run that are ready, and lets the runtime look for new data.
+async fn yield_to_connections() {
+    let mut has_yielded = false;
+    std::future::poll_fn(move |cx| {
+        if std::mem::replace(&mut has_yielded, true) {
+            return task::Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        task::Poll::Pending
+    })
+    .await;
+}
--- a/comfreymill_node/src/scheduler/mod.rs
+++ b/comfreymill_node/src/scheduler/mod.rs
@@ -13,5 +13,6 @@
 mod member_id;
 mod orders;
 mod process;
+pub mod turns;
 
 pub use process::run;
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -80,13 +80,17 @@
         worker_connections: budget.workers,
         snapshot_entries: settings.get_snapshot_entries(),
     };
+    let observers = node.get_metrics().map(|address| {
+        Ok::<_, error::Error>((runtime::listen("metrics", address)?, metering::Meter::install()?))
+    });
+    let observers = observers.transpose()?;
+    // The core creates its metrics, so the recorder is installed before.
     let core = Core::new(cfg.clone(), replica, thread, links, inputs.clone());
     monoio::spawn(peer::listen(peers, identity, inputs.clone()));
     let cx = control::Context { inputs: inputs.clone(), leader };
     let handler = async move |req: server::Request<'_>| control::serve(&cx, req).await;
-    if let Some(address) = node.get_metrics() {
-        let observers = runtime::listen("metrics", address)?;
-        let (meter, status_inputs) = (metering::Meter::install()?, inputs.clone());
+    if let Some((observers, meter)) = observers {
+        let status_inputs = inputs.clone();
         let observer = async move |req: server::Request<'_>| {
             if let Some(key) = req.uri().path().strip_prefix(EXPLAIN_PATH) {
                 let explained = fetch_explanation(&status_inputs, key.to_owned()).await;
--- a/comfreymill_node/tests/main.rs
+++ b/comfreymill_node/tests/main.rs
@@ -7,3 +7,4 @@
 mod prompt;
 mod scratch;
 mod settings;
+mod turns;
--- a/comfreymill_node/tests/metering/mod.rs
+++ b/comfreymill_node/tests/metering/mod.rs
@@ -30,6 +30,12 @@
     observe::order("start", "answered", Duration::from_millis(3));
     observe::order_queue_wait("stop", Duration::from_millis(900));
     observe::commit(Duration::from_millis(8));
+    let of_loop = metering::LoopMetrics::new(&["report"], &["placement"]);
+    of_loop.turn(Duration::from_millis(6));
+    of_loop.turn_part(0, Duration::from_millis(4));
+    of_loop.input_wait(0, Duration::from_millis(2));
+    of_loop.backlog(0, 17);
+    of_loop.heartbeat_round_trip(Duration::from_millis(40));
     observe::version_in_force(&environment, document::Stage::Production, id::Version::new(9));
 }
 
@@ -57,6 +63,11 @@
         r#"comfreymill_refusals_total{part="callers",kind="queue-full"} 1"#,
         r#"comfreymill_evictions_total{team="counter",class="search"} 1"#,
         "comfreymill_unmatched_answers_total 1",
+        "comfreymill_loop_turn_seconds_count 1",
+        r#"comfreymill_loop_part_seconds_count{part="placement"} 1"#,
+        r#"comfreymill_loop_input_wait_seconds_count{kind="report"} 1"#,
+        r#"comfreymill_loop_backlog{kind="report"} 17"#,
+        "comfreymill_heartbeat_round_trip_seconds_count 1",
         r#"comfreymill_job_requests_total{method="POST",outcome="done"} 1"#,
         r#"comfreymill_job_request_latency_seconds_bucket{method="POST",le="0.015"} 1"#,
         r#"comfreymill_orders_total{kind="start",outcome="answered"} 1"#,
--- /dev/null
+++ b/comfreymill_node/tests/turns/mod.rs
@@ -0,0 +1,95 @@
+//! Tests of the decisions about turns: every kind of input is served, whatever the others send.
+
+use std::time::Duration;
+
+use comfreymill_node::scheduler::turns::{Backlog, Kind, Pacer};
+use comfreymill_types::time;
+
+/// Number of inputs of the kind that floods the loop.
+const FLOOD: usize = 10_000;
+
+fn flooded(flooding: &[Kind]) -> Backlog<usize> {
+    let mut backlog = Backlog::default();
+    for kind in flooding {
+        for number in 0..FLOOD {
+            backlog.push(*kind, time::Monotonic::ZERO, number);
+        }
+    }
+    backlog
+}
+
+/// Handles one turn and returns the kinds of its inputs in order.
+fn run_turn<T>(backlog: &mut Backlog<T>) -> Vec<Kind> {
+    backlog.begin_turn();
+    std::iter::from_fn(|| backlog.next_input()).map(|queued| queued.kind).collect()
+}
+
+#[test]
+fn no_kind_is_starved_by_another() {
+    for flooding in Kind::ALL {
+        for starved in Kind::ALL.into_iter().filter(|kind| *kind != flooding) {
+            let mut backlog = flooded(&[flooding]);
+            backlog.push(starved, time::Monotonic::ZERO, 0);
+            let handled = run_turn(&mut backlog);
+            assert!(handled.contains(&starved), "{starved:?} is starved by {flooding:?}");
+        }
+    }
+}
+
+#[test]
+fn no_kind_is_starved_by_all_others_together() {
+    for starved in Kind::ALL {
+        let others: Vec<Kind> = Kind::ALL.into_iter().filter(|kind| *kind != starved).collect();
+        let mut backlog = flooded(&others);
+        backlog.push(starved, time::Monotonic::ZERO, 0);
+        assert!(run_turn(&mut backlog).contains(&starved), "{starved:?} is starved");
+    }
+}
+
+#[test]
+fn a_turn_is_bounded_and_goes_on_with_the_next() {
+    let bound: usize = Kind::ALL.iter().map(|kind| kind.quota()).sum();
+    let mut backlog = flooded(&Kind::ALL);
+    let mut turns = 0;
+    let mut handled = 0;
+    while !backlog.is_empty() {
+        let in_turn = run_turn(&mut backlog).len();
+        assert!((1..=bound).contains(&in_turn), "{in_turn} inputs in one turn");
+        handled += in_turn;
+        turns += 1;
+    }
+    assert_eq!(handled, FLOOD * Kind::ALL.len());
+    let longest = Kind::ALL.iter().map(|kind| FLOOD.div_ceil(kind.quota())).max();
+    assert_eq!(Some(turns), longest);
+}
+
+#[test]
+fn urgent_kinds_go_first_even_when_they_arrive_last() {
+    let mut backlog = flooded(&[Kind::Report, Kind::Announcement]);
+    backlog.push(Kind::Departure, time::Monotonic::ZERO, 0);
+    backlog.push(Kind::Agreement, time::Monotonic::ZERO, 0);
+    let handled = run_turn(&mut backlog);
+    assert_eq!(handled[..3], [Kind::Agreement, Kind::Departure, Kind::Report]);
+}
+
+#[test]
+fn inputs_of_a_kind_keep_their_order() {
+    let mut backlog = flooded(&[Kind::Report]);
+    backlog.begin_turn();
+    let numbers: Vec<usize> =
+        std::iter::from_fn(|| backlog.next_input()).map(|queued| queued.input).collect();
+    assert_eq!(numbers, (0..Kind::Report.quota()).collect::<Vec<_>>());
+}
+
+#[test]
+fn rounds_of_placement_leave_as_much_time_for_inputs() {
+    let at = time::Monotonic::from_millis;
+    let mut pacer = Pacer::new(Duration::from_millis(10));
+    assert!(pacer.is_due(at(5)));
+    pacer.done(at(5), at(6));
+    assert!(!pacer.is_due(at(15)));
+    assert!(pacer.is_due(at(16)));
+    pacer.done(at(16), at(316));
+    assert!(!pacer.is_due(at(615)), "a round of 300 ms is followed by 300 ms for inputs");
+    assert!(pacer.is_due(at(616)));
+}
