feat(jobcall): hold connections to every member and go to the next leader

Cause: a gateway had a connection to one member at a time. When the leader was lost or silent, calls waited for time-outs and then for a search of the members one by one, and the silence of a leader was never noticed while calls kept arriving. Submissions with 150 ms or less left were sent and answered 504 at once.

Change: every member is connected, the newest one that says that it leads is used, and calls that the leader before it has not answered go to it. While no leader is known, submissions and questions that can't be served in time are refused at once, with a Retry-After that spreads callers; cancellations wait. A call that a leader may have received is never answered as refused. Submissions that can't be stored any more before their deadline are refused without being sent.

Result: decisions are tested without a network; not measured yet.

--- a/comfreymill_node/src/gateway/callers.rs
+++ b/comfreymill_node/src/gateway/callers.rs
@@ -10,18 +10,30 @@
 
 /// Maximum time for a call to the leader, long enough for the election of a new leader.
 const MAX_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Part of the caller's deadline that is reserved for the transfer of the answer.
+/// Maximum part of the caller's deadline that is reserved for the transfer of the answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+/// Share of the caller's deadline that is reserved if that is less.
+const MARGIN_SHARE: u32 = 3;
+/// Time below which a job cannot be stored: two trips between regions and a disk sync.
+const MIN_SUBMIT_TIME: Duration = Duration::from_millis(60);
 /// Maximum size of a request body.
 const MAX_BODY_BYTES: u64 = 1 << 20;
-/// Value of `Retry-After` for a request that was not handled, in seconds.
-const RETRY_AFTER_S: &str = "1";
+/// Default value of `Retry-After` for a request that was not handled.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Answer to a caller, and its outcome label in logs and metrics.
 struct Answer {
     status: StatusCode,
     body: Bytes,
     outcome: &'static str,
+    /// When the caller should send a request again that was not handled.
+    retry_after: Duration,
+}
+
+impl Answer {
+    fn new(status: StatusCode, body: Bytes, outcome: &'static str) -> Self {
+        Self { status, body, outcome, retry_after: RETRY_AFTER }
+    }
 }
 
 /// Answers one request of a caller.
@@ -37,10 +49,14 @@
     let host = host(&req);
     let path = req.uri().path().to_owned();
     let timeout = platform::caller_timeout(req.headers()).unwrap_or(MAX_TIMEOUT);
-    let timeout = timeout.saturating_sub(ANSWER_MARGIN).min(MAX_TIMEOUT);
+    let timeout = (timeout - ANSWER_MARGIN.min(timeout / MARGIN_SHARE)).min(MAX_TIMEOUT);
     let body = req.collect(MAX_BODY_BYTES).await?;
     let started_at = std::time::Instant::now();
     let answer = match to_call(&method, &host, &path, &body) {
+        // The caller is gone before the job could be stored, so it is not handed on.
+        Ok(Call::Submit { .. }) if timeout < MIN_SUBMIT_TIME => {
+            Answer::new(StatusCode::SERVICE_UNAVAILABLE, Bytes::new(), "too late")
+        }
         Ok(call) => to_answer(leader.call(&call, timeout).await),
         Err(answer) => answer,
     };
@@ -50,7 +66,8 @@
     let mut headers = http::HeaderMap::new();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if answer.status == StatusCode::SERVICE_UNAVAILABLE {
-        headers.insert(header::RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S));
+        let seconds = answer.retry_after.as_secs_f64().ceil() as u64;
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
     }
     req.respond(answer.status, &headers, answer.body).await
 }
@@ -78,19 +95,13 @@
     match *method {
         Method::POST => match platform::decode_job(body) {
             Ok(spec) => Ok(Call::Submit { host, path, spec: Box::new(spec) }),
-            Err(error) => Err(Answer {
-                status: StatusCode::BAD_REQUEST,
-                body: error.to_string().into(),
-                outcome: "malformed",
-            }),
+            Err(error) => {
+                Err(Answer::new(StatusCode::BAD_REQUEST, error.to_string().into(), "malformed"))
+            }
         },
         Method::GET => Ok(Call::Show { host, path }),
         Method::DELETE => Ok(Call::Cancel { host, path }),
-        _ => Err(Answer {
-            status: StatusCode::METHOD_NOT_ALLOWED,
-            body: Bytes::new(),
-            outcome: "method",
-        }),
+        _ => Err(Answer::new(StatusCode::METHOD_NOT_ALLOWED, Bytes::new(), "method")),
     }
 }
 
@@ -113,10 +124,14 @@
             (StatusCode::GATEWAY_TIMEOUT, Bytes::new(), "unexpected")
         }
         // The leader may have accepted the call, so it must not be reported as refused.
-        Err(CallError { was_sent: true }) => (StatusCode::GATEWAY_TIMEOUT, Bytes::new(), "unknown"),
-        Err(CallError { was_sent: false }) => {
-            (StatusCode::SERVICE_UNAVAILABLE, Bytes::new(), "no leader")
+        Err(CallError { was_sent: true, .. }) => {
+            (StatusCode::GATEWAY_TIMEOUT, Bytes::new(), "unknown")
+        }
+        Err(CallError { was_sent: false, retry_after }) => {
+            let outcome = if retry_after.is_some() { "refused" } else { "no leader" };
+            let answer = Answer::new(StatusCode::SERVICE_UNAVAILABLE, Bytes::new(), outcome);
+            return Answer { retry_after: retry_after.unwrap_or(RETRY_AFTER), ..answer };
         }
     };
-    Answer { status, body, outcome }
+    Answer::new(status, body, outcome)
 }
--- /dev/null
+++ b/comfreymill_node/src/jobcall/directory.rs
@@ -0,0 +1,72 @@
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use super::Members;
+
+/// Which member leads, by what the connected members say of themselves and of the group.
+///
+/// **Load pattern:** the leader is lost, or a link to it goes silent, while hundreds of calls wait.
+/// With a connection to one member at a time, the next leader would be found only after the
+/// time-outs of those that were tried before it. So every member is connected, and the first one
+/// that says that it leads is used at once. A member that was the leader may believe so for longer;
+/// the newest claim counts.
+#[derive(Debug, Default)]
+pub struct Directory {
+    views: BTreeMap<Ipv4Addr, Members>,
+    /// Members that say that they lead, the newest claim last.
+    claims: Vec<Ipv4Addr>,
+    /// Addresses of all members, by the newest message of any member.
+    all: Vec<Ipv4Addr>,
+}
+
+impl Directory {
+    /// Returns the connected member that was the last to say that it leads.
+    #[must_use]
+    pub fn leader(&self) -> Option<Ipv4Addr> {
+        self.claims.last().copied()
+    }
+
+    /// Returns the leader and all members, as far as they are known.
+    #[must_use]
+    pub fn members(&self) -> Members {
+        Members { leader: self.leader(), all: self.all.clone() }
+    }
+
+    /// Handles what a connected member says about the group; returns whether the leader changed.
+    pub fn heard(&mut self, from: Ipv4Addr, members: Members) -> bool {
+        let before = self.leader();
+        let claims = members.leader == Some(from);
+        let claimed = self.claims.contains(&from);
+        if claims != claimed {
+            self.claims.retain(|member| *member != from);
+        }
+        if claims && !claimed {
+            self.claims.push(from);
+        }
+        if !members.all.is_empty() {
+            self.all.clone_from(&members.all);
+        }
+        self.views.insert(from, members);
+        self.leader() != before
+    }
+
+    /// Handles the end of the connection to a member; returns whether the leader changed.
+    pub fn lost(&mut self, from: Ipv4Addr) -> bool {
+        let before = self.leader();
+        self.views.remove(&from);
+        self.claims.retain(|member| *member != from);
+        self.leader() != before
+    }
+
+    /// Returns the addresses to connect to: those in `seeds`, all members, and leaders that members
+    /// name.
+    #[must_use]
+    pub fn addresses(&self, seeds: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
+        let named = self.views.values().filter_map(|members| members.leader);
+        let mut addresses: Vec<Ipv4Addr> =
+            seeds.iter().copied().chain(self.all.iter().copied()).chain(named).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+}
--- a/comfreymill_node/src/jobcall/link.rs
+++ b/comfreymill_node/src/jobcall/link.rs
@@ -1,26 +1,27 @@
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-
+use super::shared::{PendingCall, Shared};
 use super::{Members, Reply, codec};
 use crate::peer;
 
-/// Maximum time to connect to a candidate; two regions are 20 ms apart.
+/// Maximum time to connect to a member; two regions are 20 ms apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Pause after a connection ends or fails, before the next candidate is tried.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(40);
-/// Silence of a peer with unanswered calls after which the connection is closed.
+/// Pause after a connection ends, before it is opened again; doubled after each failure.
+const MIN_RECONNECT_PAUSE: Duration = Duration::from_millis(40);
+/// Maximum pause before a connection is opened again.
+const MAX_RECONNECT_PAUSE: Duration = Duration::from_millis(640);
+/// Silence of a member with unanswered calls or an unanswered keep-alive after which the connection
+/// is closed.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_000);
 /// Maximum time without a sent frame before a keep-alive frame is sent.
 const KEEP_ALIVE_PERIOD: Duration = Duration::from_secs(2);
 /// Interval between checks of the timers.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
+/// Interval between checks for members that are not connected yet.
+const MEMBERS_PERIOD: Duration = Duration::from_millis(100);
 
-/// Configuration of the connection to the leader.
+/// Configuration of the connections to the members of the group.
 #[derive(Clone, Debug)]
 pub(crate) struct LinkConfig {
     /// Identity of this process.
@@ -31,113 +32,100 @@
     pub(crate) peers_port: u16,
 }
 
-/// Call that waits to be sent or answered.
-#[derive(Debug)]
-pub(super) struct PendingCall {
-    pub(super) body: Bytes,
-    pub(super) reply: flume::Sender<Reply>,
-    /// Set before the first byte of the call is written.
-    pub(super) sent: Rc<Cell<bool>>,
-}
-
-/// Maintains a connection to the leader and sends calls over it.
-pub(super) async fn run(
-    cfg: LinkConfig,
-    calls: flume::Receiver<PendingCall>,
-    members: Rc<RefCell<Members>>,
-) {
-    let mut rotation = 0;
+/// Maintains a connection to every member of the group.
+pub(super) async fn run(cfg: LinkConfig, shared: Shared) {
+    let mut linked: Vec<(Ipv4Addr, flume::Sender<()>)> = Vec::new();
     loop {
-        let candidate = next_candidate(&cfg, &members.borrow(), &mut rotation);
-        let address = SocketAddr::new(IpAddr::V4(candidate), cfg.peers_port);
-        let connected = peer::Connection::connect(address, &cfg.identity, CONNECT_TIMEOUT).await;
-        let reason = match connected {
-            Ok(connection) => send_calls(connection, candidate, &calls, &members).await,
-            Err(error) => error.to_string(),
-        };
-        let was_leader = members.borrow().leader == Some(candidate);
-        if was_leader {
-            log::info!(target: "link", peer:% = candidate, reason = reason.as_str(); "the connection to the leader is lost");
-            members.borrow_mut().leader = None;
+        let addresses = shared.addresses(&cfg.seeds);
+        linked.retain(|(member, _)| addresses.contains(member));
+        for member in addresses {
+            if linked.iter().all(|(other, _)| *other != member) {
+                let (keep, kept) = flume::bounded(1);
+                monoio::spawn(link(cfg.clone(), member, shared.clone(), kept));
+                linked.push((member, keep));
+            }
         }
-        monoio::time::sleep(RECONNECT_PAUSE).await;
+        monoio::time::sleep(MEMBERS_PERIOD).await;
     }
 }
 
-/// Returns the leader if it is known, otherwise members and seeds in rotation.
-fn next_candidate(cfg: &LinkConfig, members: &Members, rotation: &mut usize) -> Ipv4Addr {
-    if let Some(leader) = members.leader {
-        return leader;
+/// Keeps the connection to a member open until the sender of `kept` is dropped.
+async fn link(cfg: LinkConfig, member: Ipv4Addr, shared: Shared, kept: flume::Receiver<()>) {
+    let address = SocketAddr::new(IpAddr::V4(member), cfg.peers_port);
+    let mut pause = MIN_RECONNECT_PAUSE;
+    while !kept.is_disconnected() {
+        match peer::Connection::connect(address, &cfg.identity, CONNECT_TIMEOUT).await {
+            Ok(connection) => {
+                pause = MIN_RECONNECT_PAUSE;
+                let calls = shared.connected(member);
+                let reason = send_calls(connection, member, &calls, &shared, &kept).await;
+                shared.disconnected(member, &reason);
+            }
+            Err(error) => {
+                log::debug!(target: "link", peer:% = member, reason:% = error; "a member cannot be reached");
+            }
+        }
+        monoio::time::sleep(pause).await;
+        pause = (pause * 2).min(MAX_RECONNECT_PAUSE);
     }
-    let mut addresses: Vec<Ipv4Addr> = members.all.clone();
-    addresses.extend(cfg.seeds.iter().filter(|seed| !members.all.contains(seed)));
-    *rotation += 1;
-    addresses.get(*rotation % addresses.len().max(1)).copied().unwrap_or(Ipv4Addr::LOCALHOST)
 }
 
-/// Sends calls over one connection until it fails or the peer is not the leader; returns the
-/// reason.
+/// Sends calls over one connection until it fails or is not needed; returns the reason.
 async fn send_calls(
     mut connection: peer::Connection,
-    candidate: Ipv4Addr,
+    member: Ipv4Addr,
     calls: &flume::Receiver<PendingCall>,
-    members: &RefCell<Members>,
+    shared: &Shared,
+    kept: &flume::Receiver<()>,
 ) -> String {
-    let mut unanswered: BTreeMap<u64, (flume::Sender<Reply>, Instant)> = BTreeMap::new();
+    let mut timers = Timers::start();
     let mut next_id = 0;
-    let mut received_at = Instant::now();
-    let mut sent_at = Instant::now();
-    let mut is_leader = false;
     loop {
+        if timers.is_due() {
+            if kept.is_disconnected() {
+                return "the peer is no longer a member".to_owned();
+            }
+            if timers.is_silent() {
+                return "the peer does not answer".to_owned();
+            }
+            shared.forget_abandoned(member);
+            if timers.needs_keep_alive() {
+                timers.sent();
+                if let Err(error) = connection.writer.send(peer::Frame::keep_alive()).await {
+                    return error.to_string();
+                }
+            }
+        }
         monoio::select! {
             frame = connection.reader.next() => {
                 let frame = match frame {
                     Ok(frame) => frame,
                     Err(error) => return error.to_string(),
                 };
-                received_at = Instant::now();
+                timers.received();
                 match frame.kind() {
                     peer::FrameKind::Push => {
                         let Ok(update) = codec::decode::<Members>(&frame.body) else {
                             return "the peer sent a malformed list of members".to_owned();
                         };
-                        is_leader = update.leader == Some(candidate);
-                        if is_leader && members.borrow().leader != Some(candidate) {
-                            log::info!(target: "link", peer:% = candidate; "the leader is connected");
-                        }
-                        let leader = update.leader;
-                        *members.borrow_mut() = update;
-                        if !is_leader && unanswered.is_empty() {
-                            return match leader {
-                                Some(leader) => format!("the peer is not the leader, {leader} is"),
-                                None => "the peer knows of no leader".to_owned(),
-                            };
-                        }
+                        shared.heard(member, update);
                     }
                     peer::FrameKind::Reply => {
-                        let Some((reply, _)) = unanswered.remove(&frame.id) else { continue };
-                        let answer = codec::decode(&frame.body).unwrap_or(Reply::Unknown);
-                        // The caller may have timed out.
-                        reply.send(answer).ok();
-                        if !is_leader && unanswered.is_empty() {
-                            return "the peer is no longer the leader".to_owned();
-                        }
+                        let reply = codec::decode(&frame.body).unwrap_or(Reply::Unknown);
+                        shared.answered(member, frame.id, reply);
                     }
                     _ => {}
                 }
             }
-            call = next_call(calls, is_leader) => {
-                let Some(call) = call else { return "the process is stopping".to_owned() };
+            call = calls.recv_async() => {
+                let Ok(call) = call else { return "the process is stopping".to_owned() };
                 if call.reply.is_disconnected() {
                     continue;
                 }
                 call.sent.set(true);
                 next_id += 1;
-                sent_at = Instant::now();
-                if unanswered.is_empty() {
-                    received_at = sent_at;
-                }
-                unanswered.insert(next_id, (call.reply, sent_at));
+                timers.sent();
+                shared.sent(member, next_id, call.reply);
                 let frame = peer::Frame::new(peer::FrameKind::Call, next_id, call.body);
                 let send = connection.writer.send(frame);
                 match monoio::time::timeout(SILENCE_LIMIT, send).await {
@@ -146,25 +134,52 @@
                     Err(_) => return "the peer does not accept data".to_owned(),
                 }
             }
-            () = monoio::time::sleep(CHECK_PERIOD) => {
-                if !unanswered.is_empty() && received_at.elapsed() > SILENCE_LIMIT {
-                    return "the peer does not answer".to_owned();
-                }
-                if sent_at.elapsed() > KEEP_ALIVE_PERIOD {
-                    sent_at = Instant::now();
-                    if let Err(error) = connection.writer.send(peer::Frame::keep_alive()).await {
-                        return error.to_string();
-                    }
-                }
-            }
+            () = monoio::time::sleep(CHECK_PERIOD) => {}
         }
     }
 }
 
-/// Returns the next call; never completes if the peer is not the leader.
-async fn next_call(calls: &flume::Receiver<PendingCall>, is_leader: bool) -> Option<PendingCall> {
-    if !is_leader {
-        std::future::pending::<()>().await;
+/// Timers of one connection.
+struct Timers {
+    checked_at: Instant,
+    sent_at: Instant,
+    /// When the first frame was sent after the last one that was received.
+    unanswered_since: Option<Instant>,
+}
+
+impl Timers {
+    fn start() -> Self {
+        let now = Instant::now();
+        Self { checked_at: now, sent_at: now, unanswered_since: None }
+    }
+
+    /// Returns whether the timers have to be checked, also when frames keep arriving.
+    fn is_due(&mut self) -> bool {
+        let is_due = self.checked_at.elapsed() >= CHECK_PERIOD;
+        if is_due {
+            self.checked_at = Instant::now();
+        }
+        is_due
+    }
+
+    fn sent(&mut self) {
+        self.sent_at = Instant::now();
+        self.unanswered_since.get_or_insert(self.sent_at);
+    }
+
+    fn received(&mut self) {
+        self.unanswered_since = None;
+    }
+
+    /// Returns whether the peer has sent nothing for too long, although it answers keep-alives even
+    /// while its replies to calls have to wait.
+    fn is_silent(&self) -> bool {
+        self.unanswered_since.is_some_and(|since| since.elapsed() > SILENCE_LIMIT)
+    }
+
+    /// Returns whether a keep-alive is due: the connection is idle, or an answer takes long.
+    fn needs_keep_alive(&self) -> bool {
+        let is_slow = self.unanswered_since.is_some_and(|since| since.elapsed() >= CHECK_PERIOD);
+        is_slow || self.sent_at.elapsed() > KEEP_ALIVE_PERIOD
     }
-    calls.recv_async().await.ok()
 }
--- a/comfreymill_node/src/jobcall/mod.rs
+++ b/comfreymill_node/src/jobcall/mod.rs
@@ -6,13 +6,18 @@
 mod call;
 mod client;
 mod codec;
+mod directory;
 mod link;
 mod members;
+mod patience;
 mod reply;
+mod shared;
 
 pub(crate) use call::Call;
 pub(crate) use client::{CallError, Client};
 pub(crate) use codec::{decode, encode};
+pub use directory::Directory;
 pub(crate) use link::LinkConfig;
-pub(crate) use members::Members;
+pub use members::Members;
+pub use patience::Patience;
 pub(crate) use reply::{Phase, Reply};
--- a/comfreymill_node/src/jobcall/reply.rs
+++ b/comfreymill_node/src/jobcall/reply.rs
@@ -27,6 +27,11 @@
     NotLeader,
     /// The outcome of the call is unknown; the caller must retry.
     Unknown,
+    /// The leader has more to do than it can; the call changed nothing.
+    Overloaded {
+        /// When the caller should send the call again, in milliseconds.
+        retry_after_ms: u32,
+    },
 }
 
 /// Progress of a job.
--- a/comfreymill_node/src/lib.rs
+++ b/comfreymill_node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod embedded;
 pub mod entry;
 pub mod gateway;
+pub mod jobcall;
 pub mod logs;
 pub mod metering;
 pub mod peer;
@@ -15,6 +16,5 @@
 pub mod settings;
 pub mod web;
 
-mod jobcall;
 mod proposals;
 mod random;
--- a/comfreymill_node/src/scheduler/control/serve.rs
+++ b/comfreymill_node/src/scheduler/control/serve.rs
@@ -108,12 +108,12 @@
         let (reply, rx) = flume::bounded(1);
         let input = Input::LocalCall { call: call.clone(), reply };
         if self.inputs.send(input).is_err() {
-            return Err(CallError { was_sent: false });
+            return Err(CallError { was_sent: false, retry_after: None });
         }
         match monoio::time::timeout(CORE_TIMEOUT.min(timeout), rx.recv_async()).await {
             Ok(Ok(Reply::NotLeader | Reply::Unknown)) => {}
             Ok(Ok(reply)) => return Ok(reply),
-            _ => return Err(CallError { was_sent: true }),
+            _ => return Err(CallError { was_sent: true, retry_after: None }),
         }
         self.leader.call(&call, timeout).await
     }
--- a/comfreymill_node/tests/main.rs
+++ b/comfreymill_node/tests/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the modules of `comfreymill_node`.
 
 mod command;
+mod jobcall;
 mod logs;
 mod metering;
 mod peer;
