--- a/comfreymill_node/tests/main.rs
+++ b/comfreymill_node/tests/main.rs
@@ -1,9 +1,11 @@
 //! Tests of the modules of `comfreymill_node`.
 
 mod command;
+mod jobcall;
 mod logs;
 mod metering;
 mod peer;
 mod prompt;
 mod scratch;
 mod settings;
+mod turns;
