perf(jobs): bounded turns of placement and a cheaper takeover

A round of placement went through all waiting steps for every input that might have freed room, searched for the same needs again and again, and a takeover released all tasks of earlier leaders at once: with thousands of tasks waiting, a leader lost its quorum while it placed them, and the next one began with a longer list.

A call of `place` now does at most 2,000 steps of work (waiting steps, workers and tasks looked at; a start counts for 20) and one search beyond; `has_placement_left` says that the loop may call it again after other inputs. Needs without room are remembered for the round, by pool, label and image of fillers.

Runs that it adopts are counted in one line instead of one line each.

The harness calls `place` until nothing is left, as the loop does.

--- a/comfreymill_bench/src/decisions/leader.rs
+++ b/comfreymill_bench/src/decisions/leader.rs
@@ -106,7 +106,7 @@
         self.next_job += 1;
         let spec = job::JobSpec { payload: String::new(), steps: vec![step], schedule: None };
         let submission = state::Submission {
-            job: id::JobKey::new(self.next_job.into()),
+            job: id::JobKey::new(self.next_job),
             queue: "queue".to_owned(),
             max_attempts: 2,
             spec,
--- a/comfreymill_jobs/src/scheduler/choice.rs
+++ b/comfreymill_jobs/src/scheduler/choice.rs
@@ -26,13 +26,12 @@
     pub(super) fn choose_worker(
         &mut self,
         now: time::Monotonic,
-        pool: &str,
+        pool: PoolId,
         task: id::TaskId,
         spec: &job::StepSpec,
         image: ImageId,
     ) -> Option<id::WorkerNumber> {
         self.workers.refresh(now);
-        let pool = self.workers.pool(pool);
         if spec.kind() == job::StepKind::Filler {
             self.compute_headroom();
         }
@@ -192,7 +191,7 @@
     }
 
     /// Returns whether the step's tasks may run on the worker, regardless of pool and free resources.
-    fn is_within_limits(&self, step: id::StepId, spec: &job::StepSpec) -> bool {
+    pub(super) fn is_within_limits(&self, step: id::StepId, spec: &job::StepSpec) -> bool {
         let labels = &self.announcement.labels;
         if spec.required_label.as_ref().is_some_and(|label| !labels.contains(label)) {
             return false;
--- a/comfreymill_jobs/src/scheduler/holding.rs
+++ b/comfreymill_jobs/src/scheduler/holding.rs
@@ -4,9 +4,9 @@
 use comfreymill_types::time;
 
 use super::Scheduler;
-use super::choice::is_allowed;
 use super::queue::PlacementClass;
 use super::worker::WorkerEntry;
+use super::workers::PoolId;
 use crate::id;
 use crate::job;
 use crate::worker;
@@ -45,11 +45,12 @@
     fn start_or_hold(&mut self, now: time::Monotonic, task: id::TaskId) {
         let Some(spec) = self.step_spec(task.step).cloned() else { return };
         let Some(queue) = self.jobs.get(&task.step.job).map(|job| &job.queue) else { return };
-        let Some(pool) = self.routes.queue(queue).map(|queue| queue.pool.clone()) else { return };
+        let Some(queue) = self.routes.queue(queue) else { return };
+        let pool = self.workers.pool(&queue.pool);
         let image = self.interference.intern(spec.image.as_deref());
-        if let Some(worker) = self.choose_worker(now, &pool, task, &spec, image) {
+        if let Some(worker) = self.choose_worker(now, pool, task, &spec, image) {
             self.start(now, worker, task, &spec);
-        } else if let Some(number) = self.choose_worker_to_hold(now, &pool, task, &spec)
+        } else if let Some(number) = self.choose_worker_to_hold(now, pool, task, &spec)
             && let Some(worker) = self.workers.get_mut(&number)
         {
             worker.is_held = true;
@@ -64,19 +65,18 @@
     fn choose_worker_to_hold(
         &mut self,
         now: time::Monotonic,
-        pool: &str,
+        pool: PoolId,
         task: id::TaskId,
         spec: &job::StepSpec,
     ) -> Option<id::WorkerNumber> {
         let needs = spec.reserved();
         let mut best = None;
         self.workers.refresh(now);
-        let id = self.workers.pool(pool);
-        self.steps += self.workers.roomiest(id, |number, worker| {
+        self.steps += self.workers.roomiest(pool, |number, worker| {
             let is_clearing = worker.is_placeable(now)
                 && !worker.runs.contains_key(&task)
                 && has_room_once_cleared(worker, &needs)
-                && is_allowed(worker, pool, task.step, spec);
+                && worker.is_within_limits(task.step, spec);
             if is_clearing {
                 best = best.max(Some((worker.free().cpu_milli, number)));
             }
--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod queue;
 mod report;
 mod restore;
+mod round;
 mod run;
 #[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
 mod scheduler;
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -1,67 +1,96 @@
-use std::collections::BTreeMap;
+//! Placement of ready tasks in bounded turns.
+//!
+//! Load pattern: a burst leaves thousands of tasks waiting on a full fleet, and each end of a run
+//! gives room to one of them. A pass over all of them for each end would keep the leader from its
+//! other inputs until it loses its quorum. So a round over the waiting steps, the most urgent first,
+//! is spread over turns of bounded work, needs that no worker has room for are searched for once in
+//! a round, and rounds over many steps keep a minimum distance.
+
+use std::sync::Arc;
 
 use comfreymill_types::time;
 
 use super::Scheduler;
-use super::interference::ImageId;
+use super::round::Kind;
 use crate::id;
 use crate::job;
-use crate::worker;
 
-/// Resource needs for which no worker had room in this round, by pool and, for fillers, image.
-type Unplaceable = BTreeMap<(String, Option<ImageId>), Vec<worker::Resources>>;
+/// Steps of work after which a turn ends: waiting steps, workers and tasks looked at.
+const MAX_STEPS_PER_TURN: u64 = 2_000;
+/// Steps of work that a start counts for: its order is encoded and sent in the same turn.
+const STEPS_PER_START: u64 = 20;
 
 /// # Placement of ready tasks
 impl Scheduler {
-    /// Places ready tasks on workers, if anything has changed since the last call.
+    /// Places ready tasks on workers, if anything has changed since the last round; does a bounded
+    /// part of the work, see [`Self::has_placement_left`].
     pub fn place(&mut self, now: time::Monotonic) {
-        if !self.needs_placement || self.is_fenced {
+        let last_step = self.steps + MAX_STEPS_PER_TURN;
+        self.release_unreconciled(now, last_step);
+        if self.is_fenced || (self.round.is_over() && !self.begin_round(now)) {
             return;
         }
+        while let Some(step) = self.round.current() {
+            if self.steps >= last_step {
+                return;
+            }
+            self.steps += 1;
+            if self.place_step(now, step, last_step) {
+                self.round.advance();
+            }
+        }
+    }
+
+    /// Returns whether the last call of [`Self::place`] left work that can be done at once.
+    pub fn has_placement_left(&self) -> bool {
+        !self.is_fenced && (!self.round.is_over() || self.can_release_unreconciled())
+    }
+
+    fn begin_round(&mut self, now: time::Monotonic) -> bool {
+        if !self.needs_placement || !self.round.is_due(now) {
+            return false;
+        }
         self.needs_placement = false;
         self.placed_at = now;
         self.hold_workers(now);
         if self.ready.is_empty() {
-            return;
-        }
-        let mut unplaceable = Unplaceable::new();
-        for step in self.steps_by_lateness(now) {
-            self.place_step(now, step, &mut unplaceable);
+            return false;
         }
+        let steps = self.steps_by_lateness(now);
+        self.round.begin(now, steps);
+        true
     }
 
-    fn place_step(
-        &mut self,
-        now: time::Monotonic,
-        step: id::StepId,
-        unplaceable: &mut Unplaceable,
-    ) {
-        let Some(job) = self.jobs.get(&step.job) else { return };
-        let Some(queue) = self.routes.queue(&job.queue) else { return };
-        let pool = queue.pool.clone();
-        let Some(spec) = job.spec.steps.get(usize::from(step.step)).cloned() else { return };
+    /// Places the ready tasks of a step until there is no room; returns whether it had its turn, or
+    /// has tasks left because the turn of the loop is over.
+    fn place_step(&mut self, now: time::Monotonic, step: id::StepId, last_step: u64) -> bool {
+        let Some(job) = self.jobs.get(&step.job) else { return true };
+        let Some(queue) = self.routes.queue(&job.queue) else { return true };
+        let job = Arc::clone(&job.spec);
+        let Some(spec) = job.steps.get(usize::from(step.step)) else { return true };
         let image = self.interference.intern(spec.image.as_deref());
-        let filler = (spec.kind() == job::StepKind::Filler).then_some(image);
-        let kind = (pool.clone(), filler);
-        let is_unplaceable =
-            |list: &Vec<worker::Resources>| list.iter().any(|needs| spec.needs.covers(needs));
-        if unplaceable.get(&kind).is_some_and(is_unplaceable) {
-            return;
+        let kind = Kind {
+            pool: self.workers.pool(&queue.pool),
+            filler: (spec.kind() == job::StepKind::Filler).then_some(image),
+            required_label: spec.required_label.clone(),
+        };
+        if self.round.is_without_room(&kind, &spec.needs) {
+            return true;
         }
         for index in self.ready.tasks(step) {
-            if filler.is_some() {
-                self.compute_headroom();
+            if self.steps >= last_step {
+                return false;
             }
-            let Some(worker) = self.choose_worker(now, &pool, step.task(index), &spec, image)
-            else {
-                let has_worker_limits =
-                    spec.required_label.is_some() || spec.max_per_worker.is_some();
-                if !has_worker_limits {
-                    unplaceable.entry(kind).or_default().push(spec.needs);
+            let task = step.task(index);
+            let Some(worker) = self.choose_worker(now, kind.pool, task, spec, image) else {
+                if spec.max_per_worker.is_none() {
+                    self.round.add_without_room(kind, spec.needs);
                 }
-                return;
+                return true;
             };
-            self.start(now, worker, step.task(index), &spec);
+            self.start(now, worker, task, spec);
+            self.steps += STEPS_PER_START;
         }
+        true
     }
 }
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -115,8 +115,10 @@
         if let Some(clock_ms) = report.clock_ms {
             entry.update_clock(&cfg, clock_ms, now);
         }
-        if !entry.has_answered || entry.is_unresponsive {
+        if entry.is_unresponsive {
             log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, running = report.running.len(), ended = report.ended.len(); "a worker answers");
+        }
+        if !entry.has_answered || entry.is_unresponsive {
             self.needs_placement = true;
         }
         entry.reported_at = now;
@@ -125,6 +127,7 @@
         entry.silent_since = None;
         entry.lapsed.clear();
         let is_complete = report.ended.len() < MAX_REPORTED_ENDS;
+        self.steps += (report.running.len() + report.ended.len()) as u64;
         for status in &report.running {
             self.update_run(now, number, status);
         }
@@ -218,7 +221,8 @@
         run.checkpoint.clone_from(&status.checkpoint);
         run.load = status.load;
         run.percent = status.percent;
-        log::info!(target: "runs", task:% = status.task, run:% = status.run, worker:% = number, is_wanted = is_free; "a run that this leader did not start was reported");
+        self.adopted += u64::from(is_free);
+        log::debug!(target: "runs", task:% = status.task, run:% = status.run, worker:% = number, is_wanted = is_free; "a run that this leader did not start was reported");
         let Some(entry) = self.workers.get_mut(&number) else { return };
         if !is_known {
             // The needs of a task whose job is over are not known to a new leader.
--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -5,6 +5,7 @@
 
 use super::interference::Interference;
 use super::queue::ReadyQueue;
+use super::round::Round;
 use super::task::{JobEntry, OccurrenceEntry, TaskPhase};
 use super::worker::WorkerEntry;
 use super::workers::Workers;
@@ -16,7 +17,8 @@
     /// Creates the scheduler of a new leader from the replicated state.
     ///
     /// Tasks that are not done may still run wherever an earlier leader started them, so they are
-    /// placed only once every known worker has reported or its lease has expired. `since_1970` is
+    /// placed only once every known worker has reported or its lease has expired; tasks of steps that
+    /// wait for others have never been started. `since_1970` is
     /// the time of day.
     pub fn new(
         cfg: Config,
@@ -44,13 +46,16 @@
             interference: Interference::default(),
             pending_workers: BTreeMap::new(),
             departures: state.get_departures().clone(),
-            has_unreconciled: true,
             needs_placement: true,
             ended: VecDeque::new(),
             unix_offset_ms: unix_ms.saturating_sub(now.as_micros() / 1_000),
             placed_at: now,
             holds_updated_at: time::Monotonic::ZERO,
             fleet_logged_at: now,
+            round: Round::default(),
+            unreconciled: BTreeSet::new(),
+            released: 0,
+            adopted: 0,
             held: Vec::new(),
             stops: VecDeque::new(),
             recurring: BTreeSet::new(),
@@ -95,11 +100,17 @@
             }
             let recorded = job.occurrences.get(&number);
             let mut occurrence = OccurrenceEntry::new(&job.spec, recorded, now);
-            for (index, step) in (0..).zip(&mut occurrence.steps) {
+            // A step that waits for others was not started by an earlier leader, which acted on ends
+            // only once they were in the log.
+            let unblocked = job.spec.steps.iter().map(|step| occurrence.is_unblocked(step));
+            let unblocked: Vec<bool> = unblocked.collect();
+            for ((index, step), is_unblocked) in (0..).zip(&mut occurrence.steps).zip(unblocked) {
                 let step_id = id::StepId { job: key, occurrence: number, step: index };
                 for (index, task) in (0..).zip(&mut step.tasks) {
                     if task.phase == TaskPhase::Blocked {
-                        task.phase = TaskPhase::Unreconciled;
+                        if is_unblocked {
+                            task.phase = TaskPhase::Unreconciled;
+                        }
                         task.crashes = state.get_crashes(step_id.task(index));
                     }
                 }
@@ -109,13 +120,13 @@
         if entry.spec.schedule.is_some() {
             self.recurring.insert(key);
         }
+        self.unreconciled.insert(key);
         self.jobs.insert(key, entry);
     }
 
-    /// Makes tasks of earlier leaders available for placement once every worker has reported its
-    /// runs or its lease has expired.
+    /// Learns which workers' runs that earlier leaders started are known by now.
     pub(super) fn reconcile(&mut self, now: time::Monotonic) {
-        if !self.has_unreconciled {
+        if self.unheard.is_empty() {
             return;
         }
         // Busy workers report new ends all the time; only those of their first report matter.
@@ -123,32 +134,45 @@
         self.unheard.retain(|number| {
             self.workers.get(number).is_some_and(|worker| !worker.has_known_runs(now))
         });
-        if !self.unheard.is_empty() {
+        if self.unheard.is_empty() {
+            log::info!(target: "schedule", fence:% = self.fence, jobs = self.unreconciled.len(), runs = self.adopted, workers = self.workers.len(); "all runs of earlier leaders are known");
+        }
+    }
+
+    /// Returns whether tasks of earlier leaders can be made available for placement: every worker
+    /// has reported its runs, or its lease has expired.
+    pub(super) fn can_release_unreconciled(&self) -> bool {
+        self.unheard.is_empty() && !self.unreconciled.is_empty()
+    }
+
+    /// Makes tasks of earlier leaders available for placement, up to the step of work `last_step`.
+    pub(super) fn release_unreconciled(&mut self, now: time::Monotonic, last_step: u64) {
+        if !self.can_release_unreconciled() {
             return;
         }
-        self.has_unreconciled = false;
-        let jobs: Vec<id::JobKey> = self.jobs.keys().copied().collect();
-        let mut released = 0;
-        for job in jobs {
-            released += self.release_unreconciled(now, job);
+        while self.steps < last_step {
+            let Some(job) = self.unreconciled.pop_first() else { break };
+            self.steps += 1;
+            self.release_job(now, job);
+        }
+        if self.unreconciled.is_empty() {
+            log::info!(target: "schedule", fence:% = self.fence, tasks = self.released; "all tasks of earlier leaders are available");
         }
-        log::info!(target: "schedule", fence:% = self.fence, tasks = released, workers = self.workers.len(); "all runs of earlier leaders are known");
     }
 
-    fn release_unreconciled(&mut self, now: time::Monotonic, job: id::JobKey) -> usize {
-        let Some(entry) = self.jobs.get_mut(&job) else { return 0 };
-        let mut released = 0;
+    fn release_job(&mut self, now: time::Monotonic, job: id::JobKey) {
+        let Some(entry) = self.jobs.get_mut(&job) else { return };
         for occurrence in entry.occurrences.values_mut() {
             let tasks = occurrence.steps.iter_mut().flat_map(|step| step.tasks.iter_mut());
             for task in tasks.filter(|task| task.phase == TaskPhase::Unreconciled) {
                 task.phase = TaskPhase::Blocked;
-                released += 1;
+                self.released += 1;
+                self.steps += 1;
             }
         }
         let numbers: Vec<u32> = entry.occurrences.keys().copied().collect();
         for number in numbers {
             self.unblock(now, job, number);
         }
-        released
     }
 }
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -5,6 +5,7 @@
 
 use super::interference::Interference;
 use super::queue::{PlacementClass, Rank, ReadyQueue};
+use super::round::Round;
 use super::task::{JobEntry, TaskEntry, TaskPhase};
 use super::workers::Workers;
 use super::{Config, Order};
@@ -38,8 +39,6 @@
     pub(super) departures: state::Departures,
     /// Workers whose runs that earlier leaders started are not known yet.
     pub(super) unheard: Vec<id::WorkerNumber>,
-    /// Whether tasks of earlier leaders may run on workers that have not reported yet.
-    pub(super) has_unreconciled: bool,
     /// Whether capacity may have become free or a task may have become ready since the last
     /// placement.
     pub(super) needs_placement: bool,
@@ -47,6 +46,14 @@
     pub(super) ended: VecDeque<(time::Monotonic, id::JobKey)>,
     /// Milliseconds from the Unix epoch to the start of the leader's monotonic clock.
     pub(super) unix_offset_ms: u64,
+    /// Pass over the waiting steps that is in progress.
+    pub(super) round: Round,
+    /// Jobs of earlier leaders with tasks that have not become available for placement yet.
+    pub(super) unreconciled: BTreeSet<id::JobKey>,
+    /// Number of tasks of earlier leaders that have become available.
+    pub(super) released: u64,
+    /// Number of reported runs that earlier leaders started and that go on.
+    pub(super) adopted: u64,
     /// When tasks were last placed.
     pub(super) placed_at: time::Monotonic,
     /// When workers were last held for long-running tasks.
--- a/comfreymill_jobs/src/scheduler/workers/workers.rs
+++ b/comfreymill_jobs/src/scheduler/workers/workers.rs
@@ -6,6 +6,7 @@
 use super::super::interference::ImageId;
 use super::super::worker::WorkerEntry;
 use super::pools::{PoolId, Pools};
+use super::room_index::RoomIndex;
 use super::score_index::ScoreKey;
 use super::timers::Timers;
 use crate::id;
@@ -270,7 +271,7 @@
     {
         let mut examined = 1;
         let rooms = self.pools.get(pool).rooms(None);
-        for level in rooms.into_iter().flat_map(|rooms| rooms.roomiest()) {
+        for level in rooms.into_iter().flat_map(RoomIndex::roomiest) {
             for number in level {
                 examined += 1;
                 let Some(slot) = self.slots.get(&number) else { continue };
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -8,3 +8,4 @@
 mod load;
 mod order;
 mod succession;
+mod turns;
--- a/comfreymill_jobs/tests/scheduler/succession.rs
+++ b/comfreymill_jobs/tests/scheduler/succession.rs
@@ -60,6 +60,24 @@
     assert_eq!(leader.take_starts().len(), 1, "and the other task is free as well");
 }
 
+#[test]
+fn a_step_that_was_never_started_does_not_wait_for_a_silent_worker() {
+    let mut leader = Leader::new();
+    leader.worker("first");
+    leader.worker("second");
+    let mut after = step(1);
+    after.depends_on = vec![0];
+    leader.submit(spec(vec![step(1), after]));
+    let starts = leader.take_starts();
+    leader.started(&starts[0], StartAnswer::Started);
+    let mut leader = leader.into_next_leader();
+    announce(&mut leader);
+    leader.report(starts[0].worker, ended(vec![starts[0].end(1, EndKind::Done)]));
+    leader.advance(Duration::from_millis(20));
+    let later = leader.take_starts();
+    assert_eq!(later.iter().map(|start| start.task.step.step).collect::<Vec<_>>(), [1]);
+}
+
 #[test]
 fn reported_ends_are_committed_before_tasks_are_started_again() {
     let (mut leader, starts) = with_next_leader();
--- /dev/null
+++ b/comfreymill_jobs/tests/scheduler/turns.rs
@@ -0,0 +1,162 @@
+//! Work of a leader of many workers per call, counted in steps, while a burst waits.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use comfreymill_jobs::id::{JobKey, TaskId, WorkerName, WorkerNumber};
+use comfreymill_jobs::scheduler::{Answer, PollAnswer, StartAnswer};
+use comfreymill_jobs::state::Command;
+use comfreymill_jobs::worker::{Departure, EndKind, Report, Resources};
+
+use crate::support::{Leader, Start, ended, running, spec, step};
+
+const WORKERS: u32 = 490;
+const TASKS_PER_JOB: u16 = 5;
+/// Maximum number of steps of one call: a turn, and one search or start beyond it.
+const MAX_STEPS: u64 = 2_600;
+
+/// Calls the scheduler and checks how much work that was.
+fn bounded<F>(leader: &mut Leader, call: F)
+where
+    F: FnOnce(&mut Leader),
+{
+    let before = leader.scheduler.get_steps();
+    call(leader);
+    let steps = leader.scheduler.get_steps() - before;
+    assert!(steps <= MAX_STEPS, "{steps} steps in one call");
+}
+
+fn name(number: u32) -> String {
+    format!("worker-{number}")
+}
+
+fn leader_of_many() -> Leader {
+    let mut leader = Leader::new();
+    for number in 0..WORKERS {
+        let mut announcement = leader.announcement(&name(number), 10);
+        let [_, _, high, low] = number.to_be_bytes();
+        announcement.address = ([10, 1, high, low], 80).into();
+        leader.announce(announcement);
+        let number = *leader.state.get_workers().last_key_value().expect("a worker").0;
+        leader.report(number, Report::default());
+    }
+    leader
+}
+
+/// Submits a job whose tasks fit on a worker 21 times.
+fn submit(leader: &mut Leader, key: u64) {
+    let mut step = step(TASKS_PER_JOB);
+    step.needs = Resources { cpu_milli: 700, mem_mb: 380, gpus: 0 };
+    leader.submit_as(key, spec(vec![step]));
+}
+
+/// Does what is left to place, in bounded turns; returns the number of turns.
+fn place(leader: &mut Leader) -> u32 {
+    let mut turns = 0;
+    loop {
+        bounded(leader, |leader| leader.scheduler.place(leader.now));
+        turns += 1;
+        if !leader.scheduler.has_placement_left() {
+            leader.orders.extend(leader.scheduler.take_orders());
+            return turns;
+        }
+    }
+}
+
+fn by_worker(starts: &[Start]) -> BTreeMap<WorkerNumber, Vec<Start>> {
+    let mut runs: BTreeMap<WorkerNumber, Vec<Start>> = BTreeMap::new();
+    for start in starts {
+        runs.entry(start.worker).or_default().push(*start);
+    }
+    runs
+}
+
+#[test]
+fn a_burst_behind_a_freeze_is_placed_in_bounded_turns() {
+    let mut leader = leader_of_many();
+    for key in 0..4_000 {
+        submit(&mut leader, key);
+    }
+    let starts = leader.take_starts();
+    assert_eq!(starts.len(), 490 * 21);
+    for start in &starts {
+        leader.started(start, StartAnswer::Started);
+    }
+    // While the leader was frozen, a run ended on every worker.
+    leader.now = leader.now + Duration::from_millis(700);
+    let mut last_ends = Vec::new();
+    for (number, runs) in by_worker(&starts) {
+        let ends = ended(vec![runs[0].end(1, EndKind::Done)]).ended;
+        let report = Report { ended: ends, ..running(&runs[1..]) };
+        let answer = Answer::Poll(PollAnswer::Report(report));
+        bounded(&mut leader, |leader| {
+            leader.scheduler.answered(leader.now, number, leader.now, answer);
+        });
+        last_ends.extend(leader.scheduler.take_commands());
+    }
+    for command in last_ends {
+        bounded(&mut leader, |leader| leader.commit(vec![command]));
+    }
+    bounded(&mut leader, |leader| {
+        let since = Duration::from_micros(leader.now.as_micros());
+        leader.scheduler.tick(leader.now, since);
+    });
+    assert!(place(&mut leader) > 1);
+    let later = leader.take_starts();
+    assert_eq!(later.len(), 490);
+    let last_of_first = starts.iter().map(|start| start.task.step.job).max();
+    assert!(later.iter().all(|start| Some(start.task.step.job) >= last_of_first));
+    // On the full fleet, a round over the waiting tasks costs no search for each of them.
+    leader.now = leader.now + Duration::from_millis(100);
+    let since = Duration::from_micros(leader.now.as_micros());
+    leader.scheduler.tick(leader.now, since);
+    assert_eq!(place(&mut leader), 1);
+}
+
+#[test]
+fn a_new_leader_reads_many_runs_in_bounded_calls_and_starts_none_twice() {
+    let mut leader = leader_of_many();
+    for key in 0..2_000 {
+        submit(&mut leader, key);
+    }
+    let starts = leader.take_starts();
+    assert_eq!(starts.len(), 10_000);
+    for start in &starts {
+        leader.started(start, StartAnswer::Started);
+    }
+    for key in 2_000..2_100 {
+        submit(&mut leader, key);
+    }
+    // The last leader gave these orders, but they arrived late or never.
+    let (late, lost): (Vec<Start>, Vec<Start>) =
+        leader.take_starts().into_iter().partition(|start| start.task.index % 2 == 0);
+    let mut leader = leader.into_next_leader();
+    let all: Vec<Start> = starts.iter().chain(&late).copied().collect();
+    let runs = by_worker(&all);
+    let mut cancelled = BTreeSet::new();
+    for (position, number) in (0_u64..).zip(leader.state.get_workers().clone().keys()) {
+        let of_worker = runs.get(number).map(Vec::as_slice).unwrap_or_default();
+        let report = Report { clock_ms: Some(9_000), ..running(of_worker) };
+        let answer = Answer::Poll(PollAnswer::Report(report));
+        bounded(&mut leader, |leader| {
+            leader.scheduler.answered(leader.now, *number, leader.now, answer);
+        });
+        let job = JobKey::new(position);
+        cancelled.insert(job);
+        bounded(&mut leader, |leader| leader.commit(vec![Command::Cancel { job }]));
+        bounded(&mut leader, |leader| {
+            let since = Duration::from_micros(leader.now.as_micros());
+            leader.scheduler.tick(leader.now, since);
+        });
+        place(&mut leader);
+    }
+    let departed = WorkerName::new(&name(7));
+    let command = leader.scheduler.departed(leader.now, &Departure { name: departed.clone() });
+    leader.commit(command.into_iter().collect());
+    leader.advance(Duration::from_millis(20));
+    assert!(place(&mut leader) >= 1);
+    let again: BTreeSet<TaskId> = leader.take_starts().iter().map(|start| start.task).collect();
+    let lost = lost.iter().map(|start| start.task);
+    let lost: BTreeSet<TaskId> = lost.filter(|task| !cancelled.contains(&task.step.job)).collect();
+    assert_eq!(again, lost);
+}
--- a/comfreymill_jobs/tests/support/mod.rs
+++ b/comfreymill_jobs/tests/support/mod.rs
@@ -123,6 +123,9 @@
     pub(crate) fn settle(&mut self) {
         loop {
             self.scheduler.place(self.now);
+            while self.scheduler.has_placement_left() {
+                self.scheduler.place(self.now);
+            }
             self.orders.extend(self.scheduler.take_orders());
             let commands = self.scheduler.take_commands();
             if commands.is_empty() {
--- a/comfreymill_node/src/scheduler/core/leadership.rs
+++ b/comfreymill_node/src/scheduler/core/leadership.rs
@@ -90,6 +90,12 @@
         self.commands.extend(leadership.scheduler.take_commands());
     }
 
+    /// Returns whether the last turn left tasks that can be placed at once.
+    pub(super) fn has_placement_left(&self, now: time::Monotonic) -> bool {
+        let leadership = self.leadership.as_ref().filter(|_| self.is_serving(now));
+        leadership.is_some_and(|leadership| leadership.scheduler.has_placement_left())
+    }
+
     /// Proposes the queued commands as one log entry; returns whether one was proposed.
     pub(super) fn propose_commands(&mut self, now: time::Monotonic) -> bool {
         if self.commands.is_empty() {
--- a/comfreymill_node/src/scheduler/core/task.rs
+++ b/comfreymill_node/src/scheduler/core/task.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use super::core::Core;
 use super::input::Input;
 
@@ -18,7 +20,9 @@
     let clock = core.cfg.clock;
     let mut ticked_at = clock.now();
     loop {
-        let input = monoio::time::timeout(Core::TICK, inputs.recv_async()).await;
+        let has_work = core.has_placement_left(clock.now());
+        let wait = if has_work { Duration::ZERO } else { Core::TICK };
+        let input = monoio::time::timeout(wait, inputs.recv_async()).await;
         let now = clock.now();
         match input {
             Ok(Ok(input)) => core.handle(now, input),
