perf(jobs): search room for held long-running tasks once for the same needs

Each update of the held workers looked for a worker to hold for every long-running task that had waited for 2 s, also where the same needs had found none before. The bench measures later placements apart from the first ones, the longest turn, and a takeover.

--- a/comfreymill_bench/src/decisions/cost.rs
+++ b/comfreymill_bench/src/decisions/cost.rs
@@ -1,4 +1,4 @@
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use rand::RngExt as _;
 use rand::SeedableRng as _;
@@ -14,46 +14,66 @@
 /// Time between rounds; more than the scheduler waits between them.
 const ROUND_PERIOD: Duration = Duration::from_millis(100);
 
-/// Measures the time of placements on a nearly full fleet of `workers`, and of rounds in which one
-/// of many waiting tasks has room.
+/// Measures the decisions of the leader of a nearly full fleet of `workers`: the time of the first
+/// placements, of later ones, of rounds in which one of many waiting tasks has room, and of the
+/// longest turn, and the time that the next leader takes to begin and to read all runs.
 pub fn cost(workers: u32, seed: u64) -> Vec<Figure> {
     let mut figures = Vec::new();
     for (load, waiting) in Load::ALL.into_iter().flat_map(|load| WAITING.map(|n| (load, n))) {
         let mut leader = full_leader(workers, load);
         let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
-        for _ in 0..ROOMS {
-            let position = rng.random_range(0..leader.runs.len());
-            leader.end(position);
-        }
+        let mut end_runs = |leader: &mut Leader, count| {
+            for _ in 0..count {
+                let position = rng.random_range(0..leader.runs.len());
+                leader.end(position);
+            }
+        };
+        end_runs(&mut leader, ROOMS);
         for i in 0..waiting {
             leader.submit(load.step(i));
         }
+        let prefix = format!("decisions.{workers}_workers.{}.{waiting}_waiting", load.name());
+        let mut add = |name: &str, value: f64, unit| {
+            figures.push(Figure::new(format!("{prefix}.{name}"), value, unit, seed));
+        };
+        leader.advance(ROUND_PERIOD);
+        let (elapsed, mut longest) = leader.place();
+        let placed = leader.start_all();
+        add("first_placement", micros(elapsed) / placed.max(1) as f64, "us");
+        end_runs(&mut leader, ROOMS);
         leader.advance(ROUND_PERIOD);
-        let before = Instant::now();
-        leader.place();
-        let elapsed = before.elapsed();
+        let (elapsed, turn) = leader.place();
+        longest = longest.max(turn);
         let placed = leader.start_all();
+        add("placed", placed as f64, "");
+        add("placement", micros(elapsed) / placed.max(1) as f64, "us");
         let mut rounds = Duration::ZERO;
         for _ in 0..ROUNDS {
-            let position = rng.random_range(0..leader.runs.len());
-            leader.end(position);
+            end_runs(&mut leader, 1);
             leader.advance(ROUND_PERIOD);
-            let before = Instant::now();
-            leader.place();
-            rounds += before.elapsed();
+            let (elapsed, turn) = leader.place();
+            rounds += elapsed;
+            longest = longest.max(turn);
             leader.start_all();
         }
-        let prefix = format!("decisions.{workers}_workers.{}.{waiting}_waiting", load.name());
-        let mut add = |name: &str, value: f64, unit| {
-            figures.push(Figure::new(format!("{prefix}.{name}"), value, unit, seed));
-        };
-        add("placed", placed as f64, "");
-        add("placement", elapsed.as_secs_f64() * 1e6 / placed.max(1) as f64, "us");
-        add("round", rounds.as_secs_f64() * 1e3 / f64::from(ROUNDS), "ms");
+        add("round", micros(rounds) / 1e3 / f64::from(ROUNDS), "ms");
+        add("longest_turn", micros(longest) / 1e3, "ms");
+        add("takeover", micros(leader.take_over()) / 1e3, "ms");
+        let (elapsed, longest) = leader.report();
+        add("reports", micros(elapsed) / 1e3, "ms");
+        add("longest_report", micros(longest) / 1e3, "ms");
+        leader.advance(ROUND_PERIOD);
+        let (elapsed, longest) = leader.place();
+        add("placement_after_takeover", micros(elapsed) / 1e3, "ms");
+        add("longest_turn_after_takeover", micros(longest) / 1e3, "ms");
     }
     figures
 }
 
+fn micros(span: Duration) -> f64 {
+    span.as_secs_f64() * 1e6
+}
+
 /// Returns the leader of a fleet on which a load uses all the room that there is for it.
 fn full_leader(workers: u32, load: Load) -> Leader {
     let mut leader = Leader::new(workers);
--- a/comfreymill_bench/src/decisions/leader.rs
+++ b/comfreymill_bench/src/decisions/leader.rs
@@ -1,4 +1,5 @@
-use std::time::Duration;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use comfreymill_jobs::id;
 use comfreymill_jobs::job;
@@ -71,26 +72,33 @@
         self.scheduler.tick(self.now, Duration::from_micros(self.now.as_micros()));
     }
 
-    /// Lets all workers report their runs.
-    pub(super) fn report(&mut self) {
-        let numbers: Vec<id::WorkerNumber> = self.state.get_workers().keys().copied().collect();
-        for number in numbers {
-            let of_worker = self.runs.iter().filter(|run| run.worker == number);
-            let running = of_worker.map(|run| worker::RunStatus {
+    /// Lets all workers report their runs; returns the time that reading the reports takes, and the
+    /// longest time of one.
+    pub(super) fn report(&mut self) -> (Duration, Duration) {
+        let mut reports: BTreeMap<id::WorkerNumber, worker::Report> = BTreeMap::new();
+        for number in self.state.get_workers().keys() {
+            let clock_ms = Some(self.now.as_micros() / 1_000);
+            reports.insert(*number, worker::Report { clock_ms, ..worker::Report::default() });
+        }
+        for run in &self.runs {
+            let running = worker::RunStatus {
                 task: run.task,
                 run: run.run,
                 checkpoint: String::new(),
                 percent: 10,
                 load: run.is_serving.then_some(TAIL_MS),
-            });
-            let report = worker::Report { running: running.collect(), ..self.empty_report() };
+            };
+            reports.entry(run.worker).or_default().running.push(running);
+        }
+        let (mut total, mut longest) = (Duration::ZERO, Duration::ZERO);
+        for (number, report) in reports {
+            let before = Instant::now();
             self.answer_poll(number, report);
+            let elapsed = before.elapsed();
+            total += elapsed;
+            longest = longest.max(elapsed);
         }
-    }
-
-    fn empty_report(&self) -> worker::Report {
-        let clock_ms = Some(self.now.as_micros() / 1_000);
-        worker::Report { clock_ms, ..worker::Report::default() }
+        (total, longest)
     }
 
     fn answer_poll(&mut self, number: id::WorkerNumber, report: worker::Report) {
@@ -129,9 +137,32 @@
         }
     }
 
-    /// Places tasks until nothing is left to place.
-    pub(super) fn place(&mut self) {
-        self.scheduler.place(self.now);
+    /// Places tasks until nothing is left to place; returns the time of all calls and of the longest.
+    pub(super) fn place(&mut self) -> (Duration, Duration) {
+        let (mut total, mut longest) = (Duration::ZERO, Duration::ZERO);
+        loop {
+            let before = Instant::now();
+            self.scheduler.place(self.now);
+            let elapsed = before.elapsed();
+            total += elapsed;
+            longest = longest.max(elapsed);
+            if !self.scheduler.has_placement_left() {
+                return (total, longest);
+            }
+        }
+    }
+
+    /// Lets another leader take over, which knows no run; returns the time that it takes to begin.
+    pub(super) fn take_over(&mut self) -> Duration {
+        self.index += 1;
+        self.state.apply(self.index, state::Command::Lead);
+        let cfg = scheduler::Config::new(LEASE);
+        let since_1970 = Duration::from_micros(self.now.as_micros());
+        let before = Instant::now();
+        let scheduler = scheduler::Scheduler::new(cfg, &self.state, since_1970, self.now);
+        let elapsed = before.elapsed();
+        self.scheduler = scheduler;
+        elapsed
     }
 
     /// Carries out the start orders given so far; returns their number.
--- a/comfreymill_jobs/src/scheduler/holding.rs
+++ b/comfreymill_jobs/src/scheduler/holding.rs
@@ -5,6 +5,7 @@
 
 use super::Scheduler;
 use super::queue::PlacementClass;
+use super::without_room::{Kind, WithoutRoom};
 use super::worker::WorkerEntry;
 use super::workers::PoolId;
 use crate::id;
@@ -37,17 +38,32 @@
             }
         }
         let most = self.workers.len() / MAX_HELD_DIVISOR + 1;
+        let mut without_room = WithoutRoom::default();
         for task in self.ready.waiting_at_least(now, PlacementClass::Lasting, HOLD_AFTER, most) {
-            self.start_or_hold(now, task);
+            self.start_or_hold(now, task, &mut without_room);
         }
     }
 
-    fn start_or_hold(&mut self, now: time::Monotonic, task: id::TaskId) {
+    /// Starts a task or holds a worker for it, unless neither is possible for the same needs.
+    fn start_or_hold(
+        &mut self,
+        now: time::Monotonic,
+        task: id::TaskId,
+        without_room: &mut WithoutRoom,
+    ) {
         let Some(spec) = self.step_spec(task.step).cloned() else { return };
         let Some(queue) = self.jobs.get(&task.step.job).map(|job| &job.queue) else { return };
         let Some(queue) = self.routes.queue(queue) else { return };
         let pool = self.workers.pool(&queue.pool);
         let image = self.interference.intern(spec.image.as_deref());
+        let kind = Kind {
+            pool,
+            filler: spec.is_filler.then_some(image),
+            required_label: spec.required_label.clone(),
+        };
+        if without_room.includes(&kind, &spec.needs) {
+            return;
+        }
         if let Some(worker) = self.choose_worker(now, pool, task, &spec, image) {
             self.start(now, worker, task, &spec);
         } else if let Some(number) = self.choose_worker_to_hold(now, pool, task, &spec)
@@ -56,6 +72,8 @@
             worker.is_held = true;
             self.held.push(number);
             log::debug!(target: "runs", task:% = task, worker:% = worker.replicated.announced.name; "a worker is held for a task");
+        } else if spec.max_per_worker.is_none() {
+            without_room.add(kind, spec.needs);
         }
     }
 
--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -35,6 +35,7 @@
 mod task;
 mod tick;
 mod turns;
+mod without_room;
 mod worker;
 mod workers;
 
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -11,7 +11,7 @@
 use comfreymill_types::time;
 
 use super::Scheduler;
-use super::round::Kind;
+use super::without_room::Kind;
 use crate::id;
 use crate::job;
 
@@ -74,7 +74,7 @@
             filler: (spec.kind() == job::StepKind::Filler).then_some(image),
             required_label: spec.required_label.clone(),
         };
-        if self.round.is_without_room(&kind, &spec.needs) {
+        if self.round.without_room.includes(&kind, &spec.needs) {
             return true;
         }
         for index in self.ready.tasks(step) {
@@ -84,7 +84,7 @@
             let task = step.task(index);
             let Some(worker) = self.choose_worker(now, kind.pool, task, spec, image) else {
                 if spec.max_per_worker.is_none() {
-                    self.round.add_without_room(kind, spec.needs);
+                    self.round.without_room.add(kind, spec.needs);
                 }
                 return true;
             };
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -115,7 +115,9 @@
         if let Some(clock_ms) = report.clock_ms {
             entry.update_clock(&cfg, clock_ms, now);
         }
-        if entry.is_unresponsive {
+        if !entry.has_answered {
+            log::debug!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, running = report.running.len(), ended = report.ended.len(); "a worker answers this leader");
+        } else if entry.is_unresponsive {
             log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, running = report.running.len(), ended = report.ended.len(); "a worker answers");
         }
         if !entry.has_answered || entry.is_unresponsive {
--- a/comfreymill_jobs/src/scheduler/round.rs
+++ b/comfreymill_jobs/src/scheduler/round.rs
@@ -3,10 +3,8 @@
 
 use comfreymill_types::time;
 
-use super::interference::ImageId;
-use super::workers::PoolId;
+use super::without_room::WithoutRoom;
 use crate::id;
-use crate::worker;
 
 /// Time between the begin of two rounds for each step that waits, while the workers are full:
 /// putting the steps in order takes a part of it.
@@ -20,26 +18,10 @@
     steps: vec::IntoIter<id::StepId>,
     current: Option<id::StepId>,
     /// Needs for which no worker had room in this round.
-    without_room: Vec<WithoutRoom>,
+    pub(super) without_room: WithoutRoom,
     next_at: time::Monotonic,
 }
 
-/// Needs for which no worker had room.
-#[derive(Debug, PartialEq)]
-struct WithoutRoom {
-    kind: Kind,
-    needs: worker::Resources,
-}
-
-/// What needs of the same size may be met for one step and not for another.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Kind {
-    pub(super) pool: PoolId,
-    /// Image of fillers, which need headroom of the serving tasks beside them.
-    pub(super) filler: Option<ImageId>,
-    pub(super) required_label: Option<String>,
-}
-
 impl Round {
     /// Begins the next round with the steps in the order in which to place them.
     pub(super) fn begin(&mut self, now: time::Monotonic, steps: Vec<id::StepId>) {
@@ -72,15 +54,4 @@
     pub(super) fn advance(&mut self) {
         self.current = self.steps.next();
     }
-
-    /// Records that no worker had room for `needs`.
-    pub(super) fn add_without_room(&mut self, kind: Kind, needs: worker::Resources) {
-        self.without_room.retain(|other| other.kind != kind || !other.needs.covers(&needs));
-        self.without_room.push(WithoutRoom { kind, needs });
-    }
-
-    /// Returns whether no worker had room for `needs` in this round, or for less.
-    pub(super) fn is_without_room(&self, kind: &Kind, needs: &worker::Resources) -> bool {
-        self.without_room.iter().any(|other| other.kind == *kind && needs.covers(&other.needs))
-    }
 }
