--- a/comfreymill_jobs/src/scheduler/holding.rs
+++ b/comfreymill_jobs/src/scheduler/holding.rs
@@ -4,9 +4,10 @@
 use comfreymill_types::time;
 
 use super::Scheduler;
-use super::choice::is_allowed;
 use super::queue::PlacementClass;
+use super::without_room::{Kind, WithoutRoom};
 use super::worker::WorkerEntry;
+use super::workers::PoolId;
 use crate::id;
 use crate::job;
 use crate::worker;
@@ -37,24 +38,42 @@
             }
         }
         let most = self.workers.len() / MAX_HELD_DIVISOR + 1;
+        let mut without_room = WithoutRoom::default();
         for task in self.ready.waiting_at_least(now, PlacementClass::Lasting, HOLD_AFTER, most) {
-            self.start_or_hold(now, task);
+            self.start_or_hold(now, task, &mut without_room);
         }
     }
 
-    fn start_or_hold(&mut self, now: time::Monotonic, task: id::TaskId) {
+    /// Starts a task or holds a worker for it, unless neither is possible for the same needs.
+    fn start_or_hold(
+        &mut self,
+        now: time::Monotonic,
+        task: id::TaskId,
+        without_room: &mut WithoutRoom,
+    ) {
         let Some(spec) = self.step_spec(task.step).cloned() else { return };
         let Some(queue) = self.jobs.get(&task.step.job).map(|job| &job.queue) else { return };
-        let Some(pool) = self.routes.queue(queue).map(|queue| queue.pool.clone()) else { return };
+        let Some(queue) = self.routes.queue(queue) else { return };
+        let pool = self.workers.pool(&queue.pool);
         let image = self.interference.intern(spec.image.as_deref());
-        if let Some(worker) = self.choose_worker(now, &pool, task, &spec, image) {
+        let kind = Kind {
+            pool,
+            filler: spec.is_filler.then_some(image),
+            required_label: spec.required_label.clone(),
+        };
+        if without_room.includes(&kind, &spec.needs) {
+            return;
+        }
+        if let Some(worker) = self.choose_worker(now, pool, task, &spec, image) {
             self.start(now, worker, task, &spec);
-        } else if let Some(number) = self.choose_worker_to_hold(now, &pool, task, &spec)
+        } else if let Some(number) = self.choose_worker_to_hold(now, pool, task, &spec)
             && let Some(worker) = self.workers.get_mut(&number)
         {
             worker.is_held = true;
             self.held.push(number);
             log::debug!(target: "runs", task:% = task, worker:% = worker.replicated.announced.name; "a worker is held for a task");
+        } else if spec.max_per_worker.is_none() {
+            without_room.add(kind, spec.needs);
         }
     }
 
@@ -64,19 +83,18 @@
     fn choose_worker_to_hold(
         &mut self,
         now: time::Monotonic,
-        pool: &str,
+        pool: PoolId,
         task: id::TaskId,
         spec: &job::StepSpec,
     ) -> Option<id::WorkerNumber> {
         let needs = spec.reserved();
         let mut best = None;
         self.workers.refresh(now);
-        let id = self.workers.pool(pool);
-        self.steps += self.workers.roomiest(id, |number, worker| {
+        self.steps += self.workers.roomiest(pool, |number, worker| {
             let is_clearing = worker.is_placeable(now)
                 && !worker.runs.contains_key(&task)
                 && has_room_once_cleared(worker, &needs)
-                && is_allowed(worker, pool, task.step, spec);
+                && worker.is_within_limits(task.step, spec);
             if is_clearing {
                 best = best.max(Some((worker.free().cpu_milli, number)));
             }
--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod queue;
 mod report;
 mod restore;
+mod round;
 mod run;
 #[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
 mod scheduler;
@@ -34,6 +35,7 @@
 mod task;
 mod tick;
 mod turns;
+mod without_room;
 mod worker;
 mod workers;
 
--- a/comfreymill_node/src/scheduler/core/leadership.rs
+++ b/comfreymill_node/src/scheduler/core/leadership.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use comfreymill_group::replica;
 use comfreymill_jobs::scheduler;
 use comfreymill_jobs::state;
@@ -105,6 +107,15 @@
         self.commands.extend(leadership.scheduler.take_commands());
     }
 
+    /// Returns the time until tasks that the last turn left may be placed; the maximum if it left
+    /// none.
+    pub(super) fn placement_wait(&self, now: time::Monotonic) -> Duration {
+        let leadership = self.leadership.as_ref().filter(|_| self.is_serving(now));
+        let is_left =
+            leadership.is_some_and(|leadership| leadership.scheduler.has_placement_left());
+        if is_left { self.placement.remaining(now) } else { Duration::MAX }
+    }
+
     /// Proposes the queued commands as one log entry; returns whether one was proposed.
     pub(super) fn propose_commands(&mut self, now: time::Monotonic) -> bool {
         if self.commands.is_empty() {
--- a/comfreymill_node/src/scheduler/core/task.rs
+++ b/comfreymill_node/src/scheduler/core/task.rs
@@ -22,7 +22,8 @@
     let mut ended_at = ticked_at;
     loop {
         if backlog.is_empty() {
-            match monoio::time::timeout(Core::TICK, inputs.recv_async()).await {
+            let wait = core.placement_wait(clock.now()).min(Core::TICK);
+            match monoio::time::timeout(wait, inputs.recv_async()).await {
                 Ok(Ok(input)) => backlog.push(input.kind(), clock.now(), input),
                 Ok(Err(_)) => {
                     return Ended::Failed("the input channel of the core is closed".to_owned());
--- a/comfreymill_node/src/scheduler/turns/pacer.rs
+++ b/comfreymill_node/src/scheduler/turns/pacer.rs
@@ -25,6 +25,12 @@
         now >= self.next_at
     }
 
+    /// Returns the time until the work may be done.
+    #[must_use]
+    pub fn remaining(&self, now: time::Monotonic) -> Duration {
+        self.next_at.since(now)
+    }
+
     /// Records that the work was begun at `began` and has ended at `now`. A share of the time at
     /// least as long as the work itself is left for inputs before the next one.
     pub fn done(&mut self, began: time::Monotonic, now: time::Monotonic) {
