--- a/comfreymill_node/src/jobcall/call.rs
+++ b/comfreymill_node/src/jobcall/call.rs
@@ -5,7 +5,7 @@
 
 /// Call to the leader.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-pub(crate) enum Call {
+pub enum Call {
     /// Submits a job.
     Submit {
         /// Host that the request names.
--- a/comfreymill_node/src/jobcall/client.rs
+++ b/comfreymill_node/src/jobcall/client.rs
@@ -17,34 +17,34 @@
 
 /// No leader answered a call in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct CallError {
+pub struct CallError {
     /// Whether a leader may have received the call.
-    pub(crate) was_sent: bool,
+    pub was_sent: bool,
     /// When the caller should send the request again, if it was refused.
-    pub(crate) retry_after: Option<Duration>,
+    pub retry_after: Option<Duration>,
 }
 
 /// Client for calls to the current leader.
 #[derive(Clone, Debug)]
-pub(crate) struct Client {
+pub struct Client {
     shared: Shared,
 }
 
 impl Client {
     /// Starts the task that maintains connections to the members of the group.
-    pub(crate) fn start(cfg: LinkConfig) -> Self {
+    pub fn start(cfg: LinkConfig) -> Self {
         let shared = Shared::new();
         monoio::spawn(link::run(cfg, shared.clone()));
         Self { shared }
     }
 
     /// Returns whether a leader is known and connected.
-    pub(crate) fn is_connected(&self) -> bool {
+    pub fn is_connected(&self) -> bool {
         self.shared.has_leader()
     }
 
     /// Returns the last known leader and members of the group.
-    pub(crate) fn members(&self) -> Members {
+    pub fn members(&self) -> Members {
         self.shared.members()
     }
 
@@ -55,7 +55,7 @@
     /// # Errors
     ///
     /// No leader answered in time, or the leader refused the call.
-    pub(crate) async fn call(&self, call: &Call, timeout: Duration) -> Result<Reply, CallError> {
+    pub async fn call(&self, call: &Call, timeout: Duration) -> Result<Reply, CallError> {
         let body = codec::encode(call);
         let deadline = Instant::now() + timeout;
         let mut was_sent = false;
--- a/comfreymill_node/src/jobcall/codec.rs
+++ b/comfreymill_node/src/jobcall/codec.rs
@@ -3,10 +3,10 @@
 /// The body of a frame cannot be decoded.
 #[derive(Clone, Debug, thiserror::Error)]
 #[error("malformed body: {0}")]
-pub(crate) struct MalformedError(#[from] postcard::Error);
+pub struct MalformedError(#[from] postcard::Error);
 
 /// Encodes a value as the body of a frame.
-pub(crate) fn encode<T>(value: &T) -> Bytes
+pub fn encode<T>(value: &T) -> Bytes
 where
     T: serde::Serialize,
 {
@@ -18,7 +18,7 @@
 /// # Errors
 ///
 /// The body is not an encoding of `T`.
-pub(crate) fn decode<'b, T>(body: &'b [u8]) -> Result<T, MalformedError>
+pub fn decode<'b, T>(body: &'b [u8]) -> Result<T, MalformedError>
 where
     T: serde::Deserialize<'b>,
 {
--- a/comfreymill_node/src/jobcall/link.rs
+++ b/comfreymill_node/src/jobcall/link.rs
@@ -23,13 +23,13 @@
 
 /// Configuration of the connections to the members of the group.
 #[derive(Clone, Debug)]
-pub(crate) struct LinkConfig {
+pub struct LinkConfig {
     /// Identity of this process.
-    pub(crate) identity: peer::Identity,
+    pub identity: peer::Identity,
     /// Addresses that are tried first.
-    pub(crate) seeds: Vec<Ipv4Addr>,
+    pub seeds: Vec<Ipv4Addr>,
     /// Port for peers, which is the same on every machine.
-    pub(crate) peers_port: u16,
+    pub peers_port: u16,
 }
 
 /// Maintains a connection to every member of the group.
--- a/comfreymill_node/src/jobcall/mod.rs
+++ b/comfreymill_node/src/jobcall/mod.rs
@@ -13,11 +13,11 @@
 mod reply;
 mod shared;
 
-pub(crate) use call::Call;
-pub(crate) use client::{CallError, Client};
-pub(crate) use codec::{decode, encode};
+pub use call::Call;
+pub use client::{CallError, Client};
+pub use codec::{decode, encode};
 pub use directory::Directory;
-pub(crate) use link::LinkConfig;
+pub use link::LinkConfig;
 pub use members::Members;
 pub use patience::Patience;
-pub(crate) use reply::{Phase, Reply};
+pub use reply::{Phase, Reply};
--- a/comfreymill_node/src/jobcall/reply.rs
+++ b/comfreymill_node/src/jobcall/reply.rs
@@ -4,7 +4,7 @@
 
 /// Reply to a call.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub(crate) enum Reply {
+pub enum Reply {
     /// The call succeeded; any change is committed.
     Done,
     /// Phase of the job.
@@ -36,7 +36,7 @@
 
 /// Progress of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub(crate) enum Phase {
+pub enum Phase {
     /// No task of the job has started.
     Pending,
     /// At least one task of the job has started.
@@ -51,7 +51,7 @@
 
 impl Phase {
     /// Returns the name of the phase in answers to callers.
-    pub(crate) const fn as_str(self) -> &'static str {
+    pub const fn as_str(self) -> &'static str {
         match self {
             Self::Pending => "pending",
             Self::Running => "running",
--- a/comfreymill_node/src/jobcall/shared.rs
+++ b/comfreymill_node/src/jobcall/shared.rs
@@ -148,7 +148,9 @@
         }
         let Some(leader) = self.directory.leader() else {
             self.leaderless_since = Instant::now();
-            log::info!(target: "link", peer:? = before, reason; "the leader is lost");
+            if let Some(peer) = before {
+                log::info!(target: "link", peer:% = peer, reason; "the connection to the leader is lost");
+            }
             return;
         };
         log::info!(target: "link", peer:% = leader, waiting = self.waiting.len(); "the leader is connected");
