feat(node): put off polls of idle workers, then refuse new jobs, under overload

Cause: with more inputs than a leader can handle, every accepted job made all others later, and callers learned it only when their deadlines passed.

Change: settings defer_after and refuse_after bound the wait of inputs, the running turn included. Beyond the first, workers without runs are not polled; beyond the second, submissions of jobs that are not stored, or about to be, are refused at once with a Retry-After that spreads callers. Nothing else is refused. At most four log entries are uncommitted; commands wait for the next one. The line on the load shows start orders and commits.

--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -62,8 +62,22 @@
         self.workers.refresh(now);
         for number in self.workers.due_polls(now, MAX_POLLS_PER_TICK) {
             self.steps += 1;
-            self.poll(now, number);
+            if !self.is_put_off(now, number) {
+                self.poll(now, number);
+            }
+        }
+    }
+
+    /// Returns whether the poll of a worker is put off, and sets when it is due again: a worker
+    /// without runs has nothing that anyone waits for.
+    fn is_put_off(&mut self, now: time::Monotonic, number: id::WorkerNumber) -> bool {
+        let Some(mut entry) = self.workers.get_mut(&number) else { return false };
+        let is_idle = entry.has_answered && entry.runs.is_empty();
+        let is_put_off = self.is_deferring && is_idle && entry.announcement.leaving_in.is_none();
+        if is_put_off {
+            entry.next_poll_at = now + IDLE_POLL_PERIOD;
         }
+        is_put_off
     }
 
     pub(super) fn poll_answered(
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -51,6 +51,8 @@
     pub(super) placed_at: time::Monotonic,
     /// When workers were last held for long-running tasks.
     pub(super) holds_updated_at: time::Monotonic,
+    /// Whether work that nobody waits for is put off.
+    pub(super) is_deferring: bool,
     /// When the state of the fleet was last logged.
     pub(super) fleet_logged_at: time::Monotonic,
     /// Workers that are held for long-running tasks.
@@ -125,6 +127,12 @@
         self.needs_placement = true;
     }
 
+    /// Sets whether work that nobody waits for is put off: polls of workers without runs. Changes of
+    /// pace are not, since serving tasks depend on them.
+    pub fn defer(&mut self, is_deferring: bool) {
+        self.is_deferring = is_deferring;
+    }
+
     pub(super) fn step_spec(&self, step: id::StepId) -> Option<&job::StepSpec> {
         self.jobs.get(&step.job)?.spec.steps.get(usize::from(step.step))
     }
--- a/comfreymill_node/src/proposals.rs
+++ b/comfreymill_node/src/proposals.rs
@@ -26,6 +26,11 @@
         self.waiting.insert(index, Proposal { term, waiter });
     }
 
+    /// Returns the number of proposals that are not committed yet.
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Removes the proposal at the index of a committed entry and returns its waiter; `None` if there is
     /// none or an entry of another term was committed in its place.
     pub(crate) fn take(&mut self, index: id::Index, term: id::Term) -> Option<W> {
--- a/comfreymill_node/src/scheduler/core/calls.rs
+++ b/comfreymill_node/src/scheduler/core/calls.rs
@@ -69,7 +69,7 @@
     }
 
     /// Returns the queue that matches a request's host and path, and the rest of the path.
-    fn find_queue<'p>(
+    pub(super) fn find_queue<'p>(
         &self,
         host: &str,
         path: &'p str,
@@ -96,6 +96,7 @@
             max_attempts: queue.max_attempts,
             spec,
         };
+        self.submitting.insert(key);
         self.queue_command(state::Command::Submit(Box::new(submission)), reply, Reply::Done);
     }
 
--- a/comfreymill_node/src/scheduler/core/commit.rs
+++ b/comfreymill_node/src/scheduler/core/commit.rs
@@ -61,6 +61,7 @@
         let pending = self.proposals.take(entry.index, entry.term);
         if let Some(pending) = &pending {
             observe::commit(now.since(pending.proposed_at));
+            self.load.committed(now.since(pending.proposed_at));
         }
         let waiters = pending.unwrap_or_default().waiters;
         let entry::Payload::Data(data) = entry.payload else { return };
@@ -85,6 +86,9 @@
 
     /// Informs the leader's scheduler of a change to the replicated state.
     fn notify_scheduler(&mut self, now: time::Monotonic, term: u64, effect: state::Effect) {
+        if let state::Effect::JobAdded(key) = &effect {
+            self.submitting.remove(key);
+        }
         if let state::Effect::FenceAssigned(_) = effect {
             self.leadership = None;
             self.start_leading(now, term);
--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -6,6 +6,7 @@
 use comfreymill_group::message;
 use comfreymill_group::replica;
 use comfreymill_group::store;
+use comfreymill_jobs::id;
 use comfreymill_jobs::scheduler;
 use comfreymill_jobs::state;
 use comfreymill_types::time;
@@ -46,6 +47,8 @@
     pub(in crate::scheduler) worker_connections: usize,
     /// Number of log entries between two snapshots.
     pub(in crate::scheduler) snapshot_entries: u64,
+    /// Bounds on the wait of inputs, beyond which work is put off or refused.
+    pub(in crate::scheduler) bounds: Option<turns::Bounds>,
 }
 
 /// Replica, replicated state and, while this replica leads, the leader's scheduler.
@@ -75,6 +78,11 @@
     /// When tasks are placed next.
     pub(super) placement: turns::Pacer,
     pub(super) load: Load,
+    pub(super) overload: turns::Overload,
+    /// Number of jobs that were refused since the level of the load last changed.
+    pub(super) refused: u64,
+    /// Jobs whose submission is proposed and not committed.
+    pub(super) submitting: BTreeSet<id::JobKey>,
 }
 
 impl Core {
@@ -86,6 +94,7 @@
         links: Links,
         inputs: flume::Sender<Input>,
     ) -> Self {
+        let overload = turns::Overload::new(cfg.bounds);
         Self {
             cfg,
             replica,
@@ -105,6 +114,9 @@
             members_checked_at: time::Monotonic::ZERO,
             placement: turns::Pacer::new(PLACEMENT_PERIOD),
             load: Load::new(),
+            overload,
+            refused: 0,
+            submitting: BTreeSet::new(),
         }
     }
 
--- a/comfreymill_node/src/scheduler/core/leadership.rs
+++ b/comfreymill_node/src/scheduler/core/leadership.rs
@@ -10,6 +10,11 @@
 use crate::jobcall;
 use crate::scheduler::member_id;
 use crate::scheduler::orders::{OrderResult, OrderSender};
+use crate::scheduler::turns;
+
+/// Maximum number of proposed entries that are not committed; a commit takes about as long as the
+/// turns in which as many are proposed.
+const MAX_UNCOMMITTED: usize = 4;
 
 /// State that a leader has in addition to the replicated state.
 #[derive(Debug)]
@@ -37,6 +42,7 @@
         }
         if !is_leader {
             self.fence_requested_in = None;
+            self.submitting.clear();
             self.release_waiters();
         }
         if is_leader && self.replica.is_ready() && self.fence_requested_in != Some(term) {
@@ -64,6 +70,7 @@
         log::info!(target: "group", term = entry_term, fence:% = fence, jobs = self.state.get_jobs().len(), workers = self.state.get_workers().len(); "this process leads");
         self.leadership =
             Some(Leadership { scheduler, order_sender, term: entry_term, began_at: now });
+        self.overload = turns::Overload::new(self.cfg.bounds);
         self.load.spent(Part::Takeover, now, self.cfg.clock.now());
     }
 
@@ -71,7 +78,10 @@
     pub(super) fn handle_order_result(&mut self, now: time::Monotonic, result: OrderResult) {
         let Some(leadership) = &mut self.leadership else { return };
         if leadership.scheduler.get_fence() == result.fence {
-            let OrderResult { worker, sent_at, answer, .. } = result;
+            let OrderResult { worker, queued_at, sent_at, answer, .. } = result;
+            if matches!(answer, scheduler::Answer::Start { .. }) {
+                self.load.start_answered(sent_at.since(queued_at), now.since(sent_at));
+            }
             leadership.scheduler.answered(now, worker, sent_at, answer);
         }
     }
@@ -106,8 +116,11 @@
     }
 
     /// Proposes the queued commands as one log entry; returns whether one was proposed.
+    ///
+    /// While enough entries are not committed yet, commands wait for the next one: an entry costs
+    /// about the same for one command as for many.
     pub(super) fn propose_commands(&mut self, now: time::Monotonic) -> bool {
-        if self.commands.is_empty() {
+        if self.commands.is_empty() || self.proposals.len() >= MAX_UNCOMMITTED {
             return false;
         }
         let commands = std::mem::take(&mut self.commands);
@@ -123,6 +136,11 @@
                 for waiter in waiters {
                     waiter.reply.send(&jobcall::Reply::NotLeader);
                 }
+                for command in &commands {
+                    if let state::Command::Submit(submission) = command {
+                        self.submitting.remove(&submission.job);
+                    }
+                }
                 // A replica that leads without a fencing token requests the token again.
                 self.fence_requested_in =
                     self.leadership.as_ref().map(|leadership| leadership.term);
--- a/comfreymill_node/src/scheduler/core/load.rs
+++ b/comfreymill_node/src/scheduler/core/load.rs
@@ -79,6 +79,32 @@
     longest_parts: [Duration; Part::COUNT],
     longest_gap: Duration,
     longest_round_trip: Duration,
+    start_waits: Spans,
+    start_answers: Spans,
+    commits: Spans,
+}
+
+/// Number of durations, their sum and the longest.
+#[derive(Clone, Copy, Debug, Default)]
+struct Spans {
+    count: u32,
+    sum: Duration,
+    longest: Duration,
+}
+
+impl Spans {
+    fn add(&mut self, span: Duration) {
+        self.count += 1;
+        self.sum += span;
+        self.longest = self.longest.max(span);
+    }
+}
+
+impl std::fmt::Display for Spans {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let mean = self.sum / self.count.max(1);
+        write!(f, "{} of {} ms, at most {}", self.count, millis(mean), millis(self.longest))
+    }
 }
 
 impl Load {
@@ -107,6 +133,17 @@
         self.window.longest_round_trip = self.window.longest_round_trip.max(span);
     }
 
+    /// Records how long a start order waited to be sent, and then for its answer.
+    pub(super) fn start_answered(&mut self, wait: Duration, answer: Duration) {
+        self.window.start_waits.add(wait);
+        self.window.start_answers.add(answer);
+    }
+
+    /// Records the time from a proposal to its commit.
+    pub(super) fn committed(&mut self, span: Duration) {
+        self.window.commits.add(span);
+    }
+
     /// Adds the time from `began` to `now` to a part of this turn.
     pub(super) fn spent(&mut self, part: Part, began: time::Monotonic, now: time::Monotonic) {
         self.in_turn[part.position()] += now.since(began);
@@ -161,7 +198,7 @@
         let by_part = Times(Part::all().map(Part::as_str).zip(window.by_part).collect());
         let names = kinds.map(turns::Kind::as_str);
         let waits = Times(names.into_iter().zip(window.longest_wait).collect());
-        log::info!(target: "loop", turns = window.turns, busy_ms = millis(window.busy), longest_turn_ms = millis(window.longest_turn), longest_parts:% = longest_parts, by_part:% = by_part, longest_gap_ms = millis(window.longest_gap), heartbeat_ms = millis(window.longest_round_trip), longest_waits:% = waits, handled:? = window.handled, waiting; "load of the loop");
+        log::info!(target: "loop", turns = window.turns, busy_ms = millis(window.busy), longest_turn_ms = millis(window.longest_turn), longest_parts:% = longest_parts, by_part:% = by_part, longest_gap_ms = millis(window.longest_gap), heartbeat_ms = millis(window.longest_round_trip), longest_waits:% = waits, start_waits:% = window.start_waits, start_answers:% = window.start_answers, commits:% = window.commits, handled:? = window.handled, waiting; "load of the loop");
     }
 }
 
--- a/comfreymill_node/src/scheduler/core/task.rs
+++ b/comfreymill_node/src/scheduler/core/task.rs
@@ -37,6 +37,7 @@
         for input in inputs.try_iter() {
             backlog.push(input.kind(), began, input);
         }
+        core.refuse_new_jobs(&mut backlog);
         backlog.begin_turn();
         while let Some(queued) = backlog.next_input() {
             let now = clock.now();
@@ -54,6 +55,8 @@
         core.run_actions();
         ended_at = clock.now();
         core.load.turn_ended(began, ended_at, gap);
+        // What arrives during a turn waits for its end, so long turns count as well.
+        core.update_overload(ended_at, backlog.longest_wait(ended_at) + ended_at.since(began));
         let is_leading = core.leadership.is_some();
         core.load.report(ended_at, is_leading, &backlog);
         if core.was_removed() {
--- a/comfreymill_node/src/scheduler/orders/delivery.rs
+++ b/comfreymill_node/src/scheduler/orders/delivery.rs
@@ -116,7 +116,7 @@
         observe::order(kind_label(&order), outcome.label(), duration);
         let answer = to_answer(&order, outcome);
         let Target { worker, fence, .. } = target;
-        let result = OrderResult { fence, worker, sent_at, answer };
+        let result = OrderResult { fence, worker, queued_at, sent_at, answer };
         if inputs.send(Input::OrderResult(Box::new(result))).is_err() {
             return;
         }
--- a/comfreymill_node/src/scheduler/orders/order_sender.rs
+++ b/comfreymill_node/src/scheduler/orders/order_sender.rs
@@ -19,6 +19,8 @@
     pub(in crate::scheduler) fence: id::Fence,
     /// Worker that the order was sent to.
     pub(in crate::scheduler) worker: id::WorkerNumber,
+    /// When the order was queued.
+    pub(in crate::scheduler) queued_at: time::Monotonic,
     /// When the order was sent.
     pub(in crate::scheduler) sent_at: time::Monotonic,
     /// Answer of the worker, or the failure to get one.
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -79,6 +79,7 @@
         voters: settings.get_voters(),
         worker_connections: budget.workers,
         snapshot_entries: settings.get_snapshot_entries(),
+        bounds: settings.get_overload(),
     };
     let observers = node.get_metrics().map(|address| {
         Ok::<_, error::Error>((runtime::listen("metrics", address)?, metering::Meter::install()?))
--- a/comfreymill_node/src/scheduler/turns/backlog.rs
+++ b/comfreymill_node/src/scheduler/turns/backlog.rs
@@ -55,10 +55,23 @@
         None
     }
 
-    /// Removes all inputs of a kind.
-    pub fn take_all(&mut self, kind: Kind) -> impl Iterator<Item = T> {
+    /// Removes and returns the inputs of a kind for which `is_removed` returns true.
+    pub fn remove_if<F>(&mut self, kind: Kind, mut is_removed: F) -> Vec<T>
+    where
+        F: FnMut(&T) -> bool,
+    {
         let queue = std::mem::take(&mut self.queues[kind.position()]);
-        queue.into_iter().map(|queued| queued.input)
+        let (removed, kept): (VecDeque<_>, VecDeque<_>) =
+            queue.into_iter().partition(|queued| is_removed(&queued.input));
+        self.queues[kind.position()] = kept;
+        removed.into_iter().map(|queued| queued.input).collect()
+    }
+
+    /// Returns for how long the oldest input has waited, of all kinds but agreement.
+    #[must_use]
+    pub fn longest_wait(&self, now: time::Monotonic) -> Duration {
+        let kinds = Kind::ALL.into_iter().filter(|kind| *kind != Kind::Agreement);
+        kinds.map(|kind| self.oldest_wait(kind, now)).max().unwrap_or_default()
     }
 
     /// Returns whether no input waits.
--- a/comfreymill_node/src/scheduler/turns/mod.rs
+++ b/comfreymill_node/src/scheduler/turns/mod.rs
@@ -12,8 +12,10 @@
 
 mod backlog;
 mod kind;
+mod overload;
 mod pacer;
 
 pub use backlog::{Backlog, Queued};
 pub use kind::Kind;
+pub use overload::{Bounds, Level, Overload};
 pub use pacer::Pacer;
--- a/comfreymill_node/src/settings/scheduler_settings.rs
+++ b/comfreymill_node/src/settings/scheduler_settings.rs
@@ -7,6 +7,7 @@
 
 use super::NodeSettings;
 use super::settings_file;
+use crate::scheduler::turns;
 
 /// Five voters tolerate the loss of two at once.
 const VOTERS: usize = 5;
@@ -29,6 +30,7 @@
     voters: usize,
     descriptors: usize,
     snapshot_entries: u64,
+    overload: Option<turns::Bounds>,
 }
 
 impl SchedulerSettings {
@@ -72,6 +74,11 @@
         self.snapshot_entries
     }
 
+    /// Waits beyond which a leader puts work off or refuses it; `None` if it never does.
+    pub fn get_overload(&self) -> Option<turns::Bounds> {
+        self.overload
+    }
+
     pub(super) fn read_section(section: &yaml::Section<'_>, folder: &path::Path) -> Option<Self> {
         settings_file::read_program(section, settings_file::SCHEDULER);
         let node = NodeSettings::read(section);
@@ -87,6 +94,7 @@
         if descriptors < MIN_DESCRIPTORS {
             section.problem("descriptors", "a scheduler needs at least 64 descriptors");
         }
+        let overload = read_overload(section);
         if voters == 0 {
             section.problem("voters", "a group has at least 1 voter");
         }
@@ -102,6 +110,31 @@
             voters,
             descriptors,
             snapshot_entries,
+            overload,
         })
     }
 }
+
+fn read_overload(section: &yaml::Section<'_>) -> Option<turns::Bounds> {
+    let defer_after: Option<time::Span> = section.optional("defer_after");
+    let refuse_after: Option<time::Span> = section.optional("refuse_after");
+    match (defer_after, refuse_after) {
+        (None, None) => None,
+        (Some(defer_after), Some(refuse_after)) if defer_after < refuse_after => {
+            let (defer_after, refuse_after) = (defer_after.into(), refuse_after.into());
+            Some(turns::Bounds { defer_after, refuse_after })
+        }
+        (Some(_), Some(_)) => {
+            section.problem("refuse_after", "work is put off before jobs are refused");
+            None
+        }
+        (Some(_), None) => {
+            section.problem("refuse_after", "is needed where defer_after is set");
+            None
+        }
+        (None, Some(_)) => {
+            section.problem("defer_after", "is needed where refuse_after is set");
+            None
+        }
+    }
+}
--- a/comfreymill_node/tests/turns/mod.rs
+++ b/comfreymill_node/tests/turns/mod.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use comfreymill_node::scheduler::turns::{Backlog, Kind, Pacer};
+use comfreymill_node::scheduler::turns::{Backlog, Bounds, Kind, Level, Overload, Pacer};
 use comfreymill_types::time;
 
 /// Number of inputs of the kind that floods the loop.
@@ -93,3 +93,70 @@
     assert!(!pacer.is_due(at(615)), "a round of 300 ms is followed by 300 ms for inputs");
     assert!(pacer.is_due(at(616)));
 }
+
+fn overload() -> Overload {
+    Overload::new(Some(Bounds {
+        defer_after: Duration::from_millis(200),
+        refuse_after: Duration::from_millis(1_000),
+    }))
+}
+
+#[test]
+fn what_nobody_waits_for_is_put_off_before_jobs_are_refused() {
+    let (at, wait) = (time::Monotonic::from_millis, Duration::from_millis);
+    let mut overload = overload();
+    assert_eq!(overload.update(at(0), wait(199)), None);
+    assert_eq!(overload.update(at(1), wait(200)), Some(Level::Deferring));
+    assert_eq!(overload.update(at(2), wait(999)), None);
+    assert_eq!(overload.update(at(3), wait(1_000)), Some(Level::Refusing));
+}
+
+#[test]
+fn a_level_falls_only_after_the_load_has_stayed_low() {
+    let (at, wait) = (time::Monotonic::from_millis, Duration::from_millis);
+    let mut overload = overload();
+    overload.update(at(0), wait(1_500));
+    assert_eq!(overload.update(at(100), wait(600)), None, "not low enough");
+    assert_eq!(overload.update(at(200), wait(400)), None);
+    assert_eq!(overload.update(at(600), wait(700)), None, "the calm is interrupted");
+    assert_eq!(overload.update(at(700), wait(400)), None);
+    assert_eq!(overload.update(at(1_199), wait(0)), None);
+    assert_eq!(overload.update(at(1_200), wait(0)), Some(Level::Deferring));
+    assert_eq!(overload.update(at(1_300), wait(0)), None);
+    assert_eq!(overload.update(at(1_800), wait(0)), Some(Level::Normal));
+}
+
+#[test]
+fn without_bounds_nothing_is_refused() {
+    let mut overload = Overload::new(None);
+    assert_eq!(overload.update(time::Monotonic::ZERO, Duration::from_secs(60)), None);
+    assert_eq!(overload.level(), Level::Normal);
+}
+
+#[test]
+fn refused_callers_return_later_the_longer_inputs_wait_and_spread() {
+    let mut overload = overload();
+    overload.update(time::Monotonic::ZERO, Duration::from_secs(2));
+    assert!(overload.retry_after(0.0) >= Duration::from_secs(2));
+    assert!(overload.retry_after(1.0) >= overload.retry_after(0.0) + Duration::from_secs(2));
+}
+
+#[test]
+fn only_the_refused_inputs_leave_the_backlog() {
+    let mut backlog = Backlog::default();
+    for number in 0..10 {
+        backlog.push(Kind::Caller, time::Monotonic::ZERO, number);
+        backlog.push(Kind::Departure, time::Monotonic::ZERO, number);
+    }
+    assert_eq!(backlog.remove_if(Kind::Caller, |number| number % 2 == 0), [0, 2, 4, 6, 8]);
+    assert_eq!((backlog.len(Kind::Caller), backlog.len(Kind::Departure)), (5, 10));
+}
+
+#[test]
+fn the_longest_wait_leaves_out_agreement() {
+    let at = time::Monotonic::from_millis;
+    let mut backlog = Backlog::default();
+    backlog.push(Kind::Agreement, at(0), ());
+    backlog.push(Kind::Report, at(100), ());
+    assert_eq!(backlog.longest_wait(at(400)), Duration::from_millis(300));
+}
--- a/tests/platform/test_bed.rs
+++ b/tests/platform/test_bed.rs
@@ -32,13 +32,18 @@
 
     /// Starts the processes with a scheduler that may use `descriptors` descriptors.
     pub(super) fn with_descriptors(descriptors: usize) -> Self {
+        Self::with_setting("descriptors: 4096", &format!("descriptors: {descriptors}"))
+    }
+
+    /// Starts the processes with a scheduler in whose settings `from` is replaced.
+    pub(super) fn with_setting(from: &str, to: &str) -> Self {
         let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
         let [_, _, high, low] = std::process::id().to_be_bytes();
         let address = Ipv4Addr::new(127, 200_u8.wrapping_add(2 * number) | 1, high, low | 1);
         let folder = std::env::temp_dir().join(format!("comfreymill-bed-{address}"));
         fs::create_dir_all(&folder).expect("the folder is made");
         let mut bed = Self { address, folder, processes: Vec::new() };
-        bed.run("scheduler", &bed.scheduler_settings(descriptors));
+        bed.run("scheduler", &bed.scheduler_settings().replace(from, to));
         bed.run("gateway", &bed.gateway_settings());
         bed.wait("routes to be accepted", || standin::put_routes(bed.control()));
         bed
@@ -60,9 +65,9 @@
     }
 
     /// Waits until a condition is met; fails with the logs if it never is.
-    pub(super) fn wait<F>(&self, what: &str, is_met: F)
+    pub(super) fn wait<F>(&self, what: &str, mut is_met: F)
     where
-        F: Fn() -> bool,
+        F: FnMut() -> bool,
     {
         let began = Instant::now();
         while !is_met() {
@@ -116,12 +121,11 @@
         self.processes.push(command.spawn().expect("the program starts"));
     }
 
-    fn scheduler_settings(&self, descriptors: usize) -> String {
+    fn scheduler_settings(&self) -> String {
         let sample = include_str!("../../samples/scheduler.yaml");
         let data = self.folder.join("data");
         let text = sample.replace("127.0.0.1", &self.address.to_string());
         text.replace("voters: 5", "voters: 1")
-            .replace("descriptors: 4096", &format!("descriptors: {descriptors}"))
             .replace("data/scheduler", data.to_str().expect("the path is text"))
     }
 
