feat(jobs): poll a worker from the start of its first run on

Cause: a worker without runs was polled 600 ms after a start, so that the end of a shorter run was reported late, and its successors waited. Change: the poll is due at once and waits at the worker for an end.

--- a/comfreymill_jobs/src/scheduler/launch.rs
+++ b/comfreymill_jobs/src/scheduler/launch.rs
@@ -33,7 +33,8 @@
         let entry = RunEntry::new(run, RunPhase::Starting, spec, image, now);
         worker.add(task, entry);
         worker.record_start(now, has_crashes);
-        worker.next_poll_at = worker.next_poll_at.min(now + cfg.get_mixed_poll_period());
+        // The worker is polled from the start on, so that the end is reported at once.
+        worker.next_poll_at = worker.next_poll_at.min(now);
         let free = worker.free();
         let report_age_ms = now.since(worker.reported_at).as_millis() as u64;
         let tails = worker.serving.len();
