--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -51,6 +51,7 @@
             unix_offset_ms: unix_ms.saturating_sub(now.as_micros() / 1_000),
             placed_at: now,
             holds_updated_at: time::Monotonic::ZERO,
+            is_deferring: false,
             fleet_logged_at: now,
             round: Round::default(),
             unreconciled: BTreeSet::new(),
