feat(jobs): evacuate availability zones

Cause: an operator's order to empty a zone was answered 404, and there was no state to keep it in.

A worker in an evacuated zone is not usable for any decision, also for a new leader and for workers that join. Long-running tasks, and long ones with checkpoints, move: room is taken elsewhere first, at most one for each 16 workers at a time, within `max_away` and the limit for each worker. After a withdrawal the workers get tasks again in four steps.

--- a/comfreymill_jobs/src/id/mod.rs
+++ b/comfreymill_jobs/src/id/mod.rs
@@ -1,4 +1,4 @@
-//! Identifiers of jobs, steps, tasks, runs and workers.
+//! Identifiers of jobs, steps, tasks, runs, workers and availability zones.
 
 mod job_key;
 mod numbers;
@@ -12,6 +12,8 @@
 pub use task_id::TaskId;
 pub use worker_name::WorkerName;
 
+pub use comfreymill_types::id::ZoneName;
+
 /// Error returned when an identifier cannot be parsed.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("{text:?} is not {expected}")]
--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -84,6 +84,7 @@
         let leaving_since = announced.leaving_in.map(|_| announced.sequence);
         let mut entry = WorkerEntry::new(replicated.clone(), leaving_since, now, now);
         entry.registered_at = Some(now);
+        entry.is_evacuated = self.is_closed(&announced.zone);
         self.workers.insert(number, entry);
         log::info!(target: "workers", worker:% = replicated.announced.name, number:% = number, address:% = replicated.announced.address, born = replicated.announced.born_unix_ms; "a worker is registered");
         if let Some(pending) = self.pending_workers.remove(&replicated.announced.name)
@@ -139,6 +140,7 @@
         announcement: worker::Announcement,
     ) -> Acknowledgement {
         let cfg = self.cfg;
+        let is_closed = self.is_closed(&announcement.zone);
         let Some(entry) = self.workers.get_mut(&number) else { return Acknowledgement::Now };
         let sequence = announcement.sequence;
         let is_outdated = (entry.has_announced && sequence <= entry.announcement.sequence)
@@ -159,6 +161,9 @@
             log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, cpu = capacity.cpu_milli, mem = capacity.mem_mb, gpus = capacity.gpus; "a worker's capacity has changed");
             self.commands.push(state::Command::SetCapacity { worker: number, capacity });
         }
+        if entry.announcement.zone != announcement.zone {
+            entry.is_evacuated = is_closed;
+        }
         entry.announcement = announcement;
         entry.has_announced = true;
         let acknowledgement = entry.departure_acknowledgement(number);
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -20,6 +20,7 @@
         }
         self.needs_placement = false;
         self.placed_at = now;
+        self.move_tasks(now);
         self.hold_workers(now);
         if self.ready.is_empty() {
             return;
--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -40,6 +40,10 @@
             interference: Interference::default(),
             pending_workers: BTreeMap::new(),
             departures: state.get_departures().clone(),
+            zones: BTreeMap::new(),
+            moves: BTreeMap::new(),
+            move_cursor: None,
+            moves_begun_at: time::Monotonic::ZERO,
             has_unreconciled: true,
             needs_placement: true,
             ended: VecDeque::new(),
@@ -50,6 +54,7 @@
             orders: Vec::new(),
             commands: Vec::new(),
         };
+        scheduler.restore_zones(now, since_1970, state);
         for (key, job) in state.get_jobs() {
             if job.is_over() {
                 scheduler.ended.push_back((now, *key));
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -3,7 +3,9 @@
 
 use comfreymill_types::time;
 
+use super::evacuation::ZonePhase;
 use super::interference::Interference;
+use super::moves::Move;
 use super::queue::{PlacementClass, Rank, ReadyQueue};
 use super::task::{JobEntry, TaskEntry, TaskPhase};
 use super::worker::WorkerEntry;
@@ -36,6 +38,14 @@
     pub(super) pending_workers: BTreeMap<id::WorkerName, super::announcements::PendingWorker>,
     /// Workers that were removed after they had said that they were leaving.
     pub(super) departures: state::Departures,
+    /// Availability zones that do not get their full load.
+    pub(super) zones: BTreeMap<id::ZoneName, ZonePhase>,
+    /// Tasks that move out of evacuated zones.
+    pub(super) moves: BTreeMap<id::TaskId, Move>,
+    /// Task of an evacuated zone that was last tried to move.
+    pub(super) move_cursor: Option<id::TaskId>,
+    /// When tasks to move were last looked for.
+    pub(super) moves_begun_at: time::Monotonic,
     /// Whether tasks of earlier leaders may run on workers that have not reported yet.
     pub(super) has_unreconciled: bool,
     /// Whether capacity may have become free or a task may have become ready since the last
@@ -89,6 +99,8 @@
         let own = commands.into_iter().filter(|command| {
             !matches!(command, state::Command::Submit(_) | state::Command::Cancel { .. })
                 && !matches!(command, state::Command::SetRoutes { .. } | state::Command::Lead)
+                && !matches!(command, state::Command::Evacuate(_))
+                && !matches!(command, state::Command::WithdrawEvacuation(_))
         });
         self.commands.extend(own);
     }
@@ -121,6 +133,11 @@
         step.tasks.get_mut(usize::from(task.index))
     }
 
+    pub(super) fn task(&self, task: id::TaskId) -> Option<&TaskEntry> {
+        let occurrence = self.jobs.get(&task.step.job)?.occurrences.get(&task.step.occurrence)?;
+        occurrence.steps.get(usize::from(task.step.step))?.tasks.get(usize::from(task.index))
+    }
+
     /// Returns the rank of a step's tasks in the queue of ready tasks.
     pub(super) fn rank(&self, step: id::StepId) -> Option<Rank> {
         let job = self.jobs.get(&step.job)?;
--- a/comfreymill_jobs/src/scheduler/tick.rs
+++ b/comfreymill_jobs/src/scheduler/tick.rs
@@ -24,6 +24,8 @@
         self.poll_due(now);
         self.reconcile(now);
         self.retry_stops(now);
+        self.advance_returns(now);
+        self.retry_moves(now);
         self.begin_all_due(now);
         self.remove_expired_jobs(now);
         self.report_fleet(now);
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -52,7 +52,7 @@
     pub(super) lapsed: Vec<CrashCandidate>,
     /// Runs that are in progress, being started or being stopped on the worker, by task.
     pub(super) runs: BTreeMap<id::TaskId, RunEntry>,
-    /// Resources that the runs reserve.
+    /// Resources that the runs reserve, and tasks that are about to move here.
     pub(super) reserved: worker::Resources,
     /// Estimated processor time that the runs use, in thousandths of a core.
     pub(super) used_cpu: i64,
@@ -65,6 +65,9 @@
     pub(super) headroom: Option<Vec<(ImageId, f64)>>,
     /// Whether a tail latency on the worker exceeds its target.
     pub(super) has_tail_over_target: bool,
+    /// Whether the worker gets no tasks because its availability zone is evacuated, or was and the
+    /// worker has to wait for its turn.
+    pub(super) is_evacuated: bool,
     /// Whether capacity that becomes free is kept for a waiting long-running task.
     pub(super) is_held: bool,
     /// Time at which the poll in flight was sent, if there is one.
@@ -124,6 +127,7 @@
             fillers: 0,
             headroom: None,
             has_tail_over_target: false,
+            is_evacuated: false,
             is_held: false,
             poll_sent_at: None,
             next_poll_at: now,
@@ -148,6 +152,7 @@
             && self.has_answered
             && !self.is_unresponsive
             && !self.is_gone
+            && !self.is_evacuated
             && now >= self.backoff_until
     }
 
@@ -204,6 +209,16 @@
         self.fillers > 0 && !self.serving.is_empty()
     }
 
+    /// Reserves resources for a task that is about to move here.
+    pub(super) fn reserve(&mut self, needs: worker::Resources) {
+        self.reserved += needs;
+    }
+
+    /// Gives up resources that were reserved for a task.
+    pub(super) fn unreserve(&mut self, needs: worker::Resources) {
+        self.reserved = self.reserved.saturating_sub(&needs);
+    }
+
     /// Adds a run and updates the totals.
     pub(super) fn add(&mut self, task: id::TaskId, run: RunEntry) {
         self.headroom = None;
--- a/comfreymill_jobs/src/state/apply.rs
+++ b/comfreymill_jobs/src/state/apply.rs
@@ -1,6 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use super::evacuation::ZoneOutcome;
 use super::state::Routes;
 use super::{Command, CrashedRun, GivenUp, Job, JobStatus, State, Submission, Worker};
 use crate::id;
@@ -41,6 +42,10 @@
         /// Ends that were not recorded before.
         ends: Vec<worker::End>,
     },
+    /// An availability zone is evacuated, or its evacuation was withdrawn.
+    EvacuationChanged(id::ZoneName),
+    /// Another order has changed the zone since the order was received.
+    ZoneOrderSuperseded(id::ZoneName),
     /// No change, or none that needs a reaction.
     None,
 }
@@ -104,6 +109,14 @@
                 }
                 Effect::None
             }
+            Command::Evacuate(order) => {
+                let zone = order.zone.clone();
+                zone_effect(zone, self.evacuations.evacuate(*order))
+            }
+            Command::WithdrawEvacuation(order) => {
+                let zone = order.zone.clone();
+                zone_effect(zone, self.evacuations.withdraw(*order))
+            }
         }
     }
 
@@ -203,3 +216,11 @@
         Effect::EndsNoted { worker: number, ends: fresh }
     }
 }
+
+fn zone_effect(zone: id::ZoneName, outcome: ZoneOutcome) -> Effect {
+    match outcome {
+        ZoneOutcome::Changed => Effect::EvacuationChanged(zone),
+        ZoneOutcome::Superseded => Effect::ZoneOrderSuperseded(zone),
+        ZoneOutcome::Unchanged => Effect::None,
+    }
+}
--- a/comfreymill_jobs/src/state/command.rs
+++ b/comfreymill_jobs/src/state/command.rs
@@ -1,6 +1,6 @@
 use bytes::Bytes;
 
-use super::CrashedRun;
+use super::{CrashedRun, ZoneOrder};
 use crate::id;
 use crate::job;
 use crate::routes;
@@ -71,6 +71,10 @@
         /// New capacity.
         capacity: worker::Resources,
     },
+    /// Evacuates an availability zone: no task starts there any more.
+    Evacuate(Box<ZoneOrder>),
+    /// Withdraws the evacuation of an availability zone.
+    WithdrawEvacuation(Box<ZoneOrder>),
 }
 
 /// Job with the queue that it was submitted to.
--- a/comfreymill_jobs/src/state/mod.rs
+++ b/comfreymill_jobs/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod command;
 mod crash;
 mod departures;
+mod evacuation;
 mod job;
 #[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
 mod state;
@@ -14,6 +15,7 @@
 pub use command::{Command, Submission};
 pub use crash::{CrashRecord, CrashedRun, GivenUp};
 pub use departures::Departures;
+pub use evacuation::{Evacuations, ZoneOrder, ZoneRecord, ZoneRequest};
 pub use job::{Job, JobStatus, Occurrence};
 pub use state::{Routes, State, StateError};
 pub use step::StepState;
--- a/comfreymill_jobs/src/state/state.rs
+++ b/comfreymill_jobs/src/state/state.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use super::{CrashRecord, Departures, GivenUp, Job, Worker};
+use super::{CrashRecord, Departures, Evacuations, GivenUp, Job, Worker};
 use crate::id;
 use crate::routes;
 
@@ -29,6 +29,8 @@
     pub(super) given_up: BTreeMap<id::JobKey, GivenUp>,
     /// Workers that were removed after they had said that they were leaving.
     pub(super) departures: Departures,
+    /// Operators' orders about availability zones.
+    pub(super) evacuations: Evacuations,
 }
 
 /// Routes in force, decoded and as received.
@@ -51,7 +53,7 @@
 }
 
 /// Encoding of the fields that were added to the end of the state since version 0.1, all empty.
-const ADDED_FIELDS: &[u8] = &[0, 0, 0, 0];
+const ADDED_FIELDS: &[u8] = &[0, 0, 0, 0, 0];
 
 impl State {
     /// Decodes the state from a snapshot.
@@ -131,6 +133,11 @@
         &self.departures
     }
 
+    /// Returns the operators' orders about availability zones.
+    pub fn get_evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
     /// Returns the workers that are leaving, with the sequence numbers of the announcements that
     /// said so.
     pub fn get_leaving(&self) -> &BTreeMap<id::WorkerNumber, u64> {
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -1,9 +1,11 @@
 //! Tests of the scheduler's decisions, including under failures.
 
 mod crashes;
+mod evacuation;
 mod holding;
 mod interference;
 mod leases;
 mod load;
+mod moves;
 mod order;
 mod succession;
--- a/comfreymill_jobs/tests/state/mod.rs
+++ b/comfreymill_jobs/tests/state/mod.rs
@@ -1,6 +1,6 @@
 //! Replicated state: repeated commands are harmless, and snapshots contain the whole state.
 
-use comfreymill_jobs::state::{Command, Effect, JobStatus, State, Submission};
+use comfreymill_jobs::state::{Command, Effect, JobStatus, State, Submission, ZoneOrder};
 use comfreymill_jobs::worker::{End, EndKind};
 use comfreymill_jobs::{id, routes};
 
@@ -103,10 +103,49 @@
 fn a_snapshot_without_leaving_workers_and_crashes_is_read() {
     let state = state_of(vec![add_worker(), submit()]);
     let data = state.to_snapshot().expect("the state is encoded");
-    // Each of the four fields that were added later takes one byte if it is empty.
-    for missing in 1..=4 {
+    // Each of the five fields that were added later takes one byte if it is empty.
+    for missing in 1..=5 {
         let earlier = &data[..data.len() - missing];
         assert_eq!(State::from_snapshot(earlier).expect("the state is decoded"), state);
     }
-    assert!(State::from_snapshot(&data[..data.len() - 5]).is_err());
+    assert!(State::from_snapshot(&data[..data.len() - 6]).is_err());
+}
+
+fn zone_order(operator: &str, revision: u64) -> Box<ZoneOrder> {
+    let zone = "south".parse().expect("a zone name");
+    Box::new(ZoneOrder { zone, operator: operator.to_owned(), unix_ms: 7, revision })
+}
+
+#[test]
+fn an_evacuation_and_its_withdrawal_are_recorded_once() {
+    let zone: id::ZoneName = "south".parse().expect("a zone name");
+    let changed = Effect::EvacuationChanged(zone.clone());
+    let mut state = State::default();
+    let evacuate = |operator, revision| Command::Evacuate(zone_order(operator, revision));
+    let withdraw = |operator, revision| Command::WithdrawEvacuation(zone_order(operator, revision));
+    assert_eq!(state.apply(1, withdraw("ines", 0)), Effect::None, "it is not evacuated");
+    assert_eq!(state.apply(2, evacuate("ines", 0)), changed);
+    assert_eq!(state.apply(3, evacuate("ines", 0)), Effect::None, "sent again");
+    assert_eq!(state.get_evacuations().evacuated().collect::<Vec<_>>(), [&zone]);
+    assert_eq!(state.apply(4, withdraw("noor", 1)), changed);
+    assert_eq!(state.apply(5, withdraw("noor", 1)), Effect::None, "sent again");
+    let record = state.get_evacuations().get(&zone).expect("a record");
+    assert_eq!(record.evacuated, None);
+    assert_eq!(record.withdrawn.as_ref().expect("withdrawn").operator, "noor");
+    let data = state.to_snapshot().expect("encoded");
+    assert_eq!(State::from_snapshot(&data).expect("decoded"), state);
+}
+
+#[test]
+fn an_order_that_was_delayed_does_not_undo_a_later_one() {
+    let zone: id::ZoneName = "south".parse().expect("a zone name");
+    let superseded = Effect::ZoneOrderSuperseded(zone.clone());
+    let evacuate = |revision| Command::Evacuate(zone_order("ines", revision));
+    let withdraw = |revision| Command::WithdrawEvacuation(zone_order("ines", revision));
+    let mut state = state_of(vec![evacuate(0), withdraw(1), evacuate(2)]);
+    assert_eq!(state.apply(4, withdraw(1)), superseded, "received before the second evacuation");
+    assert_eq!(state.get_evacuations().evacuated().collect::<Vec<_>>(), [&zone]);
+    state.apply(5, withdraw(3));
+    assert_eq!(state.apply(6, evacuate(0)), superseded);
+    assert_eq!(state.get_evacuations().evacuated().count(), 0);
 }
--- a/comfreymill_jobs/tests/support/mod.rs
+++ b/comfreymill_jobs/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use comfreymill_jobs::scheduler::{
     Acknowledgement, Answer, Config, Order, PollAnswer, Scheduler, StartAnswer,
 };
-use comfreymill_jobs::state::{Command, Effect, State, Submission};
+use comfreymill_jobs::state::{Command, Effect, State, Submission, ZoneOrder};
 use comfreymill_jobs::{id, job, routes, worker};
 use comfreymill_types::time::Monotonic;
 
@@ -92,7 +92,8 @@
 
     /// Creates a leader that starts from a replicated state.
     pub(crate) fn from_state(state: State, now: Monotonic) -> Self {
-        let scheduler = Scheduler::new(Config::new(LEASE), &state, UNIX, now);
+        let since_1970 = UNIX + Duration::from_micros(now.as_micros());
+        let scheduler = Scheduler::new(Config::new(LEASE), &state, since_1970, now);
         Self {
             state,
             scheduler,
@@ -167,6 +168,9 @@
             Effect::EndsNoted { worker, ends } => {
                 self.scheduler.ends_noted(now, worker, &ends, state);
             }
+            Effect::EvacuationChanged(zone) => {
+                self.scheduler.evacuation_changed(now, &zone, state);
+            }
             _ => {}
         }
     }
@@ -202,6 +206,40 @@
         number
     }
 
+    /// Adds a worker in the given zone; returns its number.
+    pub(crate) fn worker_in(&mut self, name: &str, zone: &str) -> id::WorkerNumber {
+        let announcement = self.announcement(name, 10);
+        self.announce(worker::Announcement { zone: zone.to_owned(), ..announcement });
+        let workers = self.state.get_workers().iter();
+        let mut named = workers.filter(|(_, worker)| worker.announced.name.as_str() == name);
+        let number = *named.next_back().expect("the worker is in the log").0;
+        self.report(number, worker::Report::default());
+        number
+    }
+
+    /// Returns an order about a zone that is received now.
+    pub(crate) fn zone_order(&self, zone: &str) -> Box<ZoneOrder> {
+        let zone: id::ZoneName = zone.parse().expect("a zone name");
+        let revision = self.state.get_evacuations().get_revision(&zone);
+        let since_1970 = UNIX + Duration::from_micros(self.now.as_micros());
+        let unix_ms = u64::try_from(since_1970.as_millis()).expect("a small number");
+        Box::new(ZoneOrder { zone, operator: "ines".to_owned(), unix_ms, revision })
+    }
+
+    /// Commits an evacuation.
+    pub(crate) fn evacuate(&mut self, zone: &str) {
+        let order = self.zone_order(zone);
+        self.commit(vec![Command::Evacuate(order)]);
+        self.settle();
+    }
+
+    /// Commits the withdrawal of an evacuation.
+    pub(crate) fn withdraw(&mut self, zone: &str) {
+        let order = self.zone_order(zone);
+        self.commit(vec![Command::WithdrawEvacuation(order)]);
+        self.settle();
+    }
+
     /// Answers a poll of the worker's latest incarnation with an empty report.
     pub(crate) fn worker_reports_nothing(&mut self, name: &str) {
         let workers = self.state.get_workers().iter();
