feat(node): orders about zones, on the platform's path and the command line

Cause: the control listener knew no request about zones.

Change: the platform's requests and `comfreymill zone evacuate`, `withdraw` and `status` reach the leader, which refuses unknown zones, proposes the order and acknowledges it once it is committed.

One case of the settings' tests used `zones` as the name of an unknown key, which it no longer is; it uses another one now.

--- a/comfreymill_node/src/command/flags/general.rs
+++ b/comfreymill_node/src/command/flags/general.rs
@@ -70,6 +70,9 @@
         /// Submits, shows and cancels jobs.
         cmd job {}
 
+        /// Evacuates availability zones and shows them.
+        cmd zone {}
+
         /// Shows the state of the node and its view of the cluster.
         cmd status {}
 
--- a/comfreymill_node/src/command/flags/line.rs
+++ b/comfreymill_node/src/command/flags/line.rs
@@ -5,7 +5,7 @@
 use comfreymill_types::error;
 use comfreymill_types::time;
 
-use super::{env, general, job};
+use super::{env, general, job, zone};
 use crate::command::{OutputFormat, help};
 
 const FLAGS_WITH_VALUE: [&str; 4] = ["--output", "--operators", "--token-file", "--timeout"];
@@ -49,6 +49,8 @@
     Env(env::EnvCmd),
     /// Command on jobs.
     Job(job::JobCmd),
+    /// Command on availability zones.
+    Zone(zone::ZoneCmd),
 }
 
 impl Line {
@@ -70,6 +72,7 @@
         let call = match group {
             "env" => parse_env(without_group(args, "env")),
             "job" => parse_job(without_group(args, "job")),
+            "zone" => parse_zone(without_group(args, "zone")),
             _ => parse_general(args),
         };
         call.map(|call| Self::Call(Box::new(call))).map_err(|error| usage_error(&error, &path))
@@ -106,6 +109,12 @@
     Ok(Call { options, verb: Verb::Job(line.subcommand) })
 }
 
+fn parse_zone(args: Vec<ffi::OsString>) -> xflags::Result<Call> {
+    let line = zone::Zone::from_vec(args)?;
+    let options = options!(line);
+    Ok(Call { options, verb: Verb::Zone(line.subcommand) })
+}
+
 fn usage_error(error: &xflags::Error, path: &str) -> error::Error {
     let message = error.to_string().replace("subcommand is required", "a command is required");
     let message = format!("{message}; see `{path} --help`");
--- a/comfreymill_node/src/command/general.rs
+++ b/comfreymill_node/src/command/general.rs
@@ -24,7 +24,9 @@
         general::ComfreymillCmd::Scheduler(flags) => run_scheduler(&flags.settings, programs),
         general::ComfreymillCmd::Serve(flags) => run_embedded(flags, programs),
         general::ComfreymillCmd::Check(flags) => check::execute(&flags, options),
-        general::ComfreymillCmd::Env(_) | general::ComfreymillCmd::Job(_) => {
+        general::ComfreymillCmd::Env(_)
+        | general::ComfreymillCmd::Job(_)
+        | general::ComfreymillCmd::Zone(_) => {
             Err(error::Error::new(ErrorKind::BadRequest, "a command is required"))
         }
         general::ComfreymillCmd::Status(_) => send(&Request::get("/v1/status"), options),
--- a/comfreymill_node/src/command/help.rs
+++ b/comfreymill_node/src/command/help.rs
@@ -3,7 +3,7 @@
 
 use comfreymill_types::error;
 
-use super::flags::{env, general, job};
+use super::flags::{env, general, job, zone};
 
 const PROGRAM: &str = "comfreymill";
 const VERSION_FLAG: &str = "--version";
@@ -87,7 +87,11 @@
 
 fn list_sections() -> Vec<Section> {
     let general = split(&help_text(general::Comfreymill::from_vec), PROGRAM);
-    let groups = [help_text(env::Env::from_vec), help_text(job::Job::from_vec)];
+    let groups = [
+        help_text(env::Env::from_vec),
+        help_text(job::Job::from_vec),
+        help_text(zone::Zone::from_vec),
+    ];
     let group_sections = groups.iter().flat_map(|text| split(text, ""));
     let nested = group_sections.filter(|section| section.words.contains(' '));
     general.into_iter().chain(nested).collect()
--- a/comfreymill_node/src/command/mod.rs
+++ b/comfreymill_node/src/command/mod.rs
@@ -23,6 +23,7 @@
 mod request;
 mod run;
 mod story;
+mod zone;
 
 pub use line_diff::line_diff;
 pub use output_format::{OutputFormat, ParseOutputFormatError};
--- a/comfreymill_node/src/command/run.rs
+++ b/comfreymill_node/src/command/run.rs
@@ -6,7 +6,7 @@
 use comfreymill_types::error;
 
 use super::flags::{Call, Line, Verb};
-use super::{Output, Programs, advice, env, general, job, render};
+use super::{Output, Programs, advice, env, general, job, render, zone};
 
 /// Parses the arguments after the program name and runs the command.
 ///
@@ -40,6 +40,7 @@
         Verb::General(verb) => general::execute(verb, &call.options, programs),
         Verb::Env(verb) => env::execute(verb, &call.options),
         Verb::Job(verb) => job::execute(verb, &call.options),
+        Verb::Zone(verb) => zone::execute(verb, &call.options),
     }
 }
 
--- a/comfreymill_node/src/jobcall/call.rs
+++ b/comfreymill_node/src/jobcall/call.rs
@@ -1,6 +1,7 @@
 use bytes::Bytes;
 use comfreymill_jobs::job;
 use comfreymill_jobs::routes;
+use comfreymill_jobs::state;
 use comfreymill_jobs::worker;
 
 /// Call to the leader.
@@ -42,4 +43,10 @@
     },
     /// Returns the document of the routes in force.
     GetRoutes,
+    /// Evacuates an availability zone.
+    Evacuate(Box<state::ZoneOrder>),
+    /// Withdraws the evacuation of an availability zone.
+    WithdrawEvacuation(Box<state::ZoneOrder>),
+    /// Returns the zones that are or were evacuated, with what is left there, as JSON text.
+    ShowEvacuations,
 }
--- a/comfreymill_node/src/jobcall/reply.rs
+++ b/comfreymill_node/src/jobcall/reply.rs
@@ -27,6 +27,12 @@
     NotLeader,
     /// The outcome of the call is unknown; the caller must retry.
     Unknown,
+    /// No availability zone has the requested name; the reason names it and the known zones.
+    NoSuchZone(String),
+    /// Another order about the zone was committed after the order was received.
+    Superseded,
+    /// Zones that are or were evacuated, as JSON text.
+    Evacuations(Bytes),
 }
 
 /// Progress of a job.
--- a/comfreymill_node/src/metering/metric.rs
+++ b/comfreymill_node/src/metering/metric.rs
@@ -176,8 +176,18 @@
     LATENCY_BOUNDS_SECONDS,
 );
 
+/// Number of availability zones that are evacuated.
+pub const EVACUATED_ZONES: Metric =
+    gauge("comfreymill_evacuated_zones", "Availability zones that are evacuated");
+
+/// Number of runs left in a zone that is evacuated or gets its load back, by zone; set by the leader.
+pub const EVACUATED_ZONE_RUNS: Metric = gauge(
+    "comfreymill_evacuated_zone_runs",
+    "Runs left in an availability zone that is evacuated or gets its load back",
+);
+
 /// All metrics.
-pub const ALL: [Metric; 19] = [
+pub const ALL: [Metric; 21] = [
     REQUEST_LATENCY,
     QUEUE_WAIT,
     SLOTS_IN_USE,
@@ -197,4 +207,6 @@
     ORDER_LATENCY,
     ORDER_QUEUE_WAIT,
     COMMIT_LATENCY,
+    EVACUATED_ZONES,
+    EVACUATED_ZONE_RUNS,
 ];
--- a/comfreymill_node/src/metering/observe.rs
+++ b/comfreymill_node/src/metering/observe.rs
@@ -143,3 +143,14 @@
 pub fn commit(span: Duration) {
     metrics::histogram!(metric::COMMIT_LATENCY.name).record(span);
 }
+
+/// Sets the number of availability zones that are evacuated.
+pub fn evacuated_zones(count: usize) {
+    metrics::gauge!(metric::EVACUATED_ZONES.name).set(count as f64);
+}
+
+/// Sets the number of runs left in a zone.
+pub fn evacuated_zone_runs(zone: &id::ZoneName, runs: u64) {
+    let labels = [("zone", zone.to_string())];
+    metrics::gauge!(metric::EVACUATED_ZONE_RUNS.name, &labels).set(runs as f64);
+}
--- a/comfreymill_node/src/scheduler/control/serve.rs
+++ b/comfreymill_node/src/scheduler/control/serve.rs
@@ -6,6 +6,7 @@
 use comfreymill_platform as platform;
 use http::StatusCode;
 
+use super::evacuations::{self, Change};
 use crate::jobcall::{Call, CallError, Client, Reply};
 use crate::scheduler::core::Input;
 
@@ -36,7 +37,11 @@
     cx: &Context,
     mut req: server::Request<'_>,
 ) -> Result<(), server::ServerError> {
+    if evacuations::is_own_path(req.uri().path()) {
+        return evacuations::serve_own(cx, req).await;
+    }
     let request = platform::control_request(req.method(), req.uri().path());
+    let mut headers = http::HeaderMap::new();
     let (status, body) = match request {
         platform::ControlRequest::Announce { name } => {
             let body = req.collect(MAX_BODY_BYTES).await?;
@@ -53,9 +58,20 @@
         platform::ControlRequest::GetRoutes => {
             response(cx.call(Call::GetRoutes, OPERATOR_TIMEOUT).await)
         }
+        platform::ControlRequest::Evacuate { zone } => {
+            let operator = evacuations::operator(&req);
+            response(evacuations::order(cx, &zone, Change::Evacuate, operator).await)
+        }
+        platform::ControlRequest::WithdrawEvacuation { zone } => {
+            let operator = evacuations::operator(&req);
+            response(evacuations::order(cx, &zone, Change::Withdraw, operator).await)
+        }
+        platform::ControlRequest::WrongMethod { allowed } => {
+            headers.insert(http::header::ALLOW, http::HeaderValue::from_static(allowed));
+            (StatusCode::METHOD_NOT_ALLOWED, format!("the path has the methods {allowed}").into())
+        }
         platform::ControlRequest::Unknown => (StatusCode::NOT_FOUND, Bytes::new()),
     };
-    let mut headers = http::HeaderMap::new();
     let json = http::HeaderValue::from_static("application/json");
     headers.insert(http::header::CONTENT_TYPE, json);
     req.respond(status, &headers, body).await
@@ -94,6 +110,12 @@
         Ok(Reply::Routes(document)) => (StatusCode::OK, document),
         Ok(Reply::NoRoutes) => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
         Ok(Reply::Malformed(reason)) => (StatusCode::BAD_REQUEST, reason.into()),
+        Ok(Reply::NoSuchZone(reason)) => (StatusCode::NOT_FOUND, reason.into()),
+        // The operator sends the order again, with the state that the other order has led to.
+        Ok(Reply::Superseded) => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            Bytes::from_static(b"another order was committed first"),
+        ),
         Ok(reply) => {
             log::warn!(target: "control", reply:? = reply; "a call got an unexpected reply");
             (StatusCode::SERVICE_UNAVAILABLE, Bytes::new())
@@ -104,7 +126,7 @@
 
 impl Context {
     /// Sends a call to this process's core, or to the leader if that is another process.
-    async fn call(&self, call: Call, timeout: Duration) -> Result<Reply, CallError> {
+    pub(super) async fn call(&self, call: Call, timeout: Duration) -> Result<Reply, CallError> {
         let (reply, rx) = flume::bounded(1);
         let input = Input::LocalCall { call: call.clone(), reply };
         if self.inputs.send(input).is_err() {
--- a/comfreymill_node/src/scheduler/core/calls.rs
+++ b/comfreymill_node/src/scheduler/core/calls.rs
@@ -65,6 +65,9 @@
             }
             Call::PutRoutes { table, document } => self.put_routes(table, document, reply),
             Call::GetRoutes => reply.send(&leadership::routes_reply(&self.state)),
+            Call::Evacuate(order) => self.evacuate(order, reply),
+            Call::WithdrawEvacuation(order) => self.withdraw_evacuation(order, reply),
+            Call::ShowEvacuations => reply.send(&self.show_evacuations()),
         }
     }
 
@@ -140,7 +143,7 @@
     }
 
     /// Queues a command for the next proposal; `done` is sent once the command is committed.
-    fn queue_command(&mut self, command: state::Command, reply: ReplyTo, done: Reply) {
+    pub(super) fn queue_command(&mut self, command: state::Command, reply: ReplyTo, done: Reply) {
         self.waiters.push(Waiter { position: self.commands.len(), reply, done });
         self.commands.push(command);
     }
--- a/comfreymill_node/src/scheduler/core/commit.rs
+++ b/comfreymill_node/src/scheduler/core/commit.rs
@@ -69,11 +69,17 @@
         let mut waiters = waiters.into_iter().peekable();
         for (position, command) in commands.into_iter().enumerate() {
             let effect = self.state.apply(entry.index.get(), command);
-            let is_unknown_job = matches!(effect, state::Effect::NoSuchJob(_));
+            let refusal = match &effect {
+                state::Effect::NoSuchJob(_) => Some(jobcall::Reply::NoSuchJob),
+                state::Effect::ZoneOrderSuperseded(zone) => {
+                    log::info!(target: "evacuations", zone:% = zone; "an order about a zone is refused, since another one was committed first");
+                    Some(jobcall::Reply::Superseded)
+                }
+                _ => None,
+            };
             self.notify_scheduler(now, entry.term.get(), effect);
             while let Some(waiter) = waiters.next_if(|waiter| waiter.position == position) {
-                let reply = if is_unknown_job { jobcall::Reply::NoSuchJob } else { waiter.done };
-                waiter.reply.send(&reply);
+                waiter.reply.send(refusal.as_ref().unwrap_or(&waiter.done));
             }
         }
     }
@@ -124,8 +130,13 @@
             state::Effect::EndsNoted { worker, ends } => {
                 scheduler.ends_noted(now, worker, &ends, &self.state);
             }
-            state::Effect::FenceAssigned(_) | state::Effect::NoSuchJob(_) | state::Effect::None => {
+            state::Effect::EvacuationChanged(zone) => {
+                scheduler.evacuation_changed(now, &zone, &self.state);
             }
+            state::Effect::FenceAssigned(_)
+            | state::Effect::NoSuchJob(_)
+            | state::Effect::ZoneOrderSuperseded(_)
+            | state::Effect::None => {}
         }
     }
 
--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use comfreymill_group::replica;
 use comfreymill_group::store;
+use comfreymill_jobs::id::ZoneName;
 use comfreymill_jobs::scheduler;
 use comfreymill_jobs::state;
 use comfreymill_types::time;
@@ -38,6 +39,8 @@
     pub(in crate::scheduler) voters: usize,
     /// Maximum number of connections to workers.
     pub(in crate::scheduler) worker_connections: usize,
+    /// Availability zones that operators may evacuate, beside those of known workers.
+    pub(in crate::scheduler) zones: Vec<ZoneName>,
     /// Number of log entries between two snapshots.
     pub(in crate::scheduler) snapshot_entries: u64,
 }
@@ -66,6 +69,7 @@
     pub(super) failure: Option<String>,
     pub(super) is_draining: bool,
     pub(super) members_checked_at: time::Monotonic,
+    pub(super) zones_observed_at: time::Monotonic,
 }
 
 impl Core {
@@ -94,6 +98,7 @@
             failure: None,
             is_draining: false,
             members_checked_at: time::Monotonic::ZERO,
+            zones_observed_at: time::Monotonic::ZERO,
         }
     }
 
@@ -118,6 +123,9 @@
             Input::Explain { key, reply } => {
                 reply.send(explanation::explain(&self.state, &key)).ok();
             }
+            Input::ZoneRevision { zone, reply } => {
+                reply.send(self.state.get_evacuations().get_revision(&zone)).ok();
+            }
             Input::Drain(done) => {
                 self.drain(now);
                 done.send(()).ok();
@@ -136,6 +144,7 @@
             }
             self.update_membership(now);
         }
+        self.observe_evacuations(now);
     }
 
     /// Returns whether this replica leads and may answer for the group.
@@ -187,6 +196,7 @@
             "leader": self.members.leader,
             "jobs": self.state.get_jobs().len(),
             "workers": self.state.get_workers().len(),
+            "evacuated_zones": self.state.get_evacuations().evacuated().collect::<Vec<_>>(),
         });
         text.to_string().into()
     }
--- a/comfreymill_node/src/scheduler/core/input.rs
+++ b/comfreymill_node/src/scheduler/core/input.rs
@@ -4,6 +4,7 @@
 use comfreymill_group::id;
 use comfreymill_group::message;
 use comfreymill_group::store;
+use comfreymill_jobs::id::ZoneName;
 use comfreymill_types::error;
 
 use crate::jobcall;
@@ -31,6 +32,8 @@
     Status(flume::Sender<Bytes>),
     /// Request for the reason of a job's state as JSON text.
     Explain { key: String, reply: flume::Sender<Result<Bytes, error::Error>> },
+    /// Request for the revision of a zone's record in this process's replica.
+    ZoneRevision { zone: ZoneName, reply: flume::Sender<u64> },
     /// The process is stopping and must hand over the leadership.
     Drain(flume::Sender<()>),
 }
--- a/comfreymill_node/src/scheduler/core/mod.rs
+++ b/comfreymill_node/src/scheduler/core/mod.rs
@@ -4,6 +4,7 @@
 mod commit;
 #[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
 mod core;
+mod evacuations;
 mod input;
 mod leadership;
 mod membership;
--- a/comfreymill_node/src/scheduler/explanation.rs
+++ b/comfreymill_node/src/scheduler/explanation.rs
@@ -13,6 +13,8 @@
     reason: Option<String>,
     /// Tasks under which workers have crashed, while the job is open.
     crashes: Vec<TaskCrashes>,
+    /// Availability zones in which no task starts, while the job is open.
+    evacuated_zones: Vec<&'a id::ZoneName>,
 }
 
 #[derive(serde::Serialize)]
@@ -42,12 +44,14 @@
         crashes: record.crashes,
         suspected: record.suspected,
     });
+    let evacuated = state.get_evacuations().evacuated();
     let explanation = Explanation {
         job: id.to_string(),
         queue: &job.queue,
         state: job.status.to_string(),
         reason: failure_reason(job, state.get_given_up(id)),
         crashes: crashes.collect(),
+        evacuated_zones: evacuated.filter(|_| !job.is_over()).collect(),
     };
     let text = serde_json::to_vec(&explanation);
     text.map(Bytes::from).map_err(|source| {
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -78,6 +78,7 @@
         decisions: scheduler::Config::new(settings.get_lease()),
         voters: settings.get_voters(),
         worker_connections: budget.workers,
+        zones: settings.get_zones().to_vec(),
         snapshot_entries: settings.get_snapshot_entries(),
     };
     let core = Core::new(cfg.clone(), replica, thread, links, inputs.clone());
--- a/comfreymill_node/src/settings/scheduler_settings.rs
+++ b/comfreymill_node/src/settings/scheduler_settings.rs
@@ -2,6 +2,7 @@
 use std::path;
 use std::time::Duration;
 
+use comfreymill_types::id;
 use comfreymill_types::time;
 use comfreymill_types::yaml;
 
@@ -29,6 +30,7 @@
     voters: usize,
     descriptors: usize,
     snapshot_entries: u64,
+    zones: Vec<id::ZoneName>,
 }
 
 impl SchedulerSettings {
@@ -72,6 +74,11 @@
         self.snapshot_entries
     }
 
+    /// Availability zones that operators may evacuate, beside those of known workers.
+    pub fn get_zones(&self) -> &[id::ZoneName] {
+        &self.zones
+    }
+
     pub(super) fn read_section(section: &yaml::Section<'_>, folder: &path::Path) -> Option<Self> {
         settings_file::read_program(section, settings_file::SCHEDULER);
         let node = NodeSettings::read(section);
@@ -83,6 +90,7 @@
         let lease: Option<time::Span> = section.required("lease");
         let voters = section.optional("voters").unwrap_or(VOTERS);
         let snapshot_entries = section.optional("snapshot_entries").unwrap_or(SNAPSHOT_ENTRIES);
+        let zones = section.optional("zones").map_or_else(Vec::new, |list: ZoneList| list.0);
         let descriptors = section.optional("descriptors").unwrap_or(DESCRIPTORS);
         if descriptors < MIN_DESCRIPTORS {
             section.problem("descriptors", "a scheduler needs at least 64 descriptors");
@@ -102,6 +110,19 @@
             voters,
             descriptors,
             snapshot_entries,
+            zones,
         })
     }
 }
+
+/// Names of availability zones, separated by commas.
+struct ZoneList(Vec<id::ZoneName>);
+
+impl std::str::FromStr for ZoneList {
+    type Err = id::ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let items = text.split(',').map(str::trim).filter(|item| !item.is_empty());
+        items.map(str::parse).collect::<Result<_, _>>().map(Self)
+    }
+}
--- a/comfreymill_node/src/web/mod.rs
+++ b/comfreymill_node/src/web/mod.rs
@@ -28,5 +28,7 @@
 pub const KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
 /// Id of an operator's change, the same when it is resent.
 pub const OPERATION_HEADER: HeaderName = HeaderName::from_static("operation-id");
+/// Who gives an order, for the records.
+pub const OPERATOR_HEADER: HeaderName = HeaderName::from_static("comfreymill-operator");
 /// Version that a document replaces.
 pub const REPLACES_HEADER: HeaderName = HeaderName::from_static("replaces");
--- a/comfreymill_node/tests/settings/nodes.rs
+++ b/comfreymill_node/tests/settings/nodes.rs
@@ -26,6 +26,8 @@
     assert_eq!(scheduler.get_lease(), Duration::from_secs(6));
     assert_eq!(scheduler.get_data_folder(), path::Path::new("folder/data/scheduler"));
     assert!(scheduler.is_founding());
+    let zones: Vec<String> = scheduler.get_zones().iter().map(ToString::to_string).collect();
+    assert_eq!(zones, ["hobart-a", "kingston-b"]);
 }
 
 #[test]
@@ -54,7 +56,8 @@
         ("metrics: 127.0.0.1:7414", "metrics: 7414", "9:", "metrics:"),
         ("  level: info", "  level: loud", "19:", "log.level:"),
         ("data_folder: data/scheduler\n", "", "1:", "data_folder: is missing"),
-        ("zone: hobart-a", "zones: hobart-a", "3:", "zones: is not known here"),
+        ("zone: hobart-a", "room: hobart-a", "3:", "room: is not known here"),
+        ("zones: hobart-a", "zones: Hobart A", "21:", "zones: `Hobart A` is no zone name"),
     ];
     for (from, to, line, expected) in cases {
         let problems = read(&SCHEDULER.replacen(from, to, 1)).expect_err(to);
--- a/tests/command_line/snapshots.rs
+++ b/tests/command_line/snapshots.rs
@@ -48,7 +48,7 @@
 }
 
 #[test]
-fn help_of_commands_on_documents_and_jobs() {
+fn help_of_commands_on_documents_jobs_and_zones() {
     let lines = [
         "env --help",
         "env submit --help",
@@ -62,6 +62,10 @@
         "job list --help",
         "job release --help",
         "job cancel --help",
+        "zone --help",
+        "zone evacuate --help",
+        "zone withdraw --help",
+        "zone status --help",
     ];
     expect_snapshot("help_groups", &lines);
 }
--- a/tests/platform/test_bed.rs
+++ b/tests/platform/test_bed.rs
@@ -82,11 +82,29 @@
 
     /// Returns what `comfreymill explain` prints about a job.
     pub(super) fn explain(&self, job: u64) -> String {
-        let operators = SocketAddr::from((self.address, 7_414)).to_string();
+        let operators = SocketAddr::from((self.address, 7_414));
+        self.command(operators, &["explain", &format!("{job:016x}")])
+    }
+
+    /// Returns what a command on zones prints, errors included.
+    pub(super) fn zone(&self, args: &[&str]) -> String {
+        self.command(self.control(), &[&["zone"], args].concat())
+    }
+
+    fn command(&self, operators: SocketAddr, args: &[&str]) -> String {
         let mut command = Command::new(env!("CARGO_BIN_EXE_comfreymill"));
-        command.args(["explain", &format!("{job:016x}"), "--operators", &operators]);
+        command.args(args).args(["--operators", &operators.to_string()]);
         let output = command.output().expect("the command runs");
-        String::from_utf8_lossy(&output.stdout).into_owned()
+        String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned()
+    }
+
+    /// Kills the scheduler and starts it again with its data folder.
+    pub(super) fn restart_scheduler(&mut self) {
+        let mut scheduler = self.processes.remove(0);
+        scheduler.kill().expect("the process runs");
+        scheduler.wait().expect("the process has ended");
+        self.run("scheduler", &self.scheduler_settings(4_096));
+        self.processes.rotate_right(1);
     }
 
     /// Returns the number of descriptors that the scheduler has open.
--- a/tests/platform/whole_path.rs
+++ b/tests/platform/whole_path.rs
@@ -124,3 +124,37 @@
     bed.wait("all tasks to be started", || count(&shrinking) + count(&other) == 28);
     assert_eq!(count(&shrinking), 12, "1.2 cores hold 12 tasks of 0.1");
 }
+
+#[test]
+fn an_evacuated_zone_gets_no_tasks_until_the_withdrawal() {
+    let mut bed = TestBed::start();
+    let caller = bed.caller();
+    let worker = standin::start_worker("w", bed.get_address(), bed.control());
+    let count = || worker.lock().expect("no thread panics").len();
+    bed.wait("a job to be accepted", || caller.submit(1, 4));
+    bed.wait("the job to be completed", || caller.is_completed(1));
+
+    let order = |method, zone| standin::order_zone(bed.control(), method, zone);
+    assert_eq!(order("POST", "nowhere"), Some(404));
+    assert_eq!(order("POST", "No-Where"), Some(400));
+    assert_eq!(order("PUT", "south"), Some(405));
+    assert_eq!(order("DELETE", "south"), Some(200), "it is not evacuated");
+    assert_eq!(order("POST", "south"), Some(200));
+    assert_eq!(order("POST", "south"), Some(200), "sent again");
+    assert_eq!(order("POST", "kingston-b"), Some(200), "a zone of the settings");
+
+    bed.restart_scheduler();
+    bed.wait("a job to be accepted", || caller.submit(2, 4));
+    let has_evacuated = || bed.zone(&["status"]).matches("evacuated").count() == 2;
+    bed.wait("the evacuations to be known", has_evacuated);
+    bed.wait("the worker to answer", || bed.has_logged("a worker answers", 1));
+    assert!(bed.explain(2).contains("evacuated_zones: kingston-b, south"), "{}", bed.explain(2));
+    assert!(bed.zone(&["withdraw", "nowhere"]).contains("not-found"), "the command has an error");
+    assert_eq!(count(), 4, "no task of the second job is started");
+
+    bed.zone(&["withdraw", "south", "--by", "ines"]);
+    bed.wait("the job to be completed", || caller.is_completed(2));
+    assert_eq!(count(), 8);
+    let status = bed.zone(&["status"]);
+    assert!(status.contains("ines (127."), "{status}");
+}
