--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -46,6 +46,10 @@
             interference: Interference::default(),
             pending_workers: BTreeMap::new(),
             departures: state.get_departures().clone(),
+            zones: BTreeMap::new(),
+            moves: BTreeMap::new(),
+            move_cursor: None,
+            moves_begun_at: time::Monotonic::ZERO,
             needs_placement: true,
             ended: VecDeque::new(),
             unix_offset_ms: unix_ms.saturating_sub(now.as_micros() / 1_000),
@@ -64,6 +68,7 @@
             orders: Vec::new(),
             commands: Vec::new(),
         };
+        scheduler.restore_zones(now, since_1970, state);
         for (key, job) in state.get_jobs() {
             if job.is_over() {
                 scheduler.ended.push_back((now, *key));
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -2,10 +2,12 @@
 
 mod choice;
 mod crashes;
+mod evacuation;
 mod holding;
 mod interference;
 mod leases;
 mod load;
+mod moves;
 mod order;
 mod succession;
 mod turns;
--- a/comfreymill_node/src/jobcall/reply.rs
+++ b/comfreymill_node/src/jobcall/reply.rs
@@ -32,6 +32,12 @@
         /// When the caller should send the call again, in milliseconds.
         retry_after_ms: u32,
     },
+    /// No availability zone has the requested name; the reason names it and the known zones.
+    NoSuchZone(String),
+    /// Another order about the zone was committed after the order was received.
+    Superseded,
+    /// Zones that are or were evacuated, as JSON text.
+    Evacuations(Bytes),
 }
 
 /// Progress of a job.
--- a/comfreymill_node/src/metering/metric.rs
+++ b/comfreymill_node/src/metering/metric.rs
@@ -212,8 +212,18 @@
     LATENCY_BOUNDS_SECONDS,
 );
 
+/// Number of availability zones that are evacuated.
+pub const EVACUATED_ZONES: Metric =
+    gauge("comfreymill_evacuated_zones", "Availability zones that are evacuated");
+
+/// Number of runs left in a zone that is evacuated or gets its load back, by zone; set by the leader.
+pub const EVACUATED_ZONE_RUNS: Metric = gauge(
+    "comfreymill_evacuated_zone_runs",
+    "Runs left in an availability zone that is evacuated or gets its load back",
+);
+
 /// All metrics.
-pub const ALL: [Metric; 24] = [
+pub const ALL: [Metric; 26] = [
     REQUEST_LATENCY,
     QUEUE_WAIT,
     SLOTS_IN_USE,
@@ -238,4 +248,6 @@
     LOOP_INPUT_WAIT,
     LOOP_BACKLOG,
     HEARTBEAT_ROUND_TRIP,
+    EVACUATED_ZONES,
+    EVACUATED_ZONE_RUNS,
 ];
--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -7,6 +7,7 @@
 use comfreymill_group::replica;
 use comfreymill_group::store;
 use comfreymill_jobs::id;
+use comfreymill_jobs::id::ZoneName;
 use comfreymill_jobs::scheduler;
 use comfreymill_jobs::state;
 use comfreymill_types::time;
@@ -45,6 +46,8 @@
     pub(in crate::scheduler) voters: usize,
     /// Maximum number of connections to workers.
     pub(in crate::scheduler) worker_connections: usize,
+    /// Availability zones that operators may evacuate, beside those of known workers.
+    pub(in crate::scheduler) zones: Vec<ZoneName>,
     /// Number of log entries between two snapshots.
     pub(in crate::scheduler) snapshot_entries: u64,
     /// Bounds on the wait of inputs, beyond which work is put off or refused.
@@ -83,6 +86,7 @@
     pub(super) refused: u64,
     /// Jobs whose submission is proposed and not committed.
     pub(super) submitting: BTreeSet<id::JobKey>,
+    pub(super) zones_observed_at: time::Monotonic,
 }
 
 impl Core {
@@ -117,6 +121,7 @@
             overload,
             refused: 0,
             submitting: BTreeSet::new(),
+            zones_observed_at: time::Monotonic::ZERO,
         }
     }
 
@@ -149,6 +154,9 @@
             Input::Explain { key, reply } => {
                 reply.send(explanation::explain(&self.state, &key)).ok();
             }
+            Input::ZoneRevision { zone, reply } => {
+                reply.send(self.state.get_evacuations().get_revision(&zone)).ok();
+            }
             Input::Drain(done) => {
                 self.drain(now);
                 done.send(()).ok();
@@ -167,6 +175,7 @@
             }
             self.update_membership(now);
         }
+        self.observe_evacuations(now);
     }
 
     /// Returns whether this replica leads and may answer for the group.
@@ -218,6 +227,7 @@
             "leader": self.members.leader,
             "jobs": self.state.get_jobs().len(),
             "workers": self.state.get_workers().len(),
+            "evacuated_zones": self.state.get_evacuations().evacuated().collect::<Vec<_>>(),
         });
         text.to_string().into()
     }
--- a/comfreymill_node/src/scheduler/core/input.rs
+++ b/comfreymill_node/src/scheduler/core/input.rs
@@ -4,6 +4,7 @@
 use comfreymill_group::id;
 use comfreymill_group::message;
 use comfreymill_group::store;
+use comfreymill_jobs::id::ZoneName;
 use comfreymill_types::error;
 
 use crate::jobcall;
@@ -32,6 +33,8 @@
     Status(flume::Sender<Bytes>),
     /// Request for the reason of a job's state as JSON text.
     Explain { key: String, reply: flume::Sender<Result<Bytes, error::Error>> },
+    /// Request for the revision of a zone's record in this process's replica.
+    ZoneRevision { zone: ZoneName, reply: flume::Sender<u64> },
     /// The process is stopping and must hand over the leadership.
     Drain(flume::Sender<()>),
 }
@@ -46,6 +49,7 @@
             | Self::Store(_)
             | Self::Drain(_) => turns::Kind::Agreement,
             Self::Call { call, .. } | Self::LocalCall { call, .. } => call_kind(call),
+            Self::ZoneRevision { .. } => turns::Kind::Departure,
             Self::OrderResult(_) => turns::Kind::Report,
             Self::Status(_) | Self::Explain { .. } => turns::Kind::Operator,
         }
@@ -54,13 +58,18 @@
 
 fn call_kind(call: &jobcall::Call) -> turns::Kind {
     match call {
-        jobcall::Call::Cancel { .. } | jobcall::Call::Depart(_) => turns::Kind::Departure,
+        jobcall::Call::Cancel { .. }
+        | jobcall::Call::Depart(_)
+        | jobcall::Call::Evacuate(_)
+        | jobcall::Call::WithdrawEvacuation(_) => turns::Kind::Departure,
         jobcall::Call::Announce(announcement) if announcement.leaving_in.is_some() => {
             turns::Kind::Departure
         }
         jobcall::Call::Announce(_) => turns::Kind::Announcement,
         jobcall::Call::Submit { .. } | jobcall::Call::Show { .. } => turns::Kind::Caller,
-        jobcall::Call::PutRoutes { .. } | jobcall::Call::GetRoutes => turns::Kind::Operator,
+        jobcall::Call::PutRoutes { .. }
+        | jobcall::Call::GetRoutes
+        | jobcall::Call::ShowEvacuations => turns::Kind::Operator,
     }
 }
 
--- a/comfreymill_node/src/scheduler/turns/kind.rs
+++ b/comfreymill_node/src/scheduler/turns/kind.rs
@@ -3,7 +3,7 @@
 pub enum Kind {
     /// Messages of the group, completions of the store, and connections of other processes.
     Agreement,
-    /// Cancellations of jobs and departures of workers.
+    /// Cancellations of jobs, departures of workers and evacuations of zones.
     Departure,
     /// Submissions of jobs and requests for their states.
     Caller,
--- a/comfreymill_node/src/settings/scheduler_settings.rs
+++ b/comfreymill_node/src/settings/scheduler_settings.rs
@@ -2,6 +2,7 @@
 use std::path;
 use std::time::Duration;
 
+use comfreymill_types::id;
 use comfreymill_types::time;
 use comfreymill_types::yaml;
 
@@ -31,6 +32,7 @@
     descriptors: usize,
     snapshot_entries: u64,
     overload: Option<turns::Bounds>,
+    zones: Vec<id::ZoneName>,
 }
 
 impl SchedulerSettings {
@@ -79,6 +81,11 @@
         self.overload
     }
 
+    /// Availability zones that operators may evacuate, beside those of known workers.
+    pub fn get_zones(&self) -> &[id::ZoneName] {
+        &self.zones
+    }
+
     pub(super) fn read_section(section: &yaml::Section<'_>, folder: &path::Path) -> Option<Self> {
         settings_file::read_program(section, settings_file::SCHEDULER);
         let node = NodeSettings::read(section);
@@ -90,6 +97,7 @@
         let lease: Option<time::Span> = section.required("lease");
         let voters = section.optional("voters").unwrap_or(VOTERS);
         let snapshot_entries = section.optional("snapshot_entries").unwrap_or(SNAPSHOT_ENTRIES);
+        let zones = section.optional("zones").map_or_else(Vec::new, |list: ZoneList| list.0);
         let descriptors = section.optional("descriptors").unwrap_or(DESCRIPTORS);
         if descriptors < MIN_DESCRIPTORS {
             section.problem("descriptors", "a scheduler needs at least 64 descriptors");
@@ -111,6 +119,7 @@
             descriptors,
             snapshot_entries,
             overload,
+            zones,
         })
     }
 }
@@ -138,3 +147,15 @@
         }
     }
 }
+
+/// Names of availability zones, separated by commas.
+struct ZoneList(Vec<id::ZoneName>);
+
+impl std::str::FromStr for ZoneList {
+    type Err = id::ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let items = text.split(',').map(str::trim).filter(|item| !item.is_empty());
+        items.map(str::parse).collect::<Result<_, _>>().map(Self)
+    }
+}
--- a/comfreymill_node/tests/metering/mod.rs
+++ b/comfreymill_node/tests/metering/mod.rs
@@ -36,6 +36,8 @@
     of_loop.input_wait(0, Duration::from_millis(2));
     of_loop.backlog(0, 17);
     of_loop.heartbeat_round_trip(Duration::from_millis(40));
+    observe::evacuated_zones(1);
+    observe::evacuated_zone_runs(&"hobart-a".parse().expect("a zone"), 3);
     observe::version_in_force(&environment, document::Stage::Production, id::Version::new(9));
 }
 
