feat(jobs): pack long-running tasks on a pool that is nearly full

Cause: long-running tasks reserve nine tenths of a fleet and are spread by image, so each worker keeps a fragment that is too small for most short tasks.

Change: once 70% of a pool's processors are reserved, a long-running task goes to a worker that it fills up to within 0.3 cores, if there is one. A section 'packing' of the scheduler's settings switches it on.

--- a/comfreymill_jobs/src/scheduler/choice.rs
+++ b/comfreymill_jobs/src/scheduler/choice.rs
@@ -40,7 +40,8 @@
         } else if spec.kind() == job::StepKind::Plain {
             self.choose_by_room(now, pool, task, spec, image)
         } else {
-            self.choose_by_score(now, pool, task, spec, image)
+            let tight = self.choose_tight(now, pool, task, spec, image);
+            tight.or_else(|| self.choose_by_score(now, pool, task, spec, image))
         }
     }
 
--- a/comfreymill_jobs/src/scheduler/config.rs
+++ b/comfreymill_jobs/src/scheduler/config.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use super::PackingConfig;
+
 /// Timing parameters of the scheduler.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Config {
@@ -8,6 +10,7 @@
     mixed_poll_period: Duration,
     clock_drift_ppm: u32,
     outcome_retention: Duration,
+    packing: Option<PackingConfig>,
 }
 
 const PPM: u64 = 1_000_000;
@@ -21,6 +24,7 @@
             mixed_poll_period: Duration::from_millis(600),
             clock_drift_ppm: 20_000,
             outcome_retention: Duration::from_secs(120),
+            packing: None,
         }
     }
 
@@ -52,6 +56,18 @@
         self
     }
 
+    /// Sets when long-running tasks are packed; without it, they never are.
+    #[must_use]
+    pub fn packing(mut self, packing: Option<PackingConfig>) -> Self {
+        self.packing = packing;
+        self
+    }
+
+    /// Returns when long-running tasks are packed.
+    pub fn get_packing(&self) -> Option<PackingConfig> {
+        self.packing
+    }
+
     /// Returns the duration of a worker's lease on the worker's clock.
     pub fn get_lease(&self) -> Duration {
         self.lease
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -52,6 +52,7 @@
         }
         self.needs_placement = false;
         self.placed_at = now;
+        self.update_packing(now);
         self.hold_workers(now);
         if self.ready.is_empty() {
             return false;
--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -4,6 +4,7 @@
 use comfreymill_types::time;
 
 use super::interference::Interference;
+use super::packing::Packing;
 use super::queue::ReadyQueue;
 use super::round::Round;
 use super::task::{JobEntry, OccurrenceEntry, TaskPhase};
@@ -44,6 +45,7 @@
             workers,
             ready: ReadyQueue::default(),
             interference: Interference::default(),
+            packing: Packing::default(),
             pending_workers: BTreeMap::new(),
             departures: state.get_departures().clone(),
             needs_placement: true,
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -4,6 +4,7 @@
 use comfreymill_types::time;
 
 use super::interference::Interference;
+use super::packing::Packing;
 use super::queue::{PlacementClass, Rank, ReadyQueue};
 use super::round::Round;
 use super::task::{JobEntry, TaskEntry, TaskPhase};
@@ -33,6 +34,7 @@
     pub(super) workers: Workers,
     pub(super) ready: ReadyQueue,
     pub(super) interference: Interference,
+    pub(super) packing: Packing,
     /// Workers that have announced an incarnation that is not in the log yet.
     pub(super) pending_workers: BTreeMap<id::WorkerName, super::announcements::PendingWorker>,
     /// Workers that were removed after they had said that they were leaving.
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -7,5 +7,6 @@
 mod leases;
 mod load;
 mod order;
+mod packing;
 mod succession;
 mod turns;
--- a/comfreymill_jobs/tests/support/mod.rs
+++ b/comfreymill_jobs/tests/support/mod.rs
@@ -80,6 +80,11 @@
 impl Leader {
     /// Creates the first leader of a new group, with routes to one pool.
     pub(crate) fn new() -> Self {
+        Self::with_config(Config::new(LEASE))
+    }
+
+    /// Creates the first leader of a new group with parameters of its own.
+    pub(crate) fn with_config(cfg: Config) -> Self {
         let mut state = State::default();
         state.apply(1, Command::Lead);
         let queues = vec![queue("batch", "/batch/")];
@@ -87,12 +92,16 @@
             routes::RouteTable { version: 1, queues, pools: vec![pool()], ..Default::default() };
         let document = "{}".into();
         state.apply(2, Command::SetRoutes { table: Box::new(table), document });
-        Self::from_state(state, Monotonic::from_millis(1_000))
+        Self::configured(cfg, state, Monotonic::from_millis(1_000))
     }
 
     /// Creates a leader that starts from a replicated state.
     pub(crate) fn from_state(state: State, now: Monotonic) -> Self {
-        let scheduler = Scheduler::new(Config::new(LEASE), &state, UNIX, now);
+        Self::configured(Config::new(LEASE), state, now)
+    }
+
+    fn configured(cfg: Config, state: State, now: Monotonic) -> Self {
+        let scheduler = Scheduler::new(cfg, &state, UNIX, now);
         Self {
             state,
             scheduler,
@@ -196,7 +205,13 @@
 
     /// Adds a worker that has announced itself and answered its first poll; returns its number.
     pub(crate) fn worker(&mut self, name: &str) -> id::WorkerNumber {
-        let announcement = self.announcement(name, 10);
+        self.worker_of_size(name, 16_000)
+    }
+
+    /// Adds a worker with `cpu_milli` thousandths of a core; returns its number.
+    pub(crate) fn worker_of_size(&mut self, name: &str, cpu_milli: u32) -> id::WorkerNumber {
+        let mut announcement = self.announcement(name, 10);
+        announcement.capacity.cpu_milli = cpu_milli;
         self.announce(announcement);
         let mut workers = self.state.get_workers().iter();
         let known = workers.find(|(_, worker)| worker.announced.name.as_str() == name);
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -75,7 +75,7 @@
         clock,
         address: node.get_address(),
         control: settings.get_control(),
-        decisions: scheduler::Config::new(settings.get_lease()),
+        decisions: decisions_config(settings),
         voters: settings.get_voters(),
         worker_connections: budget.workers,
         snapshot_entries: settings.get_snapshot_entries(),
@@ -236,3 +236,9 @@
     let replica = replica::Replica::new(cfg, recovered, rand::random(), clock.now());
     Ok((replica, thread))
 }
+
+/// Returns the parameters of the leader's decisions.
+fn decisions_config(settings: &settings::SchedulerSettings) -> scheduler::Config {
+    let packing = settings.get_packing().map(|packing| packing.get_config());
+    scheduler::Config::new(settings.get_lease()).packing(packing)
+}
--- a/comfreymill_node/src/settings/scheduler_settings.rs
+++ b/comfreymill_node/src/settings/scheduler_settings.rs
@@ -6,6 +6,7 @@
 use comfreymill_types::yaml;
 
 use super::NodeSettings;
+use super::PackingSettings;
 use super::settings_file;
 use crate::scheduler::turns;
 
@@ -31,6 +32,7 @@
     descriptors: usize,
     snapshot_entries: u64,
     overload: Option<turns::Bounds>,
+    packing: Option<PackingSettings>,
 }
 
 impl SchedulerSettings {
@@ -69,6 +71,11 @@
         self.descriptors
     }
 
+    /// When long-running tasks are packed; without it, they never are.
+    pub fn get_packing(&self) -> Option<PackingSettings> {
+        self.packing
+    }
+
     /// Number of log entries between two snapshots.
     pub fn get_snapshot_entries(&self) -> u64 {
         self.snapshot_entries
@@ -101,6 +108,7 @@
         if snapshot_entries == 0 {
             section.problem("snapshot_entries", "a snapshot covers at least 1 entry");
         }
+        let packing = PackingSettings::read(section);
         Some(Self {
             node: node?,
             control: control?,
@@ -111,6 +119,7 @@
             descriptors,
             snapshot_entries,
             overload,
+            packing,
         })
     }
 }
