--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -53,6 +53,7 @@
         self.needs_placement = false;
         self.placed_at = now;
         self.move_tasks(now);
+        self.update_packing(now);
         self.hold_workers(now);
         if self.ready.is_empty() {
             return false;
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -9,5 +9,6 @@
 mod load;
 mod moves;
 mod order;
+mod packing;
 mod succession;
 mod turns;
