perf(jobs): score workers again only for what scores depend on

Every mutable access had a worker scored again for each image that was searched for: also the acceptance of a start, a poll, and reports of workers without serving tasks. Entries now count the changes of their runs, paces and headroom, and only these are passed on. Headroom is not forgotten by a report of a worker without serving tasks.

Indexing changed workers and putting the waiting steps in order are now counted as work of a turn, too.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -149,6 +149,7 @@
         let has_resized = entry.replicated.announced.capacity != capacity;
         if has_resized {
             entry.replicated.announced.capacity = capacity;
+            entry.revision += 1;
             log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, cpu = capacity.cpu_milli, mem = capacity.mem_mb, gpus = capacity.gpus; "a worker's capacity has changed");
             self.commands.push(state::Command::SetCapacity { worker: number, capacity });
         }
--- a/comfreymill_jobs/src/scheduler/choice.rs
+++ b/comfreymill_jobs/src/scheduler/choice.rs
@@ -31,7 +31,7 @@
         spec: &job::StepSpec,
         image: ImageId,
     ) -> Option<id::WorkerNumber> {
-        self.workers.refresh(now);
+        self.steps += self.workers.refresh(now);
         if spec.kind() == job::StepKind::Filler {
             self.compute_headroom();
         }
@@ -147,7 +147,7 @@
         let Some(queue) = self.jobs.get(&task.step.job).map(|job| &job.queue) else { return false };
         let Some(queue) = self.routes.queue(queue) else { return false };
         let pool = self.workers.pool(&queue.pool);
-        self.workers.refresh(now);
+        self.steps += self.workers.refresh(now);
         self.compute_headroom();
         let key = ScoreKey::new(spec, image);
         let scorer = Scorer::new(&self.interference, spec, image);
--- a/comfreymill_jobs/src/scheduler/holding.rs
+++ b/comfreymill_jobs/src/scheduler/holding.rs
@@ -89,7 +89,7 @@
     ) -> Option<id::WorkerNumber> {
         let needs = spec.reserved();
         let mut best = None;
-        self.workers.refresh(now);
+        self.steps += self.workers.refresh(now);
         self.steps += self.workers.roomiest(pool, |number, worker| {
             let is_clearing = worker.is_placeable(now)
                 && !worker.runs.contains_key(&task)
--- a/comfreymill_jobs/src/scheduler/lost_workers.rs
+++ b/comfreymill_jobs/src/scheduler/lost_workers.rs
@@ -50,7 +50,7 @@
 
     /// Releases the runs of workers whose leases have expired.
     pub(super) fn expire_leases(&mut self, now: time::Monotonic) {
-        self.workers.refresh(now);
+        self.steps += self.workers.refresh(now);
         for number in self.workers.due_leases(now, MAX_EXPIRED_LEASES) {
             self.steps += 1;
             // An extended lease gets its timer when the worker is indexed again.
--- a/comfreymill_jobs/src/scheduler/pacing.rs
+++ b/comfreymill_jobs/src/scheduler/pacing.rs
@@ -49,7 +49,10 @@
     /// and speeds them up again when there is room.
     pub(super) fn pace(&mut self, now: time::Monotonic, number: id::WorkerNumber) {
         let Some(entry) = self.workers.get_mut(&number) else { return };
-        entry.headroom = None;
+        // Without serving tasks, reports teach nothing about headroom.
+        if !entry.serving.is_empty() {
+            entry.forget_headroom();
+        }
         let Some(entry) = self.workers.get(&number) else { return };
         let samples = self.slack_samples(entry);
         let shares = self.filler_shares(entry);
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -20,6 +20,9 @@
 /// Steps of work that a start counts for: its order is encoded and sent in the same turn.
 const STEPS_PER_START: u64 = 20;
 
+/// Waiting steps that are put in order in the time that another step of work takes.
+const ORDERED_PER_STEP: u64 = 4;
+
 /// # Placement of ready tasks
 impl Scheduler {
     /// Places ready tasks on workers, if anything has changed since the last round; does a bounded
@@ -57,6 +60,7 @@
             return false;
         }
         let steps = self.steps_by_lateness(now);
+        self.steps += steps.len() as u64 / ORDERED_PER_STEP;
         self.round.begin(now, steps);
         true
     }
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -59,7 +59,7 @@
 
     /// Polls the workers that are due.
     pub(super) fn poll_due(&mut self, now: time::Monotonic) {
-        self.workers.refresh(now);
+        self.steps += self.workers.refresh(now);
         for number in self.workers.due_polls(now, MAX_POLLS_PER_TICK) {
             self.steps += 1;
             self.poll(now, number);
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -62,6 +62,8 @@
     /// How much slack each serving image may lose, with all fillers at full speed, before fillers
     /// would be slowed down; `None` if it has to be computed again.
     pub(super) headroom: Option<Vec<(ImageId, f64)>>,
+    /// Number of changes of the runs, their paces or their headroom, on which scores depend.
+    pub(super) revision: u64,
     /// Whether a tail latency on the worker exceeds its target.
     pub(super) has_tail_over_target: bool,
     /// Whether capacity that becomes free is kept for a waiting long-running task.
@@ -122,6 +124,7 @@
             serving: BTreeMap::new(),
             fillers: 0,
             headroom: None,
+            revision: 0,
             has_tail_over_target: false,
             is_held: false,
             poll_sent_at: None,
@@ -223,7 +226,7 @@
 
     /// Adds a run and updates the totals.
     pub(super) fn add(&mut self, task: id::TaskId, run: RunEntry) {
-        self.headroom = None;
+        self.forget_headroom();
         self.reserved += run.reserved;
         if run.is_lasting() {
             self.lasting += run.reserved;
@@ -240,7 +243,7 @@
     /// Removes a run and updates the totals.
     pub(super) fn remove(&mut self, task: id::TaskId) -> Option<RunEntry> {
         let run = self.runs.remove(&task)?;
-        self.headroom = None;
+        self.forget_headroom();
         self.reserved = self.reserved.saturating_sub(&run.reserved);
         if run.is_lasting() {
             self.lasting = self.lasting.saturating_sub(&run.reserved);
@@ -278,6 +281,13 @@
         self.used_cpu -= run.used_cpu();
         run.pace = pace;
         self.used_cpu += run.used_cpu();
+        self.revision += 1;
+    }
+
+    /// Has the headroom computed again when it is needed.
+    pub(super) fn forget_headroom(&mut self) {
+        self.headroom = None;
+        self.revision += 1;
     }
 }
 
--- a/comfreymill_jobs/src/scheduler/workers/workers.rs
+++ b/comfreymill_jobs/src/scheduler/workers/workers.rs
@@ -34,6 +34,8 @@
     entry: WorkerEntry,
     is_changed: bool,
     position: Option<Position>,
+    /// Revision of the entry that scores were last told of.
+    revision: u64,
     poll_at: Option<time::Monotonic>,
     lease_at: Option<time::Monotonic>,
     returns_at: Option<time::Monotonic>,
@@ -70,8 +72,15 @@
         let announced = &entry.replicated.announced;
         self.by_name.entry(announced.name.clone()).or_default().insert(number);
         self.by_address.entry(announced.address).or_default().insert(number);
-        let (position, poll_at, lease_at, returns_at) = (None, None, None, None);
-        let slot = Slot { entry, is_changed: true, position, poll_at, lease_at, returns_at };
+        let slot = Slot {
+            entry,
+            is_changed: true,
+            position: None,
+            revision: 0,
+            poll_at: None,
+            lease_at: None,
+            returns_at: None,
+        };
         self.slots.insert(number, slot);
         self.changed.push(number);
     }
@@ -130,14 +139,16 @@
         self.named(&announced.name).chain(same_address)
     }
 
-    /// Indexes the workers that have changed.
-    pub(in crate::scheduler) fn refresh(&mut self, now: time::Monotonic) {
+    /// Indexes the workers that have changed; returns their number.
+    pub(in crate::scheduler) fn refresh(&mut self, now: time::Monotonic) -> u64 {
         for number in self.returns.due(now, usize::MAX) {
             self.get_mut(&number);
         }
-        for number in std::mem::take(&mut self.changed) {
-            self.index(now, number);
+        let changed = std::mem::take(&mut self.changed);
+        for number in &changed {
+            self.index(now, *number);
         }
+        changed.len() as u64
     }
 
     fn index(&mut self, now: time::Monotonic, number: id::WorkerNumber) {
@@ -157,18 +168,24 @@
         }
         if is_placeable {
             let (pool, free) = (self.pools.get_mut(home), entry.free());
+            let mut is_rescored = slot.revision != entry.revision;
+            slot.revision = entry.revision;
             if let Some(position) = &mut slot.position {
                 if position.free != free {
                     pool.remove(number, &position.free, &position.labels);
                     pool.insert(number, &free, &position.labels);
                     position.free = free;
+                    is_rescored = true;
                 }
             } else {
                 pool.insert(number, &free, &announcement.labels);
                 let labels = announcement.labels.clone();
                 slot.position = Some(Position { pool: home, labels, free });
+                is_rescored = true;
+            }
+            if is_rescored {
+                pool.note_change(number);
             }
-            pool.note_change(number);
         }
         if entry.headroom.is_none() {
             self.unknown_headroom.insert(number);
