test(group): a suspended leader, and one with a slow store

Cause: no test named the two failures with one replica each. Change: answers to messages sent before a suspension give no lease after it; a leader whose writes take 400 ms keeps its lead and its lease, and commits through its followers.

--- a/comfreymill_group/tests/scenario/mod.rs
+++ b/comfreymill_group/tests/scenario/mod.rs
@@ -11,6 +11,7 @@
 mod message;
 mod older_term;
 mod partition;
+mod paused;
 mod single;
 mod slow;
 mod transfer;
