refactor(node): the order of lease checks and orders is a decision with a test

Cause: that orders are sent only by a leader whose lease is valid after the decision was not testable, since the loop has sockets. Change: a trait for the leader and a function that gives orders; the loop implements the trait. Connections to workers stay open for 30 s instead of 5 s. Result: a leader that is suspended during the decision keeps its orders, in a test with a clock that jumps; without the second check the test fails.

--- a/comfreymill_node/src/scheduler/core/leadership.rs
+++ b/comfreymill_node/src/scheduler/core/leadership.rs
@@ -1,5 +1,3 @@
-use std::time::Duration;
-
 use comfreymill_group::replica;
 use comfreymill_jobs::scheduler;
 use comfreymill_jobs::state;
@@ -88,44 +86,6 @@
         }
     }
 
-    /// Places tasks if a round is due, sends the resulting orders to workers and queues the commands
-    /// to propose.
-    pub(super) fn issue_orders(&mut self) {
-        let began = self.cfg.clock.now();
-        if !self.is_serving(began) {
-            return;
-        }
-        let Some(leadership) = &mut self.leadership else { return };
-        if self.placement.is_due(began) {
-            leadership.scheduler.place(began);
-            let now = self.cfg.clock.now();
-            self.placement.done(began, now);
-            self.load.spent(Part::Placement, began, now);
-        }
-        // The process may have been suspended during the placement. Orders stay with the scheduler
-        // then, and are sent only by a leader whose lease is valid again.
-        if !self.is_serving(self.cfg.clock.now()) {
-            return;
-        }
-        let Some(leadership) = &mut self.leadership else { return };
-        let workers = self.state.get_workers().len();
-        for order in leadership.scheduler.take_orders() {
-            let Some(worker) = leadership.scheduler.worker(order.worker()) else { continue };
-            let announced = &worker.announced;
-            leadership.order_sender.send(order, &announced.name, announced.address, workers);
-        }
-        self.commands.extend(leadership.scheduler.take_commands());
-    }
-
-    /// Returns the time until tasks that the last turn left may be placed; the maximum if it left
-    /// none.
-    pub(super) fn placement_wait(&self, now: time::Monotonic) -> Duration {
-        let leadership = self.leadership.as_ref().filter(|_| self.is_serving(now));
-        let is_left =
-            leadership.is_some_and(|leadership| leadership.scheduler.has_placement_left());
-        if is_left { self.placement.remaining(now) } else { Duration::MAX }
-    }
-
     /// Proposes the queued commands as one log entry; returns whether one was proposed.
     ///
     /// While enough entries are not committed yet, commands wait for the next one: an entry costs
--- a/comfreymill_node/src/scheduler/core/mod.rs
+++ b/comfreymill_node/src/scheduler/core/mod.rs
@@ -8,6 +8,7 @@
 mod leadership;
 mod load;
 mod membership;
+mod orders;
 mod overload;
 mod task;
 mod waiter;
--- /dev/null
+++ b/comfreymill_node/src/scheduler/core/orders.rs
@@ -0,0 +1,56 @@
+use std::time::Duration;
+
+use comfreymill_types::time;
+
+use super::core::Core;
+use super::load::Part;
+use crate::scheduler::turns;
+
+/// # Orders
+impl Core {
+    /// Places tasks if a part of a round is due, sends the resulting orders to workers and queues the
+    /// commands to propose.
+    pub(super) fn issue_orders(&mut self) {
+        turns::give_orders(self);
+    }
+
+    /// Returns the time until tasks that the last turn left may be placed; the maximum if it left
+    /// none.
+    pub(super) fn placement_wait(&self, now: time::Monotonic) -> Duration {
+        let leadership = self.leadership.as_ref().filter(|_| self.is_serving(now));
+        let is_left =
+            leadership.is_some_and(|leadership| leadership.scheduler.has_placement_left());
+        if is_left { self.placement.remaining(now) } else { Duration::MAX }
+    }
+}
+
+impl turns::Leading for Core {
+    fn now(&self) -> time::Monotonic {
+        self.cfg.clock.now()
+    }
+
+    fn is_serving(&self, now: time::Monotonic) -> bool {
+        Self::is_serving(self, now)
+    }
+
+    fn place(&mut self, began: time::Monotonic) {
+        let Some(leadership) = &mut self.leadership else { return };
+        if self.placement.is_due(began) {
+            leadership.scheduler.place(began);
+            let now = self.cfg.clock.now();
+            self.placement.done(began, now);
+            self.load.spent(Part::Placement, began, now);
+        }
+    }
+
+    fn send_orders(&mut self) {
+        let Some(leadership) = &mut self.leadership else { return };
+        let workers = self.state.get_workers().len();
+        for order in leadership.scheduler.take_orders() {
+            let Some(worker) = leadership.scheduler.worker(order.worker()) else { continue };
+            let announced = &worker.announced;
+            leadership.order_sender.send(order, &announced.name, announced.address, workers);
+        }
+        self.commands.extend(leadership.scheduler.take_commands());
+    }
+}
--- a/comfreymill_node/src/scheduler/orders/delivery.rs
+++ b/comfreymill_node/src/scheduler/orders/delivery.rs
@@ -19,8 +19,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum time for an answer, in addition to the delay that the order allows the worker.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
-/// Time without orders after which a connection is closed; each occupies a descriptor.
-const IDLE_LIMIT: Duration = Duration::from_secs(5);
+/// Time without orders after which a connection is closed; each occupies a descriptor, and workers
+/// that are polled rarely are polled every few seconds.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
 /// Time in the queue after which an order is logged.
 const LONG_QUEUE_WAIT: Duration = Duration::from_secs(1);
 /// Maximum size of an answer; 500 ends and the runs of a full worker take far less.
--- a/comfreymill_node/src/scheduler/turns/mod.rs
+++ b/comfreymill_node/src/scheduler/turns/mod.rs
@@ -12,10 +12,12 @@
 
 mod backlog;
 mod kind;
+mod leading;
 mod overload;
 mod pacer;
 
 pub use backlog::{Backlog, Queued};
 pub use kind::Kind;
+pub use leading::{Leading, give_orders};
 pub use overload::{Bounds, Level, Overload};
 pub use pacer::Pacer;
--- a/comfreymill_node/tests/turns/mod.rs
+++ b/comfreymill_node/tests/turns/mod.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use comfreymill_node::scheduler::turns::{Backlog, Bounds, Kind, Level, Overload, Pacer};
+use comfreymill_node::scheduler::turns::{
+    Backlog, Bounds, Kind, Leading, Level, Overload, Pacer, give_orders,
+};
 use comfreymill_types::time;
 
 /// Number of inputs of the kind that floods the loop.
@@ -160,3 +162,46 @@
     backlog.push(Kind::Report, at(100), ());
     assert_eq!(backlog.longest_wait(at(400)), Duration::from_millis(300));
 }
+
+/// Leader whose lease ends at a time, and whose process is suspended while it decides.
+struct Suspended {
+    clock: time::Monotonic,
+    lease_until: time::Monotonic,
+    suspended_for: Duration,
+    kept: usize,
+    sent: usize,
+}
+
+impl Leading for Suspended {
+    fn now(&self) -> time::Monotonic {
+        self.clock
+    }
+
+    fn is_serving(&self, now: time::Monotonic) -> bool {
+        now < self.lease_until
+    }
+
+    fn place(&mut self, _: time::Monotonic) {
+        self.kept += 1;
+        self.clock = self.clock + self.suspended_for;
+    }
+
+    fn send_orders(&mut self) {
+        self.sent += std::mem::take(&mut self.kept);
+    }
+}
+
+#[test]
+fn a_leader_that_is_suspended_between_its_lease_check_and_its_order_sends_nothing() {
+    let at = time::Monotonic::from_millis;
+    let suspended_for = Duration::from_millis(500);
+    let mut leader =
+        Suspended { clock: at(100), lease_until: at(400), suspended_for, kept: 0, sent: 0 };
+    assert!(!give_orders(&mut leader));
+    assert_eq!((leader.kept, leader.sent), (1, 0), "the order is kept");
+    assert!(!give_orders(&mut leader), "the lease is over before the decision");
+    assert_eq!((leader.kept, leader.sent), (1, 0));
+    leader.lease_until = at(2_000);
+    assert!(give_orders(&mut leader), "the lease is valid again");
+    assert_eq!((leader.kept, leader.sent), (0, 2));
+}
