perf(jobs): leave room for bursts while a zone is emptied

Cause: a task that moves out of an evacuated zone gives up room that nobody else may use and takes room that the next burst needs.

Change: for `evacuation_patience`, a new setting of schedulers (60 s), tasks move only while a quarter of the other workers' room is free and no task waits for some; afterwards wherever there is room. A new leader goes by the time of the order.

--- a/comfreymill_jobs/src/scheduler/config.rs
+++ b/comfreymill_jobs/src/scheduler/config.rs
@@ -8,6 +8,7 @@
     mixed_poll_period: Duration,
     clock_drift_ppm: u32,
     outcome_retention: Duration,
+    evacuation_patience: Duration,
 }
 
 const PPM: u64 = 1_000_000;
@@ -21,6 +22,7 @@
             mixed_poll_period: Duration::from_millis(600),
             clock_drift_ppm: 20_000,
             outcome_retention: Duration::from_secs(120),
+            evacuation_patience: Duration::from_secs(60),
         }
     }
 
@@ -52,6 +54,14 @@
         self
     }
 
+    /// Sets the time for which tasks of an evacuated zone move only while there is room to
+    /// spare.
+    #[must_use]
+    pub fn evacuation_patience(mut self, span: Duration) -> Self {
+        self.evacuation_patience = span;
+        self
+    }
+
     /// Returns the duration of a worker's lease on the worker's clock.
     pub fn get_lease(&self) -> Duration {
         self.lease
@@ -72,6 +82,12 @@
         self.outcome_retention
     }
 
+    /// Returns the time for which tasks of an evacuated zone move only while there is room to
+    /// spare.
+    pub fn get_evacuation_patience(&self) -> Duration {
+        self.evacuation_patience
+    }
+
     /// Returns the maximum time that passes on the leader's clock during `span` on a worker's
     /// clock.
     pub fn max_leader_time(&self, span: Duration) -> Duration {
--- a/comfreymill_jobs/src/scheduler/evacuation.rs
+++ b/comfreymill_jobs/src/scheduler/evacuation.rs
@@ -23,7 +23,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ZonePhase {
     /// The zone is evacuated.
-    Evacuated,
+    Evacuated {
+        /// Time from which on tasks move although there is no room to spare.
+        impatient_at: time::Monotonic,
+    },
     /// The evacuation was withdrawn, and the workers get tasks again in steps.
     Returning {
         /// Number of steps that were made.
@@ -61,11 +64,13 @@
     ) {
         let record = state.get_evacuations().get(zone);
         if record.is_some_and(|record| record.evacuated.is_some()) {
-            self.zones.insert(zone.clone(), ZonePhase::Evacuated);
+            let impatient_at = now + self.cfg.get_evacuation_patience();
+            let phase = ZonePhase::Evacuated { impatient_at };
+            self.zones.insert(zone.clone(), phase);
             for worker in self.workers.values_mut().filter(|worker| worker.is_in(zone)) {
                 worker.is_evacuated = true;
             }
-            let report = self.zone_report(zone, ZonePhase::Evacuated);
+            let report = self.zone_report(zone, phase);
             log::warn!(target: "evacuations", zone:% = zone, workers = report.workers, runs = report.runs, lasting = report.long_running; "a zone is evacuated: no task starts there");
         } else if self.zones.contains_key(zone) {
             self.zones.insert(zone.clone(), ZonePhase::Returning { steps: 0, next_at: now });
@@ -94,7 +99,11 @@
                 Duration::from_millis(withdrawn.unix_ms).abs_diff(since_1970) < steps
             });
             let phase = match &record.evacuated {
-                Some(_) => ZonePhase::Evacuated,
+                Some(request) => {
+                    let age = since_1970.saturating_sub(Duration::from_millis(request.unix_ms));
+                    let patience = self.cfg.get_evacuation_patience().saturating_sub(age);
+                    ZonePhase::Evacuated { impatient_at: now + patience }
+                }
                 None if is_recent => ZonePhase::Returning { steps: 0, next_at: now },
                 None => continue,
             };
@@ -114,13 +123,21 @@
 
     /// Returns whether any zone is evacuated.
     pub(super) fn has_evacuated_zone(&self) -> bool {
-        self.zones.values().any(|phase| *phase == ZonePhase::Evacuated)
+        self.zones.values().any(|phase| matches!(phase, ZonePhase::Evacuated { .. }))
+    }
+
+    /// Returns whether any zone has been evacuated for so long that its tasks move although there
+    /// is no room to spare.
+    pub(super) fn has_patience_ended(&self, now: time::Monotonic) -> bool {
+        self.zones.values().any(
+            |phase| matches!(phase, ZonePhase::Evacuated { impatient_at } if now >= *impatient_at),
+        )
     }
 
     /// Makes the steps of the returns that are due.
     pub(super) fn advance_returns(&mut self, now: time::Monotonic) {
         let is_due = |phase: &ZonePhase| match phase {
-            ZonePhase::Evacuated => None,
+            ZonePhase::Evacuated { .. } => None,
             ZonePhase::Returning { steps, next_at } => (now >= *next_at).then_some(*steps + 1),
         };
         let due =
@@ -157,7 +174,7 @@
     fn zone_report(&self, zone: &id::ZoneName, phase: ZonePhase) -> ZoneReport {
         let mut report = ZoneReport {
             zone: zone.clone(),
-            is_returning: phase != ZonePhase::Evacuated,
+            is_returning: matches!(phase, ZonePhase::Returning { .. }),
             workers: 0,
             closed: 0,
             runs: 0,
--- a/comfreymill_jobs/src/scheduler/moves.rs
+++ b/comfreymill_jobs/src/scheduler/moves.rs
@@ -3,7 +3,8 @@
 //! Load pattern: a zone is emptied while the rest of the fleet is nearly full. A long-running task
 //! that is stopped before there is room for it elsewhere would wait behind all short tasks, so room
 //! is taken on another worker first, the run is stopped then, and the task starts there as soon as
-//! its run has ended. Few tasks move at a time: each takes room that short tasks wait for.
+//! its run has ended. Few tasks move at a time, and none into the room that bursts need, unless the
+//! operator has waited for long.
 
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 
 use super::Scheduler;
 use super::choice::is_allowed;
+use super::queue::PlacementClass;
 use super::run::{RunEntry, RunPhase};
 use super::task::TaskPhase;
 use crate::id;
@@ -24,6 +26,8 @@
 const MAX_VAIN_SEARCHES: usize = 2;
 /// Time between searches for tasks that may move; each looks at all runs of the evacuated zones.
 const MOVE_PERIOD: Duration = Duration::from_millis(100);
+/// Part of the usable workers' room that moves leave free for bursts, in percent.
+const SPARE_PERCENT: u64 = 25;
 /// Remaining time above which a task with checkpoints moves; a shorter one ends where it is, before
 /// work on the zone's machines would begin.
 const MIN_REMAINING: Duration = Duration::from_secs(10);
@@ -38,14 +42,19 @@
 
 /// # Moves out of evacuated zones
 impl Scheduler {
-    /// Starts the tasks that were stopped on the workers where they have room, and stops others.
-    pub(super) fn move_tasks(&mut self, now: time::Monotonic) {
-        self.finish_moves(now);
+    /// Reserves room for tasks that may move and stops their runs, once waiting tasks were placed.
+    ///
+    /// A task that moves has its room in the evacuated zone. So while the rest of the fleet has
+    /// little room, or tasks wait for some, it moves only when the operator has waited for long.
+    pub(super) fn begin_moves(&mut self, now: time::Monotonic) {
         let is_due = now.since(self.moves_begun_at) >= MOVE_PERIOD;
         if !is_due || !self.has_evacuated_zone() {
             return;
         }
         self.moves_begun_at = now;
+        if !self.has_patience_ended(now) && !self.has_room_to_spare(now) {
+            return;
+        }
         let most = self.workers.len() / MAX_MOVES_DIVISOR + 1;
         let mut vain_searches = 0;
         for (number, task) in self.find_movable() {
@@ -57,6 +66,21 @@
         }
     }
 
+    /// Returns whether no task waits for room, and enough of the usable workers' is free.
+    fn has_room_to_spare(&self, now: time::Monotonic) -> bool {
+        let mut classes = [PlacementClass::Short, PlacementClass::Lasting].into_iter();
+        if classes.any(|class| self.ready.first(class).is_some()) {
+            return false;
+        }
+        let (mut cpu, mut mem) = ((0, 0), (0, 0));
+        for entry in self.workers.values().filter(|entry| entry.is_usable(now)) {
+            let (capacity, free) = (entry.announcement.capacity, entry.free());
+            cpu = (cpu.0 + u64::from(free.cpu_milli), cpu.1 + u64::from(capacity.cpu_milli));
+            mem = (mem.0 + u64::from(free.mem_mb), mem.1 + u64::from(capacity.mem_mb));
+        }
+        [cpu, mem].iter().all(|(free, all)| free * 100 >= all * SPARE_PERCENT)
+    }
+
     /// Triggers a placement when tasks to move are to be looked for.
     pub(super) fn retry_moves(&mut self, now: time::Monotonic) {
         let is_due = now.since(self.moves_begun_at) >= MOVE_PERIOD;
@@ -151,7 +175,7 @@
     }
 
     /// Starts the tasks whose runs have ended on the workers where they have room.
-    fn finish_moves(&mut self, now: time::Monotonic) {
+    pub(super) fn finish_moves(&mut self, now: time::Monotonic) {
         let is_stopping = |task: id::TaskId, from| {
             self.task(task).is_some_and(|entry| entry.phase == TaskPhase::Placed(from))
         };
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -20,15 +20,17 @@
         }
         self.needs_placement = false;
         self.placed_at = now;
-        self.move_tasks(now);
+        self.finish_moves(now);
         self.hold_workers(now);
         if self.ready.is_empty() {
+            self.begin_moves(now);
             return;
         }
         let mut unplaceable = Unplaceable::new();
         for step in self.steps_by_lateness(now) {
             self.place_step(now, step, &mut unplaceable);
         }
+        self.begin_moves(now);
     }
 
     fn place_step(
--- a/comfreymill_jobs/tests/scheduler/moves.rs
+++ b/comfreymill_jobs/tests/scheduler/moves.rs
@@ -180,6 +180,39 @@
     assert_eq!(leader.take_starts().len(), 15, "no room stays reserved");
 }
 
+#[test]
+fn tasks_that_wait_for_room_come_first_until_the_operator_has_waited_for_long() {
+    let mut leader = Leader::new();
+    let runs = at_work(&mut leader, 1, long_running(1));
+    leader.worker_in("n", "north");
+    // It waits for a worker with a label, so that room is left although it waits.
+    let labelled = job::StepSpec { required_label: Some("none".to_owned()), ..step(1) };
+    leader.submit_as(KEY.get() + 1, spec(vec![labelled]));
+    leader.evacuate("south");
+    let mut seconds = 0;
+    while take_stops(&mut leader).is_empty() {
+        leader.advance(Duration::from_secs(1));
+        leader.worker_reports_nothing("n");
+        report_all(&mut leader, runs[0].worker, &runs, 100);
+        seconds += 1;
+        assert!(seconds < 100, "it moves at last");
+    }
+    assert_eq!(seconds, 60);
+}
+
+#[test]
+fn moves_leave_room_for_bursts() {
+    for (short, expected) in [(6, 1), (7, 0)] {
+        let mut leader = Leader::new();
+        at_work(&mut leader, 1, long_running(8));
+        leader.worker_in("n", "north");
+        leader.submit_as(KEY.get() + 1, spec(vec![step(short)]));
+        leader.evacuate("south");
+        leader.advance(ROUND);
+        assert_eq!(take_stops(&mut leader).len(), expected, "{short} of 8 are taken");
+    }
+}
+
 #[test]
 fn no_task_moves_after_the_withdrawal() {
     let mut leader = Leader::new();
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -75,7 +75,8 @@
         clock,
         address: node.get_address(),
         control: settings.get_control(),
-        decisions: scheduler::Config::new(settings.get_lease()),
+        decisions: scheduler::Config::new(settings.get_lease())
+            .evacuation_patience(settings.get_evacuation_patience()),
         voters: settings.get_voters(),
         worker_connections: budget.workers,
         zones: settings.get_zones().to_vec(),
--- a/comfreymill_node/src/settings/scheduler_settings.rs
+++ b/comfreymill_node/src/settings/scheduler_settings.rs
@@ -14,6 +14,8 @@
 /// A log of this many entries is read in well under a second.
 const SNAPSHOT_ENTRIES: u64 = 4_000;
 
+/// Work on the machines of a zone seldom begins sooner.
+const EVACUATION_PATIENCE: Duration = Duration::from_secs(60);
 /// Common limit of descriptors of a process.
 const DESCRIPTORS: usize = 4_096;
 /// Number of descriptors below which a scheduler can't serve its listeners and its members.
@@ -31,6 +33,7 @@
     descriptors: usize,
     snapshot_entries: u64,
     zones: Vec<id::ZoneName>,
+    evacuation_patience: Duration,
 }
 
 impl SchedulerSettings {
@@ -79,6 +82,11 @@
         &self.zones
     }
 
+    /// Time for which tasks of an evacuated zone move only while there is room to spare.
+    pub fn get_evacuation_patience(&self) -> Duration {
+        self.evacuation_patience
+    }
+
     pub(super) fn read_section(section: &yaml::Section<'_>, folder: &path::Path) -> Option<Self> {
         settings_file::read_program(section, settings_file::SCHEDULER);
         let node = NodeSettings::read(section);
@@ -91,6 +99,7 @@
         let voters = section.optional("voters").unwrap_or(VOTERS);
         let snapshot_entries = section.optional("snapshot_entries").unwrap_or(SNAPSHOT_ENTRIES);
         let zones = section.optional("zones").map_or_else(Vec::new, |list: ZoneList| list.0);
+        let patience: Option<time::Span> = section.optional("evacuation_patience");
         let descriptors = section.optional("descriptors").unwrap_or(DESCRIPTORS);
         if descriptors < MIN_DESCRIPTORS {
             section.problem("descriptors", "a scheduler needs at least 64 descriptors");
@@ -111,6 +120,7 @@
             descriptors,
             snapshot_entries,
             zones,
+            evacuation_patience: patience.map_or(EVACUATION_PATIENCE, Duration::from),
         })
     }
 }
--- a/comfreymill_node/tests/settings/nodes.rs
+++ b/comfreymill_node/tests/settings/nodes.rs
@@ -57,6 +57,7 @@
         ("  level: info", "  level: loud", "19:", "log.level:"),
         ("data_folder: data/scheduler\n", "", "1:", "data_folder: is missing"),
         ("zone: hobart-a", "room: hobart-a", "3:", "room: is not known here"),
+        ("patience: 60s", "patience: 60", "22:", "evacuation_patience: `60` is not a time"),
         ("zones: hobart-a", "zones: Hobart A", "21:", "zones: `Hobart A` is no zone name"),
     ];
     for (from, to, line, expected) in cases {
