fix(jobs): resume from the checkpoint that a run has left at its end

Cause: the checkpoint of a recorded end was kept, and then replaced by the older one of the run's last report when the run was released. A stopped task lost the work since that report.

Change: the run takes the checkpoint of its end before it is released. The new test failed with the older checkpoint.

--- a/comfreymill_jobs/src/scheduler/ends.rs
+++ b/comfreymill_jobs/src/scheduler/ends.rs
@@ -53,13 +53,11 @@
         let task = end.task;
         let key = task.step.job;
         let job = state.get_jobs().get(&key);
-        if !end.checkpoint.is_empty()
-            && let Some(entry) = self.task_mut(task)
-        {
-            entry.checkpoint.clone_from(&end.checkpoint);
-        }
         let is_over = job.is_none_or(state::Job::is_over);
         let is_current = self.is_current(number, end);
+        if !end.checkpoint.is_empty() {
+            self.take_checkpoint(number, end, is_current);
+        }
         if is_over {
             if is_current {
                 self.remove_run(number, task);
@@ -81,6 +79,17 @@
         }
     }
 
+    /// Records the checkpoint that a run has left, which is later than those of its reports.
+    fn take_checkpoint(&mut self, number: id::WorkerNumber, end: &worker::End, is_current: bool) {
+        if let Some(entry) = self.task_mut(end.task) {
+            entry.checkpoint.clone_from(&end.checkpoint);
+        }
+        let worker = self.workers.get_mut(&number).filter(|_| is_current);
+        if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&end.task)) {
+            run.checkpoint.clone_from(&end.checkpoint);
+        }
+    }
+
     fn is_current(&self, number: id::WorkerNumber, end: &worker::End) -> bool {
         let run = self.workers.get(&number).and_then(|worker| worker.runs.get(&end.task));
         run.is_some_and(|run| run.run == end.run)
--- a/comfreymill_jobs/tests/scheduler/moves.rs
+++ b/comfreymill_jobs/tests/scheduler/moves.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use comfreymill_jobs::scheduler::{Order, StartAnswer};
-use comfreymill_jobs::worker::{Announcement, EndKind, Report, RunStatus};
+use comfreymill_jobs::worker::{Announcement, End, EndKind, Report, RunStatus};
 use comfreymill_jobs::{id, job};
 
 use crate::support::{KEY, Leader, Start, spec, step};
@@ -159,6 +159,32 @@
     }
 }
 
+#[test]
+fn a_moved_task_resumes_from_the_checkpoint_that_its_stop_has_taken() {
+    let mut leader = Leader::new();
+    let step = job::StepSpec { has_checkpoints: true, estimate_ms: 60_000, ..step(1) };
+    let runs = at_work(&mut leader, 1, step);
+    leader.worker_in("n", "north");
+    let checkpoint = "before the stop".to_owned();
+    let running = vec![RunStatus { checkpoint, ..runs[0].status() }];
+    leader.report(runs[0].worker, Report { running, ..Report::default() });
+    leader.evacuate("south");
+    leader.advance(ROUND);
+    let checkpoint = "at the stop".to_owned();
+    let ended = vec![End { checkpoint, ..runs[0].end(1, EndKind::Stopped) }];
+    leader.orders.clear();
+    leader.report(runs[0].worker, Report { ended, ..Report::default() });
+    let checkpoints: Vec<_> = leader
+        .orders
+        .iter()
+        .filter_map(|order| match order {
+            Order::Start { checkpoint, .. } => Some(checkpoint.as_str()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(checkpoints, ["at the stop"]);
+}
+
 #[test]
 fn a_task_whose_new_place_is_lost_waits_for_another() {
     let mut leader = Leader::new();
