perf(node): acknowledge a repeated order about a zone without a commit

Cause: an order that was sent again for a state that the leader had applied was proposed again.

Change: such an order is acknowledged at once, unless an order about a zone that this leader has proposed has no commit yet.

--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -70,6 +70,8 @@
     pub(super) is_draining: bool,
     pub(super) members_checked_at: time::Monotonic,
     pub(super) zones_observed_at: time::Monotonic,
+    /// Log index of the last entry with an order about a zone that this process proposed.
+    pub(super) zone_order_at: u64,
 }
 
 impl Core {
@@ -99,6 +101,7 @@
             is_draining: false,
             members_checked_at: time::Monotonic::ZERO,
             zones_observed_at: time::Monotonic::ZERO,
+            zone_order_at: 0,
         }
     }
 
--- a/comfreymill_node/src/scheduler/core/evacuations.rs
+++ b/comfreymill_node/src/scheduler/core/evacuations.rs
@@ -34,27 +34,41 @@
 
 /// # Evacuations of availability zones
 impl Core {
-    /// Proposes an evacuation.
-    ///
-    /// It is proposed even if the zone is evacuated already, since a withdrawal may be on its way
-    /// into the log.
+    /// Proposes an evacuation, unless the zone is evacuated already.
     pub(super) fn evacuate(&mut self, order: Box<state::ZoneOrder>, reply: ReplyTo) {
         if let Some(refusal) = self.refuse_zone(&order.zone) {
             return reply.send(&refusal);
         }
+        if self.is_settled(&order.zone, true) {
+            return reply.send(&Reply::Done);
+        }
         log::info!(target: "evacuations", zone:% = order.zone, operator = order.operator.as_str(), revision = order.revision; "an evacuation is asked for");
         self.queue_command(state::Command::Evacuate(order), reply, Reply::Done);
     }
 
-    /// Proposes the withdrawal of an evacuation.
+    /// Proposes the withdrawal of an evacuation, unless the zone is not evacuated.
     pub(super) fn withdraw_evacuation(&mut self, order: Box<state::ZoneOrder>, reply: ReplyTo) {
         if let Some(refusal) = self.refuse_zone(&order.zone) {
             return reply.send(&refusal);
         }
+        if self.is_settled(&order.zone, false) {
+            return reply.send(&Reply::Done);
+        }
         log::info!(target: "evacuations", zone:% = order.zone, operator = order.operator.as_str(), revision = order.revision; "the withdrawal of an evacuation is asked for");
         self.queue_command(state::Command::WithdrawEvacuation(order), reply, Reply::Done);
     }
 
+    /// Returns whether a zone is in the wanted state, and no order that may change it is on its way
+    /// into the log.
+    ///
+    /// A new leader has applied the entries of all earlier ones, so only its own count.
+    fn is_settled(&self, zone: &id::ZoneName, is_evacuated: bool) -> bool {
+        let record = self.state.get_evacuations().get(zone);
+        let is_pending = self.state.get_applied() < self.zone_order_at
+            || self.commands.iter().any(is_zone_order);
+        !is_pending && record.is_some_and(|record| record.evacuated.is_some()) == is_evacuated
+    }
+
     /// Returns the refusal of an order about a zone that is neither in the settings nor that of a
     /// known worker, nor was ever evacuated.
     fn refuse_zone(&self, zone: &id::ZoneName) -> Option<Reply> {
@@ -105,6 +119,11 @@
     }
 }
 
+/// Returns whether a command is an order about a zone.
+pub(super) fn is_zone_order(command: &state::Command) -> bool {
+    matches!(command, state::Command::Evacuate(_) | state::Command::WithdrawEvacuation(_))
+}
+
 fn view<'a>(
     zone: &'a id::ZoneName,
     record: &'a state::ZoneRecord,
--- a/comfreymill_node/src/scheduler/core/leadership.rs
+++ b/comfreymill_node/src/scheduler/core/leadership.rs
@@ -4,6 +4,7 @@
 use comfreymill_types::time;
 
 use super::core::Core;
+use super::evacuations;
 use super::waiter::PendingEntry;
 use crate::clock;
 use crate::jobcall;
@@ -99,6 +100,9 @@
         let waiters = std::mem::take(&mut self.waiters);
         match self.replica.propose(now, vec![jobcall::encode(&commands)]) {
             Ok(proposed) => {
+                if commands.iter().any(evacuations::is_zone_order) {
+                    self.zone_order_at = proposed.first.get();
+                }
                 let pending = PendingEntry { waiters, proposed_at: now };
                 self.proposals.add(proposed.first, proposed.term, pending);
                 true
