--- a/comfreymill_jobs/src/scheduler/config.rs
+++ b/comfreymill_jobs/src/scheduler/config.rs
@@ -11,6 +11,7 @@
     clock_drift_ppm: u32,
     outcome_retention: Duration,
     packing: Option<PackingConfig>,
+    evacuation_patience: Duration,
 }
 
 const PPM: u64 = 1_000_000;
@@ -25,6 +26,7 @@
             clock_drift_ppm: 20_000,
             outcome_retention: Duration::from_secs(120),
             packing: None,
+            evacuation_patience: Duration::from_secs(60),
         }
     }
 
@@ -68,6 +70,14 @@
         self.packing
     }
 
+    /// Sets the time for which tasks of an evacuated zone move only while there is room to
+    /// spare.
+    #[must_use]
+    pub fn evacuation_patience(mut self, span: Duration) -> Self {
+        self.evacuation_patience = span;
+        self
+    }
+
     /// Returns the duration of a worker's lease on the worker's clock.
     pub fn get_lease(&self) -> Duration {
         self.lease
@@ -88,6 +98,12 @@
         self.outcome_retention
     }
 
+    /// Returns the time for which tasks of an evacuated zone move only while there is room to
+    /// spare.
+    pub fn get_evacuation_patience(&self) -> Duration {
+        self.evacuation_patience
+    }
+
     /// Returns the maximum time that passes on the leader's clock during `span` on a worker's
     /// clock.
     pub fn max_leader_time(&self, span: Duration) -> Duration {
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -42,6 +42,7 @@
                 self.round.advance();
             }
         }
+        self.begin_moves(now);
     }
 
     /// Returns whether the last call of [`Self::place`] left work that can be done at once.
@@ -55,10 +56,11 @@
         }
         self.needs_placement = false;
         self.placed_at = now;
-        self.move_tasks(now);
+        self.finish_moves(now);
         self.update_packing(now);
         self.hold_workers(now);
         if self.ready.is_empty() {
+            self.begin_moves(now);
             return false;
         }
         let steps = self.steps_by_lateness(now);
--- a/comfreymill_jobs/tests/scheduler/moves.rs
+++ b/comfreymill_jobs/tests/scheduler/moves.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use comfreymill_jobs::scheduler::{Order, StartAnswer};
-use comfreymill_jobs::worker::{Announcement, EndKind, Report, RunStatus};
+use comfreymill_jobs::worker::{Announcement, End, EndKind, Report, RunStatus};
 use comfreymill_jobs::{id, job};
 
 use crate::support::{KEY, Leader, Start, spec, step};
@@ -159,6 +159,32 @@
     }
 }
 
+#[test]
+fn a_moved_task_resumes_from_the_checkpoint_that_its_stop_has_taken() {
+    let mut leader = Leader::new();
+    let step = job::StepSpec { has_checkpoints: true, estimate_ms: 60_000, ..step(1) };
+    let runs = at_work(&mut leader, 1, step);
+    leader.worker_in("n", "north");
+    let checkpoint = "before the stop".to_owned();
+    let running = vec![RunStatus { checkpoint, ..runs[0].status() }];
+    leader.report(runs[0].worker, Report { running, ..Report::default() });
+    leader.evacuate("south");
+    leader.advance(ROUND);
+    let checkpoint = "at the stop".to_owned();
+    let ended = vec![End { checkpoint, ..runs[0].end(1, EndKind::Stopped) }];
+    leader.orders.clear();
+    leader.report(runs[0].worker, Report { ended, ..Report::default() });
+    let checkpoints: Vec<_> = leader
+        .orders
+        .iter()
+        .filter_map(|order| match order {
+            Order::Start { checkpoint, .. } => Some(checkpoint.as_str()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(checkpoints, ["at the stop"]);
+}
+
 #[test]
 fn a_task_whose_new_place_is_lost_waits_for_another() {
     let mut leader = Leader::new();
@@ -180,6 +206,39 @@
     assert_eq!(leader.take_starts().len(), 15, "no room stays reserved");
 }
 
+#[test]
+fn tasks_that_wait_for_room_come_first_until_the_operator_has_waited_for_long() {
+    let mut leader = Leader::new();
+    let runs = at_work(&mut leader, 1, long_running(1));
+    leader.worker_in("n", "north");
+    // It waits for a worker with a label, so that room is left although it waits.
+    let labelled = job::StepSpec { required_label: Some("none".to_owned()), ..step(1) };
+    leader.submit_as(KEY.get() + 1, spec(vec![labelled]));
+    leader.evacuate("south");
+    let mut seconds = 0;
+    while take_stops(&mut leader).is_empty() {
+        leader.advance(Duration::from_secs(1));
+        leader.worker_reports_nothing("n");
+        report_all(&mut leader, runs[0].worker, &runs, 100);
+        seconds += 1;
+        assert!(seconds < 100, "it moves at last");
+    }
+    assert_eq!(seconds, 60);
+}
+
+#[test]
+fn moves_leave_room_for_bursts() {
+    for (short, expected) in [(6, 1), (7, 0)] {
+        let mut leader = Leader::new();
+        at_work(&mut leader, 1, long_running(8));
+        leader.worker_in("n", "north");
+        leader.submit_as(KEY.get() + 1, spec(vec![step(short)]));
+        leader.evacuate("south");
+        leader.advance(ROUND);
+        assert_eq!(take_stops(&mut leader).len(), expected, "{short} of 8 are taken");
+    }
+}
+
 #[test]
 fn no_task_moves_after_the_withdrawal() {
     let mut leader = Leader::new();
--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -87,6 +87,8 @@
     /// Jobs whose submission is proposed and not committed.
     pub(super) submitting: BTreeSet<id::JobKey>,
     pub(super) zones_observed_at: time::Monotonic,
+    /// Log index of the last entry with an order about a zone that this process proposed.
+    pub(super) zone_order_at: u64,
 }
 
 impl Core {
@@ -122,6 +124,7 @@
             refused: 0,
             submitting: BTreeSet::new(),
             zones_observed_at: time::Monotonic::ZERO,
+            zone_order_at: 0,
         }
     }
 
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -241,5 +241,7 @@
 /// Returns the parameters of the leader's decisions.
 fn decisions_config(settings: &settings::SchedulerSettings) -> scheduler::Config {
     let packing = settings.get_packing().map(|packing| packing.get_config());
-    scheduler::Config::new(settings.get_lease()).packing(packing)
+    scheduler::Config::new(settings.get_lease())
+        .packing(packing)
+        .evacuation_patience(settings.get_evacuation_patience())
 }
