feat(jobs): wait for the rack of the data or the group while that pays

A task runs longer away from its data's rack, or, in a rack-sensitive step, on several racks. The choice of a worker only had a bonus for the data's rack: a full rack sent tasks elsewhere at once, even if a place was about to become free, and rack-sensitive steps were packed without regard to racks.

With the setting of the factor, a step that finds no room on its rack weighs the wait that is expected there (ends of the runs, with learned durations and their deviation, and the steps that wait already) against the extra time elsewhere and the time that its job has left. It waits as a whole or not at all. Waits are weighed again every 50 ms and at once when workers come, go or leave, and are bounded by the extra time and by 2 s. A rack-sensitive step gets the rack that holds all of it first. Tasks that are as fast elsewhere avoid racks that are waited for. Without the setting, and for steps that are as fast anywhere, nothing changes.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -82,6 +82,7 @@
         entry.registered_at = Some(now);
         entry.is_evacuated = self.is_closed(&announced.zone);
         self.workers.insert(number, entry);
+        self.locality.workers_changed();
         log::info!(target: "workers", worker:% = replicated.announced.name, number:% = number, address:% = replicated.announced.address, born = replicated.announced.born_unix_ms; "a worker is registered");
         if let Some(pending) = self.pending_workers.remove(&replicated.announced.name)
             && pending.announcement.born_unix_ms == replicated.announced.born_unix_ms
@@ -158,6 +159,7 @@
         if entry.announcement.zone != announcement.zone {
             entry.is_evacuated = is_closed;
         }
+        let is_moved = entry.announcement.labels != announcement.labels;
         entry.announcement = announcement;
         entry.has_announced = true;
         let acknowledgement = entry.departure_acknowledgement(number);
@@ -167,7 +169,10 @@
         if is_leaving {
             self.evacuate(now, number);
         }
-        self.needs_placement |= is_new || has_resized || was_leaving != is_leaving;
+        if is_new || is_moved || was_leaving != is_leaving {
+            self.locality.workers_changed();
+        }
+        self.needs_placement |= is_new || is_moved || has_resized || was_leaving != is_leaving;
         acknowledgement
     }
 
--- a/comfreymill_jobs/src/scheduler/choice.rs
+++ b/comfreymill_jobs/src/scheduler/choice.rs
@@ -88,6 +88,7 @@
                     return false;
                 }
                 let penalty = worker.isolation_penalty(now, false);
+                let penalty = penalty + worker.wanted_penalty(now, spec);
                 let score = scorer.score(worker).map(|score| score - penalty);
                 best = best.max(score.map(|score| (score, std::cmp::Reverse(number))));
                 penalty == 0
--- a/comfreymill_jobs/src/scheduler/config.rs
+++ b/comfreymill_jobs/src/scheduler/config.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use super::PackingConfig;
+use super::RemoteFactor;
 
 /// Timing parameters of the scheduler.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -11,6 +12,7 @@
     clock_drift_ppm: u32,
     outcome_retention: Duration,
     packing: Option<PackingConfig>,
+    remote_factor: Option<RemoteFactor>,
 }
 
 const PPM: u64 = 1_000_000;
@@ -25,6 +27,7 @@
             clock_drift_ppm: 20_000,
             outcome_retention: Duration::from_secs(120),
             packing: None,
+            remote_factor: None,
         }
     }
 
@@ -68,6 +71,19 @@
         self.packing
     }
 
+    /// Sets the factor by which tasks take longer away from their data, or on more than one rack;
+    /// without it, tasks do not wait for racks.
+    #[must_use]
+    pub fn remote_factor(mut self, factor: Option<RemoteFactor>) -> Self {
+        self.remote_factor = factor;
+        self
+    }
+
+    /// Returns the factor by which tasks take longer away from their data, if it is known.
+    pub fn get_remote_factor(&self) -> Option<RemoteFactor> {
+        self.remote_factor
+    }
+
     /// Returns the duration of a worker's lease on the worker's clock.
     pub fn get_lease(&self) -> Duration {
         self.lease
--- a/comfreymill_jobs/src/scheduler/ends.rs
+++ b/comfreymill_jobs/src/scheduler/ends.rs
@@ -49,6 +49,7 @@
         state: &state::State,
     ) {
         self.count_failures(now, number, end);
+        self.observe_duration(now, number, end);
         self.mark_started(end.task.step.job);
         let task = end.task;
         let key = task.step.job;
--- a/comfreymill_jobs/src/scheduler/evacuation.rs
+++ b/comfreymill_jobs/src/scheduler/evacuation.rs
@@ -142,6 +142,7 @@
                 worker.is_evacuated = true;
             }
         }
+        self.locality.workers_changed();
     }
 
     /// Lets workers of a zone get tasks again, until as many do as in step number `step`.
@@ -161,6 +162,7 @@
                 worker.is_evacuated = false;
             }
         }
+        self.locality.workers_changed();
         self.needs_placement = true;
         log::info!(target: "evacuations", zone:% = zone, step, workers = total, open = wanted; "workers of a zone get tasks again");
     }
--- a/comfreymill_jobs/src/scheduler/launch.rs
+++ b/comfreymill_jobs/src/scheduler/launch.rs
@@ -44,6 +44,7 @@
             entry.phase = TaskPhase::Placed(number);
             entry.run = run;
         }
+        self.locality_started(now, number, task, spec);
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let waited_ms = now.since(job.accepted_at).as_millis();
         log::info!(target: "runs", task:% = task, run:% = run, worker:% = name, number:% = number, free_cpu = free.cpu_milli, free_mem = free.mem_mb, report_age_ms, serving_images = tails, routes = self.routes.version, since_accepted_ms:% = waited_ms; "a task is started");
--- a/comfreymill_jobs/src/scheduler/lost_workers.rs
+++ b/comfreymill_jobs/src/scheduler/lost_workers.rs
@@ -21,6 +21,7 @@
             return;
         }
         entry.is_gone = true;
+        self.locality.workers_changed();
         log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, runs = entry.runs.len(), reason = reason; "a worker is lost");
         // Ends that it reported are recorded first, so that finished tasks do not run again.
         if !entry.has_uncommitted_ends {
--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -19,6 +19,7 @@
 mod jobs;
 mod launch;
 mod load_average;
+mod locality;
 mod lost_workers;
 mod moves;
 mod order;
@@ -47,6 +48,10 @@
 pub use answer::{Answer, PollAnswer, Refusal, StartAnswer};
 pub use config::Config;
 pub use evacuation::ZoneReport;
+pub use locality::{
+    Case, Choice, Forecast, InvalidRemoteFactor, LocalityCounts, Opening, Reason, RemoteFactor,
+    WaitStatus, decide,
+};
 pub use order::Order;
 pub use packing_config::PackingConfig;
 pub use scheduler::Scheduler;
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -11,6 +11,7 @@
 use comfreymill_types::time;
 
 use super::Scheduler;
+use super::locality;
 use super::without_room::Kind;
 use crate::id;
 use crate::job;
@@ -58,6 +59,7 @@
         self.move_tasks(now);
         self.update_packing(now);
         self.hold_workers(now);
+        self.locality.round_begins();
         if self.ready.is_empty() {
             return false;
         }
@@ -88,7 +90,12 @@
                 return false;
             }
             let task = step.task(index);
-            let Some(worker) = self.choose_worker(now, kind.pool, task, spec, image) else {
+            let worker = match self.locality(now, task, spec) {
+                locality::Place::Anywhere => self.choose_worker(now, kind.pool, task, spec, image),
+                locality::Place::Worker(worker) => Some(worker),
+                locality::Place::Wait => return true,
+            };
+            let Some(worker) = worker else {
                 if spec.max_per_worker.is_none() {
                     self.round.without_room.add(kind, spec.needs);
                 }
--- a/comfreymill_jobs/src/scheduler/queue.rs
+++ b/comfreymill_jobs/src/scheduler/queue.rs
@@ -130,6 +130,11 @@
         self.steps.get(&step).map(|(_, tasks)| tasks.keys().copied().collect()).unwrap_or_default()
     }
 
+    /// Returns whether a step has ready tasks.
+    pub(super) fn has_tasks(&self, step: id::StepId) -> bool {
+        self.steps.contains_key(&step)
+    }
+
     /// Returns the number of ready tasks.
     pub(super) fn len(&self) -> usize {
         self.steps.values().map(|(_, tasks)| tasks.len()).sum()
--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -4,6 +4,7 @@
 use comfreymill_types::time;
 
 use super::interference::Interference;
+use super::locality::Locality;
 use super::packing::Packing;
 use super::queue::ReadyQueue;
 use super::round::Round;
@@ -46,6 +47,7 @@
             ready: ReadyQueue::default(),
             interference: Interference::default(),
             packing: Packing::default(),
+            locality: Locality::new(cfg.get_remote_factor()),
             pending_workers: BTreeMap::new(),
             departures: state.get_departures().clone(),
             zones: BTreeMap::new(),
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -5,6 +5,7 @@
 
 use super::evacuation::ZonePhase;
 use super::interference::Interference;
+use super::locality::Locality;
 use super::moves::Move;
 use super::packing::Packing;
 use super::queue::{PlacementClass, Rank, ReadyQueue};
@@ -37,6 +38,7 @@
     pub(super) ready: ReadyQueue,
     pub(super) interference: Interference,
     pub(super) packing: Packing,
+    pub(super) locality: Locality,
     /// Workers that have announced an incarnation that is not in the log yet.
     pub(super) pending_workers: BTreeMap<id::WorkerName, super::announcements::PendingWorker>,
     /// Workers that were removed after they had said that they were leaving.
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -71,6 +71,9 @@
     pub(super) is_evacuated: bool,
     /// Whether capacity that becomes free is kept for a waiting long-running task.
     pub(super) is_held: bool,
+    /// Time until which tasks that are as fast elsewhere avoid the worker, since others wait for its
+    /// rack.
+    pub(super) wanted_until: time::Monotonic,
     /// Time at which the poll in flight was sent, if there is one.
     pub(super) poll_sent_at: Option<time::Monotonic>,
     /// Time of the next poll.
@@ -131,6 +134,7 @@
             has_tail_over_target: false,
             is_evacuated: false,
             is_held: false,
+            wanted_until: time::Monotonic::ZERO,
             poll_sent_at: None,
             next_poll_at: now,
             lease_over_at,
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod interference;
 mod leases;
 mod load;
+mod locality;
 mod moves;
 mod order;
 mod packing;
--- a/comfreymill_jobs/tests/support/mod.rs
+++ b/comfreymill_jobs/tests/support/mod.rs
@@ -69,6 +69,7 @@
     pub(crate) state: State,
     pub(crate) scheduler: Scheduler,
     pub(crate) now: Monotonic,
+    cfg: Config,
     /// Whether commands wait instead of being committed.
     pub(crate) holds_commits: bool,
     held_commands: Vec<Command>,
@@ -100,13 +101,15 @@
         Self::configured(Config::new(LEASE), state, now)
     }
 
-    fn configured(cfg: Config, state: State, now: Monotonic) -> Self {
+    /// Creates a leader with other parameters, which starts from a replicated state.
+    pub(crate) fn configured(cfg: Config, state: State, now: Monotonic) -> Self {
         let since_1970 = UNIX + Duration::from_micros(now.as_micros());
         let scheduler = Scheduler::new(cfg, &state, since_1970, now);
         Self {
             state,
             scheduler,
             now,
+            cfg,
             holds_commits: false,
             held_commands: Vec::new(),
             index: 100,
@@ -118,7 +121,7 @@
     /// Returns the next leader, which starts from the same replicated state.
     pub(crate) fn into_next_leader(mut self) -> Self {
         self.state.apply(self.index + 1, Command::Lead);
-        Self::from_state(self.state, self.now)
+        Self::configured(self.cfg, self.state, self.now)
     }
 
     /// Advances the clock and does the work that is due.
