feat(node): setting, metrics and explanation of waits for racks

Counters tell starts near and away, waits and their time, and the explanation of a job lists its steps that wait, from the leader.

--- a/comfreymill_node/src/metering/metric.rs
+++ b/comfreymill_node/src/metering/metric.rs
@@ -222,8 +222,26 @@
     "Runs left in an availability zone that is evacuated or gets its load back",
 );
 
+/// Number of started tasks that are faster on one rack, by place: near, away.
+pub const RACK_STARTS: Metric = counter(
+    "comfreymill_rack_starts_total",
+    metrics::Unit::Count,
+    "Tasks that are faster on one rack, by whether they were started near it or away",
+);
+
+/// Number of steps that waited for their rack.
+pub const RACK_WAITS: Metric =
+    counter("comfreymill_rack_waits_total", metrics::Unit::Count, "Steps that waited for a rack");
+
+/// Time for which steps waited for their rack.
+pub const RACK_WAIT_TIME: Metric = counter(
+    "comfreymill_rack_wait_milliseconds_total",
+    metrics::Unit::Milliseconds,
+    "Time for which steps waited for a rack",
+);
+
 /// All metrics.
-pub const ALL: [Metric; 26] = [
+pub const ALL: [Metric; 29] = [
     REQUEST_LATENCY,
     QUEUE_WAIT,
     SLOTS_IN_USE,
@@ -250,4 +268,7 @@
     HEARTBEAT_ROUND_TRIP,
     EVACUATED_ZONES,
     EVACUATED_ZONE_RUNS,
+    RACK_STARTS,
+    RACK_WAITS,
+    RACK_WAIT_TIME,
 ];
--- a/comfreymill_node/src/metering/observe.rs
+++ b/comfreymill_node/src/metering/observe.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use comfreymill_jobs::scheduler;
 use comfreymill_types::document;
 use comfreymill_types::error;
 use comfreymill_types::id;
@@ -66,6 +67,18 @@
     metrics::counter!(metric::REQUESTS.name, &labels).increment(1);
 }
 
+/// Counts the starts and waits of tasks that are faster on one rack.
+pub fn locality(counts: scheduler::LocalityCounts) {
+    if counts == scheduler::LocalityCounts::default() {
+        return;
+    }
+    metrics::counter!(metric::RACK_STARTS.name, "place" => "near").increment(counts.near);
+    metrics::counter!(metric::RACK_STARTS.name, "place" => "away").increment(counts.away);
+    metrics::counter!(metric::RACK_WAITS.name).increment(counts.waits);
+    let waited_ms = u64::try_from(counts.waited.as_millis()).unwrap_or(u64::MAX);
+    metrics::counter!(metric::RACK_WAIT_TIME.name).increment(waited_ms);
+}
+
 /// Counts a decision of a part; both arguments come from closed lists.
 pub fn decision(part: &'static str, decision: &'static str) {
     metrics::counter!(metric::DECISIONS.name, "part" => part, "decision" => decision).increment(1);
--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -18,6 +18,7 @@
 use super::waiter::{PendingEntry, Waiter};
 use crate::clock;
 use crate::jobcall;
+use crate::metering::observe;
 use crate::peer;
 use crate::proposals::Proposals;
 use crate::scheduler::explanation;
@@ -152,7 +153,8 @@
                 reply.send(self.status_json(now)).ok();
             }
             Input::Explain { key, reply } => {
-                reply.send(explanation::explain(&self.state, &key)).ok();
+                let leader = self.leadership.as_ref().map(|leadership| &leadership.scheduler);
+                reply.send(explanation::explain(&self.state, leader, now, &key)).ok();
             }
             Input::ZoneRevision { zone, reply } => {
                 reply.send(self.state.get_evacuations().get_revision(&zone)).ok();
@@ -172,6 +174,7 @@
             let since_1970 = clock::since_1970();
             if let Some(leadership) = &mut self.leadership {
                 leadership.scheduler.tick(now, since_1970);
+                observe::locality(leadership.scheduler.take_locality_counts());
             }
             self.update_membership(now);
         }
--- a/comfreymill_node/src/scheduler/explanation.rs
+++ b/comfreymill_node/src/scheduler/explanation.rs
@@ -1,7 +1,11 @@
+use std::time::Duration;
+
 use bytes::Bytes;
 use comfreymill_jobs::id;
+use comfreymill_jobs::scheduler;
 use comfreymill_jobs::state;
 use comfreymill_types::error;
+use comfreymill_types::time;
 
 /// Why a job is in its state.
 #[derive(serde::Serialize)]
@@ -15,6 +19,21 @@
     crashes: Vec<TaskCrashes>,
     /// Availability zones in which no task starts, while the job is open.
     evacuated_zones: Vec<&'a id::ZoneName>,
+    /// Steps whose tasks wait for a rack, if this process leads.
+    waits: Vec<RackWait>,
+}
+
+#[derive(serde::Serialize)]
+struct RackWait {
+    occurrence: u32,
+    step: u16,
+    rack: String,
+    /// Time since when the tasks wait.
+    waited_ms: u64,
+    /// Time for which they are expected to wait further.
+    expected_ms: u64,
+    /// Extra time that they would take elsewhere.
+    extra_ms: u64,
 }
 
 #[derive(serde::Serialize)]
@@ -31,7 +50,12 @@
 /// # Errors
 ///
 /// Fails if `key` is malformed or no job has it.
-pub(super) fn explain(state: &state::State, key: &str) -> Result<Bytes, error::Error> {
+pub(super) fn explain(
+    state: &state::State,
+    leader: Option<&scheduler::Scheduler>,
+    now: time::Monotonic,
+    key: &str,
+) -> Result<Bytes, error::Error> {
     let id: id::JobKey = key.parse().map_err(|source: id::NameError| {
         error::Error::new(error::ErrorKind::BadRequest, source.to_string()).field("job")
     })?;
@@ -45,6 +69,7 @@
         suspected: record.suspected,
     });
     let evacuated = state.get_evacuations().evacuated();
+    let waits = leader.map(|leader| leader.get_rack_waits(now, id)).unwrap_or_default();
     let explanation = Explanation {
         job: id.to_string(),
         queue: &job.queue,
@@ -52,6 +77,7 @@
         reason: failure_reason(job, state.get_given_up(id)),
         crashes: crashes.collect(),
         evacuated_zones: evacuated.filter(|_| !job.is_over()).collect(),
+        waits: waits.into_iter().map(RackWait::from).collect(),
     };
     let text = serde_json::to_vec(&explanation);
     text.map(Bytes::from).map_err(|source| {
@@ -59,6 +85,20 @@
     })
 }
 
+impl From<scheduler::WaitStatus> for RackWait {
+    fn from(status: scheduler::WaitStatus) -> Self {
+        let millis = |span: Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            occurrence: status.step.occurrence,
+            step: status.step.step,
+            rack: status.rack,
+            waited_ms: millis(status.waited),
+            expected_ms: millis(status.expected),
+            extra_ms: millis(status.extra),
+        }
+    }
+}
+
 fn failure_reason(job: &state::Job, given_up: Option<&state::GivenUp>) -> Option<String> {
     if job.status != state::JobStatus::Failed {
         return None;
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -241,5 +241,6 @@
 /// Returns the parameters of the leader's decisions.
 fn decisions_config(settings: &settings::SchedulerSettings) -> scheduler::Config {
     let packing = settings.get_packing().map(|packing| packing.get_config());
-    scheduler::Config::new(settings.get_lease()).packing(packing)
+    let cfg = scheduler::Config::new(settings.get_lease()).packing(packing);
+    cfg.remote_factor(settings.get_remote_factor())
 }
--- a/comfreymill_node/src/settings/scheduler_settings.rs
+++ b/comfreymill_node/src/settings/scheduler_settings.rs
@@ -2,6 +2,7 @@
 use std::path;
 use std::time::Duration;
 
+use comfreymill_jobs::scheduler;
 use comfreymill_types::id;
 use comfreymill_types::time;
 use comfreymill_types::yaml;
@@ -35,6 +36,7 @@
     overload: Option<turns::Bounds>,
     zones: Vec<id::ZoneName>,
     packing: Option<PackingSettings>,
+    remote_factor: Option<scheduler::RemoteFactor>,
 }
 
 impl SchedulerSettings {
@@ -93,12 +95,24 @@
         &self.zones
     }
 
+    /// Factor by which tasks take longer away from their data, or on more than one rack; without it,
+    /// tasks do not wait for racks.
+    pub fn get_remote_factor(&self) -> Option<scheduler::RemoteFactor> {
+        self.remote_factor
+    }
+
     pub(super) fn read_section(section: &yaml::Section<'_>, folder: &path::Path) -> Option<Self> {
         settings_file::read_program(section, settings_file::SCHEDULER);
         let node = NodeSettings::read(section);
         let listeners = section.required_section("listeners");
         let control = listeners.required("control");
         listeners.finish();
+        let locality = section.section("locality");
+        let remote_factor = locality.as_ref().and_then(|locality| {
+            let factor = locality.required("remote_factor");
+            locality.finish();
+            factor
+        });
         let data_folder: Option<path::PathBuf> = section.required("data_folder");
         let is_founding = section.required("founding");
         let lease: Option<time::Span> = section.required("lease");
@@ -129,6 +143,7 @@
             overload,
             zones,
             packing,
+            remote_factor,
         })
     }
 }
--- a/comfreymill_node/tests/metering/mod.rs
+++ b/comfreymill_node/tests/metering/mod.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use comfreymill_jobs::scheduler;
 use comfreymill_node::metering;
 use comfreymill_node::metering::metric;
 use comfreymill_node::metering::observe;
@@ -38,6 +39,8 @@
     of_loop.heartbeat_round_trip(Duration::from_millis(40));
     observe::evacuated_zones(1);
     observe::evacuated_zone_runs(&"hobart-a".parse().expect("a zone"), 3);
+    let waited = Duration::from_millis(150);
+    observe::locality(scheduler::LocalityCounts { near: 9, away: 1, waits: 2, waited });
     observe::version_in_force(&environment, document::Stage::Production, id::Version::new(9));
 }
 
--- a/comfreymill_node/tests/settings/nodes.rs
+++ b/comfreymill_node/tests/settings/nodes.rs
@@ -28,6 +28,16 @@
     assert!(scheduler.is_founding());
     let zones: Vec<String> = scheduler.get_zones().iter().map(ToString::to_string).collect();
     assert_eq!(zones, ["hobart-a", "kingston-b"]);
+    assert_eq!(scheduler.get_remote_factor(), "1.5".parse().ok());
+}
+
+#[test]
+fn without_the_factor_tasks_do_not_wait_for_racks() {
+    let text = SCHEDULER.replace("locality:\n  remote_factor: 1.5\n", "");
+    let settings::SettingsFile::Scheduler(scheduler) = read(&text).expect("valid") else {
+        panic!("expected settings of a scheduler");
+    };
+    assert_eq!(scheduler.get_remote_factor(), None);
 }
 
 #[test]
@@ -61,6 +71,7 @@
         ("  control: 127.0.0.1:7415", "  control: 7415", "11:", "listeners.control:"),
         ("metrics: 127.0.0.1:7414", "metrics: 7414", "9:", "metrics:"),
         ("  level: info", "  level: loud", "21:", "log.level:"),
+        ("remote_factor: 1.5", "remote_factor: 0.5", "25:", "locality.remote_factor: a factor is"),
         ("data_folder: data/scheduler\n", "", "1:", "data_folder: is missing"),
         ("zone: hobart-a", "room: hobart-a", "3:", "room: is not known here"),
         ("zones: hobart-a", "zones: Hobart A", "23:", "zones: `Hobart A` is no zone name"),
