feat(node): check of routes before they are sent

Operators saw faults of a configuration only when it was refused, and entries that never match or values that contradict each other not at all. `--against FILE` and `--in-force` (from the control addresses given) list the fields that differ, by the names of their entries, and a version that is not above the one in force.

--- a/comfreymill_node/src/command/check.rs
+++ b/comfreymill_node/src/command/check.rs
@@ -6,6 +6,7 @@
 use comfreymill_types::yaml;
 
 use super::check_report::CheckReport;
+use super::check_routes;
 use super::flags::{Options, general};
 use super::{Output, OutputFormat, render};
 use crate::settings;
@@ -14,6 +15,17 @@
 
 /// Runs `check`: files with a key of settings are settings files, all others environment documents.
 pub(super) fn execute(flags: &general::Check, options: &Options) -> Output {
+    if let Some(routes) = &flags.routes {
+        if !flags.files.is_empty() {
+            let message = "--routes checks one file: check the others by themselves";
+            return Err(error::Error::new(error::ErrorKind::BadRequest, message));
+        }
+        return check_routes::execute(routes, flags, options);
+    }
+    if flags.against.is_some() || flags.in_force {
+        let message = "--against and --in-force compare routes: name them with --routes FILE";
+        return Err(error::Error::new(error::ErrorKind::BadRequest, message));
+    }
     if flags.files.is_empty() {
         let message = "no file to check; see `comfreymill check --help`";
         return Err(error::Error::new(error::ErrorKind::BadRequest, message));
--- a/comfreymill_node/src/command/flags/general.rs
+++ b/comfreymill_node/src/command/flags/general.rs
@@ -62,6 +62,14 @@
             /// Checks only the settings files, not the addresses, folders and secrets of
             /// this machine.
             optional --no-machine
+            /// Checks a configuration of routes, in JSON, before it is sent to schedulers:
+            /// also entries that never match and values that contradict each other.
+            optional --routes file: PathBuf
+            /// Shows what differs from this configuration.
+            optional --against file: PathBuf
+            /// Shows what differs from the configuration in force at the control
+            /// addresses given with --operators.
+            optional --in-force
         }
 
         /// Submits, shows, compares and promotes environment documents.
--- a/comfreymill_node/src/command/mod.rs
+++ b/comfreymill_node/src/command/mod.rs
@@ -3,12 +3,13 @@
 //! [`run`] parses the arguments, runs the command and returns the exit code of its error kind, if
 //! any. Programs (`entry`, `control`, `gateway`, `scheduler`, `serve`) are started through
 //! [`Programs`]. The other commands are clients of an operators' listener, except `check` and
-//! `story`, which read files.
+//! `story`, which read files; `check` may ask a scheduler for the routes in force.
 
 mod advice;
 mod answer;
 mod check;
 mod check_report;
+mod check_routes;
 mod client;
 mod document_view;
 mod env;
--- a/tests/platform/test_bed.rs
+++ b/tests/platform/test_bed.rs
@@ -112,6 +112,15 @@
         self.processes.rotate_right(1);
     }
 
+    /// Returns what `comfreymill check` prints about routes, compared with those in force.
+    pub(super) fn check_routes(&self, file: &str) -> String {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_comfreymill"));
+        let control = self.control().to_string();
+        command.args(["check", "--routes", file, "--in-force", "--operators", &control]);
+        let output = command.output().expect("the command runs");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    }
+
     /// Returns the number of descriptors that the scheduler has open.
     pub(super) fn scheduler_descriptors(&self) -> usize {
         let folder = format!("/proc/{}/fd", self.processes[0].id());
--- a/tests/platform/whole_path.rs
+++ b/tests/platform/whole_path.rs
@@ -158,3 +158,11 @@
     let status = bed.zone(&["status"]);
     assert!(status.contains("ines (127."), "{status}");
 }
+
+#[test]
+fn routes_are_compared_with_those_in_force() {
+    let bed = TestBed::start();
+    let text = bed.check_routes("platform/tests/routes/new.json");
+    assert!(text.contains("from the version in force"), "{text}");
+    assert!(text.contains("  version: 1 -> 8\n"), "{text}");
+}
