--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -244,4 +244,5 @@
     scheduler::Config::new(settings.get_lease())
         .packing(packing)
         .evacuation_patience(settings.get_evacuation_patience())
+        .remote_factor(settings.get_remote_factor())
 }
