--- a/comfreymill_node/tests/metering/mod.rs
+++ b/comfreymill_node/tests/metering/mod.rs
@@ -39,6 +39,8 @@
     observe::evacuated_zones(1);
     observe::evacuated_zone_runs(&"hobart-a".parse().expect("a zone"), 3);
     observe::version_in_force(&environment, document::Stage::Production, id::Version::new(9));
+    observe::evacuated_zones(2);
+    observe::evacuated_zone_runs(&"south".parse().expect("valid"), 17);
 }
 
 #[test]
@@ -80,6 +82,8 @@
         r#"comfreymill_open_requests{environment="trust",stage="trial"} 12"#,
         r#"comfreymill_queued_requests{environment="trust",stage="trial"} 3"#,
         r#"comfreymill_version_in_force{environment="trust",stage="production"} 9"#,
+        "comfreymill_evacuated_zones 2",
+        r#"comfreymill_evacuated_zone_runs{zone="south"} 17"#,
     ];
     for line in lines {
         assert!(text.lines().any(|found| found == line), "{line} is not in {text}");
