perf(node): look once for a stale connection to a worker before an order

Cause: each order looked twice whether the worker had closed the idle connection. Change: the client's own look suffices; a stale connection is replaced, and nothing was sent.

--- a/comfreymill_node/src/scheduler/orders/delivery.rs
+++ b/comfreymill_node/src/scheduler/orders/delivery.rs
@@ -176,12 +176,21 @@
     request: platform::Outbound,
     wait: Duration,
 ) -> Outcome {
-    // The worker may have closed an idle connection; this is detected before anything is sent.
-    if let Some(idle) = slot
-        && idle.is_stale().await
-    {
-        *slot = None;
+    // The worker may have closed an idle connection, which is detected before anything is sent.
+    if let Some(outcome) = exchange_once(target, slot, &request, wait).await {
+        return outcome;
     }
+    exchange_once(target, slot, &request, wait).await.unwrap_or(Outcome::NotSent)
+}
+
+/// Sends a request over the connection in `slot`, or a new one; returns `None` if the connection was
+/// stale.
+async fn exchange_once(
+    target: &Target,
+    slot: &mut Option<client::Connection>,
+    request: &platform::Outbound,
+    wait: Duration,
+) -> Option<Outcome> {
     if slot.is_none() {
         let limits = limits::Limits::new().response_timeout(Duration::from_secs(30));
         match client::Connection::connect(target.address, limits, CONNECT_TIMEOUT).await {
@@ -189,27 +198,38 @@
             Err(error) => {
                 let refused =
                     client::ClientErrorKind::Connect(std::io::ErrorKind::ConnectionRefused);
-                return if error.kind == refused { Outcome::Refused } else { Outcome::NotSent };
+                return Some(if error.kind == refused {
+                    Outcome::Refused
+                } else {
+                    Outcome::NotSent
+                });
             }
         }
     }
-    let Some(connection) = slot else { return Outcome::NotSent };
+    let connection = slot.as_mut()?;
     let round_trip = async {
-        let mut response = connection.send(&request.head, request.body).await?;
+        let mut response = connection.send(&request.head, request.body.clone()).await?;
         let body = response.collect(MAX_ANSWER_BYTES).await?;
         Ok::<_, client::ClientError>((response.status(), body))
     };
     let result = monoio::time::timeout(wait + ANSWER_TIMEOUT, round_trip).await;
     match result {
-        Ok(Ok((status, body))) => Outcome::Answered(status, body),
+        Ok(Ok((status, body))) => Some(Outcome::Answered(status, body)),
         Ok(Err(error)) => {
             *slot = None;
-            if error.sent == client::Sent::Nothing { Outcome::NotSent } else { Outcome::Unanswered }
+            match error.sent {
+                client::Sent::Nothing if error.kind == client::ClientErrorKind::Stale => None,
+                client::Sent::Nothing => Some(Outcome::NotSent),
+                client::Sent::Some => Some(Outcome::Unanswered),
+            }
         }
         Err(_) => {
             let sent = connection.sent();
             *slot = None;
-            if sent == client::Sent::Nothing { Outcome::NotSent } else { Outcome::Unanswered }
+            match sent {
+                client::Sent::Nothing => Some(Outcome::NotSent),
+                client::Sent::Some => Some(Outcome::Unanswered),
+            }
         }
     }
 }
