test(settings): draw free ports that differ

Cause: secrets_that_others_may_read_are_named failed once (5 problems instead of 4): the system gave the same free port for two addresses of the sample, which is a problem of its own. Ports are freed after they are drawn, so one can be drawn again. Change: a port that the text already has is drawn again. The check is unchanged.

--- a/comfreymill_node/tests/settings/machine.rs
+++ b/comfreymill_node/tests/settings/machine.rs
@@ -14,7 +14,10 @@
     for port in [7301, 7311, 7312, 7313, 7401, 7402, 7403, 7404] {
         let address = format!("127.0.0.1:{port}");
         if text.contains(&address) {
-            text = text.replace(&address, &scratch::free_address().to_string());
+            // The system may return a port again that is not in use yet.
+            let mut addresses = std::iter::repeat_with(|| scratch::free_address().to_string());
+            let free = addresses.find(|free| !text.contains(free)).expect("endless");
+            text = text.replace(&address, &free);
         }
     }
     text
