fix(jobs): pack tasks that a single round starts

Cause: a round of bounded placement starts the tasks of many jobs, and how full a pool is was read at its beginning only.

Change: each start counts the room that it takes. The new test fails without it (38 instead of 43 short tasks find room).

--- a/comfreymill_jobs/src/scheduler/launch.rs
+++ b/comfreymill_jobs/src/scheduler/launch.rs
@@ -39,6 +39,7 @@
         let report_age_ms = now.since(worker.reported_at).as_millis() as u64;
         let tails = worker.serving.len();
         let name = worker.replicated.announced.name.clone();
+        self.note_reserved(number, spec);
         self.ready.remove(task);
         if let Some(entry) = self.task_mut(task) {
             entry.phase = TaskPhase::Placed(number);
--- a/comfreymill_jobs/src/scheduler/packing.rs
+++ b/comfreymill_jobs/src/scheduler/packing.rs
@@ -68,6 +68,16 @@
         }
     }
 
+    /// Counts the room that a run takes, as one round may fill a pool.
+    pub(super) fn note_reserved(&mut self, worker: id::WorkerNumber, spec: &job::StepSpec) {
+        let Some(worker) = self.workers.get(&worker) else { return };
+        let pool = worker.announcement.pool.clone();
+        let pool = self.workers.pool(&pool);
+        if let Some(fill) = self.packing.pools.get_mut(&pool) {
+            fill.reserved += u64::from(spec.reserved().cpu_milli);
+        }
+    }
+
     /// Chooses a worker that a serving task fills up, if its pool is nearly full: the one with the
     /// highest score among them.
     pub(super) fn choose_tight(
--- a/comfreymill_jobs/tests/scheduler/packing.rs
+++ b/comfreymill_jobs/tests/scheduler/packing.rs
@@ -1,6 +1,8 @@
 //! Packing of long-running tasks: recorded shape of a fleet full of them that a burst of short jobs
 //! meets, with the old decision beside the new one.
 
+use std::time::Duration;
+
 use comfreymill_jobs::scheduler::{Config, PackingConfig, StartAnswer};
 use comfreymill_jobs::worker::{Report, Resources};
 use comfreymill_jobs::{id, job};
@@ -56,6 +58,16 @@
 /// Fills the workers with `jobs` jobs of long-running tasks, and sends a job with more short tasks
 /// than there is room for.
 fn play(seed: u64, jobs: u64, short_cpu_milli: u32, packing: Option<PackingConfig>) -> Outcome {
+    play_with(seed, jobs, short_cpu_milli, packing, Duration::from_millis(50))
+}
+
+fn play_with(
+    seed: u64,
+    jobs: u64,
+    short_cpu_milli: u32,
+    packing: Option<PackingConfig>,
+    pause: Duration,
+) -> Outcome {
     let mut random = Random(seed);
     let mut leader = Leader::with_config(Config::new(LEASE).packing(packing));
     for number in 0..WORKERS {
@@ -64,13 +76,14 @@
         let name = if number < 90 { letter.to_string() } else { format!("z{letter}") };
         leader.worker_of_size(&name, 16_000 + 8_000 * u32::from(number % 3 == 2));
     }
+    leader.advance(Duration::from_millis(50));
     let mut outcome = Outcome::default();
     let mut images = std::collections::BTreeSet::new();
     for job in 0..jobs {
         let serving = serving(&mut random);
         let image = serving.image.clone();
         leader.submit_as(job, spec(vec![serving]));
-        leader.advance(std::time::Duration::from_millis(50));
+        leader.advance(pause);
         let starts = take_started(&mut leader);
         outcome.lasting += starts.len();
         images.extend(starts.iter().map(|start| (start.worker, image.clone())));
@@ -101,6 +114,16 @@
     }
 }
 
+#[test]
+fn tasks_that_come_at_the_same_moment_are_packed() {
+    let packing = Some(PackingConfig::new(70, 300));
+    for seed in 1..=2 {
+        let slow = play(seed, 56, 2_700, packing);
+        let at_once = play_with(seed, 56, 2_700, packing, Duration::ZERO);
+        assert_eq!((at_once.lasting, at_once.short), (slow.lasting, slow.short), "seed {seed}");
+    }
+}
+
 #[test]
 fn long_running_tasks_stay_with_their_image_while_a_pool_has_room() {
     let packing = Some(PackingConfig::new(70, 300));
@@ -123,7 +146,7 @@
     assert!(starts.iter().all(|start| start.worker == used), "{starts:?}");
     // Three quarters of the usable room are reserved, so a task of another image fills the worker.
     leader.report(silent, Report::default());
-    leader.advance(std::time::Duration::from_millis(50));
+    leader.advance(Duration::from_millis(50));
     serving.image = Some("other".to_owned());
     serving.needs.cpu_milli = 3_900;
     serving.count = 1;
