feat(jobs): log who waits and who holds the room, by queue

Cause: the log named the first waiting task of each class, but not whose tasks wait, how late they are and who holds the room.

Change: one line a second for each queue with tasks: waiting ones by whether their jobs can still be in time, longest wait, runs, share of the processors that they reserve.

--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -28,6 +28,7 @@
 mod placement;
 mod polls;
 mod queue;
+mod queue_report;
 mod report;
 mod restore;
 mod round;
--- a/comfreymill_jobs/src/scheduler/queue.rs
+++ b/comfreymill_jobs/src/scheduler/queue.rs
@@ -125,6 +125,13 @@
         tasks.into_iter().map(|(_, task)| task).take(most).collect()
     }
 
+    /// Returns the number of a step's ready tasks, and since when the first of them has waited.
+    pub(super) fn waiting(&self, step: id::StepId) -> (usize, Option<time::Monotonic>) {
+        let tasks = self.steps.get(&step).map(|(_, tasks)| tasks);
+        let began = tasks.and_then(|tasks| tasks.values().min().copied());
+        (tasks.map_or(0, BTreeMap::len), began)
+    }
+
     /// Returns the indices of a step's ready tasks.
     pub(super) fn tasks(&self, step: id::StepId) -> Vec<u16> {
         self.steps.get(&step).map(|(_, tasks)| tasks.keys().copied().collect()).unwrap_or_default()
--- a/comfreymill_jobs/src/scheduler/report.rs
+++ b/comfreymill_jobs/src/scheduler/report.rs
@@ -82,6 +82,7 @@
             self.workers.values().map(|worker| self.filler_shares(worker).values().sum::<f64>());
         let used: f64 = used.sum();
         log::info!(target: "fleet", jobs = self.jobs.len(), ready = self.ready.len(), usable, workers = self.workers.len(), runs = counts.runs, serving = counts.serving, over_target = counts.over_target, over_beside_fillers = counts.over_beside_fillers, fillers = counts.fillers, lasting_fillers = counts.long_running_fillers, slowed = counts.slowed, resting = counts.paused, spare_cpu_milli = spare.max(0) as u64, filler_share_percent = (used * 100.0) as u64; "state of the fleet");
+        self.report_queues(now);
         for class in [PlacementClass::Short, PlacementClass::Lasting, PlacementClass::Filling] {
             if let Some(task) = self.ready.first(class) {
                 self.report_waiting(now, class, task);
