--- a/comfreymill_jobs/src/scheduler/queue_report.rs
+++ b/comfreymill_jobs/src/scheduler/queue_report.rs
@@ -39,9 +39,7 @@
         }
         let mut capacity = 0;
         for worker in self.workers.values() {
-            if worker.is_usable(now) {
-                capacity += u64::from(worker.announcement.capacity.cpu_milli);
-            }
+            capacity += u64::from(worker.announcement.capacity.cpu_milli);
             for (task, run) in &worker.runs {
                 let Some(job) = self.jobs.get(&task.step.job) else { continue };
                 let counts = queues.entry(&job.queue).or_default();
