test(platform): wait until a new leader knows all runs, not for a debug line

The first answer of a worker to a new leader is logged at level debug since takeovers are cheap, so the test of evacuated zones waited in vain.

--- a/tests/platform/whole_path.rs
+++ b/tests/platform/whole_path.rs
@@ -147,7 +147,8 @@
     bed.wait("a job to be accepted", || caller.submit(2, 4));
     let has_evacuated = || bed.zone(&["status"]).matches("evacuated").count() == 2;
     bed.wait("the evacuations to be known", has_evacuated);
-    bed.wait("the worker to answer", || bed.has_logged("a worker answers", 1));
+    let is_reconciled = || bed.has_logged("all runs of earlier leaders are known", 1);
+    bed.wait("the worker to answer", is_reconciled);
     assert!(bed.explain(2).contains("evacuated_zones: kingston-b, south"), "{}", bed.explain(2));
     assert!(bed.zone(&["withdraw", "nowhere"]).contains("not-found"), "the command has an error");
     assert_eq!(count(), 4, "no task of the second job is started");
