fix(jobs): find workers for fillers again once a late tail is gone

Cause: the index of scores takes a worker into account again only when its revision or its free room has changed. Whether a tail latency is over its target decides about the score for fillers, but did not count as a change. The flag outlives the task that reported the tail until the next report; a search in between excluded the worker, and later ones kept to that, although the worker was empty.

Change: a change of the flag is a change of the worker.

--- a/comfreymill_jobs/src/scheduler/pacing.rs
+++ b/comfreymill_jobs/src/scheduler/pacing.rs
@@ -177,10 +177,10 @@
     fn update_over_target(&mut self, now: time::Monotonic, number: id::WorkerNumber) -> bool {
         let Some(entry) = self.workers.get_mut(&number) else { return false };
         let mut is_over_for_long = false;
-        entry.has_tail_over_target = false;
+        let mut has_tail_over_target = false;
         for run in entry.runs.values_mut() {
             let Some(target) = run.tail_target_ms else { continue };
-            entry.has_tail_over_target |= run.load.is_some_and(|tail| tail >= target);
+            has_tail_over_target |= run.load.is_some_and(|tail| tail >= target);
             // Reports are rough: a tail that stays slightly over its target is also reported below.
             let is_near = run.load.is_some_and(|tail| {
                 u64::from(tail) * 100 >= u64::from(target) * NEAR_TARGET_PERCENT
@@ -189,6 +189,7 @@
             is_over_for_long |=
                 run.over_since.is_some_and(|since| now.since(since) >= MAX_TIME_OVER_TARGET);
         }
+        entry.set_tail_over_target(has_tail_over_target);
         is_over_for_long
     }
 
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -62,7 +62,8 @@
     /// How much slack each serving image may lose, with all fillers at full speed, before fillers
     /// would be slowed down; `None` if it has to be computed again.
     pub(super) headroom: Option<Vec<(ImageId, f64)>>,
-    /// Number of changes of the runs, their paces or their headroom, on which scores depend.
+    /// Number of changes of the runs, their paces, tails over targets, headroom or capacity, on which
+    /// scores depend.
     pub(super) revision: u64,
     /// Whether a tail latency on the worker exceeds its target.
     pub(super) has_tail_over_target: bool,
@@ -299,6 +300,14 @@
         self.revision += 1;
     }
 
+    /// Sets whether a tail latency on the worker exceeds its target.
+    pub(super) fn set_tail_over_target(&mut self, has_tail_over_target: bool) {
+        if self.has_tail_over_target != has_tail_over_target {
+            self.has_tail_over_target = has_tail_over_target;
+            self.revision += 1;
+        }
+    }
+
     /// Has the headroom computed again when it is needed.
     pub(super) fn forget_headroom(&mut self) {
         self.headroom = None;
--- a/comfreymill_jobs/tests/scheduler/interference.rs
+++ b/comfreymill_jobs/tests/scheduler/interference.rs
@@ -5,9 +5,10 @@
 use comfreymill_jobs::id::WorkerNumber;
 use comfreymill_jobs::job::StepSpec;
 use comfreymill_jobs::scheduler::{Order, StartAnswer};
-use comfreymill_jobs::worker::{Report, RunStatus};
+use comfreymill_jobs::state::Command;
+use comfreymill_jobs::worker::{EndKind, Report, RunStatus};
 
-use crate::support::{Leader, Start, spec, step};
+use crate::support::{KEY, Leader, Start, spec, step};
 
 const TARGET_MS: u32 = 50;
 
@@ -94,7 +95,7 @@
         leader.started(start, StartAnswer::Started);
     }
     leader.report(worker, report(&starts, 2 * TARGET_MS));
-    let done = starts[1].end(1, comfreymill_jobs::worker::EndKind::Done);
+    let done = starts[1].end(1, EndKind::Done);
     let mut update = report(&starts[..1], 2 * TARGET_MS);
     update.ended = vec![done];
     leader.report(worker, update);
@@ -106,6 +107,30 @@
     assert_eq!(leader.take_starts().len(), 1, "the tail has been low for 3 s");
 }
 
+/// The flag of a tail outlives the task that reported it until the next report, and the worker has
+/// no other change by then.
+#[test]
+fn a_filler_is_placed_once_the_task_with_a_tail_over_its_target_is_gone() {
+    let mut leader = Leader::new();
+    let worker = leader.worker("w");
+    leader.submit(spec(vec![serving(1, "watch")]));
+    let starts = leader.take_starts();
+    leader.started(&starts[0], StartAnswer::Started);
+    leader.report(worker, report(&starts, 2 * TARGET_MS));
+    leader.submit_as(2, spec(vec![filler(1)]));
+    assert!(leader.take_starts().is_empty());
+    leader.commit(vec![Command::Cancel { job: KEY }]);
+    leader.settle();
+    let end = starts[0].end(1, EndKind::Stopped);
+    leader.report(worker, Report { ended: vec![end], ..Report::default() });
+    leader.advance(Duration::from_millis(100));
+    for _ in 0..3 {
+        leader.report(worker, Report::default());
+        leader.advance(Duration::from_millis(500));
+    }
+    assert_eq!(leader.take_starts().len(), 1, "nothing else runs on the worker");
+}
+
 #[test]
 fn a_filler_waits_if_it_would_raise_a_tail_over_its_target() {
     let mut leader = Leader::new();
@@ -128,7 +153,7 @@
         update.running[1].load = Some(if is_working { 2_000 } else { 0 });
         leader.report(worker, update);
     }
-    let done = starts[1].end(1, comfreymill_jobs::worker::EndKind::Done);
+    let done = starts[1].end(1, EndKind::Done);
     let mut update = report(&starts[..1], 12);
     update.ended = vec![done];
     leader.report(worker, update);
@@ -173,7 +198,7 @@
         leader.report(beside, update);
     }
     let mut update = report(&mixed[..1], 30);
-    update.ended = vec![mixed[1].end(1, comfreymill_jobs::worker::EndKind::Done)];
+    update.ended = vec![mixed[1].end(1, EndKind::Done)];
     leader.report(beside, update);
     for _ in 0..10 {
         leader.advance(Duration::from_millis(500));
@@ -181,7 +206,7 @@
         leader.report(apart, report(&alone, 30));
     }
     let mut update = report(&alone[..1], 30);
-    update.ended = vec![alone[1].end(1, comfreymill_jobs::worker::EndKind::Done)];
+    update.ended = vec![alone[1].end(1, EndKind::Done)];
     leader.report(apart, update);
     let starts = leader.take_starts();
     let started: Vec<u16> = starts.iter().map(|start| start.task.step.step).collect();
