fix(jobs): keep polling silent workers without runs under overload

Cause: under overload the polls of all workers without runs were put off by 5 s, again and again, also of those that had not answered their last poll. Such a worker gets no task before it answers, so it was lost for as long as the overload lasted, when room is needed most.

Change: only polls of workers that answer are put off.

--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -69,10 +69,10 @@
     }
 
     /// Returns whether the poll of a worker is put off, and sets when it is due again: a worker
-    /// without runs has nothing that anyone waits for.
+    /// without runs has nothing that anyone waits for, unless it gets no tasks before it answers.
     fn is_put_off(&mut self, now: time::Monotonic, number: id::WorkerNumber) -> bool {
         let Some(entry) = self.workers.get_mut(&number) else { return false };
-        let is_idle = entry.has_answered && entry.runs.is_empty();
+        let is_idle = entry.has_answered && !entry.is_unresponsive && entry.runs.is_empty();
         let is_put_off = self.is_deferring && is_idle && entry.announcement.leaving_in.is_none();
         if is_put_off {
             entry.next_poll_at = now + IDLE_POLL_PERIOD;
--- a/comfreymill_jobs/tests/scheduler/turns.rs
+++ b/comfreymill_jobs/tests/scheduler/turns.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use comfreymill_jobs::id::{JobKey, TaskId, WorkerName, WorkerNumber};
-use comfreymill_jobs::scheduler::{Answer, PollAnswer, StartAnswer};
+use comfreymill_jobs::scheduler::{Answer, Order, PollAnswer, StartAnswer};
 use comfreymill_jobs::state::Command;
 use comfreymill_jobs::worker::{Departure, EndKind, Report, Resources};
 
@@ -163,3 +163,26 @@
     let lost: BTreeSet<TaskId> = lost.filter(|task| !cancelled.contains(&task.step.job)).collect();
     assert_eq!(again, lost);
 }
+
+/// A worker that has fallen silent is of use again only once it has answered a poll, and room is
+/// scarce under overload.
+#[test]
+fn only_polls_of_idle_workers_that_answer_are_put_off() {
+    let is_poll = |worker: WorkerNumber| {
+        move |order: &Order| matches!(order, Order::Poll { worker: other, .. } if *other == worker)
+    };
+    let mut leader = Leader::new();
+    let (silent, idle) = (leader.worker("silent"), leader.worker("idle"));
+    leader.advance(Duration::from_secs(5));
+    leader.leaves_poll_unanswered(silent);
+    leader.report(idle, Report::default());
+    leader.scheduler.defer(true);
+    leader.orders.clear();
+    leader.advance(Duration::from_millis(300));
+    assert!(leader.orders.iter().any(is_poll(silent)));
+    leader.advance(Duration::from_secs(5));
+    assert!(!leader.orders.iter().any(is_poll(idle)));
+    leader.scheduler.defer(false);
+    leader.advance(Duration::from_secs(5));
+    assert!(leader.orders.iter().any(is_poll(idle)));
+}
