fix(node): refuse jobs under overload only with a valid lease

Cause: a leader whose lease was over, whose orders were fenced or that was handing over went on to refuse the submissions that waited, with the word that they are not run. The next leader may have stored them, and may have the time for them.

Change: such a leader answers as for any other call, so that gateways go to the next leader.

Result: by reading; the condition is the one that calls are checked with and has no test of its own. The tests of comfreymill_node pass.

--- a/comfreymill_node/src/scheduler/core/calls.rs
+++ b/comfreymill_node/src/scheduler/core/calls.rs
@@ -34,10 +34,15 @@
         self.handle_call(now, call, ReplyTo::Local(reply));
     }
 
-    fn handle_call(&mut self, now: time::Monotonic, call: Call, reply: ReplyTo) {
+    /// Returns whether this process may answer calls for the group; the next leader may otherwise.
+    pub(super) fn takes_calls(&self, now: time::Monotonic) -> bool {
         let is_leading =
             self.leadership.as_ref().is_some_and(|leadership| !leadership.scheduler.is_fenced());
-        if !is_leading || !self.is_serving(now) || self.is_draining {
+        is_leading && self.is_serving(now) && !self.is_draining
+    }
+
+    fn handle_call(&mut self, now: time::Monotonic, call: Call, reply: ReplyTo) {
+        if !self.takes_calls(now) {
             reply.send(&Reply::NotLeader);
             return;
         }
--- a/comfreymill_node/src/scheduler/core/overload.rs
+++ b/comfreymill_node/src/scheduler/core/overload.rs
@@ -25,9 +25,13 @@
     }
 
     /// Refuses the submissions that wait, while the leader has more to do than it can. A job that is
-    /// stored, or may be, is not refused.
-    pub(super) fn refuse_new_jobs(&mut self, backlog: &mut turns::Backlog<Input>) {
-        if self.overload.level() < turns::Level::Refusing || self.leadership.is_none() {
+    /// stored, or may be, is not refused. Without a valid lease, the next leader may have stored it.
+    pub(super) fn refuse_new_jobs(
+        &mut self,
+        now: time::Monotonic,
+        backlog: &mut turns::Backlog<Input>,
+    ) {
+        if self.overload.level() < turns::Level::Refusing || !self.takes_calls(now) {
             return;
         }
         let refused = backlog.remove_if(turns::Kind::Caller, |input| self.is_refusable(input));
--- a/comfreymill_node/src/scheduler/core/task.rs
+++ b/comfreymill_node/src/scheduler/core/task.rs
@@ -38,7 +38,7 @@
         for input in inputs.try_iter() {
             backlog.push(input.kind(), began, input);
         }
-        core.refuse_new_jobs(&mut backlog);
+        core.refuse_new_jobs(clock.now(), &mut backlog);
         backlog.begin_turn();
         while let Some(queued) = backlog.next_input() {
             let now = clock.now();
