fix(node): leave the distance between placements to turns that place

Cause: every turn of a leader counted as a placement, also one without anything to place, so that a job that was committed some milliseconds after its submission waited for the rest of the 10 ms. And since only work that was left woke the loop, and not a round that was due, it waited for the next input or tick, up to 20 ms more.

Change: the scheduler says whether there is anything to place; only then a placement begins, and the loop wakes for it.

Result: the new test of that answer passes, as do the tests of comfreymill_jobs and comfreymill_node. The delay itself was not measured.

--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -19,7 +19,6 @@
 const MAX_STEPS_PER_TURN: u64 = 2_000;
 /// Steps of work that a start counts for: its order is encoded and sent in the same turn.
 const STEPS_PER_START: u64 = 20;
-
 /// Waiting steps that are put in order in the time that another step of work takes.
 const ORDERED_PER_STEP: u64 = 4;
 
@@ -50,6 +49,12 @@
         !self.is_fenced && (!self.round.is_over() || self.can_release_unreconciled())
     }
 
+    /// Returns whether [`Self::place`] has anything to do: work that was left, or the next round.
+    pub fn is_placement_due(&self, now: time::Monotonic) -> bool {
+        let is_round_due = !self.is_fenced && self.needs_placement && self.round.is_due(now);
+        is_round_due || self.has_placement_left()
+    }
+
     fn begin_round(&mut self, now: time::Monotonic) -> bool {
         if !self.needs_placement || !self.round.is_due(now) {
             return false;
--- a/comfreymill_jobs/tests/scheduler/turns.rs
+++ b/comfreymill_jobs/tests/scheduler/turns.rs
@@ -5,10 +5,10 @@
 
 use comfreymill_jobs::id::{JobKey, TaskId, WorkerName, WorkerNumber};
 use comfreymill_jobs::scheduler::{Answer, Order, PollAnswer, StartAnswer};
-use comfreymill_jobs::state::Command;
+use comfreymill_jobs::state::{Command, Submission};
 use comfreymill_jobs::worker::{Departure, EndKind, Report, Resources};
 
-use crate::support::{Leader, Start, ended, running, spec, step};
+use crate::support::{KEY, Leader, Start, ended, running, spec, step};
 
 const WORKERS: u32 = 490;
 const TASKS_PER_JOB: u16 = 5;
@@ -164,13 +164,30 @@
     assert_eq!(again, lost);
 }
 
+/// The loop keeps a minimum distance between rounds, which turns that place nothing must not use up.
+#[test]
+fn placement_is_due_only_when_there_is_something_to_place() {
+    let mut leader = Leader::new();
+    leader.worker("w");
+    assert!(!leader.scheduler.is_placement_due(leader.now));
+    let submission = Submission {
+        job: KEY,
+        queue: "batch".to_owned(),
+        max_attempts: 2,
+        spec: spec(vec![step(1)]),
+    };
+    leader.commit(vec![Command::Submit(Box::new(submission))]);
+    assert!(leader.scheduler.is_placement_due(leader.now));
+    leader.settle();
+    assert_eq!(leader.take_starts().len(), 1);
+    assert!(!leader.scheduler.is_placement_due(leader.now));
+}
+
 /// A worker that has fallen silent is of use again only once it has answered a poll, and room is
 /// scarce under overload.
 #[test]
 fn only_polls_of_idle_workers_that_answer_are_put_off() {
-    let is_poll = |worker: WorkerNumber| {
-        move |order: &Order| matches!(order, Order::Poll { worker: other, .. } if *other == worker)
-    };
+    let is_poll = |worker: WorkerNumber| move |order: &Order| matches!(order, Order::Poll { worker: other, .. } if *other == worker);
     let mut leader = Leader::new();
     let (silent, idle) = (leader.worker("silent"), leader.worker("idle"));
     leader.advance(Duration::from_secs(5));
--- a/comfreymill_node/src/scheduler/core/orders.rs
+++ b/comfreymill_node/src/scheduler/core/orders.rs
@@ -14,13 +14,13 @@
         turns::give_orders(self);
     }
 
-    /// Returns the time until tasks that the last turn left may be placed; the maximum if it left
-    /// none.
+    /// Returns the time until tasks may be placed that the last turn left or made ready; the maximum
+    /// if there are none.
     pub(super) fn placement_wait(&self, now: time::Monotonic) -> Duration {
         let leadership = self.leadership.as_ref().filter(|_| self.is_serving(now));
-        let is_left =
-            leadership.is_some_and(|leadership| leadership.scheduler.has_placement_left());
-        if is_left { self.placement.remaining(now) } else { Duration::MAX }
+        let is_due =
+            leadership.is_some_and(|leadership| leadership.scheduler.is_placement_due(now));
+        if is_due { self.placement.remaining(now) } else { Duration::MAX }
     }
 }
 
@@ -35,7 +35,8 @@
 
     fn place(&mut self, began: time::Monotonic) {
         let Some(leadership) = &mut self.leadership else { return };
-        if self.placement.is_due(began) {
+        // A turn without anything to place does not put off the tasks that the next one makes ready.
+        if self.placement.is_due(began) && leadership.scheduler.is_placement_due(began) {
             leadership.scheduler.place(began);
             let now = self.cfg.clock.now();
             self.placement.done(began, now);
