fix(jobcall): bound the waits for a leader and the sending of keep-alives

Cause: a gateway that was cut off kept one entry for each call that had waited for a leader and given up, until it found one again. And a keep-alive to a member that takes no data was waited for without bound, so the silence of the member went unnoticed.

Change: entries of calls that gave up are dropped before the list grows; a keep-alive has the same limit as a call.

Result: by reading; the tests of comfreymill_node pass.

--- a/comfreymill_node/src/jobcall/link.rs
+++ b/comfreymill_node/src/jobcall/link.rs
@@ -91,8 +91,8 @@
             shared.forget_abandoned(member);
             if timers.needs_keep_alive() {
                 timers.sent();
-                if let Err(error) = connection.writer.send(peer::Frame::keep_alive()).await {
-                    return error.to_string();
+                if let Err(reason) = send(&mut connection, peer::Frame::keep_alive()).await {
+                    return reason;
                 }
             }
         }
@@ -127,11 +127,8 @@
                 timers.sent();
                 shared.sent(member, next_id, call.reply);
                 let frame = peer::Frame::new(peer::FrameKind::Call, next_id, call.body);
-                let send = connection.writer.send(frame);
-                match monoio::time::timeout(SILENCE_LIMIT, send).await {
-                    Ok(Ok(())) => {}
-                    Ok(Err(error)) => return error.to_string(),
-                    Err(_) => return "the peer does not accept data".to_owned(),
+                if let Err(reason) = send(&mut connection, frame).await {
+                    return reason;
                 }
             }
             () = monoio::time::sleep(CHECK_PERIOD) => {}
@@ -139,6 +136,15 @@
     }
 }
 
+/// Sends a frame; returns the reason if the peer does not accept it in time.
+async fn send(connection: &mut peer::Connection, frame: peer::Frame) -> Result<(), String> {
+    let send = connection.writer.send(frame);
+    match monoio::time::timeout(SILENCE_LIMIT, send).await {
+        Ok(sent) => sent.map_err(|error| error.to_string()),
+        Err(_) => Err("the peer does not accept data".to_owned()),
+    }
+}
+
 /// Timers of one connection.
 struct Timers {
     checked_at: Instant,
--- a/comfreymill_node/src/jobcall/shared.rs
+++ b/comfreymill_node/src/jobcall/shared.rs
@@ -86,7 +86,12 @@
     /// Returns a receiver that is notified, or disconnected, once a leader is known.
     pub(super) fn wait_for_leader(&self) -> flume::Receiver<()> {
         let (tx, rx) = flume::bounded(1);
-        self.0.borrow_mut().waiting.push(tx);
+        let waiting = &mut self.0.borrow_mut().waiting;
+        // Calls give up while there is no leader, however long that lasts.
+        if waiting.len() == waiting.capacity() {
+            waiting.retain(|call| !call.is_disconnected());
+        }
+        waiting.push(tx);
         rx
     }
 
