refactor(jobs): a block without a purpose, and the places of constants

Cause: a block left from a loop, an import in a function, and constants apart from the others of their files.

Change: those; no change of behaviour.

Result: the tests of comfreymill_jobs pass.

--- a/comfreymill_jobs/src/scheduler/lost_workers.rs
+++ b/comfreymill_jobs/src/scheduler/lost_workers.rs
@@ -58,11 +58,9 @@
             if entry.lease_due_at().is_none_or(|end| now < end) {
                 continue;
             }
-            {
-                log::warn!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, runs = entry.runs.len(); "a worker's lease has expired");
-                entry.is_unresponsive = true;
-                entry.keep_lapsed(now);
-            }
+            log::warn!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, runs = entry.runs.len(); "a worker's lease has expired");
+            entry.is_unresponsive = true;
+            entry.keep_lapsed(now);
             self.release_all(now, number);
         }
     }
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -16,7 +16,6 @@
 const UNRESPONSIVE_POLL_DELAY: Duration = Duration::from_millis(250);
 /// Time between polls of a worker without runs.
 const IDLE_POLL_PERIOD: Duration = Duration::from_secs(5);
-
 /// Maximum number of workers polled in one tick; a new leader polls all workers, whose reports would
 /// otherwise arrive at once.
 const MAX_POLLS_PER_TICK: usize = 64;
--- a/comfreymill_jobs/src/scheduler/tick.rs
+++ b/comfreymill_jobs/src/scheduler/tick.rs
@@ -13,7 +13,6 @@
 const PLACEMENT_PERIOD: Duration = Duration::from_millis(100);
 /// Maximum number of jobs that one command removes.
 const MAX_REMOVED_JOBS: usize = 256;
-
 /// Maximum number of stop orders that are checked in one tick.
 const MAX_STOP_RETRIES: usize = 256;
 
--- a/comfreymill_jobs/src/scheduler/workers/score_index.rs
+++ b/comfreymill_jobs/src/scheduler/workers/score_index.rs
@@ -1,5 +1,6 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops;
 
 use super::super::interference::ImageId;
 use crate::id;
@@ -75,10 +76,11 @@
         &self,
         last: Option<(i64, id::WorkerNumber)>,
     ) -> Option<(i64, id::WorkerNumber)> {
-        use std::ops::Bound;
-        let first = last
-            .map_or(Bound::Unbounded, |(score, number)| Bound::Excluded((Reverse(score), number)));
-        let (Reverse(score), number) = self.by_score.range((first, Bound::Unbounded)).next()?;
+        let first = last.map_or(ops::Bound::Unbounded, |(score, number)| {
+            ops::Bound::Excluded((Reverse(score), number))
+        });
+        let (Reverse(score), number) =
+            self.by_score.range((first, ops::Bound::Unbounded)).next()?;
         Some((*score, *number))
     }
 }
