fix(node): close idle connections for orders while others wait for one

With a bound below 8 they never counted as scarce. So orders to the other workers waited for up to 30 s.

Change: an idle connection is closed after 5 s while connections are scarce, and the last one below the bound counts as scarce, however low the bound is.

--- a/comfreymill_node/src/scheduler/orders/connections.rs
+++ b/comfreymill_node/src/scheduler/orders/connections.rs
@@ -53,7 +53,7 @@
     /// opened.
     pub(super) fn is_scarce(&self) -> bool {
         let most = self.most_for_orders();
-        self.for_orders.get() > most - most / 8
+        self.for_orders.get() > most - (most / 8).max(1)
     }
 
     fn most_for_orders(&self) -> usize {
--- a/comfreymill_node/src/scheduler/orders/delivery.rs
+++ b/comfreymill_node/src/scheduler/orders/delivery.rs
@@ -22,6 +22,8 @@
 /// Time without orders after which a connection is closed; each occupies a descriptor, and workers
 /// that are polled rarely are polled every few seconds.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
+/// Time without orders after which a connection is closed that others may wait for.
+const SCARCE_IDLE_LIMIT: Duration = Duration::from_secs(5);
 /// Time in the queue after which an order is logged.
 const LONG_QUEUE_WAIT: Duration = Duration::from_secs(1);
 /// Maximum size of an answer; 500 ends and the runs of a full worker take far less.
@@ -91,7 +93,9 @@
     // Two tasks on one receiver can wake each other endlessly; see `WorkerQueues`.
     debug_assert_eq!(orders.receiver_count(), 1, "the order queue has more than one receiver");
     let mut connection = None;
-    while let Some(QueuedOrder { order, queued_at }) = next_order(&orders, &mut connection).await {
+    while let Some(QueuedOrder { order, queued_at }) =
+        next_order(&orders, &connections, &mut connection).await
+    {
         let (request, wait) = to_request(&target, &order);
         let is_poll = matches!(order, scheduler::Order::Poll { .. });
         if connection.is_none() {
@@ -135,15 +139,21 @@
     }
 }
 
-/// Returns the next order; closes the connection after `IDLE_LIMIT` without one.
+/// Returns the next order; closes the connection after `IDLE_LIMIT` without one, or sooner while
+/// connections are scarce.
 async fn next_order(
     orders: &flume::Receiver<QueuedOrder>,
+    connections: &Connections,
     connection: &mut Option<Slot>,
 ) -> Option<QueuedOrder> {
-    if connection.is_some() {
-        match monoio::time::timeout(IDLE_LIMIT, orders.recv_async()).await {
+    let mut idle = Duration::ZERO;
+    while connection.is_some() {
+        match monoio::time::timeout(SCARCE_IDLE_LIMIT, orders.recv_async()).await {
             Ok(received) => return received.ok(),
-            Err(_) => *connection = None,
+            Err(_) => idle += SCARCE_IDLE_LIMIT,
+        }
+        if idle >= IDLE_LIMIT || connections.is_scarce() {
+            *connection = None;
         }
     }
     orders.recv_async().await.ok()
