test(platform): wait for a task that waits, not for a line that is gone

Cause: the test of an evacuated zone waited for the line `a worker answers`.

Change: it waits for the line on the first waiting task, which says that the one worker has answered and has room. That is stricter: before, the worker need not have had room.

--- a/tests/platform/whole_path.rs
+++ b/tests/platform/whole_path.rs
@@ -147,7 +147,9 @@
     bed.wait("a job to be accepted", || caller.submit(2, 4));
     let has_evacuated = || bed.zone(&["status"]).matches("evacuated").count() == 2;
     bed.wait("the evacuations to be known", has_evacuated);
-    bed.wait("the worker to answer", || bed.has_logged("a worker answers", 1));
+    // The worker has answered and has room, and a task of the second job waits nonetheless.
+    let waits = r#""with_room":1,"resting":0,"silent":0,"unheard":0,"#;
+    bed.wait("a task to wait beside the worker", || bed.has_logged(waits, 1));
     assert!(bed.explain(2).contains("evacuated_zones: kingston-b, south"), "{}", bed.explain(2));
     assert!(bed.zone(&["withdraw", "nowhere"]).contains("not-found"), "the command has an error");
     assert_eq!(count(), 4, "no task of the second job is started");
