fix(jobs): leave tasks of a returning zone where they are

Cause: tasks that may move were looked for on all closed workers. Workers of a zone whose evacuation was withdrawn are closed as well until their step of the return, so while another zone was evacuated, their long-running tasks were stopped and moved for nothing.

Change: look only at workers of zones that are evacuated now.

Result: the new test stopped two tasks of the returning zone before, and none now; the tests of comfreymill_jobs pass (113).

--- a/comfreymill_jobs/src/scheduler/evacuation.rs
+++ b/comfreymill_jobs/src/scheduler/evacuation.rs
@@ -119,7 +119,13 @@
 
     /// Returns whether any zone is evacuated.
     pub(super) fn has_evacuated_zone(&self) -> bool {
-        self.zones.values().any(|phase| matches!(phase, ZonePhase::Evacuated { .. }))
+        self.evacuated_zones().next().is_some()
+    }
+
+    /// Iterates over the zones that are evacuated.
+    pub(super) fn evacuated_zones(&self) -> impl Iterator<Item = &id::ZoneName> {
+        let is_evacuated = |phase: &ZonePhase| matches!(phase, ZonePhase::Evacuated { .. });
+        self.zones.iter().filter(move |(_, phase)| is_evacuated(phase)).map(|(zone, _)| zone)
     }
 
     /// Returns whether any zone has been evacuated for so long that its tasks move although there
--- a/comfreymill_jobs/src/scheduler/moves.rs
+++ b/comfreymill_jobs/src/scheduler/moves.rs
@@ -89,7 +89,10 @@
 
     /// Returns the tasks that may move, beginning after the one that was tried last.
     fn find_movable(&self) -> Vec<(id::WorkerNumber, id::TaskId)> {
-        let evacuated = self.workers.iter().filter(|(_, worker)| worker.is_evacuated);
+        // Workers of a zone that returns may be closed as well, but their tasks stay.
+        let zones: Vec<&id::ZoneName> = self.evacuated_zones().collect();
+        let evacuated = self.workers.iter();
+        let evacuated = evacuated.filter(|(_, worker)| zones.iter().any(|zone| worker.is_in(zone)));
         let runs = evacuated.flat_map(|(number, worker)| {
             worker.runs.iter().map(move |(task, run)| (*number, *task, run))
         });
--- a/comfreymill_jobs/tests/scheduler/moves.rs
+++ b/comfreymill_jobs/tests/scheduler/moves.rs
@@ -249,3 +249,19 @@
     leader.advance(ROUND);
     assert_eq!(take_stops(&mut leader), []);
 }
+
+/// Workers of a zone that returns are opened in steps; their tasks have no reason to leave.
+#[test]
+fn no_task_moves_out_of_a_zone_that_returns_while_another_one_is_evacuated() {
+    let mut leader = Leader::new();
+    at_work(&mut leader, 4, long_running(32));
+    leader.evacuate("south");
+    leader.withdraw("south");
+    leader.evacuate("west");
+    for i in 0..16 {
+        leader.worker_in(&format!("nn{i}"), "north");
+    }
+    leader.advance(ROUND);
+    leader.advance(ROUND);
+    assert_eq!(take_stops(&mut leader), []);
+}
