fix(jobs): count the choice of a rack as work of a turn

Cause: the choice of a rack for a rack-sensitive step sums up the free room of all workers and books places on up to four racks, but was not counted in the steps of work. A burst of such steps was placed in one turn of the leader's loop, however many workers there were.

Change: count the workers and a weighing for each rack that is examined.

Result: 20 such steps on 480 workers took one turn before, and several now (new test); all of them are placed as before.

--- a/comfreymill_jobs/src/scheduler/locality/groups.rs
+++ b/comfreymill_jobs/src/scheduler/locality/groups.rs
@@ -5,6 +5,7 @@
 use super::choice::Choice;
 use super::decision;
 use super::racks;
+use super::weigh;
 use crate::id;
 use crate::job;
 use crate::scheduler::Scheduler;
@@ -30,7 +31,11 @@
         }
         let begun_on = self.racks_of_step(step);
         let chosen = match begun_on.len() {
-            0 => self.choose_rack(now, pool, step, spec),
+            0 => {
+                let weighings = MAX_RACKS as u64 * weigh::STEPS_PER_WEIGHING;
+                self.steps += self.workers.len() as u64 + weighings;
+                self.choose_rack(now, pool, step, spec)
+            }
             1 => begun_on.first().cloned(),
             _ => None,
         };
--- a/comfreymill_jobs/src/scheduler/locality/weigh.rs
+++ b/comfreymill_jobs/src/scheduler/locality/weigh.rs
@@ -17,7 +17,7 @@
 /// Time after its last wait for which a rack is kept free of tasks that are as fast elsewhere.
 const WANTED_PERIOD: Duration = Duration::from_secs(1);
 /// Steps of work that a weighing counts for.
-const STEPS_PER_WEIGHING: u64 = 50;
+pub(super) const STEPS_PER_WEIGHING: u64 = 50;
 /// Number of steps that are weighed with one forecast of a rack, which bounds the time that this
 /// takes.
 const MAX_WEIGHED: usize = 32;
--- a/comfreymill_jobs/tests/scheduler/locality/groups.rs
+++ b/comfreymill_jobs/tests/scheduler/locality/groups.rs
@@ -1,10 +1,12 @@
 use std::time::Duration;
 
+use comfreymill_jobs::id::JobKey;
 use comfreymill_jobs::job::StepSpec;
 use comfreymill_jobs::scheduler::RemoteFactor;
+use comfreymill_jobs::state::{Command, Submission};
 
 use super::world::World;
-use crate::support::step;
+use crate::support::{spec, step};
 
 const GROUP: u64 = 9;
 
@@ -52,3 +54,18 @@
     world.submit_step(GROUP, Duration::from_millis(800), group(20));
     assert_eq!(racks_of_group(&world).len(), 20);
 }
+
+/// A choice of a rack looks at all workers, so a turn has room for only a few of them.
+#[test]
+fn choices_of_racks_count_as_work_of_a_turn() {
+    let mut leader = World::new(24, 20, RemoteFactor::from_percent(300), true).leader;
+    let submission = |key| {
+        let (job, queue) = (JobKey::new(key), "batch".to_owned());
+        Submission { job, queue, max_attempts: 2, spec: spec(vec![group(2)]) }
+    };
+    leader.commit((0..20).map(|key| Command::Submit(Box::new(submission(key)))).collect());
+    leader.scheduler.place(leader.now);
+    assert!(leader.scheduler.has_placement_left(), "20 choices among 480 workers in one turn");
+    leader.settle();
+    assert_eq!(leader.take_starts().len(), 40);
+}
