fix(jobs): give back room when a task starts again where it was

Cause: a move out of a zone ended once its task was no longer placed on the worker that it leaves. After a withdrawal, a round of placement that had begun before the run ended may start the task on that worker again. The move then never ended, and the room that it had reserved elsewhere stayed taken for as long as the task ran.

Change: a move remembers the run that it stops, and ends with it.

--- a/comfreymill_jobs/src/scheduler/moves.rs
+++ b/comfreymill_jobs/src/scheduler/moves.rs
@@ -36,6 +36,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Move {
     from: id::WorkerNumber,
+    /// Run that is stopped for the move.
+    run: id::Run,
     to: id::WorkerNumber,
     reserved: worker::Resources,
 }
@@ -155,13 +157,14 @@
         if !self.may_join(to, task, &spec) {
             return true;
         }
+        let Some(run) = self.task(task).map(|entry| entry.run) else { return true };
         let reserved = spec.reserved();
         let Some(entry) = self.workers.get_mut(&to) else { return true };
         entry.reserve(reserved);
         let to_zone = entry.announcement.zone.clone();
         let Some(entry) = self.workers.get(&number) else { return true };
         log::info!(target: "evacuations", task:% = task, from:% = number, from_zone = entry.announcement.zone.as_str(), to:% = to, to_zone = to_zone.as_str(), moving = self.moves.len() + 1; "a task moves out of an evacuated zone");
-        self.moves.insert(task, Move { from: number, to, reserved });
+        self.moves.insert(task, Move { from: number, run, to, reserved });
         self.stop(now, number, task);
         true
     }
@@ -177,10 +180,12 @@
 
     /// Starts the tasks whose runs have ended on the workers where they have room.
     pub(super) fn finish_moves(&mut self, now: time::Monotonic) {
-        let is_stopping = |task: id::TaskId, from| {
-            self.task(task).is_some_and(|entry| entry.phase == TaskPhase::Placed(from))
+        // After a withdrawal, the task may have started again where it was.
+        let is_stopping = |task: id::TaskId, m: &Move| {
+            let entry = self.task(task);
+            entry.is_some_and(|e| e.phase == TaskPhase::Placed(m.from) && e.run == m.run)
         };
-        let over = self.moves.iter().filter(|(task, m)| !is_stopping(**task, m.from));
+        let over = self.moves.iter().filter(|(task, m)| !is_stopping(**task, m));
         let over: Vec<id::TaskId> = over.map(|(task, _)| *task).collect();
         for task in over {
             let Some(Move { to, reserved, .. }) = self.moves.remove(&task) else { continue };
--- a/comfreymill_jobs/tests/scheduler/moves.rs
+++ b/comfreymill_jobs/tests/scheduler/moves.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use comfreymill_jobs::scheduler::{Order, StartAnswer};
-use comfreymill_jobs::worker::{Announcement, End, EndKind, Report, RunStatus};
+use comfreymill_jobs::scheduler::{Answer, Config, Order, PollAnswer, StartAnswer};
+use comfreymill_jobs::state::{Command, Submission};
+use comfreymill_jobs::worker::{Announcement, End, EndKind, Report, Resources, RunStatus};
 use comfreymill_jobs::{id, job};
 
-use crate::support::{KEY, Leader, Start, spec, step};
+use crate::support::{KEY, LEASE, Leader, Start, spec, step};
 
 /// Time in which the next tasks that may move are looked for.
 const ROUND: Duration = Duration::from_millis(120);
@@ -265,3 +266,61 @@
     leader.advance(ROUND);
     assert_eq!(take_stops(&mut leader), []);
 }
+
+/// Reports without a placement: a round that has begun goes on later.
+fn report_during_round(leader: &mut Leader, start: &Start, kind: EndKind) {
+    let clock_ms = Some(5_000 + leader.now.as_micros() / 1_000);
+    let report = Report { clock_ms, ended: vec![start.end(1, kind)], ..Report::default() };
+    let answer = Answer::Poll(PollAnswer::Report(report));
+    leader.scheduler.answered(leader.now, start.worker, leader.now, answer);
+    let commands = leader.scheduler.take_commands();
+    leader.commit(commands);
+}
+
+/// The withdrawal comes while a run is being stopped, and a long round of placement starts the task
+/// where it was.
+#[test]
+fn no_room_stays_reserved_for_a_task_that_starts_again_where_it_was() {
+    let mut leader = Leader::with_config(Config::new(LEASE).evacuation_patience(Duration::ZERO));
+    let step_of_two = job::StepSpec { max_per_worker: Some(1), ..long_running(2) };
+    let runs = at_work(&mut leader, 1, step_of_two);
+    leader.evacuate("south");
+    leader.worker_in("n", "north");
+    let other = leader.take_starts()[0];
+    leader.started(&other, StartAnswer::Started);
+    let to = leader.worker_in("nn", "north");
+    leader.advance(ROUND);
+    assert_eq!(take_stops(&mut leader), [runs[0].task]);
+
+    leader.now = leader.now + Duration::from_secs(1);
+    let no_answer = Answer::Poll(PollAnswer::NoAnswer);
+    leader.scheduler.answered(leader.now, to, leader.now, no_answer);
+    let order = leader.zone_order("south");
+    leader.commit(vec![Command::WithdrawEvacuation(order)]);
+    report_during_round(&mut leader, &other, EndKind::Failed);
+    let needs = Resources { cpu_milli: 20_000, mem_mb: 1, gpus: 0 };
+    let too_large = job::StepSpec { needs, ..step(1) };
+    let submission = |key| Submission {
+        job: id::JobKey::new(key),
+        queue: "batch".to_owned(),
+        max_attempts: 2,
+        spec: spec(vec![too_large.clone()]),
+    };
+    leader.commit((0..3_000).map(|key| Command::Submit(Box::new(submission(key)))).collect());
+    leader.scheduler.place(leader.now);
+    assert!(leader.scheduler.has_placement_left(), "the round goes on");
+    report_during_round(&mut leader, &runs[0], EndKind::Stopped);
+    leader.settle();
+    let again = leader.take_starts();
+    assert!(again.iter().all(|start| start.worker != to));
+    let again = again.iter().find(|start| start.task == runs[0].task).expect("it starts");
+    assert_eq!(again.worker, runs[0].worker);
+    leader.started(again, StartAnswer::Started);
+
+    leader.report(to, Report::default());
+    assert_eq!(leader.take_starts(), []);
+    leader.submit_as(KEY.get() + 1, spec(vec![step(40)]));
+    leader.advance(ROUND);
+    let starts = leader.take_starts();
+    assert_eq!(starts.iter().filter(|start| start.worker == to).count(), 8);
+}
