refactor(jobs): note no reserved room while tasks are not packed

Each start copied the name of the worker's pool and looked it up, also where no setting packs long-running tasks. Without pools to count for, the call returns at once. No change of behaviour; the tests of comfreymill_jobs pass (114).

--- a/comfreymill_jobs/src/scheduler/packing.rs
+++ b/comfreymill_jobs/src/scheduler/packing.rs
@@ -70,6 +70,9 @@
 
     /// Counts the room that a run takes, as one round may fill a pool.
     pub(super) fn note_reserved(&mut self, worker: id::WorkerNumber, spec: &job::StepSpec) {
+        if self.packing.pools.is_empty() {
+            return;
+        }
         let Some(worker) = self.workers.get(&worker) else { return };
         let pool = worker.announcement.pool.clone();
         let pool = self.workers.pool(&pool);
