fix(jobs): record the zone that a worker moves to

Cause: the log has the zone of a worker's first announcement. When the same incarnation announced another zone later, only the leader of that time knew. The next one placed tasks by the old zone until the worker's next announcement, also if the present zone is evacuated.

Change: a changed zone is committed with a new command (the last one, so earlier logs are read as before), as a changed capacity is.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -159,6 +159,13 @@
         if entry.announcement.zone != announcement.zone {
             entry.is_evacuated = is_closed;
         }
+        // The next leader has to know whether the worker is in an evacuated zone.
+        if entry.replicated.announced.zone != announcement.zone {
+            let zone = announcement.zone.clone();
+            entry.replicated.announced.zone.clone_from(&zone);
+            log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, zone:% = zone, is_evacuated = entry.is_evacuated; "a worker's zone has changed");
+            self.commands.push(state::Command::SetZone { worker: number, zone });
+        }
         let is_moved = entry.announcement.labels != announcement.labels;
         entry.announcement = announcement;
         entry.has_announced = true;
--- a/comfreymill_jobs/src/state/apply.rs
+++ b/comfreymill_jobs/src/state/apply.rs
@@ -109,6 +109,12 @@
                 }
                 Effect::None
             }
+            Command::SetZone { worker, zone } => {
+                if let Some(worker) = self.workers.get_mut(&worker) {
+                    worker.announced.zone = zone;
+                }
+                Effect::None
+            }
             Command::Evacuate(order) => {
                 let zone = order.zone.clone();
                 zone_effect(zone, self.evacuations.evacuate(*order))
--- a/comfreymill_jobs/src/state/command.rs
+++ b/comfreymill_jobs/src/state/command.rs
@@ -75,6 +75,13 @@
     Evacuate(Box<ZoneOrder>),
     /// Withdraws the evacuation of an availability zone.
     WithdrawEvacuation(Box<ZoneOrder>),
+    /// Records that a worker is in another availability zone.
+    SetZone {
+        /// Number of the incarnation.
+        worker: id::WorkerNumber,
+        /// Name of the zone, not validated.
+        zone: String,
+    },
 }
 
 /// Job with the queue that it was submitted to.
--- a/comfreymill_jobs/tests/scheduler/evacuation.rs
+++ b/comfreymill_jobs/tests/scheduler/evacuation.rs
@@ -5,7 +5,7 @@
 use comfreymill_jobs::id;
 use comfreymill_jobs::scheduler::{Order, Refusal, StartAnswer};
 use comfreymill_jobs::state::{Command, State};
-use comfreymill_jobs::worker::Report;
+use comfreymill_jobs::worker::{Announcement, Report};
 use comfreymill_types::time::Monotonic;
 
 use crate::support::{LEASE, Leader, Start, running, spec, step};
@@ -202,3 +202,19 @@
     let report = &leader.scheduler.zone_reports()[0];
     assert_eq!((report.closed, report.is_returning), (1, false));
 }
+
+#[test]
+fn a_new_leader_knows_the_zone_that_a_worker_is_in_now() {
+    let (mut leader, moved, other) = with_two_zones();
+    let announcement = leader.announcement("s", 10);
+    leader.announce(Announcement { zone: "north".to_owned(), ..announcement });
+    leader.evacuate("north");
+    leader.submit(spec(vec![step(4)]));
+    assert_eq!(leader.take_starts(), []);
+    let mut next = leader.into_next_leader();
+    for number in [moved, other] {
+        next.report(number, Report::default());
+    }
+    next.advance(Duration::from_millis(200));
+    assert_eq!(next.take_starts(), []);
+}
