--- a/comfreymill_jobs/src/scheduler/choice.rs
+++ b/comfreymill_jobs/src/scheduler/choice.rs
@@ -11,8 +11,9 @@
 use super::Scheduler;
 use super::interference::ImageId;
 use super::score::Scorer;
+use super::search::Search;
 use super::worker::WorkerEntry;
-use super::workers::{PoolId, ScoreKey};
+use super::workers::ScoreKey;
 use crate::id;
 use crate::job;
 
@@ -23,38 +24,26 @@
 impl Scheduler {
     /// Returns the worker with the highest score for a task of the step, among those that have
     /// room.
-    pub(super) fn choose_worker(
-        &mut self,
-        now: time::Monotonic,
-        pool: PoolId,
-        task: id::TaskId,
-        spec: &job::StepSpec,
-        image: ImageId,
-    ) -> Option<id::WorkerNumber> {
+    pub(super) fn choose_worker(&mut self, search: Search<'_>) -> Option<id::WorkerNumber> {
+        let Search { now, task, spec, .. } = search;
         self.steps += self.workers.refresh(now);
         if spec.kind() == job::StepKind::Filler {
             self.compute_headroom();
         }
         if self.crash_record(task).crashes > 0 {
-            self.choose_apart(now, pool, task, spec, image)
+            self.choose_apart(search)
         } else if spec.kind() == job::StepKind::Plain {
-            self.choose_by_room(now, pool, task, spec, image)
+            self.choose_by_room(search)
         } else {
-            let tight = self.choose_tight(now, pool, task, spec, image);
-            tight.or_else(|| self.choose_by_score(now, pool, task, spec, image))
+            let tight = self.choose_tight(search);
+            tight.or_else(|| self.choose_by_score(search))
         }
     }
 
     /// Chooses a worker for a task under which a worker has crashed, which depends on the times of
     /// the last starts on all workers; such tasks are rare.
-    fn choose_apart(
-        &mut self,
-        now: time::Monotonic,
-        pool: PoolId,
-        task: id::TaskId,
-        spec: &job::StepSpec,
-        image: ImageId,
-    ) -> Option<id::WorkerNumber> {
+    fn choose_apart(&mut self, search: Search<'_>) -> Option<id::WorkerNumber> {
+        let Search { now, pool, task, spec, image } = search;
         let scorer = Scorer::new(&self.interference, spec, image);
         let mut best = None;
         self.steps += self.workers.best_fits(pool, None, spec.reserved(), |number, worker| {
@@ -70,14 +59,8 @@
 
     /// Chooses the worker with the least free processor time, and prefers the rack of the task's
     /// data.
-    fn choose_by_room(
-        &mut self,
-        now: time::Monotonic,
-        pool: PoolId,
-        task: id::TaskId,
-        spec: &job::StepSpec,
-        image: ImageId,
-    ) -> Option<id::WorkerNumber> {
+    fn choose_by_room(&mut self, search: Search<'_>) -> Option<id::WorkerNumber> {
+        let Search { now, pool, task, spec, image } = search;
         let scorer = Scorer::new(&self.interference, spec, image);
         let mut best = None;
         let mut examined = 0;
@@ -99,14 +82,8 @@
     }
 
     /// Chooses the worker with the highest score.
-    fn choose_by_score(
-        &mut self,
-        now: time::Monotonic,
-        pool: PoolId,
-        task: id::TaskId,
-        spec: &job::StepSpec,
-        image: ImageId,
-    ) -> Option<id::WorkerNumber> {
+    fn choose_by_score(&mut self, search: Search<'_>) -> Option<id::WorkerNumber> {
+        let Search { now, pool, task, spec, image } = search;
         let key = ScoreKey::new(spec, image);
         let scorer = Scorer::new(&self.interference, spec, image);
         let mut examined =
--- a/comfreymill_jobs/src/scheduler/holding.rs
+++ b/comfreymill_jobs/src/scheduler/holding.rs
@@ -5,6 +5,7 @@
 
 use super::Scheduler;
 use super::queue::PlacementClass;
+use super::search::Search;
 use super::without_room::{Kind, WithoutRoom};
 use super::worker::WorkerEntry;
 use super::workers::PoolId;
@@ -64,7 +65,8 @@
         if without_room.includes(&kind, &spec.needs) {
             return;
         }
-        if let Some(worker) = self.choose_worker(now, pool, task, &spec, image) {
+        let search = Search { now, pool, task, spec: &spec, image };
+        if let Some(worker) = self.choose_worker(search) {
             self.start(now, worker, task, &spec);
         } else if let Some(number) = self.choose_worker_to_hold(now, pool, task, &spec)
             && let Some(worker) = self.workers.get_mut(&number)
--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -37,6 +37,7 @@
 #[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
 mod scheduler;
 mod score;
+mod search;
 mod starts;
 mod task;
 mod tick;
--- a/comfreymill_jobs/src/scheduler/moves.rs
+++ b/comfreymill_jobs/src/scheduler/moves.rs
@@ -14,6 +14,7 @@
 use super::choice::is_allowed;
 use super::queue::PlacementClass;
 use super::run::{RunEntry, RunPhase};
+use super::search::Search;
 use super::task::TaskPhase;
 use crate::id;
 use crate::job;
@@ -150,7 +151,8 @@
         let Some(pool) = self.pool_of(task) else { return true };
         let image = self.interference.intern(spec.image.as_deref());
         let pool = self.workers.pool(&pool);
-        let Some(to) = self.choose_worker(now, pool, task, &spec, image) else {
+        let search = Search { now, pool, task, spec: &spec, image };
+        let Some(to) = self.choose_worker(search) else {
             log::debug!(target: "evacuations", task:% = task, worker:% = number; "no other worker has room for a task of an evacuated zone");
             return false;
         };
--- a/comfreymill_jobs/src/scheduler/packing.rs
+++ b/comfreymill_jobs/src/scheduler/packing.rs
@@ -12,8 +12,8 @@
 
 use comfreymill_types::time;
 
-use super::interference::ImageId;
 use super::score::Scorer;
+use super::search::Search;
 use super::workers::PoolId;
 use super::{PackingConfig, Scheduler};
 use crate::id;
@@ -83,14 +83,8 @@
 
     /// Chooses a worker that a serving task fills up, if its pool is nearly full: the one with the
     /// highest score among them.
-    pub(super) fn choose_tight(
-        &mut self,
-        now: time::Monotonic,
-        pool: PoolId,
-        task: id::TaskId,
-        spec: &job::StepSpec,
-        image: ImageId,
-    ) -> Option<id::WorkerNumber> {
+    pub(super) fn choose_tight(&mut self, search: Search<'_>) -> Option<id::WorkerNumber> {
+        let Search { now, pool, task, spec, image } = search;
         let cfg = self.cfg.get_packing()?;
         let fill = self.packing.pools.get(&pool)?;
         if spec.kind() != job::StepKind::Serving || !fill.is_nearly_full(cfg) {
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -12,6 +12,7 @@
 
 use super::Scheduler;
 use super::locality;
+use super::search::Search;
 use super::without_room::Kind;
 use crate::id;
 use crate::job;
@@ -98,7 +99,9 @@
             }
             let task = step.task(index);
             let worker = match self.locality(now, task, spec) {
-                locality::Place::Anywhere => self.choose_worker(now, kind.pool, task, spec, image),
+                locality::Place::Anywhere => {
+                    self.choose_worker(Search { now, pool: kind.pool, task, spec, image })
+                }
                 locality::Place::Worker(worker) => Some(worker),
                 locality::Place::Wait => return true,
             };
