--- a/comfreymill_node/src/scheduler/orders/delivery.rs
+++ b/comfreymill_node/src/scheduler/orders/delivery.rs
@@ -9,7 +9,7 @@
 use comfreymill_platform as platform;
 
 use super::OrderResult;
-use super::connections::{Connections, Permit};
+use super::connections::{Connections, Permit, Use};
 use super::queued_order::QueuedOrder;
 use crate::clock;
 use crate::metering::observe;
@@ -86,7 +86,7 @@
 /// Sends the orders of a queue one at a time over a dedicated connection.
 pub(super) async fn run(
     target: Target,
-    connections: Connections,
+    (connections, of): (Connections, Use),
     orders: flume::Receiver<QueuedOrder>,
     inputs: flume::Sender<Input>,
 ) {
@@ -94,16 +94,11 @@
     debug_assert_eq!(orders.receiver_count(), 1, "the order queue has more than one receiver");
     let mut connection = None;
     while let Some(QueuedOrder { order, queued_at }) =
-        next_order(&orders, &connections, &mut connection).await
+        next_order(&orders, (&connections, of), &mut connection).await
     {
         let (request, wait) = to_request(&target, &order);
-        let is_poll = matches!(order, scheduler::Order::Poll { .. });
         if connection.is_none() {
-            let permit = if is_poll {
-                connections.open_for_polls()
-            } else {
-                connections.open_for_orders().await
-            };
+            let permit = connections.open(of).await;
             connection = Some(Slot { connection: None, _permit: permit });
         }
         let Some(slot) = &mut connection else { return };
@@ -114,7 +109,7 @@
         } else {
             exchange(&target, &mut slot.connection, request, wait).await
         };
-        if slot.connection.is_none() || (!is_poll && connections.is_scarce() && orders.is_empty()) {
+        if slot.connection.is_none() || (connections.is_scarce(of) && orders.is_empty()) {
             connection = None;
         }
         let duration = target.clock.now().since(sent_at);
@@ -143,7 +138,7 @@
 /// connections are scarce.
 async fn next_order(
     orders: &flume::Receiver<QueuedOrder>,
-    connections: &Connections,
+    (connections, of): (&Connections, Use),
     connection: &mut Option<Slot>,
 ) -> Option<QueuedOrder> {
     let mut idle = Duration::ZERO;
@@ -152,7 +147,7 @@
             Ok(received) => return received.ok(),
             Err(_) => idle += SCARCE_IDLE_LIMIT,
         }
-        if idle >= IDLE_LIMIT || connections.is_scarce() {
+        if idle >= IDLE_LIMIT || connections.is_scarce(of) {
             *connection = None;
         }
     }
--- a/comfreymill_node/src/scheduler/orders/order_sender.rs
+++ b/comfreymill_node/src/scheduler/orders/order_sender.rs
@@ -6,7 +6,7 @@
 use comfreymill_jobs::scheduler;
 use comfreymill_types::time;
 
-use super::connections::Connections;
+use super::connections::{Connections, Use};
 use super::delivery;
 use super::queued_order::QueuedOrder;
 use crate::clock;
@@ -74,19 +74,19 @@
         let (fence, clock) = (self.fence, self.clock);
         let target = || delivery::Target { worker, name: name.clone(), address, fence, clock };
         let (connections, inputs) = (&self.connections, &self.inputs);
-        let start_queue = || {
+        let start_queue = |of| {
             let (orders, rx) = flume::unbounded();
-            let connections = connections.clone();
+            let connections = (connections.clone(), of);
             monoio::spawn(delivery::run(target(), connections, rx, inputs.clone()));
             orders
         };
         let queues = self
             .queues
             .entry(worker)
-            .or_insert_with(|| WorkerQueues { polls: start_queue(), orders: Vec::new() });
+            .or_insert_with(|| WorkerQueues { polls: start_queue(Use::Polls), orders: Vec::new() });
         if order.task().is_some() && queues.orders.is_empty() {
             let count = connections.orders_per_worker(workers);
-            queues.orders.extend((0..count).map(|_| start_queue()));
+            queues.orders.extend((0..count).map(|_| start_queue(Use::Orders)));
         }
         // A task ends only after its queue is closed, or when the core has ended.
         let queue = queues.queue_for(&order);
--- a/tests/platform/whole_path.rs
+++ b/tests/platform/whole_path.rs
@@ -42,10 +42,19 @@
 /// A leader with three connections to each worker ran out of descriptors and ended.
 #[test]
 fn a_scheduler_with_many_workers_keeps_to_its_descriptors() {
+    keeps_to_its_descriptors(25);
+}
+
+#[test]
+fn a_scheduler_with_more_workers_than_descriptors_polls_them_in_turn() {
+    keeps_to_its_descriptors(70);
+}
+
+fn keeps_to_its_descriptors(workers: usize) {
     const DESCRIPTORS: usize = 64;
     let bed = TestBed::with_descriptors(DESCRIPTORS);
     let caller = bed.caller();
-    for number in 0..25 {
+    for number in 0..workers {
         standin::start_worker(&format!("w-{number}"), bed.get_address(), bed.control());
     }
     for job in JOBS {
