fix(jobs): stop a run again that goes on after its stop was accepted

What callers saw: nothing that a record shows; a run of a cancelled job would go on for as long as its worker answers polls, which renew the lease, if the worker accepted the stop without effect.

Cause: a run whose stop was accepted was not looked at again. `retry_stops` asks for runs with an order in flight, and `update_run` returned early for a run that was reported again.

Evidence: the new test failed before, at the report 1 s after the acceptance: a_run_that_goes_on_after_its_stop_was_accepted_is_stopped_again assertion `left == right` failed, left: 0, right: 1

The run is stopped again if a report that was requested after the acceptance shows it 1 s or more after it. It keeps its room, and its task is not started elsewhere. Reports within that second are no evidence, since a worker needs some time to stop a run. A warning names task, run, worker and the time since the acceptance; the record had no line that tells this case from a late order.

The orders that stop runs have their own file now; the retries are unchanged in this commit.

--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -39,6 +39,7 @@
 mod score;
 mod search;
 mod starts;
+mod stops;
 mod task;
 mod tick;
 mod turns;
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -144,7 +144,7 @@
         let is_complete = report.ended.len() < MAX_REPORTED_ENDS;
         self.steps += (report.running.len() + report.ended.len()) as u64;
         for status in &report.running {
-            self.update_run(now, number, status);
+            self.update_run(now, number, asked_at, status);
         }
         if is_complete {
             self.release_missing(now, number, asked_at, &report);
@@ -180,6 +180,7 @@
         &mut self,
         now: time::Monotonic,
         number: id::WorkerNumber,
+        asked_at: time::Monotonic,
         status: &worker::RunStatus,
     ) {
         let Some(entry) = self.workers.get_mut(&number) else { return };
@@ -196,6 +197,7 @@
                 run.phase = RunPhase::Running { since: now };
                 self.mark_started(status.task.step.job);
             }
+            self.check_stopped(now, number, status.task, asked_at);
             return;
         }
         self.adopt(now, number, status);
--- a/comfreymill_jobs/src/scheduler/run.rs
+++ b/comfreymill_jobs/src/scheduler/run.rs
@@ -66,7 +66,8 @@
         /// Time at which the stop order was last sent.
         sent_at: time::Monotonic,
     },
-    /// The worker accepted the stop order; the next report shows whether the run existed.
+    /// The worker accepted the stop order; the next reports show whether the run existed and has
+    /// ended.
     StopAccepted {
         /// Time at which the leader learned this.
         at: time::Monotonic,
--- a/comfreymill_jobs/src/scheduler/starts.rs
+++ b/comfreymill_jobs/src/scheduler/starts.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use super::run::RunPhase;
-use super::{Answer, Order, Refusal, Scheduler, StartAnswer};
+use super::{Answer, Refusal, Scheduler, StartAnswer};
 use crate::id;
 
 /// Time for which nothing is placed on a worker that had no room; meanwhile its next report shows
@@ -41,20 +41,6 @@
         }
     }
 
-    /// Orders a worker to stop a run, which keeps its reserved resources until its end is known.
-    pub(super) fn stop(
-        &mut self,
-        now: time::Monotonic,
-        worker: id::WorkerNumber,
-        task: id::TaskId,
-    ) {
-        let Some(entry) = self.workers.get_mut(&worker) else { return };
-        let Some(run) = entry.begin_stop(now, task) else { return };
-        log::info!(target: "runs", task:% = task, run:% = run, worker:% = entry.replicated.announced.name; "a run is stopped");
-        self.orders.push(Order::Stop { worker, task, run });
-        self.stops.push_back((now, worker, task));
-    }
-
     fn start_answered(
         &mut self,
         now: time::Monotonic,
@@ -101,22 +87,6 @@
         }
     }
 
-    fn stop_answered(
-        &mut self,
-        now: time::Monotonic,
-        worker: id::WorkerNumber,
-        task: id::TaskId,
-        number: id::Run,
-        is_accepted: bool,
-    ) {
-        let Some(entry) = self.workers.get_mut(&worker) else { return };
-        let Some(run) = entry.runs.get_mut(&task).filter(|run| run.run == number) else { return };
-        if is_accepted && matches!(run.phase, RunPhase::Stopping { .. }) {
-            run.phase = RunPhase::StopAccepted { at: now };
-            entry.next_poll_at = now;
-        }
-    }
-
     /// Handles a refusal by a worker that follows a later leader.
     pub(super) fn fenced(&mut self, worker: id::WorkerNumber) {
         if !self.is_fenced {
--- a/comfreymill_jobs/src/scheduler/tick.rs
+++ b/comfreymill_jobs/src/scheduler/tick.rs
@@ -2,19 +2,14 @@
 
 use comfreymill_types::time;
 
-use super::run::RunPhase;
-use super::{Order, Scheduler};
+use super::Scheduler;
 use crate::id;
 use crate::state;
 
-/// Time after which an unanswered stop order is sent again.
-const STOP_RETRY: Duration = Duration::from_millis(400);
 /// Maximum time between attempts to place ready tasks.
 const PLACEMENT_PERIOD: Duration = Duration::from_millis(100);
 /// Maximum number of jobs that one command removes.
 const MAX_REMOVED_JOBS: usize = 256;
-/// Maximum number of stop orders that are checked in one tick.
-const MAX_STOP_RETRIES: usize = 256;
 
 /// # Periodic work
 impl Scheduler {
@@ -55,29 +50,6 @@
         }
     }
 
-    fn retry_stops(&mut self, now: time::Monotonic) {
-        for _ in 0..MAX_STOP_RETRIES {
-            let Some((at, number, task)) = self.stops.pop_front() else { return };
-            if now.since(at) < STOP_RETRY {
-                self.stops.push_front((at, number, task));
-                return;
-            }
-            self.steps += 1;
-            let Some(worker) = self.workers.get_mut(&number) else { continue };
-            let is_unresponsive = worker.is_unresponsive;
-            let Some(run) = worker.runs.get_mut(&task) else { continue };
-            if let RunPhase::Stopping { sent_at } = &mut run.phase
-                && *sent_at == at
-            {
-                *sent_at = now;
-                self.stops.push_back((now, number, task));
-                if !is_unresponsive {
-                    self.orders.push(Order::Stop { worker: number, task, run: run.run });
-                }
-            }
-        }
-    }
-
     fn remove_expired_jobs(&mut self, now: time::Monotonic) {
         let mut jobs = Vec::new();
         while let Some((ended_at, key)) = self.ended.front() {
--- /dev/null
+++ b/comfreymill_jobs/tests/scheduler/cancellation.rs
@@ -0,0 +1,70 @@
+//! Runs of cancelled jobs are stopped, whatever becomes of the orders.
+
+use std::time::Duration;
+
+use comfreymill_jobs::scheduler::{Answer, Order, StartAnswer};
+use comfreymill_jobs::state::Command;
+use comfreymill_jobs::worker::EndKind;
+
+use crate::support::{KEY, Leader, Start, ended, running, spec, step};
+
+const TICK: Duration = Duration::from_millis(20);
+
+/// Returns a leader that has cancelled a job with one run, and the run.
+fn with_cancelled_run() -> (Leader, Start) {
+    let mut leader = Leader::new();
+    leader.worker("w");
+    leader.submit(spec(vec![step(1)]));
+    let start = leader.take_starts()[0];
+    leader.started(&start, StartAnswer::Started);
+    leader.commit(vec![Command::Cancel { job: KEY }]);
+    leader.settle();
+    assert_eq!(take_stops(&mut leader, &start), 1);
+    (leader, start)
+}
+
+/// Takes all orders so far and returns how many of them stop the run.
+fn take_stops(leader: &mut Leader, start: &Start) -> usize {
+    let orders = std::mem::take(&mut leader.orders);
+    let stops = orders.iter().filter(|order| {
+        matches!(order, Order::Stop { worker, task, run }
+            if (*worker, *task, *run) == (start.worker, start.task, start.run))
+    });
+    stops.count()
+}
+
+fn answer_stop(leader: &mut Leader, start: &Start, is_accepted: bool) {
+    let Start { worker, task, run } = *start;
+    let answer = Answer::Stop { task, run, is_accepted };
+    leader.scheduler.answered(leader.now, worker, leader.now, answer);
+    leader.settle();
+}
+
+fn advance(leader: &mut Leader, span: Duration) {
+    let end = leader.now + span;
+    while leader.now < end {
+        leader.advance(TICK);
+    }
+}
+
+/// A worker accepted a stop without effect, and the run went on until its lease ended.
+#[test]
+fn a_run_that_goes_on_after_its_stop_was_accepted_is_stopped_again() {
+    let (mut leader, start) = with_cancelled_run();
+    answer_stop(&mut leader, &start, true);
+    // A worker may take some time to stop a run, so the first reports prove nothing.
+    advance(&mut leader, Duration::from_millis(400));
+    leader.report(start.worker, running(&[start]));
+    assert_eq!(take_stops(&mut leader, &start), 0);
+    advance(&mut leader, Duration::from_millis(600));
+    leader.report(start.worker, running(&[start]));
+    assert_eq!(take_stops(&mut leader, &start), 1);
+    leader.report(start.worker, running(&[start]));
+    assert_eq!(take_stops(&mut leader, &start), 0, "the order is on its way");
+    // The run keeps its room until a report requested after the acceptance does not show it.
+    leader.submit_as(2, spec(vec![step(8)]));
+    assert_eq!(leader.take_starts().len(), 7);
+    answer_stop(&mut leader, &start, true);
+    leader.report(start.worker, ended(vec![start.end(1, EndKind::Stopped)]));
+    assert_eq!(leader.take_starts().len(), 1);
+}
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler's decisions, including under failures.
 
+mod cancellation;
 mod choice;
 mod crashes;
 mod evacuation;
