fix(jobs): send a stop again only after its answer, or after 2 s

What callers saw: runs of cancelled jobs ended late where a worker answered its orders slowly: the stops of its runs waited behind copies of each other.

Cause: a stop was queued again every 400 ms while the first was still on its way. The queue of a worker sends one order at a time, and one without an answer takes up to 0.9 s and 0.5 s to connect, so each of the copies delayed the stops of the other runs there.

Evidence: the new test failed before; in 1.9 s without an answer, four more stops were queued: a_stop_is_not_sent_again_before_its_answer_unless_that_takes_long assertion `left == right` failed: the first order is still on its way, left: 4, right: 0

Each order of a leader gets an answer or its time-out. So a stop that was refused or not answered is sent again when that is known, 400 ms after the one before at the earliest, and without any answer after 2 s, in case one is lost.

--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -66,7 +66,7 @@
             released: 0,
             adopted: 0,
             held: Vec::new(),
-            stops: VecDeque::new(),
+            stops: BTreeSet::new(),
             recurring: BTreeSet::new(),
             steps: 0,
             orders: Vec::new(),
--- a/comfreymill_jobs/src/scheduler/run.rs
+++ b/comfreymill_jobs/src/scheduler/run.rs
@@ -61,10 +61,12 @@
         /// Time at which the leader learned this.
         since: time::Monotonic,
     },
-    /// The stop order is in flight.
+    /// The stop order is in flight, or the worker did not accept it.
     Stopping {
         /// Time at which the stop order was last sent.
         sent_at: time::Monotonic,
+        /// Time at which it is sent again.
+        retry_at: time::Monotonic,
     },
     /// The worker accepted the stop order; the next reports show whether the run existed and has
     /// ended.
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -78,8 +78,8 @@
     pub(super) fleet_logged_at: time::Monotonic,
     /// Workers that are held for long-running tasks.
     pub(super) held: Vec<id::WorkerNumber>,
-    /// Stop orders in flight, with the times at which they were sent, the earliest first.
-    pub(super) stops: VecDeque<(time::Monotonic, id::WorkerNumber, id::TaskId)>,
+    /// Runs that are being stopped, with the times at which the orders are sent again.
+    pub(super) stops: BTreeSet<(time::Monotonic, id::WorkerNumber, id::TaskId)>,
     /// Open jobs that have a schedule.
     pub(super) recurring: BTreeSet<id::JobKey>,
     /// Number of steps of work done so far: workers, tasks and jobs looked at.
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -291,7 +291,7 @@
         if run.is_lasting() {
             self.lasting = self.lasting.saturating_sub(&run.reserved);
         }
-        run.phase = RunPhase::Stopping { sent_at: now };
+        run.phase = RunPhase::Stopping { sent_at: now, retry_at: now };
         Some(run.run)
     }
 
--- a/comfreymill_jobs/tests/scheduler/cancellation.rs
+++ b/comfreymill_jobs/tests/scheduler/cancellation.rs
@@ -68,3 +68,18 @@
     leader.report(start.worker, ended(vec![start.end(1, EndKind::Stopped)]));
     assert_eq!(leader.take_starts().len(), 1);
 }
+
+/// Stops waited behind others of the same run in the queue of a worker that answered slowly.
+#[test]
+fn a_stop_is_not_sent_again_before_its_answer_unless_that_takes_long() {
+    let (mut leader, start) = with_cancelled_run();
+    advance(&mut leader, Duration::from_millis(1_900));
+    assert_eq!(take_stops(&mut leader, &start), 0, "the first order is still on its way");
+    advance(&mut leader, Duration::from_millis(200));
+    assert_eq!(take_stops(&mut leader, &start), 1, "its answer is lost");
+    answer_stop(&mut leader, &start, false);
+    advance(&mut leader, Duration::from_millis(280));
+    assert_eq!(take_stops(&mut leader, &start), 0);
+    advance(&mut leader, Duration::from_millis(20));
+    assert_eq!(take_stops(&mut leader, &start), 1, "it was refused, or did not arrive");
+}
