fix(jobs): send refused stops again while a worker's polls fail

What callers saw: no record shows it. A run of a cancelled job went on while its worker refused polls with 503 or sent reports that could not be read, if its only stop had been refused or lost.

Cause: no stop was sent again to a worker whose last poll had failed, so that its queue did not fill with copies. When it answered again, the stop followed up to 400 ms later, and the answer itself may be held back for `max_poll_wait`.

Evidence: the new test failed before: a poll fails, the stop is refused, 420 ms pass: a_stop_that_was_refused_is_sent_again_while_polls_fail assertion `left == right` failed, left: 0, right: 1

--- a/comfreymill_jobs/src/scheduler/stops.rs
+++ b/comfreymill_jobs/src/scheduler/stops.rs
@@ -97,18 +97,11 @@
             self.stops.pop_first();
             self.steps += 1;
             let Some(worker) = self.workers.get_mut(&number) else { continue };
-            let is_unresponsive = worker.is_unresponsive;
             let Some(run) = worker.runs.get_mut(&task) else { continue };
             let RunPhase::Stopping { sent_at, retry_at } = run.phase else { continue };
             if retry_at != at {
                 continue;
             }
-            if is_unresponsive {
-                let retry_at = now + STOP_RETRY;
-                run.phase = RunPhase::Stopping { sent_at, retry_at };
-                self.stops.insert((retry_at, number, task));
-                continue;
-            }
             log::info!(target: "runs", task:% = task, run:% = run.run, worker:% = worker.replicated.announced.name, since_sent_ms = now.since(sent_at).as_millis() as u64; "a stop is sent again");
             self.send_stop(now, number, task);
         }
--- a/comfreymill_jobs/tests/scheduler/cancellation.rs
+++ b/comfreymill_jobs/tests/scheduler/cancellation.rs
@@ -83,3 +83,13 @@
     advance(&mut leader, Duration::from_millis(20));
     assert_eq!(take_stops(&mut leader, &start), 1, "it was refused, or did not arrive");
 }
+
+/// A worker that refused polls, or whose reports could not be read, got one stop and no more.
+#[test]
+fn a_stop_that_was_refused_is_sent_again_while_polls_fail() {
+    let (mut leader, start) = with_cancelled_run();
+    leader.leaves_poll_unanswered(start.worker);
+    answer_stop(&mut leader, &start, false);
+    advance(&mut leader, Duration::from_millis(420));
+    assert_eq!(take_stops(&mut leader, &start), 1);
+}
