fix(jobs): let a worker answer at once that did not answer the last poll

What callers saw: no record shows it. After a failed poll a worker got no tasks, and its ends and runs were not heard, for up to 1.5 s longer than it was away.

Cause: a poll of a worker with runs lets it hold its answer until a run ends, at most `max_poll_wait` (1.5 s by default), also if the poll before had failed. Until that answer the worker counts as unresponsive: nothing is placed on it, and runs that are to be stopped and are not known to this leader stay.

Evidence: the new test failed before: a_worker_that_did_not_answer_is_asked_for_its_report_at_once assertion failed: !leader.orders.iter().any(is_hold)

The poll after a failed one asks for an answer at once, as the first poll of a leader does. It costs one more poll for each time that a worker falls silent with runs.

--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -46,7 +46,9 @@
         let has_uncertain_start = entry.runs.values().any(|run| {
             run.is_start_uncertain && matches!(run.phase, RunPhase::StopAccepted { .. })
         });
-        if !entry.has_answered || has_uncertain_start || entry.runs.is_empty() {
+        // What a worker has to say that did not answer last is waited for.
+        let is_unheard = !entry.has_answered || entry.is_unresponsive;
+        if is_unheard || has_uncertain_start || entry.runs.is_empty() {
             return Duration::ZERO;
         }
         if entry.has_fillers_beside_serving() {
--- a/comfreymill_jobs/tests/scheduler/cancellation.rs
+++ b/comfreymill_jobs/tests/scheduler/cancellation.rs
@@ -93,3 +93,16 @@
     advance(&mut leader, Duration::from_millis(420));
     assert_eq!(take_stops(&mut leader, &start), 1);
 }
+
+/// A worker that did not answer once held its next answer back, although it had news.
+#[test]
+fn a_worker_that_did_not_answer_is_asked_for_its_report_at_once() {
+    let (mut leader, start) = with_cancelled_run();
+    leader.leaves_poll_unanswered(start.worker);
+    leader.orders.clear();
+    advance(&mut leader, Duration::from_millis(300));
+    let is_hold = |order: &Order| matches!(order, Order::Poll { wait, .. } if !wait.is_zero());
+    let polls = leader.orders.iter().filter(|order| matches!(order, Order::Poll { .. }));
+    assert_eq!(polls.count(), 1);
+    assert!(!leader.orders.iter().any(is_hold));
+}
