fix(jobs): use no reading of a worker's clock that cannot be right

What callers saw: with one heartbeat whose clock_ms was near the largest number, the leader ended by itself (overflow checks) or granted that worker leases without end (release build, wrapped sums; a lower reading never replaced a higher estimate), so that its runs were not fenced in time.

Cause: readings were taken from announcements, which anyone can send, and each that was higher than the estimate replaced it. Sums were unchecked.

Why it works: only answers to this leader's orders are read. They come from the incarnation that the order names, and the reading was taken between the order and its answer; with the drift of at most 2%, an earlier reading gives a lower and an upper bound for the next. One outside is left out. Since either may be the odd one, a doubtful reading replaces the earlier ones once a later one agrees with it. Readings of more than a century are refused in any case, and the sums saturate, so that an end of a lease can be encoded.

Weighed and not done: a bound from the time of day and `born`.

What is left: if the first reading is too high by less than a century, leases follow it until two later ones agree, a few polls. The executor shortens them to its own maximum meanwhile.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -132,7 +132,6 @@
         number: id::WorkerNumber,
         announcement: worker::Announcement,
     ) -> Acknowledgement {
-        let cfg = self.cfg;
         let is_closed = self.is_closed(&announcement.zone);
         let Some(entry) = self.workers.get_mut(&number) else { return Acknowledgement::Now };
         let sequence = announcement.sequence;
@@ -141,9 +140,6 @@
         if entry.is_gone || is_outdated {
             return entry.departure_acknowledgement(number);
         }
-        if let Some(clock_ms) = announcement.clock_ms {
-            entry.update_clock(&cfg, clock_ms, now);
-        }
         let was_leaving = entry.announcement.leaving_in.is_some();
         let is_leaving = announcement.leaving_in.is_some();
         let is_new = !entry.has_announced;
--- a/comfreymill_jobs/src/scheduler/config.rs
+++ b/comfreymill_jobs/src/scheduler/config.rs
@@ -133,4 +133,11 @@
         let slowest = PPM - u64::from(self.clock_drift_ppm).min(PPM / 2);
         span.mul_f64(slowest as f64 / PPM as f64)
     }
+
+    /// Returns the maximum time that passes on a worker's clock during `span` on the leader's
+    /// clock.
+    pub fn max_worker_time(&self, span: Duration) -> Duration {
+        let fastest = PPM + u64::from(self.clock_drift_ppm).min(PPM / 2);
+        span.mul_f64(fastest as f64 / PPM as f64)
+    }
 }
--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -10,6 +10,8 @@
 mod announcements;
 mod answer;
 mod choice;
+mod clock_reading;
+mod clocks;
 mod config;
 mod crashes;
 mod ends;
@@ -44,6 +46,7 @@
 mod turns;
 mod without_room;
 mod worker;
+mod worker_clock;
 mod workers;
 
 pub use acknowledgement::Acknowledgement;
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -2,6 +2,7 @@
 
 use comfreymill_types::time;
 
+use super::clock_reading::ClockReading;
 use super::run::{self, RunEntry, RunPhase};
 use super::task::TaskPhase;
 use super::worker::WorkerEntry;
@@ -119,15 +120,15 @@
         asked_at: time::Monotonic,
         report: worker::Report,
     ) {
-        let cfg = self.cfg;
         let Some(entry) = self.workers.get_mut(&number) else { return };
         if report.born_unix_ms.is_some_and(|born| born != entry.replicated.announced.born_unix_ms) {
             self.worker_gone(now, number, "another incarnation answers");
             return;
         }
         if let Some(clock_ms) = report.clock_ms {
-            entry.update_clock(&cfg, clock_ms, now);
+            self.read_clock(number, ClockReading { clock_ms, asked_at, received_at: now });
         }
+        let Some(entry) = self.workers.get_mut(&number) else { return };
         if !entry.has_answered {
             log::debug!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, running = report.running.len(), ended = report.ended.len(); "a worker answers this leader");
         } else if entry.is_unresponsive {
--- a/comfreymill_jobs/src/scheduler/starts.rs
+++ b/comfreymill_jobs/src/scheduler/starts.rs
@@ -1,6 +1,7 @@
 use comfreymill_types::time;
 use std::time::Duration;
 
+use super::clock_reading::ClockReading;
 use super::run::RunPhase;
 use super::{Answer, Order, Refusal, Scheduler, StartAnswer};
 use crate::id;
@@ -23,8 +24,8 @@
     ) {
         match answer {
             Answer::Start { task, run, answer, clock_ms } => {
-                if let (Some(clock_ms), Some(entry)) = (clock_ms, self.workers.get_mut(&worker)) {
-                    entry.update_clock(&self.cfg, clock_ms, now);
+                if let Some(clock_ms) = clock_ms {
+                    self.read_clock(worker, ClockReading { clock_ms, asked_at, received_at: now });
                 }
                 self.start_answered(now, worker, task, run, answer);
             }
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -3,9 +3,11 @@
 
 use comfreymill_types::time;
 
+use super::clock_reading;
 use super::crashes::CrashCandidate;
 use super::interference::ImageId;
 use super::run::{RunEntry, RunPhase};
+use super::worker_clock::WorkerClock;
 use super::{Acknowledgement, Config};
 use crate::id;
 use crate::job;
@@ -81,8 +83,8 @@
     pub(super) next_poll_at: time::Monotonic,
     /// Latest time at which any lease granted so far ends.
     pub(super) lease_over_at: time::Monotonic,
-    /// Reading of the worker's clock in milliseconds, and the time at which it was received.
-    pub(super) clock: Option<(u64, time::Monotonic)>,
+    /// What is known of the worker's clock, once it has answered with a reading.
+    pub(super) clock: Option<WorkerClock>,
     /// Time until which nothing is placed on the worker.
     pub(super) backoff_until: time::Monotonic,
     /// Number of failed runs since the last one that was done.
@@ -196,26 +198,17 @@
         self.announcement.capacity.saturating_sub(&self.reserved)
     }
 
-    /// Records a reading of the worker's clock, unless the lower bound from an earlier reading is
-    /// already as high.
-    pub(super) fn update_clock(&mut self, cfg: &Config, clock_ms: u64, now: time::Monotonic) {
-        if self.estimate_clock_ms(cfg, now).is_none_or(|estimate| clock_ms > estimate) {
-            self.clock = Some((clock_ms, now));
-        }
-    }
-
     /// Returns a lower bound of the worker's clock at `now`, in milliseconds, if a reading is
     /// known.
     pub(super) fn estimate_clock_ms(&self, cfg: &Config, now: time::Monotonic) -> Option<u64> {
-        let (clock_ms, at) = self.clock?;
-        Some(clock_ms + millis(cfg.min_worker_time(now.since(at))))
+        self.clock.map(|clock| clock.reading.min_at(cfg, now))
     }
 
     /// Grants a lease that starts at `now`; returns its end on the worker's clock, in milliseconds.
     pub(super) fn grant_lease(&mut self, cfg: &Config, now: time::Monotonic) -> Option<u64> {
         let clock_ms = self.estimate_clock_ms(cfg, now)?;
         self.lease_over_at = self.lease_over_at.max(now + cfg.max_leader_time(cfg.get_lease()));
-        Some(clock_ms + millis(cfg.get_lease()))
+        Some(clock_ms.saturating_add(clock_reading::millis(cfg.get_lease())))
     }
 
     /// Returns the unused processor time in thousandths of a core; negative if the worker is
@@ -318,7 +311,3 @@
         self.revision += 1;
     }
 }
-
-fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
