fix(jobs): an announcement of another writer replaces no live worker

What callers saw: with one heartbeat whose `born` or `sequence` was near the largest number, under the name or the address of a live worker, that worker counted as gone and AddWorker committed it. Its runs were started again while it worked on, and its own heartbeats, also that it was leaving, were ignored as outdated.

Cause: an announcement was believed as it came, and a later incarnation with the name or the address of a worker replaced it before anything had answered.

Why it works: an incarnation that begins over a minute ahead of the leader's time of day, and a sequence number above one a millisecond since its start, are ignored. A worker that shares only the name or only the address with a known one replaces it with its first answer to a poll, which names the incarnation; the earlier one is polled at once as well. The same name at the same address replaces at once, as before.

What is left: an odd entry with a possible later `born` under the name and the address of a live worker still replaces it until its poll is answered by another incarnation, and its runs are placed again meanwhile; an odd sequence number that a worker could have reached silences its heartbeats up to it.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -27,12 +27,18 @@
         announcement: worker::Announcement,
     ) -> Acknowledgement {
         let number = self.find_incarnation(&announcement);
+        if !self.is_possible(now, number, &announcement) {
+            log::warn!(target: "workers", worker:% = announcement.name, born = announcement.born_unix_ms, sequence = announcement.sequence; "an announcement that no worker can have sent is ignored");
+            return Acknowledgement::Now;
+        }
         if let Some(number) = number {
             return self.update_announcement(now, number, announcement);
         }
         let is_leaving = announcement.leaving_in.is_some();
+        // One that has not answered may be no worker at all.
         let is_outdated = self.workers.similar(&announcement).any(|(_, worker)| {
-            worker.replicated.announced.born_unix_ms > announcement.born_unix_ms
+            let known = &worker.replicated.announced;
+            worker.has_answered && known.born_unix_ms > announcement.born_unix_ms
         });
         if is_outdated || self.departures.supersede(&announcement) {
             log::info!(target: "workers", worker:% = announcement.name, born = announcement.born_unix_ms, sequence = announcement.sequence; "an announcement of an older incarnation, or from before its departure, is ignored");
@@ -58,23 +64,25 @@
     }
 
     /// Handles a worker incarnation that was added to the log; earlier incarnations with the same
-    /// name or address are gone.
+    /// name and address are gone. Those that share only one of them are once the later one has
+    /// answered.
     pub fn worker_added(
         &mut self,
         now: time::Monotonic,
         number: id::WorkerNumber,
         replicated: &state::Worker,
     ) {
-        let earlier: BTreeSet<id::WorkerNumber> = self
-            .workers
-            .similar(&replicated.announced)
-            .filter(|(_, other)| {
-                other.replicated.announced.born_unix_ms <= replicated.announced.born_unix_ms
-            })
-            .map(|(number, _)| number)
-            .collect();
-        for earlier in earlier {
-            self.worker_gone(now, earlier, "a later incarnation has announced itself");
+        for earlier in self.earlier_incarnations(&replicated.announced) {
+            let Some(entry) = self.workers.get_mut(&earlier) else { continue };
+            let known = &entry.replicated.announced;
+            let announced = &replicated.announced;
+            if known.name == announced.name && known.address == announced.address {
+                self.worker_gone(now, earlier, "a later incarnation has announced itself");
+            } else {
+                entry.next_poll_at = now;
+                log::info!(target: "workers", worker:% = known.name, number:% = earlier, other:% = announced.name, address:% = announced.address; "a later worker has the name or address of a worker: the one that answers is kept");
+                self.poll(now, earlier);
+            }
         }
         let announced = &replicated.announced;
         let leaving_since = announced.leaving_in.map(|_| announced.sequence);
@@ -93,6 +101,25 @@
         self.poll(now, number);
     }
 
+    /// Removes the earlier incarnations with the name or address of a worker that has answered.
+    pub(super) fn replace_earlier(&mut self, now: time::Monotonic, number: id::WorkerNumber) {
+        let Some(entry) = self.workers.get(&number) else { return };
+        for earlier in self.earlier_incarnations(&entry.replicated.announced) {
+            if earlier != number {
+                self.worker_gone(now, earlier, "a later incarnation answers");
+            }
+        }
+    }
+
+    /// Returns the incarnations with the name or address of `announced` that began no later.
+    fn earlier_incarnations(&self, announced: &worker::Announcement) -> BTreeSet<id::WorkerNumber> {
+        let similar = self
+            .workers
+            .similar(announced)
+            .filter(|(_, other)| other.replicated.announced.born_unix_ms <= announced.born_unix_ms);
+        similar.map(|(number, _)| number).collect()
+    }
+
     /// Handles the departure of a worker; its runs end with it, at the latest when its lease
     /// expires. Returns the command to commit before it is acknowledged, if there is one.
     pub fn departed(
@@ -117,6 +144,22 @@
         command
     }
 
+    /// Returns whether a worker can have sent an announcement by now. One from another writer must
+    /// take nothing from the workers that it looks like.
+    fn is_possible(
+        &self,
+        now: time::Monotonic,
+        number: Option<id::WorkerNumber>,
+        announcement: &worker::Announcement,
+    ) -> bool {
+        let unix_ms = self.unix_offset_ms.saturating_add(now.as_micros() / 1_000);
+        let entry = number.and_then(|number| self.workers.get(&number));
+        let last = entry.map_or(0, |entry| entry.announcement.sequence);
+        // The leader's time of day may have been set back since an incarnation was registered.
+        let has_begun = entry.is_some() || announcement.has_begun(unix_ms);
+        has_begun && announcement.has_possible_sequence(last, unix_ms)
+    }
+
     /// Returns the number of the incarnation that sent an announcement, if it is in the log.
     fn find_incarnation(&self, announcement: &worker::Announcement) -> Option<id::WorkerNumber> {
         let mut named = self.workers.named(&announcement.name);
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -138,10 +138,14 @@
             self.needs_placement = true;
         }
         entry.reported_at = now;
+        let is_first = !entry.has_answered;
         entry.has_answered = true;
         entry.is_unresponsive = false;
         entry.silent_since = None;
         entry.lapsed.clear();
+        if is_first {
+            self.replace_earlier(now, number);
+        }
         let is_complete = report.ended.len() < MAX_REPORTED_ENDS;
         self.steps += (report.running.len() + report.ended.len()) as u64;
         for status in &report.running {
--- a/comfreymill_jobs/src/worker/mod.rs
+++ b/comfreymill_jobs/src/worker/mod.rs
@@ -2,6 +2,7 @@
 
 mod announcement;
 mod end;
+mod plausibility;
 mod report;
 mod resources;
 
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod load;
 mod locality;
 mod moves;
+mod odd_announcements;
 mod odd_readings;
 mod order;
 mod packing;
