fix(jobs): one row of a report that cannot be read leaves the others valid

An end with a number near the largest was noted, so that the worker forgot all later ends.

Cause: decode_poll collected the rows into one Result, and a malformed answer counts as no answer. Numbers of ends were noted as they came.

Why it works: each row is read by itself, from its raw text, so that a number out of range, nesting or broken UTF-8 stays within the row. Ends are asked for once more and then skipped in order; a running row that names no run keeps runs that are missing; see docs/design/platform.md for what was weighed. A row whose details alone are damaged still names its run, which is adopted or stopped. With such rows the next poll waits 250 ms, since the worker need not wait for an end.

Changed test: a_poll_answer_is_decoded_as_a_report asked for the loss of the whole report. Its row is now in an_end_that_cannot_be_read_keeps_its_number, which asks for the number, the reason and all other rows.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -157,7 +157,7 @@
         let last = entry.map_or(0, |entry| entry.announcement.sequence);
         // The leader's time of day may have been set back since an incarnation was registered.
         let has_begun = entry.is_some() || announcement.has_begun(unix_ms);
-        has_begun && announcement.has_possible_sequence(last, unix_ms)
+        has_begun && announcement.has_possible_count(announcement.sequence, last, unix_ms)
     }
 
     /// Returns the number of the incarnation that sent an announcement, if it is in the log.
--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -44,6 +44,7 @@
 mod task;
 mod tick;
 mod turns;
+mod unread;
 mod without_room;
 mod worker;
 mod worker_clock;
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -36,7 +36,7 @@
         let is_renewed = !entry.runs.is_empty() && !entry.is_unresponsive;
         let lease_until_ms = if is_renewed { entry.grant_lease(&cfg, now) } else { None };
         entry.poll_sent_at = Some(now);
-        let noted = entry.replicated.noted;
+        let noted = entry.replicated.noted.max(entry.skipped_end);
         self.orders.push(Order::Poll { worker: number, noted, lease_until_ms, wait });
     }
 
@@ -118,7 +118,7 @@
         now: time::Monotonic,
         number: id::WorkerNumber,
         asked_at: time::Monotonic,
-        report: worker::Report,
+        mut report: worker::Report,
     ) {
         let Some(entry) = self.workers.get_mut(&number) else { return };
         if report.born_unix_ms.is_some_and(|born| born != entry.replicated.announced.born_unix_ms) {
@@ -146,7 +146,8 @@
         if is_first {
             self.replace_earlier(now, number);
         }
-        let is_complete = report.ended.len() < MAX_REPORTED_ENDS;
+        let is_full = report.ended.len() + report.unread.len() >= MAX_REPORTED_ENDS;
+        let is_complete = self.set_unread_aside(now, number, &mut report) && !is_full;
         self.steps += (report.running.len() + report.ended.len()) as u64;
         for status in &report.running {
             self.update_run(now, number, status);
@@ -155,6 +156,7 @@
             self.release_missing(now, number, asked_at, &report);
         }
         self.record_ends(number, report.ended);
+        self.skip_unread_ends(number);
         // Runs that this leader did not start may have been adopted since the announcement.
         let is_leaving = |worker: &WorkerEntry| worker.announcement.leaving_in.is_some();
         if self.workers.get(&number).is_some_and(is_leaving) {
@@ -162,7 +164,14 @@
         }
         self.pace(now, number);
         let Some(entry) = self.workers.get_mut(&number) else { return };
-        entry.next_poll_at = if entry.runs.is_empty() { now + IDLE_POLL_PERIOD } else { now };
+        entry.next_poll_at = if entry.runs.is_empty() && entry.unread.is_empty() {
+            now + IDLE_POLL_PERIOD
+        } else if entry.unread.is_empty() {
+            now
+        } else {
+            // The worker need not wait for an end while it has one that is not noted.
+            now + UNRESPONSIVE_POLL_DELAY
+        };
         if now >= entry.next_poll_at {
             self.poll(now, number);
         }
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -37,6 +37,12 @@
     pub(super) is_gone: bool,
     /// Whether ends that the worker reported are being committed to the log.
     pub(super) has_uncommitted_ends: bool,
+    /// Rows of the latest report that could not be read.
+    pub(super) unread: worker::Unread,
+    /// Number of the last end that could not be read in the latest two reports; 0 if there is none.
+    pub(super) skippable_end: u64,
+    /// Number of the last end that is skipped, since it cannot be read.
+    pub(super) skipped_end: u64,
     /// Whether the crash of the worker is being committed to the log.
     pub(super) has_uncommitted_crash: bool,
     /// Time since which the worker has not answered.
@@ -120,6 +126,9 @@
             is_unresponsive: false,
             is_gone: false,
             has_uncommitted_ends: false,
+            unread: worker::Unread::default(),
+            skippable_end: 0,
+            skipped_end: 0,
             has_uncommitted_crash: false,
             silent_since: None,
             registered_at: None,
--- a/comfreymill_jobs/src/worker/plausibility.rs
+++ b/comfreymill_jobs/src/worker/plausibility.rs
@@ -10,11 +10,11 @@
         self.born_unix_ms <= unix_ms.saturating_add(MAX_SKEW_MS)
     }
 
-    /// Returns whether an incarnation may have come to this sequence number by `unix_ms`, the time
-    /// of day: the numbers count the announcements since its start, and there are far fewer than one
-    /// each millisecond. `last` is the last number that is known.
-    pub(crate) fn has_possible_sequence(&self, last: u64, unix_ms: u64) -> bool {
+    /// Returns whether the incarnation may have counted its announcements, or the ends of its runs,
+    /// up to `count` by `unix_ms`, the time of day: there are far fewer than one each millisecond.
+    /// `last` is the last number that is known.
+    pub(crate) fn has_possible_count(&self, count: u64, last: u64, unix_ms: u64) -> bool {
         let age_ms = unix_ms.saturating_sub(self.born_unix_ms);
-        self.sequence <= age_ms.max(last).saturating_add(MAX_SKEW_MS)
+        count <= age_ms.max(last).saturating_add(MAX_SKEW_MS)
     }
 }
--- a/comfreymill_jobs/src/worker/report.rs
+++ b/comfreymill_jobs/src/worker/report.rs
@@ -1,4 +1,4 @@
-use super::End;
+use super::{End, Unread};
 use crate::id;
 
 /// Report of the runs in progress on a worker and of the runs that have ended there.
@@ -12,6 +12,8 @@
     pub running: Vec<RunStatus>,
     /// Ends of runs that the worker was not yet told to forget.
     pub ended: Vec<End>,
+    /// Rows that cannot be read.
+    pub unread: Unread,
 }
 
 /// Status of a run in progress.
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -11,6 +11,7 @@
 mod moves;
 mod odd_announcements;
 mod odd_readings;
+mod odd_rows;
 mod order;
 mod packing;
 mod succession;
