fix(jobs): sums over huge tasks and times do not overflow

What callers saw: with overflow checks, the leader ended by itself once a serving task or filler of over 85,899,345 or 42,949,672 thousandths of a core was placed on, or reported by, a worker; without, its use of processors was counted too low. A queue with a stretch or a target near the largest number did the same to the rank of its tasks. The job or the configuration is in the log, so each next leader met it again.

Cause: percentages were multiplied in u32, and a saturated time was added to.

Evidence before the change (cargo test -p comfreymill_jobs odd_sizes): huge_and_empty_workers_and_tasks_are_counted run.rs:113:39: attempt to multiply with overflow huge_tasks_that_are_reported_are_counted: the same a_queue_with_a_huge_time_allowed_ranks_its_tasks scheduler.rs:184:26: attempt to add with overflow After: all 135 tests of the crate passed.

Read and found sound: capacities of 0 and 4,294,967,295 in packing, holding, moves, scores and locality are summed in u64 or i64 or saturate; the test plays both sizes with tasks of each kind and a change of leader.

--- a/comfreymill_jobs/src/scheduler/run.rs
+++ b/comfreymill_jobs/src/scheduler/run.rs
@@ -109,12 +109,12 @@
 
     /// Returns the estimated processor time in use, in thousandths of a core.
     pub(super) fn used_cpu(&self) -> i64 {
-        let used = match self.kind {
-            job::StepKind::Serving => self.cpu_milli * SERVING_USE_PERCENT / 100,
-            job::StepKind::Filler => self.cpu_milli * self.pace.min(100) / 100,
-            job::StepKind::Plain => self.cpu_milli,
-        };
-        i64::from(used)
+        let cpu_milli = i64::from(self.cpu_milli);
+        match self.kind {
+            job::StepKind::Serving => cpu_milli * i64::from(SERVING_USE_PERCENT) / 100,
+            job::StepKind::Filler => cpu_milli * i64::from(self.pace.min(100)) / 100,
+            job::StepKind::Plain => cpu_milli,
+        }
     }
 
     /// Returns whether a report requested at `asked_at` is certain to show the run if it exists.
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -181,7 +181,7 @@
         let (stretch, target_ms) =
             queue.map_or((1.0, 0), |queue| (queue.stretch, queue.target_latency_ms));
         let critical_path_ms = job.spec.critical_path_ms() as f64 * stretch;
-        let allowed_ms = critical_path_ms.max(0.0) as u64 + target_ms;
+        let allowed_ms = (critical_path_ms.max(0.0) as u64).saturating_add(target_ms);
         Some(Rank {
             class: match spec.kind() {
                 job::StepKind::Filler => PlacementClass::Filling,
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -12,6 +12,7 @@
 mod odd_announcements;
 mod odd_readings;
 mod odd_rows;
+mod odd_sizes;
 mod order;
 mod packing;
 mod succession;
--- /dev/null
+++ b/comfreymill_jobs/tests/scheduler/odd_sizes.rs
@@ -0,0 +1,90 @@
+//! Jobs, workers and queues of odd sizes neither end a leader nor disturb the others.
+
+use std::time::Duration;
+
+use comfreymill_jobs::id::{JobKey, Run};
+use comfreymill_jobs::job::StepSpec;
+use comfreymill_jobs::scheduler::StartAnswer;
+use comfreymill_jobs::state::Command;
+use comfreymill_jobs::worker::{Report, Resources};
+
+use crate::support::{Leader, Start, running, spec, step, task};
+
+const HUGE: Resources = Resources { cpu_milli: u32::MAX, mem_mb: u32::MAX, gpus: u32::MAX };
+
+/// Returns steps of each kind whose tasks need more than any worker should have.
+fn huge_steps() -> Vec<StepSpec> {
+    let plain = StepSpec { needs: HUGE, estimate_ms: u32::MAX, ..step(2) };
+    let serving =
+        StepSpec { tail_target_ms: Some(u32::MAX), is_long_running: true, ..plain.clone() };
+    let filler = StepSpec { is_filler: true, ..plain.clone() };
+    vec![plain, serving, filler]
+}
+
+/// An announcement had the largest capacity, and a job asked for as much.
+#[test]
+fn huge_and_empty_workers_and_tasks_are_counted() {
+    let sizes = [Resources::default(), HUGE];
+    for (size, odd_step) in
+        sizes.iter().flat_map(|size| huge_steps().into_iter().map(|step| (*size, step)))
+    {
+        let mut leader = Leader::new();
+        leader.worker("w");
+        let mut odd = leader.announcement("odd", 10);
+        odd.capacity = size;
+        leader.announce(odd);
+        leader.worker_reports_nothing("odd");
+        leader.submit_as(1, spec(vec![odd_step]));
+        leader.submit_as(2, spec(vec![step(1)]));
+        let mut starts = leader.take_starts();
+        assert!(starts.iter().any(|start| start.task.step.job == JobKey::new(2)), "{size:?}");
+        for _ in 0..3 {
+            for start in &starts {
+                leader.started(start, StartAnswer::Started);
+                let mut report = running(&[*start]);
+                report.running[0].load = Some(u32::MAX);
+                leader.report(start.worker, report);
+            }
+            leader.advance(Duration::from_secs(2));
+            starts.extend(leader.take_starts());
+        }
+        let mut leader = leader.into_next_leader();
+        for start in &starts {
+            leader.report(start.worker, running(&[*start]));
+        }
+        leader.advance(Duration::from_secs(2));
+    }
+}
+
+/// A worker reports that it runs a task of such a job, which it was never ordered to.
+#[test]
+fn huge_tasks_that_are_reported_are_counted() {
+    for size in [1, 1_000] {
+        let mut leader = Leader::new();
+        let worker = leader.worker("w");
+        leader.submit(spec(huge_steps()));
+        let mut report = Report::default();
+        for step in 0..3 {
+            let start = Start { worker, task: task(step, 0), run: Run::new(size) };
+            report.running.extend(running(&[start]).running);
+        }
+        leader.report(worker, report);
+        leader.advance(Duration::from_secs(2));
+    }
+}
+
+#[test]
+fn a_queue_with_a_huge_time_allowed_ranks_its_tasks() {
+    for (stretch, target_ms) in [(1e300, 0), (1.5, u64::MAX), (1e300, u64::MAX), (-1e300, 7)] {
+        let mut leader = Leader::new();
+        leader.worker("w");
+        let mut table = leader.state.get_routes().expect("routes").table.clone();
+        table.version += 1;
+        table.queues[0].stretch = stretch;
+        table.queues[0].target_latency_ms = target_ms;
+        leader.scheduler.routes_changed(&table);
+        leader.commit(vec![Command::SetRoutes { table: Box::new(table), document: "{}".into() }]);
+        leader.submit(spec(vec![step(1)]));
+        assert_eq!(leader.take_starts().len(), 1, "{stretch}, {target_ms}");
+    }
+}
