fix(jobs): occurrences that are due at once begin a bounded number at a time

The leader begins all occurrences that are due in one turn, until it is frozen for good or its memory is used up, and each next leader finds the job in the log: the machines of the core end again and again.

Cause: begin_due and restore_job had no bound on the occurrences in progress. The number of tasks of one occurrence is bounded, the number of occurrences is not.

Evidence before the change: cargo test -p comfreymill_jobs odd_sizes with 4 GB of address space did not end within 60 s (killed); the other tests of the file had ended at once. After: the new test passes with the 136 of the crate, the file in 0.13 s.

A job whose occurrences overlap by less is not affected.

What is left: state of a job of an earlier version that has more occurrences in progress. A new leader restores the first ones; runs of the others are stopped and begin anew in their turn.

--- a/comfreymill_jobs/src/job/spec.rs
+++ b/comfreymill_jobs/src/job/spec.rs
@@ -1,3 +1,4 @@
+use super::check::MAX_TASKS;
 use super::{Schedule, StepSpec};
 
 /// Specification of a job as its caller submitted it.
@@ -17,6 +18,13 @@
         self.schedule.map_or(1, |schedule| schedule.count)
     }
 
+    /// Returns the number of occurrences that may be in progress at a time. Far more may be due
+    /// at once, and their tasks would exhaust a control process's memory.
+    pub fn max_open_occurrences(&self) -> usize {
+        let tasks: usize = self.steps.iter().map(|step| usize::from(step.count)).sum();
+        (MAX_TASKS / tasks.max(1)).max(1)
+    }
+
     /// Returns whether any step of the job runs until the job is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.steps.iter().any(|step| step.is_long_running)
--- a/comfreymill_jobs/src/scheduler/jobs.rs
+++ b/comfreymill_jobs/src/scheduler/jobs.rs
@@ -61,13 +61,14 @@
         unix_now >= schedule.due_at(number) + OCCURRENCE_MARGIN
     }
 
-    /// Begins the occurrences of a job that are due.
+    /// Begins the occurrences of a job that are due, as far as enough earlier ones are finished.
     pub(super) fn begin_due(&mut self, now: time::Monotonic, key: id::JobKey) {
         loop {
             let Some(job) = self.jobs.get(&key) else { return };
             let number = job.next_occurrence;
             let spec = Arc::clone(&job.spec);
-            if number >= spec.occurrences() || !self.is_due(now, &spec, number) {
+            let is_full = job.occurrences.len() >= spec.max_open_occurrences();
+            if is_full || number >= spec.occurrences() || !self.is_due(now, &spec, number) {
                 return;
             }
             if let Some(job) = self.jobs.get_mut(&key) {
--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -101,7 +101,9 @@
         // An occurrence that is not due yet was not started by an earlier leader, except possibly
         // slightly early, in which case the state may have ends for it.
         for number in 0..job.spec.occurrences() {
-            if !self.is_due(now, &job.spec, number) && !job.occurrences.contains_key(&number) {
+            let is_full = entry.occurrences.len() >= job.spec.max_open_occurrences();
+            let is_due = self.is_due(now, &job.spec, number) && !is_full;
+            if !is_due && !job.occurrences.contains_key(&number) {
                 break;
             }
             entry.next_occurrence = number + 1;
--- a/comfreymill_jobs/tests/scheduler/odd_sizes.rs
+++ b/comfreymill_jobs/tests/scheduler/odd_sizes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use comfreymill_jobs::id::{JobKey, Run};
-use comfreymill_jobs::job::StepSpec;
+use comfreymill_jobs::job::{JobSpec, Schedule, StepSpec};
 use comfreymill_jobs::scheduler::StartAnswer;
 use comfreymill_jobs::state::Command;
 use comfreymill_jobs::worker::{Report, Resources};
@@ -88,3 +88,23 @@
         assert_eq!(leader.take_starts().len(), 1, "{stretch}, {target_ms}");
     }
 }
+
+/// All occurrences were due at once, and the leader was busy with them until its memory was used
+/// up, as was each leader after it.
+#[test]
+fn occurrences_that_are_due_at_once_begin_a_bounded_number_at_a_time() {
+    for (first_unix_ms, interval_ms) in [(0, 0), (0, 1), (u64::MAX, u64::MAX)] {
+        let schedule = Some(Schedule { count: u32::MAX, first_unix_ms, interval_ms });
+        let mut leader = Leader::new();
+        leader.worker("w");
+        leader.submit(JobSpec { schedule, ..spec(vec![step(2_000)]) });
+        let is_due = first_unix_ms == 0;
+        let expected = if is_due { 8 } else { 0 };
+        assert_eq!(leader.take_starts().len(), expected, "{schedule:?}");
+        let mut leader = leader.into_next_leader();
+        leader.advance(Duration::from_secs(10));
+        leader.worker_reports_nothing("w");
+        leader.advance(Duration::from_secs(1));
+        assert_eq!(leader.take_starts().len(), expected, "{schedule:?}, next leader");
+    }
+}
