test(jobs): stops of cancelled jobs' runs on 890 workers by the next leader

A cancellation that is committed has its effect with the next leader only through reports: it learns of a run when its worker answers a poll. 64 workers are polled in a tick of 20 ms.

--- a/comfreymill_jobs/tests/scheduler/cancellation.rs
+++ b/comfreymill_jobs/tests/scheduler/cancellation.rs
@@ -1,14 +1,20 @@
 //! Runs of cancelled jobs are stopped, whatever becomes of the orders.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use comfreymill_jobs::id;
 use comfreymill_jobs::scheduler::{Answer, Order, StartAnswer};
 use comfreymill_jobs::state::Command;
-use comfreymill_jobs::worker::EndKind;
+use comfreymill_jobs::worker::{EndKind, Report};
 
 use crate::support::{KEY, Leader, Start, ended, running, spec, step};
 
 const TICK: Duration = Duration::from_millis(20);
+/// Time from the acknowledgement of a cancellation to the stops.
+const CANCEL: Duration = Duration::from_secs(3);
+/// Maximum time to connect to a worker and wait for its answer.
+const MAX_ORDER: Duration = Duration::from_millis(1_400);
 
 /// Returns a leader that has cancelled a job with one run, and the run.
 fn with_cancelled_run() -> (Leader, Start) {
@@ -106,3 +112,68 @@
     assert_eq!(polls.count(), 1);
     assert!(!leader.orders.iter().any(is_hold));
 }
+
+/// The next leader learns of runs of cancelled jobs from reports only, worker by worker.
+#[test]
+fn the_next_leader_stops_the_runs_of_cancelled_jobs_on_890_workers_in_time() {
+    const WORKERS: u16 = 890;
+    for (is_cancelled_before, silent) in [(true, 8), (false, 0)] {
+        let mut leader = Leader::new();
+        for number in 0..WORKERS {
+            let mut announcement = leader.announcement(&format!("w{number}"), 10);
+            let [high, low] = number.to_be_bytes();
+            announcement.address = ([10, 1, high, low], 80).into();
+            leader.announce(announcement);
+            let worker = *leader.state.get_workers().last_key_value().expect("a worker").0;
+            leader.report(worker, Report::default());
+        }
+        let mut apart = step(WORKERS);
+        apart.max_per_worker = Some(1);
+        leader.submit(spec(vec![apart]));
+        let starts: BTreeMap<id::WorkerNumber, Start> =
+            leader.take_starts().into_iter().map(|start| (start.worker, start)).collect();
+        assert_eq!(starts.len(), usize::from(WORKERS));
+        if is_cancelled_before {
+            leader.commit(vec![Command::Cancel { job: KEY }]);
+        }
+        let mut leader = leader.into_next_leader();
+        let began = leader.now;
+        if !is_cancelled_before {
+            leader.commit(vec![Command::Cancel { job: KEY }]);
+        }
+        // Workers answer the polls of one tick in the next; the last ones leave their first poll
+        // unanswered.
+        let mut unanswered: BTreeSet<_> = starts.keys().rev().take(silent).copied().collect();
+        let mut answers = BTreeSet::new();
+        let mut stopped = BTreeSet::new();
+        while stopped.len() < starts.len() {
+            leader.advance(TICK);
+            assert!(leader.now.since(began) < CANCEL, "{} runs are stopped", stopped.len());
+            for order in std::mem::take(&mut leader.orders) {
+                match order {
+                    Order::Poll { worker, .. } if unanswered.remove(&worker) => {
+                        answers.insert((leader.now + MAX_ORDER, worker, false));
+                    }
+                    Order::Poll { worker, .. } => {
+                        answers.insert((leader.now, worker, true));
+                    }
+                    Order::Stop { worker, task, run } => {
+                        assert_eq!(Start { worker, task, run }, starts[&worker]);
+                        stopped.insert(worker);
+                    }
+                    _ => panic!("{order:?}"),
+                }
+            }
+            while let Some(&(at, worker, is_answered)) = answers.first()
+                && at <= leader.now
+            {
+                answers.pop_first();
+                if is_answered {
+                    leader.report(worker, running(&[starts[&worker]]));
+                } else {
+                    leader.leaves_poll_unanswered(worker);
+                }
+            }
+        }
+    }
+}
