test(jobs): runs of cancelled jobs end although orders are lost and delayed

For 8 s half of the orders are lost, carried out without an answer or carried out up to 4 s late, and a quarter of the stops are accepted without effect. Each run of a cancelled job has to end within 3.2 s (`cancel_ms` and `stop_ms`) of the cancellation, or of 4 s (`contact_ms`) after the end of the trouble or its own start.

--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod leases;
 mod load;
 mod locality;
+mod lossy;
 mod moves;
 mod order;
 mod packing;
