feat(jobs): log a second run of a task that is reported and stopped

Where a worker reports a run of a task of which this leader tracks another run there, a stop is sent with each report that shows it, and no line said so: in a story of the task this was not to be told from a run that is not stopped at all.

--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -228,6 +228,7 @@
         if is_occupied {
             // The start of another run of the task was carried out late; the outcome of the run
             // that this leader tracks is still being determined.
+            log::warn!(target: "runs", task:% = status.task, run:% = status.run, worker:% = number; "a second run of a task is reported and stopped");
             self.orders.push(Order::Stop { worker: number, task: status.task, run: status.run });
             return;
         }
