fix(jobs): an end of a task that its job does not have is not recorded

What callers would see: one row of a report that names a step of an open job that does not exist ended the leader by itself once its end was committed; a row with an occurrence that does not exist counted as a finished one and completed the job without its work.

Cause: ends were committed as they came; the handler of committed ends indexes the steps of the job, and the state counts finished occurrences.

Why it works: such a row is one that cannot be read, with a number: it is asked for once more, and then the worker may forget it. The leader decides it before the commit, so all members apply the same entries as before.

--- a/comfreymill_jobs/src/scheduler/unread.rs
+++ b/comfreymill_jobs/src/scheduler/unread.rs
@@ -18,6 +18,10 @@
         report: &mut worker::Report,
     ) -> bool {
         let unix_ms = self.unix_offset_ms.saturating_add(now.as_micros() / 1_000);
+        for end in report.ended.extract_if(.., |end| !self.may_exist(end.task)) {
+            report.unread.ends.push(end.number);
+            report.unread.reason = format!("no job has the task {}", end.task);
+        }
         let Some(entry) = self.workers.get_mut(&number) else { return false };
         let announced = &entry.replicated.announced;
         let noted = entry.replicated.noted;
@@ -50,6 +54,15 @@
         first_new.is_none() && unread.running == 0
     }
 
+    /// Returns whether a task may be one of its job; nothing is known of the tasks of jobs that are
+    /// over.
+    fn may_exist(&self, task: id::TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.step.job) else { return true };
+        let step = job.spec.steps.get(usize::from(task.step.step));
+        step.is_some_and(|step| task.index < step.count)
+            && task.step.occurrence < job.spec.occurrences()
+    }
+
     /// Lets the worker forget ends that could not be read twice, once no end before them is left to
     /// record.
     pub(super) fn skip_unread_ends(&mut self, number: id::WorkerNumber) {
--- a/comfreymill_jobs/tests/scheduler/odd_rows.rs
+++ b/comfreymill_jobs/tests/scheduler/odd_rows.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use comfreymill_jobs::id::WorkerNumber;
+use comfreymill_jobs::id::{StepId, WorkerNumber};
+use comfreymill_jobs::job::StepSpec;
 use comfreymill_jobs::scheduler::{Order, StartAnswer};
 use comfreymill_jobs::worker::{End, EndKind, Report, Unread};
 
-use crate::support::{Leader, Start, ended, running, spec, step};
+use crate::support::{KEY, Leader, Start, ended, running, spec, step};
 
 /// Returns a leader with three runs on one worker, and with another worker that has room.
 fn with_runs() -> (Leader, WorkerNumber, Vec<Start>) {
@@ -121,3 +122,28 @@
     leader.advance(Duration::from_millis(500));
     assert!(leader.orders.iter().any(is_poll));
 }
+
+/// An end of a task that its job does not have ended the leader, or completed the job.
+#[test]
+fn an_end_of_a_task_that_the_job_does_not_have_is_skipped() {
+    let odd = [(0, 60_000, 0), (0, 1, 0), (5, 0, 0), (u32::MAX, 0, 0), (0, 0, 60_000), (0, 0, 3)];
+    for (occurrence, step_number, index) in odd {
+        for is_gang in [false, true] {
+            let mut leader = Leader::new();
+            let worker = leader.worker("w");
+            leader.submit(spec(vec![StepSpec { is_gang, ..step(3) }]));
+            let starts = leader.take_starts();
+            let fresh = starts[0].end(1, EndKind::Failed);
+            let mut end = starts[0].end(2, EndKind::Done);
+            end.task = StepId { job: KEY, occurrence, step: step_number }.task(index);
+            let context = format!("{:?}, gang {is_gang}", end.task);
+            leader.report(worker, ended(vec![fresh]));
+            for _ in 0..3 {
+                leader.report(worker, Report { ended: vec![end.clone()], ..running(&starts[1..]) });
+                leader.advance(Duration::from_millis(300));
+            }
+            assert!(!leader.state.get_jobs()[&KEY].is_over(), "{context}");
+            assert_eq!(last_noted(&leader, worker), 2, "{context}: the worker may forget it");
+        }
+    }
+}
