fix(jobs): bound the workers that never answer, and add none of unknown services

What callers would see: each name that another writer announces was committed to the log as a worker, kept for good and polled every 1.2 s, also with a service that no configuration names.

Cause: an announcement was committed as it came, and a worker that never answers was removed only if its machine refused the connection.

Why it works: a service has to be in the configuration, once there is one; the worker joins with its next heartbeat after a configuration that names it. At most 1,024 workers that announced themselves to a leader may not have answered it, and one that has not answered for a minute, runs nothing and has no lease is removed. A zone that is not named is kept: configurations name no zones.

What is left: the bound counts those of one leader. Each further leader within a minute may add as many, since workers that an earlier leader added may be cut off and must not keep others out.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -8,6 +8,11 @@
 use crate::state;
 use crate::worker;
 
+/// Maximum number of workers that have announced themselves to a leader and not answered it: anyone
+/// can announce any number of names. Workers answer within moments, so that more than these may
+/// start at once.
+const MAX_UNANSWERED_WORKERS: usize = 1_024;
+
 /// Worker that has announced an incarnation that is not in the log yet.
 #[derive(Debug)]
 pub(super) struct PendingWorker {
@@ -28,7 +33,9 @@
     ) -> Acknowledgement {
         let number = self.find_incarnation(&announcement);
         if !self.is_possible(now, number, &announcement) {
-            log::warn!(target: "workers", worker:% = announcement.name, born = announcement.born_unix_ms, sequence = announcement.sequence; "an announcement that no worker can have sent is ignored");
+            let reason =
+                "no worker can have sent it: its start of life or sequence number is too high";
+            self.refusals.note(now, &announcement, reason);
             return Acknowledgement::Now;
         }
         if let Some(number) = number {
@@ -44,6 +51,10 @@
             log::info!(target: "workers", worker:% = announcement.name, born = announcement.born_unix_ms, sequence = announcement.sequence; "an announcement of an older incarnation, or from before its departure, is ignored");
             return Acknowledgement::Now;
         }
+        if let Some(reason) = self.refusal(&announcement) {
+            self.refusals.note(now, &announcement, reason);
+            return Acknowledgement::Now;
+        }
         let pending = self.pending_workers.get(&announcement.name);
         let is_proposed = pending
             .is_some_and(|pending| pending.announcement.born_unix_ms == announcement.born_unix_ms);
@@ -160,6 +171,19 @@
         has_begun && announcement.has_possible_count(announcement.sequence, last, unix_ms)
     }
 
+    /// Returns why an incarnation that is not in the log is not added to it, if it is not. A worker
+    /// announces itself again and again.
+    fn refusal(&self, announcement: &worker::Announcement) -> Option<&'static str> {
+        let has_routes = !self.routes.pools.is_empty();
+        if has_routes && self.routes.pool(&announcement.pool).is_none() {
+            return Some("the configuration names no such service");
+        }
+        let is_pending = self.pending_workers.contains_key(&announcement.name);
+        let unanswered = self.workers.values().filter(|entry| entry.is_unanswered()).count();
+        let is_full = unanswered + self.pending_workers.len() >= MAX_UNANSWERED_WORKERS;
+        (is_full && !is_pending).then_some("too many workers have not answered yet")
+    }
+
     /// Returns the number of the incarnation that sent an announcement, if it is in the log.
     fn find_incarnation(&self, announcement: &worker::Announcement) -> Option<id::WorkerNumber> {
         let mut named = self.workers.named(&announcement.name);
--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -32,6 +32,7 @@
 mod polls;
 mod queue;
 mod queue_report;
+mod refusals;
 mod report;
 mod restore;
 mod round;
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -111,6 +111,9 @@
         entry.is_unresponsive = true;
         entry.silent_since.get_or_insert(now);
         entry.next_poll_at = now + UNRESPONSIVE_POLL_DELAY;
+        if entry.is_given_up(now) {
+            self.worker_gone(now, number, "it has never answered");
+        }
     }
 
     fn report_received(
--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -7,6 +7,7 @@
 use super::locality::Locality;
 use super::packing::Packing;
 use super::queue::ReadyQueue;
+use super::refusals::Refusals;
 use super::round::Round;
 use super::task::{JobEntry, OccurrenceEntry, TaskPhase};
 use super::worker::WorkerEntry;
@@ -49,6 +50,7 @@
             packing: Packing::default(),
             locality: Locality::new(cfg.get_remote_factor()),
             pending_workers: BTreeMap::new(),
+            refusals: Refusals::default(),
             departures: state.get_departures().clone(),
             zones: BTreeMap::new(),
             moves: BTreeMap::new(),
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -41,6 +41,8 @@
     pub(super) locality: Locality,
     /// Workers that have announced an incarnation that is not in the log yet.
     pub(super) pending_workers: BTreeMap<id::WorkerName, super::announcements::PendingWorker>,
+    /// Announcements that were ignored.
+    pub(super) refusals: super::refusals::Refusals,
     /// Workers that were removed after they had said that they were leaving.
     pub(super) departures: state::Departures,
     /// Workers whose runs that earlier leaders started are not known yet.
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -14,6 +14,10 @@
 use crate::state;
 use crate::worker;
 
+/// Time after which a worker that has never answered is removed; if it is one, it announces itself
+/// again.
+const MAX_UNANSWERED_TIME: Duration = Duration::from_secs(60);
+
 /// Leader's state of a worker incarnation.
 #[derive(Debug)]
 pub(super) struct WorkerEntry {
@@ -164,6 +168,19 @@
             && (self.has_answered || self.is_gone || now >= self.lease_over_at)
     }
 
+    /// Returns whether the worker has announced itself to this leader and not answered it.
+    pub(super) fn is_unanswered(&self) -> bool {
+        self.registered_at.is_some() && !self.has_answered
+    }
+
+    /// Returns whether the worker has not answered this leader for so long that it may be none.
+    pub(super) fn is_given_up(&self, now: time::Monotonic) -> bool {
+        !self.has_answered
+            && self.runs.is_empty()
+            && now >= self.lease_over_at
+            && now.since(self.reported_at) >= MAX_UNANSWERED_TIME
+    }
+
     /// Returns whether tasks may be placed on the worker.
     pub(super) fn is_usable(&self, now: time::Monotonic) -> bool {
         self.announcement.leaving_in.is_none()
--- a/comfreymill_jobs/tests/scheduler/odd_announcements.rs
+++ b/comfreymill_jobs/tests/scheduler/odd_announcements.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use comfreymill_jobs::id::WorkerNumber;
+use comfreymill_jobs::routes::Pool;
 use comfreymill_jobs::scheduler::{Answer, StartAnswer};
 use comfreymill_jobs::worker::{Announcement, Report};
 
@@ -121,3 +122,43 @@
     assert_ne!(number, start.worker);
     assert_eq!(leader.take_starts().len(), 1, "the run ended with its incarnation");
 }
+
+/// Another writer announced thousands of names, each of which was committed, polled and kept.
+#[test]
+fn the_number_of_workers_that_never_answer_is_bounded() {
+    let (mut leader, start) = with_run();
+    for number in 0..6_000 {
+        let mut odd = leader.announcement(&format!("odd-{number}"), 10);
+        odd.address =
+            format!("10.{}.{}.7:80", 100 + number / 250, number % 250).parse().expect("an address");
+        leader.announce(odd);
+    }
+    let known = leader.state.get_workers().len();
+    assert!(known <= 1_026, "{known} workers");
+    assert_holds(&mut leader, &start, "thousands of names");
+    // Those that do not answer within a minute make room for one that does.
+    leader.advance(Duration::from_secs(61));
+    let numbers: Vec<WorkerNumber> = leader.state.get_workers().keys().copied().collect();
+    for number in numbers {
+        leader.leaves_poll_unanswered(number);
+    }
+    assert_eq!(leader.state.get_workers().len(), 2, "only those that have answered are left");
+    leader.worker("late");
+}
+
+/// A service that the configuration does not name has no queues; its workers join with the
+/// configuration that names it.
+#[test]
+fn a_worker_of_an_unknown_service_is_registered_once_a_configuration_names_it() {
+    let (mut leader, _) = with_run();
+    let other = leader.announcement("x", 10);
+    leader.announce(Announcement { pool: "unheard".to_owned(), ..other });
+    assert_eq!(leader.state.get_workers().len(), 2);
+    let mut table = leader.state.get_routes().expect("routes").table.clone();
+    table.version += 1;
+    table.pools.push(Pool { name: "unheard".to_owned(), is_guarded: true, is_standby: false });
+    leader.scheduler.routes_changed(&table);
+    let other = leader.announcement("x", 10);
+    leader.announce(Announcement { pool: "unheard".to_owned(), ..other });
+    assert_eq!(leader.state.get_workers().len(), 3);
+}
