--- a/comfreymill_node/tests/jobcall/mod.rs
+++ b/comfreymill_node/tests/jobcall/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of how a caller of the group finds its leader, and of how long it waits for one.
 
 mod next_leader;
+mod odd_frames;
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
