perf(jobs): compute the paths through a job's steps once

What callers would see: a job of 10,000 steps of one task each (120 KB, which is valid) froze the leader while its tasks became ready, and each next leader anew.

Cause: the rank of each task that becomes ready computed the critical path and the remaining path through all steps, so that the work grew with the square of the number of steps.

Why it works: the critical path and the remaining path of each step are computed when the leader learns of the job, the latter in one pass from the last step to the first. All graphs of five steps give the same as trying all paths. The test of the whole job would have failed by its duration only; tests set no bounds on that.

--- a/comfreymill_jobs/src/job/check.rs
+++ b/comfreymill_jobs/src/job/check.rs
@@ -2,7 +2,8 @@
 
 /// Maximum length of a payload, in bytes.
 const MAX_PAYLOAD_BYTES: usize = 4_000;
-/// Maximum number of tasks of a job at a time, so that one job cannot exhaust a control process's memory.
+/// Maximum number of tasks of a job at a time, so that one job cannot exhaust a control process's
+/// memory.
 pub(super) const MAX_TASKS: usize = 10_000;
 
 /// Error returned for an invalid job specification.
--- a/comfreymill_jobs/src/job/spec.rs
+++ b/comfreymill_jobs/src/job/spec.rs
@@ -30,20 +30,21 @@
         self.steps.iter().any(|step| step.is_long_running)
     }
 
-    /// Returns the estimated duration of the longest path from the start of `step` to the end of the
-    /// job, in milliseconds.
-    pub fn remaining_path_ms(&self, step: u16) -> u64 {
-        let mut paths = vec![None; self.steps.len()];
-        for (index, spec) in self.steps.iter().enumerate() {
-            let before =
-                spec.depends_on.iter().filter_map(|index| *paths.get(usize::from(*index))?);
-            let before = before.max();
-            let is_first = index == usize::from(step);
-            paths[index] = before
-                .or(is_first.then_some(0))
-                .map(|before: u64| before + u64::from(spec.estimate_ms));
+    /// Returns, for each step, the estimated duration of the longest path from its start to the end
+    /// of the job, in milliseconds.
+    pub fn remaining_paths_ms(&self) -> Vec<u64> {
+        let mut paths: Vec<u64> =
+            self.steps.iter().map(|step| u64::from(step.estimate_ms)).collect();
+        // A step depends only on earlier ones, so all that depend on it are complete by its turn.
+        for (index, step) in self.steps.iter().enumerate().rev() {
+            let after = paths[index];
+            for before in step.depends_on.iter().map(|before| usize::from(*before)) {
+                if let Some(spec) = self.steps.get(before) {
+                    paths[before] = paths[before].max(u64::from(spec.estimate_ms) + after);
+                }
+            }
         }
-        paths.into_iter().flatten().max().unwrap_or_default()
+        paths
     }
 
     /// Returns the estimated duration of the critical path through the steps, in milliseconds.
--- a/comfreymill_jobs/src/scheduler/jobs.rs
+++ b/comfreymill_jobs/src/scheduler/jobs.rs
@@ -1,4 +1,3 @@
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,14 +17,7 @@
 impl Scheduler {
     /// Handles a newly accepted job.
     pub fn job_added(&mut self, now: time::Monotonic, key: id::JobKey, job: &state::Job) {
-        let entry = JobEntry {
-            queue: job.queue.clone(),
-            spec: job.spec.clone(),
-            occurrences: BTreeMap::new(),
-            next_occurrence: 0,
-            accepted_at: now,
-            has_started: false,
-        };
+        let entry = JobEntry::new(job, now);
         if entry.spec.schedule.is_some() {
             self.recurring.insert(key);
         }
--- a/comfreymill_jobs/src/scheduler/locality/weigh.rs
+++ b/comfreymill_jobs/src/scheduler/locality/weigh.rs
@@ -143,7 +143,7 @@
         let factor = self.locality.factor?;
         let rank = self.rank(step)?;
         let Expected { mean, spread } = self.expected_duration(step, spec);
-        let path_ms = self.jobs.get(&step.job)?.spec.remaining_path_ms(step.step);
+        let path_ms = self.jobs.get(&step.job)?.remaining_path_ms(step.step);
         let estimate = Duration::from_millis(u64::from(spec.estimate_ms));
         let end = now + Duration::from_millis(path_ms) + mean.saturating_sub(estimate);
         Some(Case {
--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -92,14 +92,7 @@
         job: &state::Job,
         state: &state::State,
     ) {
-        let mut entry = JobEntry {
-            queue: job.queue.clone(),
-            spec: job.spec.clone(),
-            occurrences: BTreeMap::new(),
-            next_occurrence: 0,
-            accepted_at: now,
-            has_started: !job.occurrences.is_empty() || !job.finished.is_empty(),
-        };
+        let mut entry = JobEntry::new(job, now);
         // An occurrence that is not due yet was not started by an earlier leader, except possibly
         // slightly early, in which case the state may have ends for it.
         for number in 0..job.spec.occurrences() {
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -182,7 +182,7 @@
         let queue = self.routes.queue(&job.queue);
         let (stretch, target_ms) =
             queue.map_or((1.0, 0), |queue| (queue.stretch, queue.target_latency_ms));
-        let critical_path_ms = job.spec.critical_path_ms() as f64 * stretch;
+        let critical_path_ms = job.critical_path_ms as f64 * stretch;
         let allowed_ms = (critical_path_ms.max(0.0) as u64).saturating_add(target_ms);
         Some(Rank {
             class: match spec.kind() {
@@ -194,7 +194,7 @@
             due_at: occurrence.due_at + std::time::Duration::from_millis(allowed_ms),
             useless_at: occurrence.due_at
                 + std::time::Duration::from_millis(allowed_ms.saturating_mul(USELESS_AFTER)),
-            remaining_ms: job.spec.remaining_path_ms(step.step),
+            remaining_ms: job.remaining_path_ms(step.step),
         })
     }
 
--- a/comfreymill_jobs/src/scheduler/task.rs
+++ b/comfreymill_jobs/src/scheduler/task.rs
@@ -12,6 +12,10 @@
 pub(super) struct JobEntry {
     pub(super) queue: String,
     pub(super) spec: Arc<job::JobSpec>,
+    /// Estimated durations of the critical path, and of the longest path from the start of each step
+    /// to the end of the job, in milliseconds; kept, since a job may have thousands of steps.
+    pub(super) critical_path_ms: u64,
+    pub(super) remaining_paths_ms: Vec<u64>,
     pub(super) occurrences: BTreeMap<u32, OccurrenceEntry>,
     /// Number of the next occurrence to begin.
     pub(super) next_occurrence: u32,
@@ -65,6 +69,26 @@
 }
 
 impl JobEntry {
+    /// Creates the entry of a job of which no occurrence has begun.
+    pub(super) fn new(job: &state::Job, accepted_at: time::Monotonic) -> Self {
+        Self {
+            queue: job.queue.clone(),
+            spec: job.spec.clone(),
+            critical_path_ms: job.spec.critical_path_ms(),
+            remaining_paths_ms: job.spec.remaining_paths_ms(),
+            occurrences: BTreeMap::new(),
+            next_occurrence: 0,
+            accepted_at,
+            has_started: !job.occurrences.is_empty() || !job.finished.is_empty(),
+        }
+    }
+
+    /// Returns the estimated duration of the longest path from the start of a step to the end of the
+    /// job, in milliseconds.
+    pub(super) fn remaining_path_ms(&self, step: u16) -> u64 {
+        self.remaining_paths_ms.get(usize::from(step)).copied().unwrap_or_default()
+    }
+
     /// Returns the tasks that a worker runs or may run, in ascending order; all other runs of the
     /// job are being stopped already.
     pub(super) fn placed(
--- a/comfreymill_jobs/tests/scheduler/odd_sizes.rs
+++ b/comfreymill_jobs/tests/scheduler/odd_sizes.rs
@@ -108,3 +108,45 @@
         assert_eq!(leader.take_starts().len(), expected, "{schedule:?}, next leader");
     }
 }
+
+/// The paths through all steps were computed anew for each task that became ready, and one such job
+/// froze the leader.
+#[test]
+fn a_job_with_a_step_for_each_task_is_started_by_this_leader_and_the_next() {
+    let mut leader = Leader::new();
+    leader.worker("w");
+    leader.submit(spec(vec![step(1); 10_000]));
+    assert_eq!(leader.take_starts().len(), 8);
+    let mut leader = leader.into_next_leader();
+    leader.advance(Duration::from_millis(20));
+    leader.worker_reports_nothing("w");
+    leader.advance(Duration::from_millis(20));
+    assert_eq!(leader.take_starts().len(), 8);
+}
+
+/// Returns the longest path from the start of a step, by trying all.
+fn longest_path(steps: &[StepSpec], index: u16) -> u64 {
+    let after = (0..).zip(steps).filter(|(_, step)| step.depends_on.contains(&index));
+    let longest = after.map(|(after, _)| longest_path(steps, after)).max();
+    u64::from(steps[usize::from(index)].estimate_ms) + longest.unwrap_or_default()
+}
+
+/// Tries all graphs of five steps.
+#[test]
+fn the_remaining_path_of_each_step_is_the_longest() {
+    let edges: Vec<(u16, u16)> =
+        (0..5).flat_map(|later| (0..later).map(move |earlier| (later, earlier))).collect();
+    for graph in 0..1_u32 << edges.len() {
+        let mut steps = vec![step(1); 5];
+        for (step, estimate_ms) in steps.iter_mut().zip([700, 20, 0, 900, 5]) {
+            step.estimate_ms = estimate_ms;
+        }
+        for (bit, (later, earlier)) in edges.iter().enumerate() {
+            if graph >> bit & 1 == 1 {
+                steps[usize::from(*later)].depends_on.push(*earlier);
+            }
+        }
+        let expected: Vec<u64> = (0..5).map(|index| longest_path(&steps, index)).collect();
+        assert_eq!(spec(steps).remaining_paths_ms(), expected, "{graph:b}");
+    }
+}
