--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -7,6 +7,7 @@
 use super::locality::Locality;
 use super::packing::Packing;
 use super::queue::ReadyQueue;
+use super::refusals::Refusals;
 use super::round::Round;
 use super::task::{JobEntry, OccurrenceEntry, TaskPhase};
 use super::worker::WorkerEntry;
@@ -49,6 +50,7 @@
             packing: Packing::default(),
             locality: Locality::new(cfg.get_remote_factor()),
             pending_workers: BTreeMap::new(),
+            refusals: Refusals::default(),
             departures: state.get_departures().clone(),
             zones: BTreeMap::new(),
             moves: BTreeMap::new(),
@@ -90,14 +92,7 @@
         job: &state::Job,
         state: &state::State,
     ) {
-        let mut entry = JobEntry {
-            queue: job.queue.clone(),
-            spec: job.spec.clone(),
-            occurrences: BTreeMap::new(),
-            next_occurrence: 0,
-            accepted_at: now,
-            has_started: !job.occurrences.is_empty() || !job.finished.is_empty(),
-        };
+        let mut entry = JobEntry::new(job, now);
         // An occurrence that is not due yet was not started by an earlier leader, except possibly
         // slightly early, in which case the state may have ends for it.
         for number in 0..job.spec.occurrences() {
