fix(jobs): place short tasks while a round over fillers goes on (SHORT)

Cause: a round of placement went through all classes, and the next one began only when it was over. Short tasks that became ready, and room that became free, behind the round's position waited for its end.

New test on the old code: short_tasks_do_not_wait_for_the_end_of_a_round_over_fillers ... FAILED left: 0, right: 5

Change: fillers have rounds of their own. A round over the other tasks begins when the one before is over and fillers had 1,000 steps of work since, so neither waits for more than two turns of the other. A turn has the bound it had. fillers_get_their_turns_while_short_tasks_wait_in_vain guards the other side.

So what is gained is the part that the cost of a round took.

--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -33,6 +33,7 @@
 mod report;
 mod restore;
 mod round;
+mod rounds;
 mod run;
 #[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
 mod scheduler;
--- a/comfreymill_jobs/src/scheduler/queue.rs
+++ b/comfreymill_jobs/src/scheduler/queue.rs
@@ -3,6 +3,7 @@
 
 use comfreymill_types::time;
 
+use super::rounds::Tier;
 use crate::id;
 
 /// Class of a step's tasks; all steps of one class are placed before those of the next.
@@ -100,6 +101,16 @@
         self.order.iter().copied().collect()
     }
 
+    /// Returns the steps of a tier in placement order.
+    pub(super) fn steps_of(&self, tier: Tier) -> Vec<(Rank, id::StepId)> {
+        let is_filling = |step: &&(Rank, id::StepId)| step.0.class == PlacementClass::Filling;
+        let steps = self.order.iter();
+        match tier {
+            Tier::Reserving => steps.take_while(|step| !is_filling(step)).copied().collect(),
+            Tier::Filling => steps.skip_while(|step| !is_filling(step)).copied().collect(),
+        }
+    }
+
     /// Returns the first task of a class in placement order.
     pub(super) fn first(&self, class: PlacementClass) -> Option<id::TaskId> {
         let (_, step) = self.order.iter().find(|(rank, _)| rank.class == class)?;
--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -7,7 +7,7 @@
 use super::locality::Locality;
 use super::packing::Packing;
 use super::queue::ReadyQueue;
-use super::round::Round;
+use super::rounds::Rounds;
 use super::task::{JobEntry, OccurrenceEntry, TaskPhase};
 use super::worker::WorkerEntry;
 use super::workers::Workers;
@@ -61,7 +61,7 @@
             holds_updated_at: time::Monotonic::ZERO,
             is_deferring: false,
             fleet_logged_at: now,
-            round: Round::default(),
+            rounds: Rounds::default(),
             unreconciled: BTreeSet::new(),
             released: 0,
             adopted: 0,
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -9,7 +9,7 @@
 use super::moves::Move;
 use super::packing::Packing;
 use super::queue::{PlacementClass, Rank, ReadyQueue};
-use super::round::Round;
+use super::rounds::Rounds;
 use super::task::{JobEntry, TaskEntry, TaskPhase};
 use super::workers::Workers;
 use super::{Config, Order};
@@ -61,7 +61,7 @@
     /// Milliseconds from the Unix epoch to the start of the leader's monotonic clock.
     pub(super) unix_offset_ms: u64,
     /// Pass over the waiting steps that is in progress.
-    pub(super) round: Round,
+    pub(super) rounds: Rounds,
     /// Jobs of earlier leaders with tasks that have not become available for placement yet.
     pub(super) unreconciled: BTreeSet<id::JobKey>,
     /// Number of tasks of earlier leaders that have become available.
--- a/comfreymill_jobs/tests/scheduler/turns.rs
+++ b/comfreymill_jobs/tests/scheduler/turns.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use comfreymill_jobs::id::{JobKey, TaskId, WorkerName, WorkerNumber};
+use comfreymill_jobs::job::JobSpec;
 use comfreymill_jobs::scheduler::{Answer, Order, PollAnswer, StartAnswer};
 use comfreymill_jobs::state::{Command, Submission};
 use comfreymill_jobs::worker::{Departure, EndKind, Report, Resources};
@@ -63,6 +64,22 @@
     }
 }
 
+/// Commits a job of fillers of an image of their own, without placing them.
+fn commit_fillers(leader: &mut Leader, key: u64) {
+    let mut filler = step(TASKS_PER_JOB);
+    filler.needs = Resources { cpu_milli: 700, mem_mb: 10, gpus: 0 };
+    filler.is_filler = true;
+    filler.image = Some(format!("image-{key}"));
+    commit(leader, key, spec(vec![filler]));
+}
+
+/// Commits a job without placing its tasks.
+fn commit(leader: &mut Leader, key: u64, spec: JobSpec) {
+    let (job, queue) = (JobKey::new(key), "batch".to_owned());
+    let submission = Submission { job, queue, max_attempts: 2, spec };
+    leader.commit(vec![Command::Submit(Box::new(submission))]);
+}
+
 fn by_worker(starts: &[Start]) -> BTreeMap<WorkerNumber, Vec<Start>> {
     let mut runs: BTreeMap<WorkerNumber, Vec<Start>> = BTreeMap::new();
     for start in starts {
@@ -203,3 +220,47 @@
     leader.advance(Duration::from_secs(5));
     assert!(leader.orders.iter().any(is_poll(idle)));
 }
+
+/// Short tasks waited up to 1.7 s for the end of a round over 2,000 fillers, with room free for them.
+#[test]
+fn short_tasks_do_not_wait_for_the_end_of_a_round_over_fillers() {
+    let mut leader = leader_of_many();
+    for key in 0..600 {
+        commit_fillers(&mut leader, key);
+    }
+    bounded(&mut leader, |leader| leader.scheduler.place(leader.now));
+    assert!(leader.scheduler.has_placement_left(), "the fillers take more than a turn");
+    let short = JobKey::new(1_000);
+    commit(&mut leader, short.get(), spec(vec![step(TASKS_PER_JOB)]));
+    for _ in 0..2 {
+        bounded(&mut leader, |leader| leader.scheduler.place(leader.now));
+    }
+    assert!(leader.scheduler.has_placement_left(), "the fillers are not all placed yet");
+    leader.orders.extend(leader.scheduler.take_orders());
+    let starts = leader.take_starts();
+    let of_short = starts.iter().filter(|start| start.task.step.job == short).count();
+    assert_eq!(of_short, usize::from(TASKS_PER_JOB));
+}
+
+/// Each short task that arrives is a reason for a round over all that wait, which takes several turns.
+#[test]
+fn fillers_get_their_turns_while_short_tasks_wait_in_vain() {
+    let mut leader = leader_of_many();
+    let mut short = step(1);
+    short.needs = Resources { cpu_milli: 1_500, mem_mb: 1, gpus: 0 };
+    for key in 0..9_000 {
+        commit(&mut leader, key, spec(vec![short.clone()]));
+    }
+    place(&mut leader);
+    assert_eq!(leader.take_starts().len(), 490 * 10, "the fleet is full");
+    for key in 9_000..9_090 {
+        commit_fillers(&mut leader, key);
+    }
+    for key in 9_100..9_300 {
+        commit(&mut leader, key, spec(vec![short.clone()]));
+        leader.now = leader.now + Duration::from_millis(30);
+        bounded(&mut leader, |leader| leader.scheduler.place(leader.now));
+    }
+    leader.orders.extend(leader.scheduler.take_orders());
+    assert_eq!(leader.take_starts().len(), 90 * usize::from(TASKS_PER_JOB));
+}
