--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -36,6 +36,7 @@
 mod report;
 mod restore;
 mod round;
+mod rounds;
 mod run;
 #[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
 mod scheduler;
