feat(node): log how long stops wait and how they end

An order that waited was logged without its run, and without telling whether it waited for earlier orders or for a connection; a stop that was not answered left no line at all, so a late stop could not be told from a lost one.

Each stop that is not accepted is logged with task, run, worker, outcome, time before the sending and time to the outcome; accepted ones at level debug. The time for a connection is a metric of its own.

Ran: cargo test -p comfreymill_node metering (passes).

--- a/comfreymill_jobs/src/scheduler/order.rs
+++ b/comfreymill_jobs/src/scheduler/order.rs
@@ -77,6 +77,16 @@
         matches!(self, Self::Start { valid_until, .. } if now > *valid_until)
     }
 
+    /// Returns the run that the order concerns; a poll concerns none.
+    pub fn run(&self) -> Option<(id::TaskId, id::Run)> {
+        match self {
+            Self::Start { task, run, .. }
+            | Self::Stop { task, run, .. }
+            | Self::Pace { task, run, .. } => Some((*task, *run)),
+            Self::Poll { .. } => None,
+        }
+    }
+
     /// Returns the task that the order concerns; a poll concerns none.
     pub fn task(&self) -> Option<id::TaskId> {
         match self {
--- a/comfreymill_node/src/metering/metric.rs
+++ b/comfreymill_node/src/metering/metric.rs
@@ -168,6 +168,14 @@
     LATENCY_BOUNDS_SECONDS,
 );
 
+/// Time for which an order waited for a connection to its worker, by kind.
+pub const ORDER_CONNECTION_WAIT: Metric = histogram(
+    "comfreymill_order_connection_wait_seconds",
+    metrics::Unit::Seconds,
+    "Time that an order waited for a connection to its worker",
+    LATENCY_BOUNDS_SECONDS,
+);
+
 /// Time from the proposal of commands to their commit.
 pub const COMMIT_LATENCY: Metric = histogram(
     "comfreymill_commit_latency_seconds",
@@ -241,7 +249,7 @@
 );
 
 /// All metrics.
-pub const ALL: [Metric; 29] = [
+pub const ALL: [Metric; 30] = [
     REQUEST_LATENCY,
     QUEUE_WAIT,
     SLOTS_IN_USE,
@@ -260,6 +268,7 @@
     ORDERS,
     ORDER_LATENCY,
     ORDER_QUEUE_WAIT,
+    ORDER_CONNECTION_WAIT,
     COMMIT_LATENCY,
     LOOP_TURN,
     LOOP_PART,
--- a/comfreymill_node/src/metering/observe.rs
+++ b/comfreymill_node/src/metering/observe.rs
@@ -152,6 +152,11 @@
     metrics::histogram!(metric::ORDER_QUEUE_WAIT.name, "kind" => kind).record(span);
 }
 
+/// Records the time that an order waited for a connection to its worker.
+pub fn order_connection_wait(kind: &'static str, span: Duration) {
+    metrics::histogram!(metric::ORDER_CONNECTION_WAIT.name, "kind" => kind).record(span);
+}
+
 /// Records the time from the proposal of commands to their commit.
 pub fn commit(span: Duration) {
     metrics::histogram!(metric::COMMIT_LATENCY.name).record(span);
--- a/comfreymill_node/src/scheduler/orders/delivery.rs
+++ b/comfreymill_node/src/scheduler/orders/delivery.rs
@@ -24,8 +24,8 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
 /// Time without orders after which a connection is closed that others may wait for.
 const SCARCE_IDLE_LIMIT: Duration = Duration::from_secs(5);
-/// Time in the queue after which an order is logged.
-const LONG_QUEUE_WAIT: Duration = Duration::from_secs(1);
+/// Time from the decision to the sending after which an order is logged.
+const LONG_WAIT: Duration = Duration::from_secs(1);
 /// Maximum size of an answer; 500 ends and the runs of a full worker take far less.
 const MAX_ANSWER_BYTES: u64 = 1 << 20;
 
@@ -97,13 +97,14 @@
         next_order(&orders, (&connections, of), &mut connection).await
     {
         let (request, wait) = to_request(&target, &order);
+        let taken_at = target.clock.now();
         if connection.is_none() {
             let permit = connections.open(of).await;
             connection = Some(Slot { connection: None, _permit: permit });
         }
         let Some(slot) = &mut connection else { return };
         let sent_at = target.clock.now();
-        report_queue_wait(&target, &order, sent_at.since(queued_at));
+        report_waits(&target, &order, taken_at.since(queued_at), sent_at.since(taken_at));
         let outcome = if order.has_expired(sent_at) {
             Outcome::Expired
         } else {
@@ -114,6 +115,7 @@
         }
         let duration = target.clock.now().since(sent_at);
         observe::order(kind_label(&order), outcome.label(), duration);
+        report_stop(&target, &order, &outcome, sent_at.since(queued_at), duration);
         let answer = to_answer(&order, outcome);
         let Target { worker, fence, .. } = target;
         let result = OrderResult { fence, worker, queued_at, sent_at, answer };
@@ -123,14 +125,39 @@
     }
 }
 
-/// Records how long an order waited in its queue; logs a long wait.
-fn report_queue_wait(target: &Target, order: &scheduler::Order, wait: Duration) {
+/// Records how long an order waited in its queue and for a connection; logs a long wait.
+fn report_waits(
+    target: &Target,
+    order: &scheduler::Order,
+    queue_wait: Duration,
+    connection_wait: Duration,
+) {
     let kind = kind_label(order);
-    observe::order_queue_wait(kind, wait);
-    if let Some(task) = order.task()
-        && wait >= LONG_QUEUE_WAIT
+    observe::order_queue_wait(kind, queue_wait);
+    observe::order_connection_wait(kind, connection_wait);
+    if let Some((task, run)) = order.run()
+        && queue_wait + connection_wait >= LONG_WAIT
     {
-        log::info!(target: "runs", task:% = task, worker:% = target.name, kind, waited_ms = wait.as_millis() as u64; "an order waited for earlier orders to its worker");
+        let waited_ms = (queue_wait + connection_wait).as_millis() as u64;
+        log::info!(target: "runs", task:% = task, run:% = run, worker:% = target.name, kind, waited_ms, connection_ms = connection_wait.as_millis() as u64; "an order waited for earlier orders to its worker");
+    }
+}
+
+/// Logs how a stop order ended; a run goes on until its stop is carried out.
+fn report_stop(
+    target: &Target,
+    order: &scheduler::Order,
+    outcome: &Outcome,
+    waited: Duration,
+    answered: Duration,
+) {
+    let scheduler::Order::Stop { task, run, .. } = order else { return };
+    let (waited_ms, answer_ms) = (waited.as_millis() as u64, answered.as_millis() as u64);
+    let label = outcome.label();
+    if matches!(outcome, Outcome::Answered(status, _) if status.is_success()) {
+        log::debug!(target: "runs", task:% = task, run:% = run, worker:% = target.name, waited_ms, answer_ms; "a stop was accepted");
+    } else {
+        log::info!(target: "runs", task:% = task, run:% = run, worker:% = target.name, outcome = label, waited_ms, answer_ms; "a stop was not accepted");
     }
 }
 
--- a/comfreymill_node/tests/metering/mod.rs
+++ b/comfreymill_node/tests/metering/mod.rs
@@ -30,6 +30,7 @@
     observe::job_request("POST", "done", Duration::from_millis(12));
     observe::order("start", "answered", Duration::from_millis(3));
     observe::order_queue_wait("stop", Duration::from_millis(900));
+    observe::order_connection_wait("stop", Duration::from_millis(20));
     observe::commit(Duration::from_millis(8));
     let of_loop = metering::LoopMetrics::new(&["report"], &["placement"]);
     of_loop.turn(Duration::from_millis(6));
