fix(node): keep connections for stops, and polls and orders within one sum

Callers: with more workers than connections, a stop waited in turn for a connection behind orders to workers that did not answer (up to 0.5 s to connect and 0.9 s for the answer, each) and behind connections that were idle, which are looked at every 5 s only.

Cause: one line for all orders, and no share that only stops use. Besides, the bound on polls did not count what orders held, so both together could pass the sum: a fleet that had been small left its orders two thirds of the connections, and the polls then took two thirds.

Now a decision type without I/O, ConnectionBudget, keeps a sixteenth for stops, which also go before others that wait; polls count what orders hold, and orders leave a connection for each worker that is polled. Orders give theirs up while anyone waits.

--- a/comfreymill_node/src/scheduler/mod.rs
+++ b/comfreymill_node/src/scheduler/mod.rs
@@ -11,7 +11,7 @@
 mod explanation;
 mod links;
 mod member_id;
-mod orders;
+pub mod orders;
 mod process;
 pub mod turns;
 
--- a/comfreymill_node/src/scheduler/orders/connections.rs
+++ b/comfreymill_node/src/scheduler/orders/connections.rs
@@ -1,105 +1,95 @@
-//! Bounds on the connections to workers.
-//!
-//! Load pattern: there are more workers than the process may have connections. Each worker is
-//! polled all the time while tasks run on it, so polls would take every connection, and no order
-//! could be sent. Beyond their share, polls and orders therefore wait in turn for a connection, and
-//! close theirs after use.
+//! Connections to workers, whose number is bounded by [`ConnectionBudget`].
 
-use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::future;
 use std::rc::Rc;
 use std::task;
 
-/// What a connection is used for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Use {
-    /// Polls, without which a worker's lease expires.
-    Polls,
-    /// Starts, stops and paces.
-    Orders,
-}
+use super::connection_budget::{ConnectionBudget, Use};
 
-/// Number of open connections to workers and its bound, shared by all delivery tasks.
+/// Open connections to workers, shared by all tasks that send orders.
 #[derive(Clone, Debug)]
 pub(super) struct Connections {
-    polls: Rc<Share>,
-    orders: Rc<Share>,
-    most: usize,
+    shared: Rc<RefCell<Shared>>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    budget: ConnectionBudget,
+    last_ticket: u64,
+    /// Tasks that wait, by ticket.
+    wakers: BTreeMap<u64, task::Waker>,
 }
 
-/// Connections for one use.
-#[derive(Debug, Default)]
-struct Share {
-    open: Cell<usize>,
-    /// Tasks that wait for a connection, longest wait first.
-    waiting: RefCell<VecDeque<task::Waker>>,
+impl Shared {
+    /// Wakes the tasks that may open a connection; they ask again.
+    fn wake_next(&self) {
+        for ticket in self.budget.next_waiting() {
+            if let Some(waker) = self.wakers.get(&ticket) {
+                waker.wake_by_ref();
+            }
+        }
+    }
 }
 
 /// One open connection; it is counted until it is dropped.
 #[derive(Debug)]
 pub(super) struct Permit {
-    share: Rc<Share>,
+    connections: Connections,
+    of: Use,
 }
 
 impl Connections {
     /// Creates the count with a bound of `most` connections.
     pub(super) fn new(most: usize) -> Self {
-        Self { polls: Rc::default(), orders: Rc::default(), most }
+        let budget = ConnectionBudget::new(most);
+        let shared = Shared { budget, last_ticket: 0, wakers: BTreeMap::new() };
+        Self { shared: Rc::new(RefCell::new(shared)) }
     }
 
-    /// Returns how many connections for orders each of `workers` workers may have, beside the one
-    /// for polls: a second one lets orders to distant workers overlap.
-    pub(super) fn orders_per_worker(&self, workers: usize) -> usize {
-        if workers.saturating_mul(3) <= self.most { 2 } else { 1 }
+    /// Sets the number of workers; returns how many connections for orders each may have.
+    pub(super) fn expect_workers(&self, workers: usize) -> usize {
+        let mut shared = self.shared.borrow_mut();
+        shared.budget.expect_workers(workers);
+        shared.budget.orders_per_worker(workers)
     }
 
-    /// Waits until a connection may be opened, and counts it.
-    pub(super) async fn open(&self, of: Use) -> Permit {
-        let share = self.share(of);
+    /// Waits until a connection may be opened, and counts it. `of` is asked at each wake-up of the
+    /// task, since a stop may arrive meanwhile.
+    pub(super) async fn open<F>(&self, mut of: F) -> Permit
+    where
+        F: FnMut(&task::Context<'_>) -> Use,
+    {
+        let ticket = {
+            let mut shared = self.shared.borrow_mut();
+            shared.last_ticket += 1;
+            shared.last_ticket
+        };
         future::poll_fn(|cx| {
-            if share.open.get() < self.most_for(of) {
-                share.open.set(share.open.get() + 1);
-                return task::Poll::Ready(());
+            let of = of(cx);
+            let mut shared = self.shared.borrow_mut();
+            if shared.budget.open(ticket, of) {
+                shared.wakers.remove(&ticket);
+                shared.wake_next();
+                return task::Poll::Ready(Permit { connections: self.clone(), of });
             }
-            share.waiting.borrow_mut().push_back(cx.waker().clone());
+            shared.wakers.insert(ticket, cx.waker().clone());
             task::Poll::Pending
         })
-        .await;
-        Permit { share: Rc::clone(share) }
+        .await
     }
 
     /// Returns whether connections should be closed after use, so that others can be opened.
     pub(super) fn is_scarce(&self, of: Use) -> bool {
-        let most = self.most_for(of);
-        let share = self.share(of);
-        share.open.get() > most - (most / 8).max(1) || !share.waiting.borrow().is_empty()
-    }
-
-    fn share(&self, of: Use) -> &Rc<Share> {
-        match of {
-            Use::Polls => &self.polls,
-            Use::Orders => &self.orders,
-        }
-    }
-
-    /// Returns the maximum number of connections for a use: two thirds for polls, and for orders
-    /// what polls leave.
-    fn most_for(&self, of: Use) -> usize {
-        let most_polls = (self.most * 2 / 3).max(1);
-        let most = match of {
-            Use::Polls => most_polls,
-            Use::Orders => self.most.saturating_sub(self.polls.open.get().min(most_polls)),
-        };
-        most.max(1)
+        self.shared.borrow().budget.is_scarce(of)
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.share.open.set(self.share.open.get().saturating_sub(1));
-        if let Some(waker) = self.share.waiting.borrow_mut().pop_front() {
-            waker.wake();
-        }
+        let mut shared = self.connections.shared.borrow_mut();
+        shared.budget.close(self.of);
+        shared.wake_next();
     }
 }
--- a/comfreymill_node/src/scheduler/orders/delivery.rs
+++ b/comfreymill_node/src/scheduler/orders/delivery.rs
@@ -9,7 +9,8 @@
 use comfreymill_platform as platform;
 
 use super::OrderResult;
-use super::connections::{Connections, Permit, Use};
+use super::connection_budget::Use;
+use super::connections::{Connections, Permit};
 use super::queued_order::QueuedOrder;
 use crate::clock;
 use crate::metering::observe;
@@ -99,7 +100,8 @@
         let (request, wait) = to_request(&target, &order);
         let taken_at = target.clock.now();
         if connection.is_none() {
-            let permit = connections.open(of).await;
+            let is_stop = matches!(order, scheduler::Order::Stop { .. });
+            let permit = connections.open(|_| if is_stop { Use::Stops } else { of }).await;
             connection = Some(Slot { connection: None, _permit: permit });
         }
         let Some(slot) = &mut connection else { return };
--- a/comfreymill_node/src/scheduler/orders/order_sender.rs
+++ b/comfreymill_node/src/scheduler/orders/order_sender.rs
@@ -6,7 +6,8 @@
 use comfreymill_jobs::scheduler;
 use comfreymill_types::time;
 
-use super::connections::{Connections, Use};
+use super::connection_budget::Use;
+use super::connections::Connections;
 use super::delivery;
 use super::queued_order::QueuedOrder;
 use crate::clock;
@@ -71,6 +72,7 @@
         workers: usize,
     ) {
         let worker = order.worker();
+        let orders_per_worker = self.connections.expect_workers(workers);
         let (fence, clock) = (self.fence, self.clock);
         let target = || delivery::Target { worker, name: name.clone(), address, fence, clock };
         let (connections, inputs) = (&self.connections, &self.inputs);
@@ -85,8 +87,7 @@
             .entry(worker)
             .or_insert_with(|| WorkerQueues { polls: start_queue(Use::Polls), orders: Vec::new() });
         if order.task().is_some() && queues.orders.is_empty() {
-            let count = connections.orders_per_worker(workers);
-            queues.orders.extend((0..count).map(|_| start_queue(Use::Orders)));
+            queues.orders.extend((0..orders_per_worker).map(|_| start_queue(Use::Orders)));
         }
         // A task ends only after its queue is closed, or when the core has ended.
         let queue = queues.queue_for(&order);
--- a/comfreymill_node/tests/main.rs
+++ b/comfreymill_node/tests/main.rs
@@ -4,6 +4,7 @@
 mod jobcall;
 mod logs;
 mod metering;
+mod orders;
 mod peer;
 mod prompt;
 mod scratch;
