fix(jobs): ask at once about a run that was stopped while its start was on its way

What callers saw: no record shows it.

Cause: whether a start may not have been carried out was noted only for starts without an answer, not for those that a stop overtakes. The next poll was held by the worker until some run ended, 1.5 s at most.

Evidence: a_run_that_is_stopped_before_its_start_was_answered_is_not_waited_for failed before: left: [1.5s], right: [0ns].

A stop of a run whose start has no answer notes that the start is uncertain, so the poll after its acceptance is answered at once.

--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -310,6 +310,7 @@
         if run.is_lasting() {
             self.lasting = self.lasting.saturating_sub(&run.reserved);
         }
+        run.is_start_uncertain |= run.phase == RunPhase::Starting;
         run.phase = RunPhase::Stopping { sent_at: now, retry_at: now };
         Some(run.run)
     }
--- a/comfreymill_jobs/tests/scheduler/cancellation.rs
+++ b/comfreymill_jobs/tests/scheduler/cancellation.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use comfreymill_jobs::id;
-use comfreymill_jobs::scheduler::{Answer, Order, StartAnswer};
+use comfreymill_jobs::scheduler::{Answer, Order, PollAnswer, StartAnswer};
 use comfreymill_jobs::state::Command;
 use comfreymill_jobs::worker::{EndKind, Report};
 
@@ -177,3 +177,33 @@
         }
     }
 }
+
+/// Room stayed reserved for a run that was stopped before its start was sent, until a poll that was
+/// held for its end ran out of time.
+#[test]
+fn a_run_that_is_stopped_before_its_start_was_answered_is_not_waited_for() {
+    let mut leader = Leader::new();
+    leader.worker("w");
+    leader.submit(spec(vec![step(2)]));
+    let starts = leader.take_starts();
+    leader.started(&starts[0], StartAnswer::Started);
+    leader.report(starts[0].worker, running(&[starts[0]]));
+    let (task, run) = (starts[1].task, starts[1].run);
+    leader.commit(vec![Command::Cancel { job: KEY }]);
+    let answer = Answer::Start { task, run, answer: StartAnswer::NotSent, clock_ms: None };
+    leader.scheduler.answered(leader.now, starts[1].worker, leader.now, answer);
+    let asked_at = leader.now;
+    advance(&mut leader, TICK);
+    answer_stop(&mut leader, &starts[1], true);
+    leader.orders.clear();
+    // The report was asked for before the stop was accepted, so it does not show whether the run is
+    // gone.
+    let report = Answer::Poll(PollAnswer::Report(running(&[starts[0]])));
+    leader.scheduler.answered(leader.now, starts[0].worker, asked_at, report);
+    advance(&mut leader, TICK);
+    let polls = leader.orders.iter().filter_map(|order| match order {
+        Order::Poll { wait, .. } => Some(*wait),
+        _ => None,
+    });
+    assert_eq!(polls.collect::<Vec<_>>(), [Duration::ZERO]);
+}
