--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -98,6 +98,8 @@
             accepted_at: now,
             has_started: !job.occurrences.is_empty() || !job.finished.is_empty(),
         };
+        let since_1970 = Duration::from_millis(self.unix_offset_ms + now.as_micros() / 1_000);
+        let accepted = state.get_accepted_unix_ms(key).map(Duration::from_millis);
         // An occurrence that is not due yet was not started by an earlier leader, except possibly
         // slightly early, in which case the state may have ends for it.
         for number in 0..job.spec.occurrences() {
@@ -110,6 +112,12 @@
             }
             let recorded = job.occurrences.get(&number);
             let mut occurrence = OccurrenceEntry::new(&job.spec, recorded, now);
+            // A long-running job is of the same use at any age.
+            if !job.spec.is_long_running() {
+                let due = job.spec.schedule.map(|schedule| schedule.due_at(number));
+                let due = due.or(accepted).unwrap_or(since_1970);
+                occurrence.waited = since_1970.saturating_sub(due);
+            }
             // A step that waits for others was not started by an earlier leader, which acted on ends
             // only once they were in the log.
             let unblocked = job.spec.steps.iter().map(|step| occurrence.is_unblocked(step));
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -1,5 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::mem;
+use std::time::Duration;
 
 use comfreymill_types::time;
 
@@ -125,7 +126,8 @@
     /// Handles commands that could not be proposed; the scheduler's own are issued again.
     pub fn commands_not_proposed(&mut self, commands: Vec<state::Command>) {
         let own = commands.into_iter().filter(|command| {
-            !matches!(command, state::Command::Submit(_) | state::Command::Cancel { .. })
+            !matches!(command, state::Command::Submit(_) | state::Command::SubmitAt { .. })
+                && !matches!(command, state::Command::Cancel { .. })
                 && !matches!(command, state::Command::SetRoutes { .. } | state::Command::Lead)
                 && !matches!(command, state::Command::Evacuate(_))
                 && !matches!(command, state::Command::WithdrawEvacuation(_))
@@ -182,6 +184,9 @@
             queue.map_or((1.0, 0), |queue| (queue.stretch, queue.target_latency_ms));
         let critical_path_ms = job.spec.critical_path_ms() as f64 * stretch;
         let allowed_ms = critical_path_ms.max(0.0) as u64 + target_ms;
+        let after = |allowed_ms: u64| {
+            occurrence.due_at + Duration::from_millis(allowed_ms).saturating_sub(occurrence.waited)
+        };
         Some(Rank {
             class: match spec.kind() {
                 job::StepKind::Filler => PlacementClass::Filling,
@@ -189,9 +194,8 @@
                 _ => PlacementClass::Short,
             },
             priority: queue.map_or(u32::MAX, |queue| queue.priority),
-            due_at: occurrence.due_at + std::time::Duration::from_millis(allowed_ms),
-            useless_at: occurrence.due_at
-                + std::time::Duration::from_millis(allowed_ms.saturating_mul(USELESS_AFTER)),
+            due_at: after(allowed_ms),
+            useless_at: after(allowed_ms.saturating_mul(USELESS_AFTER)),
             remaining_ms: job.spec.remaining_path_ms(step.step),
         })
     }
--- a/comfreymill_jobs/src/scheduler/task.rs
+++ b/comfreymill_jobs/src/scheduler/task.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use comfreymill_types::time;
 
@@ -27,6 +28,8 @@
     pub(super) steps: Vec<StepEntry>,
     /// Time at which this leader began the occurrence or restored it.
     pub(super) due_at: time::Monotonic,
+    /// Time for which the occurrence had been due by then, as its caller waits through all leaders.
+    pub(super) waited: Duration,
 }
 
 /// Leader's state of a step of an occurrence.
@@ -92,7 +95,8 @@
     ) -> Self {
         let fresh = state::Occurrence::new(spec);
         let recorded = recorded.unwrap_or(&fresh);
-        Self { steps: recorded.steps.iter().map(StepEntry::new).collect(), due_at }
+        let steps = recorded.steps.iter().map(StepEntry::new).collect();
+        Self { steps, due_at, waited: Duration::ZERO }
     }
 
     /// Returns whether all steps that the step `spec` depends on are done.
--- a/comfreymill_jobs/src/state/apply.rs
+++ b/comfreymill_jobs/src/state/apply.rs
@@ -67,7 +67,8 @@
                 self.routes = Some(Routes { table: *table, document });
                 Effect::RoutesChanged
             }
-            Command::Submit(submission) => self.submit(*submission),
+            Command::Submit(submission) => self.submit(*submission, None),
+            Command::SubmitAt { submission, unix_ms } => self.submit(*submission, Some(unix_ms)),
             Command::Cancel { job } => self.cancel(job),
             Command::AddWorker { announced } => {
                 self.last_worker = self.last_worker.next();
@@ -155,22 +156,23 @@
                 job.end(JobStatus::Failed);
                 let crashes = self.crashes.get(task).map_or(0, |record| record.crashes);
                 self.given_up.insert(key, GivenUp { task: *task, crashes });
-                self.forget_crashes(key);
+                self.forget_open(key);
                 jobs.push(key);
             }
         }
         Effect::WorkerCrashed { worker, runs, given_up: jobs }
     }
 
-    /// Drops the crashes under the tasks of a job that is over.
-    fn forget_crashes(&mut self, job: id::JobKey) {
+    /// Drops what is kept of a job only while it is open.
+    fn forget_open(&mut self, job: id::JobKey) {
+        self.accepted.remove(&job);
         let tasks: Vec<id::TaskId> = self.get_job_crashes(job).map(|(task, _)| task).collect();
         for task in tasks {
             self.crashes.remove(&task);
         }
     }
 
-    fn submit(&mut self, submission: Submission) -> Effect {
+    fn submit(&mut self, submission: Submission, unix_ms: Option<u64>) -> Effect {
         let Submission { job: key, queue, max_attempts, spec } = submission;
         if self.jobs.contains_key(&key) {
             return Effect::None;
@@ -184,6 +186,7 @@
             finished: BTreeSet::new(),
         };
         self.jobs.insert(key, job);
+        self.accepted.extend(unix_ms.map(|unix_ms| (key, unix_ms)));
         Effect::JobAdded(key)
     }
 
@@ -193,7 +196,7 @@
             Some(job) if job.is_over() => Effect::None,
             Some(job) => {
                 job.end(JobStatus::Cancelled);
-                self.forget_crashes(key);
+                self.forget_open(key);
                 Effect::JobCancelled(key)
             }
         }
@@ -214,7 +217,7 @@
             let Some(job) = self.jobs.get_mut(&key) else { continue };
             job.record_end(end);
             if job.is_over() {
-                self.forget_crashes(key);
+                self.forget_open(key);
             } else if !job.is_open(end.task) {
                 self.crashes.remove(&end.task);
             }
--- a/comfreymill_jobs/src/state/command.rs
+++ b/comfreymill_jobs/src/state/command.rs
@@ -82,6 +82,13 @@
         /// Name of the zone, not validated.
         zone: String,
     },
+    /// Adds a job like [`Self::Submit`], which earlier builds wrote, with the time of its arrival.
+    SubmitAt {
+        /// Job to add.
+        submission: Box<Submission>,
+        /// Time at which the leader received it, in milliseconds since the Unix epoch.
+        unix_ms: u64,
+    },
 }
 
 /// Job with the queue that it was submitted to.
--- a/comfreymill_jobs/src/state/state.rs
+++ b/comfreymill_jobs/src/state/state.rs
@@ -31,6 +31,8 @@
     pub(super) departures: Departures,
     /// Operators' orders about availability zones.
     pub(super) evacuations: Evacuations,
+    /// Times at which open jobs were accepted, in milliseconds since the Unix epoch.
+    pub(super) accepted: BTreeMap<id::JobKey, u64>,
 }
 
 /// Routes in force, decoded and as received.
@@ -53,7 +55,7 @@
 }
 
 /// Encoding of the fields that were added to the end of the state since version 0.1, all empty.
-const ADDED_FIELDS: &[u8] = &[0, 0, 0, 0, 0];
+const ADDED_FIELDS: &[u8] = &[0, 0, 0, 0, 0, 0];
 
 impl State {
     /// Decodes the state from a snapshot.
@@ -103,6 +105,11 @@
         &self.jobs
     }
 
+    /// Returns when an open job was accepted, in milliseconds since the Unix epoch, if the log says so.
+    pub fn get_accepted_unix_ms(&self, job: id::JobKey) -> Option<u64> {
+        self.accepted.get(&job).copied()
+    }
+
     /// Returns the worker incarnations that may have runs, by number.
     pub fn get_workers(&self) -> &BTreeMap<id::WorkerNumber, Worker> {
         &self.workers
--- a/comfreymill_jobs/tests/scheduler/succession.rs
+++ b/comfreymill_jobs/tests/scheduler/succession.rs
@@ -290,3 +290,29 @@
         assert!(matches!(acknowledgement, Acknowledgement::Committed(_)), "{acknowledgement:?}");
     }
 }
+
+/// After a change of leader, jobs of no use any more took the room of those that could be in time.
+#[test]
+fn a_new_leader_knows_how_long_jobs_have_waited() {
+    let mut leader = Leader::new();
+    let worker = leader.worker("w");
+    leader.submit_as(1, spec(vec![step(8)]));
+    let starts = leader.take_starts();
+    for start in &starts {
+        leader.started(start, StartAnswer::Started);
+    }
+    // A job may take 1.5 times its estimate of 800 ms and 500 ms; 5.1 s are of no use.
+    leader.submit_as(2, spec(vec![step(8)]));
+    leader.advance(Duration::from_secs(5));
+    let mut leader = leader.into_next_leader();
+    leader.advance(Duration::from_millis(10));
+    leader.report(worker, running(&starts));
+    leader.submit_as(3, spec(vec![step(8)]));
+    leader.advance(Duration::from_millis(100));
+    let ends = (1..).zip(&starts).map(|(number, start)| start.end(number, EndKind::Done));
+    leader.report(worker, ended(ends.collect()));
+    let next = leader.take_starts();
+    assert_eq!(next.len(), 8, "no room is left unused");
+    let third = comfreymill_jobs::id::JobKey::new(3);
+    assert!(next.iter().all(|start| start.task.step.job == third), "{next:?}");
+}
--- a/comfreymill_jobs/tests/state/mod.rs
+++ b/comfreymill_jobs/tests/state/mod.rs
@@ -12,6 +12,11 @@
     Command::Submit(Box::new(Submission { job: KEY, queue, max_attempts: 2, spec }))
 }
 
+fn submit_at() -> Command {
+    let Command::Submit(submission) = submit() else { unreachable!("submit() submits") };
+    Command::SubmitAt { submission, unix_ms: 1_700_000_000_000 }
+}
+
 fn add_worker() -> Command {
     Command::AddWorker { announced: Box::new(announcement("w", 1, 1)) }
 }
@@ -93,7 +98,8 @@
 #[test]
 fn a_snapshot_holds_the_whole_state() {
     let failed = note(1, 0, 1, EndKind::Failed);
-    let state = state_of(vec![Command::Lead, routes(3, "doc"), add_worker(), submit(), failed]);
+    let state = state_of(vec![Command::Lead, routes(3, "doc"), add_worker(), submit_at(), failed]);
+    assert_eq!(state.get_accepted_unix_ms(KEY), Some(1_700_000_000_000));
     let data = state.to_snapshot().expect("encoded");
     assert_eq!(State::from_snapshot(&data).expect("decoded"), state);
     assert!(State::from_snapshot(&data[..data.len() / 2]).is_err());
@@ -103,12 +109,12 @@
 fn a_snapshot_without_leaving_workers_and_crashes_is_read() {
     let state = state_of(vec![add_worker(), submit()]);
     let data = state.to_snapshot().expect("the state is encoded");
-    // Each of the five fields that were added later takes one byte if it is empty.
-    for missing in 1..=5 {
+    // Each of the six fields that were added later takes one byte if it is empty.
+    for missing in 1..=6 {
         let earlier = &data[..data.len() - missing];
         assert_eq!(State::from_snapshot(earlier).expect("the state is decoded"), state);
     }
-    assert!(State::from_snapshot(&data[..data.len() - 6]).is_err());
+    assert!(State::from_snapshot(&data[..data.len() - 7]).is_err());
 }
 
 fn zone_order(operator: &str, revision: u64) -> Box<ZoneOrder> {
--- a/comfreymill_jobs/tests/support/mod.rs
+++ b/comfreymill_jobs/tests/support/mod.rs
@@ -198,8 +198,10 @@
     /// Commits a job with the given key.
     pub(crate) fn submit_as(&mut self, key: u64, spec: job::JobSpec) {
         let (job, queue) = (id::JobKey::new(key), "batch".to_owned());
-        let submission = Submission { job, queue, max_attempts: 2, spec };
-        self.commit(vec![Command::Submit(Box::new(submission))]);
+        let submission = Box::new(Submission { job, queue, max_attempts: 2, spec });
+        let since_1970 = UNIX + Duration::from_micros(self.now.as_micros());
+        let unix_ms = u64::try_from(since_1970.as_millis()).expect("a small number");
+        self.commit(vec![Command::SubmitAt { submission, unix_ms }]);
         self.settle();
     }
 
--- a/comfreymill_node/src/scheduler/core/calls.rs
+++ b/comfreymill_node/src/scheduler/core/calls.rs
@@ -9,6 +9,7 @@
 use super::core::Core;
 use super::leadership;
 use super::waiter::{ReplyTo, Waiter};
+use crate::clock;
 use crate::jobcall::{Call, Reply};
 use crate::peer::SessionId;
 
@@ -105,7 +106,9 @@
             spec,
         };
         self.submitting.insert(key);
-        self.queue_command(state::Command::Submit(Box::new(submission)), reply, Reply::Done);
+        let unix_ms = u64::try_from(clock::since_1970().as_millis()).unwrap_or(u64::MAX);
+        let command = state::Command::SubmitAt { submission: Box::new(submission), unix_ms };
+        self.queue_command(command, reply, Reply::Done);
     }
 
     fn cancel(&mut self, host: &str, path: &str, reply: ReplyTo) {
--- a/comfreymill_node/src/scheduler/core/leadership.rs
+++ b/comfreymill_node/src/scheduler/core/leadership.rs
@@ -112,7 +112,7 @@
                     waiter.reply.send(&jobcall::Reply::NotLeader);
                 }
                 for command in &commands {
-                    if let state::Command::Submit(submission) = command {
+                    if let state::Command::SubmitAt { submission, .. } = command {
                         self.submitting.remove(&submission.job);
                     }
                 }
