--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -2,6 +2,7 @@
 
 use comfreymill_types::time;
 
+use super::clock_reading;
 use super::worker::WorkerEntry;
 use super::{Acknowledgement, Scheduler};
 use crate::id;
@@ -163,7 +164,7 @@
         number: Option<id::WorkerNumber>,
         announcement: &worker::Announcement,
     ) -> bool {
-        let unix_ms = self.unix_offset_ms.saturating_add(now.as_micros() / 1_000);
+        let unix_ms = clock_reading::millis(self.since_1970(now));
         let entry = number.and_then(|number| self.workers.get(&number));
         let last = entry.map_or(0, |entry| entry.announcement.sequence);
         // The leader's time of day may have been set back since an incarnation was registered.
--- a/comfreymill_jobs/src/scheduler/jobs.rs
+++ b/comfreymill_jobs/src/scheduler/jobs.rs
@@ -49,8 +49,7 @@
     /// Returns whether occurrence `number` may begin.
     pub(super) fn is_due(&self, now: time::Monotonic, spec: &job::JobSpec, number: u32) -> bool {
         let Some(schedule) = spec.schedule else { return true };
-        let unix_now = Duration::from_millis(self.unix_offset_ms + now.as_micros() / 1_000);
-        unix_now >= schedule.due_at(number) + OCCURRENCE_MARGIN
+        self.since_1970(now) >= schedule.due_at(number) + OCCURRENCE_MARGIN
     }
 
     /// Begins the occurrences of a job that are due, as far as enough earlier ones are finished.
--- a/comfreymill_jobs/src/scheduler/unread.rs
+++ b/comfreymill_jobs/src/scheduler/unread.rs
@@ -1,6 +1,7 @@
 use comfreymill_types::time;
 
 use super::Scheduler;
+use super::clock_reading;
 use crate::id;
 use crate::worker;
 
@@ -17,7 +18,7 @@
         number: id::WorkerNumber,
         report: &mut worker::Report,
     ) -> bool {
-        let unix_ms = self.unix_offset_ms.saturating_add(now.as_micros() / 1_000);
+        let unix_ms = clock_reading::millis(self.since_1970(now));
         for end in report.ended.extract_if(.., |end| !self.may_exist(end.task)) {
             report.unread.ends.push(end.number);
             report.unread.reason = format!("no job has the task {}", end.task);
