fix(jobs): readings in answers that overtake each other do not contradict

What was seen: in the first run of the new test of whole processes, two lines `a reading of a worker's clock is not used: it contradicts the earlier ones` for a sound worker (clock_ms 215 after 216, 988 after 991).

--- a/comfreymill_jobs/src/scheduler/clock_reading.rs
+++ b/comfreymill_jobs/src/scheduler/clock_reading.rs
@@ -24,9 +24,10 @@
     pub(super) fn agrees_with(&self, cfg: &Config, later: &Self) -> bool {
         // Answers to orders that were in flight together may overtake each other.
         let overlap = cfg.max_worker_time(self.received_at.since(later.asked_at));
-        let least = self.min_at(cfg, later.asked_at).saturating_sub(millis(overlap));
         let passed = cfg.max_worker_time(later.received_at.since(self.asked_at));
-        // Both readings are whole milliseconds, rounded down.
+        // Readings and spans are rounded down to whole milliseconds.
+        let overlap_ms = if overlap.is_zero() { 0 } else { millis(overlap) + 1 };
+        let least = self.min_at(cfg, later.asked_at).saturating_sub(overlap_ms);
         let most = self.clock_ms.saturating_add(millis(passed)).saturating_add(1);
         (least..=most).contains(&later.clock_ms)
     }
--- a/comfreymill_jobs/tests/scheduler/odd_readings.rs
+++ b/comfreymill_jobs/tests/scheduler/odd_readings.rs
@@ -115,3 +115,30 @@
         assert!(end >= begin.0 + passed + LEASE.as_millis() as u64, "round {round}: {end}");
     }
 }
+
+/// Of two answers that were in flight together, the one with the earlier reading arrived last; their
+/// times differed by less than the readings show.
+#[test]
+fn answers_that_overtake_each_other_are_used() {
+    let (mut leader, start) = with_run();
+    let first = leader.now;
+    let at = |micros: u64| first + Duration::from_micros(micros);
+    // Readings taken at 3.00 ms and at 2.95 ms, in answers received at 3.05 ms and at 3.10 ms.
+    let begin = true_clock(&leader);
+    for (taken, asked, received) in [(3_000, 0, 3_050), (2_950, 2_900, 3_100)] {
+        let answer = PollAnswer::Report(Report {
+            clock_ms: Some(begin + taken / 1_000),
+            ..running(&[start])
+        });
+        leader.scheduler.answered(at(received), start.worker, at(asked), Answer::Poll(answer));
+        leader.settle();
+    }
+    // The next reading that contradicts would replace the others if the last one had been doubted.
+    let odd = Some(begin + 2);
+    let answer = PollAnswer::Report(Report { clock_ms: odd, ..running(&[start]) });
+    leader.orders.clear();
+    leader.scheduler.answered(at(3_900), start.worker, at(3_500), Answer::Poll(answer));
+    leader.settle();
+    let least = begin + 3 + LEASE.as_millis() as u64;
+    assert!(last_lease_end(&leader) >= least, "{} < {least}", last_lease_end(&leader));
+}
