test(platform): odd entries to the processes end none of them

Twelve odd heartbeats under the name of a live worker and under other names, and odd jobs, to a scheduler and a gateway as processes: each is answered 200 or 400 (jobs also 429 or 503), nothing panics, the worker goes on to run jobs, and its clock is not doubted.

--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -1,5 +1,6 @@
 //! The programs `gateway` and `scheduler` as processes, with stand-in workers.
 
+mod odd_entries;
 mod overload;
 #[path = "../../platform/tests/standin/mod.rs"]
 mod standin;
