fix(node): send stops before all other orders to a worker

Callers: a run went on for seconds after its job was cancelled, and ended as stopped.

Cause: orders to a worker waited one behind the other, first come first served, each without an answer for 0.9 s; stops were queued again every 400 ms while the first still waited, and all of them were sent.

Now OrderQueue, a decision type without I/O, says which order is sent next. Stops go first. An order replaces those of its run that were not sent: a stop keeps the age of the first, a start is reported as not sent, once. Where no lane is free for a stop within 200 ms, up to four extra lanes send stops. A stop may pass a start of its run that was sent: the worker refuses what arrives after the stop. All other orders for a task still go one after the other. The order is chosen once the connection is ready, and the expiry of a start is checked then, where it was checked before the connection was made.

--- a/comfreymill_node/src/scheduler/orders/delivery.rs
+++ b/comfreymill_node/src/scheduler/orders/delivery.rs
@@ -1,186 +1,119 @@
-use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use comfreymill_http::client;
-use comfreymill_http::limits;
-use comfreymill_jobs::id;
 use comfreymill_jobs::scheduler;
 use comfreymill_platform as platform;
 
-use super::OrderResult;
 use super::connection_budget::Use;
-use super::connections::{Connections, Permit};
-use super::queued_order::QueuedOrder;
-use crate::clock;
-use crate::metering::observe;
-use crate::scheduler::core::Input;
+use super::connections::Connections;
+use super::lane::Lane;
+use super::link::Link;
+use super::outcome::Outcome;
+use super::shared_queue::SharedQueue;
+use super::target::Target;
 
-/// Maximum time to connect to a worker.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum time for an answer, in addition to the delay that the order allows the worker.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time without orders after which a connection is closed; each occupies a descriptor, and workers
 /// that are polled rarely are polled every few seconds.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
 /// Time without orders after which a connection is closed that others may wait for.
 const SCARCE_IDLE_LIMIT: Duration = Duration::from_secs(5);
-/// Time from the decision to the sending after which an order is logged.
-const LONG_WAIT: Duration = Duration::from_secs(1);
-/// Maximum size of an answer; 500 ends and the runs of a full worker take far less.
-const MAX_ANSWER_BYTES: u64 = 1 << 20;
 
-/// Worker that receives the orders, and the leader that sends them.
-#[derive(Clone, Debug)]
-pub(super) struct Target {
-    pub(super) worker: id::WorkerNumber,
-    pub(super) name: id::WorkerName,
-    pub(super) address: SocketAddr,
-    pub(super) fence: id::Fence,
-    pub(super) clock: clock::Clock,
-}
-
-/// Connection to a worker, kept open between orders.
-struct Slot {
-    connection: Option<client::Connection>,
-    _permit: Permit,
-}
-
-/// Outcome of sending an order.
-enum Outcome {
-    /// The worker answered with this status and body.
-    Answered(http::StatusCode, Bytes),
-    /// The connection was refused by the worker's machine or by the network.
-    Refused,
-    /// No part of the request was sent.
-    NotSent,
-    /// The order waited too long for earlier ones, and was not sent.
-    Expired,
-    /// The request may have reached the worker, but no complete answer arrived.
-    Unanswered,
+/// Sends the orders of a queue one at a time over a dedicated connection.
+pub(super) struct Delivery {
+    pub(super) target: Rc<Target>,
+    pub(super) orders: SharedQueue,
+    pub(super) connections: Connections,
+    pub(super) of: Use,
+    /// Number of the kept lane that this is; an extra lane has none.
+    pub(super) kept: Option<usize>,
 }
 
-impl Outcome {
-    /// Returns the label of the outcome in metrics.
-    fn label(&self) -> &'static str {
-        match self {
-            Self::Answered(status, _) if status.is_success() => "taken",
-            Self::Answered(..) => "refused",
-            Self::Refused => "not listening",
-            Self::NotSent => "not sent",
-            Self::Expired => "expired",
-            Self::Unanswered => "unanswered",
+impl Delivery {
+    /// Sends orders until the queue is closed or, in an extra lane, until no stop waits.
+    pub(super) async fn run(self) {
+        let lane = if self.kept.is_some() { Lane::Kept } else { Lane::Extra };
+        let mut link = None;
+        while self.claim(&mut link).await {
+            let claimed_at = self.target.clock.now();
+            let connected = self.connect(&mut link).await;
+            // Which order goes is decided with the connection at hand, since a stop may have come.
+            let Some(queued) = self.orders.take(lane) else {
+                self.close_if_unneeded(&mut link);
+                continue;
+            };
+            let sent_at = self.target.clock.now();
+            self.target.report_waits(&queued, claimed_at, sent_at);
+            let outcome = match connected {
+                Ok(()) => self.send(&mut link, &queued.order).await,
+                Err(outcome) => outcome,
+            };
+            self.orders.ended(&queued.order);
+            self.close_if_unneeded(&mut link);
+            if !self.target.report(&queued, sent_at, outcome) {
+                break;
+            }
+        }
+        if self.kept.is_none() {
+            self.orders.remove_extra_lane();
         }
     }
-}
-
-/// Returns the label of an order's kind in metrics.
-fn kind_label(order: &scheduler::Order) -> &'static str {
-    match order {
-        scheduler::Order::Start { .. } => "start",
-        scheduler::Order::Stop { .. } => "stop",
-        scheduler::Order::Poll { .. } => "look",
-        scheduler::Order::Pace { .. } => "pace",
-    }
-}
 
-/// Sends the orders of a queue one at a time over a dedicated connection.
-pub(super) async fn run(
-    target: Target,
-    (connections, of): (Connections, Use),
-    orders: flume::Receiver<QueuedOrder>,
-    inputs: flume::Sender<Input>,
-) {
-    // Two tasks on one receiver can wake each other endlessly; see `WorkerQueues`.
-    debug_assert_eq!(orders.receiver_count(), 1, "the order queue has more than one receiver");
-    let mut connection = None;
-    while let Some(QueuedOrder { order, queued_at }) =
-        next_order(&orders, (&connections, of), &mut connection).await
-    {
-        let (request, wait) = to_request(&target, &order);
-        let taken_at = target.clock.now();
-        if connection.is_none() {
-            let is_stop = matches!(order, scheduler::Order::Stop { .. });
-            let permit = connections.open(|_| if is_stop { Use::Stops } else { of }).await;
-            connection = Some(Slot { connection: None, _permit: permit });
-        }
-        let Some(slot) = &mut connection else { return };
-        let sent_at = target.clock.now();
-        report_waits(&target, &order, taken_at.since(queued_at), sent_at.since(taken_at));
-        let outcome = if order.has_expired(sent_at) {
-            Outcome::Expired
-        } else {
-            exchange(&target, &mut slot.connection, request, wait).await
-        };
-        if slot.connection.is_none() || (connections.is_scarce(of) && orders.is_empty()) {
-            connection = None;
-        }
-        let duration = target.clock.now().since(sent_at);
-        observe::order(kind_label(&order), outcome.label(), duration);
-        report_stop(&target, &order, &outcome, sent_at.since(queued_at), duration);
-        let answer = to_answer(&order, outcome);
-        let Target { worker, fence, .. } = target;
-        let result = OrderResult { fence, worker, queued_at, sent_at, answer };
-        if inputs.send(Input::OrderResult(Box::new(result))).is_err() {
-            return;
+    /// Waits until an order is to be sent; closes the connection after `IDLE_LIMIT` without one, or
+    /// sooner while connections are scarce.
+    async fn claim(&self, link: &mut Option<Link>) -> bool {
+        let Some(number) = self.kept else { return self.orders.claim_extra().await };
+        let mut idle = Duration::ZERO;
+        while link.is_some() {
+            let claim = self.orders.claim(number);
+            match monoio::time::timeout(SCARCE_IDLE_LIMIT, claim).await {
+                Ok(is_claimed) => return is_claimed,
+                Err(_) => idle += SCARCE_IDLE_LIMIT,
+            }
+            if idle >= IDLE_LIMIT || self.connections.is_scarce(self.of) {
+                *link = None;
+            }
         }
+        self.orders.claim(number).await
     }
-}
 
-/// Records how long an order waited in its queue and for a connection; logs a long wait.
-fn report_waits(
-    target: &Target,
-    order: &scheduler::Order,
-    queue_wait: Duration,
-    connection_wait: Duration,
-) {
-    let kind = kind_label(order);
-    observe::order_queue_wait(kind, queue_wait);
-    observe::order_connection_wait(kind, connection_wait);
-    if let Some((task, run)) = order.run()
-        && queue_wait + connection_wait >= LONG_WAIT
-    {
-        let waited_ms = (queue_wait + connection_wait).as_millis() as u64;
-        log::info!(target: "runs", task:% = task, run:% = run, worker:% = target.name, kind, waited_ms, connection_ms = connection_wait.as_millis() as u64; "an order waited for earlier orders to its worker");
+    /// Closes a link that is not connected, or whose place others may wait for.
+    fn close_if_unneeded(&self, link: &mut Option<Link>) {
+        let is_connected = link.as_ref().is_some_and(Link::is_connected);
+        if !is_connected || (self.connections.is_scarce(self.of) && self.orders.is_empty()) {
+            *link = None;
+        }
     }
-}
 
-/// Logs how a stop order ended; a run goes on until its stop is carried out.
-fn report_stop(
-    target: &Target,
-    order: &scheduler::Order,
-    outcome: &Outcome,
-    waited: Duration,
-    answered: Duration,
-) {
-    let scheduler::Order::Stop { task, run, .. } = order else { return };
-    let (waited_ms, answer_ms) = (waited.as_millis() as u64, answered.as_millis() as u64);
-    let label = outcome.label();
-    if matches!(outcome, Outcome::Answered(status, _) if status.is_success()) {
-        log::debug!(target: "runs", task:% = task, run:% = run, worker:% = target.name, waited_ms, answer_ms; "a stop was accepted");
-    } else {
-        log::info!(target: "runs", task:% = task, run:% = run, worker:% = target.name, outcome = label, waited_ms, answer_ms; "a stop was not accepted");
+    async fn connect(&self, link: &mut Option<Link>) -> Result<(), Outcome> {
+        if link.is_none() {
+            let permit = self.connections.open(|cx| match self.kept {
+                Some(number) => self.orders.urgency(number, cx),
+                None => Use::Stops,
+            });
+            *link = Some(Link::new(permit.await));
+        }
+        let Some(link) = link else { return Err(Outcome::NotSent) };
+        link.connect(self.target.address).await
     }
-}
 
-/// Returns the next order; closes the connection after `IDLE_LIMIT` without one, or sooner while
-/// connections are scarce.
-async fn next_order(
-    orders: &flume::Receiver<QueuedOrder>,
-    (connections, of): (&Connections, Use),
-    connection: &mut Option<Slot>,
-) -> Option<QueuedOrder> {
-    let mut idle = Duration::ZERO;
-    while connection.is_some() {
-        match monoio::time::timeout(SCARCE_IDLE_LIMIT, orders.recv_async()).await {
-            Ok(received) => return received.ok(),
-            Err(_) => idle += SCARCE_IDLE_LIMIT,
-        }
-        if idle >= IDLE_LIMIT || connections.is_scarce(of) {
-            *connection = None;
+    async fn send(&self, link: &mut Option<Link>, order: &scheduler::Order) -> Outcome {
+        let (request, wait) = to_request(&self.target, order);
+        // The worker may close the connection at any time, which is detected before anything is
+        // sent; another connection takes time, in which a start may expire.
+        for _ in 0..2 {
+            if order.has_expired(self.target.clock.now()) {
+                return Outcome::Expired;
+            }
+            let Some(link) = link else { return Outcome::NotSent };
+            if let Some(outcome) = link.exchange(&request, wait).await {
+                return outcome;
+            }
+            if let Err(outcome) = link.connect(self.target.address).await {
+                return outcome;
+            }
         }
+        Outcome::NotSent
     }
-    orders.recv_async().await.ok()
 }
 
 fn to_request(target: &Target, order: &scheduler::Order) -> (platform::Outbound, Duration) {
@@ -203,110 +136,3 @@
         }
     }
 }
-
-async fn exchange(
-    target: &Target,
-    slot: &mut Option<client::Connection>,
-    request: platform::Outbound,
-    wait: Duration,
-) -> Outcome {
-    // The worker may have closed an idle connection, which is detected before anything is sent.
-    if let Some(outcome) = exchange_once(target, slot, &request, wait).await {
-        return outcome;
-    }
-    exchange_once(target, slot, &request, wait).await.unwrap_or(Outcome::NotSent)
-}
-
-/// Sends a request over the connection in `slot`, or a new one; returns `None` if the connection was
-/// stale.
-async fn exchange_once(
-    target: &Target,
-    slot: &mut Option<client::Connection>,
-    request: &platform::Outbound,
-    wait: Duration,
-) -> Option<Outcome> {
-    if slot.is_none() {
-        let limits = limits::Limits::new().response_timeout(Duration::from_secs(30));
-        match client::Connection::connect(target.address, limits, CONNECT_TIMEOUT).await {
-            Ok(connection) => *slot = Some(connection),
-            Err(error) => {
-                let refused =
-                    client::ClientErrorKind::Connect(std::io::ErrorKind::ConnectionRefused);
-                return Some(if error.kind == refused {
-                    Outcome::Refused
-                } else {
-                    Outcome::NotSent
-                });
-            }
-        }
-    }
-    let connection = slot.as_mut()?;
-    let round_trip = async {
-        let mut response = connection.send(&request.head, request.body.clone()).await?;
-        let body = response.collect(MAX_ANSWER_BYTES).await?;
-        Ok::<_, client::ClientError>((response.status(), body))
-    };
-    let result = monoio::time::timeout(wait + ANSWER_TIMEOUT, round_trip).await;
-    match result {
-        Ok(Ok((status, body))) => Some(Outcome::Answered(status, body)),
-        Ok(Err(error)) => {
-            *slot = None;
-            match error.sent {
-                client::Sent::Nothing if error.kind == client::ClientErrorKind::Stale => None,
-                client::Sent::Nothing => Some(Outcome::NotSent),
-                client::Sent::Some => Some(Outcome::Unanswered),
-            }
-        }
-        Err(_) => {
-            let sent = connection.sent();
-            *slot = None;
-            match sent {
-                client::Sent::Nothing => Some(Outcome::NotSent),
-                client::Sent::Some => Some(Outcome::Unanswered),
-            }
-        }
-    }
-}
-
-fn to_answer(order: &scheduler::Order, outcome: Outcome) -> scheduler::Answer {
-    if let Outcome::Answered(http::StatusCode::MISDIRECTED_REQUEST, _) = outcome {
-        return scheduler::Answer::WorkerGone;
-    }
-    match order {
-        scheduler::Order::Start { task, run, .. } => {
-            let (answer, clock_ms) = match outcome {
-                Outcome::Answered(status, body) => platform::decode_start(status, &body),
-                Outcome::NotSent | Outcome::Expired | Outcome::Refused => {
-                    (scheduler::StartAnswer::NotSent, None)
-                }
-                Outcome::Unanswered => (scheduler::StartAnswer::Unknown, None),
-            };
-            scheduler::Answer::Start { task: *task, run: *run, answer, clock_ms }
-        }
-        scheduler::Order::Stop { task, run, .. } | scheduler::Order::Pace { task, run, .. } => {
-            let is_accepted = match outcome {
-                Outcome::Answered(status, _) => platform::decode_accepted(status),
-                _ => false,
-            };
-            match order {
-                scheduler::Order::Stop { .. } => {
-                    scheduler::Answer::Stop { task: *task, run: *run, is_accepted }
-                }
-                _ => scheduler::Answer::Pace { task: *task, run: *run, is_accepted },
-            }
-        }
-        scheduler::Order::Poll { .. } => {
-            let answer = match outcome {
-                Outcome::Answered(status, body) => {
-                    platform::decode_poll(status, &body).unwrap_or_else(|error| {
-                        log::warn!(target: "workers", worker:% = order.worker(), reason:% = error; "a worker's answer to a poll is malformed");
-                        scheduler::PollAnswer::NoAnswer
-                    })
-                }
-                Outcome::Refused => scheduler::PollAnswer::Unreachable,
-                _ => scheduler::PollAnswer::NoAnswer,
-            };
-            scheduler::Answer::Poll(answer)
-        }
-    }
-}
--- a/comfreymill_node/src/scheduler/orders/order_sender.rs
+++ b/comfreymill_node/src/scheduler/orders/order_sender.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use comfreymill_jobs::id;
 use comfreymill_jobs::scheduler;
@@ -8,8 +8,9 @@
 
 use super::connection_budget::Use;
 use super::connections::Connections;
-use super::delivery;
-use super::queued_order::QueuedOrder;
+use super::delivery::Delivery;
+use super::shared_queue::SharedQueue;
+use super::target::Target;
 use crate::clock;
 use crate::scheduler::core::Input;
 
@@ -38,16 +39,13 @@
     queues: BTreeMap<id::WorkerNumber, WorkerQueues>,
 }
 
-/// Order queues of one worker, each drained by a separate task.
-///
-/// Two tasks must not share a receiver: a task that is woken for a message that the other task
-/// received would wake itself endlessly, because `flume` does not clear its wake-up flag and wakers
-/// of `monoio` never compare as equal.
+/// Order queues of one worker, which are closed when this is dropped.
 #[derive(Debug)]
 struct WorkerQueues {
-    polls: flume::Sender<QueuedOrder>,
-    /// Queues for starts, stops and paces, created with the first such order.
-    orders: Vec<flume::Sender<QueuedOrder>>,
+    target: Rc<Target>,
+    polls: SharedQueue,
+    /// Queue for starts, stops and paces, created with the first such order.
+    orders: Option<SharedQueue>,
 }
 
 impl OrderSender {
@@ -71,27 +69,42 @@
         address: SocketAddr,
         workers: usize,
     ) {
-        let worker = order.worker();
         let orders_per_worker = self.connections.expect_workers(workers);
-        let (fence, clock) = (self.fence, self.clock);
-        let target = || delivery::Target { worker, name: name.clone(), address, fence, clock };
-        let (connections, inputs) = (&self.connections, &self.inputs);
-        let start_queue = |of| {
-            let (orders, rx) = flume::unbounded();
-            let connections = (connections.clone(), of);
-            monoio::spawn(delivery::run(target(), connections, rx, inputs.clone()));
-            orders
-        };
-        let queues = self
-            .queues
-            .entry(worker)
-            .or_insert_with(|| WorkerQueues { polls: start_queue(Use::Polls), orders: Vec::new() });
-        if order.task().is_some() && queues.orders.is_empty() {
-            queues.orders.extend((0..orders_per_worker).map(|_| start_queue(Use::Orders)));
+        let connections = &self.connections;
+        let queues = self.queues.entry(order.worker()).or_insert_with(|| {
+            let target = Target {
+                worker: order.worker(),
+                name: name.clone(),
+                address,
+                fence: self.fence,
+                clock: self.clock,
+                inputs: self.inputs.clone(),
+            };
+            let target = Rc::new(target);
+            let polls = start_queue(&target, connections, Use::Polls, 1);
+            WorkerQueues { target, polls, orders: None }
+        });
+        if order.task().is_none() {
+            queues.polls.push(order);
+            return;
+        }
+        let target = &queues.target;
+        let orders = queues.orders.get_or_insert_with(|| {
+            start_queue(target, connections, Use::Orders, orders_per_worker)
+        });
+        for replaced in orders.push(order) {
+            target.drop_replaced(&replaced);
+        }
+        if orders.add_extra_lane() {
+            let delivery = Delivery {
+                target: Rc::clone(target),
+                orders: orders.clone(),
+                connections: connections.clone(),
+                of: Use::Stops,
+                kept: None,
+            };
+            monoio::spawn(delivery.run());
         }
-        // A task ends only after its queue is closed, or when the core has ended.
-        let queue = queues.queue_for(&order);
-        queue.send(QueuedOrder { order, queued_at: clock.now() }).ok();
     }
 
     /// Closes the order queues of a worker; orders that are already queued are still sent.
@@ -100,14 +113,32 @@
     }
 }
 
-impl WorkerQueues {
-    /// Returns the queue for an order. All orders that concern a task use the same queue, so that
-    /// a stop cannot overtake the start.
-    fn queue_for(&self, order: &scheduler::Order) -> &flume::Sender<QueuedOrder> {
-        let Some(task) = order.task() else { return &self.polls };
-        let mut hasher = DefaultHasher::new();
-        task.hash(&mut hasher);
-        let position = hasher.finish() % self.orders.len() as u64;
-        &self.orders[position as usize]
+impl Drop for WorkerQueues {
+    fn drop(&mut self) {
+        self.polls.close();
+        if let Some(orders) = &self.orders {
+            orders.close();
+        }
+    }
+}
+
+/// Creates a queue and starts the tasks of its kept lanes.
+fn start_queue(
+    target: &Rc<Target>,
+    connections: &Connections,
+    of: Use,
+    kept_lanes: usize,
+) -> SharedQueue {
+    let orders = SharedQueue::new(target.clock, of, kept_lanes);
+    for number in 0..kept_lanes {
+        let delivery = Delivery {
+            target: Rc::clone(target),
+            orders: orders.clone(),
+            connections: connections.clone(),
+            of,
+            kept: Some(number),
+        };
+        monoio::spawn(delivery.run());
     }
+    orders
 }
--- a/comfreymill_node/src/scheduler/orders/queued_order.rs
+++ b/comfreymill_node/src/scheduler/orders/queued_order.rs
@@ -1,9 +1,11 @@
 use comfreymill_jobs::scheduler;
 use comfreymill_types::time;
 
-/// Order that waits until the earlier orders of its queue are answered.
-#[derive(Debug)]
-pub(super) struct QueuedOrder {
-    pub(super) order: scheduler::Order,
-    pub(super) queued_at: time::Monotonic,
+/// Order that waits to be sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QueuedOrder {
+    /// Order.
+    pub order: scheduler::Order,
+    /// When the order was queued; for one that replaces an earlier one, when that was queued.
+    pub queued_at: time::Monotonic,
 }
