fix(node): give expired starts back before their turn

Now a lane gives back all expired starts of the queue whenever it is free.

Evidence: a_start_that_has_expired_is_given_back_before_its_turn needs the new call and does not compile without it.

--- a/comfreymill_node/src/scheduler/orders/delivery.rs
+++ b/comfreymill_node/src/scheduler/orders/delivery.rs
@@ -33,7 +33,16 @@
     pub(super) async fn run(self) {
         let lane = if self.kept.is_some() { Lane::Kept } else { Lane::Extra };
         let mut link = None;
-        while self.claim(&mut link).await {
+        loop {
+            // Starts expire while the lanes wait for answers.
+            for expired in self.orders.take_expired() {
+                let now = self.target.clock.now();
+                self.target.report_waits(&expired, now, now);
+                self.target.report(&expired, now, Outcome::Expired);
+            }
+            if !self.claim(&mut link).await {
+                break;
+            }
             let claimed_at = self.target.clock.now();
             let connected = self.connect(&mut link).await;
             // Which order goes is decided with the connection at hand, since a stop may have come.
--- a/comfreymill_node/src/scheduler/orders/order_queue.rs
+++ b/comfreymill_node/src/scheduler/orders/order_queue.rs
@@ -88,6 +88,19 @@
         dropped
     }
 
+    /// Removes and returns the orders that must not be sent any more at `now`, wherever they wait.
+    pub fn take_expired(&mut self, now: time::Monotonic) -> Vec<QueuedOrder> {
+        let mut expired = Vec::new();
+        self.waiting.retain(|queued| {
+            let has_expired = queued.order.has_expired(now);
+            if has_expired {
+                expired.push(queued.clone());
+            }
+            !has_expired
+        });
+        expired
+    }
+
     /// Adds an extra lane if one is needed; returns whether it was added.
     ///
     /// One is needed while the orders in flight leave fewer lanes than stops may be sent.
--- a/comfreymill_node/src/scheduler/orders/shared_queue.rs
+++ b/comfreymill_node/src/scheduler/orders/shared_queue.rs
@@ -96,6 +96,12 @@
         self.with(|queue| queue.take(lane))
     }
 
+    /// Removes and returns the orders that must not be sent any more.
+    pub(super) fn take_expired(&self) -> Vec<QueuedOrder> {
+        let now = self.shared.clock.now();
+        self.with(|queue| queue.take_expired(now))
+    }
+
     /// Records that an order has its outcome; orders for the same task may now be sent.
     pub(super) fn ended(&self, order: &scheduler::Order) {
         self.with(|queue| queue.ended(order));
--- a/comfreymill_node/tests/orders/queue.rs
+++ b/comfreymill_node/tests/orders/queue.rs
@@ -66,6 +66,17 @@
     assert_eq!(send_all(&mut queue), [stop(1, 1), start(2, 1), start(1, 2)], "the stop is sent");
 }
 
+/// A start whose time was over kept its task from other workers until its turn came, seconds later.
+#[test]
+fn a_start_that_has_expired_is_given_back_before_its_turn() {
+    let mut queue = filled(&[pace(1, 1, 40), start(2, 1), stop(3, 1), start(4, 1)]);
+    let at = time::Monotonic::from_millis(super::VALID_UNTIL_MS);
+    assert_eq!(queue.take_expired(at), []);
+    let expired = queue.take_expired(at + std::time::Duration::from_millis(1));
+    assert_eq!(expired, [queued(start(2, 1), 1), queued(start(4, 1), 3)]);
+    assert_eq!(send_all(&mut queue), [stop(3, 1), pace(1, 1, 40)]);
+}
+
 #[test]
 fn a_stop_passes_an_unanswered_start_and_a_start_passes_nothing_of_its_task() {
     let mut queue = filled(&[start(1, 1)]);
