fix(node): leave the polls their connections while stops are not answered

What callers saw: no record shows it; found by the review. With a zone cut off and many jobs cancelled, stops to the workers there could hold the connections that the polls of the other workers need, whose leases would end.

Cause: a stop could take any connection of the sum; only starts and paces left those for polls.

Evidence: stops_leave_the_polls_their_connections on the old rule: left: 0, right: 50.

Stops count by themselves: they have their share, and beyond it only what starts and paces may take.

--- a/comfreymill_node/src/scheduler/orders/connection_budget.rs
+++ b/comfreymill_node/src/scheduler/orders/connection_budget.rs
@@ -25,6 +25,7 @@
     most: usize,
     polls: usize,
     orders: usize,
+    stops: usize,
     /// Connections that are kept free for polls.
     polls_due: usize,
     /// Tickets that wait for a connection, longest wait first.
@@ -35,7 +36,7 @@
     /// Creates the budget with a bound of `most` connections; each use has at least one.
     pub fn new(most: usize) -> Self {
         let most = most.max(Use::ALL.len());
-        Self { most, polls: 0, orders: 0, polls_due: 0, waiting: VecDeque::new() }
+        Self { most, polls: 0, orders: 0, stops: 0, polls_due: 0, waiting: VecDeque::new() }
     }
 
     /// Sets the number of workers, each of which is polled over a connection of its own.
@@ -61,19 +62,13 @@
             (false, Some(position)) => self.waiting[position].1 = of,
             (false, None) => self.waiting.push_back((ticket, of)),
         }
-        match of {
-            Use::Polls => self.polls += usize::from(is_next),
-            Use::Orders | Use::Stops => self.orders += usize::from(is_next),
-        }
+        *self.count_mut(of) += usize::from(is_next);
         is_next
     }
 
     /// Records that a connection is closed.
     pub fn close(&mut self, of: Use) {
-        let open = match of {
-            Use::Polls => &mut self.polls,
-            Use::Orders | Use::Stops => &mut self.orders,
-        };
+        let open = self.count_mut(of);
         *open = open.saturating_sub(1);
     }
 
@@ -89,23 +84,42 @@
         let is_waited_for = |uses: &[Use]| self.waiting.iter().any(|(_, of)| uses.contains(of));
         match of {
             Use::Polls => is_near(self.polls, self.most_polls()) || is_waited_for(&[Use::Polls]),
-            Use::Orders | Use::Stops => {
-                is_near(self.orders, self.most_orders()) || is_waited_for(&Use::ALL)
+            Use::Orders => {
+                is_near(self.shared_orders(), self.most_orders()) || is_waited_for(&Use::ALL)
             }
+            Use::Stops => is_near(self.stops, self.kept_for_stops()) || is_waited_for(&Use::ALL),
         }
     }
 
     /// Returns the number of open connections.
     pub fn open_count(&self) -> usize {
-        self.polls + self.orders
+        self.polls + self.orders + self.stops
     }
 
     fn has_room(&self, of: Use) -> bool {
-        let is_shared_free = self.open_count() < self.most - self.kept_for_stops();
+        let orders = self.shared_orders();
+        let is_shared_free = self.polls + orders < self.most - self.kept_for_stops();
         match of {
             Use::Polls => is_shared_free && self.polls < self.most_polls(),
-            Use::Orders => is_shared_free && self.orders < self.most_orders(),
-            Use::Stops => self.open_count() < self.most,
+            Use::Orders => is_shared_free && orders < self.most_orders(),
+            // Polls of the workers that answer must not wait for stops to those that don't.
+            Use::Stops => {
+                self.stops < self.kept_for_stops()
+                    || (is_shared_free && orders < self.most_orders())
+            }
+        }
+    }
+
+    /// Returns the number of connections for orders, and for stops beyond their share.
+    fn shared_orders(&self) -> usize {
+        self.orders + self.stops.saturating_sub(self.kept_for_stops())
+    }
+
+    fn count_mut(&mut self, of: Use) -> &mut usize {
+        match of {
+            Use::Polls => &mut self.polls,
+            Use::Orders => &mut self.orders,
+            Use::Stops => &mut self.stops,
         }
     }
 
--- a/comfreymill_node/tests/orders/budget.rs
+++ b/comfreymill_node/tests/orders/budget.rs
@@ -34,6 +34,16 @@
     assert!(budget.open(2_000, Use::Stops), "a stop came while the connection was awaited");
 }
 
+/// Stops to workers that did not answer took the connections for the polls of the others, whose
+/// leases ended.
+#[test]
+fn stops_leave_the_polls_their_connections() {
+    let mut budget = ConnectionBudget::new(MOST);
+    budget.expect_workers(50);
+    open_all(&mut budget, Use::Stops, 0);
+    assert_eq!(open_all(&mut budget, Use::Polls, 1_000), 50);
+}
+
 /// Closes a connection and lets those who wait open theirs; returns whether each may.
 fn close(
     budget: &mut ConnectionBudget,
