fix(node): give way to the next stop when a waiting one is not needed any more

What callers saw: no record shows it; found by the review. A stop could sleep until the next connection was closed, up to 5 s where all are idle.

Cause: a lane that waited for a connection for a stop, which another lane sent meanwhile, was woken, went on to wait for an order, and nobody woke the stop behind it.

Evidence: by reading; the new test a_ticket_that_needs_no_stop_any_more_gives_way needs the new method. It covers the decision, not the wake-up of the task.

A ticket whose use changes while it waits wakes the next one.

--- a/comfreymill_node/src/scheduler/orders/connection_budget.rs
+++ b/comfreymill_node/src/scheduler/orders/connection_budget.rs
@@ -66,6 +66,13 @@
         is_next
     }
 
+    /// Records what a ticket that waits is to be used for now; returns whether that has changed, so
+    /// that another ticket may have its turn.
+    pub fn change_use(&mut self, ticket: u64, of: Use) -> bool {
+        let waiting = self.waiting.iter_mut().find(|(waiting, _)| *waiting == ticket);
+        waiting.is_some_and(|(_, earlier)| std::mem::replace(earlier, of) != of)
+    }
+
     /// Records that a connection is closed.
     pub fn close(&mut self, of: Use) {
         let open = self.count_mut(of);
--- a/comfreymill_node/src/scheduler/orders/connections.rs
+++ b/comfreymill_node/src/scheduler/orders/connections.rs
@@ -69,12 +69,16 @@
         future::poll_fn(|cx| {
             let of = of(cx);
             let mut shared = self.shared.borrow_mut();
+            let has_changed = shared.budget.change_use(ticket, of);
             if shared.budget.open(ticket, of) {
                 shared.wakers.remove(&ticket);
                 shared.wake_next();
                 return task::Poll::Ready(Permit { connections: self.clone(), of });
             }
             shared.wakers.insert(ticket, cx.waker().clone());
+            if has_changed {
+                shared.wake_next();
+            }
             task::Poll::Pending
         })
         .await
--- a/comfreymill_node/tests/orders/budget.rs
+++ b/comfreymill_node/tests/orders/budget.rs
@@ -44,6 +44,22 @@
     assert_eq!(open_all(&mut budget, Use::Polls, 1_000), 50);
 }
 
+/// A stop that waited behind one which another lane had sent meanwhile slept until the next close.
+#[test]
+fn a_ticket_that_needs_no_stop_any_more_gives_way() {
+    let mut budget = ConnectionBudget::new(MOST);
+    budget.expect_workers(1_000);
+    open_all(&mut budget, Use::Orders, 1_000);
+    let all = open_all(&mut budget, Use::Stops, 0) as u64;
+    assert!(!budget.open(all + 1, Use::Stops), "two wait now");
+    budget.close(Use::Stops);
+    assert_eq!(budget.next_waiting().collect::<Vec<_>>(), [all]);
+    assert!(!budget.change_use(all, Use::Stops));
+    assert!(budget.change_use(all, Use::Orders));
+    assert!(!budget.open(all, Use::Orders));
+    assert_eq!(budget.next_waiting().collect::<Vec<_>>(), [all + 1]);
+}
+
 /// Closes a connection and lets those who wait open theirs; returns whether each may.
 fn close(
     budget: &mut ConnectionBudget,
