fix(node): send nothing of a leader that was deposed or for a worker that is gone

What callers saw: no record shows it; found by the review. A deposed leader sent its waiting starts for up to 1 s, and with leaders in quick succession the connections of the old one and the new one counted apart, together more than the descriptors.

Cause: closing the queue of a worker let its lanes send what waited, and each leadership counted its connections anew.

Evidence: by reading; orders_that_were_not_sent_are_dropped_with_the_queue needs the new method.

A queue drops what was not sent when it is closed: the next leader decides again, and finds the runs to stop in the reports. The count of connections belongs to the process.

--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -23,6 +23,7 @@
 use crate::proposals::Proposals;
 use crate::scheduler::explanation;
 use crate::scheduler::links::Links;
+use crate::scheduler::orders::Connections;
 use crate::scheduler::turns;
 
 /// Minimum interval between rounds of placement; a commit takes about as long.
@@ -75,6 +76,8 @@
     /// Term in which this replica last requested the fencing token that it needs to lead.
     pub(super) fence_requested_in: Option<u64>,
     pub(super) inputs: flume::Sender<Input>,
+    /// Connections to workers; those of an earlier leadership may still be open.
+    pub(super) worker_connections: Connections,
     /// Fatal error after which the process must end.
     pub(super) failure: Option<String>,
     pub(super) is_draining: bool,
@@ -102,6 +105,7 @@
         inputs: flume::Sender<Input>,
     ) -> Self {
         let overload = turns::Overload::new(cfg.bounds);
+        let worker_connections = Connections::new(cfg.worker_connections);
         Self {
             cfg,
             replica,
@@ -116,6 +120,7 @@
             leadership: None,
             fence_requested_in: None,
             inputs,
+            worker_connections,
             failure: None,
             is_draining: false,
             members_checked_at: time::Monotonic::ZERO,
--- a/comfreymill_node/src/scheduler/core/leadership.rs
+++ b/comfreymill_node/src/scheduler/core/leadership.rs
@@ -66,7 +66,7 @@
             fence,
             self.cfg.clock,
             self.inputs.clone(),
-            self.cfg.worker_connections,
+            self.worker_connections.clone(),
         );
         log::info!(target: "group", term = entry_term, fence:% = fence, jobs = self.state.get_jobs().len(), workers = self.state.get_workers().len(); "this process leads");
         self.leadership =
--- a/comfreymill_node/src/scheduler/orders/connections.rs
+++ b/comfreymill_node/src/scheduler/orders/connections.rs
@@ -10,7 +10,7 @@
 
 /// Open connections to workers, shared by all tasks that send orders.
 #[derive(Clone, Debug)]
-pub(super) struct Connections {
+pub(in crate::scheduler) struct Connections {
     shared: Rc<RefCell<Shared>>,
 }
 
@@ -42,7 +42,7 @@
 
 impl Connections {
     /// Creates the count with a bound of `most` connections.
-    pub(super) fn new(most: usize) -> Self {
+    pub(in crate::scheduler) fn new(most: usize) -> Self {
         let budget = ConnectionBudget::new(most);
         let shared = Shared { budget, last_ticket: 0, wakers: BTreeMap::new() };
         Self { shared: Rc::new(RefCell::new(shared)) }
--- a/comfreymill_node/src/scheduler/orders/mod.rs
+++ b/comfreymill_node/src/scheduler/orders/mod.rs
@@ -20,4 +20,5 @@
 pub use order_queue::OrderQueue;
 pub use queued_order::QueuedOrder;
 
+pub(super) use connections::Connections;
 pub(super) use order_sender::{OrderResult, OrderSender};
--- a/comfreymill_node/src/scheduler/orders/order_queue.rs
+++ b/comfreymill_node/src/scheduler/orders/order_queue.rs
@@ -101,6 +101,11 @@
         expired
     }
 
+    /// Drops all orders that were not sent.
+    pub fn clear(&mut self) {
+        self.waiting.clear();
+    }
+
     /// Adds an extra lane if one is needed; returns whether it was added.
     ///
     /// One is needed while the orders in flight leave fewer lanes than stops may be sent.
--- a/comfreymill_node/src/scheduler/orders/order_sender.rs
+++ b/comfreymill_node/src/scheduler/orders/order_sender.rs
@@ -55,9 +55,8 @@
         fence: id::Fence,
         clock: clock::Clock,
         inputs: flume::Sender<Input>,
-        most: usize,
+        connections: Connections,
     ) -> Self {
-        let connections = Connections::new(most);
         Self { fence, clock, inputs, connections, queues: BTreeMap::new() }
     }
 
@@ -107,7 +106,7 @@
         }
     }
 
-    /// Closes the order queues of a worker; orders that are already queued are still sent.
+    /// Closes the order queues of a worker; orders that were not sent are dropped.
     pub(in crate::scheduler) fn remove_worker(&mut self, worker: id::WorkerNumber) {
         self.queues.remove(&worker);
     }
--- a/comfreymill_node/src/scheduler/orders/shared_queue.rs
+++ b/comfreymill_node/src/scheduler/orders/shared_queue.rs
@@ -50,9 +50,11 @@
         dropped
     }
 
-    /// Lets the lanes end once no order waits.
+    /// Drops the orders that were not sent, and lets the lanes end: the leader has been deposed, or
+    /// the worker is gone and another one may have its name and address.
     pub(super) fn close(&self) {
         self.shared.is_closed.set(true);
+        self.with(OrderQueue::clear);
         self.wake();
     }
 
--- a/comfreymill_node/tests/orders/queue.rs
+++ b/comfreymill_node/tests/orders/queue.rs
@@ -33,6 +33,18 @@
     sent.collect()
 }
 
+/// A leader that had been deposed still sent its starts, and one for a worker that was gone could reach
+/// its successor.
+#[test]
+fn orders_that_were_not_sent_are_dropped_with_the_queue() {
+    let mut queue = filled(&[start(1, 1), start(2, 1), stop(3, 1)]);
+    assert_eq!(send(&mut queue), Some(stop(3, 1)));
+    queue.clear();
+    assert!(queue.is_empty());
+    queue.ended(&stop(3, 1));
+    assert_eq!(send(&mut queue), None);
+}
+
 #[test]
 fn stops_go_before_all_else_and_the_rest_in_order() {
     let mut queue = filled(&[start(1, 1), pace(2, 1, 40), stop(3, 1), start(4, 1), stop(5, 1)]);
