--- a/comfreymill_jobs/src/scheduler/holding.rs
+++ b/comfreymill_jobs/src/scheduler/holding.rs
@@ -46,7 +46,9 @@
         let most = self.workers.len() / MAX_HELD_DIVISOR + 1;
         let mut without_room = WithoutRoom::default();
         let lasting = self.ready.waiting_at_least(now, PlacementClass::Lasting, HOLD_AFTER, most);
-        for task in self.urgent_short(now, most).into_iter().chain(lasting) {
+        // Long-running tasks first: they have waited longer, and would lose the room that becomes free
+        // for them to short ones, which come all the time.
+        for task in lasting.into_iter().chain(self.urgent_short(now, most)) {
             self.start_or_hold(now, task, &mut without_room);
         }
     }
--- a/comfreymill_jobs/tests/scheduler/holding.rs
+++ b/comfreymill_jobs/tests/scheduler/holding.rs
@@ -107,3 +107,30 @@
         assert!(waited < Duration::from_millis(900), "the large task can't be in time any more");
     }
 }
+
+/// Recorded on a day of dhrt-mill-grown: two long-running tasks were away for 25 s, since large short
+/// ones, which came all the time, took the room that became free for them.
+#[test]
+fn large_short_tasks_do_not_take_the_room_that_is_held_for_a_long_running_one() {
+    const LARGE: u64 = 0x0bad_6000;
+    let mut leader = Leader::new();
+    leader.worker("v");
+    leader.submit(spec(vec![step(8)]));
+    let mut runs = leader.take_starts();
+    for start in &runs.clone() {
+        leader.started(start, StartAnswer::Started);
+    }
+    leader.submit_as(LONG_RUNNING, long_running());
+    let mut large = step(1);
+    large.needs.cpu_milli = 4_000;
+    let mut numbers = [0; 1];
+    for round in 0..30 {
+        leader.submit_as(LARGE + round, spec(vec![large.clone()]));
+        leader.advance(Duration::from_millis(200));
+        let starts = end_oldest(&mut leader, &mut runs, &mut numbers);
+        if starts.iter().any(|start| start.task.step.job.get() == LONG_RUNNING) {
+            return;
+        }
+    }
+    panic!("the long-running task waited for 6 s");
+}
