fix(node): give up the connection when the last waiting starts have expired

What callers saw: with more workers than connections, jobs were not completed: each worker in turn held a connection without using it, all starts waited for one for up to 38.8 s and expired, and their tasks were placed again, for as long as the test ran.

Expired starts were given back before the lane looks for its next order, and the connection was given up only after an order that was taken. A lane whose queue was emptied so kept it until its next look at idle connections, 5 s later.

The connection is looked at again after expired starts are given back.

--- a/comfreymill_node/src/scheduler/orders/delivery.rs
+++ b/comfreymill_node/src/scheduler/orders/delivery.rs
@@ -40,6 +40,8 @@
                 self.target.report_waits(&expired, now, now);
                 self.target.report(&expired, now, Outcome::Expired);
             }
+            // The queue may be empty now, and others may wait for the connection.
+            self.close_if_unneeded(&mut link);
             if !self.claim(&mut link).await {
                 break;
             }
