--- a/review/standin/src/executor/state.rs
+++ b/review/standin/src/executor/state.rs
@@ -150,6 +150,10 @@
     /// Ends the runs that are over; returns whether any is.
     pub(super) fn advance(&mut self) -> bool {
         let has_lapsed = self.clock_ms() >= self.lease_until_ms;
+        if has_lapsed && self.lease_until_ms > 0 {
+            self.lease_until_ms = 0;
+            self.record.lapsed(&self.id);
+        }
         let ended = self.runs.iter().filter_map(|(task, entry)| {
             let how = if has_lapsed { Some("lapsed") } else { self.end_of(task, entry) };
             how.map(|how| (task.clone(), how))
--- a/review/standin/src/record.rs
+++ b/review/standin/src/record.rs
@@ -14,8 +14,10 @@
     pub(crate) begun: Duration,
     /// When and how it ended; `None` while it goes on.
     pub(crate) ended: Option<(Duration, &'static str)>,
-    /// When the system took note of the end.
+    /// When the system took note of the end, unless the executor's lease had lapsed before.
     pub(crate) noted: Option<Duration>,
+    /// Whether the lease lapsed between the end and its being taken note of.
+    has_lapsed: bool,
 }
 
 /// Record of a case, shared by all stand-ins.
@@ -53,7 +55,15 @@
         inner.write(&format!("{executor} begins {task} run {run}"));
         let begun = inner.start.elapsed();
         let (executor, task) = (executor.to_owned(), task.to_owned());
-        inner.runs.push(RunRecord { executor, task, run, begun, ended: None, noted: None });
+        inner.runs.push(RunRecord {
+            executor,
+            task,
+            run,
+            begun,
+            ended: None,
+            noted: None,
+            has_lapsed: false,
+        });
     }
 
     pub(crate) fn ended(&self, executor: &str, task: &str, run: u64, how: &'static str) {
@@ -65,11 +75,24 @@
         }
     }
 
+    /// Records that the system takes note of an end.
     pub(crate) fn noted(&self, executor: &str, task: &str, run: u64) {
         let mut inner = self.0.lock().expect("no thread panics");
         let now = inner.start.elapsed();
-        if let Some(entry) = inner.find(executor, task, run) {
-            entry.noted.get_or_insert(now);
+        let Some(entry) = inner.find(executor, task, run) else { return };
+        if entry.noted.is_some() || entry.has_lapsed {
+            return;
+        }
+        entry.noted = Some(now);
+        inner.write(&format!("{executor}: the end of {task} run {run} is taken note of"));
+    }
+
+    /// Records that the lease of an executor lapses.
+    pub(crate) fn lapsed(&self, executor: &str) {
+        let mut inner = self.0.lock().expect("no thread panics");
+        let of_executor = inner.runs.iter_mut().filter(|entry| entry.executor == executor);
+        for entry in of_executor.filter(|entry| entry.noted.is_none()) {
+            entry.has_lapsed = true;
         }
     }
 
