--- a/review/standin/src/cases/gang.rs
+++ b/review/standin/src/cases/gang.rs
@@ -8,7 +8,7 @@
 use crate::client;
 use crate::record;
 
-const JOB: &str = "5c0e7a21d94b36f8";
+const JOB: &str = "5c0e7a21d94b36fa";
 /// Time for which the crashed executor is down.
 const DOWN: Duration = Duration::from_millis(4_500);
 /// Time after its return until the trouble is over for the rules, and some more.
--- a/review/standin/src/cases/given_up.rs
+++ b/review/standin/src/cases/given_up.rs
@@ -8,7 +8,7 @@
 use crate::client;
 use crate::record;
 
-const JOB: &str = "5c0e7a21d94b36f8";
+const JOB: &str = "5c0e7a21d94b36fa";
 /// Time from a start to the crash of its executor.
 const CRASH_AFTER: Duration = Duration::from_millis(400);
 /// Time for which a crashed executor is down.
--- a/review/standin/src/cases/late_departure.rs
+++ b/review/standin/src/cases/late_departure.rs
@@ -10,7 +10,7 @@
 use crate::executor::Executor;
 use crate::record;
 
-const JOB: &str = "5c0e7a21d94b36f8";
+const JOB: &str = "5c0e7a21d94b36fa";
 /// Time for which the executor serves on after its draining was acknowledged.
 const DRAIN: Duration = Duration::from_millis(2_500);
 /// Time for which the follower is frozen.
--- a/review/standin/src/cases/late_submit.rs
+++ b/review/standin/src/cases/late_submit.rs
@@ -9,7 +9,7 @@
 use crate::client;
 use crate::record;
 
-const JOB: &str = "5c0e7a21d94b36f8";
+const JOB: &str = "5c0e7a21d94b36fa";
 /// Time for which the gateway is frozen.
 const FREEZE: Duration = Duration::from_millis(5_000);
 /// Time after which the caller leaves.
--- a/review/standin/src/cases/reborn.rs
+++ b/review/standin/src/cases/reborn.rs
@@ -9,7 +9,7 @@
 use crate::client;
 use crate::record;
 
-const JOB: &str = "5c0e7a21d94b36f8";
+const JOB: &str = "5c0e7a21d94b36fa";
 /// Time for which the crashed executor is down.
 const DOWN: Duration = Duration::from_millis(300);
 /// Time for which the follower is frozen.
--- a/review/standin/src/cases/renamed_route.rs
+++ b/review/standin/src/cases/renamed_route.rs
@@ -10,8 +10,8 @@
 use crate::executor::Executor;
 use crate::record;
 
-const JOB: &str = "5c0e7a21d94b36f8";
-const LATER_JOB: &str = "5c0e7a21d94b36f9";
+const JOB: &str = "5c0e7a21d94b36fa";
+const LATER_JOB: &str = "5c0e7a21d94b36fb";
 /// `finish_s` of the deployment.
 const FINISH: Duration = Duration::from_secs(14);
 /// Time for which a job may have nothing running while there is room.
