fix(jobs): keep runs that a restarted worker may have until it has reported

An idle worker crashed and was back under its id; its first heartbeat was late. A task was started on it, done, and started again elsewhere.

Cause: orders name a worker, and the leader took their answers for those of the incarnation that it had registered. It released the run with that incarnation when a report of the next one arrived, and threw that report away.

Change: a run is confirmed by a report of the incarnation that was sent its start. Unconfirmed runs pass to the next incarnation with its first report, or wait for the end of all leases. An answer of another incarnation no longer removes the worker, so the next leader waits as well. `last_seen` is not sent while a run is unconfirmed, since the next incarnation numbers its ends anew. Nothing new is stored.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -76,20 +76,21 @@
     }
 
     /// Handles a worker incarnation that was added to the log; earlier incarnations with the same
-    /// name and address are gone. Those that share only one of them are once the later one has
-    /// answered.
+    /// name and address are gone, unless the new one may have runs that were meant for them. They and
+    /// those that share only the name or the address are once the later one has answered.
     pub fn worker_added(
         &mut self,
         now: time::Monotonic,
         number: id::WorkerNumber,
         replicated: &state::Worker,
     ) {
+        let mut replaced = Vec::new();
         for earlier in self.earlier_incarnations(&replicated.announced) {
             let Some(entry) = self.workers.get_mut(&earlier) else { continue };
             let known = &entry.replicated.announced;
             let announced = &replicated.announced;
             if known.name == announced.name && known.address == announced.address {
-                self.worker_gone(now, earlier, "a later incarnation has announced itself");
+                replaced.push(earlier);
             } else {
                 entry.next_poll_at = now;
                 log::info!(target: "workers", worker:% = known.name, number:% = earlier, other:% = announced.name, address:% = announced.address; "a later worker has the name or address of a worker: the one that answers is kept");
@@ -103,6 +104,9 @@
         entry.is_evacuated = self.is_closed(&announced.zone);
         self.workers.insert(number, entry);
         self.locality.workers_changed();
+        for earlier in replaced {
+            self.incarnation_registered(now, earlier);
+        }
         log::info!(target: "workers", worker:% = replicated.announced.name, number:% = number, address:% = replicated.announced.address, born = replicated.announced.born_unix_ms; "a worker is registered");
         if let Some(pending) = self.pending_workers.remove(&replicated.announced.name)
             && pending.announcement.born_unix_ms == replicated.announced.born_unix_ms
@@ -114,12 +118,24 @@
     }
 
     /// Removes the earlier incarnations with the name or address of a worker that has answered.
-    pub(super) fn replace_earlier(&mut self, now: time::Monotonic, number: id::WorkerNumber) {
+    pub(super) fn replace_earlier(
+        &mut self,
+        now: time::Monotonic,
+        number: id::WorkerNumber,
+        asked_at: time::Monotonic,
+        report: &worker::Report,
+    ) {
         let Some(entry) = self.workers.get(&number) else { return };
+        let name = entry.replicated.announced.name.clone();
         for earlier in self.earlier_incarnations(&entry.replicated.announced) {
-            if earlier != number {
-                self.worker_gone(now, earlier, "a later incarnation answers");
+            if earlier == number {
+                continue;
+            }
+            let entry = self.workers.get(&earlier);
+            if entry.is_some_and(|entry| entry.replicated.announced.name == name) {
+                self.take_over(now, earlier, number, asked_at, report);
             }
+            self.worker_gone(now, earlier, "a later incarnation answers");
         }
     }
 
--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -17,6 +17,7 @@
 mod ends;
 mod evacuation;
 mod holding;
+mod incarnations;
 mod interference;
 mod jobs;
 mod launch;
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -11,10 +11,11 @@
 use crate::state;
 use crate::worker;
 
-/// Maximum number of ends in one report; a report with as many may be incomplete.
-const MAX_REPORTED_ENDS: usize = 500;
 /// Delay before a worker that did not answer is polled again.
 const UNRESPONSIVE_POLL_DELAY: Duration = Duration::from_millis(250);
+/// Delay before a worker is polled again that may not forget its noted ends yet, since it has runs
+/// that are not confirmed.
+const UNCONFIRMED_POLL_DELAY: Duration = Duration::from_millis(50);
 /// Time between polls of a worker without runs.
 const IDLE_POLL_PERIOD: Duration = Duration::from_secs(5);
 /// Maximum number of workers polled in one tick; a new leader polls all workers, whose reports would
@@ -36,7 +37,7 @@
         let is_renewed = !entry.runs.is_empty() && !entry.is_unresponsive;
         let lease_until_ms = if is_renewed { entry.grant_lease(&cfg, now) } else { None };
         entry.poll_sent_at = Some(now);
-        let noted = entry.replicated.noted.max(entry.skipped_end);
+        let noted = entry.forgettable_end();
         self.orders.push(Order::Poll { worker: number, noted, lease_until_ms, wait });
     }
 
@@ -105,7 +106,7 @@
         }
     }
 
-    fn poll_failed(&mut self, now: time::Monotonic, number: id::WorkerNumber, reason: &str) {
+    pub(super) fn poll_failed(&mut self, now: time::Monotonic, number: id::WorkerNumber, reason: &str) {
         let Some(entry) = self.workers.get_mut(&number) else { return };
         if !entry.is_unresponsive {
             log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, reason; "a worker does not answer");
@@ -126,10 +127,11 @@
         mut report: worker::Report,
     ) {
         let Some(entry) = self.workers.get_mut(&number) else { return };
-        if report.born_unix_ms.is_some_and(|born| born != entry.replicated.announced.born_unix_ms) {
-            self.worker_gone(now, number, "another incarnation answers");
+        if entry.is_of_other_incarnation(&report) {
+            self.other_incarnation_answered(now, number);
             return;
         }
+        entry.confirm_runs(asked_at, &report);
         if let Some(clock_ms) = report.clock_ms {
             self.read_clock(number, ClockReading { clock_ms, asked_at, received_at: now });
         }
@@ -149,9 +151,9 @@
         entry.silent_since = None;
         entry.lapsed.clear();
         if is_first {
-            self.replace_earlier(now, number);
+            self.replace_earlier(now, number, asked_at, &report);
         }
-        let is_full = report.ended.len() + report.unread.len() >= MAX_REPORTED_ENDS;
+        let is_full = report.is_full();
         let is_complete = self.set_unread_aside(now, number, &mut report) && !is_full;
         self.steps += (report.running.len() + report.ended.len()) as u64;
         for status in &report.running {
@@ -160,6 +162,7 @@
         if is_complete {
             self.release_missing(now, number, asked_at, &report);
         }
+        let has_noted_ends = self.has_noted_ends(number, &report);
         self.record_ends(number, report.ended);
         self.skip_unread_ends(number);
         // Runs that this leader did not start may have been adopted since the announcement.
@@ -169,19 +172,27 @@
         }
         self.pace(now, number);
         let Some(entry) = self.workers.get_mut(&number) else { return };
-        entry.next_poll_at = if entry.runs.is_empty() && entry.unread.is_empty() {
+        // The worker need not wait for an end while it has one that it was not told to forget.
+        entry.next_poll_at = if !entry.unread.is_empty() {
+            now + UNRESPONSIVE_POLL_DELAY
+        } else if has_noted_ends && entry.has_unconfirmed_runs() {
+            now + UNCONFIRMED_POLL_DELAY
+        } else if entry.runs.is_empty() && !has_noted_ends {
             now + IDLE_POLL_PERIOD
-        } else if entry.unread.is_empty() {
-            now
         } else {
-            // The worker need not wait for an end while it has one that is not noted.
-            now + UNRESPONSIVE_POLL_DELAY
+            now
         };
         if now >= entry.next_poll_at {
             self.poll(now, number);
         }
     }
 
+    /// Returns whether a report shows ends that are in the log.
+    fn has_noted_ends(&self, number: id::WorkerNumber, report: &worker::Report) -> bool {
+        let noted = self.workers.get(&number).map_or(0, |entry| entry.replicated.noted);
+        report.ended.iter().any(|end| end.number <= noted)
+    }
+
     fn record_ends(&mut self, number: id::WorkerNumber, ended: Vec<worker::End>) {
         let Some(entry) = self.workers.get_mut(&number) else { return };
         let noted = entry.replicated.noted;
@@ -254,6 +265,7 @@
         let image = self.interference.intern(spec.image.as_deref());
         let phase = RunPhase::Running { since: now };
         let mut run = RunEntry::new(status.run, phase, &spec, image, now);
+        run.is_confirmed = true;
         run.pace = run::UNKNOWN_PACE;
         run.checkpoint.clone_from(&status.checkpoint);
         run.load = status.load;
@@ -282,12 +294,8 @@
         report: &worker::Report,
     ) {
         let Some(entry) = self.workers.get(&number) else { return };
-        let is_reported = |task: &id::TaskId, run: &RunEntry| {
-            report.running.iter().any(|status| status.task == *task && status.run == run.run)
-                || report.ended.iter().any(|end| end.task == *task && end.run == run.run)
-        };
         let missing = entry.runs.iter().filter(|(_, run)| run.must_be_reported(asked_at));
-        let missing = missing.filter(|(task, run)| !is_reported(task, run));
+        let missing = missing.filter(|(task, run)| !report.shows(**task, run.run));
         let missing: Vec<id::TaskId> = missing.map(|(task, _)| *task).collect();
         for task in missing {
             self.release(now, number, task);
--- a/comfreymill_jobs/src/scheduler/run.rs
+++ b/comfreymill_jobs/src/scheduler/run.rs
@@ -29,6 +29,8 @@
     pub(super) cpu_milli: u32,
     /// Whether the start order may or may not have been, or may still be, carried out.
     pub(super) is_start_uncertain: bool,
+    /// Whether a report has shown that the worker's incarnation got the start, not the next one.
+    pub(super) is_confirmed: bool,
     /// Share of full speed at which the run works, in percent.
     pub(super) pace: u32,
     /// Latest checkpoint that the worker reported; empty if there is none.
@@ -98,6 +100,7 @@
             tail_target_ms: spec.tail_target_ms,
             cpu_milli: spec.needs.cpu_milli,
             is_start_uncertain: false,
+            is_confirmed: false,
             pace: 100,
             checkpoint: String::new(),
             load: None,
@@ -129,6 +132,11 @@
         }
     }
 
+    /// Returns whether the start was accepted before `asked_at`.
+    pub(super) fn was_accepted_before(&self, asked_at: time::Monotonic) -> bool {
+        matches!(self.phase, RunPhase::Running { since } if since <= asked_at)
+    }
+
     /// Returns whether the run lasts until its job is cancelled and is not being stopped.
     pub(super) fn is_lasting(&self) -> bool {
         self.is_long_running && self.is_active()
--- a/comfreymill_jobs/src/scheduler/stops.rs
+++ b/comfreymill_jobs/src/scheduler/stops.rs
@@ -32,6 +32,19 @@
         self.send_stop(now, worker, task);
     }
 
+    /// Stops a run of which it is not known whether an earlier stop order has reached the worker.
+    pub(super) fn stop_again(
+        &mut self,
+        now: time::Monotonic,
+        worker: id::WorkerNumber,
+        task: id::TaskId,
+    ) {
+        if let Some(entry) = self.workers.get_mut(&worker) {
+            entry.begin_stop(now, task);
+        }
+        self.send_stop(now, worker, task);
+    }
+
     /// Sends a stop order for a run that is being stopped.
     fn send_stop(&mut self, now: time::Monotonic, worker: id::WorkerNumber, task: id::TaskId) {
         let Some(entry) = self.workers.get_mut(&worker) else { return };
--- a/comfreymill_jobs/src/worker/report.rs
+++ b/comfreymill_jobs/src/worker/report.rs
@@ -1,6 +1,9 @@
 use super::{End, Unread};
 use crate::id;
 
+/// Maximum number of ends in one report; a report with as many may be incomplete.
+const MAX_REPORTED_ENDS: usize = 500;
+
 /// Report of the runs in progress on a worker and of the runs that have ended there.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
@@ -16,6 +19,19 @@
     pub unread: Unread,
 }
 
+impl Report {
+    /// Returns whether the worker may have more ends than the report shows.
+    pub(crate) fn is_full(&self) -> bool {
+        self.ended.len() + self.unread.len() >= MAX_REPORTED_ENDS
+    }
+
+    /// Returns whether the report shows a run, in progress or ended.
+    pub(crate) fn shows(&self, task: id::TaskId, run: id::Run) -> bool {
+        self.running.iter().any(|status| status.task == task && status.run == run)
+            || self.ended.iter().any(|end| end.task == task && end.run == run)
+    }
+}
+
 /// Status of a run in progress.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunStatus {
--- a/comfreymill_jobs/tests/scheduler/leases.rs
+++ b/comfreymill_jobs/tests/scheduler/leases.rs
@@ -68,6 +68,7 @@
 fn a_later_incarnation_ends_the_runs_of_the_previous_one() {
     let (mut leader, start) = one_started();
     leader.started(&start, StartAnswer::Started);
+    leader.report(start.worker, running(&[start]));
     let later = leader.announcement("first", 11);
     leader.announce(later);
     leader.settle();
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod evacuation;
 mod holding;
+mod incarnations;
 mod interference;
 mod leases;
 mod load;
--- a/comfreymill_jobs/tests/scheduler/odd_rows.rs
+++ b/comfreymill_jobs/tests/scheduler/odd_rows.rs
@@ -14,13 +14,19 @@
     let mut leader = Leader::new();
     let worker = leader.worker("w");
     leader.submit(spec(vec![step(3)]));
+    let starts = start_all(&mut leader);
+    leader.worker("other");
+    leader.advance(Duration::from_millis(300));
+    (leader, worker, starts)
+}
+
+/// Accepts the starts that were ordered, and returns them.
+fn start_all(leader: &mut Leader) -> Vec<Start> {
     let starts = leader.take_starts();
     for start in &starts {
         leader.started(start, StartAnswer::Started);
     }
-    leader.worker("other");
-    leader.advance(Duration::from_millis(300));
-    (leader, worker, starts)
+    starts
 }
 
 /// Returns a report with readable ends, and with the numbers of ends that cannot be read.
@@ -69,10 +75,13 @@
         leader.report(worker, Report { running: running(&starts[2..]).running, ..rows });
         leader.advance(Duration::from_millis(300));
     }
-    assert_eq!(last_noted(&leader, worker), 2, "the worker may forget it");
-    let again = leader.take_starts();
+    let again = start_all(&mut leader);
     assert_eq!(again.iter().map(|start| start.task).collect::<Vec<_>>(), [starts[1].task]);
-    leader.report(worker, ended(vec![starts[2].end(3, EndKind::Done)]));
+    leader.report(worker, running(&[starts[2], again[0]]));
+    leader.advance(Duration::from_millis(300));
+    assert_eq!(last_noted(&leader, worker), 2, "the worker may forget it");
+    let last = ended(vec![starts[2].end(3, EndKind::Done)]);
+    leader.report(worker, Report { running: running(&again).running, ..last });
     leader.advance(Duration::from_millis(300));
     assert!(leader.take_starts().is_empty());
     assert_eq!(leader.state.get_workers()[&worker].noted, 3);
@@ -138,8 +147,10 @@
             end.task = StepId { job: KEY, occurrence, step: step_number }.task(index);
             let context = format!("{:?}, gang {is_gang}", end.task);
             leader.report(worker, ended(vec![fresh]));
+            let mut runs = starts[1..].to_vec();
             for _ in 0..3 {
-                leader.report(worker, Report { ended: vec![end.clone()], ..running(&starts[1..]) });
+                runs.extend(start_all(&mut leader));
+                leader.report(worker, Report { ended: vec![end.clone()], ..running(&runs) });
                 leader.advance(Duration::from_millis(300));
             }
             assert!(!leader.state.get_jobs()[&KEY].is_over(), "{context}");
