--- a/comfreymill_jobs/tests/scheduler/incarnations.rs
+++ b/comfreymill_jobs/tests/scheduler/incarnations.rs
@@ -45,7 +45,7 @@
         Order::Poll { worker: polled, noted, .. } if *polled == worker => Some(*noted),
         _ => None,
     });
-    polls.last().expect("a poll of the worker")
+    polls.collect::<Vec<u64>>().pop().expect("a poll of the worker")
 }
 
 fn assert_not_started_again(leader: &mut Leader, when: &str) {
