fix(jobs): keep open jobs with their paths when routes are renamed or removed

A version of the configuration gave the route of an open job another name. The job stayed `running` for good, with nothing running.

Cause: a job refers to its queue by the route's name, and placement skips a task whose queue is not among the routes.

Change: when a version is applied, open jobs get the name that their host and prefix have in it; a queue that is removed is kept beside the routes, without requests, while it has open jobs. Names that stand twice in a version are made unique before it is proposed, and hosts that differ in case only count as the same. A submission that arrives while a version is being committed is answered with `not leader`, so that its gateway sends it again after the commit. `state of a queue` says whether the queue is known.

--- a/comfreymill_jobs/src/routes/mod.rs
+++ b/comfreymill_jobs/src/routes/mod.rs
@@ -4,4 +4,5 @@
 mod table;
 
 pub use queue::{Advice, Pool, Queue};
+pub(crate) use table::unused_name;
 pub use table::{Limits, RouteTable, TableError};
--- a/comfreymill_jobs/src/routes/table.rs
+++ b/comfreymill_jobs/src/routes/table.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use super::{Pool, Queue};
 
 /// One version of the routing configuration.
@@ -44,7 +46,7 @@
     /// Returns an error if a queue names an unknown pool, two queues share host and prefix, or a
     /// timeout is zero.
     pub fn check(&self) -> Result<(), TableError> {
-        let mut prefixes = std::collections::BTreeSet::new();
+        let mut prefixes = BTreeSet::new();
         for (number, queue) in self.queues.iter().enumerate() {
             let invalid = |field: &str, reason: String| {
                 Err(TableError { field: format!("queues[{number}].{field}"), reason })
@@ -52,7 +54,7 @@
             if self.pool(&queue.pool).is_none() {
                 return invalid("pool", format!("there is no pool {:?}", queue.pool));
             }
-            if !prefixes.insert((&queue.host, &queue.prefix)) {
+            if !prefixes.insert((queue.host.to_ascii_lowercase(), &queue.prefix)) {
                 return invalid("prefix", "another queue has the same host and prefix".to_owned());
             }
             if queue.timeout_ms == 0 {
@@ -70,6 +72,32 @@
         fitting.max_by_key(|(queue, _)| queue.prefix.len())
     }
 
+    /// Returns the queue that has exactly this host and prefix.
+    pub(crate) fn at(&self, host: &str, prefix: &str) -> Option<&Queue> {
+        let mut queues = self.queues.iter();
+        queues.find(|queue| queue.host.eq_ignore_ascii_case(host) && queue.prefix == prefix)
+    }
+
+    /// Returns the names of all queues.
+    pub(crate) fn names(&self) -> BTreeSet<String> {
+        self.queues.iter().map(|queue| queue.name.clone()).collect()
+    }
+
+    /// Gives queues that have the name of an earlier one names of their own: operators may repeat a
+    /// name, and jobs refer to their queues by name.
+    #[must_use]
+    pub fn with_unique_names(mut self) -> Self {
+        let mut taken = self.names();
+        let mut seen = BTreeSet::new();
+        for queue in &mut self.queues {
+            if !seen.insert(queue.name.clone()) {
+                queue.name = unused_name(&queue.name, &taken);
+                taken.insert(queue.name.clone());
+            }
+        }
+        self
+    }
+
     /// Returns the queue named `name`.
     pub fn queue(&self, name: &str) -> Option<&Queue> {
         self.queues.iter().find(|queue| queue.name == name)
@@ -80,3 +108,13 @@
         self.pools.iter().find(|pool| pool.name == name)
     }
 }
+
+/// Returns `name` with a number that makes it differ from all in `taken`, if it is one of them.
+pub(crate) fn unused_name(name: &str, taken: &BTreeSet<String>) -> String {
+    if !taken.contains(name) {
+        return name.to_owned();
+    }
+    let numbered = (2_u64..).map(|number| format!("{name}#{number}"));
+    let mut unused = numbered.filter(|numbered| !taken.contains(numbered));
+    unused.next().unwrap_or_default()
+}
--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -192,7 +192,8 @@
     /// announces itself again and again.
     fn refusal(&self, announcement: &worker::Announcement) -> Option<&'static str> {
         let has_routes = !self.routes.pools.is_empty();
-        if has_routes && self.routes.pool(&announcement.pool).is_none() {
+        let has_queue = self.routes.queues.iter().any(|queue| queue.pool == announcement.pool);
+        if has_routes && !has_queue && self.routes.pool(&announcement.pool).is_none() {
             return Some("the configuration names no such service");
         }
         let is_pending = self.pending_workers.contains_key(&announcement.name);
--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -38,6 +38,7 @@
 mod restore;
 mod round;
 mod rounds;
+mod route_changes;
 mod run;
 #[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
 mod scheduler;
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -106,7 +106,12 @@
         }
     }
 
-    pub(super) fn poll_failed(&mut self, now: time::Monotonic, number: id::WorkerNumber, reason: &str) {
+    pub(super) fn poll_failed(
+        &mut self,
+        now: time::Monotonic,
+        number: id::WorkerNumber,
+        reason: &str,
+    ) {
         let Some(entry) = self.workers.get_mut(&number) else { return };
         if !entry.is_unresponsive {
             log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, reason; "a worker does not answer");
--- a/comfreymill_jobs/src/scheduler/queue_report.rs
+++ b/comfreymill_jobs/src/scheduler/queue_report.rs
@@ -48,9 +48,10 @@
             }
         }
         for (name, counts) in queues {
-            let priority = self.routes.queue(name).map_or(u32::MAX, |queue| queue.priority);
+            let queue = self.routes.queue(name);
+            let priority = queue.map_or(u32::MAX, |queue| queue.priority);
             let share_percent = counts.reserved_cpu_milli * 100 / u64::max(capacity, 1);
-            log::info!(target: "queues", queue = name, priority, in_time = counts.in_time, late = counts.late, useless = counts.useless, longest_wait_ms:% = counts.longest_wait.as_millis(), running = counts.runs, reserved_cpu = counts.reserved_cpu_milli, share_percent; "state of a queue");
+            log::info!(target: "queues", queue = name, is_known = queue.is_some(), priority, in_time = counts.in_time, late = counts.late, useless = counts.useless, longest_wait_ms:% = counts.longest_wait.as_millis(), running = counts.runs, reserved_cpu = counts.reserved_cpu_milli, share_percent; "state of a queue");
         }
     }
 }
--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -41,7 +41,7 @@
             cfg,
             fence: state.get_fence(),
             is_fenced: false,
-            routes: state.get_routes().map(|routes| routes.table.clone()).unwrap_or_default(),
+            routes: state.get_job_routes(),
             jobs: BTreeMap::new(),
             unheard: state.get_workers().keys().copied().collect(),
             workers,
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -33,6 +33,7 @@
     pub(super) fence: id::Fence,
     /// Whether a worker follows a later leader; no order is given from then on.
     pub(super) is_fenced: bool,
+    /// Routes in force, with the queues that were removed and still have open jobs.
     pub(super) routes: routes::RouteTable,
     pub(super) jobs: BTreeMap<id::JobKey, JobEntry>,
     pub(super) workers: Workers,
@@ -148,12 +149,6 @@
         of_queue.filter(|job| job.spec.schedule.is_none() && !job.has_started).count()
     }
 
-    /// Handles a change of the routes in force.
-    pub fn routes_changed(&mut self, table: &routes::RouteTable) {
-        self.routes = table.clone();
-        self.needs_placement = true;
-    }
-
     /// Sets whether work that nobody waits for is put off: polls of workers without runs. Changes of
     /// pace are not, since serving tasks depend on them.
     pub fn defer(&mut self, is_deferring: bool) {
--- a/comfreymill_jobs/src/state/apply.rs
+++ b/comfreymill_jobs/src/state/apply.rs
@@ -2,7 +2,6 @@
 use std::sync::Arc;
 
 use super::evacuation::ZoneOutcome;
-use super::state::Routes;
 use super::{Command, CrashedRun, GivenUp, Job, JobStatus, State, Submission, Worker};
 use crate::id;
 use crate::worker;
@@ -59,14 +58,7 @@
                 self.fence = self.fence.next();
                 Effect::FenceAssigned(self.fence)
             }
-            Command::SetRoutes { table, document } => {
-                let current = self.routes.as_ref().map(|routes| routes.table.version);
-                if current.is_some_and(|current| table.version <= current) {
-                    return Effect::None;
-                }
-                self.routes = Some(Routes { table: *table, document });
-                Effect::RoutesChanged
-            }
+            Command::SetRoutes { table, document } => self.change_routes(*table, document),
             Command::Submit(submission) => self.submit(*submission, None),
             Command::SubmitAt { submission, unix_ms } => self.submit(*submission, Some(unix_ms)),
             Command::Cancel { job } => self.cancel(job),
--- a/comfreymill_jobs/src/state/mod.rs
+++ b/comfreymill_jobs/src/state/mod.rs
@@ -6,6 +6,7 @@
 mod departures;
 mod evacuation;
 mod job;
+mod queues;
 #[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
 mod state;
 mod step;
--- a/comfreymill_jobs/src/state/state.rs
+++ b/comfreymill_jobs/src/state/state.rs
@@ -33,6 +33,8 @@
     pub(super) evacuations: Evacuations,
     /// Times at which open jobs were accepted, in milliseconds since the Unix epoch.
     pub(super) accepted: BTreeMap<id::JobKey, u64>,
+    /// Queues that were removed from the routes while they had open jobs.
+    pub(super) removed_queues: Vec<routes::Queue>,
 }
 
 /// Routes in force, decoded and as received.
@@ -55,7 +57,7 @@
 }
 
 /// Encoding of the fields that were added to the end of the state since version 0.1, all empty.
-const ADDED_FIELDS: &[u8] = &[0, 0, 0, 0, 0, 0];
+const ADDED_FIELDS: &[u8] = &[0, 0, 0, 0, 0, 0, 0];
 
 impl State {
     /// Decodes the state from a snapshot.
--- a/comfreymill_jobs/tests/routes/mod.rs
+++ b/comfreymill_jobs/tests/routes/mod.rs
@@ -32,9 +32,20 @@
     let mut duplicate = table();
     duplicate.queues[1].prefix = "/a/".to_owned();
     assert_eq!(duplicate.check().expect_err("same host and prefix").field, "queues[1].prefix");
+    duplicate.queues[1].host = "JOBS.example".to_owned();
+    assert_eq!(duplicate.check().expect_err("hosts have no case").field, "queues[1].prefix");
     let mut without_timeout = table();
     without_timeout.queues[0].timeout_ms = 0;
     assert_eq!(without_timeout.check().expect_err("no timeout").field, "queues[0].timeout");
     let _: &Pool = table().pool("workers").expect("a pool");
     assert!(table().check().is_ok());
 }
+
+#[test]
+fn queues_of_one_name_get_names_of_their_own() {
+    let names = ["a", "a", "a#2", "b", "a"];
+    let queues = names.iter().map(|name| queue(name, "/")).collect();
+    let table = RouteTable { queues, ..table() }.with_unique_names();
+    let names: Vec<&str> = table.queues.iter().map(|queue| queue.name.as_str()).collect();
+    assert_eq!(names, ["a", "a#3", "a#2", "b", "a#4"]);
+}
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -18,5 +18,6 @@
 mod odd_sizes;
 mod order;
 mod packing;
+mod route_changes;
 mod succession;
 mod turns;
--- a/comfreymill_jobs/tests/scheduler/odd_announcements.rs
+++ b/comfreymill_jobs/tests/scheduler/odd_announcements.rs
@@ -5,6 +5,7 @@
 use comfreymill_jobs::id::WorkerNumber;
 use comfreymill_jobs::routes::Pool;
 use comfreymill_jobs::scheduler::{Answer, StartAnswer};
+use comfreymill_jobs::state::Command;
 use comfreymill_jobs::worker::{Announcement, Report};
 
 use crate::support::{Leader, Start, running, spec, step};
@@ -157,7 +158,7 @@
     let mut table = leader.state.get_routes().expect("routes").table.clone();
     table.version += 1;
     table.pools.push(Pool { name: "unheard".to_owned(), is_guarded: true, is_standby: false });
-    leader.scheduler.routes_changed(&table);
+    leader.commit(vec![Command::SetRoutes { table: Box::new(table), document: "{}".into() }]);
     let other = leader.announcement("x", 10);
     leader.announce(Announcement { pool: "unheard".to_owned(), ..other });
     assert_eq!(leader.state.get_workers().len(), 3);
--- a/comfreymill_jobs/tests/scheduler/odd_sizes.rs
+++ b/comfreymill_jobs/tests/scheduler/odd_sizes.rs
@@ -82,7 +82,6 @@
         table.version += 1;
         table.queues[0].stretch = stretch;
         table.queues[0].target_latency_ms = target_ms;
-        leader.scheduler.routes_changed(&table);
         leader.commit(vec![Command::SetRoutes { table: Box::new(table), document: "{}".into() }]);
         leader.submit(spec(vec![step(1)]));
         assert_eq!(leader.take_starts().len(), 1, "{stretch}, {target_ms}");
--- a/comfreymill_jobs/tests/state/mod.rs
+++ b/comfreymill_jobs/tests/state/mod.rs
@@ -111,12 +111,12 @@
 fn a_snapshot_without_leaving_workers_and_crashes_is_read() {
     let state = state_of(vec![add_worker(), submit()]);
     let data = state.to_snapshot().expect("the state is encoded");
-    // Each of the six fields that were added later takes one byte if it is empty.
-    for missing in 1..=6 {
+    // Each of the seven fields that were added later takes one byte if it is empty.
+    for missing in 1..=7 {
         let earlier = &data[..data.len() - missing];
         assert_eq!(State::from_snapshot(earlier).expect("the state is decoded"), state);
     }
-    assert!(State::from_snapshot(&data[..data.len() - 7]).is_err());
+    assert!(State::from_snapshot(&data[..data.len() - 8]).is_err());
 }
 
 fn zone_order(operator: &str, revision: u64) -> Box<ZoneOrder> {
--- a/comfreymill_jobs/tests/support/mod.rs
+++ b/comfreymill_jobs/tests/support/mod.rs
@@ -183,6 +183,7 @@
             Effect::EndsNoted { worker, ends } => {
                 self.scheduler.ends_noted(now, worker, &ends, state);
             }
+            Effect::RoutesChanged => self.scheduler.routes_changed(state),
             Effect::EvacuationChanged(zone) => {
                 self.scheduler.evacuation_changed(now, &zone, state);
             }
@@ -190,6 +191,27 @@
         }
     }
 
+    /// Commits the next version of the routes, with these queues.
+    pub(crate) fn set_queues(&mut self, queues: Vec<routes::Queue>) {
+        let pools = self.state.get_routes().expect("routes").table.pools.clone();
+        self.set_routes(queues, pools);
+    }
+
+    /// Commits the next version of the routes, with one more pool.
+    pub(crate) fn add_pool(&mut self, name: &str) {
+        let table = self.state.get_routes().expect("routes").table.clone();
+        let more = routes::Pool { name: name.to_owned(), ..pool() };
+        self.set_routes(table.queues, [table.pools, vec![more]].concat());
+    }
+
+    /// Commits the next version of the routes.
+    pub(crate) fn set_routes(&mut self, queues: Vec<routes::Queue>, pools: Vec<routes::Pool>) {
+        let version = self.state.get_routes().expect("routes").table.version + 1;
+        let table = routes::RouteTable { version, queues, pools, ..Default::default() };
+        self.commit(vec![Command::SetRoutes { table: Box::new(table), document: "{}".into() }]);
+        self.settle();
+    }
+
     /// Commits a job with the default key.
     pub(crate) fn submit(&mut self, spec: job::JobSpec) {
         self.submit_as(KEY.get(), spec);
@@ -197,7 +219,12 @@
 
     /// Commits a job with the given key.
     pub(crate) fn submit_as(&mut self, key: u64, spec: job::JobSpec) {
-        let (job, queue) = (id::JobKey::new(key), "batch".to_owned());
+        self.submit_to("batch", key, spec);
+    }
+
+    /// Commits a job of the given queue.
+    pub(crate) fn submit_to(&mut self, queue: &str, key: u64, spec: job::JobSpec) {
+        let (job, queue) = (id::JobKey::new(key), queue.to_owned());
         let submission = Box::new(Submission { job, queue, max_attempts: 2, spec });
         let since_1970 = UNIX + Duration::from_micros(self.now.as_micros());
         let unix_ms = u64::try_from(since_1970.as_millis()).expect("a small number");
--- a/comfreymill_node/src/scheduler/core/calls.rs
+++ b/comfreymill_node/src/scheduler/core/calls.rs
@@ -69,7 +69,7 @@
                     None => reply.send(&Reply::Done),
                 }
             }
-            Call::PutRoutes { table, document } => self.put_routes(table, document, reply),
+            Call::PutRoutes { table, document } => self.put_routes(*table, document, reply),
             Call::GetRoutes => reply.send(&leadership::routes_reply(&self.state)),
             Call::Evacuate(order) => self.evacuate(order, reply),
             Call::WithdrawEvacuation(order) => self.withdraw_evacuation(order, reply),
@@ -99,6 +99,10 @@
         if self.state.get_jobs().contains_key(&key) {
             return reply.send(&Reply::Done);
         }
+        if self.are_routes_changing() {
+            // The job would be stored under the queue's name in the version before.
+            return reply.send(&Reply::NotLeader);
+        }
         let submission = state::Submission {
             job: key,
             queue: queue.name.clone(),
@@ -142,15 +146,22 @@
         }
     }
 
-    fn put_routes(&mut self, table: Box<routes::RouteTable>, document: Bytes, reply: ReplyTo) {
+    fn put_routes(&mut self, table: routes::RouteTable, document: Bytes, reply: ReplyTo) {
         let current = self.state.get_routes().map(|routes| routes.table.version);
         log::info!(target: "routes", version = table.version, in_force:? = current; "routes are received");
         if current.is_some_and(|current| table.version <= current) {
             return reply.send(&Reply::Done);
         }
+        let table = Box::new(table.with_unique_names());
         self.queue_command(state::Command::SetRoutes { table, document }, reply, Reply::Done);
     }
 
+    /// Returns whether a version of the routes is proposed and not applied yet.
+    fn are_routes_changing(&self) -> bool {
+        self.routes_proposed_at > self.state.get_applied()
+            || self.commands.iter().any(|c| matches!(c, state::Command::SetRoutes { .. }))
+    }
+
     /// Queues a command for the next proposal; `done` is sent once the command is committed.
     pub(super) fn queue_command(&mut self, command: state::Command, reply: ReplyTo, done: Reply) {
         self.waiters.push(Waiter { position: self.commands.len(), reply, done });
--- a/comfreymill_node/src/scheduler/core/commit.rs
+++ b/comfreymill_node/src/scheduler/core/commit.rs
@@ -106,7 +106,7 @@
             state::Effect::RoutesChanged => {
                 if let Some(routes) = self.state.get_routes() {
                     log::info!(target: "routes", version = routes.table.version, queues = routes.table.queues.len(); "routes are in force");
-                    scheduler.routes_changed(&routes.table);
+                    scheduler.routes_changed(&self.state);
                 }
             }
             state::Effect::JobAdded(key) => {
--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -93,6 +93,8 @@
     pub(super) zones_observed_at: time::Monotonic,
     /// Log index of the last entry with an order about a zone that this process proposed.
     pub(super) zone_order_at: u64,
+    /// Log index of the last entry with a version of the routes that this process proposed.
+    pub(super) routes_proposed_at: u64,
 }
 
 impl Core {
@@ -131,6 +133,7 @@
             submitting: BTreeSet::new(),
             zones_observed_at: time::Monotonic::ZERO,
             zone_order_at: 0,
+            routes_proposed_at: 0,
         }
     }
 
--- a/comfreymill_node/src/scheduler/core/leadership.rs
+++ b/comfreymill_node/src/scheduler/core/leadership.rs
@@ -39,6 +39,7 @@
         if self.leadership.as_ref().is_some_and(|leadership| !is_leader || leadership.term != term)
         {
             self.leadership = None;
+            self.routes_proposed_at = 0;
             log::info!(target: "group", term; "this process no longer leads");
         }
         if !is_leader {
@@ -102,6 +103,9 @@
                 if commands.iter().any(evacuations::is_zone_order) {
                     self.zone_order_at = proposed.first.get();
                 }
+                if commands.iter().any(|c| matches!(c, state::Command::SetRoutes { .. })) {
+                    self.routes_proposed_at = proposed.first.get();
+                }
                 let pending = PendingEntry { waiters, proposed_at: now };
                 self.proposals.add(proposed.first, proposed.term, pending);
                 true
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -2,6 +2,7 @@
 
 mod odd_entries;
 mod overload;
+mod route_changes;
 #[path = "../../platform/tests/standin/mod.rs"]
 mod standin;
 mod test_bed;
--- a/tests/platform/test_bed.rs
+++ b/tests/platform/test_bed.rs
@@ -45,7 +45,7 @@
         let mut bed = Self { address, folder, processes: Vec::new() };
         bed.run("scheduler", &bed.scheduler_settings().replace(from, to));
         bed.run("gateway", &bed.gateway_settings());
-        bed.wait("routes to be accepted", || standin::put_routes(bed.control()));
+        bed.wait("routes to be accepted", || standin::put_routes(bed.control(), 1, "jobs"));
         bed
     }
 
