fix(jobs): do not run a job that was cancelled before it was submitted

A caller submitted a job to a gateway that was frozen, left, and cancelled the job at another gateway, which answered 410. The first one woke and passed the submission on; the job ran.

Cause: the cancellation of a key that no job has left no trace.

A submission of such a key is stored as cancelled and answered like any other copy, so that a submission and its cancellation have the same outcome in either order.

--- a/comfreymill_jobs/src/scheduler/jobs.rs
+++ b/comfreymill_jobs/src/scheduler/jobs.rs
@@ -38,6 +38,13 @@
         }
     }
 
+    /// Handles the cancellation of a job that is not known, or its submission after that; either is
+    /// remembered for as long as the outcome of a job.
+    pub fn cancelled_before(&mut self, now: time::Monotonic, key: id::JobKey) {
+        self.ended.retain(|(_, ended)| *ended != key);
+        self.ended.push_back((now, key));
+    }
+
     /// Records that a worker has begun a task of the job; an order to start one does not count,
     /// since it may never be carried out.
     pub(super) fn mark_started(&mut self, key: id::JobKey) {
--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -75,6 +75,7 @@
             commands: Vec::new(),
         };
         scheduler.restore_zones(now, since_1970, state);
+        scheduler.ended.extend(state.get_cancellations().iter().map(|key| (now, key)));
         for (key, job) in state.get_jobs() {
             if job.is_over() {
                 scheduler.ended.push_back((now, *key));
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -60,7 +60,8 @@
     /// Whether capacity may have become free or a task may have become ready since the last
     /// placement.
     pub(super) needs_placement: bool,
-    /// Jobs that are over, in the order in which they ended.
+    /// Jobs that are over, or were cancelled before they were submitted, in the order in which they
+    /// ended.
     pub(super) ended: VecDeque<(time::Monotonic, id::JobKey)>,
     /// Milliseconds from the Unix epoch to the start of the leader's monotonic clock.
     pub(super) unix_offset_ms: u64,
--- a/comfreymill_jobs/src/state/apply.rs
+++ b/comfreymill_jobs/src/state/apply.rs
@@ -17,8 +17,10 @@
     JobAdded(id::JobKey),
     /// A job was cancelled by its caller.
     JobCancelled(id::JobKey),
-    /// No job has the key that a caller wanted to cancel.
+    /// No job has the key that a caller wanted to cancel; one that is submitted later does not run.
     NoSuchJob(id::JobKey),
+    /// A job was submitted that its caller had cancelled before: it is stored as cancelled.
+    JobCancelledBefore(id::JobKey),
     /// A worker incarnation was added.
     WorkerAdded(id::WorkerNumber),
     /// A worker incarnation is leaving.
@@ -61,7 +63,7 @@
             Command::SetRoutes { table, document } => self.change_routes(*table, document),
             Command::Submit(submission) => self.submit(*submission, None),
             Command::SubmitAt { submission, unix_ms } => self.submit(*submission, Some(unix_ms)),
-            Command::Cancel { job } => self.cancel(job),
+            Command::Cancel { job } => self.cancel(index, job),
             Command::AddWorker { announced } => {
                 self.last_worker = self.last_worker.next();
                 if announced.leaving_in.is_some() {
@@ -78,6 +80,7 @@
             Command::NoteEnds { worker, ends } => self.record_ends(worker, ends),
             Command::Forget { jobs } => {
                 for key in jobs {
+                    self.cancellations.remove(key);
                     if self.jobs.get(&key).is_some_and(Job::is_over) {
                         self.jobs.remove(&key);
                         self.given_up.remove(&key);
@@ -169,22 +172,29 @@
         if self.jobs.contains_key(&key) {
             return Effect::None;
         }
+        let is_cancelled = self.cancellations.remove(key);
         let job = Job {
             queue,
             max_attempts,
             spec: Arc::new(spec),
-            status: JobStatus::Open,
+            status: if is_cancelled { JobStatus::Cancelled } else { JobStatus::Open },
             occurrences: BTreeMap::new(),
             finished: BTreeSet::new(),
         };
         self.jobs.insert(key, job);
+        if is_cancelled {
+            return Effect::JobCancelledBefore(key);
+        }
         self.accepted.extend(unix_ms.map(|unix_ms| (key, unix_ms)));
         Effect::JobAdded(key)
     }
 
-    fn cancel(&mut self, key: id::JobKey) -> Effect {
+    fn cancel(&mut self, index: u64, key: id::JobKey) -> Effect {
         match self.jobs.get_mut(&key) {
-            None => Effect::NoSuchJob(key),
+            None => {
+                self.cancellations.record(key, index);
+                Effect::NoSuchJob(key)
+            }
             Some(job) if job.is_over() => Effect::None,
             Some(job) => {
                 job.end(JobStatus::Cancelled);
--- a/comfreymill_jobs/src/state/mod.rs
+++ b/comfreymill_jobs/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! Replicated state machine: deterministic, without a clock.
 
 mod apply;
+mod cancellations;
 mod command;
 mod crash;
 mod departures;
@@ -13,6 +14,7 @@
 mod worker;
 
 pub use apply::Effect;
+pub use cancellations::Cancellations;
 pub use command::{Command, Submission};
 pub use crash::{CrashRecord, CrashedRun, GivenUp};
 pub use departures::Departures;
--- a/comfreymill_jobs/src/state/state.rs
+++ b/comfreymill_jobs/src/state/state.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use super::{CrashRecord, Departures, Evacuations, GivenUp, Job, Worker};
+use super::{Cancellations, CrashRecord, Departures, Evacuations, GivenUp, Job, Worker};
 use crate::id;
 use crate::routes;
 
@@ -35,6 +35,8 @@
     pub(super) accepted: BTreeMap<id::JobKey, u64>,
     /// Queues that were removed from the routes while they had open jobs.
     pub(super) removed_queues: Vec<routes::Queue>,
+    /// Cancellations of jobs that were not submitted by then.
+    pub(super) cancellations: Cancellations,
 }
 
 /// Routes in force, decoded and as received.
@@ -57,7 +59,7 @@
 }
 
 /// Encoding of the fields that were added to the end of the state since version 0.1, all empty.
-const ADDED_FIELDS: &[u8] = &[0, 0, 0, 0, 0, 0, 0];
+const ADDED_FIELDS: &[u8] = &[0, 0, 0, 0, 0, 0, 0, 0];
 
 impl State {
     /// Decodes the state from a snapshot.
@@ -142,6 +144,11 @@
         &self.departures
     }
 
+    /// Returns the cancellations of jobs that were not submitted by then.
+    pub fn get_cancellations(&self) -> &Cancellations {
+        &self.cancellations
+    }
+
     /// Returns the operators' orders about availability zones.
     pub fn get_evacuations(&self) -> &Evacuations {
         &self.evacuations
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -3,6 +3,7 @@
 mod cancellation;
 mod choice;
 mod crashes;
+mod early_cancellation;
 mod evacuation;
 mod holding;
 mod incarnations;
--- a/comfreymill_jobs/tests/state/mod.rs
+++ b/comfreymill_jobs/tests/state/mod.rs
@@ -91,7 +91,9 @@
 #[test]
 fn cancelling_an_unknown_job_differs_from_cancelling_twice() {
     let mut state = state_of(vec![]);
-    assert_eq!(state.apply(1, Command::Cancel { job: KEY }), Effect::NoSuchJob(KEY));
+    let unknown = id::JobKey::new(7);
+    assert_eq!(state.apply(1, Command::Cancel { job: unknown }), Effect::NoSuchJob(unknown));
+    assert_eq!(state.apply(2, Command::Cancel { job: unknown }), Effect::NoSuchJob(unknown));
     state.apply(2, submit());
     assert_eq!(state.apply(3, Command::Cancel { job: KEY }), Effect::JobCancelled(KEY));
     assert_eq!(state.apply(4, Command::Cancel { job: KEY }), Effect::None);
@@ -111,12 +113,12 @@
 fn a_snapshot_without_leaving_workers_and_crashes_is_read() {
     let state = state_of(vec![add_worker(), submit()]);
     let data = state.to_snapshot().expect("the state is encoded");
-    // Each of the seven fields that were added later takes one byte if it is empty.
-    for missing in 1..=7 {
+    // Each of the eight fields that were added later takes one byte if it is empty.
+    for missing in 1..=8 {
         let earlier = &data[..data.len() - missing];
         assert_eq!(State::from_snapshot(earlier).expect("the state is decoded"), state);
     }
-    assert!(State::from_snapshot(&data[..data.len() - 8]).is_err());
+    assert!(State::from_snapshot(&data[..data.len() - 9]).is_err());
 }
 
 fn zone_order(operator: &str, revision: u64) -> Box<ZoneOrder> {
--- a/comfreymill_jobs/tests/support/mod.rs
+++ b/comfreymill_jobs/tests/support/mod.rs
@@ -173,6 +173,9 @@
         match effect {
             Effect::JobAdded(key) => self.scheduler.job_added(now, key, &state.get_jobs()[&key]),
             Effect::JobCancelled(key) => self.scheduler.job_over(now, key),
+            Effect::NoSuchJob(key) | Effect::JobCancelledBefore(key) => {
+                self.scheduler.cancelled_before(now, key);
+            }
             Effect::WorkerAdded(number) => {
                 self.scheduler.worker_added(now, number, &state.get_workers()[&number]);
             }
--- a/comfreymill_node/src/scheduler/core/commit.rs
+++ b/comfreymill_node/src/scheduler/core/commit.rs
@@ -92,7 +92,7 @@
 
     /// Informs the leader's scheduler of a change to the replicated state.
     fn notify_scheduler(&mut self, now: time::Monotonic, term: u64, effect: state::Effect) {
-        if let state::Effect::JobAdded(key) = &effect {
+        if let state::Effect::JobAdded(key) | state::Effect::JobCancelledBefore(key) = &effect {
             self.submitting.remove(key);
         }
         if let state::Effect::FenceAssigned(_) = effect {
@@ -119,6 +119,14 @@
                 log::info!(target: "jobs", job:% = key; "a job is cancelled");
                 scheduler.job_over(now, key);
             }
+            state::Effect::NoSuchJob(key) => {
+                log::info!(target: "jobs", job:% = key; "a job that is not known is cancelled");
+                scheduler.cancelled_before(now, key);
+            }
+            state::Effect::JobCancelledBefore(key) => {
+                log::info!(target: "jobs", job:% = key; "a job is submitted after its cancellation: it does not run");
+                scheduler.cancelled_before(now, key);
+            }
             state::Effect::WorkerAdded(number) => {
                 if let Some(worker) = self.state.get_workers().get(&number) {
                     scheduler.worker_added(now, number, worker);
@@ -143,7 +151,6 @@
                 scheduler.evacuation_changed(now, &zone, &self.state);
             }
             state::Effect::FenceAssigned(_)
-            | state::Effect::NoSuchJob(_)
             | state::Effect::ZoneOrderSuperseded(_)
             | state::Effect::None => {}
         }
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -1,5 +1,6 @@
 //! The programs `gateway` and `scheduler` as processes, with stand-in workers.
 
+mod early_cancellation;
 mod odd_entries;
 mod overload;
 mod route_changes;
