fix(jobs): use a restarted worker although its earlier departure arrives late

A frozen follower woke and passed on the DELETE of an executor that had started again under its id; it got no task any more, and a job that needed it stayed pending.

Cause: a departure names no incarnation. It was taken for one of every incarnation with the name, and committed with a sequence number that no later announcement exceeds.

Change: a departure takes effect on an incarnation that has said that it is leaving. Any other is polled, and used again once it answers. An announcement after a departure shows that the departure was of another incarnation. The sequence number in the logs of earlier builds is read as no departure.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -150,6 +150,10 @@
 
     /// Handles the departure of a worker; its runs end with it, at the latest when its lease
     /// expires. Returns the command to commit before it is acknowledged, if there is one.
+    ///
+    /// A departure does not say which incarnation it is of, and may arrive when the next one is
+    /// registered. So it takes effect on an incarnation that has said that it is leaving; any other is
+    /// not used before it has answered a poll.
     pub fn departed(
         &mut self,
         now: time::Monotonic,
@@ -161,12 +165,17 @@
         let mut command = None;
         for number in gone {
             let Some(entry) = self.workers.get_mut(&number) else { continue };
-            entry.announcement.leaving_in.get_or_insert_default();
+            let is_leaving = entry.announcement.leaving_in.is_some();
+            log::info!(target: "workers", worker:% = departure.name, number:% = number, is_leaving; "a worker has announced its departure");
+            if !is_leaving {
+                self.poll_failed(now, number, "it, or an earlier incarnation, has departed");
+                self.poll(now, number);
+                continue;
+            }
             entry.has_departed = true;
             entry.next_poll_at = now;
-            log::info!(target: "workers", worker:% = departure.name, number:% = number; "a worker has announced its departure");
-            if entry.leaving_since.is_none() {
-                command = Some(state::Command::MarkLeaving { worker: number, sequence: u64::MAX });
+            if let Acknowledgement::Committed(mark) = entry.departure_acknowledgement(number) {
+                command = Some(mark);
             }
         }
         command
@@ -250,6 +259,8 @@
         let is_moved = entry.announcement.labels != announcement.labels;
         entry.announcement = announcement;
         entry.has_announced = true;
+        // A worker sends nothing after its departure.
+        entry.has_departed = false;
         let acknowledgement = entry.departure_acknowledgement(number);
         if is_leaving && !was_leaving {
             log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, runs = entry.runs.len(); "a worker is leaving");
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -113,6 +113,7 @@
         lease_over_at: time::Monotonic,
         now: time::Monotonic,
     ) -> Self {
+        let leaving_since = leaving_since.filter(|sequence| *sequence != state::ANY_ANNOUNCEMENT);
         // The clock reading of the first announcement is out of date.
         let announcement = worker::Announcement {
             leaving_in: leaving_since.map(|_| Duration::ZERO),
--- a/comfreymill_jobs/src/state/departures.rs
+++ b/comfreymill_jobs/src/state/departures.rs
@@ -6,6 +6,10 @@
 /// Largest number of departures that are kept; the oldest are dropped.
 const MAX_DEPARTURES: usize = 1_024;
 
+/// Sequence number with which earlier builds marked any worker with the name of one that had departed.
+/// It does not show that the incarnation has.
+pub(crate) const ANY_ANNOUNCEMENT: u64 = u64::MAX;
+
 /// Incarnations that were removed after they had said that they were leaving.
 ///
 /// An announcement that was sent before may arrive later, and must not bring them back.
@@ -25,6 +29,9 @@
 impl Departures {
     /// Records an incarnation that said in announcement `sequence` that it was leaving.
     pub(crate) fn record(&mut self, announced: &worker::Announcement, sequence: u64) {
+        if sequence == ANY_ANNOUNCEMENT {
+            return;
+        }
         let worker::Announcement { name, born_unix_ms, .. } = announced;
         self.0.push_back(DepartedWorker {
             name: name.clone(),
--- a/comfreymill_jobs/src/state/mod.rs
+++ b/comfreymill_jobs/src/state/mod.rs
@@ -17,6 +17,7 @@
 pub use cancellations::Cancellations;
 pub use command::{Command, Submission};
 pub use crash::{CrashRecord, CrashedRun, GivenUp};
+pub(crate) use departures::ANY_ANNOUNCEMENT;
 pub use departures::Departures;
 pub use evacuation::{Evacuations, ZoneOrder, ZoneRecord, ZoneRequest};
 pub use job::{Job, JobStatus, Occurrence};
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod holding;
 mod incarnations;
 mod interference;
+mod late_departure;
 mod leases;
 mod load;
 mod locality;
