fix(jobs): refuse steps whose tasks work only together

After one crash the members of a gang started under different runs and ended alone for good; the accepted job never completed.

Cause: members are placed one by one, each with a run of its own; gangs are not built.

Change: a submission with a gang of more than one task is answered with 400 and the field. A gang of one task is complete whenever it runs, and is accepted.

--- a/comfreymill_jobs/src/job/check.rs
+++ b/comfreymill_jobs/src/job/check.rs
@@ -20,7 +20,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error if a field is out of range, or if a step depends on itself or a later step.
+/// Returns an error if a field is out of range, if a step depends on itself or a later step, or if
+/// several tasks have to run together, which is not supported.
 pub fn check(spec: &JobSpec) -> Result<(), SpecError> {
     if spec.payload.len() > MAX_PAYLOAD_BYTES {
         return invalid("payload", format!("longer than {MAX_PAYLOAD_BYTES} bytes"));
@@ -34,6 +35,11 @@
         if step.count == 0 {
             return invalid(&format!("steps[{number}].count"), "must be above 0".to_owned());
         }
+        if step.is_gang && step.count > 1 {
+            let reason = "tasks that work only together are not supported: no run would be complete \
+                          again after a worker is lost";
+            return invalid(&format!("steps[{number}].gang"), reason.to_owned());
+        }
         if step.depends_on.iter().any(|dependency| usize::from(*dependency) >= number) {
             let field = format!("steps[{number}].depends_on");
             return invalid(&field, "a step may depend only on earlier steps".to_owned());
