fix(jobs): confirm starts by the worker's clock, and bound leases of a new one

(2) Starts are confirmed only by the next report, so tasks of a crashed worker that had answered their starts waited for the next incarnation. (3) An answer with a clock that has begun anew was logged and nothing followed from it, so more starts went there.

Change: a start that is answered with a reading that continues the worker's clock is confirmed; one with a clock that has begun anew has the worker asked, and nothing more is started there before.

Tests: four more in incarnations::*; each failed in a scratch copy with its part broken (bound, clock as confirmation, second reading of a new clock, question). Settings: `max_lease` below `lease` is refused.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -105,7 +105,8 @@
         self.workers.insert(number, entry);
         self.locality.workers_changed();
         for earlier in replaced {
-            self.incarnation_registered(now, earlier);
+            let reason = "a later incarnation has announced itself";
+            self.other_incarnation_noticed(now, earlier, reason);
         }
         log::info!(target: "workers", worker:% = replicated.announced.name, number:% = number, address:% = replicated.announced.address, born = replicated.announced.born_unix_ms; "a worker is registered");
         if let Some(pending) = self.pending_workers.remove(&replicated.announced.name)
--- a/comfreymill_jobs/src/scheduler/config.rs
+++ b/comfreymill_jobs/src/scheduler/config.rs
@@ -7,6 +7,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Config {
     lease: Duration,
+    max_lease: Duration,
     max_poll_wait: Duration,
     mixed_poll_period: Duration,
     clock_drift_ppm: u32,
@@ -23,6 +24,7 @@
     pub fn new(lease: Duration) -> Self {
         Self {
             lease,
+            max_lease: lease,
             max_poll_wait: Duration::from_millis(1_500),
             mixed_poll_period: Duration::from_millis(600),
             clock_drift_ppm: 20_000,
@@ -33,6 +35,13 @@
         }
     }
 
+    /// Sets the longest lease that workers grant; they shorten longer ones to it.
+    #[must_use]
+    pub fn max_lease(mut self, lease: Duration) -> Self {
+        self.max_lease = lease.max(self.lease);
+        self
+    }
+
     /// Sets the maximum time for which a worker may delay the answer to a poll until a run ends.
     #[must_use]
     pub fn max_poll_wait(mut self, wait: Duration) -> Self {
@@ -99,6 +108,11 @@
         self.lease
     }
 
+    /// Returns the longest lease that a worker grants, on the worker's clock.
+    pub fn get_max_lease(&self) -> Duration {
+        self.max_lease
+    }
+
     /// Returns the maximum time for which a worker may delay the answer to a poll until a run ends.
     pub fn get_max_poll_wait(&self) -> Duration {
         self.max_poll_wait
--- a/comfreymill_jobs/src/scheduler/incarnations.rs
+++ b/comfreymill_jobs/src/scheduler/incarnations.rs
@@ -1,9 +1,9 @@
 //! Workers that start again under their names.
 //!
 //! Orders name a worker, not one of its incarnations: an incarnation that the leader does not know of
-//! yet carries out the starts that were meant for the one before it. Only a report shows which of the
-//! two has a run. So an incarnation is taken for gone, with the runs that none of its reports has
-//! confirmed, only once the next one has reported what it has, or once all leases are over.
+//! yet carries out the starts that were meant for the one before it. Which of the two has a run is shown
+//! by a report, or by the clock in the answer to the start. So runs that neither has confirmed are
+//! taken for lost with an incarnation only once the next one has reported, or once all leases are over.
 
 use comfreymill_types::time;
 
@@ -11,40 +11,60 @@
 use super::run::{RunEntry, RunPhase};
 use super::task::TaskPhase;
 use super::worker::WorkerEntry;
+use super::worker_clock::ReadingOutcome;
 use crate::id;
 use crate::worker;
 
 /// # Incarnations of workers
 impl Scheduler {
-    /// Handles a later incarnation with the name and address of the worker `earlier`, which has been
-    /// registered and not reported yet.
-    pub(super) fn incarnation_registered(
+    /// Handles a sign of another incarnation than the one that is known, which may have runs that were
+    /// meant for it: the worker stays in the log until the other one has reported, or until its leases
+    /// are over.
+    pub(super) fn other_incarnation_noticed(
         &mut self,
         now: time::Monotonic,
-        earlier: id::WorkerNumber,
+        number: id::WorkerNumber,
+        reason: &str,
     ) {
-        let reason = "a later incarnation has announced itself";
-        let Some(entry) = self.workers.get(&earlier) else { return };
-        if entry.has_unconfirmed_runs() && now < entry.lease_over_at {
-            self.poll_failed(now, earlier, reason);
+        let cfg = self.cfg;
+        let Some(entry) = self.workers.get_mut(&number) else { return };
+        if !entry.has_unconfirmed_runs() {
+            self.worker_gone(now, number, reason);
+            return;
+        }
+        if !entry.has_successor {
+            entry.has_successor = true;
+            // Its clock has begun anew, so that it does not keep to the ends of leases in the orders.
+            let lease_over_at = now + cfg.max_leader_time(cfg.get_max_lease());
+            entry.lease_over_at = entry.lease_over_at.max(lease_over_at);
+        }
+        if now < entry.lease_over_at {
+            self.poll_failed(now, number, reason);
         } else {
-            self.worker_gone(now, earlier, reason);
+            self.worker_gone(now, number, reason);
         }
     }
 
-    /// Handles the answer of another incarnation than the one that was polled. Its runs are read once
-    /// it is registered; until then the worker stays in the log.
-    pub(super) fn other_incarnation_answered(
+    /// Handles the reading of the clock in the answer to a start. A clock begins anew with each
+    /// incarnation, so a reading that continues the earlier ones confirms the start; one that does not
+    /// has the worker asked which incarnation it is.
+    pub(super) fn check_start_reading(
         &mut self,
         now: time::Monotonic,
         number: id::WorkerNumber,
+        task: id::TaskId,
+        outcome: Option<ReadingOutcome>,
     ) {
-        let reason = "another incarnation answers";
-        let Some(entry) = self.workers.get(&number) else { return };
-        if now < entry.lease_over_at {
-            self.poll_failed(now, number, reason);
-        } else {
-            self.worker_gone(now, number, reason);
+        let Some(entry) = self.workers.get_mut(&number) else { return };
+        let (Some(outcome), false) = (outcome, entry.has_successor) else { return };
+        if outcome == ReadingOutcome::Used {
+            let run = entry.runs.get_mut(&task);
+            if let Some(run) = run.filter(|run| matches!(run.phase, RunPhase::Running { .. })) {
+                run.is_confirmed = true;
+            }
+        } else if entry.has_unconfirmed_runs() {
+            self.other_incarnation_noticed(now, number, "its clock has begun anew");
+            self.poll(now, number);
         }
     }
 
@@ -108,8 +128,7 @@
         }
     }
 
-    /// Returns whether the worker may have runs that none of its reports has confirmed; another
-    /// incarnation may have them.
+    /// Returns whether the worker may have runs that are not confirmed to be those of this incarnation.
     pub(super) fn has_unconfirmed_runs(&self) -> bool {
         !self.has_answered || self.runs.values().any(|run| !run.is_confirmed)
     }
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -133,9 +133,10 @@
     ) {
         let Some(entry) = self.workers.get_mut(&number) else { return };
         if entry.is_of_other_incarnation(&report) {
-            self.other_incarnation_answered(now, number);
+            self.other_incarnation_noticed(now, number, "another incarnation answers");
             return;
         }
+        entry.has_successor = false;
         entry.confirm_runs(asked_at, &report);
         if let Some(clock_ms) = report.clock_ms {
             self.read_clock(number, ClockReading { clock_ms, asked_at, received_at: now });
--- a/comfreymill_jobs/src/scheduler/starts.rs
+++ b/comfreymill_jobs/src/scheduler/starts.rs
@@ -24,10 +24,12 @@
     ) {
         match answer {
             Answer::Start { task, run, answer, clock_ms } => {
-                if let Some(clock_ms) = clock_ms {
-                    self.read_clock(worker, ClockReading { clock_ms, asked_at, received_at: now });
-                }
+                let outcome = clock_ms.and_then(|clock_ms| {
+                    let reading = ClockReading { clock_ms, asked_at, received_at: now };
+                    self.read_clock(worker, reading)
+                });
                 self.start_answered(now, worker, task, run, answer);
+                self.check_start_reading(now, worker, task, outcome);
             }
             Answer::Stop { task, run, is_accepted } => {
                 self.stop_answered(now, worker, task, run, is_accepted);
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -39,6 +39,8 @@
     pub(super) is_unresponsive: bool,
     /// Whether the incarnation is gone; ends that it reported may not be committed yet.
     pub(super) is_gone: bool,
+    /// Whether another incarnation of the worker may have got orders that were meant for this one.
+    pub(super) has_successor: bool,
     /// Whether ends that the worker reported are being committed to the log.
     pub(super) has_uncommitted_ends: bool,
     /// Rows of the latest report that could not be read.
@@ -130,6 +132,7 @@
             has_answered: false,
             is_unresponsive: false,
             is_gone: false,
+            has_successor: false,
             has_uncommitted_ends: false,
             unread: worker::Unread::default(),
             skippable_end: 0,
--- a/comfreymill_jobs/tests/scheduler/incarnations.rs
+++ b/comfreymill_jobs/tests/scheduler/incarnations.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use comfreymill_jobs::id::WorkerNumber;
-use comfreymill_jobs::scheduler::{Answer, Order, PollAnswer, StartAnswer};
+use comfreymill_jobs::scheduler::{Answer, Config, Order, PollAnswer, StartAnswer};
 use comfreymill_jobs::state::JobStatus;
 use comfreymill_jobs::worker::{EndKind, Report};
 
@@ -15,7 +15,10 @@
 
 /// Returns a leader that has started a task on the worker "w" and has another worker with room.
 fn one_started(answer: Option<StartAnswer>) -> (Leader, Start) {
-    let mut leader = Leader::new();
+    one_started_by(Leader::new(), answer)
+}
+
+fn one_started_by(mut leader: Leader, answer: Option<StartAnswer>) -> (Leader, Start) {
     leader.worker("w");
     leader.submit(spec(vec![step(1)]));
     let start = leader.take_starts()[0];
@@ -48,6 +51,16 @@
     polls.collect::<Vec<u64>>().pop().expect("a poll of the worker")
 }
 
+/// Accepts a start; the worker's clock has counted from `clock_began_at`.
+fn accept_with_clock(leader: &mut Leader, start: &Start, clock_began_at: Duration) {
+    let Start { worker, task, run } = *start;
+    let since = Duration::from_micros(leader.now.as_micros()) - clock_began_at;
+    let clock_ms = Some(u64::try_from(since.as_millis()).expect("a small number"));
+    let answer = Answer::Start { task, run, answer: StartAnswer::Started, clock_ms };
+    leader.scheduler.answered(leader.now, worker, leader.now, answer);
+    leader.settle();
+}
+
 fn assert_not_started_again(leader: &mut Leader, when: &str) {
     leader.advance(Duration::from_millis(200));
     assert_eq!(leader.take_starts(), [], "{when}");
@@ -213,3 +226,71 @@
     leader.advance(Duration::from_secs(5));
     assert_eq!(forgotten(&leader, start.worker), 1);
 }
+
+/// A clock begins anew with each incarnation, so one that goes on is the first incarnation's.
+#[test]
+fn a_start_that_is_answered_with_the_known_clock_needs_no_report() {
+    let mut leader = Leader::new();
+    leader.advance(Duration::from_secs(60));
+    let (mut leader, start) = one_started_by(leader, None);
+    // The clocks of the test's workers are 5 s ahead.
+    let Start { worker, task, run } = start;
+    let clock_ms = Some(5_000 + leader.now.as_micros() / 1_000);
+    let answer = Answer::Start { task, run, answer: StartAnswer::Started, clock_ms };
+    leader.scheduler.answered(leader.now, worker, leader.now, answer);
+    register_second(&mut leader);
+    assert_eq!(leader.take_starts().len(), 1, "the run was lost with the first incarnation");
+}
+
+#[test]
+fn a_worker_whose_clock_has_begun_anew_is_asked_before_it_is_used_again() {
+    let mut leader = Leader::new();
+    leader.advance(Duration::from_secs(60));
+    let (mut leader, start) = one_started_by(leader, None);
+    leader.report(start.worker, Report::default());
+    leader.orders.clear();
+    let began_at = Duration::from_micros(leader.now.as_micros()) - Duration::from_millis(3);
+    accept_with_clock(&mut leader, &start, began_at);
+    leader.submit_as(7, spec(vec![step(16)]));
+    let later = leader.take_starts();
+    assert_eq!(later.len(), 8, "the other worker has room for these");
+    assert!(later.iter().all(|later| later.worker != start.worker));
+    second_answers_for_first(&mut leader, start.worker, running(&[start]));
+    let second = register_second(&mut leader);
+    leader.report(second, ended(vec![start.end(1, EndKind::Done)]));
+    assert_eq!(leader.state.get_jobs()[&KEY].status, JobStatus::Completed);
+}
+
+/// The second reading of the new clock agrees with the first one, which is no proof either.
+#[test]
+fn two_starts_that_are_answered_with_a_new_clock_confirm_nothing() {
+    let mut leader = Leader::new();
+    leader.advance(Duration::from_secs(60));
+    leader.worker("w");
+    leader.submit(spec(vec![step(2)]));
+    let starts = leader.take_starts();
+    let began_at = Duration::from_micros(leader.now.as_micros()) - Duration::from_millis(3);
+    for start in &starts {
+        accept_with_clock(&mut leader, start, began_at);
+        leader.advance(Duration::from_millis(5));
+    }
+    leader.worker("other");
+    let second = register_second(&mut leader);
+    assert_not_started_again(&mut leader, "the second incarnation may have both");
+    leader.report(second, running(&starts));
+    assert_not_started_again(&mut leader, "it has both");
+}
+
+/// The next incarnation's clock has begun anew, so that the end of the lease in a start lies far ahead
+/// on it, and the worker shortens the lease to the longest that it grants.
+#[test]
+fn unconfirmed_runs_wait_for_the_longest_lease_once_another_incarnation_has_answered() {
+    let leader = Leader::with_config(Config::new(LEASE).max_lease(2 * LEASE));
+    let (mut leader, start) = one_started_by(leader, Some(StartAnswer::Started));
+    second_answers_for_first(&mut leader, start.worker, running(&[start]));
+    leader.advance(2 * LEASE);
+    second_answers_for_first(&mut leader, start.worker, Report::default());
+    assert_eq!(leader.take_starts(), [], "a clock may be slow");
+    leader.advance(LEASE / 4);
+    assert_eq!(leader.take_starts().len(), 1);
+}
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -242,6 +242,7 @@
 fn decisions_config(settings: &settings::SchedulerSettings) -> scheduler::Config {
     let packing = settings.get_packing().map(|packing| packing.get_config());
     scheduler::Config::new(settings.get_lease())
+        .max_lease(settings.get_max_lease())
         .packing(packing)
         .evacuation_patience(settings.get_evacuation_patience())
         .remote_factor(settings.get_remote_factor())
--- a/comfreymill_node/src/settings/scheduler_settings.rs
+++ b/comfreymill_node/src/settings/scheduler_settings.rs
@@ -32,6 +32,7 @@
     data_folder: path::PathBuf,
     is_founding: bool,
     lease: Duration,
+    max_lease: Duration,
     voters: usize,
     descriptors: usize,
     snapshot_entries: u64,
@@ -68,6 +69,11 @@
         self.lease
     }
 
+    /// Longest lease that workers grant.
+    pub fn get_max_lease(&self) -> Duration {
+        self.max_lease
+    }
+
     /// Number of voters that the group should have.
     pub fn get_voters(&self) -> usize {
         self.voters
@@ -124,6 +130,10 @@
         let data_folder: Option<path::PathBuf> = section.required("data_folder");
         let is_founding = section.required("founding");
         let lease: Option<time::Span> = section.required("lease");
+        let max_lease: Option<time::Span> = section.optional("max_lease");
+        if max_lease.is_some_and(|longest| lease.is_some_and(|lease| longest < lease)) {
+            section.problem("max_lease", "is shorter than lease");
+        }
         let voters = section.optional("voters").unwrap_or(VOTERS);
         let snapshot_entries = section.optional("snapshot_entries").unwrap_or(SNAPSHOT_ENTRIES);
         let zones = section.optional("zones").map_or_else(Vec::new, |list: ZoneList| list.0);
@@ -146,6 +156,7 @@
             data_folder: folder.join(data_folder?),
             is_founding: is_founding?,
             lease: lease?.into(),
+            max_lease: max_lease.or(lease)?.into(),
             voters,
             descriptors,
             snapshot_entries,
--- a/comfreymill_node/tests/settings/nodes.rs
+++ b/comfreymill_node/tests/settings/nodes.rs
@@ -56,6 +56,7 @@
     #[rustfmt::skip]
     let cases = [
         ("lease: 6s", "lease: 6", "14:", "lease: `6` is not a time"),
+        ("lease: 6s", "lease: 6s\nmax_lease: 5s", "15:", "max_lease: is shorter than lease"),
         ("founding: true", "founding: perhaps", "13:", "founding:"),
         ("voters: 5", "voters: 0", "15:", "voters: a group has at least 1 voter"),
         ("snapshot_entries: 4000", "snapshot_entries: 0", "16:", "snapshot_entries: a snapshot covers"),
