fix(jobs): count crashes under starts that were not answered

The task was started again and again, as before the give-up was built.

Cause: a run whose start was not answered passed to the next incarnation before the crash was counted, by the log `a worker is lost` with no run. A start that crashes its worker at once is never answered.

Change: such a run stays with the earlier incarnation until its crash is in the log, and is passed on and stopped then. Starts that are answered meanwhile pass on as running. Runs that the first report shows are passed on at once, and not counted.

--- a/comfreymill_jobs/src/scheduler/crashes.rs
+++ b/comfreymill_jobs/src/scheduler/crashes.rs
@@ -112,6 +112,7 @@
             }
             self.job_over(now, *job);
         }
+        self.pass_on_unanswered(now, number);
         self.release_all(now, number);
         self.workers.remove(&number);
     }
--- a/comfreymill_jobs/src/scheduler/incarnations.rs
+++ b/comfreymill_jobs/src/scheduler/incarnations.rs
@@ -8,7 +8,7 @@
 use comfreymill_types::time;
 
 use super::Scheduler;
-use super::run::{RunEntry, RunPhase};
+use super::run::RunEntry;
 use super::task::TaskPhase;
 use super::worker::WorkerEntry;
 use super::worker_clock::ReadingOutcome;
@@ -59,7 +59,7 @@
         let (Some(outcome), false) = (outcome, entry.has_successor) else { return };
         if outcome == ReadingOutcome::Used {
             let run = entry.runs.get_mut(&task);
-            if let Some(run) = run.filter(|run| matches!(run.phase, RunPhase::Running { .. })) {
+            if let Some(run) = run.filter(|run| run.is_accepted()) {
                 run.is_confirmed = true;
             }
         } else if entry.has_unconfirmed_runs() {
@@ -69,7 +69,7 @@
     }
 
     /// Has the incarnation `next`, whose first report was requested at `asked_at`, take over the runs
-    /// of the incarnation `earlier` that it shows, or that it may have although it does not.
+    /// of the incarnation `earlier` that the report shows, or might not show yet.
     pub(super) fn take_over(
         &mut self,
         now: time::Monotonic,
@@ -84,26 +84,57 @@
             self.unheard.push(next);
         }
         let Some(entry) = self.workers.get_mut(&earlier) else { return };
+        entry.next_asked_at = Some(asked_at);
         let lease_over_at = entry.lease_over_at;
-        let runs = entry.take_unconfirmed(asked_at, report);
+        let is_complete = report.unread.is_empty() && !report.is_full();
+        let runs = entry.take_unconfirmed(|task, run| {
+            let is_lost = is_complete && run.was_accepted_before(asked_at);
+            report.shows(task, run.run) || (run.is_accepted() && !is_lost)
+        });
         let Some(entry) = self.workers.get_mut(&next) else { return };
         entry.lease_over_at = entry.lease_over_at.max(lease_over_at);
-        for (task, mut run) in runs {
-            log::info!(target: "runs", task:% = task, run:% = run.run, worker:% = next, earlier:% = earlier, phase:? = run.phase; "a run may be one of the worker's next incarnation");
-            // The answer to an order in flight is one of the earlier incarnation, or not expected.
-            let is_unanswered = !matches!(run.phase, RunPhase::Running { .. });
-            run.is_start_uncertain |= is_unanswered;
-            let Some(entry) = self.workers.get_mut(&next) else { return };
-            entry.add(task, run);
-            let placed = self.task_mut(task).filter(|t| t.phase == TaskPhase::Placed(earlier));
-            if let Some(placed) = placed {
-                placed.phase = TaskPhase::Placed(next);
+        for (task, run) in runs {
+            let is_active = run.is_active();
+            self.pass_on(task, run, earlier, next);
+            if !is_active {
+                self.stop_again(now, next, task);
             }
-            if is_unanswered {
+        }
+    }
+
+    /// Passes the runs of a worker that is gone on to its next incarnation whose starts were not
+    /// answered when that was asked for its first report: it may have carried them out since, or may do
+    /// so later.
+    pub(super) fn pass_on_unanswered(&mut self, now: time::Monotonic, earlier: id::WorkerNumber) {
+        let Some(entry) = self.workers.get(&earlier) else { return };
+        let named = self.workers.named(&entry.replicated.announced.name);
+        let next = named.map(|(number, _)| number).filter(|number| *number > earlier).max();
+        let (Some(next), Some(entry)) = (next, self.workers.get_mut(&earlier)) else { return };
+        let asked_at = entry.next_asked_at.unwrap_or(now);
+        for (task, run) in entry.take_unconfirmed(|_, run| !run.was_accepted_before(asked_at)) {
+            let is_accepted = run.is_accepted();
+            self.pass_on(task, run, earlier, next);
+            if !is_accepted {
                 self.stop_again(now, next, task);
             }
         }
     }
+
+    fn pass_on(
+        &mut self,
+        task: id::TaskId,
+        run: RunEntry,
+        earlier: id::WorkerNumber,
+        next: id::WorkerNumber,
+    ) {
+        log::info!(target: "runs", task:% = task, run:% = run.run, worker:% = next, earlier:% = earlier, phase:? = run.phase; "a run may be one of the worker's next incarnation");
+        let Some(entry) = self.workers.get_mut(&next) else { return };
+        entry.add(task, run);
+        let placed = self.task_mut(task).filter(|entry| entry.phase == TaskPhase::Placed(earlier));
+        if let Some(placed) = placed {
+            placed.phase = TaskPhase::Placed(next);
+        }
+    }
 }
 
 impl WorkerEntry {
@@ -139,19 +170,13 @@
         if self.has_unconfirmed_runs() { 0 } else { self.replicated.noted.max(self.skipped_end) }
     }
 
-    /// Removes the unconfirmed runs that the first report of the next incarnation, requested at
-    /// `asked_at`, shows, or that it may have although the report does not show them.
-    fn take_unconfirmed(
-        &mut self,
-        asked_at: time::Monotonic,
-        report: &worker::Report,
-    ) -> Vec<(id::TaskId, RunEntry)> {
-        let is_complete = report.unread.is_empty() && !report.is_full();
-        let may_have = |task: &id::TaskId, run: &RunEntry| {
-            let must_be_shown = is_complete && run.was_accepted_before(asked_at);
-            !run.is_confirmed && (!must_be_shown || report.shows(*task, run.run))
-        };
-        let taken = self.runs.iter().filter(|(task, run)| may_have(task, run));
+    /// Removes the unconfirmed runs for which `is_taken` returns true.
+    fn take_unconfirmed<F>(&mut self, is_taken: F) -> Vec<(id::TaskId, RunEntry)>
+    where
+        F: Fn(id::TaskId, &RunEntry) -> bool,
+    {
+        let taken =
+            self.runs.iter().filter(|(task, run)| !run.is_confirmed && is_taken(**task, run));
         let taken: Vec<id::TaskId> = taken.map(|(task, _)| *task).collect();
         taken.into_iter().filter_map(|task| Some((task, self.remove(task)?))).collect()
     }
--- a/comfreymill_jobs/src/scheduler/run.rs
+++ b/comfreymill_jobs/src/scheduler/run.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Returns whether the start was accepted, and the run is not being stopped.
+    pub(super) fn is_accepted(&self) -> bool {
+        matches!(self.phase, RunPhase::Running { .. })
+    }
+
     /// Returns whether the start was accepted before `asked_at`.
     pub(super) fn was_accepted_before(&self, asked_at: time::Monotonic) -> bool {
         matches!(self.phase, RunPhase::Running { since } if since <= asked_at)
--- a/comfreymill_jobs/src/scheduler/stops.rs
+++ b/comfreymill_jobs/src/scheduler/stops.rs
@@ -41,6 +41,9 @@
     ) {
         if let Some(entry) = self.workers.get_mut(&worker) {
             entry.begin_stop(now, task);
+            if let Some(run) = entry.runs.get_mut(&task) {
+                run.is_start_uncertain = true;
+            }
         }
         self.send_stop(now, worker, task);
     }
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -41,6 +41,8 @@
     pub(super) is_gone: bool,
     /// Whether another incarnation of the worker may have got orders that were meant for this one.
     pub(super) has_successor: bool,
+    /// When the next incarnation was asked for its first report, if it has reported.
+    pub(super) next_asked_at: Option<time::Monotonic>,
     /// Whether ends that the worker reported are being committed to the log.
     pub(super) has_uncommitted_ends: bool,
     /// Rows of the latest report that could not be read.
@@ -133,6 +135,7 @@
             is_unresponsive: false,
             is_gone: false,
             has_successor: false,
+            next_asked_at: None,
             has_uncommitted_ends: false,
             unread: worker::Unread::default(),
             skippable_end: 0,
--- a/comfreymill_jobs/tests/scheduler/incarnations.rs
+++ b/comfreymill_jobs/tests/scheduler/incarnations.rs
@@ -294,3 +294,29 @@
     leader.advance(LEASE / 4);
     assert_eq!(leader.take_starts().len(), 1);
 }
+
+/// A task that crashes its worker before the start is answered was started without end.
+#[test]
+fn a_crash_counts_for_a_start_that_was_not_answered() {
+    let (mut leader, start) = one_started(None);
+    let second = register_second(&mut leader);
+    leader.report(second, Report::default());
+    assert_eq!(leader.state.get_crashes(start.task).crashes, 1);
+}
+
+/// The answer to a start came while the crash of the earlier incarnation was being committed.
+#[test]
+fn a_start_that_is_answered_after_the_first_report_is_not_lost_with_the_crash() {
+    let (mut leader, start) = one_started(None);
+    let second = register_second(&mut leader);
+    leader.holds_commits = true;
+    leader.report(second, Report::default());
+    leader.advance(Duration::from_millis(5));
+    leader.started(&start, StartAnswer::Started);
+    leader.release_commits();
+    assert_not_started_again(&mut leader, "the second incarnation has it");
+    leader.report(second, running(&[start]));
+    assert_not_started_again(&mut leader, "it shows it");
+    leader.report(second, ended(vec![start.end(1, EndKind::Done)]));
+    assert_eq!(leader.state.get_jobs()[&KEY].status, JobStatus::Completed);
+}
