--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,6 +1,5 @@
 //! Cases: each brings one disruption about and checks one rule by what callers and executors see.
 
-mod crashes;
 mod fillers;
 mod founder;
 mod odd_service;
@@ -30,7 +29,6 @@
 /// Runs the case of a name.
 pub(crate) fn run(case: &str, has_trouble: bool, record: &Record) -> io::Result<Verdict> {
     match case {
-        "crashes" => crashes::run(has_trouble, record),
         "fillers" => fillers::run(has_trouble, record),
         "founder" => founder::run(has_trouble, record),
         "odd-service" => odd_service::run(has_trouble, record),
--- a/review/standin-2/src/worker/executor.rs
+++ b/review/standin-2/src/worker/executor.rs
@@ -15,7 +15,7 @@
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
 const ACCEPT_PERIOD: Duration = Duration::from_millis(2);
 
-/// What an executor is, in all its lives.
+/// What an executor is.
 #[derive(Clone, Debug)]
 pub(crate) struct Plan {
     pub(crate) id: String,
@@ -41,15 +41,14 @@
     history: Arc<History>,
 }
 
-/// What happened in all lives of an executor.
+/// What an executor did.
 #[derive(Debug)]
 struct History {
     record: Record,
     started: Mutex<Vec<Started>>,
-    ended: Mutex<Vec<End>>,
 }
 
-/// Executor that can crash and come back.
+/// Executor that runs until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Executor {
     plan: Plan,
@@ -61,11 +60,7 @@
 impl Executor {
     /// Starts an executor.
     pub(crate) fn start(plan: Plan, record: &Record) -> std::io::Result<Self> {
-        let history = Arc::new(History {
-            record: record.clone(),
-            started: Mutex::default(),
-            ended: Mutex::default(),
-        });
+        let history = Arc::new(History { record: record.clone(), started: Mutex::default() });
         let tail_ms = Arc::new(AtomicU64::new(0));
         let shared = Shared::begin(&plan, &tail_ms, &history)?;
         Ok(Self { plan, tail_ms, history, shared })
@@ -80,7 +75,7 @@
         &self.plan
     }
 
-    /// Returns when its present life began, in milliseconds since the Unix epoch.
+    /// Returns when its life began, in milliseconds since the Unix epoch.
     pub(crate) fn born_unix_ms(&self) -> u64 {
         self.shared.life.lock().unwrap_or_else(PoisonError::into_inner).born_unix_ms
     }
@@ -90,33 +85,10 @@
         self.shared.life.lock().unwrap_or_else(PoisonError::into_inner).used_cpu()
     }
 
-    /// Returns the task that it runs, if it runs one of the job.
-    pub(crate) fn runs_job(&self, job: &str) -> bool {
-        let life = self.shared.life.lock().unwrap_or_else(PoisonError::into_inner);
-        life.running.keys().any(|task| task.starts_with(job))
-    }
-
-    /// Returns the runs that have begun in all its lives.
+    /// Returns the runs that have begun.
     pub(crate) fn started(&self) -> Vec<Started> {
         self.history.started.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
-
-    /// Returns the ends that it has listed in all its lives.
-    pub(crate) fn ended(&self) -> Vec<End> {
-        self.history.ended.lock().unwrap_or_else(PoisonError::into_inner).clone()
-    }
-
-    /// Crashes: its runs, its connections and all that it knows are gone.
-    pub(crate) fn crash(&self) {
-        self.history.record.add(&format!("{} crashes", self.plan.id));
-        self.shared.stop();
-    }
-
-    /// Comes back as a new incarnation under its id, at its address.
-    pub(crate) fn come_back(&mut self) -> std::io::Result<()> {
-        self.shared = Shared::begin(&self.plan, &self.tail_ms, &self.history)?;
-        Ok(())
-    }
 }
 
 impl Drop for Executor {
@@ -171,8 +143,6 @@
         for End { task, run, how, .. } in ends {
             self.history.record.add(&format!("{} lists {task} run {run}: {how}", self.plan.id));
         }
-        let mut ended = self.history.ended.lock().unwrap_or_else(PoisonError::into_inner);
-        ended.extend_from_slice(ends);
     }
 
     fn stop(&self) {
