fix(node): keep connections over the removal and rejoin of a scheduler

Callers saw no answers: a scheduler that the group had removed, and that had rejoined it within its process, led without any gateway knowing it; calls over connections from before were never answered.

Cause: run_core makes a new core in the same process, and each core had its own record of the connections. The backlog of inputs was lost with the old core as well.

What belongs to the process (connections, backlog, connections to workers, the intention to stop) now passes from core to core. Each call carries the connection that its answer goes to. Completions name their replica, so that a sync of the removed one says nothing about the data of the next.

--- a/comfreymill_node/src/control/core/input.rs
+++ b/comfreymill_node/src/control/core/input.rs
@@ -46,6 +46,7 @@
         session: SessionId,
         peer: &peer::Hello,
         frame: &peer::Frame,
+        _: &flume::Sender<peer::Frame>,
     ) -> Result<Self, peer::PeerError> {
         match (frame.kind(), peer.role()) {
             (peer::FrameKind::Call, peer::Role::Entry) => {
--- a/comfreymill_node/src/peer/frame.rs
+++ b/comfreymill_node/src/peer/frame.rs
@@ -44,7 +44,7 @@
     }
 
     /// Creates a keep-alive frame.
-    pub(crate) fn keep_alive() -> Self {
+    pub fn keep_alive() -> Self {
         Self::new(FrameKind::Alive, 0, Bytes::new())
     }
 
--- a/comfreymill_node/src/peer/inbound.rs
+++ b/comfreymill_node/src/peer/inbound.rs
@@ -11,12 +11,17 @@
     /// does not need to know.
     fn opened(session: SessionId, peer: &Hello, frames: flume::Sender<Frame>) -> Option<Self>;
 
-    /// The peer has sent a frame other than a keep-alive.
+    /// The peer has sent a frame other than a keep-alive. Frames sent to `frames` go to the peer.
     ///
     /// # Errors
     ///
     /// Fails if the frame is unexpected or malformed; the connection is then closed.
-    fn received(session: SessionId, peer: &Hello, frame: &Frame) -> Result<Self, PeerError>;
+    fn received(
+        session: SessionId,
+        peer: &Hello,
+        frame: &Frame,
+        frames: &flume::Sender<Frame>,
+    ) -> Result<Self, PeerError>;
 
     /// The connection has ended.
     fn closed(session: SessionId) -> Self;
--- a/comfreymill_node/src/peer/listener.rs
+++ b/comfreymill_node/src/peer/listener.rs
@@ -90,7 +90,7 @@
             frames.try_send(Frame::keep_alive()).ok();
             continue;
         }
-        let sent = match I::received(session, peer, &frame) {
+        let sent = match I::received(session, peer, &frame, frames) {
             Ok(input) => inputs.send(input),
             Err(error) => return error,
         };
--- a/comfreymill_node/src/scheduler/control/serve.rs
+++ b/comfreymill_node/src/scheduler/control/serve.rs
@@ -8,7 +8,7 @@
 
 use super::evacuations::{self, Change};
 use crate::jobcall::{Call, CallError, Client, Reply};
-use crate::scheduler::core::Input;
+use crate::scheduler::core::{Input, ReplyTo};
 
 /// Maximum wait for the leader's answer to a worker's request; workers give up after a second.
 const WORKER_TIMEOUT: Duration = Duration::from_millis(900);
@@ -128,7 +128,7 @@
     /// Sends a call to this process's core, or to the leader if that is another process.
     pub(super) async fn call(&self, call: Call, timeout: Duration) -> Result<Reply, CallError> {
         let (reply, rx) = flume::bounded(1);
-        let input = Input::LocalCall { call: call.clone(), reply };
+        let input = Input::Call { call: call.clone(), reply: ReplyTo::Local(reply) };
         if self.inputs.send(input).is_err() {
             return Err(CallError { was_sent: false, retry_after: None });
         }
--- a/comfreymill_node/src/scheduler/core/calls.rs
+++ b/comfreymill_node/src/scheduler/core/calls.rs
@@ -11,38 +11,17 @@
 use super::waiter::{ReplyTo, Waiter};
 use crate::clock;
 use crate::jobcall::{Call, Reply};
-use crate::peer::SessionId;
 
 /// # Calls
 impl Core {
-    pub(super) fn handle_session_call(
-        &mut self,
-        now: time::Monotonic,
-        session: SessionId,
-        id: u64,
-        call: Call,
-    ) {
-        let Some(frames) = self.sessions.get(&session).cloned() else { return };
-        self.handle_call(now, call, ReplyTo::Session { id, frames });
-    }
-
-    pub(super) fn handle_local_call(
-        &mut self,
-        now: time::Monotonic,
-        call: Call,
-        reply: flume::Sender<Reply>,
-    ) {
-        self.handle_call(now, call, ReplyTo::Local(reply));
-    }
-
     /// Returns whether this process may answer calls for the group; the next leader may otherwise.
     pub(super) fn takes_calls(&self, now: time::Monotonic) -> bool {
         let is_leading =
             self.leadership.as_ref().is_some_and(|leadership| !leadership.scheduler.is_fenced());
-        is_leading && self.is_serving(now) && !self.is_draining
+        is_leading && self.is_serving(now) && !self.process.is_draining
     }
 
-    fn handle_call(&mut self, now: time::Monotonic, call: Call, reply: ReplyTo) {
+    pub(super) fn handle_call(&mut self, now: time::Monotonic, call: Call, reply: ReplyTo) {
         if !self.takes_calls(now) {
             reply.send(&Reply::NotLeader);
             return;
--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -1,8 +1,9 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
+use comfreymill_group::id::VoterId;
 use comfreymill_group::message;
 use comfreymill_group::replica;
 use comfreymill_group::store;
@@ -15,15 +16,15 @@
 use super::input::Input;
 use super::leadership::Leadership;
 use super::load::Load;
+use super::process_state::ProcessState;
 use super::waiter::{PendingEntry, Waiter};
 use crate::clock;
 use crate::jobcall;
 use crate::metering::observe;
-use crate::peer;
 use crate::proposals::Proposals;
 use crate::scheduler::explanation;
 use crate::scheduler::links::Links;
-use crate::scheduler::orders::Connections;
+use crate::scheduler::member_id;
 use crate::scheduler::turns;
 
 /// Minimum interval between rounds of placement; a commit takes about as long.
@@ -46,8 +47,6 @@
     pub(in crate::scheduler) seeds: Vec<Ipv4Addr>,
     /// Desired number of voters in the group.
     pub(in crate::scheduler) voters: usize,
-    /// Maximum number of connections to workers.
-    pub(in crate::scheduler) worker_connections: usize,
     /// Availability zones that operators may evacuate, beside those of known workers.
     pub(in crate::scheduler) zones: Vec<ZoneName>,
     /// Number of log entries between two snapshots.
@@ -68,19 +67,13 @@
     pub(super) commands: Vec<state::Command>,
     /// Callers that wait for one of `commands`.
     pub(super) waiters: Vec<Waiter>,
-    /// Connected processes, with the queues of frames to send them.
-    pub(super) sessions: BTreeMap<peer::SessionId, flume::Sender<peer::Frame>>,
-    /// Leader and members that the connected processes were last informed of.
-    pub(super) members: jobcall::Members,
+    pub(super) process: ProcessState,
     pub(super) leadership: Option<Leadership>,
     /// Term in which this replica last requested the fencing token that it needs to lead.
     pub(super) fence_requested_in: Option<u64>,
     pub(super) inputs: flume::Sender<Input>,
-    /// Connections to workers; those of an earlier leadership may still be open.
-    pub(super) worker_connections: Connections,
     /// Fatal error after which the process must end.
     pub(super) failure: Option<String>,
-    pub(super) is_draining: bool,
     pub(super) members_checked_at: time::Monotonic,
     /// When tasks are placed next.
     pub(super) placement: turns::Pacer,
@@ -98,16 +91,16 @@
 }
 
 impl Core {
-    /// Creates the core of an opened replica.
+    /// Creates the core of an opened replica, in a process that may have had another one before.
     pub(in crate::scheduler) fn new(
         cfg: CoreConfig,
         replica: replica::Replica,
         store: store::Thread,
         links: Links,
+        process: ProcessState,
         inputs: flume::Sender<Input>,
     ) -> Self {
         let overload = turns::Overload::new(cfg.bounds);
-        let worker_connections = Connections::new(cfg.worker_connections);
         Self {
             cfg,
             replica,
@@ -117,14 +110,11 @@
             proposals: Proposals::default(),
             commands: Vec::new(),
             waiters: Vec::new(),
-            sessions: BTreeMap::new(),
-            members: jobcall::Members::default(),
+            process,
             leadership: None,
             fence_requested_in: None,
             inputs,
-            worker_connections,
             failure: None,
-            is_draining: false,
             members_checked_at: time::Monotonic::ZERO,
             placement: turns::Pacer::new(PLACEMENT_PERIOD),
             load: Load::new(),
@@ -140,15 +130,9 @@
     /// Handles one input.
     pub(super) fn handle(&mut self, now: time::Monotonic, input: Input) {
         match input {
-            Input::Opened { session, frames } => {
-                frames.try_send(self.members_frame()).ok();
-                self.sessions.insert(session, frames);
-            }
-            Input::Closed(session) => {
-                self.sessions.remove(&session);
-            }
-            Input::Call { session, id, call } => self.handle_session_call(now, session, id, call),
-            Input::LocalCall { call, reply } => self.handle_local_call(now, call, reply),
+            Input::Opened { session, frames } => self.process.sessions.open(session, frames),
+            Input::Closed(session) => self.process.sessions.close(session),
+            Input::Call { call, reply } => self.handle_call(now, call, reply),
             Input::Group { from, message } => {
                 if let Some(message::Body::HeartbeatResponse(response)) = &message.body
                     && response.sent_at_micros > 0
@@ -158,7 +142,7 @@
                 }
                 self.replica.step(now, from, message);
             }
-            Input::Store(completion) => self.handle_completion(now, completion),
+            Input::Store { member, completion } => self.handle_completion(now, member, completion),
             Input::OrderResult(result) => self.handle_order_result(now, *result),
             Input::Status(reply) => {
                 reply.send(self.status_json(now)).ok();
@@ -208,7 +192,16 @@
         matches!(halted, Some(replica::Halt::Removed { .. } | replica::Halt::DiskReplaced { .. }))
     }
 
-    fn handle_completion(&mut self, now: time::Monotonic, completion: store::Completion) {
+    fn handle_completion(
+        &mut self,
+        now: time::Monotonic,
+        member: VoterId,
+        completion: store::Completion,
+    ) {
+        // The store of a replica that was removed says nothing about the data of this one.
+        if member != self.replica.voter() {
+            return;
+        }
         match completion {
             store::Completion::Synced(sequence) => self.replica.persisted(now, sequence),
             store::Completion::Failed(error) => self.failure = Some(error.to_string()),
@@ -216,7 +209,7 @@
     }
 
     fn drain(&mut self, now: time::Monotonic) {
-        self.is_draining = true;
+        self.process.is_draining = true;
         if let Some(successor) = self.replica.best_successor()
             && let Err(error) = self.replica.transfer_leadership(now, successor)
         {
@@ -224,21 +217,28 @@
         }
     }
 
-    /// Returns the frame that informs a connected process of the leader and the members.
-    pub(super) fn members_frame(&self) -> peer::Frame {
-        peer::Frame::new(peer::FrameKind::Push, 0, jobcall::encode(&self.members))
+    /// Ends the core of a replica that was removed: callers that wait are told so. Returns what the
+    /// core of the next replica takes over.
+    pub(super) fn retire(mut self) -> ProcessState {
+        for waiter in self.waiters.drain(..) {
+            waiter.reply.send(&jobcall::Reply::NotLeader);
+        }
+        self.release_waiters();
+        self.process
     }
 
     fn status_json(&self, now: time::Monotonic) -> Bytes {
         let status = self.replica.status(now);
+        let members = self.process.sessions.get_members();
         let text = serde_json::json!({
             "member": status.voter.get(),
             "role": status.role.to_string(),
             "term": status.term.get(),
             "serving": status.serving,
             "commit": status.commit.get(),
-            "members": self.members.all,
-            "leader": self.members.leader,
+            "members": members.all,
+            "voters": status.membership.voters().map(member_id::address).collect::<Vec<_>>(),
+            "leader": members.leader,
             "jobs": self.state.get_jobs().len(),
             "workers": self.state.get_workers().len(),
             "evacuated_zones": self.state.get_evacuations().evacuated().collect::<Vec<_>>(),
--- a/comfreymill_node/src/scheduler/core/input.rs
+++ b/comfreymill_node/src/scheduler/core/input.rs
@@ -7,6 +7,7 @@
 use comfreymill_jobs::id::ZoneName;
 use comfreymill_types::error;
 
+use super::waiter::ReplyTo;
 use crate::jobcall;
 use crate::peer::{self, SessionId};
 use crate::scheduler::orders::OrderResult;
@@ -19,14 +20,12 @@
     Opened { session: SessionId, frames: flume::Sender<peer::Frame> },
     /// A connection has ended.
     Closed(SessionId),
-    /// Call from another process.
-    Call { session: SessionId, id: u64, call: jobcall::Call },
-    /// Call from a listener of this process.
-    LocalCall { call: jobcall::Call, reply: flume::Sender<jobcall::Reply> },
+    /// Call from another process, or from a listener of this one.
+    Call { call: jobcall::Call, reply: ReplyTo },
     /// Message of the replication protocol from another member.
     Group { from: id::VoterId, message: message::Message },
-    /// The store thread has synced its writes or has failed.
-    Store(store::Completion),
+    /// The store thread of the replica `member` has synced its writes or has failed.
+    Store { member: id::VoterId, completion: store::Completion },
     /// Result of an order to a worker.
     OrderResult(Box<OrderResult>),
     /// Request for the status as JSON text.
@@ -46,9 +45,9 @@
             Self::Opened { .. }
             | Self::Closed(_)
             | Self::Group { .. }
-            | Self::Store(_)
+            | Self::Store { .. }
             | Self::Drain(_) => turns::Kind::Agreement,
-            Self::Call { call, .. } | Self::LocalCall { call, .. } => call_kind(call),
+            Self::Call { call, .. } => call_kind(call),
             Self::ZoneRevision { .. } => turns::Kind::Departure,
             Self::OrderResult(_) => turns::Kind::Report,
             Self::Status(_) | Self::Explain { .. } => turns::Kind::Operator,
@@ -85,15 +84,17 @@
     }
 
     fn received(
-        session: SessionId,
+        _: SessionId,
         peer: &peer::Hello,
         frame: &peer::Frame,
+        frames: &flume::Sender<peer::Frame>,
     ) -> Result<Self, peer::PeerError> {
         match (frame.kind(), peer.role()) {
             (peer::FrameKind::Call, _) => {
                 let call = jobcall::decode(&frame.body);
                 let call = call.map_err(|error| peer::PeerError::Malformed(error.to_string()))?;
-                Ok(Self::Call { session, id: frame.id, call })
+                let reply = ReplyTo::Session { id: frame.id, frames: frames.clone() };
+                Ok(Self::Call { call, reply })
             }
             (peer::FrameKind::Group, peer::Role::Control) => {
                 let from = id::VoterId::new(peer.replica);
--- a/comfreymill_node/src/scheduler/core/leadership.rs
+++ b/comfreymill_node/src/scheduler/core/leadership.rs
@@ -67,7 +67,7 @@
             fence,
             self.cfg.clock,
             self.inputs.clone(),
-            self.worker_connections.clone(),
+            self.process.worker_connections.clone(),
         );
         log::info!(target: "group", term = entry_term, fence:% = fence, jobs = self.state.get_jobs().len(), workers = self.state.get_workers().len(); "this process leads");
         self.leadership =
@@ -133,7 +133,7 @@
     }
 
     /// Replies to every waiter that the outcome of its command is unknown.
-    fn release_waiters(&mut self) {
+    pub(super) fn release_waiters(&mut self) {
         let pending = self.proposals.take_all();
         for waiter in pending.into_iter().flat_map(|entry| entry.waiters) {
             waiter.reply.send(&jobcall::Reply::Unknown);
@@ -152,17 +152,12 @@
         };
         let all = self.replica.membership().iter().map(|(id, _)| member_id::address(id)).collect();
         let members = jobcall::Members { leader, all };
-        if members == self.members {
+        if !self.process.sessions.publish(members) {
             return;
         }
-        log::info!(target: "group", leader:? = members.leader, members:? = members.all; "the leader or the members of the group have changed");
-        let addresses = members.all.clone();
-        self.links.retain(|address| addresses.contains(&address) || addresses.is_empty());
-        self.members = members;
-        let frame = self.members_frame();
-        for frames in self.sessions.values() {
-            frames.try_send(frame.clone()).ok();
-        }
+        let jobcall::Members { leader, all } = self.process.sessions.get_members();
+        log::info!(target: "group", leader:? = leader, members:? = all; "the leader or the members of the group have changed");
+        self.links.retain(|address| all.contains(&address) || all.is_empty());
     }
 }
 
--- a/comfreymill_node/src/scheduler/core/mod.rs
+++ b/comfreymill_node/src/scheduler/core/mod.rs
@@ -11,9 +11,13 @@
 mod membership;
 mod orders;
 mod overload;
+mod process_state;
+mod sessions;
 mod task;
 mod waiter;
 
 pub(super) use self::core::{Core, CoreConfig};
 pub(super) use input::Input;
+pub(super) use process_state::ProcessState;
 pub(super) use task::{Ended, run};
+pub(super) use waiter::ReplyTo;
--- a/comfreymill_node/src/scheduler/core/overload.rs
+++ b/comfreymill_node/src/scheduler/core/overload.rs
@@ -6,7 +6,6 @@
 
 use super::core::Core;
 use super::input::Input;
-use super::waiter::ReplyTo;
 use crate::jobcall::{Call, Reply};
 use crate::metering::observe;
 use crate::scheduler::turns;
@@ -36,14 +35,7 @@
         }
         let refused = backlog.remove_if(turns::Kind::Caller, |input| self.is_refusable(input));
         for input in refused {
-            let (call, reply) = match input {
-                Input::Call { session, id, call } => {
-                    let Some(frames) = self.sessions.get(&session).cloned() else { continue };
-                    (call, ReplyTo::Session { id, frames })
-                }
-                Input::LocalCall { call, reply } => (call, ReplyTo::Local(reply)),
-                _ => continue,
-            };
+            let Input::Call { call, reply } = input else { continue };
             let retry_after = self.overload.retry_after(rand::random());
             let retry_after_ms = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
             reply.send(&Reply::Overloaded { retry_after_ms });
@@ -58,7 +50,7 @@
     /// Returns whether the input submits a job of which this leader is certain that it is not
     /// stored.
     fn is_refusable(&self, input: &Input) -> bool {
-        let (Input::Call { call, .. } | Input::LocalCall { call, .. }) = input else {
+        let Input::Call { call, .. } = input else {
             return false;
         };
         let Call::Submit { host, path, .. } = call else { return false };
--- a/comfreymill_node/src/scheduler/core/task.rs
+++ b/comfreymill_node/src/scheduler/core/task.rs
@@ -3,13 +3,14 @@
 use super::core::Core;
 use super::input::Input;
 use super::load::Part;
-use crate::scheduler::turns;
+use super::process_state::ProcessState;
 
 /// Reason why the core has ended.
 #[derive(Debug)]
 pub(in crate::scheduler) enum Ended {
-    /// The group has removed the replica, which may rejoin with an empty data folder.
-    Removed,
+    /// The group has removed the replica, which may rejoin with an empty data folder and what the
+    /// process keeps.
+    Removed(Box<ProcessState>),
     /// A fatal error, after which the process must end.
     Failed(String),
 }
@@ -17,7 +18,7 @@
 /// Runs the core until it ends.
 pub(in crate::scheduler) async fn run(mut core: Core, inputs: &flume::Receiver<Input>) -> Ended {
     let clock = core.cfg.clock;
-    let mut backlog = turns::Backlog::default();
+    let mut backlog = std::mem::take(&mut core.process.backlog);
     let mut ticked_at = clock.now();
     let mut ended_at = ticked_at;
     loop {
@@ -61,7 +62,8 @@
         let is_leading = core.leadership.is_some();
         core.load.report(ended_at, is_leading, &backlog);
         if core.was_removed() {
-            return Ended::Removed;
+            core.process.backlog = backlog;
+            return Ended::Removed(Box::new(core.retire()));
         }
         if let Some(failure) = core.get_failure() {
             return Ended::Failed(failure.to_owned());
--- a/comfreymill_node/src/scheduler/core/waiter.rs
+++ b/comfreymill_node/src/scheduler/core/waiter.rs
@@ -6,7 +6,7 @@
 
 /// Destination of a reply.
 #[derive(Clone, Debug)]
-pub(super) enum ReplyTo {
+pub(in crate::scheduler) enum ReplyTo {
     /// Another process, over its session.
     Session { id: u64, frames: flume::Sender<peer::Frame> },
     /// A listener of this process.
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -77,7 +77,6 @@
         control: settings.get_control(),
         decisions: decisions_config(settings),
         voters: settings.get_voters(),
-        worker_connections: budget.workers,
         zones: settings.get_zones().to_vec(),
         snapshot_entries: settings.get_snapshot_entries(),
         bounds: settings.get_overload(),
@@ -87,7 +86,8 @@
     });
     let observers = observers.transpose()?;
     // The core creates its metrics, so the recorder is installed before.
-    let core = Core::new(cfg.clone(), replica, thread, links, inputs.clone());
+    let process = core::ProcessState::new(budget.workers);
+    let core = Core::new(cfg.clone(), replica, thread, links, process, inputs.clone());
     monoio::spawn(peer::listen(peers, identity, inputs.clone()));
     let cx = control::Context { inputs: inputs.clone(), leader };
     let handler = async move |req: server::Request<'_>| control::serve(&cx, req).await;
@@ -121,7 +121,7 @@
 }
 
 /// Runs the core until it fails and returns the reason. A replica that the group has removed
-/// rejoins with an empty data folder.
+/// rejoins with an empty data folder; the connections of the process stay open.
 async fn run_core(
     mut core: Core,
     rx: &flume::Receiver<Input>,
@@ -130,10 +130,10 @@
     inputs: &flume::Sender<Input>,
 ) -> String {
     loop {
-        match core::run(core, rx).await {
+        let process = match core::run(core, rx).await {
             core::Ended::Failed(failure) => return failure,
-            core::Ended::Removed => {}
-        }
+            core::Ended::Removed(process) => *process,
+        };
         log::warn!(target: "process", "the group has removed this member, which rejoins with an empty data folder");
         let cleared = clear(settings.get_data_folder());
         let opened = cleared.and_then(|()| open(settings, false, cfg.clock, inputs));
@@ -144,7 +144,7 @@
         let node = settings.get_node();
         let identity = node.identity(peer::Role::Control, replica.voter().get());
         let links = Links::new(identity, node.get_peers_port());
-        core = Core::new(cfg.clone(), replica, thread, links, inputs.clone());
+        core = Core::new(cfg.clone(), replica, thread, links, process, inputs.clone());
     }
 }
 
@@ -220,8 +220,9 @@
     let (opened, recovered) =
         store::Store::open(disk, options).map_err(|error| storage(error.to_string()))?;
     let completions = inputs.clone();
+    let member = opened.identity().voter;
     let on_completion = move |completion| {
-        completions.send(Input::Store(completion)).ok();
+        completions.send(Input::Store { member, completion }).ok();
     };
     let thread = store::Thread::spawn(opened, on_completion)
         .map_err(|e| storage(format!("cannot start the store thread: {e}")))?;
--- /dev/null
+++ b/tests/platform/group_bed.rs
@@ -0,0 +1,200 @@
+//! A group of schedulers as processes, each on a loopback address of its own.
+
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{self, Signal};
+use nix::unistd::Pid;
+
+use super::standin;
+
+/// Longest time a test waits for a condition before it fails.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(90);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for which a process is frozen so that another one is the better successor; shorter than the
+/// silence after which it is removed.
+const FREEZE_TIME: Duration = Duration::from_millis(600);
+/// Number of schedulers that found the group.
+const FOUNDERS: usize = 3;
+
+/// Number of the next group of this process, which sets its addresses apart from the others'.
+static NEXT_NUMBER: AtomicU8 = AtomicU8::new(1);
+
+/// Schedulers, which are killed when the bed is dropped.
+pub(super) struct GroupBed {
+    number: u8,
+    voters: usize,
+    folder: PathBuf,
+    processes: Vec<Option<Child>>,
+}
+
+impl GroupBed {
+    /// Port on which the schedulers listen for peers.
+    pub(super) const PEERS_PORT: u16 = 7_411;
+    /// Key of the group.
+    pub(super) const KEY: &str = "a text of at least 32 bytes that every process of the group has";
+
+    /// Starts a group of three schedulers that wants `voters` voters.
+    pub(super) fn start(voters: usize) -> Self {
+        let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("comfreymill-group-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        fs::create_dir_all(&folder).expect("the folder is made");
+        let mut bed = Self { number, voters, folder, processes: Vec::new() };
+        for _ in 0..FOUNDERS {
+            bed.add();
+        }
+        bed
+    }
+
+    /// Starts another scheduler with an empty data folder and returns its number.
+    pub(super) fn add(&mut self) -> usize {
+        self.processes.push(None);
+        let member = self.processes.len() - 1;
+        self.run(member);
+        member
+    }
+
+    /// Starts a scheduler that is not running, with its data folder.
+    pub(super) fn run(&mut self, member: usize) {
+        let path = self.folder.join(format!("{member}.yaml"));
+        fs::write(&path, self.settings(member)).expect("settings are written");
+        let log = fs::File::options().create(true).append(true).open(self.log(member));
+        let log = log.expect("a log");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_comfreymill"));
+        command.arg("scheduler").arg("--settings").arg(path).stdin(Stdio::null());
+        command.stdout(log.try_clone().expect("a second handle")).stderr(log);
+        self.processes[member] = Some(command.spawn().expect("the program starts"));
+    }
+
+    /// Kills a scheduler.
+    pub(super) fn kill(&mut self, member: usize) {
+        let mut process = self.processes[member].take().expect("the process runs");
+        process.kill().expect("the process runs");
+        process.wait().expect("the process has ended");
+    }
+
+    /// Sends a signal to a scheduler.
+    pub(super) fn signal(&self, member: usize, signal: Signal) {
+        let process = self.processes[member].as_ref().expect("the process runs");
+        let id = i32::try_from(process.id()).expect("a process id");
+        signal::kill(Pid::from_raw(id), signal).expect("the process runs");
+    }
+
+    /// Stops the leader gracefully while only `successor` answers it, and starts it again.
+    pub(super) fn hand_over(&mut self, leader: usize, successor: usize) {
+        let frozen: Vec<usize> = (0..self.processes.len())
+            .filter(|member| *member != leader && *member != successor)
+            .collect();
+        for member in &frozen {
+            self.signal(*member, Signal::SIGSTOP);
+        }
+        thread::sleep(FREEZE_TIME);
+        self.signal(leader, Signal::SIGTERM);
+        let mut process = self.processes[leader].take().expect("the process runs");
+        process.wait().expect("the process ends");
+        for member in &frozen {
+            self.signal(*member, Signal::SIGCONT);
+        }
+        self.run(leader);
+    }
+
+    /// Returns the address of a scheduler.
+    pub(super) fn address(&self, member: usize) -> Ipv4Addr {
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let member = u8::try_from(member).expect("few members");
+        Ipv4Addr::new(127, 100 + self.number, high ^ low.rotate_left(4), low & 0xf0 | (member + 1))
+    }
+
+    /// Waits until a scheduler leads, and returns its number.
+    pub(super) fn wait_for_leader(&self) -> usize {
+        let mut leader = None;
+        self.wait("a leader", || {
+            let running =
+                (0..self.processes.len()).filter(|member| self.processes[*member].is_some());
+            leader = running.into_iter().find(|member| self.status(*member)["serving"] == true);
+            leader.is_some()
+        });
+        leader.expect("a leader was found")
+    }
+
+    /// Returns the members of the group, as the scheduler `from` knows them.
+    pub(super) fn members(&self, from: usize) -> Vec<usize> {
+        self.known(from, "members")
+    }
+
+    /// Returns the voters of the group, as the scheduler `from` knows them.
+    pub(super) fn voters(&self, from: usize) -> Vec<usize> {
+        self.known(from, "voters")
+    }
+
+    /// Returns how often a scheduler has rejoined the group within its processes.
+    pub(super) fn count_rejoins(&self, member: usize) -> usize {
+        let log = fs::read_to_string(self.log(member)).unwrap_or_default();
+        log.matches("which rejoins with an empty data folder").count()
+    }
+
+    /// Waits until a condition is met; fails with the logs if it never is.
+    pub(super) fn wait<F>(&self, what: &str, mut is_met: F)
+    where
+        F: FnMut() -> bool,
+    {
+        let began = Instant::now();
+        while !is_met() {
+            let is_over = began.elapsed() >= WAIT_TIMEOUT;
+            assert!(!is_over, "timed out waiting for {what}\n{}", self.logs());
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Returns the logs of all schedulers.
+    pub(super) fn logs(&self) -> String {
+        let read = |member| fs::read_to_string(self.log(member)).unwrap_or_default();
+        (0..self.processes.len()).map(|member| format!("== {member}\n{}", read(member))).collect()
+    }
+
+    fn known(&self, from: usize, field: &str) -> Vec<usize> {
+        let status = self.status(from);
+        let addresses = status[field].as_array().cloned().unwrap_or_default();
+        let is_named = |member: &usize| {
+            let address = self.address(*member).to_string();
+            addresses.iter().any(|named| named.as_str() == Some(address.as_str()))
+        };
+        (0..self.processes.len()).filter(is_named).collect()
+    }
+
+    fn status(&self, member: usize) -> serde_json::Value {
+        standin::read_status(SocketAddr::from((self.address(member), 7_414))).unwrap_or_default()
+    }
+
+    fn log(&self, member: usize) -> PathBuf {
+        self.folder.join(format!("{member}.log"))
+    }
+
+    fn settings(&self, member: usize) -> String {
+        let sample = include_str!("../../samples/scheduler.yaml");
+        let seeds: Vec<String> = (0..FOUNDERS).map(|seed| self.address(seed).to_string()).collect();
+        let data = self.folder.join(format!("data-{member}"));
+        sample
+            .replace("seeds: 127.0.0.1", &format!("seeds: {}", seeds.join(", ")))
+            .replace("127.0.0.1", &self.address(member).to_string())
+            .replace("voters: 5", &format!("voters: {}", self.voters))
+            .replace("data/scheduler", data.to_str().expect("the path is text"))
+    }
+}
+
+impl Drop for GroupBed {
+    fn drop(&mut self) {
+        for process in self.processes.iter_mut().flatten() {
+            // Killing a process that has already ended fails.
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -1,9 +1,12 @@
 //! The programs `gateway` and `scheduler` as processes, with stand-in workers.
 
 mod early_cancellation;
+mod group_bed;
 mod odd_entries;
 mod overload;
+mod rejoin;
 mod route_changes;
+mod session;
 #[path = "../../platform/tests/standin/mod.rs"]
 mod standin;
 mod test_bed;
