fix(jobs): do not hold tasks responsible for crashes that they cannot have caused

Callers saw jobs as failed although none of their tasks had failed (LOST): a job was given up when workers crashed by themselves shortly after starts of its tasks.

Cause: the evidence was the time from a start to the moment at which the leader learned of a crash. On a silent crash that is up to two seconds late, so starts that were sent to a dead worker, or to its next incarnation, counted against their tasks.

A crash no longer counts against a run that was started when the next incarnation had begun, nor when half of the zone or rack is down together; where the connection was lost at a known moment, only runs of the last 250 ms are suspected. Deadly tasks are given up as before.

The three new tests of scheduler::crashes each fail with their part of the fix taken out.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -18,6 +18,8 @@
 #[derive(Debug)]
 pub(super) struct PendingWorker {
     pub(super) announcement: worker::Announcement,
+    /// Time by which the incarnation had begun, if its clock is known.
+    pub(super) began_by: Option<time::Monotonic>,
 }
 
 /// # Announcements of workers
@@ -64,7 +66,8 @@
             let announced = Box::new(announcement.clone());
             self.commands.push(state::Command::AddWorker { announced });
         }
-        let pending = PendingWorker { announcement };
+        let began_by = announcement.clock_ms.map(|clock_ms| self.cfg.began_by(now, clock_ms));
+        let pending = PendingWorker { announcement, began_by };
         self.pending_workers.insert(pending.announcement.name.clone(), pending);
         if is_leaving { Acknowledgement::OnceAdded } else { Acknowledgement::Now }
     }
@@ -86,12 +89,20 @@
         state: &state::State,
     ) {
         let Some(replicated) = state.get_workers().get(&number) else { return };
+        let pending = self.pending_workers.get(&replicated.announced.name);
+        let pending = pending.filter(|pending| {
+            pending.announcement.born_unix_ms == replicated.announced.born_unix_ms
+        });
+        let began_by = pending.and_then(|pending| pending.began_by);
         let mut replaced = Vec::new();
         for earlier in self.earlier_incarnations(&replicated.announced) {
             let Some(entry) = self.workers.get_mut(&earlier) else { continue };
             let known = &entry.replicated.announced;
             let announced = &replicated.announced;
             if known.name == announced.name && known.address == announced.address {
+                if let Some(began_by) = began_by {
+                    entry.note_next_life(began_by);
+                }
                 replaced.push(earlier);
             } else {
                 entry.next_poll_at = now;
--- a/comfreymill_jobs/src/scheduler/config.rs
+++ b/comfreymill_jobs/src/scheduler/config.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use comfreymill_types::time;
+
 use super::PackingConfig;
 use super::RemoteFactor;
 
@@ -141,6 +143,16 @@
         span.mul_f64(PPM as f64 / slowest as f64)
     }
 
+    /// Returns the time by which an incarnation had begun whose clock showed `clock_ms` before `now`; its
+    /// clock counts from its beginning.
+    pub(super) fn began_by(&self, now: time::Monotonic, clock_ms: u64) -> time::Monotonic {
+        let age = Duration::from_millis(clock_ms);
+        let fastest = PPM + u64::from(self.clock_drift_ppm).min(PPM / 2);
+        let least_age = age.mul_f64(PPM as f64 / fastest as f64);
+        let micros = u64::try_from(least_age.as_micros()).unwrap_or(u64::MAX);
+        time::Monotonic::from_micros(now.as_micros().saturating_sub(micros))
+    }
+
     /// Returns the minimum time that passes on a worker's clock during `span` on the leader's
     /// clock.
     pub fn min_worker_time(&self, span: Duration) -> Duration {
--- a/comfreymill_jobs/src/scheduler/crashes.rs
+++ b/comfreymill_jobs/src/scheduler/crashes.rs
@@ -10,6 +10,11 @@
 //! moment, if there is room on such a worker. If a second worker crashes right after it was the
 //! last to be started there, this identifies the task. Otherwise the job is given up after
 //! `MAX_SUSPECTED` crashes shortly after a start, or `MAX_CRASHES` in all.
+//!
+//! Workers also crash by themselves, and the tasks that they hit must go on. So a crash says nothing
+//! against a run that was started when the next incarnation had begun already, nor against any run
+//! when much of the zone or rack crashes together. Where the moment of the crash is known, a run that
+//! had begun clearly before is not suspected.
 
 use std::time::Duration;
 
@@ -29,6 +34,16 @@
 /// Time after its start within which a run may have caused a crash, and for which a task under
 /// which a worker has crashed is kept apart from other starts.
 const SUSPECT_PERIOD: Duration = Duration::from_secs(1);
+/// Time after its start within which a run may have caused a crash whose moment is known: a task that
+/// crashes its worker does so within milliseconds, and its start takes some time to arrive.
+const EXACT_SUSPECT_PERIOD: Duration = Duration::from_millis(250);
+/// Least time for which an order waits for its answer; one that fails earlier shows the moment at which
+/// the connection was lost.
+const MIN_ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time within which crashes count as having happened together.
+const COMMON_CRASH_PERIOD: Duration = Duration::from_secs(3);
+/// Least number of workers of a zone or rack that crash together for a cause that they share.
+const MIN_COMMON_CRASHES: usize = 4;
 /// Time before the last start on a worker within which no other start may lie for the last one to
 /// be identified as the cause of a crash.
 const MIN_START_GAP: Duration = Duration::from_millis(100);
@@ -47,12 +62,8 @@
     run: id::Run,
     /// Time from its start to the crash; `None` if this leader did not start it.
     age: Option<Duration>,
-}
-
-impl CrashCandidate {
-    fn is_suspect(&self) -> bool {
-        self.age.is_some_and(|age| age <= SUSPECT_PERIOD)
-    }
+    /// Whether the run had begun so shortly before the crash that it may have caused it.
+    is_suspect: bool,
 }
 
 /// # Crashes of workers
@@ -74,22 +85,47 @@
         if candidates.is_empty() {
             return None;
         }
+        if self.has_common_cause(now, entry) {
+            log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, runs = candidates.len(); "a worker has crashed together with others of its zone or rack");
+            return None;
+        }
         let last = last_started(&candidates).filter(|_| !entry.is_new(now));
         let is_given_up = |candidate: &&CrashCandidate| {
             let record = self.crash_record(candidate.task);
             let is_identified = last == Some(candidate.task) && record.suspected > 0;
-            let is_repeated = candidate.is_suspect() && record.suspected + 1 >= MAX_SUSPECTED;
+            let is_repeated = candidate.is_suspect && record.suspected + 1 >= MAX_SUSPECTED;
             is_identified || is_repeated || record.crashes + 1 >= MAX_CRASHES
         };
         let given_up = candidates.iter().filter(is_given_up).map(|candidate| candidate.task);
         let given_up = given_up.collect();
         let runs = candidates.iter().map(|candidate| {
             let CrashCandidate { task, run, .. } = *candidate;
-            state::CrashedRun { task, run, is_suspect: candidate.is_suspect() }
+            state::CrashedRun { task, run, is_suspect: candidate.is_suspect }
         });
         Some(state::Command::NoteCrash { worker: number, runs: runs.collect(), given_up })
     }
 
+    /// Returns whether much of the worker's zone or rack has crashed with it or does not answer.
+    fn has_common_cause(&self, now: time::Monotonic, crashed: &WorkerEntry) -> bool {
+        let of_zone = |entry: &WorkerEntry| entry.announcement.zone == crashed.announcement.zone;
+        let of_rack =
+            |entry: &WorkerEntry| entry.announcement.labels == crashed.announcement.labels;
+        self.is_mostly_down(now, of_zone) || self.is_mostly_down(now, of_rack)
+    }
+
+    fn is_mostly_down<F>(&self, now: time::Monotonic, is_counted: F) -> bool
+    where
+        F: Fn(&WorkerEntry) -> bool,
+    {
+        let counted = self.workers.values().filter(|entry| is_counted(entry));
+        let (mut all, mut down) = (0, 0);
+        for entry in counted {
+            all += 1;
+            down += usize::from(entry.is_down(now));
+        }
+        down >= MIN_COMMON_CRASHES && down * 2 >= all
+    }
+
     /// Handles a crash that was committed to the log: the tasks that were running on the worker
     /// become ready again, except those of jobs that are given up.
     pub fn crash_noted(
@@ -132,7 +168,7 @@
 /// Returns the task that was started last before a crash, if it was started shortly before and apart
 /// from all others.
 fn last_started(candidates: &[CrashCandidate]) -> Option<id::TaskId> {
-    let suspects = candidates.iter().filter(|candidate| candidate.is_suspect());
+    let suspects = candidates.iter().filter(|candidate| candidate.is_suspect);
     let last = suspects.min_by_key(|candidate| candidate.age)?;
     let is_close = |age: Duration| Some(age) <= last.age.map(|age| age + MIN_START_GAP);
     let mut others = candidates.iter().filter(|candidate| candidate.task != last.task);
@@ -145,16 +181,48 @@
     /// had been running for long.
     fn crash_candidates(&self, now: time::Monotonic) -> Vec<CrashCandidate> {
         let crashed_at = self.silent_since.unwrap_or(now);
+        let suspect_period =
+            if self.is_silence_exact { EXACT_SUSPECT_PERIOD } else { SUSPECT_PERIOD };
         let of_run = |task: &id::TaskId, run: &RunEntry| {
+            let is_later = |began_by| run.started_at.is_some_and(|started| started > began_by);
+            if self.next_began_by.is_some_and(is_later) {
+                return None;
+            }
             let age = run.started_at.map(|started_at| crashed_at.since(started_at));
             let is_cleared =
                 run.is_long_running && age.is_none_or(|age| age > LONG_RUNNING_CLEARANCE);
-            (!is_cleared).then_some(CrashCandidate { task: *task, run: run.run, age })
+            let is_suspect = age.is_some_and(|age| age <= suspect_period);
+            (!is_cleared).then_some(CrashCandidate { task: *task, run: run.run, age, is_suspect })
         };
         let runs = self.runs.iter().filter_map(|(task, run)| of_run(task, run));
         runs.chain(self.lapsed.iter().copied()).collect()
     }
 
+    /// Records that the worker has not answered an order that was sent at `sent_at`.
+    pub(super) fn note_silence(&mut self, now: time::Monotonic, sent_at: time::Monotonic) {
+        if self.silent_since.is_none() {
+            self.silent_since = Some(now);
+            self.is_silence_exact = now.since(sent_at) < MIN_ANSWER_TIMEOUT;
+        }
+    }
+
+    /// Records a reading of the clock of the next incarnation, which counts from its beginning. One that
+    /// began before this incarnation reported last does not, and is ignored.
+    pub(super) fn note_next_life(&mut self, began_by: time::Monotonic) {
+        if began_by < self.reported_at {
+            return;
+        }
+        let earliest = self.next_began_by.map_or(began_by, |known| known.min(began_by));
+        self.next_began_by = Some(earliest);
+    }
+
+    /// Returns whether the worker does not answer, or has just started again.
+    fn is_down(&self, now: time::Monotonic) -> bool {
+        let is_back = self.is_restarted
+            && self.registered_at.is_some_and(|at| now.since(at) < COMMON_CRASH_PERIOD);
+        self.is_unresponsive || self.has_successor || is_back
+    }
+
     /// Keeps the runs that end with the worker's lease, in case it turns out that the worker has
     /// crashed.
     pub(super) fn keep_lapsed(&mut self, now: time::Monotonic) {
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -94,6 +94,7 @@
         entry.poll_sent_at = None;
         if matches!(answer, PollAnswer::NoAnswer) {
             entry.order_unanswered(asked_at);
+            entry.note_silence(now, asked_at);
         }
         match answer {
             PollAnswer::Fenced => self.fenced(now, number),
@@ -136,6 +137,9 @@
     ) {
         let Some(entry) = self.workers.get_mut(&number) else { return };
         if entry.is_of_other_incarnation(&report) {
+            if let Some(clock_ms) = report.clock_ms {
+                entry.note_next_life(self.cfg.began_by(now, clock_ms));
+            }
             self.other_incarnation_noticed(now, number, "another incarnation answers");
             return;
         }
--- a/comfreymill_jobs/src/scheduler/worker.rs
+++ b/comfreymill_jobs/src/scheduler/worker.rs
@@ -60,6 +60,10 @@
     pub(super) has_uncommitted_crash: bool,
     /// Time since which the worker has not answered.
     pub(super) silent_since: Option<time::Monotonic>,
+    /// Whether the worker was lost at that very time, since its connection failed then.
+    pub(super) is_silence_exact: bool,
+    /// Time by which the next incarnation had begun, if one is known.
+    pub(super) next_began_by: Option<time::Monotonic>,
     /// Time at which this leader registered the worker; `None` if an earlier leader did.
     pub(super) registered_at: Option<time::Monotonic>,
     /// Time of the last start.
@@ -149,6 +153,8 @@
             skipped_end: 0,
             has_uncommitted_crash: false,
             silent_since: None,
+            is_silence_exact: false,
+            next_began_by: None,
             registered_at: None,
             started_at: None,
             apart_until: time::Monotonic::ZERO,
--- a/comfreymill_jobs/tests/scheduler/crashes.rs
+++ b/comfreymill_jobs/tests/scheduler/crashes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use comfreymill_jobs::id::{JobKey, TaskId, WorkerNumber};
-use comfreymill_jobs::scheduler::{Order, StartAnswer};
+use comfreymill_jobs::scheduler::{Answer, Order, PollAnswer, StartAnswer};
 use comfreymill_jobs::state::JobStatus;
 use comfreymill_jobs::worker::EndKind;
 
@@ -30,7 +30,9 @@
 /// Lets a worker crash: its next incarnation announces itself and reports that it runs nothing.
 fn crash(leader: &mut Leader, worker: WorkerNumber) {
     let announced = leader.state.get_workers()[&worker].announced.clone();
-    let later = leader.announcement(announced.name.as_str(), announced.born_unix_ms + 1);
+    let mut later = leader.announcement(announced.name.as_str(), announced.born_unix_ms + 1);
+    // The clock of an incarnation begins anew.
+    later.clock_ms = Some(0);
     leader.announce(later);
     leader.worker_reports_nothing(announced.name.as_str());
 }
@@ -200,3 +202,81 @@
     assert_eq!(status(&leader, DEADLY), JobStatus::Completed);
     assert!(!leader.orders.iter().any(|order| matches!(order, Order::Stop { .. })));
 }
+
+/// Lets a worker crash whose connection is lost at once: the poll in flight fails at that moment.
+fn crash_seen_at_once(leader: &mut Leader, worker: WorkerNumber) {
+    let asked_at = leader.now;
+    leader.advance(Duration::from_millis(400));
+    let answer = Answer::Poll(PollAnswer::NoAnswer);
+    leader.scheduler.answered(leader.now, worker, asked_at, answer);
+    leader.settle();
+    crash(leader, worker);
+}
+
+/// Two workers crashed by themselves, each shortly after the start of the same task, and its job was
+/// shown as failed.
+#[test]
+fn a_run_that_began_clearly_before_a_crash_is_not_suspected() {
+    let mut leader = with_workers(8);
+    leader.submit_as(1, spec(vec![step(1)]));
+    for count in 1..=2 {
+        let start = leader.take_starts()[0];
+        leader.started(&start, StartAnswer::Started);
+        leader.report(start.worker, running(&[start]));
+        crash_seen_at_once(&mut leader, start.worker);
+        let record = leader.state.get_crashes(start.task);
+        assert_eq!((record.crashes, record.suspected), (count, 0));
+    }
+    assert_eq!(status(&leader, 1), JobStatus::Open);
+}
+
+/// A start that was sent to an incarnation that the leader did not know yet counted as the cause of
+/// the crash before it.
+#[test]
+fn a_run_that_began_after_the_crash_is_not_held_responsible() {
+    let mut leader = with_workers(8);
+    leader.advance(Duration::from_secs(2));
+    leader.submit_as(1, spec(vec![step(1)]));
+    let start = leader.take_starts()[0];
+    let name = leader.state.get_workers()[&start.worker].announced.name.clone();
+    leader.started(&start, StartAnswer::Unknown);
+    let mut later = leader.announcement(name.as_str(), 11);
+    // The incarnation began a second before the start.
+    later.clock_ms = Some(1_000);
+    leader.announce(later);
+    leader.worker_reports_nothing(name.as_str());
+    assert_eq!(leader.state.get_crashes(start.task).crashes, 0);
+}
+
+/// The workers of a zone crashed together again and again, and jobs that they ran were given up.
+#[test]
+fn workers_of_a_zone_that_crash_together_say_nothing_against_tasks() {
+    let mut leader = Leader::new();
+    for number in 0..6 {
+        leader.worker_in(&name(number), "north");
+    }
+    leader.advance(SETTLED);
+    let mut wide = step(6);
+    wide.needs.cpu_milli = 12_000;
+    leader.submit_as(DEADLY, spec(vec![wide]));
+    let starts = leader.take_starts();
+    assert_eq!(starts.len(), 6);
+    for start in &starts {
+        leader.started(start, StartAnswer::Started);
+        leader.report(start.worker, running(&[*start]));
+    }
+    for start in &starts {
+        leader.leaves_poll_unanswered(start.worker);
+    }
+    for start in &starts {
+        let announced = leader.state.get_workers()[&start.worker].announced.clone();
+        let mut later = leader.announcement(announced.name.as_str(), announced.born_unix_ms + 1);
+        later.clock_ms = Some(0);
+        later.zone = announced.zone;
+        leader.announce(later);
+        leader.worker_reports_nothing(announced.name.as_str());
+    }
+    assert!(starts.iter().all(|start| leader.state.get_crashes(start.task).crashes == 0));
+    leader.advance(Duration::from_millis(100));
+    assert_eq!(leader.take_starts().len(), 6, "they start again");
+}
