fix(jobs): start tasks again on workers that were heard of lately

A task under which a worker has crashed now prefers workers that have reported within half a second.

--- a/comfreymill_jobs/src/scheduler/crashes.rs
+++ b/comfreymill_jobs/src/scheduler/crashes.rs
@@ -51,6 +51,8 @@
 const LONG_RUNNING_CLEARANCE: Duration = Duration::from_secs(10);
 /// Time after its registration for which a worker may be one that keeps crashing by itself.
 const NEW_WORKER_PERIOD: Duration = Duration::from_secs(10);
+/// Age of a worker's last report up to which the worker is unlikely to have crashed unnoticed.
+const FRESH_REPORT: Duration = Duration::from_millis(500);
 /// Penalty in the score of a worker that does not suit a start apart from others, in thousandths
 /// of a core.
 const ISOLATION_PENALTY: i64 = 1_000_000;
@@ -243,7 +245,9 @@
             return if is_apart { ISOLATION_PENALTY } else { 0 };
         }
         let has_started_lately = self.started_at.is_some_and(|at| now.since(at) < SUSPECT_PERIOD);
-        let reasons = [is_apart || has_started_lately, self.is_new(now)];
+        // One that was heard of long ago may have crashed together with the other.
+        let is_unheard = now.since(self.reported_at) > FRESH_REPORT;
+        let reasons = [is_apart || has_started_lately, self.is_new(now), is_unheard];
         reasons.into_iter().filter(|applies| *applies).count() as i64 * ISOLATION_PENALTY
     }
 
--- a/comfreymill_jobs/tests/scheduler/crashes.rs
+++ b/comfreymill_jobs/tests/scheduler/crashes.rs
@@ -248,6 +248,24 @@
     assert_eq!(leader.state.get_crashes(start.task).crashes, 0);
 }
 
+/// The task was started again on a worker that had crashed with the first one, unnoticed.
+#[test]
+fn a_task_under_which_a_worker_has_crashed_goes_to_one_that_was_heard_of_lately() {
+    for heard in [3, 6] {
+        let mut leader = with_workers(8);
+        leader.submit_as(1, spec(vec![step(1)]));
+        let first = leader.take_starts()[0];
+        leader.started(&first, StartAnswer::Started);
+        leader.advance(Duration::from_secs(1));
+        leader.worker_reports_nothing(&name(heard));
+        crash(&mut leader, first.worker);
+        leader.advance(Duration::from_millis(100));
+        let again = leader.take_starts()[0];
+        let announced = &leader.state.get_workers()[&again.worker].announced;
+        assert_eq!(announced.name.as_str(), name(heard));
+    }
+}
+
 /// The workers of a zone crashed together again and again, and jobs that they ran were given up.
 #[test]
 fn workers_of_a_zone_that_crash_together_say_nothing_against_tasks() {
