fix(jobs): ignore heartbeats that move a worker to an unknown service

Cause: unknown services were refused at the registration alone. An announcement that would move a known incarnation to a pool of no configuration is now ignored as well.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -42,6 +42,11 @@
             return Acknowledgement::Now;
         }
         if let Some(number) = number {
+            if self.is_of_unknown_pool(number, &announcement) {
+                let reason = "it names another service than before, and one of no configuration";
+                self.refusals.note(now, &announcement, reason);
+                return Acknowledgement::Now;
+            }
             return self.update_announcement(now, number, announcement);
         }
         let is_leaving = announcement.leaving_in.is_some();
@@ -215,9 +220,7 @@
     /// Returns why an incarnation that is not in the log is not added to it, if it is not. A worker
     /// announces itself again and again.
     fn refusal(&self, announcement: &worker::Announcement) -> Option<&'static str> {
-        let has_routes = !self.routes.pools.is_empty();
-        let has_queue = self.routes.queues.iter().any(|queue| queue.pool == announcement.pool);
-        if has_routes && !has_queue && self.routes.pool(&announcement.pool).is_none() {
+        if !self.is_pool_named(&announcement.pool) {
             return Some("the configuration names no such service");
         }
         let is_pending = self.pending_workers.contains_key(&announcement.name);
@@ -226,6 +229,24 @@
         (is_full && !is_pending).then_some("too many workers have not answered yet")
     }
 
+    /// Returns whether the configuration names a pool, or there is none yet.
+    fn is_pool_named(&self, pool: &str) -> bool {
+        let has_queue = self.routes.queues.iter().any(|queue| queue.pool == pool);
+        self.routes.pools.is_empty() || has_queue || self.routes.pool(pool).is_some()
+    }
+
+    /// Returns whether an announcement moves an incarnation to a pool that no configuration names: the
+    /// worker did not send it. A worker whose own pool was removed still announces itself with it.
+    fn is_of_unknown_pool(
+        &self,
+        number: id::WorkerNumber,
+        announcement: &worker::Announcement,
+    ) -> bool {
+        let known = self.workers.get(&number).map(|entry| &entry.replicated.announced.pool);
+        known.is_some_and(|known| *known != announcement.pool)
+            && !self.is_pool_named(&announcement.pool)
+    }
+
     /// Returns the number of the incarnation that sent an announcement, if it is in the log.
     fn find_incarnation(&self, announcement: &worker::Announcement) -> Option<id::WorkerNumber> {
         let mut named = self.workers.named(&announcement.name);
--- a/comfreymill_jobs/tests/scheduler/odd_announcements.rs
+++ b/comfreymill_jobs/tests/scheduler/odd_announcements.rs
@@ -45,6 +45,38 @@
     *known.expect("the worker is in the log").0
 }
 
+/// One heartbeat of another writer that named a service of no configuration took the worker out of its
+/// pool, and its count made the worker's own heartbeats outdated.
+#[test]
+fn a_service_of_no_configuration_takes_no_worker_away() {
+    let mut leader = Leader::new();
+    let worker = leader.worker("w");
+    let mut odd = Announcement { sequence: 500, ..leader.announcement("w", 10) };
+    odd.pool = "unheard".to_owned();
+    leader.announce(odd);
+    leader.submit(spec(vec![step(1)]));
+    let starts = leader.take_starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].worker, worker);
+    let mut leaving = leader.announcement("w", 10);
+    leaving.leaving_in = Some(Duration::from_millis(2_500));
+    leader.announce(leaving);
+    assert!(leader.state.get_leaving().contains_key(&worker), "its own announcements are heard");
+}
+
+/// A worker whose service was removed from the configuration still says that it leaves.
+#[test]
+fn a_worker_of_a_removed_service_is_heard() {
+    let mut leader = Leader::new();
+    let worker = leader.worker("w");
+    let other = Pool { name: "others".to_owned(), is_guarded: true, is_standby: false };
+    leader.set_routes(Vec::new(), vec![other]);
+    let mut leaving = leader.announcement("w", 10);
+    leaving.leaving_in = Some(Duration::from_millis(2_500));
+    leader.announce(leaving);
+    assert!(leader.state.get_leaving().contains_key(&worker));
+}
+
 #[test]
 fn a_start_of_life_in_the_future_replaces_no_worker() {
     for born in [u64::MAX, u64::MAX - 1, 1 << 63, UNIX_MS + 3_600_000] {
