--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -221,6 +221,8 @@
         store::Store::open(disk, options).map_err(|error| storage(error.to_string()))?;
     let completions = inputs.clone();
     let member = opened.identity().voter;
+    // A founder that was stopped before the group was founded goes on with it: the others wait for it.
+    let founds_group = founders.contains(&member);
     let on_completion = move |completion| {
         completions.send(Input::Store { member, completion }).ok();
     };
