fix(node): remove members whose disks are lost before their votes cost the quorum

Causes: a dead vote counted for three seconds after each change of leader; a newcomer was removed before it was heard, since its silence counted from the start of the leadership; a removed member was added again for an announcement from before.

--- a/comfreymill_group/src/replica/change_membership.rs
+++ b/comfreymill_group/src/replica/change_membership.rs
@@ -77,7 +77,7 @@
             membership::Change::Remove(voter) => self.without(voter)?,
         };
         self.append_own(entry::Payload::Membership(next));
-        self.sync_peers();
+        self.sync_peers(now);
         self.replicate_at = Some(now);
         Ok(self.log.last_index())
     }
--- a/comfreymill_group/src/replica/lease.rs
+++ b/comfreymill_group/src/replica/lease.rs
@@ -54,7 +54,7 @@
         self.leader = Some(self.voter);
         self.incoming = None;
         log::info!(target: "group", "replica {} became leader in term {}", self.voter, self.term());
-        self.sync_peers();
+        self.sync_peers(now);
         self.append_own(entry::Payload::Noop);
         self.send_heartbeats(now);
         self.replicate_all(now);
--- a/comfreymill_group/src/replica/peer.rs
+++ b/comfreymill_group/src/replica/peer.rs
@@ -27,6 +27,8 @@
 #[derive(Debug)]
 pub(super) struct Peer {
     pub(super) disk: id::DiskId,
+    /// When this leader began to track the member.
+    pub(super) tracked_since: time::Monotonic,
     pub(super) next: id::Index,
     pub(super) matched: id::Index,
     pub(super) flow: Flow,
@@ -55,9 +57,10 @@
 
 impl Peer {
     /// Creates the state of a peer whose log is unknown; the first append starts at `next`.
-    pub(super) fn new(disk: id::DiskId, next: id::Index) -> Self {
+    pub(super) fn new(disk: id::DiskId, next: id::Index, now: time::Monotonic) -> Self {
         Self {
             disk,
+            tracked_since: now,
             next,
             matched: id::Index::ZERO,
             flow: Flow::Probe,
--- a/comfreymill_group/src/replica/status.rs
+++ b/comfreymill_group/src/replica/status.rs
@@ -48,6 +48,8 @@
     pub matched: id::Index,
     /// Time since the member's last response, if there was one.
     pub silent_for: Option<Duration>,
+    /// Time since the leader began to track the member.
+    pub tracked_for: Duration,
     /// Whether a snapshot is being sent to the member.
     pub is_receiving_snapshot: bool,
 }
@@ -84,6 +86,7 @@
                 silent_for: peer
                     .last_response_at
                     .map(|last_response_at| now.since(last_response_at)),
+                tracked_for: now.since(peer.tracked_since),
                 is_receiving_snapshot: peer.is_receiving_snapshot(),
             })
             .collect()
--- a/comfreymill_node/src/scheduler/core/leadership.rs
+++ b/comfreymill_node/src/scheduler/core/leadership.rs
@@ -26,8 +26,6 @@
     pub(super) order_sender: OrderSender,
     /// Term of the leadership.
     pub(super) term: u64,
-    /// When the leadership began.
-    pub(super) began_at: time::Monotonic,
 }
 
 /// # Leadership
@@ -70,8 +68,7 @@
             self.process.worker_connections.clone(),
         );
         log::info!(target: "group", term = entry_term, fence:% = fence, jobs = self.state.get_jobs().len(), workers = self.state.get_workers().len(); "this process leads");
-        self.leadership =
-            Some(Leadership { scheduler, order_sender, term: entry_term, began_at: now });
+        self.leadership = Some(Leadership { scheduler, order_sender, term: entry_term });
         self.overload = turns::Overload::new(self.cfg.bounds);
         self.load.spent(Part::Takeover, now, self.cfg.clock.now());
     }
--- a/comfreymill_node/src/scheduler/core/membership.rs
+++ b/comfreymill_node/src/scheduler/core/membership.rs
@@ -12,6 +12,9 @@
 const CHECK_PERIOD: Duration = Duration::from_millis(200);
 /// Silence after which a member may be removed or replaced.
 const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+/// Silence after which a member is removed whose machine has announced itself with an empty data folder:
+/// its former data is gone, and its vote counts until it is removed.
+const REPLACED_SILENCE_LIMIT: Duration = Duration::from_secs(1);
 /// Maximum number of members, voters and learners together.
 const MAX_MEMBERS: usize = 16;
 
@@ -40,9 +43,10 @@
         }
         self.members_checked_at = now;
         let status = self.replica.status(now);
-        let Some(leadership) = &self.leadership else { return };
-        let leading_for = now.since(leadership.began_at);
-        let Some(change) = self.next_change(&status, leading_for) else { return };
+        if self.leadership.is_none() {
+            return;
+        }
+        let Some(change) = self.next_change(&status) else { return };
         match self.replica.change_membership(now, change) {
             Ok(index) => {
                 log::info!(target: "group", change:? = change, entry = index.get(); "a membership change is proposed");
@@ -53,11 +57,7 @@
         }
     }
 
-    fn next_change(
-        &self,
-        status: &replica::Status,
-        leading_for: Duration,
-    ) -> Option<membership::Change> {
+    fn next_change(&self, status: &replica::Status) -> Option<membership::Change> {
         let members = &status.membership;
         // A newcomer at a member's address shows that the member has lost its data folder.
         let is_replaced = |member: id::VoterId| {
@@ -69,11 +69,12 @@
                         && !was_heard_earlier(other, member, status)
                 })
         };
-        let is_silent = |member: id::VoterId| {
+        let is_silent_for = |member: id::VoterId, limit: Duration| {
             let peer = status.peers.iter().find(|peer| peer.voter == member);
-            // A new leader has not heard from any peer yet, so silence counts from its start.
-            peer.is_some_and(|peer| peer.silent_for.unwrap_or(leading_for) > SILENCE_LIMIT)
+            // The silence of a member that was never heard counts from when this leader knows of it.
+            peer.is_some_and(|peer| peer.silent_for.unwrap_or(peer.tracked_for) > limit)
         };
+        let is_silent = |member: id::VoterId| is_silent_for(member, SILENCE_LIMIT);
         let others: Vec<(id::VoterId, membership::Member)> =
             members.iter().filter(|(member, _)| *member != status.voter).collect();
         let voters = members.voters().count();
@@ -84,7 +85,9 @@
         {
             return Some(membership::Change::Promote(*learner));
         }
-        let replaced = others.iter().find(|(member, _)| is_replaced(*member) && is_silent(*member));
+        let replaced = others.iter().find(|(member, _)| {
+            is_replaced(*member) && is_silent_for(*member, REPLACED_SILENCE_LIMIT)
+        });
         if let Some((member, _)) = replaced {
             return Some(membership::Change::Remove(*member));
         }
--- a/tests/platform/group_bed.rs
+++ b/tests/platform/group_bed.rs
@@ -51,18 +51,22 @@
 
     /// Starts a group of three schedulers with further settings.
     pub(super) fn with_settings(voters: usize, settings: &'static str) -> Self {
-        let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
-        let name = format!("comfreymill-group-{}-{number}", std::process::id());
-        let folder = std::env::temp_dir().join(name);
-        fs::create_dir_all(&folder).expect("the folder is made");
-        let mut bed =
-            Self { number, voters, folder, settings, processes: Vec::new(), gateways: Vec::new() };
+        let mut bed = Self::empty(voters, settings);
         for _ in 0..FOUNDERS {
             bed.add();
         }
         bed
     }
 
+    /// Creates a group whose schedulers are not started yet.
+    pub(super) fn empty(voters: usize, settings: &'static str) -> Self {
+        let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("comfreymill-group-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        fs::create_dir_all(&folder).expect("the folder is made");
+        Self { number, voters, folder, settings, processes: Vec::new(), gateways: Vec::new() }
+    }
+
     /// Starts another scheduler with an empty data folder and returns its number.
     pub(super) fn add(&mut self) -> usize {
         self.processes.push(None);
@@ -113,6 +117,18 @@
         process.wait().expect("the process has ended");
     }
 
+    /// Starts a scheduler as on later starts of the system, when no group is founded.
+    pub(super) fn run_later(&mut self, member: usize) {
+        let settings = self.scheduler_settings(member).replace("founding: true", "founding: false");
+        self.processes[member] = Some(self.spawn("scheduler", &member.to_string(), &settings));
+    }
+
+    /// Kills a scheduler and deletes its data folder.
+    pub(super) fn wipe(&mut self, member: usize) {
+        self.kill(member);
+        fs::remove_dir_all(self.folder.join(format!("data-{member}"))).expect("it has a folder");
+    }
+
     /// Sends a signal to a scheduler.
     pub(super) fn signal(&self, member: usize, signal: Signal) {
         let process = self.processes[member].as_ref().expect("the process runs");
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -1,7 +1,9 @@
 //! The programs `gateway` and `scheduler` as processes, with stand-in workers.
 
 mod early_cancellation;
+mod founding;
 mod group_bed;
+mod lost_disks;
 mod odd_entries;
 mod overload;
 mod rejoin;
