fix(jobs): try fillers that no worker admits

No worker had headroom for a filler whose effect was not known, and without a run it was never learned.

A filler that has waited for two seconds is tried on a worker without fillers whose tails are within their targets; its pace follows from the reports as with any filler.

Two tests of scheduler::interference fail without the trials.

--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -48,6 +48,7 @@
 mod stops;
 mod task;
 mod tick;
+mod trials;
 mod turns;
 mod unread;
 mod without_room;
--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -66,6 +66,7 @@
             unix_offset_ms: unix_ms.saturating_sub(now.as_micros() / 1_000),
             placed_at: now,
             holds_updated_at: time::Monotonic::ZERO,
+            fillers_tried_at: time::Monotonic::ZERO,
             is_deferring: false,
             fleet_logged_at: now,
             rounds: Rounds::default(),
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -83,6 +83,8 @@
     pub(super) placed_at: time::Monotonic,
     /// When workers were last held for long-running tasks.
     pub(super) holds_updated_at: time::Monotonic,
+    /// When fillers that no worker admits were last tried.
+    pub(super) fillers_tried_at: time::Monotonic,
     /// Whether work that nobody waits for is put off.
     pub(super) is_deferring: bool,
     /// When the state of the fleet was last logged.
--- a/comfreymill_jobs/src/scheduler/tick.rs
+++ b/comfreymill_jobs/src/scheduler/tick.rs
@@ -26,6 +26,7 @@
         self.begin_all_due(now);
         self.remove_expired_jobs(now);
         self.report_fleet(now);
+        self.try_fillers(now);
         self.retry_placement(now);
     }
 
--- a/comfreymill_jobs/tests/scheduler/interference.rs
+++ b/comfreymill_jobs/tests/scheduler/interference.rs
@@ -230,3 +230,65 @@
     assert_eq!(workers_of(1).len(), 1);
     assert_ne!(workers_of(0), workers_of(1));
 }
+
+/// Returns a leader with serving tasks of a tail of 76% of the target, each on a worker of its own, and
+/// a job of two fillers that has waited for `span`.
+fn with_waiting_fillers(workers: usize, tail_ms: u32, span: Duration) -> (Leader, Vec<Start>) {
+    let mut leader = Leader::new();
+    for number in 0..workers {
+        leader.worker(&format!("w{number}"));
+    }
+    let mut apart = serving(u16::try_from(workers).expect("few"), "watch");
+    apart.max_per_worker = Some(1);
+    leader.submit(spec(vec![apart]));
+    let starts = leader.take_starts();
+    for start in &starts {
+        leader.started(start, StartAnswer::Started);
+    }
+    let report_for = |leader: &mut Leader, rounds: u128| {
+        for _ in 0..rounds {
+            leader.advance(Duration::from_millis(500));
+            for start in &starts {
+                leader.report(start.worker, report(&[*start], tail_ms));
+            }
+        }
+    };
+    report_for(&mut leader, 4);
+    leader.submit_as(2, spec(vec![filler(2)]));
+    assert!(leader.take_starts().is_empty(), "no worker has headroom");
+    report_for(&mut leader, span.as_millis() / 500);
+    (leader, starts)
+}
+
+/// No worker had headroom, and the fillers' jobs were accepted and never begun.
+#[test]
+fn fillers_that_no_worker_admits_are_tried_one_beside_each_worker() {
+    let (mut leader, _) = with_waiting_fillers(2, TARGET_MS * 76 / 100, Duration::from_secs(4));
+    let tried = leader.take_starts();
+    assert_eq!(tried.len(), 2);
+    assert_ne!(tried[0].worker, tried[1].worker);
+}
+
+#[test]
+fn a_filler_is_not_tried_beside_a_tail_over_its_target() {
+    let (mut leader, _) = with_waiting_fillers(2, TARGET_MS * 2, Duration::from_secs(6));
+    assert!(leader.take_starts().is_empty());
+}
+
+/// A filler that does harm is paused by the reports about it.
+#[test]
+fn a_tried_filler_that_does_harm_is_paused() {
+    let (mut leader, starts) =
+        with_waiting_fillers(1, TARGET_MS * 76 / 100, Duration::from_secs(4));
+    let tried = leader.take_starts();
+    assert_eq!(tried.len(), 1);
+    leader.started(&tried[0], StartAnswer::Started);
+    for _ in 0..2 {
+        leader.advance(Duration::from_millis(600));
+        let mut update = report(&starts, TARGET_MS * 2);
+        let status = RunStatus { load: Some(2_000), ..tried[0].status() };
+        update.running.push(status);
+        leader.report(tried[0].worker, update);
+    }
+    assert_eq!(count_paused(&leader, &tried), 1);
+}
