fix(jobs): take a clock that goes on over a crash for no new one

Cause: the stand-in's clock goes on over its crashes. With the margin for drift, its reading lay shortly after the worker's first report, so that each start seemed to be later than the next life, and no crash was counted. A reading is now used only if it is clearly behind the clock of the former life.

--- a/comfreymill_jobs/src/scheduler/announcements.rs
+++ b/comfreymill_jobs/src/scheduler/announcements.rs
@@ -18,8 +18,8 @@
 #[derive(Debug)]
 pub(super) struct PendingWorker {
     pub(super) announcement: worker::Announcement,
-    /// Time by which the incarnation had begun, if its clock is known.
-    pub(super) began_by: Option<time::Monotonic>,
+    /// When the announcement was received.
+    pub(super) received_at: time::Monotonic,
 }
 
 /// # Announcements of workers
@@ -71,8 +71,7 @@
             let announced = Box::new(announcement.clone());
             self.commands.push(state::Command::AddWorker { announced });
         }
-        let began_by = announcement.clock_ms.map(|clock_ms| self.cfg.began_by(now, clock_ms));
-        let pending = PendingWorker { announcement, began_by };
+        let pending = PendingWorker { announcement, received_at: now };
         self.pending_workers.insert(pending.announcement.name.clone(), pending);
         if is_leaving { Acknowledgement::OnceAdded } else { Acknowledgement::Now }
     }
@@ -98,15 +97,18 @@
         let pending = pending.filter(|pending| {
             pending.announcement.born_unix_ms == replicated.announced.born_unix_ms
         });
-        let began_by = pending.and_then(|pending| pending.began_by);
+        let reading = pending.and_then(|pending| {
+            pending.announcement.clock_ms.map(|clock_ms| (pending.received_at, clock_ms))
+        });
+        let cfg = self.cfg;
         let mut replaced = Vec::new();
         for earlier in self.earlier_incarnations(&replicated.announced) {
             let Some(entry) = self.workers.get_mut(&earlier) else { continue };
             let known = &entry.replicated.announced;
             let announced = &replicated.announced;
             if known.name == announced.name && known.address == announced.address {
-                if let Some(began_by) = began_by {
-                    entry.note_next_life(began_by);
+                if let Some((received_at, clock_ms)) = reading {
+                    entry.note_next_life(&cfg, received_at, clock_ms);
                 }
                 replaced.push(earlier);
             } else {
--- a/comfreymill_jobs/src/scheduler/crashes.rs
+++ b/comfreymill_jobs/src/scheduler/crashes.rs
@@ -20,9 +20,9 @@
 
 use comfreymill_types::time;
 
-use super::Scheduler;
 use super::run::RunEntry;
 use super::worker::WorkerEntry;
+use super::{Config, Scheduler};
 use crate::id;
 use crate::state;
 
@@ -40,6 +40,9 @@
 /// Least time for which an order waits for its answer; one that fails earlier shows the moment at which
 /// the connection was lost.
 const MIN_ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Difference, in milliseconds, by which a clock must at least be behind that of the earlier incarnation
+/// to have begun anew.
+const MIN_CLOCK_STEP_MS: u64 = 500;
 /// Time within which crashes count as having happened together.
 const COMMON_CRASH_PERIOD: Duration = Duration::from_secs(3);
 /// Least number of workers of a zone or rack that crash together for a cause that they share.
@@ -208,10 +211,12 @@
         }
     }
 
-    /// Records a reading of the clock of the next incarnation, which counts from its beginning. One that
-    /// began before this incarnation reported last does not, and is ignored.
-    pub(super) fn note_next_life(&mut self, began_by: time::Monotonic) {
-        if began_by < self.reported_at {
+    /// Records a reading of the clock of the next incarnation, which was received at `now`. It shows
+    /// when the incarnation began, unless it goes on from the clock of this one.
+    pub(super) fn note_next_life(&mut self, cfg: &Config, now: time::Monotonic, clock_ms: u64) {
+        let known_ms = self.clock.map_or(0, |clock| clock.reading.min_at(cfg, now));
+        let began_by = cfg.began_by(now, clock_ms);
+        if clock_ms.saturating_add(MIN_CLOCK_STEP_MS) > known_ms || began_by < self.reported_at {
             return;
         }
         let earliest = self.next_began_by.map_or(began_by, |known| known.min(began_by));
--- a/comfreymill_jobs/src/scheduler/polls.rs
+++ b/comfreymill_jobs/src/scheduler/polls.rs
@@ -138,7 +138,7 @@
         let Some(entry) = self.workers.get_mut(&number) else { return };
         if entry.is_of_other_incarnation(&report) {
             if let Some(clock_ms) = report.clock_ms {
-                entry.note_next_life(self.cfg.began_by(now, clock_ms));
+                entry.note_next_life(&self.cfg, now, clock_ms);
             }
             self.other_incarnation_noticed(now, number, "another incarnation answers");
             return;
--- a/comfreymill_jobs/tests/scheduler/crashes.rs
+++ b/comfreymill_jobs/tests/scheduler/crashes.rs
@@ -5,7 +5,7 @@
 use comfreymill_jobs::id::{JobKey, TaskId, WorkerNumber};
 use comfreymill_jobs::scheduler::{Answer, Order, PollAnswer, StartAnswer};
 use comfreymill_jobs::state::JobStatus;
-use comfreymill_jobs::worker::EndKind;
+use comfreymill_jobs::worker::{EndKind, Report};
 
 use crate::support::{KEY, Leader, Start, ended, running, spec, step};
 
@@ -248,6 +248,28 @@
     assert_eq!(leader.state.get_crashes(start.task).crashes, 0);
 }
 
+/// A clock that went on over a crash, shortly after the worker's first report, seemed to show that the
+/// incarnation had begun before the start: a deadly task was started without end.
+#[test]
+fn a_clock_that_goes_on_clears_no_task() {
+    let mut leader = Leader::new();
+    let announced = leader.announcement("w", 10);
+    leader.announce(announced);
+    let worker = *leader.state.get_workers().first_key_value().expect("a worker").0;
+    let report = Report { clock_ms: Some(20), ..Report::default() };
+    let answer = Answer::Poll(PollAnswer::Report(report));
+    leader.scheduler.answered(leader.now, worker, leader.now, answer);
+    leader.advance(Duration::from_secs(4));
+    leader.submit_as(DEADLY, spec(vec![step(1)]));
+    let start = leader.take_starts()[0];
+    leader.started(&start, StartAnswer::Unknown);
+    let mut later = leader.announcement("w", 11);
+    later.clock_ms = Some(4_020);
+    leader.announce(later);
+    leader.worker_reports_nothing("w");
+    assert_eq!(leader.state.get_crashes(start.task).crashes, 1);
+}
+
 /// The task was started again on a worker that had crashed with the first one, unnoticed.
 #[test]
 fn a_task_under_which_a_worker_has_crashed_goes_to_one_that_was_heard_of_lately() {
