test(platform): a leader that nobody finds, after the seeds have lost what they knew

Callers saw: every gateway answers 503 for good, and no configuration is read back, although a leader serves.

The test replaces two of five schedulers at new addresses, then the data folders of the two seeds that are left are lost, and all other processes are killed.

--- a/tests/platform/group_bed.rs
+++ b/tests/platform/group_bed.rs
@@ -88,6 +88,21 @@
         SocketAddr::from((address, 7_400))
     }
 
+    /// Kills a gateway.
+    pub(super) fn kill_gateway(&mut self, number: usize) {
+        let gateway = &mut self.gateways[number];
+        gateway.kill().expect("the process runs");
+        gateway.wait().expect("the process has ended");
+    }
+
+    /// Starts a gateway that was killed, with the settings that it had.
+    pub(super) fn run_gateway(&mut self, number: usize) {
+        let name = format!("gateway-{number}");
+        let settings = self.folder.join(format!("{name}.yaml"));
+        let settings = fs::read_to_string(settings).expect("the gateway had settings");
+        self.gateways[number] = self.spawn("gateway", &name, &settings);
+    }
+
     /// Returns the address at which a scheduler serves workers and operators.
     pub(super) fn control(&self, member: usize) -> SocketAddr {
         SocketAddr::from((self.address(member), 7_415))
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -13,4 +13,5 @@
 #[path = "../../platform/tests/standin/mod.rs"]
 mod standin;
 mod test_bed;
+mod unknown_group;
 mod whole_path;
