feat(logs): say where a leader and a group are looked for

Callers saw 503 from every gateway, and no log said why: a gateway logged only that it had lost a leader, a replica with an empty data folder nothing after its start, and a leader nothing about members that are silent.

Gateways and schedulers now log every 5 s, while no leader is known, where they look for one and what connected members say; a newcomer to whom it announces itself; a leader with too few answering voters which members are silent and which newcomers it knows.

--- a/comfreymill_node/src/jobcall/directory.rs
+++ b/comfreymill_node/src/jobcall/directory.rs
@@ -32,6 +32,11 @@
         Members { leader: self.leader(), all: self.all.clone() }
     }
 
+    /// Returns what each connected member says about the group.
+    pub fn views(&self) -> impl Iterator<Item = (Ipv4Addr, &Members)> + '_ {
+        self.views.iter().map(|(member, members)| (*member, members))
+    }
+
     /// Handles what a connected member says about the group; returns whether the leader changed.
     pub fn heard(&mut self, from: Ipv4Addr, members: Members) -> bool {
         let before = self.leader();
--- a/comfreymill_node/src/jobcall/link.rs
+++ b/comfreymill_node/src/jobcall/link.rs
@@ -37,6 +37,7 @@
     let mut linked: Vec<(Ipv4Addr, flume::Sender<()>)> = Vec::new();
     loop {
         let addresses = shared.addresses(&cfg.seeds);
+        shared.report_search(&addresses);
         linked.retain(|(member, _)| addresses.contains(member));
         for member in addresses {
             if linked.iter().all(|(other, _)| *other != member) {
--- a/comfreymill_node/src/jobcall/shared.rs
+++ b/comfreymill_node/src/jobcall/shared.rs
@@ -9,6 +9,9 @@
 use super::directory::Directory;
 use super::{Members, Reply};
 
+/// Interval between log lines while no leader is known.
+const REPORT_PERIOD: Duration = Duration::from_secs(5);
+
 /// Call that waits to be sent or answered.
 #[derive(Debug)]
 pub(super) struct PendingCall {
@@ -29,6 +32,7 @@
     /// Calls that wait for a leader.
     waiting: Vec<flume::Sender<()>>,
     leaderless_since: Instant,
+    reported_at: Instant,
 }
 
 /// Connection to a member: calls to send, and calls that were sent and are not answered.
@@ -46,6 +50,7 @@
             links: BTreeMap::new(),
             waiting: Vec::new(),
             leaderless_since: Instant::now(),
+            reported_at: Instant::now(),
         })))
     }
 
@@ -73,6 +78,19 @@
         }
     }
 
+    /// Logs whom this process looks for a leader at, and what they say, if none has been known for
+    /// long.
+    pub(super) fn report_search(&self, addresses: &[Ipv4Addr]) {
+        let leaderless = self.leaderless_for();
+        let mut state = self.0.borrow_mut();
+        if leaderless < REPORT_PERIOD || state.reported_at.elapsed() < REPORT_PERIOD {
+            return;
+        }
+        state.reported_at = Instant::now();
+        let views: Vec<_> = state.directory.views().collect();
+        log::warn!(target: "link", leaderless_ms = leaderless.as_millis(), addresses:? = addresses, connected = state.links.len(), views:? = views; "no leader is known");
+    }
+
     /// Passes a call to the connection to the leader; returns the call if no leader is known.
     pub(super) fn send(&self, call: PendingCall) -> Result<(), PendingCall> {
         let state = self.0.borrow();
--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -75,6 +75,8 @@
     /// Fatal error after which the process must end.
     pub(super) failure: Option<String>,
     pub(super) members_checked_at: time::Monotonic,
+    /// When a log line about the membership was last due.
+    pub(super) membership_reported_at: time::Monotonic,
     /// When tasks are placed next.
     pub(super) placement: turns::Pacer,
     pub(super) load: Load,
@@ -116,6 +118,7 @@
             inputs,
             failure: None,
             members_checked_at: time::Monotonic::ZERO,
+            membership_reported_at: time::Monotonic::ZERO,
             placement: turns::Pacer::new(PLACEMENT_PERIOD),
             load: Load::new(),
             overload,
@@ -163,7 +166,7 @@
 
     /// Runs the timers that are due by `now`.
     pub(super) fn tick(&mut self, now: time::Monotonic) {
-        self.announce();
+        self.announce(now);
         self.replica.tick(now);
         if self.is_serving(now) {
             let since_1970 = clock::since_1970();
--- a/comfreymill_node/src/scheduler/core/membership.rs
+++ b/comfreymill_node/src/scheduler/core/membership.rs
@@ -15,6 +15,8 @@
 /// Silence after which a member is removed whose machine has announced itself with an empty data folder:
 /// its former data is gone, and its vote counts until it is removed.
 const REPLACED_SILENCE_LIMIT: Duration = Duration::from_secs(1);
+/// Interval between log lines about a group that is not whole, or that this replica waits to join.
+const REPORT_PERIOD: Duration = Duration::from_secs(5);
 /// Maximum number of members, voters and learners together.
 const MAX_MEMBERS: usize = 16;
 
@@ -22,7 +24,7 @@
 impl Core {
     /// Announces a replica with an empty log to every known member, because the leader may not be
     /// among the seeds.
-    pub(super) fn announce(&mut self) {
+    pub(super) fn announce(&mut self, now: time::Monotonic) {
         if self.replica.role() != replica::Role::Newcomer {
             return;
         }
@@ -32,8 +34,13 @@
         addresses.extend(members.all);
         addresses.sort_unstable();
         addresses.dedup();
-        let others = addresses.into_iter().filter(|address| *address != self.cfg.address);
-        self.replica.set_announce_targets(others.map(member_id::founder).collect());
+        addresses.retain(|address| *address != self.cfg.address);
+        if now.since(self.membership_reported_at) >= REPORT_PERIOD {
+            self.membership_reported_at = now;
+            log::info!(target: "group", announced_to:? = addresses; "this replica waits to be added to a group");
+        }
+        let targets = addresses.into_iter().map(member_id::founder).collect();
+        self.replica.set_announce_targets(targets);
     }
 
     /// Adds newcomers and replaces silent members, one change at a time.
@@ -46,6 +53,7 @@
         if self.leadership.is_none() {
             return;
         }
+        self.report_silent_members(now, &status);
         let Some(change) = self.next_change(&status) else { return };
         match self.replica.change_membership(now, change) {
             Ok(index) => {
@@ -57,6 +65,26 @@
         }
     }
 
+    /// Logs the members that do not answer and the newcomers, if fewer voters answer than wanted.
+    fn report_silent_members(&mut self, now: time::Monotonic, status: &replica::Status) {
+        let answers = |member: id::VoterId| {
+            let peer = status.peers.iter().find(|peer| peer.voter == member);
+            peer.is_none_or(|peer| peer.silent_for.is_some_and(|silent| silent < SILENCE_LIMIT))
+        };
+        let voters = status.membership.voters().count();
+        let answering = status.membership.voters().filter(|voter| answers(*voter)).count();
+        let is_whole = answering >= self.cfg.voters;
+        if is_whole || now.since(self.membership_reported_at) < REPORT_PERIOD {
+            return;
+        }
+        self.membership_reported_at = now;
+        let silent = status.membership.iter().map(|(member, _)| member);
+        let silent: Vec<_> =
+            silent.filter(|member| !answers(*member)).map(member_id::address).collect();
+        let newcomers: Vec<_> = status.newcomers.iter().copied().map(member_id::address).collect();
+        log::warn!(target: "group", voters, answering, silent:? = silent, newcomers:? = newcomers; "fewer voters answer than the group should have");
+    }
+
     fn next_change(&self, status: &replica::Status) -> Option<membership::Change> {
         let members = &status.membership;
         // A newcomer at a member's address shows that the member has lost its data folder.
