fix(peer): end the link to a machine that is gone

Processes went on connecting to the address of a removed member, two or three times a second, for as long as they ran: the link ended only from within a connection, which such a machine never accepts. The address may belong to another machine meanwhile.

The link now ends as well when its queue is closed between two attempts. Evidence: the test peer::a_link_that_is_not_needed_ends_without_having_connected failed before (1 of 1, 30 s) and passes.

--- a/comfreymill_node/src/peer/link.rs
+++ b/comfreymill_node/src/peer/link.rs
@@ -18,7 +18,7 @@
 const MAX_UNANSWERED: Duration = Duration::from_millis(900);
 
 /// Sends the frames of the queue to a member, reconnecting as needed, until the queue is closed.
-pub(crate) async fn link<N>(
+pub async fn link<N>(
     name: N,
     address: SocketAddr,
     identity: Identity,
@@ -30,6 +30,10 @@
     loop {
         let end = run_connection(&name, address, &identity, &frames, &mut was_reached).await;
         let Err(error) = end else { return };
+        // The queue of a member that cannot be reached is closed as well once it is not needed.
+        if frames.is_disconnected() {
+            return;
+        }
         if was_reached {
             log::info!(target: "peer", member:% = name, address:% = address, reason:% = error; "connection to member failed");
             was_reached = false;
--- a/comfreymill_node/tests/peer/mod.rs
+++ b/comfreymill_node/tests/peer/mod.rs
@@ -132,3 +132,19 @@
     })
     .expect("a runtime");
 }
+
+/// The link to a machine that was gone for good went on connecting for as long as the process ran.
+#[test]
+fn a_link_that_is_not_needed_ends_without_having_connected() {
+    runtime::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        drop(listener);
+        let (tx, rx) = flume::bounded(1);
+        let link = monoio::spawn(peer::link("gone", address, ours(), rx));
+        monoio::time::sleep(Duration::from_millis(200)).await;
+        drop(tx);
+        monoio::time::timeout(LIMIT, link).await.expect("the link ends");
+    })
+    .expect("a runtime");
+}
