fix(group): tell former members of their removal without being asked

A removed replica whose own messages reach nobody went on under its old membership as well.

Removal is looked up in the committed membership at each message, so a change that was overwritten refuses nobody.

--- a/comfreymill_group/src/replica/founding.rs
+++ b/comfreymill_group/src/replica/founding.rs
@@ -2,12 +2,17 @@
 use crate::id;
 use crate::membership;
 use crate::message;
+use crate::replica::election::State;
 use crate::replica::newcomer::Newcomer;
 use crate::replica::{Halt, Replica, Start};
 use comfreymill_types::time;
+use std::time::Duration;
 
 const FOUNDING_TERM: id::Term = id::Term::new(1);
 
+/// Interval at which a leader tells former members that they were removed.
+const REFUSAL_PERIOD: Duration = Duration::from_secs(2);
+
 const MAX_NEWCOMERS: usize = 64;
 
 impl Replica {
@@ -96,6 +101,22 @@
         is_current && !self.membership().contains(from, disk)
     }
 
+    /// Tells former members that they don't belong to the group. They may not know whom to ask, and
+    /// a replica that has lost its disk at one of their addresses learns of the group by it.
+    pub(super) fn refuse_former(&mut self, now: time::Monotonic) {
+        let State::Leader(leader) = &mut self.state else { return };
+        if now < leader.refuse_at {
+            return;
+        }
+        leader.refuse_at = now + REFUSAL_PERIOD;
+        let former: Vec<_> = self.log.history().former().collect();
+        for (voter, disk) in former {
+            if self.has_removed(now, voter, disk) {
+                self.refuse(voter, disk);
+            }
+        }
+    }
+
     /// Tells a replica that it doesn't belong to the group.
     pub(super) fn refuse(&mut self, from: id::VoterId, disk: id::DiskId) {
         let (founder_accepted, refused, sent_at_micros) = (false, true, 0);
--- a/comfreymill_group/src/replica/lease.rs
+++ b/comfreymill_group/src/replica/lease.rs
@@ -16,6 +16,8 @@
     pub(super) noop: id::Index,
     pub(super) elected_at: time::Monotonic,
     pub(super) heartbeat_at: time::Monotonic,
+    /// When former members are told next that they were removed.
+    pub(super) refuse_at: time::Monotonic,
     pub(super) uncommitted_bytes: usize,
     pub(super) transfer: Option<Transfer>,
 }
@@ -47,6 +49,7 @@
             noop: next,
             elected_at: now,
             heartbeat_at: now,
+            refuse_at: now,
             uncommitted_bytes: 0,
             transfer: None,
         };
@@ -80,6 +83,7 @@
         } else if self.is_ready() && !self.is_voter() {
             self.give_up_leadership(now);
         }
+        self.refuse_former(now);
         self.tick_transfer(now);
         self.retry_all(now);
     }
--- a/comfreymill_group/src/replica/take_snapshot.rs
+++ b/comfreymill_group/src/replica/take_snapshot.rs
@@ -3,7 +3,6 @@
 use crate::replica::Action;
 use crate::replica::Replica;
 use crate::replica::incoming_snapshot::IncomingSnapshot;
-use crate::replica::log::Log;
 use crate::snapshot;
 use bytes::Bytes;
 use comfreymill_types::time;
@@ -90,7 +89,7 @@
         self.outbox.entries_from = None;
         self.outbox.reset = true;
         self.outbox.note_truncated(meta.index);
-        self.log = Log::new(meta);
+        self.log.reset(meta);
     }
 
     fn set_snapshot(&mut self, snapshot: snapshot::Snapshot) {
--- a/comfreymill_group/tests/scenario/member.rs
+++ b/comfreymill_group/tests/scenario/member.rs
@@ -136,3 +136,31 @@
     change(&mut world, leader, membership::Change::AddLearner(voter))
         .expect("the newcomer is announced");
 }
+
+/// A removed replica whose own messages reached nobody went on under its old membership, and the
+/// machine at its address never heard of the group.
+#[test]
+fn a_former_member_is_told_of_its_removal_without_asking() {
+    let (mut world, leader) = group::started(8, 4);
+    let removed = (leader + 1) % 4;
+    group::cut(&mut world, removed, true, false);
+    let voter = world.nodes[removed].voter;
+    change(&mut world, leader, membership::Change::Remove(voter)).expect("taken");
+    group::wait_until(&mut world, 5_000, |world| world.nodes[removed].halted);
+}
+
+#[test]
+fn the_next_leader_tells_a_former_member_of_its_removal() {
+    let (mut world, leader) = group::started(9, 4);
+    let removed = (leader + 1) % 4;
+    group::cut(&mut world, removed, true, true);
+    let voter = world.nodes[removed].voter;
+    change(&mut world, leader, membership::Change::Remove(voter)).expect("taken");
+    group::commit(&mut world, leader);
+    world.crash(leader);
+    group::wait_for_leader(&mut world);
+    assert!(!world.nodes[removed].halted);
+    world.network.heal();
+    group::cut(&mut world, removed, true, false);
+    group::wait_until(&mut world, 5_000, |world| world.nodes[removed].halted);
+}
