fix(jobcall): keep the leader's list of members over that of a member that is behind

A gateway took the list of members from whichever member spoke last. A member that was cut off from the group, not from the gateway, names an older list, and the gateway then closed its connections to newer members.

While a leader is connected, only its list counts; without one, the newest of any member as before. Found by reading; not seen in a run of processes.

--- a/comfreymill_node/src/jobcall/directory.rs
+++ b/comfreymill_node/src/jobcall/directory.rs
@@ -48,7 +48,9 @@
         if claims && !claimed {
             self.claims.push(from);
         }
-        if !members.all.is_empty() {
+        // A member that is behind names an older list than the leader.
+        let is_leaderless = self.leader().is_none();
+        if !members.all.is_empty() && (claims || is_leaderless) {
             self.all.clone_from(&members.all);
         }
         self.views.insert(from, members);
--- a/comfreymill_node/tests/jobcall/mod.rs
+++ b/comfreymill_node/tests/jobcall/mod.rs
@@ -78,3 +78,15 @@
     assert!(retry_after(1.0) - retry_after(0.0) >= Duration::from_secs(1));
     assert!(retry_after(1.0) <= Duration::from_secs(5));
 }
+
+/// The list of a member that was cut off took the place of the leader's, and newer members were left.
+#[test]
+fn the_list_of_a_member_that_is_behind_does_not_replace_the_leaders() {
+    let mut directory = Directory::default();
+    directory.heard(FIRST, Members { leader: Some(FIRST), all: vec![FIRST, THIRD] });
+    directory.heard(SECOND, Members { leader: None, all: vec![FIRST, SECOND] });
+    assert_eq!(directory.members().all, [FIRST, THIRD]);
+    directory.lost(FIRST);
+    directory.heard(SECOND, Members { leader: None, all: vec![FIRST, SECOND] });
+    assert_eq!(directory.members().all, [FIRST, SECOND]);
+}
