fix(scheduler): find newcomers and gateways whose seeds know nobody

Cause: discovery went one way only. Newcomers and gateways ask their seeds; if of these one is gone and two have lost their disks, nobody tells them of the group. The leader wrote to both newcomers ten times a second, under the ids of the members that had been there, and they dropped it as meant for another disk.

A replica with an empty log now takes the sender of any message of the group as a contact: it announces itself there, connects to it, and passes on the leader and the members as the leader names them, so gateways that know only this replica find the leader at once. Contacts are bounded, and only hints. Nothing new is stored or sent.

--- a/comfreymill_node/src/jobcall/client.rs
+++ b/comfreymill_node/src/jobcall/client.rs
@@ -1,4 +1,5 @@
 use std::cell::Cell;
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -28,14 +29,16 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     shared: Shared,
+    seeds: Vec<Ipv4Addr>,
 }
 
 impl Client {
     /// Starts the task that maintains connections to the members of the group.
     pub fn start(cfg: LinkConfig) -> Self {
         let shared = Shared::new();
+        let seeds = cfg.seeds.clone();
         monoio::spawn(link::run(cfg, shared.clone()));
-        Self { shared }
+        Self { shared, seeds }
     }
 
     /// Returns whether a leader is known and connected.
@@ -48,6 +51,17 @@
         self.shared.members()
     }
 
+    /// Returns the addresses at which members are looked for: the seeds, all known members, leaders
+    /// that members name, and contacts.
+    pub fn addresses(&self) -> Vec<Ipv4Addr> {
+        self.shared.addresses(&self.seeds)
+    }
+
+    /// Adds the address of a member that is known otherwise than from a connection to it.
+    pub fn add_contact(&self, address: Ipv4Addr) {
+        self.shared.add_contact(address);
+    }
+
     /// Sends a call to the leader, and to the next one when it is lost, until the call is answered
     /// or `timeout` has elapsed. Calls that may be repeated later are given up early if no leader is
     /// expected in time.
--- a/comfreymill_node/src/jobcall/directory.rs
+++ b/comfreymill_node/src/jobcall/directory.rs
@@ -1,8 +1,11 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::Ipv4Addr;
 
 use super::Members;
 
+/// Maximum number of contacts.
+const MAX_CONTACTS: usize = 16;
+
 /// Which member leads, by what the connected members say of themselves and of the group.
 ///
 /// **Load pattern:** the leader is lost, or a link to it goes silent, while hundreds of calls wait.
@@ -17,6 +20,8 @@
     claims: Vec<Ipv4Addr>,
     /// Addresses of all members, by the newest message of any member.
     all: Vec<Ipv4Addr>,
+    /// Addresses of members that are known otherwise, the newest last.
+    contacts: VecDeque<Ipv4Addr>,
 }
 
 impl Directory {
@@ -32,6 +37,19 @@
         Members { leader: self.leader(), all: self.all.clone() }
     }
 
+    /// Adds the address of a member that is known otherwise than from a connection to it; only the
+    /// newest contacts are kept.
+    pub fn add_contact(&mut self, address: Ipv4Addr) {
+        if self.contacts.back() == Some(&address) {
+            return;
+        }
+        self.contacts.retain(|contact| *contact != address);
+        self.contacts.push_back(address);
+        if self.contacts.len() > MAX_CONTACTS {
+            self.contacts.pop_front();
+        }
+    }
+
     /// Returns what each connected member says about the group.
     pub fn views(&self) -> impl Iterator<Item = (Ipv4Addr, &Members)> + '_ {
         self.views.iter().map(|(member, members)| (*member, members))
@@ -65,13 +83,14 @@
         self.leader() != before
     }
 
-    /// Returns the addresses to connect to: those in `seeds`, all members, and leaders that members
-    /// name.
+    /// Returns the addresses to connect to: those in `seeds`, all members, leaders that members
+    /// name, and contacts.
     #[must_use]
     pub fn addresses(&self, seeds: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
         let named = self.views.values().filter_map(|members| members.leader);
+        let known = self.all.iter().chain(&self.contacts).copied();
         let mut addresses: Vec<Ipv4Addr> =
-            seeds.iter().copied().chain(self.all.iter().copied()).chain(named).collect();
+            seeds.iter().copied().chain(known).chain(named).collect();
         addresses.sort_unstable();
         addresses.dedup();
         addresses
--- a/comfreymill_node/src/jobcall/shared.rs
+++ b/comfreymill_node/src/jobcall/shared.rs
@@ -69,6 +69,11 @@
         self.0.borrow().directory.addresses(seeds)
     }
 
+    /// Adds the address of a member that is known otherwise than from a connection to it.
+    pub(super) fn add_contact(&self, address: Ipv4Addr) {
+        self.0.borrow_mut().directory.add_contact(address);
+    }
+
     /// Returns for how long no leader has been known.
     pub(super) fn leaderless_for(&self) -> Duration {
         let state = self.0.borrow();
--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -43,8 +43,6 @@
     pub(in crate::scheduler) decisions: scheduler::Config,
     /// Client for calls to the leader, which also tracks the members of the group.
     pub(in crate::scheduler) leader: jobcall::Client,
-    /// Addresses of the machines that are contacted first.
-    pub(in crate::scheduler) seeds: Vec<Ipv4Addr>,
     /// Desired number of voters in the group.
     pub(in crate::scheduler) voters: usize,
     /// Availability zones that operators may evacuate, beside those of known workers.
@@ -143,6 +141,10 @@
                     let sent_at = time::Monotonic::from_micros(response.sent_at_micros);
                     self.load.heartbeat_answered(now.since(sent_at));
                 }
+                // The group writes to former members as well, whose seeds may know nobody.
+                if self.replica.role() == replica::Role::Newcomer {
+                    self.cfg.leader.add_contact(member_id::address(from));
+                }
                 self.replica.step(now, from, message);
             }
             Input::Store { member, completion } => self.handle_completion(now, member, completion),
@@ -168,6 +170,7 @@
     pub(super) fn tick(&mut self, now: time::Monotonic) {
         self.announce(now);
         self.replica.tick(now);
+        self.close_idle_links();
         if self.is_serving(now) {
             let since_1970 = clock::since_1970();
             if let Some(leadership) = &mut self.leadership {
@@ -223,6 +226,9 @@
     /// Ends the core of a replica that was removed: callers that wait are told so. Returns what the
     /// core of the next replica takes over.
     pub(super) fn retire(mut self) -> ProcessState {
+        for (member, _) in self.replica.membership().iter() {
+            self.cfg.leader.add_contact(member_id::address(member));
+        }
         for waiter in self.waiters.drain(..) {
             waiter.reply.send(&jobcall::Reply::NotLeader);
         }
--- a/comfreymill_node/src/scheduler/core/leadership.rs
+++ b/comfreymill_node/src/scheduler/core/leadership.rs
@@ -139,22 +139,29 @@
 
     /// Informs connected processes if the leader or the members have changed.
     fn publish_members(&mut self, now: time::Monotonic) {
+        if !self.process.sessions.publish(self.known_members(now)) {
+            return;
+        }
+        let jobcall::Members { leader, all } = self.process.sessions.get_members();
+        log::info!(target: "group", leader:? = leader, members:? = all; "the leader or the members of the group have changed");
+    }
+
+    /// Returns the leader and the members of the group. A replica that is no member yet says what it
+    /// has heard from the leader, for processes whose seeds know nobody else.
+    fn known_members(&self, now: time::Monotonic) -> jobcall::Members {
+        if self.replica.role() == replica::Role::Newcomer {
+            let heard = self.cfg.leader.members();
+            return if heard.leader.is_some() { heard } else { jobcall::Members::default() };
+        }
         let own = self.replica.voter();
-        let leader_hint = self.replica.leader_hint();
         let is_leading = self.leadership.is_some() && self.is_serving(now);
-        let leader = match leader_hint {
+        let leader = match self.replica.leader_hint() {
             Some(leader) if leader == own => is_leading.then_some(self.cfg.address),
             Some(leader) => Some(member_id::address(leader)),
             None => None,
         };
         let all = self.replica.membership().iter().map(|(id, _)| member_id::address(id)).collect();
-        let members = jobcall::Members { leader, all };
-        if !self.process.sessions.publish(members) {
-            return;
-        }
-        let jobcall::Members { leader, all } = self.process.sessions.get_members();
-        log::info!(target: "group", leader:? = leader, members:? = all; "the leader or the members of the group have changed");
-        self.links.retain(|address| all.contains(&address) || all.is_empty());
+        jobcall::Members { leader, all }
     }
 }
 
--- a/comfreymill_node/src/scheduler/core/membership.rs
+++ b/comfreymill_node/src/scheduler/core/membership.rs
@@ -22,18 +22,13 @@
 
 /// # Membership changes
 impl Core {
-    /// Announces a replica with an empty log to every known member, because the leader may not be
-    /// among the seeds.
+    /// Announces a replica with an empty log wherever members are looked for, because the leader may
+    /// not be among the seeds.
     pub(super) fn announce(&mut self, now: time::Monotonic) {
         if self.replica.role() != replica::Role::Newcomer {
             return;
         }
-        let members = self.cfg.leader.members();
-        let mut addresses = self.cfg.seeds.clone();
-        addresses.extend(members.leader);
-        addresses.extend(members.all);
-        addresses.sort_unstable();
-        addresses.dedup();
+        let mut addresses = self.cfg.leader.addresses();
         addresses.retain(|address| *address != self.cfg.address);
         if now.since(self.membership_reported_at) >= REPORT_PERIOD {
             self.membership_reported_at = now;
@@ -43,6 +38,14 @@
         self.replica.set_announce_targets(targets);
     }
 
+    /// Closes the connections to replicas that are no members and were not written to lately.
+    pub(super) fn close_idle_links(&mut self) {
+        let members = self.replica.membership();
+        self.links.close_idle(|address| {
+            members.iter().any(|(member, _)| member_id::address(member) == address)
+        });
+    }
+
     /// Adds newcomers and replaces silent members, one change at a time.
     pub(super) fn update_membership(&mut self, now: time::Monotonic) {
         if now.since(self.members_checked_at) < CHECK_PERIOD {
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -71,7 +71,6 @@
     let budget = DescriptorBudget::new(settings.get_descriptors());
     let cfg = core::CoreConfig {
         leader: leader.clone(),
-        seeds: node.get_seeds().to_vec(),
         clock,
         address: node.get_address(),
         control: settings.get_control(),
--- a/comfreymill_node/tests/jobcall/mod.rs
+++ b/comfreymill_node/tests/jobcall/mod.rs
@@ -79,6 +79,18 @@
     assert!(retry_after(1.0) <= Duration::from_secs(5));
 }
 
+#[test]
+fn the_newest_contacts_are_kept() {
+    let mut directory = Directory::default();
+    let contact = |number| Ipv4Addr::new(10, 0, 1, number);
+    (0..20).for_each(|number| directory.add_contact(contact(number)));
+    // A contact that is heard again counts as new.
+    directory.add_contact(contact(4));
+    directory.add_contact(contact(20));
+    let kept: Vec<Ipv4Addr> = [4].into_iter().chain(6..=20).map(contact).collect();
+    assert_eq!(directory.addresses(&[]), kept);
+}
+
 /// The list of a member that was cut off took the place of the leader's, and newer members were left.
 #[test]
 fn the_list_of_a_member_that_is_behind_does_not_replace_the_leaders() {
--- a/tests/platform/unknown_group.rs
+++ b/tests/platform/unknown_group.rs
@@ -58,3 +58,31 @@
         callers.all(|caller| caller.count_waiting("/jobs/") == Some(200))
     });
 }
+
+/// Schedulers whose machines were removed while they were down came back with empty data folders, and
+/// all their seeds had been removed as well.
+#[test]
+fn the_next_leader_finds_newcomers_at_the_addresses_of_former_members() {
+    let mut bed = GroupBed::start(3);
+    let successors: Vec<usize> = (0..3).map(|_| bed.add()).collect();
+    let leader = bed.wait_for_leader();
+    bed.wait("three learners", || bed.members(leader).len() == 6);
+    for seed in 0..3 {
+        bed.wipe(seed);
+        bed.wait("the removal", || {
+            let leader = bed.wait_for_leader();
+            !bed.members(leader).contains(&seed) && bed.voters(leader).len() == 3
+        });
+    }
+    let leader = bed.wait_for_leader();
+    assert!(successors.contains(&leader), "\n{}", bed.logs());
+    bed.kill(leader);
+    bed.wait_for_leader();
+
+    bed.run_later(1);
+    bed.run_later(2);
+    bed.wait("the newcomers to be members", || {
+        let members = bed.members(bed.wait_for_leader());
+        members.contains(&1) && members.contains(&2)
+    });
+}
