test(group): a replica may be refused only while it is no member

The schedules asked whether any committed membership, ever, did not contain a replica that halts as removed. That is true of every replica that joined after the founding, so the check held for all of these whatever happened. It now asks for the newest committed membership, which is stricter.

--- a/comfreymill_group/tests/schedule/checker.rs
+++ b/comfreymill_group/tests/schedule/checker.rs
@@ -72,9 +72,10 @@
         assert_eq!(members, Some(&meta.membership), "snapshot with another membership");
     }
 
-    /// Returns whether any committed membership doesn't contain the replica.
+    /// Returns whether the newest committed membership doesn't contain the replica.
     pub(crate) fn was_removed(&self, voter: id::VoterId, disk: id::DiskId) -> bool {
-        self.memberships.values().any(|members| !members.contains(voter, disk))
+        let newest = self.memberships.values().next_back();
+        newest.is_some_and(|members| !members.contains(voter, disk))
     }
 
     /// Checks that an installed state equals the one after the committed entries.
