test(group): a late refusal halts a voter

What happens: a replica is added and removed before it receives an entry, so it goes on announcing itself and is added again with the same id and disk. A refusal that the leader sent in between, and that was held up on an older connection, arrives when the replica is a voter again. It halts as removed; the scheduler deletes its data folder and rejoins, so the group has lost the disk of a voter that served.

The refusal carries nothing that dates it (sent_at 0). The network of the schedules can now hold the messages of a link until a given time; those sent later overtake them, as over a new connection. Not shown on sockets.

--- a/comfreymill_group/tests/scenario/member.rs
+++ b/comfreymill_group/tests/scenario/member.rs
@@ -164,3 +164,34 @@
     group::cut(&mut world, removed, true, false);
     group::wait_until(&mut world, 5_000, |world| world.nodes[removed].halted);
 }
+
+/// The leader's refusal reached a replica that was a voter again by then: the connection over which it
+/// was sent had been cut off, and a newer one overtook it. The process then deletes its data folder.
+#[test]
+fn a_late_refusal_does_not_halt_a_replica_that_was_added_again() {
+    let (mut world, leader) = group::started(10, 4);
+    let voter = add_newcomer(&mut world);
+    let added = world.nodes.len() - 1;
+    group::cut(&mut world, added, false, true);
+    // It receives no entry before it is removed, so it goes on announcing itself.
+    let sender = world.nodes[leader].voter;
+    world.network.cuts.remove(&(sender, voter));
+    let held_until = world.now + 12_000_000;
+    world.network.held.insert((sender, voter), held_until);
+    change(&mut world, leader, membership::Change::AddLearner(voter)).expect("announced");
+    group::commit(&mut world, leader);
+    change(&mut world, leader, membership::Change::Remove(voter)).expect("a member");
+    group::pass(&mut world, 3_000);
+
+    world.network.held.clear();
+    world.network.heal();
+    change(&mut world, leader, membership::Change::AddLearner(voter)).expect("announced again");
+    group::pass(&mut world, 2_000);
+    change(&mut world, leader, membership::Change::Promote(voter)).expect("it has caught up");
+    group::pass(&mut world, 2_000);
+    assert_eq!(group::replica(&world, added).role(), replica::Role::Follower);
+    assert!(world.now < held_until);
+    group::pass(&mut world, 12_000);
+    assert!(!world.nodes[added].halted, "a voter is told that it was removed");
+}
+
--- a/comfreymill_group/tests/schedule/network.rs
+++ b/comfreymill_group/tests/schedule/network.rs
@@ -9,6 +9,8 @@
     /// Messages by arrival time in microseconds, then by send order.
     in_flight: BTreeMap<(u64, u64), (id::VoterId, id::VoterId, message::Message)>,
     sent: u64,
+    /// Links whose messages arrive only at a given time, as sender and receiver, and that time.
+    pub(crate) held: BTreeMap<(id::VoterId, id::VoterId), u64>,
     /// Cut links, as sender and receiver.
     pub(crate) cuts: BTreeSet<(id::VoterId, id::VoterId)>,
     pub(crate) loss_percent: u32,
@@ -30,6 +32,10 @@
         if self.cuts.contains(&(from, to)) || rng.random_range(0..100) < self.loss_percent {
             return;
         }
+        if let Some(until) = self.held.get(&(from, to)).copied() {
+            self.defer(until, from, to, message.clone());
+            return;
+        }
         let copies = if rng.random_range(0..100) < self.duplicate_percent { 2 } else { 1 };
         for _ in 0..copies {
             let mut delay = rng.random_range(100..=self.delay_max_micros.max(200));
