--- a/comfreymill_group/tests/scenario/member.rs
+++ b/comfreymill_group/tests/scenario/member.rs
@@ -195,3 +195,31 @@
     assert!(!world.nodes[added].halted, "a voter is told that it was removed");
 }
 
+/// After a snapshot and a restart of all voters nobody remembered who had been removed.
+#[test]
+fn a_former_member_is_told_of_its_removal_after_a_snapshot_and_a_restart_of_all() {
+    let (mut world, leader) = group::started(11, 4);
+    let removed = (leader + 1) % 4;
+    group::cut(&mut world, removed, true, true);
+    let voter = world.nodes[removed].voter;
+    change(&mut world, leader, membership::Change::Remove(voter)).expect("taken");
+    for _ in 0..10 {
+        group::commit(&mut world, leader);
+    }
+    group::pass(&mut world, 1_000);
+    let others: Vec<usize> = (0..4).filter(|position| *position != removed).collect();
+    for position in &others {
+        let machine = world.nodes[*position].machine;
+        let replica = world.nodes[*position].replica.as_mut().expect("running");
+        assert!(replica.snapshot_taken(machine.index, machine.to_bytes()));
+        world.perform(*position);
+    }
+    group::pass(&mut world, 1_000);
+    others.iter().for_each(|position| world.crash(*position));
+    others.iter().for_each(|position| world.start(*position));
+    group::wait_for_leader(&mut world);
+    world.network.heal();
+    group::cut(&mut world, removed, true, false);
+    group::wait_until(&mut world, 10_000, |world| world.nodes[removed].halted);
+}
+
