test(group): a former member is added again for an announcement from before

A leader forgets the announcements of members, so that one that is removed is not added again for an announcement from before. Its followers do not: the next leader adds the former member, which has entries and is refused at the same time.

--- a/comfreymill_group/tests/scenario/member.rs
+++ b/comfreymill_group/tests/scenario/member.rs
@@ -223,3 +223,18 @@
     group::wait_until(&mut world, 10_000, |world| world.nodes[removed].halted);
 }
 
+/// A follower kept the announcement of a replica that was a member meanwhile, and added it again as the
+/// next leader, although it had been removed and told so.
+#[test]
+fn the_next_leader_does_not_add_a_former_member_for_an_announcement_from_before() {
+    let (mut world, leader) = group::started(12, 4);
+    let voter = add_newcomer(&mut world);
+    change(&mut world, leader, membership::Change::AddLearner(voter)).expect("announced");
+    group::pass(&mut world, 200);
+    change(&mut world, leader, membership::Change::Remove(voter)).expect("a member");
+    group::pass(&mut world, 200);
+    world.crash(leader);
+    let next = group::wait_for_leader(&mut world);
+    let added = change(&mut world, next, membership::Change::AddLearner(voter));
+    assert_eq!(added, Err(replica::ChangeError::NotAnnounced { voter }));
+}
