test(jobcall): lists of members that are dropped or outlive their sender

Two paths of Directory::heard, which keeps one list for all members instead of the one of each: - A follower names a newer member while the leader is connected; the leader is lost. The list of the follower was dropped, and it is sent only once.

--- a/comfreymill_node/tests/jobcall/mod.rs
+++ b/comfreymill_node/tests/jobcall/mod.rs
@@ -102,3 +102,26 @@
     directory.heard(SECOND, Members { leader: None, all: vec![FIRST, SECOND] });
     assert_eq!(directory.members().all, [FIRST, SECOND]);
 }
+
+/// The list of a former leader that claimed to lead once more stayed in force after it had given up its
+/// claim, and members that the leader had named were left.
+#[test]
+fn the_list_of_a_former_leader_does_not_outlive_its_claim() {
+    let mut directory = Directory::default();
+    directory.heard(FIRST, Members { leader: Some(FIRST), all: vec![FIRST, THIRD] });
+    directory.heard(SECOND, Members { leader: Some(SECOND), all: vec![FIRST, SECOND] });
+    directory.heard(SECOND, Members { leader: None, all: vec![FIRST, SECOND] });
+    assert_eq!(directory.leader(), Some(FIRST));
+    assert_eq!(directory.members().all, [FIRST, THIRD]);
+}
+
+/// What a follower had said while the leader was connected was forgotten once the leader was lost,
+/// although followers say it only once.
+#[test]
+fn a_newer_list_of_a_follower_counts_once_the_leader_is_lost() {
+    let mut directory = Directory::default();
+    directory.heard(FIRST, Members { leader: Some(FIRST), all: vec![FIRST, SECOND] });
+    directory.heard(SECOND, Members { leader: Some(FIRST), all: vec![FIRST, SECOND, THIRD] });
+    directory.lost(FIRST);
+    assert!(directory.addresses(&[]).contains(&THIRD));
+}
