test(platform): founders that come back with other seeds

The platform writes seeds anew at each start, and later they may differ: the founder then waits for schedulers that are no founders, or joins if it is no seed any more, and no leader ever serves. While it waits, the founder logs that it announces itself to five addresses; it writes to its seeds only.

--- a/tests/platform/group_bed.rs
+++ b/tests/platform/group_bed.rs
@@ -138,6 +138,25 @@
         self.processes[member] = Some(self.spawn("scheduler", &member.to_string(), &settings));
     }
 
+    /// Starts a scheduler as on later starts of the system, with `seeds` instead of the founders.
+    pub(super) fn run_later_with_seeds(&mut self, member: usize, seeds: &[usize]) {
+        let settings = self.scheduler_settings(member).replace("founding: true", "founding: false");
+        let seeds: Vec<String> = seeds.iter().map(|seed| self.address(*seed).to_string()).collect();
+        let settings = settings.replace(&self.seeds(), &seeds.join(", "));
+        self.processes[member] = Some(self.spawn("scheduler", &member.to_string(), &settings));
+    }
+
+    /// Changes the seeds in the settings of a gateway that runs, and tells it so.
+    pub(super) fn change_gateway_seeds(&self, number: usize, seeds: &[usize]) {
+        let path = self.folder.join(format!("gateway-{number}.yaml"));
+        let settings = fs::read_to_string(&path).expect("the gateway has settings");
+        let seeds: Vec<String> = seeds.iter().map(|seed| self.address(*seed).to_string()).collect();
+        let settings = settings.replace(&self.seeds(), &seeds.join(", "));
+        fs::write(path, settings).expect("settings are written");
+        let id = i32::try_from(self.gateways[number].id()).expect("a process id");
+        signal::kill(Pid::from_raw(id), Signal::SIGHUP).expect("the process runs");
+    }
+
     /// Kills a scheduler and deletes its data folder.
     pub(super) fn wipe(&mut self, member: usize) {
         self.kill(member);
