test(platform): a rejoin that is interrupted

A removed scheduler deletes the files of its data folder one by one and syncs the folder once. After a loss of power each removal may be kept or lost; without the identity file, the store refuses what is left, at each start, so the machine never comes back. The test removes that file alone.

--- a/tests/platform/rejoin.rs
+++ b/tests/platform/rejoin.rs
@@ -1,5 +1,6 @@
 //! Schedulers that the group removes and that rejoin it within their processes.
 
+use std::fs;
 use std::time::{Duration, Instant};
 
 use comfreymill_node::jobcall::{Call, Reply};
@@ -65,6 +66,20 @@
     expect_answer(&session);
 }
 
+/// Power was lost while a removed scheduler emptied its data folder, and it never started again: of
+/// files that are removed without a sync of their folder, each may be kept or lost.
+#[test]
+fn a_rejoin_that_was_interrupted_goes_on_at_the_next_start() {
+    let mut bed = GroupBed::start(3);
+    let leader = bed.wait_for_leader();
+    let interrupted = (leader + 1) % 3;
+    let data = bed.folder().join(format!("data-{interrupted}"));
+    bed.kill(interrupted);
+    fs::remove_file(data.join("identity")).expect("the folder has an identity");
+    bed.run_later(interrupted);
+    bed.wait("the scheduler to know the group", || bed.voters(interrupted).contains(&leader));
+}
+
 /// Freezes a voter until a newcomer has taken its place, and waits until it has rejoined.
 fn remove_and_rejoin(bed: &mut GroupBed, removed: usize, leader: usize) {
     bed.signal(removed, Signal::SIGSTOP);
