test(platform): a gateway whose settings name other seeds later

PROTOCOL: SIGHUP says that the settings file has changed. Only the log level is read again, so a gateway that started with seeds that are gone answers 503 for as long as it runs.

--- a/tests/platform/unknown_group.rs
+++ b/tests/platform/unknown_group.rs
@@ -86,3 +86,25 @@
         members.contains(&1) && members.contains(&2)
     });
 }
+
+/// All seeds of a gateway were gone before it reached one of them, and it never read the seeds that its
+/// settings named later.
+#[test]
+fn a_gateway_uses_the_seeds_that_its_settings_name_later() {
+    let mut bed = GroupBed::start(3);
+    let successors: Vec<usize> = (0..3).map(|_| bed.add()).collect();
+    let leader = bed.wait_for_leader();
+    bed.wait("three learners", || bed.members(leader).len() == 6);
+    bed.wait("the routes", || standin::put_routes(bed.control(leader), 1, "jobs"));
+    for seed in 0..3 {
+        bed.wipe(seed);
+        bed.wait("the removal", || {
+            let leader = bed.wait_for_leader();
+            !bed.members(leader).contains(&seed) && bed.voters(leader).len() == 3
+        });
+    }
+    let gateway = bed.add_gateway();
+    thread::sleep(Duration::from_secs(2));
+    bed.change_gateway_seeds(0, &successors);
+    wait_until_served(&bed, &[gateway]);
+}
