test(runtime): an address that is in use

runtime::listen says that it fails if the address cannot be bound. The library sets SO_REUSEPORT by default, so a second process takes the address too, and real kernels hand each of them a part of the connections. A scheduler ends at the lock of its data folder after that; a gateway has none. That callers met this is not shown.

--- a/comfreymill_node/tests/main.rs
+++ b/comfreymill_node/tests/main.rs
@@ -2,6 +2,7 @@
 
 mod command;
 mod jobcall;
+mod listeners;
 mod logs;
 mod metering;
 mod orders;
