test(platform): newcomers vote by their own data, not only their addresses

The test waited for the voters [1, 2, 3, 5, 6] by address. Each must now be a follower or leader itself.

--- a/tests/platform/group_bed.rs
+++ b/tests/platform/group_bed.rs
@@ -217,6 +217,12 @@
         self.known(from, "voters")
     }
 
+    /// Returns whether a scheduler is a voter by its own data, and not only one at its address.
+    pub(super) fn votes(&self, member: usize) -> bool {
+        let status = self.status(member);
+        status["role"] == "follower" || status["role"] == "leader"
+    }
+
     /// Returns how often a scheduler has rejoined the group within its processes.
     pub(super) fn count_rejoins(&self, member: usize) -> usize {
         let log = fs::read_to_string(self.log(member)).unwrap_or_default();
--- a/tests/platform/unknown_group.rs
+++ b/tests/platform/unknown_group.rs
@@ -38,6 +38,7 @@
     wait_until_served(&bed, &gateways);
     let leader = bed.wait_for_leader();
     bed.wait("five voters", || bed.voters(leader) == [1, 2, 3, 5, 6]);
+    bed.wait("the newcomers to vote", || wiped.into_iter().all(|member| bed.votes(member)));
 }
 
 fn add_voter(bed: &mut GroupBed) {
