test(group): no leader while syncs take longer than the election time-out

Five voters lose power, three come back, as after two lost disks; syncs take 0 to 1.5 s. A candidate counts its own vote once its term is synced, and each other vote is sent after a sync; the next election begins before, in a new term that has to be synced again.

--- a/comfreymill_group/tests/scenario/disk.rs
+++ b/comfreymill_group/tests/scenario/disk.rs
@@ -3,6 +3,9 @@
 use comfreymill_group::{id, membership, message, replica};
 use comfreymill_types::time;
 
+/// Time within which a group serves again after a loss of power of all, in milliseconds.
+const RECOVERY_MILLIS: u64 = 12_000;
+
 #[test]
 fn an_empty_disk_is_refused_and_does_not_vote_under_its_earlier_identity() {
     for seed in 0..10 {
@@ -147,3 +150,17 @@
         assert_eq!(replica.commit_index() > id::Index::ZERO, is_accepted);
     }
 }
+
+/// With syncs that take longer than the election time-out, each vote came after the next election had
+/// begun, and no leader served. After two lost disks each of the three votes left is needed.
+#[test]
+fn a_quorum_with_slow_disks_elects_a_leader() {
+    for seed in 0..5 {
+        let (mut world, leader) = group::started(seed, 5);
+        group::commit(&mut world, leader);
+        (0..5).for_each(|position| world.crash(position));
+        (0..3).for_each(|position| world.start(position));
+        world.sync_max_micros = 1_500_000;
+        group::wait_until(&mut world, RECOVERY_MILLIS, |world| group::serving(world).is_some());
+    }
+}
