--- a/comfreymill_group/tests/scenario/member.rs
+++ b/comfreymill_group/tests/scenario/member.rs
@@ -164,3 +164,77 @@
     group::cut(&mut world, removed, true, false);
     group::wait_until(&mut world, 5_000, |world| world.nodes[removed].halted);
 }
+
+/// The leader's refusal reached a replica that was a voter again by then: the connection over which it
+/// was sent had been cut off, and a newer one overtook it. The process then deletes its data folder.
+#[test]
+fn a_late_refusal_does_not_halt_a_replica_that_was_added_again() {
+    let (mut world, leader) = group::started(10, 4);
+    let voter = add_newcomer(&mut world);
+    let added = world.nodes.len() - 1;
+    group::cut(&mut world, added, false, true);
+    // It receives no entry before it is removed, so it goes on announcing itself.
+    let sender = world.nodes[leader].voter;
+    world.network.cuts.remove(&(sender, voter));
+    let held_until = world.now + 12_000_000;
+    world.network.held.insert((sender, voter), held_until);
+    change(&mut world, leader, membership::Change::AddLearner(voter)).expect("announced");
+    group::commit(&mut world, leader);
+    change(&mut world, leader, membership::Change::Remove(voter)).expect("a member");
+    group::pass(&mut world, 3_000);
+
+    world.network.held.clear();
+    world.network.heal();
+    change(&mut world, leader, membership::Change::AddLearner(voter)).expect("announced again");
+    group::pass(&mut world, 2_000);
+    change(&mut world, leader, membership::Change::Promote(voter)).expect("it has caught up");
+    group::pass(&mut world, 2_000);
+    assert_eq!(group::replica(&world, added).role(), replica::Role::Follower);
+    assert!(world.now < held_until);
+    group::pass(&mut world, 12_000);
+    assert!(!world.nodes[added].halted, "a voter is told that it was removed");
+}
+
+/// After a snapshot and a restart of all voters nobody remembered who had been removed.
+#[test]
+fn a_former_member_is_told_of_its_removal_after_a_snapshot_and_a_restart_of_all() {
+    let (mut world, leader) = group::started(11, 4);
+    let removed = (leader + 1) % 4;
+    group::cut(&mut world, removed, true, true);
+    let voter = world.nodes[removed].voter;
+    change(&mut world, leader, membership::Change::Remove(voter)).expect("taken");
+    for _ in 0..10 {
+        group::commit(&mut world, leader);
+    }
+    group::pass(&mut world, 1_000);
+    let others: Vec<usize> = (0..4).filter(|position| *position != removed).collect();
+    for position in &others {
+        let machine = world.nodes[*position].machine;
+        let replica = world.nodes[*position].replica.as_mut().expect("running");
+        assert!(replica.snapshot_taken(machine.index, machine.to_bytes()));
+        world.perform(*position);
+    }
+    group::pass(&mut world, 1_000);
+    others.iter().for_each(|position| world.crash(*position));
+    others.iter().for_each(|position| world.start(*position));
+    group::wait_for_leader(&mut world);
+    world.network.heal();
+    group::cut(&mut world, removed, true, false);
+    group::wait_until(&mut world, 10_000, |world| world.nodes[removed].halted);
+}
+
+/// A follower kept the announcement of a replica that was a member meanwhile, and added it again as the
+/// next leader, although it had been removed and told so.
+#[test]
+fn the_next_leader_does_not_add_a_former_member_for_an_announcement_from_before() {
+    let (mut world, leader) = group::started(12, 4);
+    let voter = add_newcomer(&mut world);
+    change(&mut world, leader, membership::Change::AddLearner(voter)).expect("announced");
+    group::pass(&mut world, 200);
+    change(&mut world, leader, membership::Change::Remove(voter)).expect("a member");
+    group::pass(&mut world, 200);
+    world.crash(leader);
+    let next = group::wait_for_leader(&mut world);
+    let added = change(&mut world, next, membership::Change::AddLearner(voter));
+    assert_eq!(added, Err(replica::ChangeError::NotAnnounced { voter }));
+}
--- a/tests/platform/unknown_group.rs
+++ b/tests/platform/unknown_group.rs
@@ -38,6 +38,7 @@
     wait_until_served(&bed, &gateways);
     let leader = bed.wait_for_leader();
     bed.wait("five voters", || bed.voters(leader) == [1, 2, 3, 5, 6]);
+    bed.wait("the newcomers to vote", || wiped.into_iter().all(|member| bed.votes(member)));
 }
 
 fn add_voter(bed: &mut GroupBed) {
@@ -86,3 +87,25 @@
         members.contains(&1) && members.contains(&2)
     });
 }
+
+/// All seeds of a gateway were gone before it reached one of them, and it never read the seeds that its
+/// settings named later.
+#[test]
+fn a_gateway_uses_the_seeds_that_its_settings_name_later() {
+    let mut bed = GroupBed::start(3);
+    let successors: Vec<usize> = (0..3).map(|_| bed.add()).collect();
+    let leader = bed.wait_for_leader();
+    bed.wait("three learners", || bed.members(leader).len() == 6);
+    bed.wait("the routes", || standin::put_routes(bed.control(leader), 1, "jobs"));
+    for seed in 0..3 {
+        bed.wipe(seed);
+        bed.wait("the removal", || {
+            let leader = bed.wait_for_leader();
+            !bed.members(leader).contains(&seed) && bed.voters(leader).len() == 3
+        });
+    }
+    let gateway = bed.add_gateway();
+    thread::sleep(Duration::from_secs(2));
+    bed.change_gateway_seeds(0, &successors);
+    wait_until_served(&bed, &[gateway]);
+}
