fix(group): forget the announcements of members on followers as well

A leader forgot the announcement of a replica that became a member, so that one that is removed is not added again for it; its followers kept theirs, and the next leader added the former member again, which was being told at the same time that it had been removed.

Followers now forget announcements when they append a membership.

--- a/comfreymill_group/src/replica/append.rs
+++ b/comfreymill_group/src/replica/append.rs
@@ -60,6 +60,7 @@
             self.outbox.note_entries(entry.index);
             self.log.push(entry);
         }
+        self.forget_announcements_of_members();
         true
     }
 
--- a/comfreymill_group/src/replica/newcomer.rs
+++ b/comfreymill_group/src/replica/newcomer.rs
@@ -20,6 +20,13 @@
 }
 
 impl Replica {
+    /// Forgets the announcements of members: one that is removed later must not be added again for
+    /// an announcement from before.
+    pub(super) fn forget_announcements_of_members(&mut self) {
+        let membership = self.log.history().current();
+        self.newcomers.retain(|voter, _| membership.get(*voter).is_none());
+    }
+
     /// Sets the members that a joining replica with an empty log announces itself to. Has no effect
     /// on a first voter of a new group.
     ///
--- a/comfreymill_group/src/replica/replicate.rs
+++ b/comfreymill_group/src/replica/replicate.rs
@@ -82,13 +82,12 @@
         leader.peers.get_mut(&from).filter(|peer| peer.disk == disk)
     }
 
-    /// Updates the set of peers to the newest membership. Members count as newcomers no longer: one that
-    /// is removed later must not be added again for an announcement from before.
+    /// Updates the set of peers to the newest membership.
     pub(super) fn sync_peers(&mut self, now: time::Monotonic) {
+        self.forget_announcements_of_members();
         let next = self.log.last_index().next();
         let membership = self.log.history().current();
         let State::Leader(leader) = &mut self.state else { return };
-        self.newcomers.retain(|voter, _| membership.get(*voter).is_none());
         leader.peers.retain(|voter, peer| membership.contains(*voter, peer.disk));
         for (voter, member) in membership.iter().filter(|(voter, _)| *voter != self.voter) {
             leader.peers.entry(voter).or_insert_with(|| Peer::new(member.disk, next, now));
