fix(group): remember former members in the membership

A group with both builds forgets them when a leader of an earlier build changes the membership, and no sooner.

--- a/comfreymill_group/src/entry/record.rs
+++ b/comfreymill_group/src/entry/record.rs
@@ -34,6 +34,20 @@
     /// Members in ascending order of id.
     #[prost(message, repeated, tag = "1")]
     pub members: Vec<MemberRecord>,
+    /// Newest former members, the newest last; earlier builds skip them.
+    #[prost(message, repeated, tag = "2")]
+    pub former: Vec<FormerRecord>,
+}
+
+/// Encoded form of a former member.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct FormerRecord {
+    /// Id of the former member.
+    #[prost(uint64, tag = "1")]
+    pub voter: u64,
+    /// Disk of the former member.
+    #[prost(fixed64, tag = "2")]
+    pub disk: u64,
 }
 
 /// Encoded form of a [`membership::Member`].
@@ -96,25 +110,30 @@
                 learner: !member.is_voter(),
             })
             .collect();
-        Self { members }
+        let former = membership
+            .former()
+            .map(|(voter, disk)| FormerRecord { voter: voter.get(), disk: disk.get() })
+            .collect();
+        Self { members, former }
     }
 }
 
 impl From<&MembershipRecord> for membership::Membership {
     fn from(record: &MembershipRecord) -> Self {
-        record
-            .members
+        let former = record
+            .former
             .iter()
-            .map(|member| {
-                let kind = if member.learner {
-                    membership::MemberKind::Learner
-                } else {
-                    membership::MemberKind::Voter
-                };
-                let disk = id::DiskId::new(member.disk);
-                (id::VoterId::new(member.voter), membership::Member { disk, kind })
-            })
-            .collect()
+            .map(|former| (id::VoterId::new(former.voter), id::DiskId::new(former.disk)));
+        let members = record.members.iter().map(|member| {
+            let kind = if member.learner {
+                membership::MemberKind::Learner
+            } else {
+                membership::MemberKind::Voter
+            };
+            let disk = id::DiskId::new(member.disk);
+            (id::VoterId::new(member.voter), membership::Member { disk, kind })
+        });
+        members.collect::<Self>().with_former(former)
     }
 }
 
--- a/comfreymill_group/src/membership/members.rs
+++ b/comfreymill_group/src/membership/members.rs
@@ -1,11 +1,16 @@
 use crate::id;
 use crate::membership::{Member, MemberKind};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
-/// Members of a group by voter id.
+/// Maximum number of former members that are remembered.
+const MAX_FORMER: usize = 8;
+
+/// Members of a group by voter id, and the newest former members.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Membership {
     members: BTreeMap<id::VoterId, Member>,
+    /// Removed replicas with their disks, the newest last.
+    former: VecDeque<(id::VoterId, id::DiskId)>,
 }
 
 impl Membership {
@@ -14,6 +19,11 @@
         self.members.iter().map(|(voter, member)| (*voter, *member))
     }
 
+    /// Iterates over the newest former members with their disks, the newest last.
+    pub fn former(&self) -> impl Iterator<Item = (id::VoterId, id::DiskId)> + '_ {
+        self.former.iter().copied()
+    }
+
     /// Iterates over the ids of the voters in ascending order.
     pub fn voters(&self) -> impl Iterator<Item = id::VoterId> + '_ {
         self.iter().filter(|(_, member)| member.is_voter()).map(|(voter, _)| voter)
@@ -54,6 +64,7 @@
     pub fn with_learner(&self, voter: id::VoterId, disk: id::DiskId) -> Self {
         let mut next = self.clone();
         next.members.insert(voter, Member { disk, kind: MemberKind::Learner });
+        next.former.retain(|former| *former != (voter, disk));
         next
     }
 
@@ -71,8 +82,26 @@
     #[must_use]
     pub fn without(&self, voter: id::VoterId) -> Self {
         let mut next = self.clone();
-        next.members.remove(&voter);
-        next
+        if let Some(member) = next.members.remove(&voter) {
+            next.former.push_back((voter, member.disk));
+        }
+        next.with_newest_former()
+    }
+
+    /// Returns a copy that remembers `former` as former members, the newest last.
+    #[must_use]
+    pub fn with_former<F>(mut self, former: F) -> Self
+    where
+        F: IntoIterator<Item = (id::VoterId, id::DiskId)>,
+    {
+        self.former = former.into_iter().collect();
+        self.with_newest_former()
+    }
+
+    fn with_newest_former(mut self) -> Self {
+        let surplus = self.former.len().saturating_sub(MAX_FORMER);
+        self.former.drain(..surplus);
+        self
     }
 }
 
@@ -81,6 +110,6 @@
     where
         I: IntoIterator<Item = (id::VoterId, Member)>,
     {
-        Self { members: members.into_iter().collect() }
+        Self { members: members.into_iter().collect(), former: VecDeque::new() }
     }
 }
--- a/comfreymill_group/src/replica/founding.rs
+++ b/comfreymill_group/src/replica/founding.rs
@@ -109,7 +109,7 @@
             return;
         }
         leader.refuse_at = now + REFUSAL_PERIOD;
-        let former: Vec<_> = self.log.history().former().collect();
+        let former: Vec<_> = self.membership().former().collect();
         for (voter, disk) in former {
             if self.has_removed(now, voter, disk) {
                 self.refuse(voter, disk);
--- a/comfreymill_group/src/replica/log.rs
+++ b/comfreymill_group/src/replica/log.rs
@@ -129,14 +129,6 @@
         self.entries.push_back(entry);
     }
 
-    /// Replaces all entries by a snapshot of `meta`.
-    pub(super) fn reset(&mut self, meta: &snapshot::SnapshotMeta) {
-        self.base_index = meta.index;
-        self.base_term = meta.term;
-        self.entries.clear();
-        self.history.reset(meta.index, meta.membership.clone());
-    }
-
     /// Removes the entries from `index` on.
     pub(super) fn truncate_from(&mut self, index: id::Index) {
         let kept = index.previous().distance_from(self.base_index);
--- a/comfreymill_group/src/replica/take_snapshot.rs
+++ b/comfreymill_group/src/replica/take_snapshot.rs
@@ -3,6 +3,7 @@
 use crate::replica::Action;
 use crate::replica::Replica;
 use crate::replica::incoming_snapshot::IncomingSnapshot;
+use crate::replica::log::Log;
 use crate::snapshot;
 use bytes::Bytes;
 use comfreymill_types::time;
@@ -89,7 +90,7 @@
         self.outbox.entries_from = None;
         self.outbox.reset = true;
         self.outbox.note_truncated(meta.index);
-        self.log.reset(meta);
+        self.log = Log::new(meta);
     }
 
     fn set_snapshot(&mut self, snapshot: snapshot::Snapshot) {
