fix(group): date a refusal by the membership that it speaks of

A refusal that was held up on an older connection halted a replica that had been added again meanwhile; its process deletes its data folder, so the group loses the disk of a voter that serves.

A refusal now names the entry of the membership that does not contain the receiver, and a replica whose log has a later one that contains it ignores it. Earlier builds skip the field; their refusals count as before.

--- a/comfreymill_group/src/message/hello.rs
+++ b/comfreymill_group/src/message/hello.rs
@@ -21,4 +21,8 @@
     /// `sent_at_micros` of the request; 0 in response to a pre-vote.
     #[prost(uint64, tag = "3")]
     pub sent_at_micros: u64,
+    /// Entry of the membership that doesn't contain the receiver; 0 if the response says nothing
+    /// about it, or is of an earlier build.
+    #[prost(uint64, tag = "4")]
+    pub membership_index: u64,
 }
--- a/comfreymill_group/src/replica/founding.rs
+++ b/comfreymill_group/src/replica/founding.rs
@@ -51,6 +51,7 @@
             founder_accepted: false,
             refused: is_other_disk,
             sent_at_micros: hello.sent_at_micros,
+            membership_index: 0,
         };
         if hello.founding && self.log.is_empty() {
             let founder = entry::Vote { voter: from, disk };
@@ -78,6 +79,9 @@
         if response.sent_at_micros != awaited {
             return;
         }
+        if response.refused && self.was_added_after(id::Index::new(response.membership_index)) {
+            return;
+        }
         if response.refused {
             self.halt(if is_new { Halt::DiskReplaced { voter } } else { Halt::Removed { voter } });
             return;
@@ -119,11 +123,23 @@
 
     /// Tells a replica that it doesn't belong to the group.
     pub(super) fn refuse(&mut self, from: id::VoterId, disk: id::DiskId) {
-        let (founder_accepted, refused, sent_at_micros) = (false, true, 0);
-        let response = message::HelloResponse { founder_accepted, refused, sent_at_micros };
+        let response = message::HelloResponse {
+            founder_accepted: false,
+            refused: true,
+            sent_at_micros: 0,
+            membership_index: self.log.history().current_index().get(),
+        };
         self.send_synced(from, disk, message::Body::HelloResponse(response));
     }
 
+    /// Returns whether a later membership than that of the entry at `index` contains this replica;
+    /// a refusal by the earlier one is late. Earlier builds send no index, which is 0.
+    fn was_added_after(&self, index: id::Index) -> bool {
+        let history = self.log.history();
+        let is_later = index > id::Index::ZERO && history.current_index() > index;
+        is_later && history.current().contains(self.voter, self.disk)
+    }
+
     /// Starts the first election once the founding entry is synced.
     pub(super) fn finish_founding(&mut self, now: time::Monotonic) {
         let is_synced = self.founding_write.is_some_and(|write| self.outbox.is_persisted(write));
