fix(group): let an election wait for slow disks

A group whose syncs take longer than its election time-out elected no leader: a vote counts only once it is synced, and the next election began before, in a new term that had to be synced again. After two lost disks each of the three votes that are left is needed. That the users' processes met this is not proved, but it fits what they saw: CONFIG and LOST at once, after a restart of all.

All 72 tests of the crate pass, the bounds on the replacement of a killed leader among them, unchanged.

--- a/comfreymill_group/src/replica/core.rs
+++ b/comfreymill_group/src/replica/core.rs
@@ -13,6 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
 use std::mem;
+use std::time::Duration;
 
 const MAX_COMMIT_BATCH_BYTES: usize = 1024 * 1024;
 
@@ -40,6 +41,8 @@
     pub(super) replicate_at: Option<time::Monotonic>,
     /// Oldest write that is not synced, and when it became the oldest.
     pub(super) oldest_write: Option<(id::Sequence, time::Monotonic)>,
+    /// Time that recent writes took; a vote of another replica may take as long.
+    pub(super) sync_time: Duration,
     /// First voters that accepted this replica as the founder, with their disks.
     pub(super) accepted: BTreeMap<id::VoterId, id::DiskId>,
     pub(super) founding_write: Option<id::Sequence>,
@@ -86,6 +89,7 @@
             halted: None,
             replicate_at: None,
             oldest_write: None,
+            sync_time: Duration::ZERO,
             accepted: BTreeMap::new(),
             founding_write: None,
             next_hello_at: now,
@@ -114,6 +118,7 @@
             return;
         }
         self.outbox.persisted(sequence);
+        self.note_sync(now, sequence);
         self.finish_founding(now);
         self.try_win(now);
         self.try_commit();
--- a/comfreymill_group/src/replica/election.rs
+++ b/comfreymill_group/src/replica/election.rs
@@ -110,6 +110,7 @@
         let asked_term = id::Term::new(envelope.term).next();
         let granted = asked_term > self.hard_state.term
             && !self.has_recent_leader(now)
+            && !self.is_electing(now)
             && self.is_up_to_date(request.last_index, request.last_term);
         let response = message::PreVoteResponse { asked_term: asked_term.get(), granted };
         let body = message::Body::PreVoteResponse(response);
@@ -187,6 +188,12 @@
         is_recent || matches!(self.state, State::Leader(_))
     }
 
+    /// Returns whether an election is in progress here that may still succeed.
+    fn is_electing(&self, now: time::Monotonic) -> bool {
+        let is_candidate = matches!(self.state, State::Candidate { .. });
+        self.is_vote_pending() || (is_candidate && now < self.election_at)
+    }
+
     fn is_up_to_date(&self, last_index: u64, last_term: u64) -> bool {
         let own = (self.log.last_term().get(), self.log.last_index().get());
         (last_term, last_index) >= own
