fix(runtime): refuse an address that another process has

The library sets SO_REUSEPORT by default, so a second process could take the address of one that had not ended yet, and the kernel hands each of them a part of the connections; the first one may answer none of them any more.

Listeners are bound without it.

--- a/comfreymill_node/src/runtime/listen.rs
+++ b/comfreymill_node/src/runtime/listen.rs
@@ -2,7 +2,7 @@
 
 use comfreymill_http::limits;
 use comfreymill_types::error;
-use monoio::net::TcpListener;
+use monoio::net::{ListenerOpts, TcpListener};
 
 use crate::settings;
 
@@ -12,7 +12,9 @@
 ///
 /// Fails with `invalid-settings`, which names the listener, if the address cannot be bound.
 pub fn listen(name: &str, address: SocketAddr) -> Result<TcpListener, error::Error> {
-    TcpListener::bind(address).map_err(|e| {
+    // By default a second process could bind the address as well and get a part of the connections.
+    let options = ListenerOpts::new().reuse_port(false);
+    TcpListener::bind_with_config(address, &options).map_err(|e| {
         let message = format!("cannot listen on {address}: {e}");
         error::Error::new(error::ErrorKind::InvalidSettings, message).field(name)
     })
