fix(jobcall): keep the list of members of each member apart

One list for all members was kept, of whoever spoke last or led last.

The leader's list counts while it is connected, otherwise those of all connected members together, and the last one known when there is none. Contacts are connected to only while no leader is.

--- a/comfreymill_node/src/jobcall/directory.rs
+++ b/comfreymill_node/src/jobcall/directory.rs
@@ -18,7 +18,7 @@
     views: BTreeMap<Ipv4Addr, Members>,
     /// Members that say that they lead, the newest claim last.
     claims: Vec<Ipv4Addr>,
-    /// Addresses of all members, by the newest message of any member.
+    /// Addresses of all members, as last known; used while no connected member names any.
     all: Vec<Ipv4Addr>,
     /// Addresses of members that are known otherwise, the newest last.
     contacts: VecDeque<Ipv4Addr>,
@@ -37,6 +37,26 @@
         Members { leader: self.leader(), all: self.all.clone() }
     }
 
+    /// Returns the addresses of all members: those that the leader names, as a member that is behind
+    /// may name others; without a leader, those that any connected member names.
+    fn named_members(&self) -> Vec<Ipv4Addr> {
+        let of_leader = self.leader().and_then(|leader| self.views.get(&leader));
+        let mut all: Vec<Ipv4Addr> = match of_leader {
+            Some(members) => members.all.clone(),
+            None => self.views.values().flat_map(|members| members.all.iter().copied()).collect(),
+        };
+        all.sort_unstable();
+        all.dedup();
+        all
+    }
+
+    fn update_members(&mut self) {
+        let named = self.named_members();
+        if !named.is_empty() {
+            self.all = named;
+        }
+    }
+
     /// Adds the address of a member that is known otherwise than from a connection to it; only the
     /// newest contacts are kept.
     pub fn add_contact(&mut self, address: Ipv4Addr) {
@@ -66,12 +86,8 @@
         if claims && !claimed {
             self.claims.push(from);
         }
-        // A member that is behind names an older list than the leader.
-        let is_leaderless = self.leader().is_none();
-        if !members.all.is_empty() && (claims || is_leaderless) {
-            self.all.clone_from(&members.all);
-        }
         self.views.insert(from, members);
+        self.update_members();
         self.leader() != before
     }
 
@@ -80,15 +96,17 @@
         let before = self.leader();
         self.views.remove(&from);
         self.claims.retain(|member| *member != from);
+        self.update_members();
         self.leader() != before
     }
 
     /// Returns the addresses to connect to: those in `seeds`, all members, leaders that members
-    /// name, and contacts.
+    /// name, and contacts while no leader is connected.
     #[must_use]
     pub fn addresses(&self, seeds: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
         let named = self.views.values().filter_map(|members| members.leader);
-        let known = self.all.iter().chain(&self.contacts).copied();
+        let contacts = self.contacts.iter().filter(|_| self.leader().is_none());
+        let known = self.all.iter().chain(contacts).copied();
         let mut addresses: Vec<Ipv4Addr> =
             seeds.iter().copied().chain(known).chain(named).collect();
         addresses.sort_unstable();
