fix(gateway): use the seeds that the settings name later

A gateway or scheduler read its seeds once, at its start. One whose seeds were gone before it reached any of them answered 503 for as long as it ran, although the platform had written other seeds into its settings and sent SIGHUP, which only set the level of the log.

While no leader is known, the settings file is read again every two seconds, with or without a signal, and its seeds are used; a file with problems changes nothing and is logged.

--- a/comfreymill_node/src/gateway/process.rs
+++ b/comfreymill_node/src/gateway/process.rs
@@ -12,6 +12,7 @@
 use crate::metering;
 use crate::peer;
 use crate::runtime;
+use crate::seeds;
 use crate::settings;
 use crate::web;
 
@@ -44,6 +45,9 @@
     let probes = runtime::listen("listeners.ready", settings.get_ready())?;
     let node = settings.get_node();
     let leader = jobcall::Client::start(node.link(peer::Role::Entry));
+    if let Some(file) = node.get_file() {
+        monoio::spawn(seeds::follow(file.to_owned(), leader.clone()));
+    }
     let is_draining = Rc::new(Cell::new(false));
     log::info!(target: "process", name = node.get_name(), callers:% = settings.get_callers(); "the gateway starts");
 
--- a/comfreymill_node/src/jobcall/client.rs
+++ b/comfreymill_node/src/jobcall/client.rs
@@ -29,16 +29,14 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     shared: Shared,
-    seeds: Vec<Ipv4Addr>,
 }
 
 impl Client {
     /// Starts the task that maintains connections to the members of the group.
     pub fn start(cfg: LinkConfig) -> Self {
-        let shared = Shared::new();
-        let seeds = cfg.seeds.clone();
+        let shared = Shared::new(cfg.seeds.clone());
         monoio::spawn(link::run(cfg, shared.clone()));
-        Self { shared, seeds }
+        Self { shared }
     }
 
     /// Returns whether a leader is known and connected.
@@ -54,7 +52,12 @@
     /// Returns the addresses at which members are looked for: the seeds, all known members, leaders
     /// that members name, and contacts.
     pub fn addresses(&self) -> Vec<Ipv4Addr> {
-        self.shared.addresses(&self.seeds)
+        self.shared.addresses()
+    }
+
+    /// Replaces the seeds; returns whether they have changed.
+    pub fn set_seeds(&self, seeds: &[Ipv4Addr]) -> bool {
+        self.shared.set_seeds(seeds)
     }
 
     /// Adds the address of a member that is known otherwise than from a connection to it.
--- a/comfreymill_node/src/jobcall/link.rs
+++ b/comfreymill_node/src/jobcall/link.rs
@@ -36,7 +36,7 @@
 pub(super) async fn run(cfg: LinkConfig, shared: Shared) {
     let mut linked: Vec<(Ipv4Addr, flume::Sender<()>)> = Vec::new();
     loop {
-        let addresses = shared.addresses(&cfg.seeds);
+        let addresses = shared.addresses();
         shared.report_search(&addresses);
         linked.retain(|(member, _)| addresses.contains(member));
         for member in addresses {
--- a/comfreymill_node/src/jobcall/shared.rs
+++ b/comfreymill_node/src/jobcall/shared.rs
@@ -28,6 +28,8 @@
 #[derive(Debug)]
 struct State {
     directory: Directory,
+    /// Addresses that are tried first.
+    seeds: Vec<Ipv4Addr>,
     links: BTreeMap<Ipv4Addr, Link>,
     /// Calls that wait for a leader.
     waiting: Vec<flume::Sender<()>>,
@@ -44,9 +46,10 @@
 
 impl Shared {
     /// Creates the state without connections.
-    pub(super) fn new() -> Self {
+    pub(super) fn new(seeds: Vec<Ipv4Addr>) -> Self {
         Self(Rc::new(RefCell::new(State {
             directory: Directory::default(),
+            seeds,
             links: BTreeMap::new(),
             waiting: Vec::new(),
             leaderless_since: Instant::now(),
@@ -65,8 +68,19 @@
     }
 
     /// Returns the addresses to connect to.
-    pub(super) fn addresses(&self, seeds: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
-        self.0.borrow().directory.addresses(seeds)
+    pub(super) fn addresses(&self) -> Vec<Ipv4Addr> {
+        let state = self.0.borrow();
+        state.directory.addresses(&state.seeds)
+    }
+
+    /// Replaces the seeds; returns whether they have changed.
+    pub(super) fn set_seeds(&self, seeds: &[Ipv4Addr]) -> bool {
+        let known = &mut self.0.borrow_mut().seeds;
+        let has_changed = known.as_slice() != seeds;
+        if has_changed {
+            *known = seeds.to_vec();
+        }
+        has_changed
     }
 
     /// Adds the address of a member that is known otherwise than from a connection to it.
--- a/comfreymill_node/src/lib.rs
+++ b/comfreymill_node/src/lib.rs
@@ -18,3 +18,4 @@
 
 mod proposals;
 mod random;
+mod seeds;
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -23,6 +23,7 @@
 use crate::metering;
 use crate::peer;
 use crate::runtime;
+use crate::seeds;
 use crate::settings;
 use crate::web;
 
@@ -68,6 +69,9 @@
     let links = Links::new(identity.clone(), node.get_peers_port());
     log::info!(target: "process", name = node.get_name(), member = replica.voter().get(), peers:% = peers_address, control:% = settings.get_control(); "the scheduler starts");
     let leader = jobcall::Client::start(node.link(peer::Role::Entry));
+    if let Some(file) = node.get_file() {
+        monoio::spawn(seeds::follow(file.to_owned(), leader.clone()));
+    }
     let budget = DescriptorBudget::new(settings.get_descriptors());
     let cfg = core::CoreConfig {
         leader: leader.clone(),
--- a/comfreymill_node/src/settings/gateway_settings.rs
+++ b/comfreymill_node/src/settings/gateway_settings.rs
@@ -29,6 +29,10 @@
         self.ready
     }
 
+    pub(super) fn node_mut(&mut self) -> &mut NodeSettings {
+        &mut self.node
+    }
+
     pub(super) fn read_section(section: &yaml::Section<'_>) -> Option<Self> {
         settings_file::read_program(section, settings_file::GATEWAY);
         let node = NodeSettings::read(section);
--- a/comfreymill_node/src/settings/node_settings.rs
+++ b/comfreymill_node/src/settings/node_settings.rs
@@ -23,6 +23,7 @@
     key: String,
     log: LogSettings,
     metrics: Option<SocketAddr>,
+    file: Option<path::PathBuf>,
 }
 
 impl NodeSettings {
@@ -51,6 +52,16 @@
         self.metrics
     }
 
+    /// File that the settings were loaded from, if any.
+    pub fn get_file(&self) -> Option<&path::Path> {
+        self.file.as_deref()
+    }
+
+    /// Sets the file that the settings were loaded from.
+    pub(super) fn set_file(&mut self, file: &path::Path) {
+        self.file = Some(file.to_owned());
+    }
+
     /// Log settings.
     pub fn get_log(&self) -> &LogSettings {
         &self.log
@@ -107,6 +118,7 @@
             key: key?,
             log,
             metrics,
+            file: None,
         })
     }
 }
--- a/comfreymill_node/src/settings/scheduler_settings.rs
+++ b/comfreymill_node/src/settings/scheduler_settings.rs
@@ -115,6 +115,10 @@
         self.remote_factor
     }
 
+    pub(super) fn node_mut(&mut self) -> &mut NodeSettings {
+        &mut self.node
+    }
+
     pub(super) fn read_section(section: &yaml::Section<'_>, folder: &path::Path) -> Option<Self> {
         settings_file::read_program(section, settings_file::SCHEDULER);
         let node = NodeSettings::read(section);
--- a/comfreymill_node/src/settings/settings_file.rs
+++ b/comfreymill_node/src/settings/settings_file.rs
@@ -7,7 +7,7 @@
 use comfreymill_types::yaml;
 
 use super::{
-    ControlSettings, EntrySettings, GatewaySettings, LogSettings, ParseWordError,
+    ControlSettings, EntrySettings, GatewaySettings, LogSettings, NodeSettings, ParseWordError,
     SchedulerSettings, machine,
 };
 
@@ -82,7 +82,12 @@
         let settings = Self::read_node(&node, folder);
         let mut problems = if with_machine { machine::check(&node, folder) } else { Vec::new() };
         match settings {
-            Ok(settings) if problems.is_empty() => return Ok(settings),
+            Ok(mut settings) if problems.is_empty() => {
+                if let Some(node) = settings.node_mut() {
+                    node.set_file(file);
+                }
+                return Ok(settings);
+            }
             Ok(_) => {}
             Err(found) => problems.extend(found),
         }
@@ -123,6 +128,23 @@
         }
     }
 
+    /// Settings that gateways and schedulers have in common; `None` for other programs.
+    pub fn get_node(&self) -> Option<&NodeSettings> {
+        match self {
+            Self::Entry(_) | Self::Control(_) => None,
+            Self::Gateway(settings) => Some(settings.get_node()),
+            Self::Scheduler(settings) => Some(settings.get_node()),
+        }
+    }
+
+    fn node_mut(&mut self) -> Option<&mut NodeSettings> {
+        match self {
+            Self::Entry(_) | Self::Control(_) => None,
+            Self::Gateway(settings) => Some(settings.node_mut()),
+            Self::Scheduler(settings) => Some(settings.node_mut()),
+        }
+    }
+
     /// Name of the program that the settings are for.
     pub fn get_program(&self) -> &'static str {
         match self {
