fix(group): start from removed segments that a loss of power brings back

What callers saw: a scheduler whose machine had lost power ended at each start with "log-...3.seg: unexpected number 3, expected 2" and never came back, although nothing that it had acknowledged was missing.

Cause: covered segments are removed one after the other, and their removal becomes durable with the next sync of the folder. A loss of power keeps or drops each removal independently, so the first segment may be back without the second one. Reading the log took that for a missing segment. The tests' disk dropped all removals or none, so no test met it.

Fix: the log is read from the segment after the last gap, and the files before it are removed again.

Evidence: `power_loss` runs a store on a disk on which each unsynced write is kept, dropped or torn, and each unsynced new, renamed or removed name is kept or dropped, independently; it fails at every operation, then up to three times while it recovers.

--- a/comfreymill_group/src/store/files.rs
+++ b/comfreymill_group/src/store/files.rs
@@ -267,8 +267,13 @@
 
     /// Removes older snapshots and the segments that the newest snapshot covers.
     fn remove_covered(&mut self, files: &[String]) -> Result<(), StoreError> {
+        let first = self.segments.front().map_or(0, |segment| segment.number);
         for file in files {
-            if names::snapshot_index(file).is_some_and(|index| Some(index) < self.snapshot) {
+            let is_old_snapshot =
+                names::snapshot_index(file).is_some_and(|index| Some(index) < self.snapshot);
+            let is_unused_segment =
+                names::segment_number(file).is_some_and(|number| number < first);
+            if is_old_snapshot || is_unused_segment {
                 self.remove(file)?;
             }
         }
--- a/comfreymill_group/src/store/replay.rs
+++ b/comfreymill_group/src/store/replay.rs
@@ -25,7 +25,7 @@
 }
 
 impl Replay {
-    /// Reads the segments named in `files`.
+    /// Reads the consecutive segments named in `files` up to the last one.
     pub(super) fn read<D>(
         disk: &mut D,
         files: &[String],
@@ -37,6 +37,9 @@
         let mut numbers: Vec<_> =
             files.iter().filter_map(|file| names::segment_number(file)).collect();
         numbers.sort_unstable();
+        // A power loss may undo the removal of some covered segments and not of those after them.
+        let gap = numbers.windows(2).rposition(|pair| pair[0] + 1 != pair[1]);
+        let numbers = &numbers[gap.map_or(0, |position| position + 1)..];
         let mut replay = Self::default();
         for (position, number) in numbers.iter().enumerate() {
             let is_last = position + 1 == numbers.len();
@@ -160,8 +163,7 @@
             return Err(Corruption::Sequence { expected: number, found: record.number });
         }
         let last = record.last.unwrap_or_default();
-        if let Some(previous) = self.segments.last() {
-            check_sequence(previous.number + 1, number)?;
+        if !self.segments.is_empty() {
             check_sequence(self.sequence + 1, sequence)?;
             if last != self.last() {
                 let (last, found) = (id::Index::new(self.last().index), id::Index::new(last.index));
