fix(group): sync the folder before the log that is read depends on it

Fix: opening syncs the folder before it reads the names, so that whatever is derived from them is written after they are durable. The contents need no sync there: only the last segment may hold unsynced data, and it is rewritten.

--- a/comfreymill_group/src/store/files.rs
+++ b/comfreymill_group/src/store/files.rs
@@ -43,6 +43,9 @@
     /// Returns an error if a file can't be read or written, is corrupt or belongs to another
     /// replica.
     pub fn open(mut disk: D, options: Options) -> Result<(Self, replica::Recovered), StoreError> {
+        // A process that was killed may have left names that are not synced. Without this sync, a
+        // power loss could keep what is written below and drop the snapshot that it refers to.
+        sync_folder(&mut disk)?;
         let files = list(&mut disk)?;
         let files = remove_temporaries(&mut disk, files)?;
         if !files.iter().any(|file| file == names::IDENTITY) {
@@ -302,6 +305,13 @@
     disk.list().map_err(|error| StoreError::io(".", 0, "list", error))
 }
 
+fn sync_folder<D>(disk: &mut D) -> Result<(), StoreError>
+where
+    D: Disk,
+{
+    disk.sync_folder().map_err(|error| StoreError::io(".", 0, "sync of the folder", error))
+}
+
 /// Removes temporary files of interrupted writes, and returns the names of the other files.
 fn remove_temporaries<D>(disk: &mut D, files: Vec<String>) -> Result<Vec<String>, StoreError>
 where
--- a/comfreymill_group/tests/store/power_loss.rs
+++ b/comfreymill_group/tests/store/power_loss.rs
@@ -125,6 +125,32 @@
     });
 }
 
+#[test]
+fn losses_of_power_after_a_kill_lose_nothing_acknowledged_and_prevent_no_start() {
+    check_each_failure(|run, rng| {
+        run.disk.restart();
+        run.disk.fail_after(rng.random_range(0..14));
+        open(&run.disk).ok();
+        run.disk.lose_power(LOSSES[rng.random_range(0..LOSSES.len())], rng);
+        run.recover(rng).map(|_| ())
+    });
+}
+
+#[test]
+fn a_store_that_is_interrupted_in_turn_keeps_what_was_acknowledged() {
+    check_each_failure(|mut run, rng| {
+        for _ in 0..3 {
+            run.fail(rng);
+            run.states = vec![run.recover(rng)?];
+            run.acknowledged = 0;
+            run.disk.fail_after(rng.random_range(0..60));
+            run.write(rng.random());
+        }
+        run.fail(rng);
+        run.recover(rng).map(|_| ())
+    });
+}
+
 /// A scheduler never started again, since some of the removed segments were back after a power
 /// loss, without the one that followed them.
 #[test]
