feat(group): retire a replica under a durable marker

A scheduler that the group has removed deletes the files of its replica one by one, in any order, and syncs the folder last. `Store::retire` does this so that any interruption ends in the whole replica or in none: it makes an empty marker durable first, removes the files, and then the marker; opening a folder with the marker finishes the removal. The marker is a file of its own, and not the renamed identity, so that the intent doesn't depend on what a loss of power makes of a rename.

Evidence: the test's disk fails at each operation of the removal, then the power is lost or the process killed, up to four times.

--- a/comfreymill_group/src/store/files.rs
+++ b/comfreymill_group/src/store/files.rs
@@ -6,7 +6,9 @@
 use crate::store::record::{PositionRecord, SegmentRecord, WriteRecord};
 use crate::store::replay::Replay;
 use crate::store::segment::Segment;
-use crate::store::{Corruption, Disk, Identity, Options, StoreError, frame, names, snapshot_file};
+use crate::store::{
+    Corruption, Disk, Identity, Options, StoreError, frame, names, retire, snapshot_file,
+};
 use prost::Message as _;
 use std::collections::VecDeque;
 use std::mem;
@@ -46,7 +48,11 @@
         // A process that was killed may have left names that are not synced. Without this sync, a
         // power loss could keep what is written below and drop the snapshot that it refers to.
         sync_folder(&mut disk)?;
-        let files = list(&mut disk)?;
+        let mut files = list(&mut disk)?;
+        if files.iter().any(|file| file == names::RETIRED) {
+            retire::finish(&mut disk, &files)?;
+            files = list(&mut disk)?;
+        }
         let files = remove_temporaries(&mut disk, files)?;
         if !files.iter().any(|file| file == names::IDENTITY) {
             return Self::create(disk, options, &files);
@@ -298,14 +304,14 @@
     }
 }
 
-fn list<D>(disk: &mut D) -> Result<Vec<String>, StoreError>
+pub(super) fn list<D>(disk: &mut D) -> Result<Vec<String>, StoreError>
 where
     D: Disk,
 {
     disk.list().map_err(|error| StoreError::io(".", 0, "list", error))
 }
 
-fn sync_folder<D>(disk: &mut D) -> Result<(), StoreError>
+pub(super) fn sync_folder<D>(disk: &mut D) -> Result<(), StoreError>
 where
     D: Disk,
 {
--- a/comfreymill_group/src/store/mod.rs
+++ b/comfreymill_group/src/store/mod.rs
@@ -8,6 +8,10 @@
 //! A new segment begins with a header that repeats the term, the vote and the last log position.
 //! The segment gets its final name only after it is synced. Segments are removed, oldest first,
 //! when a synced snapshot covers all their entries.
+//!
+//! A power loss may keep or drop each unsynced write and each created, renamed or removed name
+//! independently. Whatever refers to a name is therefore written after the folder was synced. The
+//! files of a replica that left its group are removed under a durable marker.
 
 mod completion;
 mod disk;
@@ -21,6 +25,7 @@
 mod record;
 mod replay;
 mod restore;
+mod retire;
 mod segment;
 mod snapshot_file;
 mod thread;
--- a/comfreymill_group/src/store/names.rs
+++ b/comfreymill_group/src/store/names.rs
@@ -5,6 +5,9 @@
 /// Name of the file with the identity of the replica.
 pub(super) const IDENTITY: &str = "identity";
 
+/// Name of the empty file that marks the other files as those of a retired replica.
+pub(super) const RETIRED: &str = "retired";
+
 /// Suffix of files that are being written.
 pub(super) const TEMPORARY_SUFFIX: &str = ".tmp";
 
@@ -37,3 +40,9 @@
 pub(super) fn temporary(name: &str) -> String {
     format!("{name}{TEMPORARY_SUFFIX}")
 }
+
+/// Returns whether `name` is a file of a replica, complete or still being written.
+pub(super) fn is_of_replica(name: &str) -> bool {
+    let name = name.strip_suffix(TEMPORARY_SUFFIX).unwrap_or(name);
+    name == IDENTITY || segment_number(name).is_some() || snapshot_index(name).is_some()
+}
--- a/comfreymill_group/tests/store/forgetful_disk.rs
+++ b/comfreymill_group/tests/store/forgetful_disk.rs
@@ -24,6 +24,10 @@
     AnyName,
 }
 
+impl Loss {
+    pub(crate) const ALL: [Self; 4] = [Self::All, Self::None, Self::Any, Self::AnyName];
+}
+
 #[derive(Debug, Default)]
 struct State {
     files: Vec<File>,
@@ -79,6 +83,14 @@
         state.limit = None;
     }
 
+    /// Cuts the power, or kills the process.
+    pub(crate) fn crash(&self, rng: &mut ChaCha8Rng) {
+        match rng.random_range(0..5) {
+            4 => self.restart(),
+            loss => self.lose_power(Loss::ALL[loss], rng),
+        }
+    }
+
     /// Returns the number of operations so far.
     pub(crate) fn operations(&self) -> u64 {
         self.lock().operations
--- a/comfreymill_group/tests/store/mod.rs
+++ b/comfreymill_group/tests/store/mod.rs
@@ -10,4 +10,5 @@
 mod poison;
 mod power_loss;
 mod restore;
+mod retire;
 mod thread;
--- a/comfreymill_group/tests/store/power_loss.rs
+++ b/comfreymill_group/tests/store/power_loss.rs
@@ -9,7 +9,6 @@
 const DEFAULT_SEEDS: u64 = 12;
 const WRITES: usize = 14;
 const ATTEMPTS: u64 = 8;
-const LOSSES: [Loss; 4] = [Loss::All, Loss::None, Loss::Any, Loss::AnyName];
 
 /// States that a folder may hold, and the acknowledged identity of its replica.
 struct Run {
@@ -51,7 +50,7 @@
         for _ in 0..rng.random_range(0..4) {
             self.disk.fail_after(rng.random_range(0..14));
             open(&self.disk).ok();
-            self.fail(rng);
+            self.disk.crash(rng);
         }
         let (_, recovered) = open(&self.disk).map_err(|error| error.to_string())?;
         if self.identity.is_some_and(|identity| identity != recovered.disk) {
@@ -67,14 +66,6 @@
         let message = || format!("recovered {found:?}, expected one of {allowed:?}");
         if is_allowed { Ok(found) } else { Err(message()) }
     }
-
-    /// Cuts the power or kills the process.
-    fn fail(&self, rng: &mut ChaCha8Rng) {
-        match rng.random_range(0..5) {
-            4 => self.disk.restart(),
-            loss => self.disk.lose_power(LOSSES[loss], rng),
-        }
-    }
 }
 
 fn open(
@@ -84,7 +75,7 @@
 }
 
 /// Returns the seeds to run; a longer run is started by hand.
-fn seeds() -> std::ops::Range<u64> {
+pub(crate) fn seeds() -> std::ops::Range<u64> {
     let number = |name| env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
     let first = number("COMFREYMILL_FIRST_SEED").unwrap_or(0);
     first..first + number("COMFREYMILL_POWER_LOSS_SEEDS").unwrap_or(DEFAULT_SEEDS)
@@ -120,7 +111,7 @@
 #[test]
 fn no_loss_of_power_loses_what_was_acknowledged_or_prevents_a_start() {
     check_each_failure(|run, rng| {
-        run.disk.lose_power(LOSSES[rng.random_range(0..LOSSES.len())], rng);
+        run.disk.lose_power(Loss::ALL[rng.random_range(0..Loss::ALL.len())], rng);
         run.recover(rng).map(|_| ())
     });
 }
@@ -131,7 +122,7 @@
         run.disk.restart();
         run.disk.fail_after(rng.random_range(0..14));
         open(&run.disk).ok();
-        run.disk.lose_power(LOSSES[rng.random_range(0..LOSSES.len())], rng);
+        run.disk.lose_power(Loss::ALL[rng.random_range(0..Loss::ALL.len())], rng);
         run.recover(rng).map(|_| ())
     });
 }
@@ -140,13 +131,13 @@
 fn a_store_that_is_interrupted_in_turn_keeps_what_was_acknowledged() {
     check_each_failure(|mut run, rng| {
         for _ in 0..3 {
-            run.fail(rng);
+            run.disk.crash(rng);
             run.states = vec![run.recover(rng)?];
             run.acknowledged = 0;
             run.disk.fail_after(rng.random_range(0..60));
             run.write(rng.random());
         }
-        run.fail(rng);
+        run.disk.crash(rng);
         run.recover(rng).map(|_| ())
     });
 }
