fix(group): open a data folder that has foreign entries

What callers saw: a new scheduler whose data folder was the root of a file system, with `lost+found` in it, ended at each start with "the identity file is missing, but other files exist".

Cause: every name in the folder that isn't an unused first segment was taken for a file of a replica without its identity. Files of others that end in ".tmp" were removed as interrupted writes.

Fix: the store looks only at names that it gives.

Evidence: foreign_entries_prevent_no_start_and_stay, on real files, failed before this change at its first opening with NoIdentity.

--- a/comfreymill_group/src/store/files.rs
+++ b/comfreymill_group/src/store/files.rs
@@ -38,7 +38,8 @@
 where
     D: Disk,
 {
-    /// Opens the store on `disk`, or creates one if the folder is empty.
+    /// Opens the store on `disk`, or creates one if the folder has no files of a replica. Ignores
+    /// other files and folders.
     ///
     /// # Errors
     ///
@@ -53,6 +54,7 @@
             retire::finish(&mut disk, &files)?;
             files = list(&mut disk)?;
         }
+        files.retain(|file| names::is_of_replica(file));
         let files = remove_temporaries(&mut disk, files)?;
         if !files.iter().any(|file| file == names::IDENTITY) {
             return Self::create(disk, options, &files);
@@ -93,8 +95,8 @@
         Ok((store, recovered))
     }
 
-    /// Creates the store in an empty folder. The identity is written last, so a creation that was
-    /// interrupted leaves at most an unused segment, which is removed here.
+    /// Creates the store in a folder without one. The identity is written last, so a creation that
+    /// was interrupted leaves at most an unused segment, which is removed here.
     fn create(
         mut disk: D,
         options: Options,
--- a/comfreymill_group/tests/store/folder.rs
+++ b/comfreymill_group/tests/store/folder.rs
@@ -32,6 +32,24 @@
     }
 }
 
+/// A new scheduler never started in a data folder that was the root of a file system.
+#[test]
+fn foreign_entries_prevent_no_start_and_stay() {
+    let folder = TestFolder::new("foreign");
+    let entries = [folder.0.join("lost+found"), folder.0.join("backup.tmp")];
+    fs::create_dir_all(&entries[0]).expect("a folder");
+    fs::write(&entries[1], "kept").expect("a file");
+    for _ in 0..2 {
+        for _ in 0..2 {
+            let disk = store::FolderDisk::open(&folder.0).expect("a folder");
+            store::Store::open(disk, model::options()).expect("opens");
+        }
+        let disk = store::FolderDisk::open(&folder.0).expect("a folder");
+        store::Store::retire(disk).expect("retires");
+    }
+    assert!(entries.iter().all(|entry| entry.exists()), "foreign entries were removed");
+}
+
 #[test]
 fn a_folder_in_use_is_refused() {
     let folder = TestFolder::new("in-use");
