fix(node): clear the folder of a removed scheduler so that it starts again

What callers saw: a scheduler that the group had removed, and whose machine lost power while it deleted its files, could end at each start with "the identity file is missing, but other files exist", or come back as its former member with a part of its log. One whose data folder held a folder such as `lost+found` ended at the removal with "Is a directory" and some files deleted, and ended so at each start after that.

Cause: the process deleted every entry of the folder in the order in which the system listed them and synced the folder last, outside the store, which knows which files belong together.

Fix: `Store::retire`, which goes by a durable marker and touches only the store's own files.

Evidence: a_foreign_folder_does_not_keep_a_removed_scheduler_from_rejoining, with real processes, failed before this change (one run: "storage: data folder ...: Is a directory (os error 21)") and passes with it, as do the other two tests of platform::rejoin (one run).

--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -1,5 +1,3 @@
-use std::fs;
-use std::io;
 use std::net::SocketAddr;
 use std::path;
 use std::time::Duration;
@@ -148,18 +146,14 @@
     }
 }
 
-/// Deletes the files in the data folder of a replica that the group has removed.
+/// Clears the data folder of a replica that the group has removed.
 fn clear(folder: &path::Path) -> Result<(), error::Error> {
-    let remove = || {
-        for file in fs::read_dir(folder)? {
-            fs::remove_file(file?.path())?;
-        }
-        fs::File::open(folder)?.sync_all()
-    };
-    remove().map_err(|source: io::Error| {
+    let storage = |source: String| {
         let message = format!("data folder {}: {source}", folder.display());
         error::Error::new(error::ErrorKind::Storage, message)
-    })
+    };
+    let disk = store::FolderDisk::open(folder).map_err(|error| storage(error.to_string()))?;
+    store::Store::retire(disk).map_err(|error| storage(error.to_string()))
 }
 
 /// Returns the status of the core as JSON text; empty if the core has ended.
--- a/tests/platform/rejoin.rs
+++ b/tests/platform/rejoin.rs
@@ -1,5 +1,6 @@
 //! Schedulers that the group removes and that rejoin it within their processes.
 
+use std::fs;
 use std::time::{Duration, Instant};
 
 use comfreymill_node::jobcall::{Call, Reply};
@@ -65,6 +66,19 @@
     expect_answer(&session);
 }
 
+/// The removal of a scheduler's files failed at a folder among them, with some files deleted, and the
+/// scheduler never started again.
+#[test]
+fn a_foreign_folder_does_not_keep_a_removed_scheduler_from_rejoining() {
+    let mut bed = GroupBed::start(3);
+    let leader = bed.wait_for_leader();
+    let removed = (leader + 1) % 3;
+    let foreign = bed.folder().join(format!("data-{removed}")).join("lost+found");
+    fs::create_dir(&foreign).expect("the scheduler has a data folder");
+    remove_and_rejoin(&mut bed, removed, leader);
+    assert!(foreign.exists(), "a foreign folder was removed");
+}
+
 /// Freezes a voter until a newcomer has taken its place, and waits until it has rejoined.
 fn remove_and_rejoin(bed: &mut GroupBed, removed: usize, leader: usize) {
     bed.signal(removed, Signal::SIGSTOP);
