test(group): let the schedules' stores lose power with names unsynced

A third of the schedules also write to a log store, which was reopened after a power loss that dropped all unsynced names or none. It now loses each of them independently, and is opened up to two times under failures before that.

The schedules themselves are the same: the losses draw from a generator of their own.

--- a/comfreymill_group/tests/schedule/file_store.rs
+++ b/comfreymill_group/tests/schedule/file_store.rs
@@ -1,18 +1,20 @@
 use crate::schedule::node::DurableState;
-use crate::store::faulty_disk::FaultyDisk;
+use crate::store::forgetful_disk::{ForgetfulDisk, Loss};
 use crate::store::model::Model;
 use comfreymill_group::{id, replica, store};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 /// Log store of a replica on an in-memory disk.
 #[derive(Debug)]
 pub(crate) struct FileStore {
-    disk: FaultyDisk,
-    store: store::Store<FaultyDisk>,
+    disk: ForgetfulDisk,
+    store: store::Store<ForgetfulDisk>,
 }
 
 impl Default for FileStore {
     fn default() -> Self {
-        Self::open(FaultyDisk::default()).0
+        Self::open(ForgetfulDisk::default()).0
     }
 }
 
@@ -22,19 +24,29 @@
         self.store.write(vec![write.clone()]).expect("the disk accepts all writes");
     }
 
-    /// Reopens the files after a power loss, and checks that they hold `expected`.
+    /// Reopens the files after power losses, and checks that they hold `expected`.
     pub(crate) fn reopen(&mut self, expected: &DurableState) {
-        let kept = FaultyDisk::with_files(&self.disk.files_after_power_loss());
-        let (reopened, found) = Self::open(kept);
+        // The schedule's own choices don't depend on the losses.
+        let mut rng = ChaCha8Rng::seed_from_u64(expected.disk.get() << 32 | self.disk.operations());
+        for _ in 0..rng.random_range(0..3) {
+            self.disk.fail_after(rng.random_range(0..12));
+            store::Store::open(self.disk.clone(), options()).ok();
+            self.disk.crash(&mut rng);
+        }
+        self.disk.lose_power(Loss::ALL[rng.random_range(0..Loss::ALL.len())], &mut rng);
+        let (reopened, found) = Self::open(self.disk.clone());
         *self = reopened;
         let DurableState { hard_state, snapshot, entries, .. } = expected.clone();
         assert_eq!(found, Model { hard_state, snapshot, entries }, "files hold another state");
     }
 
-    fn open(disk: FaultyDisk) -> (Self, Model) {
-        let options = store::Options::new(id::GroupId::new(1), id::VoterId::new(1));
-        let options = options.segment_bytes(1_000);
-        let (store, recovered) = store::Store::open(disk.clone(), options).expect("opens");
+    fn open(disk: ForgetfulDisk) -> (Self, Model) {
+        let opened = store::Store::open(disk.clone(), options());
+        let (store, recovered) = opened.expect("opens");
         (Self { disk, store }, Model::of(recovered))
     }
 }
+
+fn options() -> store::Options {
+    store::Options::new(id::GroupId::new(1), id::VoterId::new(1)).segment_bytes(1_000)
+}
