--- a/comfreymill_jobs/tests/state/mod.rs
+++ b/comfreymill_jobs/tests/state/mod.rs
@@ -1,6 +1,7 @@
 //! Replicated state: repeated commands are harmless, and snapshots contain the whole state.
 
 mod odd_bytes;
+mod round_trip;
 
 use comfreymill_jobs::state::{Command, Effect, JobStatus, State, Submission, ZoneOrder};
 use comfreymill_jobs::worker::{End, EndKind};
