fix(group): sync the parent of each folder created above the data folder

Where several levels of the data folder were missing, only the parent of the last one was synced, so a loss of power could take the upper ones back with all that had been acknowledged in them. The platform gives a folder that exists; this is for data folders of other deployments. Nobody has reported it.

Evidence: no test can see a sync of a real folder. strace of the new test, on the code before: mkdir of T, T/a and T/a/b, and a sync of T/a only; with the change: mkdir and a sync of the parent for each of the three. A process that is killed between a mkdir and its sync still leaves a folder that later starts don't sync.

--- a/comfreymill_group/src/store/folder.rs
+++ b/comfreymill_group/src/store/folder.rs
@@ -84,14 +84,17 @@
     }
 }
 
-/// Creates a folder and syncs its parent, so that the new entry survives a crash.
+/// Creates a folder with the missing ones above it, and syncs the parent of each, so that the new
+/// entries survive a crash.
 fn create_folder(path: &path::Path) -> io::Result<()> {
-    if path.is_dir() {
-        return Ok(());
+    let is_missing = |folder: &&path::Path| !folder.as_os_str().is_empty() && !folder.is_dir();
+    let missing: Vec<_> = path.ancestors().take_while(is_missing).collect();
+    for folder in missing.into_iter().rev() {
+        fs::create_dir(folder)?;
+        let parent = folder.parent().filter(|parent| !parent.as_os_str().is_empty());
+        fs::File::open(parent.unwrap_or(path::Path::new(".")))?.sync_all()?;
     }
-    fs::create_dir_all(path)?;
-    let parent = path.parent().filter(|parent| !parent.as_os_str().is_empty());
-    fs::File::open(parent.unwrap_or(path::Path::new(".")))?.sync_all()
+    Ok(())
 }
 
 fn lock_error(error: fs::TryLockError) -> io::Error {
--- a/comfreymill_group/tests/store/folder.rs
+++ b/comfreymill_group/tests/store/folder.rs
@@ -60,6 +60,15 @@
     assert!(store::FolderDisk::open(&folder.0).is_ok());
 }
 
+#[test]
+fn missing_folders_above_the_data_folder_are_created() {
+    let folder = TestFolder::new("levels");
+    let path = folder.0.join("a").join("b");
+    let disk = store::FolderDisk::open(&path).expect("a folder");
+    store::Store::open(disk, model::options()).expect("opens");
+    assert!(path.join("identity").is_file());
+}
+
 #[test]
 fn snapshots_limit_the_size_of_the_files() {
     let folder = TestFolder::new("bound");
