test(group): lose power within batches of writes and within a restore

The store's thread writes up to 256 writes as one batch; the runs of power_loss wrote one at a time. A restore that is interrupted now has a test too: the folder holds the whole backup, is refused for want of an identity, or is empty.

--- a/comfreymill_group/tests/store/power_loss.rs
+++ b/comfreymill_group/tests/store/power_loss.rs
@@ -7,7 +7,7 @@
 use std::env;
 
 const DEFAULT_SEEDS: u64 = 12;
-const WRITES: usize = 14;
+const BATCHES: usize = 10;
 const ATTEMPTS: u64 = 8;
 
 /// States that a folder may hold, and the acknowledged identity of its replica.
@@ -33,12 +33,16 @@
         let Ok((mut store, recovered)) = open(&self.disk) else { return };
         self.identity = Some(recovered.disk);
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        for _ in 0..WRITES {
-            let mut next = self.states[self.states.len() - 1].clone();
-            let write = model::write_in(&next, &mut rng);
-            next.write(&write);
-            self.states.push(next);
-            if store.write(vec![write]).is_err() {
+        for _ in 0..BATCHES {
+            let mut batch = Vec::new();
+            for _ in 0..rng.random_range(1..4) {
+                let mut next = self.states[self.states.len() - 1].clone();
+                let write = model::write_in(&next, &mut rng);
+                next.write(&write);
+                self.states.push(next);
+                batch.push(write);
+            }
+            if store.write(batch).is_err() {
                 return;
             }
             self.acknowledged = self.states.len() - 1;
--- a/comfreymill_group/tests/store/restore.rs
+++ b/comfreymill_group/tests/store/restore.rs
@@ -1,8 +1,11 @@
 use crate::store::faulty_disk::{FaultyDisk, Files};
-use crate::store::model;
+use crate::store::forgetful_disk::{ForgetfulDisk, Loss};
+use crate::store::model::{self, Model};
 use bytes::Bytes;
 use comfreymill_group::{id, replica, store};
 use comfreymill_types::time;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 /// Returns the content of a snapshot file.
 fn backup() -> Bytes {
@@ -64,3 +67,46 @@
     let result = store::Store::restore(FaultyDisk::default(), foreign, &whole);
     assert!(matches!(result, Err(store::StoreError::Corrupt { .. })));
 }
+
+#[test]
+fn an_interrupted_restore_leaves_all_or_nothing_of_the_backup() {
+    let backup = backup();
+    let whole = ForgetfulDisk::default();
+    let restored = store::Store::restore(whole.clone(), model::options(), &backup);
+    let expected = restored.expect("restores").1;
+    let is_whole = |found: &replica::Recovered| {
+        let content = |recovered: &replica::Recovered| {
+            let snapshot = recovered.snapshot.clone();
+            snapshot.map(|snapshot| (snapshot.meta.index, snapshot.meta.term, snapshot.data))
+        };
+        let members = found.snapshot.as_ref().map(|snapshot| &snapshot.meta.membership);
+        content(found) == content(&expected)
+            && members.is_some_and(|members| members.is_voter(found.voter, found.disk))
+            && found.hard_state == expected.hard_state
+            && found.entries.is_empty()
+    };
+    let (mut complete, mut refused, mut empty) = (0, 0, 0);
+    for failed in 0..=whole.operations() {
+        for attempt in 0..100 {
+            let mut rng = ChaCha8Rng::seed_from_u64(failed << 8 | attempt);
+            let disk = ForgetfulDisk::default();
+            disk.fail_after(failed);
+            let is_restored =
+                store::Store::restore(disk.clone(), model::options(), &backup).is_ok();
+            disk.lose_power(Loss::ALL[rng.random_range(0..Loss::ALL.len())], &mut rng);
+            match store::Store::open(disk, model::options()).map(|(_, found)| found) {
+                Ok(found) if is_whole(&found) => complete += 1,
+                Ok(found) if Model::of(found.clone()) == Model::default() && !is_restored => {
+                    empty += 1;
+                }
+                Ok(found) => panic!("operation {failed}, attempt {attempt}: {found:?}"),
+                Err(error) => {
+                    let is_without_identity = error.to_string().starts_with("identity at offset 0");
+                    assert!(is_without_identity && !is_restored, "operation {failed}: {error}");
+                    refused += 1;
+                }
+            }
+        }
+    }
+    assert!(complete > 0 && refused > 0 && empty > 0, "{complete}, {refused}, {empty}");
+}
