perf(group): open an empty folder without a sync of its own

The sync at the beginning of an opening guards what is derived from the names that are found; an empty folder has none, and a newcomer's start needn't wait for it.

--- a/comfreymill_group/src/store/files.rs
+++ b/comfreymill_group/src/store/files.rs
@@ -46,10 +46,12 @@
     /// Returns an error if a file can't be read or written, is corrupt or belongs to another
     /// replica.
     pub fn open(mut disk: D, options: Options) -> Result<(Self, replica::Recovered), StoreError> {
-        // A process that was killed may have left names that are not synced. Without this sync, a
-        // power loss could keep what is written below and drop the snapshot that it refers to.
-        sync_folder(&mut disk)?;
         let mut files = list(&mut disk)?;
+        if !files.is_empty() {
+            // A process that was killed may have left names that are not synced. Without this sync,
+            // a power loss could keep what is written below and drop what it refers to.
+            sync_folder(&mut disk)?;
+        }
         if files.iter().any(|file| file == names::RETIRED) {
             retire::finish(&mut disk, &files)?;
             files = list(&mut disk)?;
