--- a/comfreymill_group/src/store/files.rs
+++ b/comfreymill_group/src/store/files.rs
@@ -6,7 +6,9 @@
 use crate::store::record::{PositionRecord, SegmentRecord, WriteRecord};
 use crate::store::replay::Replay;
 use crate::store::segment::Segment;
-use crate::store::{Corruption, Disk, Identity, Options, StoreError, frame, names, snapshot_file};
+use crate::store::{
+    Corruption, Disk, Identity, Options, StoreError, frame, names, retire, snapshot_file,
+};
 use prost::Message as _;
 use std::collections::VecDeque;
 use std::mem;
@@ -36,14 +38,25 @@
 where
     D: Disk,
 {
-    /// Opens the store on `disk`, or creates one if the folder is empty.
+    /// Opens the store on `disk`, or creates one if the folder has no files of a replica. Ignores
+    /// other files and folders.
     ///
     /// # Errors
     ///
     /// Returns an error if a file can't be read or written, is corrupt or belongs to another
     /// replica.
     pub fn open(mut disk: D, options: Options) -> Result<(Self, replica::Recovered), StoreError> {
-        let files = list(&mut disk)?;
+        let mut files = list(&mut disk)?;
+        if !files.is_empty() {
+            // A process that was killed may have left names that are not synced. Without this sync,
+            // a power loss could keep what is written below and drop what it refers to.
+            sync_folder(&mut disk)?;
+        }
+        if files.iter().any(|file| file == names::RETIRED) {
+            retire::finish(&mut disk, &files)?;
+            files = list(&mut disk)?;
+        }
+        files.retain(|file| names::is_of_replica(file));
         let files = remove_temporaries(&mut disk, files)?;
         if !files.iter().any(|file| file == names::IDENTITY) {
             return Self::create(disk, options, &files);
@@ -84,8 +97,8 @@
         Ok((store, recovered))
     }
 
-    /// Creates the store in an empty folder. The identity is written last, so a creation that was
-    /// interrupted leaves at most an unused segment, which is removed here.
+    /// Creates the store in a folder without one. The identity is written last, so a creation that
+    /// was interrupted leaves at most an unused segment, which is removed here.
     fn create(
         mut disk: D,
         options: Options,
@@ -267,8 +280,13 @@
 
     /// Removes older snapshots and the segments that the newest snapshot covers.
     fn remove_covered(&mut self, files: &[String]) -> Result<(), StoreError> {
+        let first = self.segments.front().map_or(0, |segment| segment.number);
         for file in files {
-            if names::snapshot_index(file).is_some_and(|index| Some(index) < self.snapshot) {
+            let is_old_snapshot =
+                names::snapshot_index(file).is_some_and(|index| Some(index) < self.snapshot);
+            let is_unused_segment =
+                names::segment_number(file).is_some_and(|number| number < first);
+            if is_old_snapshot || is_unused_segment {
                 self.remove(file)?;
             }
         }
@@ -290,13 +308,20 @@
     }
 }
 
-fn list<D>(disk: &mut D) -> Result<Vec<String>, StoreError>
+pub(super) fn list<D>(disk: &mut D) -> Result<Vec<String>, StoreError>
 where
     D: Disk,
 {
     disk.list().map_err(|error| StoreError::io(".", 0, "list", error))
 }
 
+pub(super) fn sync_folder<D>(disk: &mut D) -> Result<(), StoreError>
+where
+    D: Disk,
+{
+    disk.sync_folder().map_err(|error| StoreError::io(".", 0, "sync of the folder", error))
+}
+
 /// Removes temporary files of interrupted writes, and returns the names of the other files.
 fn remove_temporaries<D>(disk: &mut D, files: Vec<String>) -> Result<Vec<String>, StoreError>
 where
--- a/comfreymill_group/tests/store/folder.rs
+++ b/comfreymill_group/tests/store/folder.rs
@@ -32,6 +32,24 @@
     }
 }
 
+/// A new scheduler never started in a data folder that was the root of a file system.
+#[test]
+fn foreign_entries_prevent_no_start_and_stay() {
+    let folder = TestFolder::new("foreign");
+    let entries = [folder.0.join("lost+found"), folder.0.join("backup.tmp")];
+    fs::create_dir_all(&entries[0]).expect("a folder");
+    fs::write(&entries[1], "kept").expect("a file");
+    for _ in 0..2 {
+        for _ in 0..2 {
+            let disk = store::FolderDisk::open(&folder.0).expect("a folder");
+            store::Store::open(disk, model::options()).expect("opens");
+        }
+        let disk = store::FolderDisk::open(&folder.0).expect("a folder");
+        store::Store::retire(disk).expect("retires");
+    }
+    assert!(entries.iter().all(|entry| entry.exists()), "foreign entries were removed");
+}
+
 #[test]
 fn a_folder_in_use_is_refused() {
     let folder = TestFolder::new("in-use");
@@ -42,6 +60,15 @@
     assert!(store::FolderDisk::open(&folder.0).is_ok());
 }
 
+#[test]
+fn missing_folders_above_the_data_folder_are_created() {
+    let folder = TestFolder::new("levels");
+    let path = folder.0.join("a").join("b");
+    let disk = store::FolderDisk::open(&path).expect("a folder");
+    store::Store::open(disk, model::options()).expect("opens");
+    assert!(path.join("identity").is_file());
+}
+
 #[test]
 fn snapshots_limit_the_size_of_the_files() {
     let folder = TestFolder::new("bound");
--- a/tests/platform/rejoin.rs
+++ b/tests/platform/rejoin.rs
@@ -75,11 +75,25 @@
     let interrupted = (leader + 1) % 3;
     let data = bed.folder().join(format!("data-{interrupted}"));
     bed.kill(interrupted);
+    fs::write(data.join("retired"), "").expect("the folder is there");
     fs::remove_file(data.join("identity")).expect("the folder has an identity");
     bed.run_later(interrupted);
     bed.wait("the scheduler to know the group", || bed.voters(interrupted).contains(&leader));
 }
 
+/// The removal of a scheduler's files failed at a folder among them, with some files deleted, and the
+/// scheduler never started again.
+#[test]
+fn a_foreign_folder_does_not_keep_a_removed_scheduler_from_rejoining() {
+    let mut bed = GroupBed::start(3);
+    let leader = bed.wait_for_leader();
+    let removed = (leader + 1) % 3;
+    let foreign = bed.folder().join(format!("data-{removed}")).join("lost+found");
+    fs::create_dir(&foreign).expect("the scheduler has a data folder");
+    remove_and_rejoin(&mut bed, removed, leader);
+    assert!(foreign.exists(), "a foreign folder was removed");
+}
+
 /// Freezes a voter until a newcomer has taken its place, and waits until it has rejoined.
 fn remove_and_rejoin(bed: &mut GroupBed, removed: usize, leader: usize) {
     bed.signal(removed, Signal::SIGSTOP);
