refactor(node): decide on changes of the membership in a planner

They are a state machine of their own now, without I/O, so that tests can drive them together with replicas in simulated time.

--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -25,6 +25,7 @@
 use crate::scheduler::explanation;
 use crate::scheduler::links::Links;
 use crate::scheduler::member_id;
+use crate::scheduler::membership_planner::MembershipPlanner;
 use crate::scheduler::turns;
 
 /// Minimum interval between rounds of placement; a commit takes about as long.
@@ -74,7 +75,7 @@
     pub(super) inputs: flume::Sender<Input>,
     /// Fatal error after which the process must end.
     pub(super) failure: Option<String>,
-    pub(super) members_checked_at: time::Monotonic,
+    pub(super) membership: MembershipPlanner,
     /// When tasks are placed next.
     pub(super) placement: turns::Pacer,
     pub(super) load: Load,
@@ -101,6 +102,7 @@
         inputs: flume::Sender<Input>,
     ) -> Self {
         let overload = turns::Overload::new(cfg.bounds);
+        let membership = MembershipPlanner::new(cfg.voters);
         Self {
             cfg,
             replica,
@@ -115,7 +117,7 @@
             fence_requested_in: None,
             inputs,
             failure: None,
-            members_checked_at: time::Monotonic::ZERO,
+            membership,
             placement: turns::Pacer::new(PLACEMENT_PERIOD),
             load: Load::new(),
             overload,
--- a/comfreymill_node/src/scheduler/mod.rs
+++ b/comfreymill_node/src/scheduler/mod.rs
@@ -11,8 +11,10 @@
 mod explanation;
 mod links;
 mod member_id;
+mod membership_planner;
 pub mod orders;
 mod process;
 pub mod turns;
 
+pub use membership_planner::MembershipPlanner;
 pub use process::run;
