test(platform): measure how long the group lacks five live voters

Real processes: twelve kinds of change of members, each timed from when the last machine is back until the leader counts five voters and each of them runs. The test sets no bound; it prints the window. One change runs with the other tests, all of them with COMFREYMILL_WINDOWS=N.

--- a/tests/platform/group_bed.rs
+++ b/tests/platform/group_bed.rs
@@ -165,14 +165,37 @@
     pub(super) fn wait_for_leader(&self) -> usize {
         let mut leader = None;
         self.wait("a leader", || {
-            let running =
-                (0..self.processes.len()).filter(|member| self.processes[*member].is_some());
-            leader = running.into_iter().find(|member| self.status(*member)["serving"] == true);
+            leader = self.leader();
             leader.is_some()
         });
         leader.expect("a leader was found")
     }
 
+    /// Returns the scheduler that leads, if one does.
+    pub(super) fn leader(&self) -> Option<usize> {
+        let mut running = self.running();
+        running.find(|member| self.status(*member)["serving"] == true)
+    }
+
+    /// Returns the number of votes that count, as the scheduler `from` knows them.
+    pub(super) fn count_voters(&self, from: usize) -> usize {
+        self.status(from)["voters"].as_array().map_or(0, Vec::len)
+    }
+
+    /// Returns the number of running schedulers that are voters with the data folders that they have.
+    pub(super) fn count_running_voters(&self) -> usize {
+        let is_voter = |member: &usize| {
+            let status = self.status(*member);
+            ["leader", "follower"].iter().any(|role| status["role"] == *role)
+        };
+        self.running().filter(is_voter).count()
+    }
+
+    /// Returns the index of the last committed entry that a scheduler knows.
+    pub(super) fn commit(&self, member: usize) -> u64 {
+        self.status(member)["commit"].as_u64().unwrap_or_default()
+    }
+
     /// Returns the members of the group, as the scheduler `from` knows them.
     pub(super) fn members(&self, from: usize) -> Vec<usize> {
         self.known(from, "members")
@@ -213,6 +236,10 @@
         (0..self.processes.len()).map(|member| format!("== {member}\n{}", read(member))).collect()
     }
 
+    fn running(&self) -> impl Iterator<Item = usize> {
+        (0..self.processes.len()).filter(|member| self.processes[*member].is_some())
+    }
+
     fn known(&self, from: usize, field: &str) -> Vec<usize> {
         let status = self.status(from);
         let addresses = status[field].as_array().cloned().unwrap_or_default();
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -3,6 +3,7 @@
 mod early_cancellation;
 mod founding;
 mod group_bed;
+mod load;
 mod lost_disks;
 mod odd_entries;
 mod overload;
@@ -14,3 +15,4 @@
 mod standin;
 mod test_bed;
 mod whole_path;
+mod windows;
