fix(node): let no learner that lags hold up other changes of members

Callers would have seen nothing until the next loss: the group kept a dead vote, and with one more machine lost it had no leader.

Cause: the leader proposed the promotion of the first learner that answered, and nothing else, until it succeeded. A learner whose disk hangs answers heartbeats and never catches up, so for as long as it hung no other learner was promoted, no newcomer was added and no vote of a lost disk was removed.

The status of the members now says which learners have caught up; the first of those is promoted, and as long as there is none, the other rules go on. A silent voter, which may come back with its data, is still not removed while there are too few voters.

Other paths: a learner that was killed and whose disk is lost again blocked for the 3 s of its silence, and does not any more; a new leader knows no learner as caught up until it has heard it; old and new builds together decide by the build of the leader, and no message has changed.

--- a/comfreymill_group/src/replica/change_membership.rs
+++ b/comfreymill_group/src/replica/change_membership.rs
@@ -3,6 +3,7 @@
 use crate::membership;
 use crate::replica::Replica;
 use crate::replica::election::State;
+use crate::replica::peer::Peer;
 use comfreymill_types::time;
 
 /// Error returned when a membership change is rejected.
@@ -135,19 +136,22 @@
             return Err(ChangeError::NotReady);
         };
         let peer = leader.peers.get(&voter);
-        let matched = peer.map_or(id::Index::ZERO, |peer| peer.matched);
-        let has_recent_response =
-            peer.is_some_and(|peer| peer.has_recent_response(now, self.cfg.get_lease()));
-        let lag = self.log.last_index().distance_from(matched);
-        if lag > self.cfg.get_promote_lag_entries()
-            || !has_recent_response
-            || matched == id::Index::ZERO
-        {
+        if !peer.is_some_and(|peer| self.has_caught_up(now, peer)) {
+            let matched = peer.map_or(id::Index::ZERO, |peer| peer.matched);
+            let lag = self.log.last_index().distance_from(matched);
             return Err(ChangeError::NotCaughtUp { voter, lag });
         }
         Ok(self.membership().with_promoted(voter))
     }
 
+    /// Returns whether a learner lacks few entries and answers, so that it may become a voter.
+    pub(super) fn has_caught_up(&self, now: time::Monotonic, peer: &Peer) -> bool {
+        let lag = self.log.last_index().distance_from(peer.matched);
+        lag <= self.cfg.get_promote_lag_entries()
+            && peer.has_recent_response(now, self.cfg.get_lease())
+            && peer.matched != id::Index::ZERO
+    }
+
     fn without(&self, voter: id::VoterId) -> Result<membership::Membership, ChangeError> {
         if voter == self.voter {
             return Err(ChangeError::RemovesLeader { voter });
--- a/comfreymill_group/src/replica/status.rs
+++ b/comfreymill_group/src/replica/status.rs
@@ -52,6 +52,8 @@
     pub tracked_for: Duration,
     /// Whether a snapshot is being sent to the member.
     pub is_receiving_snapshot: bool,
+    /// Whether the member, if it is a learner, may become a voter.
+    pub has_caught_up: bool,
 }
 
 impl Replica {
@@ -88,6 +90,7 @@
                     .map(|last_response_at| now.since(last_response_at)),
                 tracked_for: now.since(peer.tracked_since),
                 is_receiving_snapshot: peer.is_receiving_snapshot(),
+                has_caught_up: self.has_caught_up(now, peer),
             })
             .collect()
     }
--- a/comfreymill_node/src/scheduler/membership_planner.rs
+++ b/comfreymill_node/src/scheduler/membership_planner.rs
@@ -68,9 +68,13 @@
         let others: Vec<(id::VoterId, membership::Member)> =
             members.iter().filter(|(member, _)| *member != status.voter).collect();
         let voters = members.voters().count();
-        let active_learner =
-            others.iter().find(|(member, entry)| !entry.is_voter() && !is_silent(*member));
-        if let Some((learner, _)) = active_learner
+        let active_learners =
+            || others.iter().filter(|(member, entry)| !entry.is_voter() && !is_silent(*member));
+        let has_caught_up = |member: id::VoterId| {
+            status.peers.iter().any(|peer| peer.voter == member && peer.has_caught_up)
+        };
+        let ready_learner = active_learners().find(|(member, _)| has_caught_up(*member));
+        if let Some((learner, _)) = ready_learner
             && voters < self.voters
         {
             return Some(membership::Change::Promote(*learner));
@@ -81,7 +85,9 @@
         if let Some((member, _)) = replaced {
             return Some(membership::Change::Remove(*member));
         }
-        if active_learner.is_some() || voters > self.voters {
+        // A silent voter may come back with its data: it is kept while there are too few voters.
+        let may_replace = voters == self.voters && active_learners().next().is_some();
+        if may_replace || voters > self.voters {
             let silent_voter =
                 others.iter().find(|(member, entry)| entry.is_voter() && is_silent(*member));
             if let Some((member, _)) = silent_voter {
--- a/comfreymill_node/tests/main.rs
+++ b/comfreymill_node/tests/main.rs
@@ -3,6 +3,7 @@
 mod command;
 mod jobcall;
 mod logs;
+mod membership;
 mod metering;
 mod orders;
 mod peer;
--- /dev/null
+++ b/comfreymill_node/tests/membership/mod.rs
@@ -0,0 +1,4 @@
+//! Changes of the membership, decided by the planner and made by replicas.
+
+mod bed;
+mod windows;
