fix(group): promote a learner by the age of what it lacks, not only by its number

A group whose log grew by 600 entries a second never got its fifth voter back when the new disk took 150 ms for a sync, nor when all disks took 100 ms: the next loss of two then cost the quorum.

Cause: a learner was promoted only while it lacked at most 100 entries. What any replica lacks is the rate of the log times its sync and round trip, so above some rate no learner is ever near enough, however long it follows; a voter on the same disk lacks as much. A refused promotion is tried again without end.

A learner now also counts as caught up if it has all entries that the leader had within the longest election timeout, measured in rounds of replication (Ongaro's dissertation, 4.2.1). A promotion is safe in any case, as a vote counts only with its log; the rule only keeps a vote from those that would hold up commits.

--- a/comfreymill_group/src/replica/change_membership.rs
+++ b/comfreymill_group/src/replica/change_membership.rs
@@ -144,10 +144,13 @@
         Ok(self.membership().with_promoted(voter))
     }
 
-    /// Returns whether a learner lacks few entries and answers, so that it may become a voter.
+    /// Returns whether a learner answers and lacks few or only new entries, so that it may become a
+    /// voter. However many entries a second are added, a voter lacks those of its last syncs.
     pub(super) fn has_caught_up(&self, now: time::Monotonic, peer: &Peer) -> bool {
         let lag = self.log.last_index().distance_from(peer.matched);
-        lag <= self.cfg.get_promote_lag_entries()
+        let is_close = lag <= self.cfg.get_promote_lag_entries()
+            || peer.has_entries_of(now, self.cfg.get_election_timeout_max());
+        is_close
             && peer.has_recent_response(now, self.cfg.get_lease())
             && peer.matched != id::Index::ZERO
     }
--- a/comfreymill_group/src/replica/config.rs
+++ b/comfreymill_group/src/replica/config.rs
@@ -133,7 +133,8 @@
         self
     }
 
-    /// Sets the maximum number of entries that a learner may be behind when it is promoted.
+    /// Sets the maximum number of entries that a learner may be behind when it is promoted; one that has
+    /// all entries of the longest election timeout ago may be further behind.
     #[must_use]
     pub fn promote_lag_entries(mut self, entries: u64) -> Self {
         self.promote_lag_entries = entries;
--- a/comfreymill_group/src/replica/peer.rs
+++ b/comfreymill_group/src/replica/peer.rs
@@ -46,6 +46,16 @@
     progressed_at: time::Monotonic,
     /// Number of retries since then.
     retries: u32,
+    round: Round,
+    /// Start of the newest round that has ended: the peer has all that the leader had then.
+    complete_at: Option<time::Monotonic>,
+}
+
+/// Round of replication, which ends when the peer has all entries that the leader had at its start.
+#[derive(Clone, Copy, Debug)]
+struct Round {
+    began: time::Monotonic,
+    end: id::Index,
 }
 
 /// Time without a response after which a peer was cut off, so that retries begin anew.
@@ -72,6 +82,8 @@
             round_trip: Duration::ZERO,
             progressed_at: time::Monotonic::ZERO,
             retries: 0,
+            round: Round { began: now, end: next.previous() },
+            complete_at: None,
         }
     }
 
@@ -111,6 +123,11 @@
         self.last_response_at.is_some_and(|last_response_at| now.since(last_response_at) < max_age)
     }
 
+    /// Returns whether the peer has all entries that the leader had `max_age` before `now`.
+    pub(super) fn has_entries_of(&self, now: time::Monotonic, max_age: Duration) -> bool {
+        self.complete_at.is_some_and(|complete_at| now.since(complete_at) < max_age)
+    }
+
     /// Returns whether appends are pipelined.
     pub(super) fn is_streaming(&self) -> bool {
         matches!(self.flow, Flow::Stream)
@@ -128,11 +145,15 @@
         self.next = append.last.next();
     }
 
-    /// Records that the logs match up to `index`.
-    pub(super) fn accept(&mut self, index: id::Index, now: time::Monotonic) {
+    /// Records that the logs match up to `index`, while the leader's log ends at `last`.
+    pub(super) fn accept(&mut self, index: id::Index, last: id::Index, now: time::Monotonic) {
         if index > self.matched {
             self.progressed(now);
         }
+        if index >= self.round.end {
+            self.complete_at = Some(self.round.began);
+            self.round = Round { began: now, end: last };
+        }
         self.matched = self.matched.max(index);
         self.next = self.next.max(self.matched.next());
         while self.in_flight.front().is_some_and(|append| append.last <= self.matched) {
--- a/comfreymill_group/src/replica/replicate.rs
+++ b/comfreymill_group/src/replica/replicate.rs
@@ -49,7 +49,7 @@
         let index = id::Index::new(response.index);
         let prev = id::Index::new(response.prev_index);
         if !response.rejected {
-            peer.accept(index.min(last), now);
+            peer.accept(index.min(last), last, now);
             self.try_commit();
             self.tick_transfer(now);
         } else if prev > peer.matched && prev < peer.next {
--- a/comfreymill_node/tests/membership/windows.rs
+++ b/comfreymill_node/tests/membership/windows.rs
@@ -9,7 +9,29 @@
 const CATCH_UP: Duration = Duration::from_secs(4);
 /// Time for which a machine is down that loses its disk.
 const DARK: Duration = Duration::from_millis(1_500);
+/// Time of a sync on a slow disk, and on one that hangs.
+const SLOW_SYNC: Duration = Duration::from_millis(150);
 const HANG: Duration = Duration::from_secs(30);
+/// Commands that are proposed in 5 ms.
+const LOAD: usize = 3;
+
+/// The disk of one machine is lost, and the new one is slow while the log grows. Its learner was always
+/// more than a hundred entries behind, as any voter on such a disk is, and never became a voter.
+#[test]
+fn a_learner_on_a_slow_disk_is_promoted_while_the_log_grows() {
+    for seed in 0..SEEDS {
+        let mut bed = Bed::start(seed);
+        bed.commands = LOAD;
+        bed.pass(Duration::from_secs(2));
+        let lost = (bed.leader().expect("a leader") + 1) % VOTERS;
+        bed.kill(lost);
+        bed.pass(DARK);
+        bed.run(lost);
+        bed.set_sync(lost, SLOW_SYNC);
+        let took = bed.wait("five live voters", Bed::is_whole);
+        assert!(took <= CATCH_UP, "seed {seed}: {took:?}");
+    }
+}
 
 /// The disks of two machines are lost, and the new one of the first hangs. The leader tried to promote
 /// its learner without end, kept the dead vote of the second machine and did not add its newcomer.
