fix(node): replace machines that are gone within catch_up_s

When the leader and another scheduler were lost for good and two new machines came at once, the group had five live voters only 4.2 to 5 s after the new machines had started. From 4 s on (catch_up_s) two further machines may be lost, and then no quorum was left: no leader ever again, 503 from every gateway.

Cause: the times add up. A new leader is elected (0.7 s), the silence of the two counts from there (3 s), and four changes of members follow, each found due by a check only every 200 ms.

A voter is now replaced after 2 s of silence, and checks take place every 50 ms, so that a change follows the last one by about a commit. Nothing is removed without a learner that answers, as before; one that was only frozen rejoins. The budget: 4 s = one election of up to 1.2 s + 2 s + 4 changes of at most 0.1 s, with 0.4 s left.

--- a/comfreymill_node/src/scheduler/membership_planner.rs
+++ b/comfreymill_node/src/scheduler/membership_planner.rs
@@ -10,9 +10,9 @@
 use super::member_id;
 
 /// Interval between checks of the membership.
-const CHECK_PERIOD: Duration = Duration::from_millis(200);
+const CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Silence after which a member may be removed or replaced.
-const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 /// Silence after which a member is removed whose machine has announced itself with an empty data folder:
 /// its former data is gone, and its vote counts until it is removed.
 const REPLACED_SILENCE_LIMIT: Duration = Duration::from_secs(1);
--- a/comfreymill_node/tests/membership/windows.rs
+++ b/comfreymill_node/tests/membership/windows.rs
@@ -7,6 +7,8 @@
 const SEEDS: u64 = 40;
 /// Time after which a machine counts as back, or as replaced by its successor.
 const CATCH_UP: Duration = Duration::from_secs(4);
+/// Time from the loss of a machine to the start of its successor at another address.
+const SUCCESSION: Duration = Duration::from_millis(100);
 /// Time for which a machine is down that loses its disk.
 const DARK: Duration = Duration::from_millis(1_500);
 /// Time of a sync on a slow disk, and on one that hangs.
@@ -15,6 +17,28 @@
 /// Commands that are proposed in 5 ms.
 const LOAD: usize = 3;
 
+/// Two machines are lost for good and two others come in their places, while the log grows. A dead vote
+/// was kept for over four seconds, so the disks of two others could be lost before the group had
+/// five live voters again.
+#[test]
+fn two_replaced_machines_are_voters_in_time() {
+    let mut slowest = Duration::ZERO;
+    for seed in 0..SEEDS {
+        let mut bed = Bed::start(seed);
+        bed.commands = if seed % 2 == 0 { 0 } else { LOAD };
+        bed.pass(Duration::from_secs(2));
+        let leader = bed.leader().expect("a leader");
+        bed.kill(leader);
+        bed.kill((leader + 1 + seed as usize % 4) % VOTERS);
+        bed.pass(SUCCESSION);
+        bed.add();
+        bed.add();
+        let took = bed.wait("five live voters", Bed::is_whole);
+        slowest = slowest.max(took);
+    }
+    assert!(slowest <= CATCH_UP, "{slowest:?}");
+}
+
 /// The disk of one machine is lost, and the new one is slow while the log grows. Its learner was always
 /// more than a hundred entries behind, as any voter on such a disk is, and never became a voter.
 #[test]
