fix(node): replace the voter that is silent for longest

With one machine gone and another one frozen, the only learner took the place of the one with the lower address. If that was the frozen one, the dead vote stayed until it had thawed and rejoined as a learner.

Cause: the first silent voter in the order of the ids was removed.

The one that is silent for longest is removed now.

--- a/comfreymill_node/src/scheduler/membership_planner.rs
+++ b/comfreymill_node/src/scheduler/membership_planner.rs
@@ -59,11 +59,12 @@
                         && !was_heard_earlier(other, member, status)
                 })
         };
-        let is_silent_for = |member: id::VoterId, limit: Duration| {
+        let silence = |member: id::VoterId| {
             let peer = status.peers.iter().find(|peer| peer.voter == member);
             // The silence of a member that was never heard counts from when this leader knows of it.
-            peer.is_some_and(|peer| peer.silent_for.unwrap_or(peer.tracked_for) > limit)
+            peer.map_or(Duration::ZERO, |peer| peer.silent_for.unwrap_or(peer.tracked_for))
         };
+        let is_silent_for = |member: id::VoterId, limit: Duration| silence(member) > limit;
         let is_silent = |member: id::VoterId| is_silent_for(member, SILENCE_LIMIT);
         let others: Vec<(id::VoterId, membership::Member)> =
             members.iter().filter(|(member, _)| *member != status.voter).collect();
@@ -88,9 +89,9 @@
         // A silent voter may come back with its data: it is kept while there are too few voters.
         let may_replace = voters == self.voters && active_learners().next().is_some();
         if may_replace || voters > self.voters {
-            let silent_voter =
-                others.iter().find(|(member, entry)| entry.is_voter() && is_silent(*member));
-            if let Some((member, _)) = silent_voter {
+            let silent_voters =
+                others.iter().filter(|(member, entry)| entry.is_voter() && is_silent(*member));
+            if let Some((member, _)) = silent_voters.max_by_key(|(member, _)| silence(*member)) {
                 return Some(membership::Change::Remove(*member));
             }
         }
--- a/comfreymill_node/tests/membership/bed.rs
+++ b/comfreymill_node/tests/membership/bed.rs
@@ -113,6 +113,11 @@
         self.letters.retain(|letter| letter.to != address);
     }
 
+    /// Stops the process of a machine for a while.
+    pub(super) fn freeze(&mut self, address: usize, span: Duration) {
+        self.machines[address].frozen_until = self.now + span;
+    }
+
     /// Sets how long the syncs of a machine take.
     pub(super) fn set_sync(&mut self, address: usize, sync: Duration) {
         self.machines[address].sync = sync;
--- a/comfreymill_node/tests/membership/windows.rs
+++ b/comfreymill_node/tests/membership/windows.rs
@@ -77,3 +77,23 @@
         assert!(took <= CATCH_UP, "seed {seed}: {took:?}");
     }
 }
+
+/// A frozen machine and one that is gone are silent, and one learner is ready. The vote of the one that
+/// was frozen last was removed, if its address was the lower one, and the dead vote stayed.
+#[test]
+fn the_voter_that_is_silent_for_longest_is_replaced_first() {
+    for seed in 0..SEEDS {
+        let mut bed = Bed::start(seed);
+        bed.pass(Duration::from_secs(2));
+        let leader = bed.leader().expect("a leader");
+        let followers: Vec<usize> = (0..VOTERS).filter(|address| *address != leader).collect();
+        let (frozen, gone) = (followers[0], followers[3]);
+        bed.kill(gone);
+        bed.pass(Duration::from_secs(10));
+        bed.freeze(frozen, Duration::from_secs(60));
+        bed.pass(Duration::from_secs(5));
+        let learner = bed.add();
+        bed.wait("the learner to be a voter", |bed| bed.is_voter(learner));
+        assert!(bed.is_voter(frozen), "seed {seed}: the machine that is gone keeps its vote");
+    }
+}
