fix(node): keep a silent voter until a learner can take its place

A voter that was frozen beside a learner whose disk hung was removed, wiped its data when it thawed, and the group was left with four voters for as long as the disk hung.

Cause: the removal asked for a learner that answers, which is less than a promotion asks for.

It now asks for a learner that has caught up. With five voters a removal alone never makes the group more tolerant: five with one dead and four without it both survive one more loss. Votes of lost disks are removed as before, with or without a learner.

--- a/comfreymill_node/src/scheduler/membership_planner.rs
+++ b/comfreymill_node/src/scheduler/membership_planner.rs
@@ -69,12 +69,11 @@
         let others: Vec<(id::VoterId, membership::Member)> =
             members.iter().filter(|(member, _)| *member != status.voter).collect();
         let voters = members.voters().count();
-        let active_learners =
-            || others.iter().filter(|(member, entry)| !entry.is_voter() && !is_silent(*member));
         let has_caught_up = |member: id::VoterId| {
             status.peers.iter().any(|peer| peer.voter == member && peer.has_caught_up)
         };
-        let ready_learner = active_learners().find(|(member, _)| has_caught_up(*member));
+        let ready_learner =
+            others.iter().find(|(member, entry)| !entry.is_voter() && has_caught_up(*member));
         if let Some((learner, _)) = ready_learner
             && voters < self.voters
         {
@@ -87,7 +86,7 @@
             return Some(membership::Change::Remove(*member));
         }
         // A silent voter may come back with its data: it is kept while there are too few voters.
-        let may_replace = voters == self.voters && active_learners().next().is_some();
+        let may_replace = voters == self.voters && ready_learner.is_some();
         if may_replace || voters > self.voters {
             let silent_voters =
                 others.iter().filter(|(member, entry)| entry.is_voter() && is_silent(*member));
--- a/comfreymill_node/tests/membership/windows.rs
+++ b/comfreymill_node/tests/membership/windows.rs
@@ -97,3 +97,20 @@
         assert!(bed.is_voter(frozen), "seed {seed}: the machine that is gone keeps its vote");
     }
 }
+
+/// A voter is frozen beside a learner whose disk hangs. The voter was removed, although the learner could
+/// not take its place, and came back with an empty folder to a group of four.
+#[test]
+fn a_frozen_voter_stays_while_no_learner_can_take_its_place() {
+    for seed in 0..SEEDS {
+        let mut bed = Bed::start(seed);
+        bed.pass(Duration::from_secs(2));
+        let frozen = (bed.leader().expect("a leader") + 1) % VOTERS;
+        let learner = bed.add();
+        bed.set_sync(learner, HANG);
+        bed.pass(Duration::from_secs(1));
+        bed.freeze(frozen, Duration::from_secs(4));
+        bed.pass(Duration::from_secs(5));
+        assert!(bed.is_whole(), "seed {seed}: {:?}", bed.membership());
+    }
+}
