--- a/tests/platform/windows.rs
+++ b/tests/platform/windows.rs
@@ -4,6 +4,7 @@
 //! The test checks that each window ends and prints how long it was. One change runs with the other
 //! tests; `COMFREYMILL_WINDOWS=5` runs all changes five times, `COMFREYMILL_WINDOWS_ONLY=text` those whose
 //! names contain the text, and `COMFREYMILL_WINDOWS_LOAD=1` submits jobs and routes meanwhile. The
+//! `COMFREYMILL_WINDOWS_LOGS=1` prints the logs of the longer ones. The
 //! executors of a load run until the process ends, so each change under load needs a process of its own.
 
 use std::env;
@@ -23,6 +24,8 @@
 const SUCCESSION: Duration = Duration::from_millis(200);
 /// Freeze that is longer than the silence after which a member may be replaced.
 const FREEZE: Duration = Duration::from_millis(3_600);
+/// Window above which the logs are printed on request.
+const LOGGED: Duration = Duration::from_millis(1_500);
 /// Change that runs with the other tests.
 const DEFAULT: &str = "leader and a follower replaced";
 
@@ -77,6 +80,9 @@
         "window: {name}: {:.2} s ({entries:.0} entries/s, {changes} changes)",
         window.as_secs_f64()
     );
+    if window > LOGGED && env::var_os("COMFREYMILL_WINDOWS_LOGS").is_some() {
+        eprintln!("{}", bed.logs());
+    }
     drop(load);
 }
 
