fix(peer): let no silent handshake keep other peers out

After a cut or a loss of power that caught 64 peers in their handshake, a scheduler closed every further connection for up to three seconds: other schedulers, gateways and the machines that came back.

Cause: connections whose peers have not identified themselves yet are bounded to 64, and a new one beyond that was refused, while each of the 64 may wait for three seconds. A handshake that is in progress for long is the one that is most likely dead.

Beyond the bound the oldest handshake is now ended and the new connection is served. The bound on descriptors is the same.

--- a/comfreymill_node/src/peer/listener.rs
+++ b/comfreymill_node/src/peer/listener.rs
@@ -1,4 +1,4 @@
-use std::rc::Rc;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use monoio::net::{TcpListener, TcpStream};
@@ -20,18 +20,23 @@
     I: Inbound,
 {
     let mut number = 0;
-    let unauthenticated = Rc::new(());
+    // Each handshake ends when its sender is dropped, and drops its receiver when it is complete.
+    let mut handshakes: VecDeque<flume::Sender<()>> = VecDeque::new();
     loop {
         match listener.accept().await {
-            // Each connection holds one reference until its peer is authenticated.
-            Ok(_) if Rc::strong_count(&unauthenticated) > MAX_UNAUTHENTICATED => {
-                log::warn!(target: "peer", "connection refused: too many peers are not authenticated yet");
-            }
             Ok((stream, _)) => {
+                handshakes.retain(|handshake| !handshake.is_disconnected());
+                // A handshake takes a few round trips, so the oldest one is most likely with a peer that
+                // is gone.
+                if handshakes.len() >= MAX_UNAUTHENTICATED {
+                    log::warn!(target: "peer", "the oldest handshake is ended: too many peers are not authenticated yet");
+                    handshakes.pop_front();
+                }
                 number += 1;
                 let session = SessionId::new(number);
-                let pending = Rc::clone(&unauthenticated);
-                monoio::spawn(serve(stream, identity.clone(), inputs.clone(), session, pending));
+                let (keep, kept) = flume::bounded(1);
+                handshakes.push_back(keep);
+                monoio::spawn(serve(stream, identity.clone(), inputs.clone(), session, kept));
             }
             Err(error) => {
                 log::warn!(target: "peer", reason:% = error; "cannot accept a connection");
@@ -46,18 +51,22 @@
     identity: Identity,
     inputs: flume::Sender<I>,
     session: SessionId,
-    pending: Rc<()>,
+    kept: flume::Receiver<()>,
 ) where
     I: Inbound,
 {
-    let connection = match Connection::accept(stream, &identity).await {
+    let accepted = monoio::select! {
+        accepted = Connection::accept(stream, &identity) => accepted,
+        _ = kept.recv_async() => return,
+    };
+    let connection = match accepted {
         Ok(connection) => connection,
         Err(error) => {
             log::info!(target: "peer", reason:% = error; "refused a peer");
             return;
         }
     };
-    drop(pending);
+    drop(kept);
     let (tx, rx) = flume::bounded(MAX_QUEUED_FRAMES);
     let Connection { peer, reader, writer } = connection;
     monoio::spawn(write(writer, rx));
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -1,5 +1,6 @@
 //! The programs `gateway` and `scheduler` as processes, with stand-in workers.
 
+mod dark;
 mod early_cancellation;
 mod founding;
 mod group_bed;
