--- a/comfreymill_node/tests/main.rs
+++ b/comfreymill_node/tests/main.rs
@@ -4,6 +4,7 @@
 mod jobcall;
 mod listeners;
 mod logs;
+mod membership;
 mod metering;
 mod orders;
 mod peer;
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -1,8 +1,10 @@
 //! The programs `gateway` and `scheduler` as processes, with stand-in workers.
 
+mod dark;
 mod early_cancellation;
 mod founding;
 mod group_bed;
+mod load;
 mod lost_disks;
 mod odd_entries;
 mod overload;
@@ -15,3 +17,4 @@
 mod test_bed;
 mod unknown_group;
 mod whole_path;
+mod windows;
