fix(group): let no split vote wait for slow disks

A candidate that a voter refuses waits for its plain time-out, and supports others meanwhile. The 80 tests of comfreymill_group and the five of the windows of membership pass, once.

--- a/comfreymill_group/src/replica/election.rs
+++ b/comfreymill_group/src/replica/election.rs
@@ -14,7 +14,12 @@
     /// Collects pre-votes.
     PreCandidate { votes: BTreeSet<id::VoterId> },
     /// Collects votes; its own, if it is a voter, counts once `write` is synced.
-    Candidate { votes: BTreeSet<id::VoterId>, write: id::Sequence },
+    Candidate {
+        votes: BTreeSet<id::VoterId>,
+        write: id::Sequence,
+        /// Whether a voter has refused its vote, so that another candidate may have it.
+        is_contested: bool,
+    },
     /// Leader of the current term.
     Leader(Box<Leader>),
 }
@@ -61,7 +66,7 @@
         self.outbox.hard_state_changed = true;
         self.leader = None;
         let write = self.outbox.covering_write();
-        self.state = State::Candidate { votes: BTreeSet::new(), write };
+        self.state = State::Candidate { votes: BTreeSet::new(), write, is_contested: false };
         self.reset_election_timer(now);
         let request = message::Vote {
             last_index: self.log.last_index().get(),
@@ -82,7 +87,7 @@
             State::PreCandidate { votes } if votes.len() >= quorum => {
                 self.start_election(now, false);
             }
-            State::Candidate { votes, write } => {
+            State::Candidate { votes, write, .. } => {
                 let is_synced = self.outbox.is_persisted(*write);
                 if is_synced && is_voter {
                     votes.insert(self.voter);
@@ -170,12 +175,18 @@
         disk: id::DiskId,
         response: message::VoteResponse,
     ) {
-        if !response.granted || !self.membership().is_voter(from, disk) {
+        let is_voter = self.membership().is_voter(from, disk);
+        let State::Candidate { votes, is_contested, .. } = &mut self.state else { return };
+        if !is_voter {
             return;
         }
-        if let State::Candidate { votes, .. } = &mut self.state {
+        if response.granted {
             votes.insert(from);
             self.try_win(now);
+        } else if !*is_contested {
+            // The votes may be split, so the next election does not wait for slow disks.
+            *is_contested = true;
+            self.reset_election_timer(now);
         }
     }
 
@@ -190,7 +201,7 @@
 
     /// Returns whether an election is in progress here that may still succeed.
     fn is_electing(&self, now: time::Monotonic) -> bool {
-        let is_candidate = matches!(self.state, State::Candidate { .. });
+        let is_candidate = matches!(self.state, State::Candidate { is_contested: false, .. });
         self.is_vote_pending() || (is_candidate && now < self.election_at)
     }
 
