test(soak): real processes with series of faults and a final fault

The new scenario runs five schedulers, four gateways, stand-in executors, callers and an operator. Schedulers are killed, frozen, lose their disks, are replaced at new addresses and added; never more than two count as lost, each until 4 s after it is back. Then, right after routes were acknowledged, two disks are lost or everything is killed. Seeds are handed out as DEPLOY.md says, from the operator's list as it was 3 s earlier, or stay the founders.

CONFIG, LOST, RECOVER and TWICE are reported from what callers and the operator see.

--- a/tests/platform/group_bed.rs
+++ b/tests/platform/group_bed.rs
@@ -19,8 +19,6 @@
 /// Time for which a process is frozen so that another one is the better successor; shorter than the
 /// silence after which it is removed.
 const FREEZE_TIME: Duration = Duration::from_millis(600);
-/// Place of the first gateway among the addresses.
-const FIRST_GATEWAY: usize = 7;
 /// Number of schedulers that found the group.
 const FOUNDERS: usize = 3;
 
@@ -34,8 +32,10 @@
     folder: PathBuf,
     /// Lines that are added to the settings of the schedulers.
     settings: &'static str,
+    /// Schedulers that processes are told as their seeds when they start.
+    seeds: Vec<usize>,
     processes: Vec<Option<Child>>,
-    gateways: Vec<Child>,
+    gateways: Vec<Option<Child>>,
 }
 
 impl GroupBed {
@@ -64,7 +64,9 @@
         let name = format!("comfreymill-group-{}-{number}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).expect("the folder is made");
-        Self { number, voters, folder, settings, processes: Vec::new(), gateways: Vec::new() }
+        let seeds = (0..FOUNDERS).collect();
+        let (processes, gateways) = (Vec::new(), Vec::new());
+        Self { number, voters, folder, settings, seeds, processes, gateways }
     }
 
     /// Starts another scheduler with an empty data folder and returns its number.
@@ -75,17 +77,42 @@
         member
     }
 
+    /// Sets the seeds of the processes that are started from now on.
+    pub(super) fn set_seeds(&mut self, seeds: Vec<usize>) {
+        self.seeds = seeds;
+    }
+
+    /// Starts another scheduler as on later starts of the system; returns its number.
+    pub(super) fn add_later(&mut self) -> usize {
+        self.processes.push(None);
+        let member = self.processes.len() - 1;
+        self.run_later(member);
+        member
+    }
+
     /// Starts a gateway and returns the address of its listener for callers.
     pub(super) fn add_gateway(&mut self) -> SocketAddr {
-        let number = self.gateways.len();
-        let address = self.address(FIRST_GATEWAY + number);
+        self.gateways.push(None);
+        let number = self.gateways.len() - 1;
+        self.run_gateway(number);
+        SocketAddr::from((self.gateway_address(number), 7_400))
+    }
+
+    /// Starts a gateway that is not running.
+    pub(super) fn run_gateway(&mut self, number: usize) {
         let sample = include_str!("../../samples/gateway.yaml");
         let settings = sample
             .replace("seeds: 127.0.0.1", &format!("seeds: {}", self.seeds()))
-            .replace("127.0.0.1", &address.to_string());
+            .replace("127.0.0.1", &self.gateway_address(number).to_string());
         let gateway = self.spawn("gateway", &format!("gateway-{number}"), &settings);
-        self.gateways.push(gateway);
-        SocketAddr::from((address, 7_400))
+        self.gateways[number] = Some(gateway);
+    }
+
+    /// Kills a gateway.
+    pub(super) fn kill_gateway(&mut self, number: usize) {
+        let mut process = self.gateways[number].take().expect("the process runs");
+        process.kill().expect("the process runs");
+        process.wait().expect("the process has ended");
     }
 
     /// Returns the address at which a scheduler serves workers and operators.
@@ -154,11 +181,21 @@
         self.run(leader);
     }
 
-    /// Returns the address of a scheduler, or of a gateway by its place.
+    /// Returns the address of a scheduler.
     pub(super) fn address(&self, member: usize) -> Ipv4Addr {
+        Self::loopback(100 + self.number, member)
+    }
+
+    fn gateway_address(&self, number: usize) -> Ipv4Addr {
+        Self::loopback(100 - self.number, number)
+    }
+
+    /// Returns the loopback address of a process of a group.
+    fn loopback(group: u8, process: usize) -> Ipv4Addr {
         let [_, _, high, low] = std::process::id().to_be_bytes();
-        let member = u8::try_from(member).expect("few members");
-        Ipv4Addr::new(127, 100 + self.number, high ^ low.rotate_left(4), low & 0xf0 | (member + 1))
+        let process = u8::try_from(process).expect("few processes");
+        assert!(process < 15, "a group has addresses for 15 processes of a kind");
+        Ipv4Addr::new(127, group, high ^ low.rotate_left(4), low & 0xf0 | (process + 1))
     }
 
     /// Waits until a scheduler leads, and returns its number.
@@ -223,7 +260,8 @@
         (0..self.processes.len()).filter(is_named).collect()
     }
 
-    fn status(&self, member: usize) -> serde_json::Value {
+    /// Returns the status that a scheduler shows, empty if it does not answer.
+    pub(super) fn status(&self, member: usize) -> serde_json::Value {
         standin::read_status(SocketAddr::from((self.address(member), 7_414))).unwrap_or_default()
     }
 
@@ -232,7 +270,8 @@
     }
 
     fn seeds(&self) -> String {
-        let seeds: Vec<String> = (0..FOUNDERS).map(|seed| self.address(seed).to_string()).collect();
+        let seeds: Vec<String> =
+            self.seeds.iter().map(|seed| self.address(*seed).to_string()).collect();
         seeds.join(", ")
     }
 
@@ -250,7 +289,7 @@
 
 impl Drop for GroupBed {
     fn drop(&mut self) {
-        for process in self.processes.iter_mut().flatten().chain(&mut self.gateways) {
+        for process in self.processes.iter_mut().chain(&mut self.gateways).flatten() {
             // Killing a process that has already ended fails.
             let _ = process.kill();
             let _ = process.wait();
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -1,8 +1,10 @@
 //! The programs `gateway` and `scheduler` as processes, with stand-in workers.
 
 mod early_cancellation;
+mod final_faults;
 mod founding;
 mod group_bed;
+mod load;
 mod lost_disks;
 mod odd_entries;
 mod overload;
