--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -2,6 +2,7 @@
 
 mod dark;
 mod early_cancellation;
+mod final_faults;
 mod founding;
 mod group_bed;
 mod load;
@@ -14,6 +15,7 @@
 mod soak;
 #[path = "../../platform/tests/standin/mod.rs"]
 mod standin;
+mod steady_load;
 mod test_bed;
 mod unknown_group;
 mod whole_path;
--- a/tests/platform/windows.rs
+++ b/tests/platform/windows.rs
@@ -14,7 +14,7 @@
 use nix::sys::signal::Signal;
 
 use super::group_bed::GroupBed;
-use super::load::Load;
+use super::steady_load::Load;
 
 /// Number of voters that the group wants.
 const VOTERS: usize = 5;
