fix(jobs): suspect runs by when their workers had begun them

Cause: the time between a start and a crash was counted from the leader's decision to start.

Now the time counts from the moment at which the worker is known to have begun the run, and a run that it is not known to have begun is not suspected. Its crash still counts towards the four after which a task is given up.

--- a/comfreymill_jobs/src/scheduler/crashes.rs
+++ b/comfreymill_jobs/src/scheduler/crashes.rs
@@ -14,7 +14,8 @@
 //! Workers also crash by themselves, and the tasks that they hit must go on. So a crash says nothing
 //! against a run that was started when the next incarnation had begun already, nor against any run
 //! when much of the zone or rack crashes together. Where the moment of the crash is known, a run that
-//! had begun clearly before is not suspected.
+//! had begun clearly before is not suspected, and neither is one that the worker is not known to have
+//! begun: it may have crashed before, unnoticed.
 
 use std::time::Duration;
 
@@ -67,7 +68,10 @@
     run: id::Run,
     /// Time from its start to the crash; `None` if this leader did not start it.
     age: Option<Duration>,
-    /// Whether the run had begun so shortly before the crash that it may have caused it.
+    /// Whether the run had begun, or may have begun, so shortly before the crash that it may have
+    /// caused it.
+    is_recent: bool,
+    /// Whether this is so, and the worker is known to have begun the run: it had not crashed before.
     is_suspect: bool,
 }
 
@@ -170,15 +174,15 @@
     }
 }
 
-/// Returns the task that was started last before a crash, if it was started shortly before and apart
-/// from all others.
+/// Returns the task that was started last before a crash, if the worker had begun it shortly before, and
+/// apart from all others.
 fn last_started(candidates: &[CrashCandidate]) -> Option<id::TaskId> {
-    let suspects = candidates.iter().filter(|candidate| candidate.is_suspect);
-    let last = suspects.min_by_key(|candidate| candidate.age)?;
+    let recent = candidates.iter().filter(|candidate| candidate.is_recent);
+    let last = recent.min_by_key(|candidate| candidate.age)?;
     let is_close = |age: Duration| Some(age) <= last.age.map(|age| age + MIN_START_GAP);
     let mut others = candidates.iter().filter(|candidate| candidate.task != last.task);
     let is_apart = !others.any(|candidate| candidate.age.is_some_and(is_close));
-    is_apart.then_some(last.task)
+    (is_apart && last.is_suspect).then_some(last.task)
 }
 
 impl WorkerEntry {
@@ -196,8 +200,14 @@
             let age = run.started_at.map(|started_at| crashed_at.since(started_at));
             let is_cleared =
                 run.is_long_running && age.is_none_or(|age| age > LONG_RUNNING_CLEARANCE);
-            let is_suspect = age.is_some_and(|age| age <= suspect_period);
-            (!is_cleared).then_some(CrashCandidate { task: *task, run: run.run, age, is_suspect })
+            // A start that was not answered may have arrived at any moment.
+            let shown_age = run.shown_at().map(|shown_at| crashed_at.since(shown_at));
+            let is_suspect = shown_age.is_some_and(|age| age <= suspect_period);
+            let is_recent =
+                is_suspect || (shown_age.is_none() && age.is_some_and(|age| age <= SUSPECT_PERIOD));
+            let run = run.run;
+            let candidate = CrashCandidate { task: *task, run, age, is_recent, is_suspect };
+            (!is_cleared).then_some(candidate)
         };
         let runs = self.runs.iter().filter_map(|(task, run)| of_run(task, run));
         runs.chain(self.lapsed.iter().copied()).collect()
--- a/comfreymill_jobs/src/scheduler/run.rs
+++ b/comfreymill_jobs/src/scheduler/run.rs
@@ -132,6 +132,15 @@
         }
     }
 
+    /// Returns when this leader learned that the worker had begun the run, which it had started; a start
+    /// may take some time to arrive.
+    pub(super) fn shown_at(&self) -> Option<time::Monotonic> {
+        match self.phase {
+            RunPhase::Running { since } => self.started_at.map(|started_at| started_at.max(since)),
+            _ => None,
+        }
+    }
+
     /// Returns whether the start was accepted, and the run is not being stopped.
     pub(super) fn is_accepted(&self) -> bool {
         matches!(self.phase, RunPhase::Running { .. })
