--- a/comfreymill_jobs/src/scheduler/choice.rs
+++ b/comfreymill_jobs/src/scheduler/choice.rs
@@ -30,7 +30,7 @@
         if spec.kind() == job::StepKind::Filler {
             self.compute_headroom();
         }
-        if self.crash_record(task).crashes > 0 {
+        if self.has_crashes(task) {
             self.choose_apart(search)
         } else if spec.kind() == job::StepKind::Plain {
             self.choose_by_room(search)
@@ -44,10 +44,14 @@
     /// the last starts on all workers; such tasks are rare.
     fn choose_apart(&mut self, search: Search<'_>) -> Option<id::WorkerNumber> {
         let Search { now, pool, task, spec, image } = search;
+        let needs_calm = self.waits_for_calm(now, task, spec);
+        let calm = needs_calm.then(|| self.calm_workers(now));
         let scorer = Scorer::new(&self.interference, spec, image);
         let mut best = None;
         self.steps += self.workers.best_fits(pool, None, spec.reserved(), |number, worker| {
-            let score = worker.fits(now, task, spec).then(|| scorer.score(worker)).flatten();
+            let is_calm = calm.as_ref().is_none_or(|calm| calm.contains(&number));
+            let fits = is_calm && worker.fits(now, task, spec);
+            let score = fits.then(|| scorer.score(worker)).flatten();
             if let Some(score) = score {
                 let score = score - worker.isolation_penalty(now, true);
                 best = best.max(Some((score, std::cmp::Reverse(number))));
--- a/comfreymill_jobs/src/scheduler/crashes.rs
+++ b/comfreymill_jobs/src/scheduler/crashes.rs
@@ -13,9 +13,10 @@
 //!
 //! Workers also crash by themselves, and the tasks that they hit must go on. So a crash says nothing
 //! against a run that was started when the next incarnation had begun already, nor against any run
-//! when much of the zone or rack crashes together. Where the moment of the crash is known, a run that
-//! had begun clearly before is not suspected, and neither is one that the worker is not known to have
-//! begun: it may have crashed before, unnoticed.
+//! when much of the zone or rack crashes at one moment, though crashes right after a start always count
+//! towards the number of starts. Where the moment of the crash is known, a run that had begun clearly
+//! before is not suspected, and neither is one that the worker is not known to have begun: it may have
+//! crashed before, unnoticed.
 
 use std::time::Duration;
 
@@ -44,10 +45,6 @@
 /// Difference, in milliseconds, by which a clock must at least be behind that of the earlier incarnation
 /// to have begun anew.
 const MIN_CLOCK_STEP_MS: u64 = 500;
-/// Time within which crashes count as having happened together.
-const COMMON_CRASH_PERIOD: Duration = Duration::from_secs(3);
-/// Least number of workers of a zone or rack that crash together for a cause that they share.
-const MIN_COMMON_CRASHES: usize = 4;
 /// Time before the last start on a worker within which no other start may lie for the last one to
 /// be identified as the cause of a crash.
 const MIN_START_GAP: Duration = Duration::from_millis(100);
@@ -95,15 +92,16 @@
             return None;
         }
         if self.has_common_cause(now, entry) {
-            log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, runs = candidates.len(); "a worker has crashed together with others of its zone or rack");
-            return None;
+            return self.explained_crash_command(number, entry, &candidates);
         }
         let last = last_started(&candidates).filter(|_| !entry.is_new(now));
         let is_given_up = |candidate: &&CrashCandidate| {
             let record = self.crash_record(candidate.task);
             let is_identified = last == Some(candidate.task) && record.suspected > 0;
             let is_repeated = candidate.is_suspect && record.suspected + 1 >= MAX_SUSPECTED;
-            is_identified || is_repeated || record.crashes + 1 >= MAX_CRASHES
+            let is_bound_reached = candidate.is_recent && self.is_last_crash(candidate.task);
+            let is_worn_out = record.crashes + 1 >= MAX_CRASHES;
+            is_identified || is_repeated || is_worn_out || is_bound_reached
         };
         let given_up = candidates.iter().filter(is_given_up).map(|candidate| candidate.task);
         let given_up = given_up.collect();
@@ -114,25 +112,30 @@
         Some(state::Command::NoteCrash { worker: number, runs: runs.collect(), given_up })
     }
 
-    /// Returns whether much of the worker's zone or rack has crashed with it or does not answer.
-    fn has_common_cause(&self, now: time::Monotonic, crashed: &WorkerEntry) -> bool {
-        let of_zone = |entry: &WorkerEntry| entry.announcement.zone == crashed.announcement.zone;
-        let of_rack =
-            |entry: &WorkerEntry| entry.announcement.labels == crashed.announcement.labels;
-        self.is_mostly_down(now, of_zone) || self.is_mostly_down(now, of_rack)
+    /// Returns the command that counts a crash which others explain for the tasks that had just been
+    /// started on the worker; `None` if there are none.
+    fn explained_crash_command(
+        &self,
+        number: id::WorkerNumber,
+        entry: &WorkerEntry,
+        candidates: &[CrashCandidate],
+    ) -> Option<state::Command> {
+        let suspects = candidates.iter().filter(|candidate| candidate.is_recent);
+        let tasks: Vec<id::TaskId> = suspects.map(|candidate| candidate.task).collect();
+        log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, runs = candidates.len(), suspects = tasks.len(); "a worker has crashed together with others of its zone or rack");
+        if tasks.is_empty() {
+            return None;
+        }
+        let runs = tasks.iter().copied().map(state::CrashedRun::explained).collect();
+        let given_up = tasks.into_iter().filter(|task| self.is_last_crash(*task)).collect();
+        Some(state::Command::NoteCrash { worker: number, runs, given_up })
     }
 
-    fn is_mostly_down<F>(&self, now: time::Monotonic, is_counted: F) -> bool
-    where
-        F: Fn(&WorkerEntry) -> bool,
-    {
-        let counted = self.workers.values().filter(|entry| is_counted(entry));
-        let (mut all, mut down) = (0, 0);
-        for entry in counted {
-            all += 1;
-            down += usize::from(entry.is_down(now));
-        }
-        down >= MIN_COMMON_CRASHES && down * 2 >= all
+    /// Returns whether one more crash right after a start, explained or not, is the last one that a task
+    /// is allowed.
+    fn is_last_crash(&self, task: id::TaskId) -> bool {
+        self.task(task)
+            .is_some_and(|entry| entry.crashes.crashes + entry.explained_crashes + 1 >= MAX_CRASHES)
     }
 
     /// Handles a crash that was committed to the log: the tasks that were running on the worker
@@ -146,10 +149,12 @@
         state: &state::State,
     ) {
         for crashed in runs {
-            log::info!(target: "runs", task:% = crashed.task, run:% = crashed.run, worker:% = number, is_suspect = crashed.is_suspect; "a worker has crashed under a run");
-            if let Some(entry) = self.task_mut(crashed.task) {
-                entry.crashes = state.get_crashes(crashed.task);
+            if crashed.is_explained() {
+                log::info!(target: "runs", task:% = crashed.task, worker:% = number; "a worker has crashed with others right after a start");
+            } else {
+                log::info!(target: "runs", task:% = crashed.task, run:% = crashed.run, worker:% = number, is_suspect = crashed.is_suspect; "a worker has crashed under a run");
             }
+            self.update_crashes(now, crashed, state);
         }
         for job in given_up {
             if let Some(reason) = state.get_given_up(*job) {
@@ -157,6 +162,7 @@
             }
             self.job_over(now, *job);
         }
+        self.remember_crash(now, number);
         self.pass_on_unanswered(now, number);
         self.release_all(now, number);
         if let Some(entry) = self.workers.remove(&number) {
@@ -165,12 +171,8 @@
     }
 
     /// Returns the crashes of workers under a task.
-    pub(super) fn crash_record(&self, task: id::TaskId) -> state::CrashRecord {
-        let job = self.jobs.get(&task.step.job);
-        let occurrence = job.and_then(|job| job.occurrences.get(&task.step.occurrence));
-        let step = occurrence.and_then(|entry| entry.steps.get(usize::from(task.step.step)));
-        let entry = step.and_then(|step| step.tasks.get(usize::from(task.index)));
-        entry.map(|entry| entry.crashes).unwrap_or_default()
+    fn crash_record(&self, task: id::TaskId) -> state::CrashRecord {
+        self.task(task).map(|entry| entry.crashes).unwrap_or_default()
     }
 }
 
@@ -233,13 +235,6 @@
         self.next_began_by = Some(earliest);
     }
 
-    /// Returns whether the worker does not answer, or has just started again.
-    fn is_down(&self, now: time::Monotonic) -> bool {
-        let is_back = self.is_restarted
-            && self.registered_at.is_some_and(|at| now.since(at) < COMMON_CRASH_PERIOD);
-        self.is_unresponsive || self.has_successor || is_back
-    }
-
     /// Keeps the runs that end with the worker's lease, in case it turns out that the worker has
     /// crashed.
     pub(super) fn keep_lapsed(&mut self, now: time::Monotonic) {
@@ -252,10 +247,15 @@
         self.registered_at.is_some_and(|at| now.since(at) < NEW_WORKER_PERIOD)
     }
 
+    /// Returns whether another task under which a worker has crashed was just started here.
+    pub(super) fn is_kept_apart(&self, now: time::Monotonic) -> bool {
+        now < self.apart_until
+    }
+
     /// Returns the penalty in the score of the worker for a task, so that tasks under which a worker
     /// has crashed are started apart from others.
     pub(super) fn isolation_penalty(&self, now: time::Monotonic, has_crashes: bool) -> i64 {
-        let is_apart = now < self.apart_until;
+        let is_apart = self.is_kept_apart(now);
         if !has_crashes {
             return if is_apart { ISOLATION_PENALTY } else { 0 };
         }
--- a/comfreymill_jobs/src/scheduler/lost_workers.rs
+++ b/comfreymill_jobs/src/scheduler/lost_workers.rs
@@ -40,6 +40,7 @@
             }
             return;
         }
+        self.remember_crash(now, number);
         self.pass_on_unanswered(now, number);
         self.release_all(now, number);
         if let Some(entry) = self.workers.remove(&number) {
--- a/comfreymill_jobs/src/scheduler/mod.rs
+++ b/comfreymill_jobs/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 mod choice;
 mod clock_reading;
 mod clocks;
+mod common_crashes;
 mod config;
 mod crashes;
 mod ends;
--- a/comfreymill_jobs/src/scheduler/placement.rs
+++ b/comfreymill_jobs/src/scheduler/placement.rs
@@ -135,6 +135,10 @@
                 locality::Place::Wait => return true,
             };
             let Some(worker) = worker else {
+                // Others need not wait for a calm worker.
+                if self.waits_for_calm(now, task, spec) {
+                    continue;
+                }
                 if spec.max_per_worker.is_none() {
                     self.rounds.get_mut(tier).without_room.add(kind, spec.needs);
                 }
--- a/comfreymill_jobs/src/scheduler/restore.rs
+++ b/comfreymill_jobs/src/scheduler/restore.rs
@@ -56,6 +56,7 @@
             pending_workers: BTreeMap::new(),
             refusals: Refusals::default(),
             departures: state.get_departures().clone(),
+            recent_crashes: VecDeque::new(),
             former_workers: state.get_former_workers().clone(),
             zones: BTreeMap::new(),
             moves: BTreeMap::new(),
@@ -134,6 +135,8 @@
                             task.phase = TaskPhase::Unreconciled;
                         }
                         task.crashes = state.get_crashes(step_id.task(index));
+                        task.explained_crashes = state.get_explained_crashes(step_id.task(index));
+                        task.explained_at = now;
                     }
                 }
             }
--- a/comfreymill_jobs/src/scheduler/scheduler.rs
+++ b/comfreymill_jobs/src/scheduler/scheduler.rs
@@ -4,6 +4,7 @@
 
 use comfreymill_types::time;
 
+use super::common_crashes::RecentCrash;
 use super::evacuation::ZonePhase;
 use super::interference::Interference;
 use super::locality::Locality;
@@ -53,6 +54,8 @@
     pub(super) departures: state::Departures,
     /// Names of incarnations that were removed.
     pub(super) former_workers: state::FormerWorkers,
+    /// Crashes of workers in the last seconds, in the order in which they were noted.
+    pub(super) recent_crashes: VecDeque<RecentCrash>,
     /// Workers whose runs that earlier leaders started are not known yet.
     pub(super) unheard: Vec<id::WorkerNumber>,
     /// Availability zones that do not get their full load.
--- a/comfreymill_jobs/src/scheduler/task.rs
+++ b/comfreymill_jobs/src/scheduler/task.rs
@@ -53,6 +53,10 @@
     pub(super) checkpoint: String,
     /// Crashes of workers under the task.
     pub(super) crashes: state::CrashRecord,
+    /// Number of crashes right after a start that a cause in common with other crashes explains.
+    pub(super) explained_crashes: u32,
+    /// Time at which the last of these was noted, or this leader restored them.
+    pub(super) explained_at: time::Monotonic,
 }
 
 /// Phase of a task.
@@ -137,6 +141,8 @@
             run: recorded.runs.get(&index).copied().unwrap_or_default(),
             checkpoint: recorded.checkpoints.get(&index).cloned().unwrap_or_default(),
             crashes: state::CrashRecord::default(),
+            explained_crashes: 0,
+            explained_at: time::Monotonic::ZERO,
         };
         let count = u16::try_from(recorded.done.len()).unwrap_or(u16::MAX);
         Self { open: recorded.open, tasks: (0..count).map(task).collect() }
--- a/comfreymill_jobs/src/state/apply.rs
+++ b/comfreymill_jobs/src/state/apply.rs
@@ -146,11 +146,17 @@
         runs: Vec<CrashedRun>,
         given_up: &[id::TaskId],
     ) -> Effect {
+        let is_first = self.workers.contains_key(&worker);
         self.drop_workers(&[worker]);
         for crashed in &runs {
             let job = self.jobs.get(&crashed.task.step.job);
-            if job.is_some_and(|job| job.is_open(crashed.task)) {
+            if !job.is_some_and(|job| job.is_open(crashed.task)) {
+                continue;
+            }
+            if !crashed.is_explained() {
                 self.crashes.entry(crashed.task).or_default().count(crashed);
+            } else if is_first {
+                *self.explained_crashes.entry(crashed.task).or_default() += 1;
             }
         }
         let mut jobs = Vec::new();
@@ -158,7 +164,7 @@
             let key = task.step.job;
             if let Some(job) = self.jobs.get_mut(&key).filter(|job| job.is_open(*task)) {
                 job.end(JobStatus::Failed);
-                let crashes = self.crashes.get(task).map_or(0, |record| record.crashes);
+                let crashes = self.get_crashes(*task).crashes + self.get_explained_crashes(*task);
                 self.given_up.insert(key, GivenUp { task: *task, crashes });
                 self.forget_open(key);
                 jobs.push(key);
@@ -170,12 +176,16 @@
     /// Drops what is kept of a job only while it is open.
     fn forget_open(&mut self, job: id::JobKey) {
         self.accepted.remove(&job);
-        let tasks: Vec<id::TaskId> = self.get_job_crashes(job).map(|(task, _)| task).collect();
-        for task in tasks {
-            self.crashes.remove(&task);
+        for task in self.get_crashed_tasks(job) {
+            self.forget_crashes(task);
         }
     }
 
+    fn forget_crashes(&mut self, task: id::TaskId) {
+        self.crashes.remove(&task);
+        self.explained_crashes.remove(&task);
+    }
+
     fn submit(&mut self, submission: Submission, unix_ms: Option<u64>) -> Effect {
         let Submission { job: key, queue, max_attempts, spec } = submission;
         if self.jobs.contains_key(&key) {
@@ -230,7 +240,7 @@
             if job.is_over() {
                 self.forget_open(key);
             } else if !job.is_open(end.task) {
-                self.crashes.remove(&end.task);
+                self.forget_crashes(end.task);
             }
         }
         Effect::EndsNoted { worker: number, ends: fresh }
--- a/comfreymill_jobs/src/state/crash.rs
+++ b/comfreymill_jobs/src/state/crash.rs
@@ -5,12 +5,26 @@
 pub struct CrashedRun {
     /// Task of the run.
     pub task: id::TaskId,
-    /// Number of the run.
+    /// Number of the run; 0 if the crash counts as one that has a cause in common with others. Earlier
+    /// builds count no crash under that number.
     pub run: id::Run,
     /// Whether the run had begun so shortly before that it may have caused the crash.
     pub is_suspect: bool,
 }
 
+impl CrashedRun {
+    /// Creates the record of a crash right after a start of the task that a cause in common with other
+    /// crashes explains.
+    pub fn explained(task: id::TaskId) -> Self {
+        Self { task, run: id::Run::default(), is_suspect: false }
+    }
+
+    /// Returns whether a cause in common with other crashes explains the crash.
+    pub fn is_explained(&self) -> bool {
+        self.run == id::Run::default()
+    }
+}
+
 /// Crashes of workers under the runs of a task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct CrashRecord {
--- a/comfreymill_jobs/src/state/state.rs
+++ b/comfreymill_jobs/src/state/state.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 
 use bytes::Bytes;
 
@@ -43,6 +44,9 @@
     pub(super) former_workers: FormerWorkers,
     /// Incarnations that had an earlier one of their name.
     pub(super) restarted: BTreeSet<id::WorkerNumber>,
+    /// Numbers of crashes right after a start of a task that a cause in common with other crashes
+    /// explains, for tasks of jobs that are not over.
+    pub(super) explained_crashes: BTreeMap<id::TaskId, u32>,
 }
 
 /// Routes in force, decoded and as received.
@@ -65,7 +69,7 @@
 }
 
 /// Encoding of the fields that were added to the end of the state since version 0.1, all empty.
-const ADDED_FIELDS: &[u8] = &[0, 0, 0, 0, 0, 0, 0, 0, 0, 0];
+const ADDED_FIELDS: &[u8] = &[0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0];
 
 impl State {
     /// Decodes the state from a snapshot.
@@ -131,13 +135,16 @@
     }
 
     /// Returns the tasks of an open job under which workers have crashed.
-    pub fn get_job_crashes(
-        &self,
-        job: id::JobKey,
-    ) -> impl Iterator<Item = (id::TaskId, CrashRecord)> + '_ {
-        let first = id::StepId { job, occurrence: 0, step: 0 }.task(0);
-        let last = id::StepId { job, occurrence: u32::MAX, step: u16::MAX }.task(u16::MAX);
-        self.crashes.range(first..=last).map(|(task, record)| (*task, *record))
+    pub fn get_crashed_tasks(&self, job: id::JobKey) -> BTreeSet<id::TaskId> {
+        let counted = self.crashes.range(tasks_of(job)).map(|(task, _)| *task);
+        let explained = self.explained_crashes.range(tasks_of(job)).map(|(task, _)| *task);
+        counted.chain(explained).collect()
+    }
+
+    /// Returns the number of crashes right after a start of a task that a cause in common with other
+    /// crashes explains.
+    pub fn get_explained_crashes(&self, task: id::TaskId) -> u32 {
+        self.explained_crashes.get(&task).copied().unwrap_or_default()
     }
 
     /// Returns why a job was given up, if it was.
@@ -176,3 +183,10 @@
         &self.leaving
     }
 }
+
+/// Returns the range of all tasks that a job may have.
+fn tasks_of(job: id::JobKey) -> RangeInclusive<id::TaskId> {
+    let first = id::StepId { job, occurrence: 0, step: 0 }.task(0);
+    let last = id::StepId { job, occurrence: u32::MAX, step: u16::MAX }.task(u16::MAX);
+    first..=last
+}
--- a/comfreymill_jobs/tests/scheduler/mod.rs
+++ b/comfreymill_jobs/tests/scheduler/mod.rs
@@ -2,6 +2,7 @@
 
 mod cancellation;
 mod choice;
+mod common_crashes;
 mod crashes;
 mod early_cancellation;
 mod evacuation;
--- a/comfreymill_jobs/tests/state/mod.rs
+++ b/comfreymill_jobs/tests/state/mod.rs
@@ -2,7 +2,9 @@
 
 mod odd_bytes;
 
-use comfreymill_jobs::state::{Command, Effect, JobStatus, State, Submission, ZoneOrder};
+use comfreymill_jobs::state::{
+    Command, CrashedRun, Effect, JobStatus, State, Submission, ZoneOrder,
+};
 use comfreymill_jobs::worker::{End, EndKind};
 use comfreymill_jobs::{id, routes};
 
@@ -139,12 +141,12 @@
 fn a_snapshot_without_leaving_workers_and_crashes_is_read() {
     let state = state_of(vec![add_worker(), submit()]);
     let data = state.to_snapshot().expect("the state is encoded");
-    // Each of the ten fields that were added later takes one byte if it is empty.
-    for missing in 1..=10 {
+    // Each of the eleven fields that were added later takes one byte if it is empty.
+    for missing in 1..=11 {
         let earlier = &data[..data.len() - missing];
         assert_eq!(State::from_snapshot(earlier).expect("the state is decoded"), state);
     }
-    assert!(State::from_snapshot(&data[..data.len() - 11]).is_err());
+    assert!(State::from_snapshot(&data[..data.len() - 12]).is_err());
 }
 
 fn zone_order(operator: &str, revision: u64) -> Box<ZoneOrder> {
@@ -185,3 +187,22 @@
     assert_eq!(state.apply(6, evacuate(0)), superseded);
     assert_eq!(state.get_evacuations().evacuated().count(), 0);
 }
+
+/// A crash that others explain is noted under run 0, which earlier builds do not count.
+#[test]
+fn an_explained_crash_is_counted_apart_and_once_for_each_worker() {
+    let task = task(0, 0);
+    let worker = id::WorkerNumber::new(1);
+    let runs = vec![CrashedRun::explained(task)];
+    assert_eq!(runs[0].run, id::Run::new(0));
+    let crash = Command::NoteCrash { worker, runs, given_up: vec![] };
+    let mut state = state_of(vec![submit(), add_worker(), crash.clone(), crash]);
+    let counts =
+        |state: &State| (state.get_crashes(task).crashes, state.get_explained_crashes(task));
+    assert_eq!(counts(&state), (0, 1));
+    assert_eq!(state.get_crashed_tasks(KEY).len(), 1);
+    let data = state.to_snapshot().expect("encoded");
+    assert_eq!(State::from_snapshot(&data).expect("decoded"), state);
+    state.apply(100, Command::Cancel { job: KEY });
+    assert_eq!(counts(&state), (0, 0), "it is kept while the job is open");
+}
--- a/comfreymill_node/src/scheduler/explanation.rs
+++ b/comfreymill_node/src/scheduler/explanation.rs
@@ -43,6 +43,8 @@
     crashes: u32,
     /// Number of those shortly after the task had been started.
     suspected: u32,
+    /// Number of further ones that a cause in common with other crashes explains.
+    explained: u32,
 }
 
 /// Returns why a job is in its state, as JSON text.
@@ -63,10 +65,10 @@
         let message = format!("there is no job {id}, or it ended long ago");
         error::Error::new(error::ErrorKind::NotFound, message).field("job")
     })?;
-    let crashes = state.get_job_crashes(id).map(|(task, record)| TaskCrashes {
-        task: task.to_string(),
-        crashes: record.crashes,
-        suspected: record.suspected,
+    let crashes = state.get_crashed_tasks(id).into_iter().map(|task| {
+        let state::CrashRecord { crashes, suspected, .. } = state.get_crashes(task);
+        let explained = state.get_explained_crashes(task);
+        TaskCrashes { task: task.to_string(), crashes, suspected, explained }
     });
     let evacuated = state.get_evacuations().evacuated();
     let waits = leader.map(|leader| leader.get_rack_waits(now, id)).unwrap_or_default();
