fix(jobs): tell a reset by the next incarnation from the loss of a connection

Cause: a poll that fails early was taken to show the moment of the crash. A worker that crashes silently and is back within a second resets the poll in flight then, so the moment is that of its return. Crashes of a zone at one moment could then seem to lie apart, and a start without an answer to a worker whose connection was lost as it crashed was no reason to suspect the task, though the worker had not crashed before.

Now the moment counts as that of the crash if the next incarnation is not known to have begun by then. The period for suspects (250 ms or 1 s) is as before.

--- a/comfreymill_jobs/src/scheduler/common_crashes.rs
+++ b/comfreymill_jobs/src/scheduler/common_crashes.rs
@@ -190,9 +190,17 @@
         let silent_since = self.silent_since.unwrap_or(now);
         let to = self.next_began_by.map_or(silent_since, |began_by| began_by.min(silent_since));
         let lost = earlier(silent_since, NOTICE_DELAY);
-        let from = if self.is_silence_exact { lost } else { self.reported_at };
+        let from = if self.is_lost_at_crash() { lost } else { self.reported_at };
         CrashPeriod { from, to: to.max(from) }
     }
+
+    /// Returns whether the connection was lost as the worker crashed, so that it had not crashed before.
+    /// The next incarnation resets the connections of one that crashed silently.
+    pub(super) fn is_lost_at_crash(&self) -> bool {
+        let reset_by = self.silent_since.map(|since| since + NOTICE_DELAY);
+        let is_reset = self.next_began_by.is_some_and(|by| reset_by.is_some_and(|at| by <= at));
+        self.is_silence_exact && !is_reset
+    }
 }
 
 /// Returns the time that lies `span` before `time`.
--- a/comfreymill_jobs/src/scheduler/crashes.rs
+++ b/comfreymill_jobs/src/scheduler/crashes.rs
@@ -68,7 +68,8 @@
     /// Whether the run had begun, or may have begun, so shortly before the crash that it may have
     /// caused it.
     is_recent: bool,
-    /// Whether this is so, and the worker is known to have begun the run: it had not crashed before.
+    /// Whether this is so, and the worker had not crashed before: it is known to have begun the run, or
+    /// its connection was lost as it crashed.
     is_suspect: bool,
 }
 
@@ -203,10 +204,12 @@
             let is_cleared =
                 run.is_long_running && age.is_none_or(|age| age > LONG_RUNNING_CLEARANCE);
             // A start that was not answered may have arrived at any moment.
-            let shown_age = run.shown_at().map(|shown_at| crashed_at.since(shown_at));
-            let is_suspect = shown_age.is_some_and(|age| age <= suspect_period);
-            let is_recent =
-                is_suspect || (shown_age.is_none() && age.is_some_and(|age| age <= SUSPECT_PERIOD));
+            let (begun_age, period) = match run.shown_at() {
+                Some(shown_at) => (Some(crashed_at.since(shown_at)), suspect_period),
+                None => (age, SUSPECT_PERIOD),
+            };
+            let is_recent = begun_age.is_some_and(|age| age <= period);
+            let is_suspect = is_recent && (run.shown_at().is_some() || self.is_lost_at_crash());
             let run = run.run;
             let candidate = CrashCandidate { task: *task, run, age, is_recent, is_suspect };
             (!is_cleared).then_some(candidate)
--- a/comfreymill_jobs/tests/scheduler/common_crashes.rs
+++ b/comfreymill_jobs/tests/scheduler/common_crashes.rs
@@ -6,7 +6,7 @@
 
 use comfreymill_jobs::id::{JobKey, TaskId, WorkerNumber};
 use comfreymill_jobs::job::JobSpec;
-use comfreymill_jobs::scheduler::StartAnswer;
+use comfreymill_jobs::scheduler::{Answer, PollAnswer, StartAnswer};
 use comfreymill_jobs::state::JobStatus;
 
 use crate::support::{Leader, Start, running, spec, step};
@@ -249,3 +249,21 @@
     }
     assert!(waited > Duration::from_secs(8), "it waited for {waited:?}");
 }
+
+/// Where the connection is lost as the worker crashes, the worker had not crashed before; one that is
+/// back by then has reset the connection of one that may have crashed at any time since its last report.
+#[test]
+fn the_loss_of_a_connection_shows_that_an_unanswered_start_met_a_live_worker() {
+    for (away, suspected) in [(Duration::from_secs(3), 1), (Duration::ZERO, 0)] {
+        let mut fleet = Fleet::new(&[("north", 3)]);
+        fleet.leader.submit_as(DEADLY, task(4_000));
+        let start = fleet.leader.take_starts()[0];
+        let asked_at = fleet.leader.now;
+        fleet.leader.advance(TURN);
+        let answer = Answer::Poll(PollAnswer::NoAnswer);
+        fleet.leader.scheduler.answered(fleet.leader.now, start.worker, asked_at, answer);
+        fleet.leader.advance(away);
+        fleet.crash(&[start.worker]);
+        assert_eq!(fleet.leader.state.get_crashes(start.task).suspected, suspected);
+    }
+}
