fix(jobs): start tasks apart only after a second explained crash

Cause: one explained crash right after a start had the task placed apart from others: on workers without recent starts, which others then avoid for a second. Where a zone of sixteen workers crashes, that holds for a dozen tasks at once and spreads them over a full fleet, on which tasks that last wait for room. After the first explained crash a task is now placed as any other, as on; after the second one it waits for a calm worker and starts apart there.

--- a/comfreymill_jobs/src/scheduler/choice.rs
+++ b/comfreymill_jobs/src/scheduler/choice.rs
@@ -30,7 +30,7 @@
         if spec.kind() == job::StepKind::Filler {
             self.compute_headroom();
         }
-        if self.has_crashes(task) {
+        if self.is_started_apart(task) {
             self.choose_apart(search)
         } else if spec.kind() == job::StepKind::Plain {
             self.choose_by_room(search)
--- a/comfreymill_jobs/src/scheduler/common_crashes.rs
+++ b/comfreymill_jobs/src/scheduler/common_crashes.rs
@@ -127,10 +127,11 @@
         calm.map(|(number, _)| *number).collect()
     }
 
-    /// Returns whether workers have crashed under a task, explained or not.
-    pub(super) fn has_crashes(&self, task: id::TaskId) -> bool {
-        let entry = self.task(task);
-        entry.is_some_and(|entry| entry.crashes.crashes > 0 || entry.explained_crashes > 0)
+    /// Returns whether a task is to be started apart from others, since workers have crashed under it.
+    pub(super) fn is_started_apart(&self, task: id::TaskId) -> bool {
+        self.task(task).is_some_and(|entry| {
+            entry.crashes.crashes > 0 || entry.explained_crashes >= MAX_HASTY_CRASHES
+        })
     }
 
     /// Takes over a crash from the log.
--- a/comfreymill_jobs/src/scheduler/launch.rs
+++ b/comfreymill_jobs/src/scheduler/launch.rs
@@ -26,7 +26,7 @@
         let image = self.interference.intern(spec.image.as_deref());
         let Some(entry) = self.task_mut(task) else { return };
         let (last, checkpoint) = (entry.run, entry.checkpoint.clone());
-        let has_crashes = self.has_crashes(task);
+        let has_crashes = self.is_started_apart(task);
         let run = self.next_run(last);
         let Some(worker) = self.workers.get_mut(&number) else { return };
         let Some(lease_until_ms) = worker.grant_lease(&cfg, now) else { return };
--- a/comfreymill_jobs/src/scheduler/locality/hook.rs
+++ b/comfreymill_jobs/src/scheduler/locality/hook.rs
@@ -70,7 +70,7 @@
             None => self.group_rack(now, pool, task.step, spec),
         };
         // Where a task under which a worker has crashed goes is up to its isolation.
-        let is_crashed = self.has_crashes(task);
+        let is_crashed = self.is_started_apart(task);
         let Some(rack) = rack.filter(|_| !is_crashed) else {
             self.locality.give_up(now, task.step, "no rack");
             return Place::Anywhere;
