fix(jobs): suspect starts that live workers did not answer

Such a start is doubtful only if the worker may have crashed before, unnoticed. That is unlikely if its connection was lost as it crashed, if it was heard of within half a second before the start, or if it had no other run: workers without runs are polled every five seconds, so their silence shows nothing.

--- a/comfreymill_jobs/src/scheduler/crashes.rs
+++ b/comfreymill_jobs/src/scheduler/crashes.rs
@@ -15,8 +15,8 @@
 //! against a run that was started when the next incarnation had begun already, nor against any run
 //! when much of the zone or rack crashes at one moment, though crashes right after a start always count
 //! towards the number of starts. Where the moment of the crash is known, a run that had begun clearly
-//! before is not suspected, and neither is one that the worker is not known to have begun: it may have
-//! crashed before, unnoticed.
+//! before is not suspected, and neither is one that was sent to a worker which may have crashed before,
+//! unnoticed.
 
 use std::time::Duration;
 
@@ -68,8 +68,7 @@
     /// Whether the run had begun, or may have begun, so shortly before the crash that it may have
     /// caused it.
     is_recent: bool,
-    /// Whether this is so, and the worker had not crashed before: it is known to have begun the run, or
-    /// its connection was lost as it crashed.
+    /// Whether this is so, and nothing suggests that the worker had crashed before the start.
     is_suspect: bool,
 }
 
@@ -209,7 +208,7 @@
                 None => (age, SUSPECT_PERIOD),
             };
             let is_recent = begun_age.is_some_and(|age| age <= period);
-            let is_suspect = is_recent && (run.shown_at().is_some() || self.is_lost_at_crash());
+            let is_suspect = is_recent && self.was_alive_at_start(run);
             let run = run.run;
             let candidate = CrashCandidate { task: *task, run, age, is_recent, is_suspect };
             (!is_cleared).then_some(candidate)
@@ -218,6 +217,16 @@
         runs.chain(self.lapsed.iter().copied()).collect()
     }
 
+    /// Returns whether the worker is unlikely to have crashed before the start of a run. One that has
+    /// other runs reports often; one without may be silent for seconds.
+    fn was_alive_at_start(&self, run: &RunEntry) -> bool {
+        let heard_before = run.started_at.map(|started_at| started_at.since(self.reported_at));
+        run.shown_at().is_some()
+            || self.is_lost_at_crash()
+            || self.runs.len() == 1
+            || heard_before.is_some_and(|age| age <= FRESH_REPORT)
+    }
+
     /// Records that the worker has not answered an order that was sent at `sent_at`.
     pub(super) fn note_silence(&mut self, now: time::Monotonic, sent_at: time::Monotonic) {
         if self.silent_since.is_none() {
