fix(jobs): do not suspect an unanswered start where another run had begun (LOST)

Cause: runs 2 and 3 of its task were sent to workers that other tasks crashed at that moment. The workers had been alive, so the starts without an answer made it a suspect, three times in all.

A run that had just begun explains a crash better than a start without an answer.

--- a/comfreymill_jobs/src/scheduler/crashes.rs
+++ b/comfreymill_jobs/src/scheduler/crashes.rs
@@ -15,8 +15,8 @@
 //! against a run that was started when the next incarnation had begun already, nor against any run
 //! when much of the zone or rack crashes at one moment, though crashes right after a start always count
 //! towards the number of starts. Where the moment of the crash is known, a run that had begun clearly
-//! before is not suspected, and neither is one that was sent to a worker which may have crashed before,
-//! unnoticed.
+//! before is not suspected. Neither is one whose start was not answered, if the worker may have crashed
+//! before, unnoticed, or if another run had just begun there.
 
 use std::time::Duration;
 
@@ -68,7 +68,9 @@
     /// Whether the run had begun, or may have begun, so shortly before the crash that it may have
     /// caused it.
     is_recent: bool,
-    /// Whether this is so, and nothing suggests that the worker had crashed before the start.
+    /// Whether the worker is known to have begun the run.
+    is_shown: bool,
+    /// Whether it is recent, and nothing suggests that the worker had crashed before the start.
     is_suspect: bool,
 }
 
@@ -209,12 +211,19 @@
             };
             let is_recent = begun_age.is_some_and(|age| age <= period);
             let is_suspect = is_recent && self.was_alive_at_start(run);
+            let is_shown = run.shown_at().is_some();
             let run = run.run;
-            let candidate = CrashCandidate { task: *task, run, age, is_recent, is_suspect };
+            let candidate =
+                CrashCandidate { task: *task, run, age, is_recent, is_shown, is_suspect };
             (!is_cleared).then_some(candidate)
         };
         let runs = self.runs.iter().filter_map(|(task, run)| of_run(task, run));
-        runs.chain(self.lapsed.iter().copied()).collect()
+        let mut candidates: Vec<CrashCandidate> = runs.chain(self.lapsed.iter().copied()).collect();
+        // A run that had just begun explains the crash better than one that may not have begun.
+        if candidates.iter().any(|candidate| candidate.is_suspect && candidate.is_shown) {
+            candidates.iter_mut().for_each(|candidate| candidate.is_suspect &= candidate.is_shown);
+        }
+        candidates
     }
 
     /// Returns whether the worker is unlikely to have crashed before the start of a run. One that has
--- a/comfreymill_jobs/tests/scheduler/common_crashes.rs
+++ b/comfreymill_jobs/tests/scheduler/common_crashes.rs
@@ -296,3 +296,18 @@
     let away = Some(Duration::from_secs(3));
     assert_eq!(crash_under_unanswered_start(true, silence, away), (1, 1), "lost by the crash");
 }
+
+/// An innocent task was given up since starts of it were under way to workers that others crashed.
+#[test]
+fn a_start_that_was_not_answered_makes_no_suspect_beside_a_run_that_had_begun() {
+    let mut fleet = Fleet::new(&[("north", 1)]);
+    fleet.leader.submit_as(DEADLY, task(4_000));
+    fleet.carry_out_starts();
+    fleet.leader.submit_as(INNOCENT, task(4_000));
+    let start = fleet.leader.take_starts()[0];
+    fleet.crash(&[start.worker]);
+    let record = fleet.leader.state.get_crashes(start.task);
+    assert_eq!((record.crashes, record.suspected), (1, 0));
+    let deadly = fleet.starts.keys().next().expect("it was started");
+    assert_eq!(fleet.leader.state.get_crashes(*deadly).suspected, 1);
+}
