--- a/comfreymill_jobs/src/scheduler/crashes.rs
+++ b/comfreymill_jobs/src/scheduler/crashes.rs
@@ -13,8 +13,10 @@
 //!
 //! Workers also crash by themselves, and the tasks that they hit must go on. So a crash says nothing
 //! against a run that was started when the next incarnation had begun already, nor against any run
-//! when much of the zone or rack crashes together. Where the moment of the crash is known, a run that
-//! had begun clearly before is not suspected.
+//! when much of the zone or rack crashes at one moment, though crashes right after a start always count
+//! towards the number of starts. Where the moment of the crash is known, a run that had begun clearly
+//! before is not suspected. Neither is one whose start was not answered, if the worker may have crashed
+//! before, unnoticed, or if another run had just begun there.
 
 use std::time::Duration;
 
@@ -43,10 +45,6 @@
 /// Difference, in milliseconds, by which a clock must at least be behind that of the earlier incarnation
 /// to have begun anew.
 const MIN_CLOCK_STEP_MS: u64 = 500;
-/// Time within which crashes count as having happened together.
-const COMMON_CRASH_PERIOD: Duration = Duration::from_secs(3);
-/// Least number of workers of a zone or rack that crash together for a cause that they share.
-const MIN_COMMON_CRASHES: usize = 4;
 /// Time before the last start on a worker within which no other start may lie for the last one to
 /// be identified as the cause of a crash.
 const MIN_START_GAP: Duration = Duration::from_millis(100);
@@ -67,7 +65,12 @@
     run: id::Run,
     /// Time from its start to the crash; `None` if this leader did not start it.
     age: Option<Duration>,
-    /// Whether the run had begun so shortly before the crash that it may have caused it.
+    /// Whether the run had begun, or may have begun, so shortly before the crash that it may have
+    /// caused it.
+    is_recent: bool,
+    /// Whether the worker is known to have begun the run.
+    is_shown: bool,
+    /// Whether it is recent, and nothing suggests that the worker had crashed before the start.
     is_suspect: bool,
 }
 
@@ -91,15 +94,16 @@
             return None;
         }
         if self.has_common_cause(now, entry) {
-            log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, runs = candidates.len(); "a worker has crashed together with others of its zone or rack");
-            return None;
+            return self.explained_crash_command(number, entry, &candidates);
         }
         let last = last_started(&candidates).filter(|_| !entry.is_new(now));
         let is_given_up = |candidate: &&CrashCandidate| {
             let record = self.crash_record(candidate.task);
             let is_identified = last == Some(candidate.task) && record.suspected > 0;
             let is_repeated = candidate.is_suspect && record.suspected + 1 >= MAX_SUSPECTED;
-            is_identified || is_repeated || record.crashes + 1 >= MAX_CRASHES
+            let is_bound_reached = candidate.is_recent && self.is_last_crash(candidate.task);
+            let is_worn_out = record.crashes + 1 >= MAX_CRASHES;
+            is_identified || is_repeated || is_worn_out || is_bound_reached
         };
         let given_up = candidates.iter().filter(is_given_up).map(|candidate| candidate.task);
         let given_up = given_up.collect();
@@ -110,25 +114,30 @@
         Some(state::Command::NoteCrash { worker: number, runs: runs.collect(), given_up })
     }
 
-    /// Returns whether much of the worker's zone or rack has crashed with it or does not answer.
-    fn has_common_cause(&self, now: time::Monotonic, crashed: &WorkerEntry) -> bool {
-        let of_zone = |entry: &WorkerEntry| entry.announcement.zone == crashed.announcement.zone;
-        let of_rack =
-            |entry: &WorkerEntry| entry.announcement.labels == crashed.announcement.labels;
-        self.is_mostly_down(now, of_zone) || self.is_mostly_down(now, of_rack)
+    /// Returns the command that counts a crash which others explain for the tasks that had just been
+    /// started on the worker; `None` if there are none.
+    fn explained_crash_command(
+        &self,
+        number: id::WorkerNumber,
+        entry: &WorkerEntry,
+        candidates: &[CrashCandidate],
+    ) -> Option<state::Command> {
+        let suspects = candidates.iter().filter(|candidate| candidate.is_recent);
+        let tasks: Vec<id::TaskId> = suspects.map(|candidate| candidate.task).collect();
+        log::info!(target: "workers", worker:% = entry.replicated.announced.name, number:% = number, runs = candidates.len(), suspects = tasks.len(); "a worker has crashed together with others of its zone or rack");
+        if tasks.is_empty() {
+            return None;
+        }
+        let runs = tasks.iter().copied().map(state::CrashedRun::explained).collect();
+        let given_up = tasks.into_iter().filter(|task| self.is_last_crash(*task)).collect();
+        Some(state::Command::NoteCrash { worker: number, runs, given_up })
     }
 
-    fn is_mostly_down<F>(&self, now: time::Monotonic, is_counted: F) -> bool
-    where
-        F: Fn(&WorkerEntry) -> bool,
-    {
-        let counted = self.workers.values().filter(|entry| is_counted(entry));
-        let (mut all, mut down) = (0, 0);
-        for entry in counted {
-            all += 1;
-            down += usize::from(entry.is_down(now));
-        }
-        down >= MIN_COMMON_CRASHES && down * 2 >= all
+    /// Returns whether one more crash right after a start, explained or not, is the last one that a task
+    /// is allowed.
+    fn is_last_crash(&self, task: id::TaskId) -> bool {
+        self.task(task)
+            .is_some_and(|entry| entry.crashes.crashes + entry.explained_crashes + 1 >= MAX_CRASHES)
     }
 
     /// Handles a crash that was committed to the log: the tasks that were running on the worker
@@ -142,10 +151,12 @@
         state: &state::State,
     ) {
         for crashed in runs {
-            log::info!(target: "runs", task:% = crashed.task, run:% = crashed.run, worker:% = number, is_suspect = crashed.is_suspect; "a worker has crashed under a run");
-            if let Some(entry) = self.task_mut(crashed.task) {
-                entry.crashes = state.get_crashes(crashed.task);
+            if crashed.is_explained() {
+                log::info!(target: "runs", task:% = crashed.task, worker:% = number; "a worker has crashed with others right after a start");
+            } else {
+                log::info!(target: "runs", task:% = crashed.task, run:% = crashed.run, worker:% = number, is_suspect = crashed.is_suspect; "a worker has crashed under a run");
             }
+            self.update_crashes(now, crashed, state);
         }
         for job in given_up {
             if let Some(reason) = state.get_given_up(*job) {
@@ -153,6 +164,7 @@
             }
             self.job_over(now, *job);
         }
+        self.remember_crash(now, number);
         self.pass_on_unanswered(now, number);
         self.release_all(now, number);
         if let Some(entry) = self.workers.remove(&number) {
@@ -161,24 +173,20 @@
     }
 
     /// Returns the crashes of workers under a task.
-    pub(super) fn crash_record(&self, task: id::TaskId) -> state::CrashRecord {
-        let job = self.jobs.get(&task.step.job);
-        let occurrence = job.and_then(|job| job.occurrences.get(&task.step.occurrence));
-        let step = occurrence.and_then(|entry| entry.steps.get(usize::from(task.step.step)));
-        let entry = step.and_then(|step| step.tasks.get(usize::from(task.index)));
-        entry.map(|entry| entry.crashes).unwrap_or_default()
+    fn crash_record(&self, task: id::TaskId) -> state::CrashRecord {
+        self.task(task).map(|entry| entry.crashes).unwrap_or_default()
     }
 }
 
-/// Returns the task that was started last before a crash, if it was started shortly before and apart
-/// from all others.
+/// Returns the task that was started last before a crash, if the worker had begun it shortly before, and
+/// apart from all others.
 fn last_started(candidates: &[CrashCandidate]) -> Option<id::TaskId> {
-    let suspects = candidates.iter().filter(|candidate| candidate.is_suspect);
-    let last = suspects.min_by_key(|candidate| candidate.age)?;
+    let recent = candidates.iter().filter(|candidate| candidate.is_recent);
+    let last = recent.min_by_key(|candidate| candidate.age)?;
     let is_close = |age: Duration| Some(age) <= last.age.map(|age| age + MIN_START_GAP);
     let mut others = candidates.iter().filter(|candidate| candidate.task != last.task);
     let is_apart = !others.any(|candidate| candidate.age.is_some_and(is_close));
-    is_apart.then_some(last.task)
+    (is_apart && last.is_suspect).then_some(last.task)
 }
 
 impl WorkerEntry {
@@ -196,11 +204,36 @@
             let age = run.started_at.map(|started_at| crashed_at.since(started_at));
             let is_cleared =
                 run.is_long_running && age.is_none_or(|age| age > LONG_RUNNING_CLEARANCE);
-            let is_suspect = age.is_some_and(|age| age <= suspect_period);
-            (!is_cleared).then_some(CrashCandidate { task: *task, run: run.run, age, is_suspect })
+            // A start that was not answered may have arrived at any moment.
+            let (begun_age, period) = match run.shown_at() {
+                Some(shown_at) => (Some(crashed_at.since(shown_at)), suspect_period),
+                None => (age, SUSPECT_PERIOD),
+            };
+            let is_recent = begun_age.is_some_and(|age| age <= period);
+            let is_suspect = is_recent && self.was_alive_at_start(run);
+            let is_shown = run.shown_at().is_some();
+            let run = run.run;
+            let candidate =
+                CrashCandidate { task: *task, run, age, is_recent, is_shown, is_suspect };
+            (!is_cleared).then_some(candidate)
         };
         let runs = self.runs.iter().filter_map(|(task, run)| of_run(task, run));
-        runs.chain(self.lapsed.iter().copied()).collect()
+        let mut candidates: Vec<CrashCandidate> = runs.chain(self.lapsed.iter().copied()).collect();
+        // A run that had just begun explains the crash better than one that may not have begun.
+        if candidates.iter().any(|candidate| candidate.is_suspect && candidate.is_shown) {
+            candidates.iter_mut().for_each(|candidate| candidate.is_suspect &= candidate.is_shown);
+        }
+        candidates
+    }
+
+    /// Returns whether the worker is unlikely to have crashed before the start of a run. One that has
+    /// other runs reports often; one without may be silent for seconds.
+    fn was_alive_at_start(&self, run: &RunEntry) -> bool {
+        let heard_before = run.started_at.map(|started_at| started_at.since(self.reported_at));
+        run.shown_at().is_some()
+            || self.is_lost_at_crash()
+            || self.runs.len() == 1
+            || heard_before.is_some_and(|age| age <= FRESH_REPORT)
     }
 
     /// Records that the worker has not answered an order that was sent at `sent_at`.
@@ -223,13 +256,6 @@
         self.next_began_by = Some(earliest);
     }
 
-    /// Returns whether the worker does not answer, or has just started again.
-    fn is_down(&self, now: time::Monotonic) -> bool {
-        let is_back = self.is_restarted
-            && self.registered_at.is_some_and(|at| now.since(at) < COMMON_CRASH_PERIOD);
-        self.is_unresponsive || self.has_successor || is_back
-    }
-
     /// Keeps the runs that end with the worker's lease, in case it turns out that the worker has
     /// crashed.
     pub(super) fn keep_lapsed(&mut self, now: time::Monotonic) {
@@ -242,10 +268,15 @@
         self.registered_at.is_some_and(|at| now.since(at) < NEW_WORKER_PERIOD)
     }
 
+    /// Returns whether another task under which a worker has crashed was just started here.
+    pub(super) fn is_kept_apart(&self, now: time::Monotonic) -> bool {
+        now < self.apart_until
+    }
+
     /// Returns the penalty in the score of the worker for a task, so that tasks under which a worker
     /// has crashed are started apart from others.
     pub(super) fn isolation_penalty(&self, now: time::Monotonic, has_crashes: bool) -> i64 {
-        let is_apart = now < self.apart_until;
+        let is_apart = self.is_kept_apart(now);
         if !has_crashes {
             return if is_apart { ISOLATION_PENALTY } else { 0 };
         }
--- a/comfreymill_jobs/tests/scheduler/crashes.rs
+++ b/comfreymill_jobs/tests/scheduler/crashes.rs
@@ -320,3 +320,21 @@
     leader.advance(Duration::from_millis(100));
     assert_eq!(leader.take_starts().len(), 6, "they start again");
 }
+
+/// A start that took long to arrive was taken for one that had gone on for a while when the worker
+/// crashed.
+#[test]
+fn a_run_is_suspected_by_the_time_at_which_it_was_known_to_have_begun() {
+    let mut leader = with_workers(3);
+    leader.submit_as(DEADLY, spec(vec![step(1)]));
+    let start = leader.take_starts()[0];
+    let asked_at = leader.now;
+    leader.advance(Duration::from_millis(400));
+    leader.started(&start, StartAnswer::Started);
+    leader.advance(Duration::from_millis(50));
+    let answer = Answer::Poll(PollAnswer::NoAnswer);
+    leader.scheduler.answered(leader.now, start.worker, asked_at, answer);
+    leader.settle();
+    crash(&mut leader, start.worker);
+    assert_eq!(leader.state.get_crashes(start.task).suspected, 1);
+}
