--- a/tests/platform/unknown_group.rs
+++ b/tests/platform/unknown_group.rs
@@ -53,6 +53,17 @@
     add_voter(bed);
 }
 
+/// Removes the three seeds for good, one after the other, from a group of three voters.
+fn remove_seeds(bed: &mut GroupBed) {
+    for seed in 0..3 {
+        bed.wipe(seed);
+        bed.wait("the removal", || {
+            let leader = bed.wait_for_leader();
+            !bed.members(leader).contains(&seed) && bed.voters(leader).len() == 3
+        });
+    }
+}
+
 fn wait_until_served(bed: &GroupBed, gateways: &[SocketAddr]) {
     bed.wait("all gateways to serve", || {
         let mut callers = gateways.iter().map(|gateway| standin::Caller::new(*gateway));
@@ -68,13 +79,7 @@
     let successors: Vec<usize> = (0..3).map(|_| bed.add()).collect();
     let leader = bed.wait_for_leader();
     bed.wait("three learners", || bed.members(leader).len() == 6);
-    for seed in 0..3 {
-        bed.wipe(seed);
-        bed.wait("the removal", || {
-            let leader = bed.wait_for_leader();
-            !bed.members(leader).contains(&seed) && bed.voters(leader).len() == 3
-        });
-    }
+    remove_seeds(&mut bed);
     let leader = bed.wait_for_leader();
     assert!(successors.contains(&leader), "\n{}", bed.logs());
     bed.kill(leader);
@@ -97,13 +102,7 @@
     let leader = bed.wait_for_leader();
     bed.wait("three learners", || bed.members(leader).len() == 6);
     bed.wait("the routes", || standin::put_routes(bed.control(leader), 1, "jobs"));
-    for seed in 0..3 {
-        bed.wipe(seed);
-        bed.wait("the removal", || {
-            let leader = bed.wait_for_leader();
-            !bed.members(leader).contains(&seed) && bed.voters(leader).len() == 3
-        });
-    }
+    remove_seeds(&mut bed);
     let gateway = bed.add_gateway();
     thread::sleep(Duration::from_secs(2));
     bed.change_gateway_seeds(0, &successors);
