fix(node): let a machine that lost its disk vote before its new disk has synced

Cause: the dead vote was removed first, after a second of silence, and the newcomer became a voter only once its disk had synced what it lacked, which nothing bounds (1a, 1b); each change waited for the one before (1c). The class: a bound on time that rests on the slowest disk, where the protocol does not need that disk.

Now: from an even number of voters one more does not raise the quorum, so a newcomer is added as a voter at once. A group of five goes to four and back to five by two commits of the others, and never has fewer than four. That a member is replaced is shown by an announcement from after it was last heard, without a wait.

--- a/comfreymill_group/src/membership/members.rs
+++ b/comfreymill_group/src/membership/members.rs
@@ -59,13 +59,22 @@
         self.voters().count() / 2 + 1
     }
 
+    /// Returns whether one more voter would raise the quorum, so that it has to have the entries: an
+    /// even number of voters has the quorum of the next odd one.
+    pub fn quorum_grows_by_voter(&self) -> bool {
+        !self.voters().count().is_multiple_of(2)
+    }
+
     /// Returns a copy that adds `voter` as a learner.
     #[must_use]
     pub fn with_learner(&self, voter: id::VoterId, disk: id::DiskId) -> Self {
-        let mut next = self.clone();
-        next.members.insert(voter, Member { disk, kind: MemberKind::Learner });
-        next.former.retain(|former| *former != (voter, disk));
-        next
+        self.with(voter, disk, MemberKind::Learner)
+    }
+
+    /// Returns a copy that adds `voter` as a voter.
+    #[must_use]
+    pub fn with_voter(&self, voter: id::VoterId, disk: id::DiskId) -> Self {
+        self.with(voter, disk, MemberKind::Voter)
     }
 
     /// Returns a copy in which the member `voter` is a voter.
@@ -98,6 +107,13 @@
         self.with_newest_former()
     }
 
+    fn with(&self, voter: id::VoterId, disk: id::DiskId, kind: MemberKind) -> Self {
+        let mut next = self.clone();
+        next.members.insert(voter, Member { disk, kind });
+        next.former.retain(|former| *former != (voter, disk));
+        next
+    }
+
     fn with_newest_former(mut self) -> Self {
         let surplus = self.former.len().saturating_sub(MAX_FORMER);
         self.former.drain(..surplus);
--- a/comfreymill_group/src/replica/change_membership.rs
+++ b/comfreymill_group/src/replica/change_membership.rs
@@ -5,6 +5,10 @@
 use crate::replica::election::State;
 use crate::replica::peer::Peer;
 use comfreymill_types::time;
+use std::time::Duration;
+
+/// Time after which a disk that has synced nothing counts as hung.
+const MAX_SYNC_TIME: Duration = Duration::from_secs(10);
 
 /// Error returned when a membership change is rejected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
@@ -50,6 +54,12 @@
         /// Number of entries that the learner is behind.
         lag: u64,
     },
+    /// The replica to add has no entries, and the quorum would grow by it.
+    #[error("voter {voter} has no entries and would raise the quorum: add it as a learner")]
+    RaisesQuorum {
+        /// Replica to add.
+        voter: id::VoterId,
+    },
     /// The leader can't remove itself.
     #[error("voter {voter} is the leader: transfer leadership to another voter first")]
     RemovesLeader {
@@ -73,7 +83,17 @@
     ) -> Result<id::Index, ChangeError> {
         self.check_change(now)?;
         let next = match change {
-            membership::Change::AddLearner(voter) => self.with_learner(now, voter)?,
+            membership::Change::AddLearner(voter) => {
+                let disk = self.take_newcomer(now, voter)?;
+                self.membership().with_learner(voter, disk)
+            }
+            membership::Change::AddVoter(voter) if self.membership().quorum_grows_by_voter() => {
+                return Err(ChangeError::RaisesQuorum { voter });
+            }
+            membership::Change::AddVoter(voter) => {
+                let disk = self.take_newcomer(now, voter)?;
+                self.membership().with_voter(voter, disk)
+            }
             membership::Change::Promote(voter) => self.with_promoted(now, voter)?,
             membership::Change::Remove(voter) => self.without(voter)?,
         };
@@ -83,13 +103,6 @@
         Ok(self.log.last_index())
     }
 
-    /// Returns the replicas that announced themselves lately and are not members.
-    pub fn newcomers(&self, now: time::Monotonic) -> Vec<id::VoterId> {
-        let recent = self.newcomers.iter().filter(|(_, newcomer)| newcomer.is_recent(now));
-        let nonmembers = recent.filter(|(voter, _)| self.membership().get(**voter).is_none());
-        nonmembers.map(|(voter, _)| *voter).collect()
-    }
-
     fn check_change(&self, now: time::Monotonic) -> Result<(), ChangeError> {
         let hint = self.leader.filter(|leader| *leader != self.voter);
         let State::Leader(leader) = &self.state else {
@@ -108,11 +121,12 @@
         Ok(())
     }
 
-    fn with_learner(
+    /// Returns the disk of the newcomer to add, whose announcement is used up by it.
+    fn take_newcomer(
         &mut self,
         now: time::Monotonic,
         voter: id::VoterId,
-    ) -> Result<membership::Membership, ChangeError> {
+    ) -> Result<id::DiskId, ChangeError> {
         if self.membership().get(voter).is_some() {
             return Err(ChangeError::AlreadyMember { voter });
         }
@@ -120,7 +134,7 @@
         let Some(newcomer) = newcomer else {
             return Err(ChangeError::NotAnnounced { voter });
         };
-        Ok(self.membership().with_learner(voter, newcomer.disk))
+        Ok(newcomer.disk)
     }
 
     fn with_promoted(
@@ -136,7 +150,8 @@
             return Err(ChangeError::NotReady);
         };
         let peer = leader.peers.get(&voter);
-        if !peer.is_some_and(|peer| self.has_caught_up(now, peer)) {
+        let needs_entries = self.membership().quorum_grows_by_voter();
+        if needs_entries && !peer.is_some_and(|peer| self.has_caught_up(now, peer)) {
             let matched = peer.map_or(id::Index::ZERO, |peer| peer.matched);
             let lag = self.log.last_index().distance_from(matched);
             return Err(ChangeError::NotCaughtUp { voter, lag });
@@ -144,15 +159,27 @@
         Ok(self.membership().with_promoted(voter))
     }
 
-    /// Returns whether a learner answers and lacks few or only new entries, so that it may become a
-    /// voter. However many entries a second are added, a voter lacks those of its last syncs.
+    /// Returns whether a member answers and lacks few or only new entries. However many entries a
+    /// second are added, a voter lacks those of its last syncs.
     pub(super) fn has_caught_up(&self, now: time::Monotonic, peer: &Peer) -> bool {
+        let is_close =
+            self.is_close(peer) || peer.has_entries_of(now, self.cfg.get_election_timeout_max());
+        is_close && self.has_answered(now, peer)
+    }
+
+    /// Returns whether a member answers and its disk has synced entries lately.
+    pub(super) fn syncs_entries(&self, now: time::Monotonic, peer: &Peer) -> bool {
+        let is_syncing = self.is_close(peer) || peer.has_progressed_within(now, MAX_SYNC_TIME);
+        is_syncing && self.has_answered(now, peer)
+    }
+
+    fn is_close(&self, peer: &Peer) -> bool {
         let lag = self.log.last_index().distance_from(peer.matched);
-        let is_close = lag <= self.cfg.get_promote_lag_entries()
-            || peer.has_entries_of(now, self.cfg.get_election_timeout_max());
-        is_close
-            && peer.has_recent_response(now, self.cfg.get_lease())
-            && peer.matched != id::Index::ZERO
+        lag <= self.cfg.get_promote_lag_entries()
+    }
+
+    fn has_answered(&self, now: time::Monotonic, peer: &Peer) -> bool {
+        peer.has_recent_response(now, self.cfg.get_lease()) && peer.matched != id::Index::ZERO
     }
 
     fn without(&self, voter: id::VoterId) -> Result<membership::Membership, ChangeError> {
--- a/comfreymill_group/src/replica/mod.rs
+++ b/comfreymill_group/src/replica/mod.rs
@@ -48,5 +48,5 @@
 pub use recovered::Recovered;
 pub use role::Role;
 pub use start::Start;
-pub use status::{PeerStatus, Status};
+pub use status::{NewcomerStatus, PeerStatus, Status};
 pub use transfer::TransferError;
--- a/comfreymill_group/src/replica/newcomer.rs
+++ b/comfreymill_group/src/replica/newcomer.rs
@@ -1,5 +1,5 @@
 use crate::id;
-use crate::replica::{Replica, Start};
+use crate::replica::{NewcomerStatus, Replica, Start};
 use comfreymill_types::time;
 use std::time::Duration;
 
@@ -20,6 +20,17 @@
 }
 
 impl Replica {
+    /// Returns the replicas that announced themselves lately and are not members.
+    pub fn newcomers(&self, now: time::Monotonic) -> Vec<NewcomerStatus> {
+        let recent = self.newcomers.iter().filter(|(_, newcomer)| newcomer.is_recent(now));
+        let nonmembers = recent.filter(|(voter, _)| self.membership().get(**voter).is_none());
+        let statuses = nonmembers.map(|(voter, newcomer)| NewcomerStatus {
+            voter: *voter,
+            silent_for: now.since(newcomer.announced_at),
+        });
+        statuses.collect()
+    }
+
     /// Forgets the announcements of members: one that is removed later must not be added again for
     /// an announcement from before.
     pub(super) fn forget_announcements_of_members(&mut self) {
--- a/comfreymill_group/src/replica/peer.rs
+++ b/comfreymill_group/src/replica/peer.rs
@@ -176,6 +176,11 @@
         self.waiting_since = None;
     }
 
+    /// Returns whether a response showed progress within `max_age` before `now`.
+    pub(super) fn has_progressed_within(&self, now: time::Monotonic, max_age: Duration) -> bool {
+        self.progressed_at > time::Monotonic::ZERO && now.since(self.progressed_at) < max_age
+    }
+
     /// Records that a response showed progress.
     pub(super) fn progressed(&mut self, now: time::Monotonic) {
         self.progressed_at = now;
--- a/comfreymill_group/src/replica/status.rs
+++ b/comfreymill_group/src/replica/status.rs
@@ -34,7 +34,7 @@
     /// Other members, as tracked by the leader; empty on other replicas.
     pub peers: Vec<PeerStatus>,
     /// Replicas that announced themselves lately and are not members.
-    pub newcomers: Vec<id::VoterId>,
+    pub newcomers: Vec<NewcomerStatus>,
     /// Why the replica halted, if it did.
     pub halted: Option<Halt>,
 }
@@ -52,8 +52,19 @@
     pub unheard_for: Duration,
     /// Whether a snapshot is being sent to the member.
     pub is_receiving_snapshot: bool,
-    /// Whether the member, if it is a learner, may become a voter.
+    /// Whether the member lacks few or only new entries, so that it may raise the quorum as a voter.
     pub has_caught_up: bool,
+    /// Whether the member answers and its disk has synced entries lately, however many it lacks.
+    pub syncs_entries: bool,
+}
+
+/// Replica with an empty log that announced itself and is not a member.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NewcomerStatus {
+    /// Id of the replica.
+    pub voter: id::VoterId,
+    /// Time since its newest announcement.
+    pub silent_for: Duration,
 }
 
 impl Replica {
@@ -91,6 +102,7 @@
                 unheard_for: peer.unheard_for(now),
                 is_receiving_snapshot: peer.is_receiving_snapshot(),
                 has_caught_up: self.has_caught_up(now, peer),
+                syncs_entries: self.syncs_entries(now, peer),
             })
             .collect()
     }
--- a/comfreymill_group/tests/scenario/member.rs
+++ b/comfreymill_group/tests/scenario/member.rs
@@ -38,6 +38,7 @@
     let cases = [
         (Change::AddLearner(unknown), ChangeError::NotAnnounced { voter: unknown }),
         (Change::AddLearner(other), ChangeError::AlreadyMember { voter: other }),
+        (Change::AddVoter(unknown), ChangeError::RaisesQuorum { voter: unknown }),
         (Change::Promote(other), ChangeError::InvalidMember { voter: other }),
         (Change::Promote(unknown), ChangeError::InvalidMember { voter: unknown }),
         (Change::Remove(unknown), ChangeError::InvalidMember { voter: unknown }),
@@ -50,6 +51,31 @@
     assert_eq!(result, Err(ChangeError::NotLeader { hint: Some(own) }));
 }
 
+/// A machine that lost its disk became a voter only after its new disk had synced what it lacked.
+#[test]
+fn a_newcomer_takes_the_place_of_a_voter_before_it_has_an_entry() {
+    let (mut world, leader) = group::started(4, 5);
+    let lost = (leader + 1) % 5;
+    world.crash(lost);
+    let lost_voter = world.nodes[lost].voter;
+    let voter = add_newcomer(&mut world);
+    let position = world.nodes.len() - 1;
+    world.nodes[position].disk_hangs = true;
+    let rejected = Err(replica::ChangeError::RaisesQuorum { voter });
+    assert_eq!(change(&mut world, leader, membership::Change::AddVoter(voter)), rejected);
+    for next in [membership::Change::Remove(lost_voter), membership::Change::AddVoter(voter)] {
+        change(&mut world, leader, next).expect("the change before is committed");
+        group::pass(&mut world, 500);
+    }
+    let members = group::replica(&world, leader).membership();
+    assert!(members.get(voter).is_some_and(membership::Member::is_voter), "{members:?}");
+    // Its vote counts as soon as its disk syncs, though two others with all entries are gone.
+    world.nodes[position].disk_hangs = false;
+    world.crash(leader);
+    world.crash((leader + 2) % 5);
+    group::wait_for_leader(&mut world);
+}
+
 #[test]
 fn a_second_change_waits_for_the_first() {
     let (mut world, leader) = group::started(2, 3);
--- a/comfreymill_node/src/control/views/status.rs
+++ b/comfreymill_node/src/control/views/status.rs
@@ -93,7 +93,11 @@
         last: replica.last.get(),
         snapshot: replica.snapshot.get(),
         members: member_views(replica, voters),
-        newcomers: replica.newcomers.iter().filter_map(|voter| voters.name(*voter)).collect(),
+        newcomers: replica
+            .newcomers
+            .iter()
+            .filter_map(|newcomer| voters.name(newcomer.voter))
+            .collect(),
         applied: ledger.get_applied(),
         documents_revision: ledger.get_documents_revision(),
         jobs: ledger.get_jobs().len(),
--- a/comfreymill_node/src/scheduler/core/membership.rs
+++ b/comfreymill_node/src/scheduler/core/membership.rs
@@ -73,7 +73,8 @@
         let silent = status.membership.iter().map(|(member, _)| member);
         let silent: Vec<_> =
             silent.filter(|member| !answers(*member)).map(member_id::address).collect();
-        let newcomers: Vec<_> = status.newcomers.iter().copied().map(member_id::address).collect();
+        let newcomers = status.newcomers.iter().map(|newcomer| member_id::address(newcomer.voter));
+        let newcomers: Vec<_> = newcomers.collect();
         log::warn!(target: "group", voters, answering, silent:? = silent, newcomers:? = newcomers; "fewer voters answer than the group should have");
     }
 }
--- a/comfreymill_node/src/scheduler/member_id.rs
+++ b/comfreymill_node/src/scheduler/member_id.rs
@@ -23,3 +23,9 @@
     let high = u32::try_from(member.get() >> INCARNATION_BITS).unwrap_or_default();
     Ipv4Addr::from(high)
 }
+
+/// Returns whether two members have the same address, as a machine that has lost its disk and the one
+/// that it was before.
+pub(super) fn is_same_address(one: id::VoterId, other: id::VoterId) -> bool {
+    address(one) == address(other)
+}
--- a/comfreymill_node/src/scheduler/membership_planner.rs
+++ b/comfreymill_node/src/scheduler/membership_planner.rs
@@ -13,9 +13,10 @@
 const CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Silence after which a member may be removed or replaced.
 pub(super) const SILENCE_LIMIT: Duration = Duration::from_secs(2);
-/// Silence after which a member is removed whose machine has announced itself with an empty data folder:
-/// its former data is gone, and its vote counts until it is removed.
+/// Silence after which a member is removed that has another member at its address.
 const REPLACED_SILENCE_LIMIT: Duration = Duration::from_secs(1);
+/// Silence for which a learner still counts as one that answers.
+const ANSWER_LIMIT: Duration = Duration::from_millis(500);
 /// Maximum number of members, voters and learners together.
 const MAX_MEMBERS: usize = 16;
 
@@ -49,66 +50,100 @@
 
     fn next_change(&self, status: &replica::Status) -> Option<membership::Change> {
         let members = &status.membership;
-        // A newcomer at a member's address shows that the member has lost its data folder.
-        let is_replaced = |member: id::VoterId| {
-            let address = member_id::address(member);
-            status.newcomers.iter().any(|newcomer| member_id::address(*newcomer) == address)
-                || members.iter().any(|(other, _)| {
-                    other != member
-                        && member_id::address(other) == address
-                        && !was_heard_earlier(other, member, status)
-                })
-        };
-        let silence = |member: id::VoterId| {
-            let peer = status.peers.iter().find(|peer| peer.voter == member);
-            peer.map_or(Duration::ZERO, |peer| peer.silent_for.unwrap_or(peer.unheard_for))
-        };
-        let is_silent_for = |member: id::VoterId, limit: Duration| silence(member) > limit;
-        let is_silent = |member: id::VoterId| is_silent_for(member, SILENCE_LIMIT);
+        let voters = members.voters().count();
+        let is_short = voters < self.voters;
         let others: Vec<(id::VoterId, membership::Member)> =
             members.iter().filter(|(member, _)| *member != status.voter).collect();
-        let voters = members.voters().count();
-        let has_caught_up = |member: id::VoterId| {
-            status.peers.iter().any(|peer| peer.voter == member && peer.has_caught_up)
+        let learners = || others.iter().filter(|(_, entry)| !entry.is_voter());
+        let find_learner = |is_met: fn(&replica::PeerStatus) -> bool| {
+            let mut learners = learners().map(|(learner, _)| *learner);
+            learners.find(|learner| peer(status, *learner).is_some_and(is_met))
         };
-        let ready_learner =
-            others.iter().find(|(member, entry)| !entry.is_voter() && has_caught_up(*member));
-        if let Some((learner, _)) = ready_learner
-            && voters < self.voters
-        {
-            return Some(membership::Change::Promote(*learner));
+        let ready_learner = find_learner(|learner| learner.has_caught_up);
+        if is_short && let Some(learner) = ready_learner {
+            return Some(membership::Change::Promote(learner));
         }
-        let replaced = others.iter().find(|(member, _)| {
-            is_replaced(*member) && is_silent_for(*member, REPLACED_SILENCE_LIMIT)
-        });
+        if is_short && !members.quorum_grows_by_voter() {
+            // Whoever answers may vote, however slow its disk is: without it no fewer votes are needed.
+            if let Some(learner) = find_learner(answers) {
+                return Some(membership::Change::Promote(learner));
+            }
+            if let Some(newcomer) = newest(status.newcomers.iter()) {
+                return Some(membership::Change::AddVoter(newcomer));
+            }
+        }
+        let replaced = others.iter().find(|(member, _)| is_replaced(*member, status));
         if let Some((member, _)) = replaced {
             return Some(membership::Change::Remove(*member));
         }
         // A silent voter may come back with its data: it is kept while there are too few voters.
-        let may_replace = voters == self.voters && ready_learner.is_some();
-        if may_replace || voters > self.voters {
-            let silent_voters =
-                others.iter().filter(|(member, entry)| entry.is_voter() && is_silent(*member));
-            if let Some((member, _)) = silent_voters.max_by_key(|(member, _)| silence(*member)) {
+        let has_successor = || find_learner(|learner| learner.syncs_entries).is_some();
+        if voters > self.voters || (voters == self.voters && has_successor()) {
+            let silent_voters = others.iter().filter(|(member, entry)| {
+                entry.is_voter() && silence(*member, status) > SILENCE_LIMIT
+            });
+            if let Some((member, _)) =
+                silent_voters.max_by_key(|(member, _)| silence(*member, status))
+            {
                 return Some(membership::Change::Remove(*member));
             }
         }
-        if let Some(newcomer) = status.newcomers.first()
+        // One at the address of a member takes its place, once it is clear that the member is gone.
+        let is_at_member = |newcomer: id::VoterId| {
+            members.iter().any(|(member, _)| member_id::is_same_address(member, newcomer))
+        };
+        let strangers = status.newcomers.iter().filter(|newcomer| !is_at_member(newcomer.voter));
+        if let Some(newcomer) = newest(strangers)
             && members.len() < MAX_MEMBERS
         {
-            return Some(membership::Change::AddLearner(*newcomer));
+            return Some(membership::Change::AddLearner(newcomer));
         }
         let silent_learner =
-            others.iter().find(|(member, entry)| !entry.is_voter() && is_silent(*member));
+            learners().find(|(member, _)| silence(*member, status) > SILENCE_LIMIT);
         silent_learner.map(|(member, _)| membership::Change::Remove(*member))
     }
 }
 
+fn peer(status: &replica::Status, member: id::VoterId) -> Option<&replica::PeerStatus> {
+    status.peers.iter().find(|peer| peer.voter == member)
+}
+
+/// Returns whether a member has answered this leader lately.
+fn answers(peer: &replica::PeerStatus) -> bool {
+    peer.silent_for.is_some_and(|silent_for| silent_for < ANSWER_LIMIT)
+}
+
+/// Returns for how long a member has been silent.
+fn silence(member: id::VoterId, status: &replica::Status) -> Duration {
+    let peer = peer(status, member);
+    peer.map_or(Duration::ZERO, |peer| peer.silent_for.unwrap_or(peer.unheard_for))
+}
+
+/// Returns the newcomer that announced itself last.
+fn newest<'a, N>(newcomers: N) -> Option<id::VoterId>
+where
+    N: Iterator<Item = &'a replica::NewcomerStatus>,
+{
+    newcomers.min_by_key(|newcomer| newcomer.silent_for).map(|newcomer| newcomer.voter)
+}
+
+/// Returns whether another replica at the address of a member shows that the member has lost its data
+/// folder: a newcomer that announced itself after the member was last heard, or another member.
+fn is_replaced(member: id::VoterId, status: &replica::Status) -> bool {
+    let is_at_address =
+        |other: id::VoterId| other != member && member_id::is_same_address(member, other);
+    let silence = silence(member, status);
+    let mut newcomers = status.newcomers.iter().filter(|newcomer| is_at_address(newcomer.voter));
+    let mut others = status.membership.iter().filter(|(other, _)| is_at_address(*other));
+    newcomers.any(|newcomer| newcomer.silent_for < silence)
+        || (silence > REPLACED_SILENCE_LIMIT
+            && others.any(|(other, _)| !was_heard_earlier(other, member, status)))
+}
+
 /// Returns whether `member` was last heard from earlier than `other`.
 fn was_heard_earlier(member: id::VoterId, other: id::VoterId, status: &replica::Status) -> bool {
     let silent_for = |id: id::VoterId| {
-        let peer = status.peers.iter().find(|peer| peer.voter == id);
-        peer.and_then(|peer| peer.silent_for).unwrap_or(Duration::MAX)
+        peer(status, id).and_then(|peer| peer.silent_for).unwrap_or(Duration::MAX)
     };
     silent_for(member) > silent_for(other)
 }
