fix(group): let a joiner wait before its first vote as every other replica does

A newcomer that votes from the start answers heartbeats, and so supports the leader's lease, before its first write is synced. Killed then and started again, it gave its vote at once, as it knew of no term: another leader could be elected while the lease was valid. The new test failed before (a vote 100 ms after the start) and passes now.

--- a/comfreymill_group/src/replica/core.rs
+++ b/comfreymill_group/src/replica/core.rs
@@ -71,7 +71,9 @@
         if let Some(snapshot) = &recovered.snapshot {
             outbox.actions.push(Action::InstallSnapshot(snapshot.clone()));
         }
-        let is_restarted = recovered.hard_state.term > id::Term::ZERO;
+        // A joiner may be a voter that answered heartbeats before its first write was synced.
+        let may_have_heard_leader =
+            recovered.hard_state.term > id::Term::ZERO || cfg.get_start().founder().is_none();
         let mut replica = Self {
             cfg,
             voter: recovered.voter,
@@ -80,7 +82,7 @@
             hard_state: recovered.hard_state,
             state: State::Follower,
             leader: None,
-            leader_heard_at: is_restarted.then_some(now),
+            leader_heard_at: may_have_heard_leader.then_some(now),
             election_at: now,
             asked_at: None,
             log,
--- a/comfreymill_group/tests/scenario/durable.rs
+++ b/comfreymill_group/tests/scenario/durable.rs
@@ -43,3 +43,22 @@
     }
     assert_eq!(replica.commit_index(), noop);
 }
+
+/// A newcomer that votes from the start may have answered heartbeats, and was killed before anything was
+/// synced; its vote within the lease of the leader led to two valid leases.
+#[test]
+fn a_joiner_gives_no_vote_while_a_lease_that_it_may_have_supported_is_valid() {
+    for (millis, is_granted) in [(100, false), (400, true)] {
+        let mut joiner = single::replica_with(1, 0, Vec::new());
+        let now = time::Monotonic::from_millis(millis);
+        let request = message::Vote { last_index: 5, last_term: 3, transfer: false };
+        step(&mut joiner, now, 2, 4, message::Body::Vote(request));
+        sync(&mut joiner, now);
+        let granted = joiner.take_actions().into_iter().any(|action| {
+            let replica::Action::Send { message, .. } = action else { return false };
+            let granted = message::VoteResponse { granted: true };
+            message.body == Some(message::Body::VoteResponse(granted))
+        });
+        assert_eq!(granted, is_granted, "after {millis} ms");
+    }
+}
