test(group): lose no disk that the committed membership needs

The schedules let a disk go if a quorum of every replica's newest membership is left. Now the committed membership has to keep a quorum, too: the check of progress is the same, and no disk is spared that a committed membership spares.

--- a/comfreymill_group/tests/schedule/checker.rs
+++ b/comfreymill_group/tests/schedule/checker.rs
@@ -72,10 +72,14 @@
         assert_eq!(members, Some(&meta.membership), "snapshot with another membership");
     }
 
+    /// Returns the newest committed membership.
+    pub(crate) fn newest_membership(&self) -> Option<&membership::Membership> {
+        self.memberships.values().next_back()
+    }
+
     /// Returns whether the newest committed membership doesn't contain the replica.
     pub(crate) fn was_removed(&self, voter: id::VoterId, disk: id::DiskId) -> bool {
-        let newest = self.memberships.values().next_back();
-        newest.is_some_and(|members| !members.contains(voter, disk))
+        self.newest_membership().is_some_and(|members| !members.contains(voter, disk))
     }
 
     /// Checks that an installed state equals the one after the committed entries.
--- a/comfreymill_group/tests/schedule/faults.rs
+++ b/comfreymill_group/tests/schedule/faults.rs
@@ -303,19 +303,23 @@
         if is_founder_left { old.clone() } else { replica::Start::Join { peers } }
     }
 
-    /// Returns whether a quorum of every replica's membership is left without this disk.
+    /// Returns whether a quorum of every replica's membership is left without this disk, and of the
+    /// committed one, which holds if a newer one is overwritten.
     fn may_lose_disk(&self, position: usize) -> bool {
         let lost = self.nodes[position].voter;
+        let keeps_quorum = |members: &membership::Membership| {
+            let voters = members.iter().filter(|(voter, member)| {
+                member.is_voter() && *voter != lost && self.has_disk(*voter, member.disk)
+            });
+            members.is_empty() || voters.count() >= members.quorum()
+        };
         let is_founded = self.checker.committed_index() > id::Index::new(1);
         is_founded
             && self.lost_disks < 2
+            && self.checker.newest_membership().is_some_and(keeps_quorum)
             && self.nodes.iter().all(|node| {
-                let Some(replica) = &node.replica else { return false };
-                let members = replica.membership();
-                let voters = members.iter().filter(|(voter, member)| {
-                    member.is_voter() && *voter != lost && self.has_disk(*voter, member.disk)
-                });
-                members.is_empty() || voters.count() >= members.quorum()
+                let replica = node.replica.as_ref();
+                replica.is_some_and(|replica| keeps_quorum(replica.membership()))
             })
     }
 
