fix(group): count votes that arrive after the candidate's time-out

With three of five voters left, one of them on a disk that syncs in 3 s, callers were answered 503 for good: no leader was elected.

All three votes are needed. The slow voter's vote left after its sync, when the candidate's election time-out had passed and it asked for pre-votes of the next term; a vote counted only in the state before, so it was dropped. The next term then had to be synced again.

A candidate now keeps the votes of its term while it asks about the next one. It has voted for nobody else in that term, so a late vote is as good as one in time. It refuses no other candidate, so one that is older, contested or cut off yields as before.

--- a/comfreymill_group/src/replica/election.rs
+++ b/comfreymill_group/src/replica/election.rs
@@ -5,18 +5,18 @@
 use crate::replica::lease::Leader;
 use comfreymill_types::time;
 use std::collections::BTreeSet;
+use std::mem;
 
 /// Role of the replica with the data of that role.
 #[derive(Debug)]
 pub(super) enum State {
     /// Follower, learner or newcomer.
     Follower,
-    /// Collects pre-votes.
-    PreCandidate { votes: BTreeSet<id::VoterId> },
-    /// Collects votes; its own, if it is a voter, counts once `write` is synced.
+    /// Collects pre-votes for the next term, and late votes of the current one, if it stands in it.
+    PreCandidate { votes: BTreeSet<id::VoterId>, candidacy: Option<Candidacy> },
+    /// Collects votes.
     Candidate {
-        votes: BTreeSet<id::VoterId>,
-        write: id::Sequence,
+        candidacy: Candidacy,
         /// Whether a voter has refused its vote, so that another candidate may have it.
         is_contested: bool,
     },
@@ -24,6 +24,25 @@
     Leader(Box<Leader>),
 }
 
+/// Votes for this replica in the current term.
+#[derive(Debug)]
+pub(super) struct Candidacy {
+    votes: BTreeSet<id::VoterId>,
+    /// Write of its own vote, which counts, if it is a voter, once this is synced.
+    write: id::Sequence,
+}
+
+impl State {
+    /// Ends the role, and returns the votes of the current term if the replica stands in it.
+    fn take_candidacy(&mut self) -> Option<Candidacy> {
+        match mem::replace(self, Self::Follower) {
+            Self::Candidate { candidacy, .. } => Some(candidacy),
+            Self::PreCandidate { candidacy, .. } => candidacy,
+            Self::Follower | Self::Leader(_) => None,
+        }
+    }
+}
+
 impl Replica {
     /// Becomes a follower in `term`, which is at least the current term.
     pub(super) fn become_follower(&mut self, now: time::Monotonic, term: id::Term) {
@@ -43,10 +62,14 @@
     }
 
     /// Starts a pre-vote: asks the voters whether they would grant their votes.
+    ///
+    /// A candidate goes on counting the votes of its term: one whose sync takes longer than the election
+    /// time-out would otherwise always come too late.
     pub(super) fn start_pre_vote(&mut self, now: time::Monotonic) {
         self.leader = None;
         let own = self.is_voter().then_some(self.voter);
-        self.state = State::PreCandidate { votes: own.into_iter().collect() };
+        let candidacy = self.state.take_candidacy();
+        self.state = State::PreCandidate { votes: own.into_iter().collect(), candidacy };
         self.reset_election_timer(now);
         let request = message::PreVote {
             last_index: self.log.last_index().get(),
@@ -66,7 +89,8 @@
         self.outbox.hard_state_changed = true;
         self.leader = None;
         let write = self.outbox.covering_write();
-        self.state = State::Candidate { votes: BTreeSet::new(), write, is_contested: false };
+        let candidacy = Candidacy { votes: BTreeSet::new(), write };
+        self.state = State::Candidate { candidacy, is_contested: false };
         self.reset_election_timer(now);
         let request = message::Vote {
             last_index: self.log.last_index().get(),
@@ -83,20 +107,24 @@
     pub(super) fn try_win(&mut self, now: time::Monotonic) {
         let quorum = self.membership().quorum();
         let is_voter = self.is_voter();
-        match &mut self.state {
-            State::PreCandidate { votes } if votes.len() >= quorum => {
-                self.start_election(now, false);
+        let (pre_votes, candidacy) = match &mut self.state {
+            State::PreCandidate { votes, candidacy } => (votes.len(), candidacy.as_mut()),
+            State::Candidate { candidacy, .. } => (0, Some(candidacy)),
+            State::Follower | State::Leader(_) => return,
+        };
+        if let Some(candidacy) = candidacy
+            && self.outbox.is_persisted(candidacy.write)
+        {
+            if is_voter {
+                candidacy.votes.insert(self.voter);
             }
-            State::Candidate { votes, write, .. } => {
-                let is_synced = self.outbox.is_persisted(*write);
-                if is_synced && is_voter {
-                    votes.insert(self.voter);
-                }
-                if is_synced && votes.len() >= quorum {
-                    self.become_leader(now);
-                }
+            if candidacy.votes.len() >= quorum {
+                self.become_leader(now);
+                return;
             }
-            _ => {}
+        }
+        if pre_votes >= quorum {
+            self.start_election(now, false);
         }
     }
 
@@ -140,7 +168,7 @@
         if !response.granted || !is_current || !self.membership().is_voter(from, disk) {
             return;
         }
-        if let State::PreCandidate { votes } = &mut self.state {
+        if let State::PreCandidate { votes, .. } = &mut self.state {
             votes.insert(from);
             self.try_win(now);
         }
@@ -167,7 +195,7 @@
         self.send_synced(from, disk, body);
     }
 
-    /// Counts a granted vote.
+    /// Counts a granted vote, or notes a refused one.
     pub(super) fn handle_vote_response(
         &mut self,
         now: time::Monotonic,
@@ -176,17 +204,23 @@
         response: message::VoteResponse,
     ) {
         let is_voter = self.membership().is_voter(from, disk);
-        let State::Candidate { votes, is_contested, .. } = &mut self.state else { return };
         if !is_voter {
             return;
         }
-        if response.granted {
-            votes.insert(from);
-            self.try_win(now);
-        } else if !*is_contested {
-            // The votes may be split, so the next election does not wait for slow disks.
-            *is_contested = true;
-            self.reset_election_timer(now);
+        match &mut self.state {
+            State::Candidate { candidacy, .. }
+            | State::PreCandidate { candidacy: Some(candidacy), .. }
+                if response.granted =>
+            {
+                candidacy.votes.insert(from);
+                self.try_win(now);
+            }
+            State::Candidate { is_contested, .. } if !response.granted && !*is_contested => {
+                // The votes may be split, so the next election does not wait for slow disks.
+                *is_contested = true;
+                self.reset_election_timer(now);
+            }
+            _ => {}
         }
     }
 
--- a/comfreymill_group/tests/scenario/mod.rs
+++ b/comfreymill_group/tests/scenario/mod.rs
@@ -14,4 +14,5 @@
 mod paused;
 mod single;
 mod slow;
+mod slow_voter;
 mod transfer;
--- a/comfreymill_group/tests/schedule/node.rs
+++ b/comfreymill_group/tests/schedule/node.rs
@@ -57,6 +57,8 @@
     pub(crate) commit: id::Index,
     /// Whether syncs never complete.
     pub(crate) disk_hangs: bool,
+    /// Shortest and longest sync in microseconds, if the disk differs from the others.
+    pub(crate) sync_micros: Option<(u64, u64)>,
     /// Time until which the process doesn't run.
     pub(crate) stalled_until: u64,
     clock_offset_micros: u64,
@@ -78,6 +80,7 @@
             halted: false,
             commit: id::Index::ZERO,
             disk_hangs: false,
+            sync_micros: None,
             stalled_until: 0,
             clock_offset_micros: 0,
             clock_rate_ppm: 1_000_000,
@@ -133,6 +136,14 @@
         }
     }
 
+    /// Returns when a write issued at `now` is synced, if a sync takes `sync` microseconds. Writes that
+    /// are issued during a sync share the next one.
+    pub(crate) fn next_sync_at(&self, now: u64, sync: u64) -> u64 {
+        let ends = (self.unsynced.front(), self.unsynced.back());
+        let (Some((running, _)), Some((newest, _))) = ends else { return now + sync };
+        if newest > running { *newest } else { running + sync }
+    }
+
     /// Returns whether the replica is started and not halted.
     pub(crate) fn is_running(&self) -> bool {
         self.replica.is_some() && !self.halted
--- a/comfreymill_group/tests/schedule/world.rs
+++ b/comfreymill_group/tests/schedule/world.rs
@@ -203,9 +203,7 @@
                 if let Some(snapshot) = &write.snapshot {
                     self.checker.on_snapshot(&snapshot.meta);
                 }
-                let earliest = self.nodes[position].unsynced.back().map_or(0, |(at, _)| *at);
-                let delay = self.rng.random_range(0..=self.sync_max_micros);
-                let at = earliest.max(self.now + delay);
+                let at = self.draw_sync(position);
                 self.nodes[position].unsynced.push_back((at, write));
             }
             replica::Action::Send { to, message } => {
@@ -240,6 +238,17 @@
         }
     }
 
+    /// Draws the time at which a write issued now by the node at `position` is synced.
+    fn draw_sync(&mut self, position: usize) -> u64 {
+        let node = &self.nodes[position];
+        if let Some((min, max)) = node.sync_micros {
+            return node.next_sync_at(self.now, self.rng.random_range(min..=max));
+        }
+        let earliest = node.unsynced.back().map_or(0, |(at, _)| *at);
+        let delay = self.rng.random_range(0..=self.sync_max_micros);
+        earliest.max(self.now + delay)
+    }
+
     fn apply(&mut self, position: usize, entry: &entry::Entry) {
         let term =
             self.nodes[position].replica.as_ref().map_or(id::Term::ZERO, replica::Replica::term);
