--- a/comfreymill_node/tests/membership/returned_disks.rs
+++ b/comfreymill_node/tests/membership/returned_disks.rs
@@ -7,6 +7,8 @@
 const SEEDS: u64 = 40;
 /// Time after which a machine counts as back.
 const CATCH_UP: Duration = Duration::from_secs(4);
+/// Time within which a group serves again whose votes depend on a slow disk.
+const RECOVERY: Duration = Duration::from_secs(30);
 /// Time for which a machine is down that loses its disk.
 const DARK: Duration = Duration::from_millis(200);
 /// Time of a sync on the slow disk.
@@ -43,6 +45,24 @@
     }
 }
 
+/// After the two that are back, two others lose their disks, the leader among them.
+#[test]
+fn two_disks_may_be_lost_after_two_others_though_one_of_these_is_slow() {
+    for seed in 0..SEEDS {
+        let mut bed = Bed::start(seed);
+        let back = lose_two_disks(&mut bed, seed);
+        bed.pass(CATCH_UP);
+        let leader = bed.leader().expect("a leader");
+        let mut others =
+            (0..VOTERS).filter(|address| *address != leader && !back.contains(address));
+        let other = others.next_back().expect("three others");
+        bed.kill(leader);
+        bed.kill(other);
+        let took = bed.wait("a leader", |bed| bed.leader().is_some());
+        assert!(took <= RECOVERY, "seed {seed}: {took:?}");
+    }
+}
+
 /// Messages are lost while two machines come back.
 #[test]
 fn two_returned_machines_are_voters_in_time_though_messages_are_lost() {
