feat(group): log refused votes, elections and a quorum that is gone

Of an election without a winner the log said only that it began. It could not be told who refused a vote and why, who did not answer, whether a write of a survivor was not synced, or that the voters that are left can never elect a leader.

A replica that refuses a pre-vote or vote logs the reason, at most one line in 5 s for each reason with the number of those left out. Responses carry the reason as a number that earlier builds skip. A candidate logs the answers to its election, and a replica with data that has had no leader for 10 s logs how many votes are missing among the voters it has heard from. No vote, timer or change of the membership depends on any of it.

--- a/comfreymill_group/src/message/vote.rs
+++ b/comfreymill_group/src/message/vote.rs
@@ -18,6 +18,9 @@
     /// Whether the sender would grant its vote.
     #[prost(bool, tag = "2")]
     pub granted: bool,
+    /// Code of the reason of a refusal; 0 if it is granted, or if the sender is of an earlier build.
+    #[prost(uint32, tag = "3")]
+    pub reason: u32,
 }
 
 /// Requests a vote in the sender's term.
@@ -40,4 +43,7 @@
     /// Whether the vote is granted.
     #[prost(bool, tag = "1")]
     pub granted: bool,
+    /// Code of the reason of a refusal; 0 if it is granted, or if the sender is of an earlier build.
+    #[prost(uint32, tag = "2")]
+    pub reason: u32,
 }
--- a/comfreymill_group/src/replica/config.rs
+++ b/comfreymill_group/src/replica/config.rs
@@ -1,4 +1,6 @@
+use crate::id;
 use crate::replica::Start;
+use crate::replica::member_names::MemberNames;
 use std::time::Duration;
 
 const PPM: u64 = 1_000_000;
@@ -19,6 +21,7 @@
     retained_entries: u64,
     retained_bytes: usize,
     promote_lag_entries: u64,
+    member_names: MemberNames,
 }
 
 /// Error returned when the settings of a [`Config`] are invalid.
@@ -59,6 +62,7 @@
             retained_entries: 2_000,
             retained_bytes: 4 * 1024 * 1024,
             promote_lag_entries: 100,
+            member_names: MemberNames::default(),
         }
     }
 
@@ -141,6 +145,13 @@
         self
     }
 
+    /// Sets how members are named in the log.
+    #[must_use]
+    pub fn member_names(mut self, names: fn(id::VoterId) -> String) -> Self {
+        self.member_names = MemberNames::new(names);
+        self
+    }
+
     /// Checks that the settings are consistent.
     ///
     /// # Errors
@@ -169,6 +180,11 @@
         Ok(())
     }
 
+    /// Returns the name of a member in the log.
+    pub(super) fn name_of(&self, voter: id::VoterId) -> String {
+        self.member_names.name_of(voter)
+    }
+
     pub(super) fn start_mut(&mut self) -> &mut Start {
         &mut self.start
     }
--- a/comfreymill_group/src/replica/core.rs
+++ b/comfreymill_group/src/replica/core.rs
@@ -2,6 +2,7 @@
 use crate::id;
 use crate::membership;
 use crate::message;
+use crate::replica::diagnosis::Diagnosis;
 use crate::replica::election::State;
 use crate::replica::incoming_snapshot::IncomingSnapshot;
 use crate::replica::log::Log;
@@ -51,6 +52,8 @@
     pub(super) hello_sent_at: time::Monotonic,
     /// Replicas with an empty log that announced themselves.
     pub(super) newcomers: BTreeMap<id::VoterId, Newcomer>,
+    /// What is remembered for the log only.
+    pub(super) diagnosis: Diagnosis,
     reported: (Role, id::Term, Option<id::VoterId>),
 }
 
@@ -95,6 +98,7 @@
             next_hello_at: now,
             hello_sent_at: now,
             newcomers: BTreeMap::new(),
+            diagnosis: Diagnosis::new(now),
             reported: (Role::Newcomer, id::Term::ZERO, None),
         };
         replica.reset_election_timer(now);
--- a/comfreymill_group/src/replica/election.rs
+++ b/comfreymill_group/src/replica/election.rs
@@ -1,8 +1,9 @@
 use crate::entry;
 use crate::id;
 use crate::message;
-use crate::replica::Replica;
+use crate::replica::ballot::Stage;
 use crate::replica::lease::Leader;
+use crate::replica::{Refusal, Replica};
 use comfreymill_types::time;
 use std::collections::BTreeSet;
 
@@ -48,6 +49,7 @@
         let own = self.is_voter().then_some(self.voter);
         self.state = State::PreCandidate { votes: own.into_iter().collect() };
         self.reset_election_timer(now);
+        self.open_ballot(now, Stage::PreVote);
         let request = message::PreVote {
             last_index: self.log.last_index().get(),
             last_term: self.log.last_term().get(),
@@ -68,6 +70,7 @@
         let write = self.outbox.covering_write();
         self.state = State::Candidate { votes: BTreeSet::new(), write, is_contested: false };
         self.reset_election_timer(now);
+        self.open_ballot(now, Stage::Vote);
         let request = message::Vote {
             last_index: self.log.last_index().get(),
             last_term: self.log.last_term().get(),
@@ -109,6 +112,7 @@
         request: message::PreVote,
     ) {
         if self.has_removed(now, from, id::DiskId::new(envelope.disk)) {
+            self.note_refusal(now, from, envelope, Refusal::RemovedCandidate);
             self.refuse(from, id::DiskId::new(envelope.disk));
             return;
         }
@@ -117,7 +121,15 @@
             && !self.has_recent_leader(now)
             && !self.is_electing(now)
             && self.is_up_to_date(request.last_index, request.last_term);
-        let response = message::PreVoteResponse { asked_term: asked_term.get(), granted };
+        let refusal = (!granted).then(|| self.explain_pre_vote(now, asked_term, request));
+        if let Some(refusal) = refusal {
+            self.note_refusal(now, from, envelope, refusal);
+        }
+        let response = message::PreVoteResponse {
+            asked_term: asked_term.get(),
+            granted,
+            reason: refusal.map_or(0, Refusal::code),
+        };
         let body = message::Body::PreVoteResponse(response);
         self.send(from, id::DiskId::new(envelope.disk), body);
     }
@@ -130,12 +142,14 @@
         envelope: &message::Message,
         response: message::PreVoteResponse,
     ) {
+        let disk = id::DiskId::new(envelope.disk);
+        let answer = Refusal::from_answer(response.granted, response.reason);
+        self.note_answer(from, disk, (Stage::PreVote, response.asked_term), answer);
         let term = id::Term::new(envelope.term);
         if term > self.hard_state.term {
             self.become_follower(now, term);
             return;
         }
-        let disk = id::DiskId::new(envelope.disk);
         let is_current = response.asked_term == self.hard_state.term.next().get();
         if !response.granted || !is_current || !self.membership().is_voter(from, disk) {
             return;
@@ -163,7 +177,13 @@
             self.state = State::Follower;
             self.reset_election_timer(now);
         }
-        let body = message::Body::VoteResponse(message::VoteResponse { granted });
+        let refusal = if can_grant { Refusal::OlderLog } else { Refusal::VotedForAnother };
+        let reason = if granted { 0 } else { refusal.code() };
+        if !granted {
+            let last = (request.last_term, request.last_index);
+            self.log_refusal(now, from, refusal, Stage::Vote, self.term().get(), last);
+        }
+        let body = message::Body::VoteResponse(message::VoteResponse { granted, reason });
         self.send_synced(from, disk, body);
     }
 
@@ -176,6 +196,8 @@
         response: message::VoteResponse,
     ) {
         let is_voter = self.membership().is_voter(from, disk);
+        let answer = Refusal::from_answer(response.granted, response.reason);
+        self.note_answer(from, disk, (Stage::Vote, self.term().get()), answer);
         let State::Candidate { votes, is_contested, .. } = &mut self.state else { return };
         if !is_voter {
             return;
@@ -205,7 +227,7 @@
         self.is_vote_pending() || (is_candidate && now < self.election_at)
     }
 
-    fn is_up_to_date(&self, last_index: u64, last_term: u64) -> bool {
+    pub(super) fn is_up_to_date(&self, last_index: u64, last_term: u64) -> bool {
         let own = (self.log.last_term().get(), self.log.last_index().get());
         (last_term, last_index) >= own
     }
--- a/comfreymill_group/src/replica/step.rs
+++ b/comfreymill_group/src/replica/step.rs
@@ -1,15 +1,20 @@
 use crate::id;
 use crate::message::{self, Body};
-use crate::replica::Replica;
+use crate::replica::{Refusal, Replica};
 use comfreymill_types::time;
 
 impl Replica {
     /// Handles a message from the replica `from`.
     pub fn step(&mut self, now: time::Monotonic, from: id::VoterId, message: message::Message) {
-        if self.halted.is_some() || !self.is_for_this_disk(&message) {
+        if self.halted.is_some() {
             return;
         }
         let disk = id::DiskId::new(message.disk);
+        self.note_heard(now, from, disk);
+        if !self.is_for_this_disk(&message) {
+            self.note_refusal(now, from, &message, Refusal::OtherDisk);
+            return;
+        }
         match &message.body {
             None => {}
             Some(Body::PreVote(request)) => self.handle_pre_vote(now, from, &message, *request),
@@ -23,6 +28,7 @@
             Some(Body::Vote(request)) if !request.transfer && self.has_recent_leader(now) => {
                 let voter = self.voter;
                 log::debug!(target: "group", "replica {voter} ignores a vote request from {from}");
+                self.note_refusal(now, from, &message, Refusal::RecentLeader);
             }
             Some(_) => self.step_in_term(now, from, message),
         }
@@ -35,6 +41,7 @@
             self.become_follower(now, term);
         }
         if term < self.term() {
+            self.note_refusal(now, from, &message, Refusal::OlderTerm);
             self.reject_old_term(from, disk, message.body.as_ref());
             return;
         }
@@ -68,7 +75,8 @@
                 self.send_synced(from, disk, Body::HeartbeatResponse(response));
             }
             Some(Body::Vote(_)) => {
-                let response = message::VoteResponse { granted: false };
+                let response =
+                    message::VoteResponse { granted: false, reason: Refusal::OlderTerm.code() };
                 self.send_synced(from, disk, Body::VoteResponse(response));
             }
             _ => {}
--- a/comfreymill_group/src/replica/tick.rs
+++ b/comfreymill_group/src/replica/tick.rs
@@ -14,6 +14,7 @@
             return;
         }
         self.track_oldest_write(now);
+        self.observe(now);
         if self.log.is_empty() {
             self.tick_newcomer(now);
             return;
--- a/comfreymill_group/tests/scenario/disk.rs
+++ b/comfreymill_group/tests/scenario/disk.rs
@@ -113,10 +113,10 @@
     let term = replica.term();
     replica.tick(now);
     let pre_vote = |term: u64| {
-        let response = message::PreVoteResponse { asked_term: term + 1, granted: true };
+        let response = message::PreVoteResponse { asked_term: term + 1, granted: true, reason: 0 };
         message::Body::PreVoteResponse(response)
     };
-    let vote = |_| message::Body::VoteResponse(message::VoteResponse { granted: true });
+    let vote = |_| message::Body::VoteResponse(message::VoteResponse { granted: true, reason: 0 });
     let accept = |_| {
         let sent_at_micros = now.as_micros();
         let (prev_index, rejected, index) = (1, false, 2);
--- a/comfreymill_group/tests/scenario/single.rs
+++ b/comfreymill_group/tests/scenario/single.rs
@@ -66,12 +66,12 @@
     replica.tick(now);
     let term = replica.term().get();
     for from in 2..=4 {
-        let response = message::PreVoteResponse { asked_term: term + 1, granted: true };
+        let response = message::PreVoteResponse { asked_term: term + 1, granted: true, reason: 0 };
         step(replica, now, from, term, message::Body::PreVoteResponse(response));
     }
     sync(replica, now);
     for from in 2..=4 {
-        let response = message::VoteResponse { granted: true };
+        let response = message::VoteResponse { granted: true, reason: 0 };
         step(replica, now, from, term + 1, message::Body::VoteResponse(response));
     }
     assert_eq!(replica.role(), replica::Role::Leader);
