--- a/comfreymill_group/tests/scenario/lost_quorum.rs
+++ b/comfreymill_group/tests/scenario/lost_quorum.rs
@@ -73,4 +73,14 @@
     let now = world.nodes[leader].clock(world.now);
     assert_eq!(group::replica(&world, leader).missing_votes(now), 0);
     assert_eq!(log_lines::take(EVENT), Vec::<String>::new());
+    for position in (0..5).filter(|position| *position != leader) {
+        if world.nodes[position].replica.is_some() {
+            world.crash(position);
+        }
+    }
+    group::pass(&mut world, 2_000);
+    let replica = group::replica(&world, leader);
+    assert_ne!(replica.role(), replica::Role::Leader);
+    let leaderless = replica.leaderless_for(world.nodes[leader].clock(world.now));
+    assert!(leaderless.as_millis() <= 2_100, "since it led: {leaderless:?}");
 }
--- a/comfreymill_group/tests/scenario/refusal.rs
+++ b/comfreymill_group/tests/scenario/refusal.rs
@@ -198,17 +198,20 @@
 #[test]
 fn earlier_builds_and_this_one_read_each_others_responses() {
     let reason = replica::Refusal::OlderLog.code();
-    let vote = message::VoteResponse { granted: false, reason };
-    let read = EarlierVoteResponse::decode(&vote.encode_to_vec()[..]).expect("readable");
-    assert_eq!(read, EarlierVoteResponse { granted: false });
-    let earlier = EarlierVoteResponse { granted: true }.encode_to_vec();
-    let read = message::VoteResponse::decode(&earlier[..]).expect("readable");
-    assert_eq!(read, message::VoteResponse { granted: true, reason: 0 });
-
-    let pre_vote = message::PreVoteResponse { asked_term: 7, granted: false, reason };
-    let read = EarlierPreVoteResponse::decode(&pre_vote.encode_to_vec()[..]).expect("readable");
-    assert_eq!(read, EarlierPreVoteResponse { asked_term: 7, granted: false });
-    let earlier = EarlierPreVoteResponse { asked_term: 7, granted: false }.encode_to_vec();
-    let read = message::PreVoteResponse::decode(&earlier[..]).expect("readable");
-    assert_eq!(replica::Refusal::from_code(read.reason), replica::Refusal::Unknown);
+    for granted in [false, true] {
+        let vote = message::VoteResponse { granted, reason };
+        let read = EarlierVoteResponse::decode(&vote.encode_to_vec()[..]).expect("readable");
+        assert_eq!(read, EarlierVoteResponse { granted });
+        let earlier = EarlierVoteResponse { granted }.encode_to_vec();
+        let read = message::VoteResponse::decode(&earlier[..]).expect("readable");
+        assert_eq!(read, message::VoteResponse { granted, reason: 0 });
+
+        let vote = message::PreVoteResponse { asked_term: 7, granted, reason };
+        let read = EarlierPreVoteResponse::decode(&vote.encode_to_vec()[..]).expect("readable");
+        assert_eq!(read, EarlierPreVoteResponse { asked_term: 7, granted });
+        let earlier = EarlierPreVoteResponse { asked_term: 7, granted }.encode_to_vec();
+        let read = message::PreVoteResponse::decode(&earlier[..]).expect("readable");
+        assert_eq!(read, message::PreVoteResponse { asked_term: 7, granted, reason: 0 });
+    }
+    assert_eq!(replica::Refusal::from_code(0), replica::Refusal::Unknown);
 }
