feat(group): count a voter as heard only since the last message of a leader

Five seconds after a loss the voters that were lost still counted as heard, so the report of a search for a leader could not tell them from those that answer.

--- a/comfreymill_group/src/replica/core.rs
+++ b/comfreymill_group/src/replica/core.rs
@@ -179,6 +179,11 @@
         self.log.history().current()
     }
 
+    /// Returns the index of the entry that holds the newest membership.
+    pub fn membership_index(&self) -> id::Index {
+        self.log.history().current_index()
+    }
+
     /// Returns why the replica halted, if it did.
     pub fn halted(&self) -> Option<Halt> {
         self.halted
--- a/comfreymill_group/src/replica/report_quorum.rs
+++ b/comfreymill_group/src/replica/report_quorum.rs
@@ -16,7 +16,7 @@
         self.close_ended_ballot(now);
         self.diagnosis.led_at = match self.state {
             State::Leader(_) => now,
-            _ => self.diagnosis.led_at.max(self.leader_heard_at.unwrap_or(time::Monotonic::ZERO)),
+            _ => self.led_at(),
         };
         self.report_missing_quorum(now);
     }
@@ -37,7 +37,7 @@
     pub fn leaderless_for(&self, now: time::Monotonic) -> Duration {
         match self.state {
             State::Leader(_) => Duration::ZERO,
-            _ => now.since(self.diagnosis.led_at.max(self.leader_heard_at.unwrap_or_default())),
+            _ => now.since(self.led_at()),
         }
     }
 
@@ -46,14 +46,15 @@
         self.oldest_write.map(|(_, since)| now.since(since))
     }
 
-    /// Returns the voters that are this replica itself or were heard from within the last ten seconds,
-    /// each with its disk.
+    /// Returns the voters that are this replica itself, or were heard from since the last message of a
+    /// leader and within the last ten seconds.
     pub fn heard_voters(&self, now: time::Monotonic) -> Vec<id::VoterId> {
         let is_heard = |voter: &id::VoterId| {
             let heard = self.diagnosis.heard.get(voter);
             *voter == self.voter && self.is_voter()
                 || heard.is_some_and(|(disk, heard_at)| {
                     self.membership().is_voter(*voter, *disk)
+                        && *heard_at > self.led_at()
                         && now.since(*heard_at) < MISSING_AFTER
                 })
         };
@@ -69,6 +70,11 @@
         self.membership().quorum().saturating_sub(self.heard_voters(now).len())
     }
 
+    /// Returns when a leader was last known to live, or the replica started.
+    fn led_at(&self) -> time::Monotonic {
+        self.diagnosis.led_at.max(self.leader_heard_at.unwrap_or(time::Monotonic::ZERO))
+    }
+
     fn report_missing_quorum(&mut self, now: time::Monotonic) {
         let missing = self.missing_votes(now);
         if missing == 0 {
--- a/comfreymill_group/tests/scenario/lost_quorum.rs
+++ b/comfreymill_group/tests/scenario/lost_quorum.rs
@@ -41,6 +41,10 @@
     run(&mut replica, 16_000..30_000, &[2, 3]);
     assert_eq!(log_lines::take(EVENT), Vec::<String>::new());
     assert_eq!(replica.missing_votes(time::Monotonic::from_millis(30_000)), 0);
+
+    run(&mut replica, 30_000..41_000, &[2]);
+    assert_eq!(replica.missing_votes(time::Monotonic::from_millis(41_000)), 1);
+    assert_eq!(log_lines::take(EVENT).len(), 1);
 }
 
 /// Two of four voters lose their disks for good; those that are left say so.
