feat(node): report members with kind and identity, learners and the own replica

The list of members showed neither voters and learners nor two identities at one address; a leader short of votes named no learner (voters 4, answering 4, all else empty) and could be silent for 5 s; and no leader is known showed no role, term, kind or write of the process itself. So it could not be told whether a newcomer was no voter yet and what it lacked, whether a survivor was no voter in its own eyes, had a write that was not synced, or did not hear the others.

Changes of the membership are logged with voters and learners when they are proposed, received and committed; the leader's report names what each learner lacks and comes as soon as votes are missing, then every 5 s; the search for a leader begins with the state of the own replica. Gauges count voters wanted and answering, learners, and votes missing to a quorum.

--- a/comfreymill_node/src/jobcall/client.rs
+++ b/comfreymill_node/src/jobcall/client.rs
@@ -8,7 +8,7 @@
 use super::link::{self, LinkConfig};
 use super::patience::Patience;
 use super::shared::{PendingCall, Shared};
-use super::{Call, Members, Reply, codec};
+use super::{Call, Members, OwnReplica, Reply, codec};
 
 /// Pause before a call is sent again to a member that could not handle it.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
@@ -60,6 +60,11 @@
         self.shared.set_seeds(seeds)
     }
 
+    /// Sets the state of the replica of this process, which is logged while no leader is known.
+    pub fn set_own(&self, own: OwnReplica) {
+        self.shared.set_own(own);
+    }
+
     /// Adds the address of a member that is known otherwise than from a connection to it.
     pub fn add_contact(&self, address: Ipv4Addr) {
         self.shared.add_contact(address);
--- a/comfreymill_node/src/jobcall/shared.rs
+++ b/comfreymill_node/src/jobcall/shared.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 
 use super::directory::Directory;
-use super::{Members, Reply};
+use super::{Members, OwnReplica, Reply};
 
 /// Interval between log lines while no leader is known.
 const REPORT_PERIOD: Duration = Duration::from_secs(5);
@@ -35,6 +35,8 @@
     waiting: Vec<flume::Sender<()>>,
     leaderless_since: Instant,
     reported_at: Instant,
+    /// Replica of this process, if it has one.
+    own: Option<OwnReplica>,
 }
 
 /// Connection to a member: calls to send, and calls that were sent and are not answered.
@@ -54,6 +56,7 @@
             waiting: Vec::new(),
             leaderless_since: Instant::now(),
             reported_at: Instant::now(),
+            own: None,
         })))
     }
 
@@ -83,6 +86,11 @@
         has_changed
     }
 
+    /// Sets the state of the replica of this process.
+    pub(super) fn set_own(&self, own: OwnReplica) {
+        self.0.borrow_mut().own = Some(own);
+    }
+
     /// Adds the address of a member that is known otherwise than from a connection to it.
     pub(super) fn add_contact(&self, address: Ipv4Addr) {
         self.0.borrow_mut().directory.add_contact(address);
@@ -107,7 +115,12 @@
         }
         state.reported_at = Instant::now();
         let views: Vec<_> = state.directory.views().collect();
-        log::warn!(target: "link", leaderless_ms = leaderless.as_millis(), addresses:? = addresses, connected = state.links.len(), views:? = views; "no leader is known");
+        let (leaderless_ms, connected) = (leaderless.as_millis(), state.links.len());
+        if let Some(own) = &state.own {
+            log::warn!(target: "link", leaderless_ms, role = own.role.as_str(), term = own.term, kind:% = own.kind, voters = own.voters, heard = own.heard, unsynced_ms = own.unsynced_for.as_millis(), member = own.member.as_str(), connected, addresses:? = addresses, views:? = views; "no leader is known");
+        } else {
+            log::warn!(target: "link", leaderless_ms, addresses:? = addresses, connected, views:? = views; "no leader is known");
+        }
     }
 
     /// Passes a call to the connection to the leader; returns the call if no leader is known.
--- a/comfreymill_node/src/metering/metric.rs
+++ b/comfreymill_node/src/metering/metric.rs
@@ -230,6 +230,24 @@
     "Runs left in an availability zone that is evacuated or gets its load back",
 );
 
+/// Number of voters that the group should have; set by the leader.
+pub const GROUP_VOTERS_WANTED: Metric =
+    gauge("comfreymill_group_voters_wanted", "Voters that the group should have");
+
+/// Number of voters that answer the leader, itself included; set by the leader.
+pub const GROUP_VOTERS_ANSWERING: Metric =
+    gauge("comfreymill_group_voters_answering", "Voters that answer the leader, with itself");
+
+/// Number of learners; set by the leader.
+pub const GROUP_LEARNERS: Metric =
+    gauge("comfreymill_group_learners", "Members without a vote, which receive the log");
+
+/// Number of votes that are missing to a quorum on a replica that has had no leader for long.
+pub const GROUP_VOTES_MISSING: Metric = gauge(
+    "comfreymill_group_votes_missing",
+    "Votes missing to a quorum among the voters heard from, after 10 s without a leader",
+);
+
 /// Number of started tasks that are faster on one rack, by place: near, away.
 pub const RACK_STARTS: Metric = counter(
     "comfreymill_rack_starts_total",
@@ -249,7 +267,7 @@
 );
 
 /// All metrics.
-pub const ALL: [Metric; 30] = [
+pub const ALL: [Metric; 34] = [
     REQUEST_LATENCY,
     QUEUE_WAIT,
     SLOTS_IN_USE,
@@ -277,6 +295,10 @@
     HEARTBEAT_ROUND_TRIP,
     EVACUATED_ZONES,
     EVACUATED_ZONE_RUNS,
+    GROUP_VOTERS_WANTED,
+    GROUP_VOTERS_ANSWERING,
+    GROUP_LEARNERS,
+    GROUP_VOTES_MISSING,
     RACK_STARTS,
     RACK_WAITS,
     RACK_WAIT_TIME,
--- a/comfreymill_node/src/metering/observe.rs
+++ b/comfreymill_node/src/metering/observe.rs
@@ -172,3 +172,24 @@
     let labels = [("zone", zone.to_string())];
     metrics::gauge!(metric::EVACUATED_ZONE_RUNS.name, &labels).set(runs as f64);
 }
+
+/// Numbers of members of the group, as a scheduler knows them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct GroupCounts {
+    /// Voters that the group should have; 0 unless the process leads.
+    pub wanted: usize,
+    /// Voters that answer; 0 unless the process leads.
+    pub answering: usize,
+    /// Learners; 0 unless the process leads.
+    pub learners: usize,
+    /// Votes that are missing to a quorum.
+    pub missing: usize,
+}
+
+/// Sets the numbers of members of the group.
+pub fn group(counts: GroupCounts) {
+    metrics::gauge!(metric::GROUP_VOTERS_WANTED.name).set(counts.wanted as f64);
+    metrics::gauge!(metric::GROUP_VOTERS_ANSWERING.name).set(counts.answering as f64);
+    metrics::gauge!(metric::GROUP_LEARNERS.name).set(counts.learners as f64);
+    metrics::gauge!(metric::GROUP_VOTES_MISSING.name).set(counts.missing as f64);
+}
--- a/comfreymill_node/src/scheduler/core/commit.rs
+++ b/comfreymill_node/src/scheduler/core/commit.rs
@@ -8,6 +8,7 @@
 use super::load::Part;
 use crate::jobcall;
 use crate::metering::observe;
+use crate::scheduler::roster::Roster;
 
 /// # Replica actions
 impl Core {
@@ -64,6 +65,10 @@
             self.load.committed(now.since(pending.proposed_at));
         }
         let waiters = pending.unwrap_or_default().waiters;
+        if let entry::Payload::Membership(members) = &entry.payload {
+            let roster = Roster::new(members);
+            log::info!(target: "group", entry = entry.index.get(), voters = roster.voters.as_str(), learners = roster.learners.as_str(); "a membership change is committed");
+        }
         let entry::Payload::Data(data) = entry.payload else { return };
         let commands: Vec<state::Command> = match jobcall::decode(&data) {
             Ok(commands) => commands,
--- a/comfreymill_node/src/scheduler/core/core.rs
+++ b/comfreymill_node/src/scheduler/core/core.rs
@@ -13,6 +13,7 @@
 use comfreymill_jobs::state;
 use comfreymill_types::time;
 
+use super::group_reports::GroupReports;
 use super::input::Input;
 use super::leadership::Leadership;
 use super::load::Load;
@@ -76,6 +77,7 @@
     pub(super) membership: MembershipPlanner,
     /// When a log line about the membership was last due.
     pub(super) membership_reported_at: time::Monotonic,
+    pub(super) group_reports: GroupReports,
     /// When tasks are placed next.
     pub(super) placement: turns::Pacer,
     pub(super) load: Load,
@@ -119,6 +121,7 @@
             failure: None,
             membership,
             membership_reported_at: time::Monotonic::ZERO,
+            group_reports: GroupReports::default(),
             placement: turns::Pacer::new(PLACEMENT_PERIOD),
             load: Load::new(),
             overload,
@@ -181,6 +184,7 @@
             }
             self.update_membership(now);
         }
+        self.report_group(now);
         self.observe_evacuations(now);
     }
 
--- a/comfreymill_node/src/scheduler/core/membership.rs
+++ b/comfreymill_node/src/scheduler/core/membership.rs
@@ -1,14 +1,13 @@
 use std::time::Duration;
 
-use comfreymill_group::id;
 use comfreymill_group::replica;
 use comfreymill_types::time;
 
 use super::core::Core;
 use crate::scheduler::member_id;
-use crate::scheduler::membership_planner::SILENCE_LIMIT;
+use crate::scheduler::roster::Roster;
 
-/// Interval between log lines about a group that is not whole, or that this replica waits to join.
+/// Interval between log lines about a group that this replica waits to join.
 const REPORT_PERIOD: Duration = Duration::from_secs(5);
 
 /// # Membership changes
@@ -42,38 +41,15 @@
         if self.leadership.is_none() {
             return;
         }
-        self.report_silent_members(now);
         let Some(change) = self.membership.check(now, &self.replica) else { return };
         match self.replica.change_membership(now, change) {
             Ok(index) => {
-                log::info!(target: "group", change:? = change, entry = index.get(); "a membership change is proposed");
+                let roster = Roster::new(self.replica.membership());
+                log::info!(target: "group", entry = index.get(), voters = roster.voters.as_str(), learners = roster.learners.as_str(), change:? = change; "a membership change is proposed");
             }
             Err(reason) => {
                 log::debug!(target: "group", change:? = change, reason:% = reason; "a membership change is not possible yet");
             }
         }
     }
-
-    /// Logs the members that do not answer and the newcomers, if fewer voters answer than wanted.
-    fn report_silent_members(&mut self, now: time::Monotonic) {
-        if now.since(self.membership_reported_at) < REPORT_PERIOD {
-            return;
-        }
-        self.membership_reported_at = now;
-        let status = self.replica.status(now);
-        let answers = |member: id::VoterId| {
-            let peer = status.peers.iter().find(|peer| peer.voter == member);
-            peer.is_none_or(|peer| peer.silent_for.is_some_and(|silent| silent < SILENCE_LIMIT))
-        };
-        let voters = status.membership.voters().count();
-        let answering = status.membership.voters().filter(|voter| answers(*voter)).count();
-        if answering >= self.cfg.voters {
-            return;
-        }
-        let silent = status.membership.iter().map(|(member, _)| member);
-        let silent: Vec<_> =
-            silent.filter(|member| !answers(*member)).map(member_id::address).collect();
-        let newcomers: Vec<_> = status.newcomers.iter().copied().map(member_id::address).collect();
-        log::warn!(target: "group", voters, answering, silent:? = silent, newcomers:? = newcomers; "fewer voters answer than the group should have");
-    }
 }
--- a/comfreymill_node/src/scheduler/core/mod.rs
+++ b/comfreymill_node/src/scheduler/core/mod.rs
@@ -5,6 +5,7 @@
 #[allow(clippy::module_inception, reason = "the module holds the type of the same name")]
 mod core;
 mod evacuations;
+mod group_reports;
 mod input;
 mod leadership;
 mod load;
--- a/comfreymill_node/src/scheduler/member_id.rs
+++ b/comfreymill_node/src/scheduler/member_id.rs
@@ -18,6 +18,14 @@
     id::VoterId::new(founder(address).get() | u64::from(incarnation))
 }
 
+/// Returns the address of a member and the last digits of its incarnation, for the log.
+pub(super) fn name(member: id::VoterId) -> String {
+    match member.get() & u64::from(u32::MAX) {
+        0 => format!("{}/0", address(member)),
+        incarnation => format!("{}/{:04x}", address(member), incarnation & 0xffff),
+    }
+}
+
 /// Returns the address of a member.
 pub(super) fn address(member: id::VoterId) -> Ipv4Addr {
     let high = u32::try_from(member.get() >> INCARNATION_BITS).unwrap_or_default();
--- a/comfreymill_node/src/scheduler/mod.rs
+++ b/comfreymill_node/src/scheduler/mod.rs
@@ -9,12 +9,18 @@
 mod core;
 mod descriptor_budget;
 mod explanation;
+mod learner_state;
 mod links;
 mod member_id;
 mod membership_planner;
 pub mod orders;
 mod process;
+mod roster;
 pub mod turns;
+mod voter_report;
 
+pub use learner_state::LearnerState;
 pub use membership_planner::MembershipPlanner;
 pub use process::run;
+pub use roster::Roster;
+pub use voter_report::VoterReport;
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -233,7 +233,8 @@
     let cfg = replica::Config::new(start)
         .election_timeout(ELECTION_TIMEOUT, ELECTION_TIMEOUT * 2)
         .heartbeat(GROUP_HEARTBEAT)
-        .clock_drift_ppm(CLOCK_DRIFT_PPM);
+        .clock_drift_ppm(CLOCK_DRIFT_PPM)
+        .member_names(member_id::name);
     let replica = replica::Replica::new(cfg, recovered, rand::random(), clock.now());
     Ok((replica, thread))
 }
--- a/comfreymill_node/tests/membership/bed.rs
+++ b/comfreymill_node/tests/membership/bed.rs
@@ -8,7 +8,7 @@
 use comfreymill_group::membership;
 use comfreymill_group::message;
 use comfreymill_group::replica;
-use comfreymill_node::scheduler::MembershipPlanner;
+use comfreymill_node::scheduler::{MembershipPlanner, VoterReport};
 use comfreymill_types::time;
 
 /// Number of voters that the group wants.
@@ -133,6 +133,12 @@
         self.leader().and_then(|leader| self.serving(leader)).map(replica::Replica::membership)
     }
 
+    /// Returns what the leader reports of the members, if there is a leader.
+    pub(super) fn report(&self) -> Option<VoterReport> {
+        let leader = self.leader().and_then(|leader| self.serving(leader));
+        leader.map(|leader| VoterReport::new(&leader.status(self.now), VOTERS))
+    }
+
     /// Returns whether a running process is a voter with its disk, as the leader knows the membership.
     pub(super) fn is_voter(&self, address: usize) -> bool {
         let own = self.machines[address].replica.as_ref();
--- a/comfreymill_node/tests/membership/mod.rs
+++ b/comfreymill_node/tests/membership/mod.rs
@@ -1,4 +1,5 @@
 //! Changes of the membership, decided by the planner and made by replicas.
 
 mod bed;
+mod reports;
 mod windows;
--- a/comfreymill_node/tests/metering/mod.rs
+++ b/comfreymill_node/tests/metering/mod.rs
@@ -43,6 +43,8 @@
     let waited = Duration::from_millis(150);
     observe::locality(scheduler::LocalityCounts { near: 9, away: 1, waits: 2, waited });
     observe::version_in_force(&environment, document::Stage::Production, id::Version::new(9));
+    let (wanted, answering) = (5, 3);
+    observe::group(observe::GroupCounts { wanted, answering, learners: 2, missing: 1 });
     observe::evacuated_zones(2);
     observe::evacuated_zone_runs(&"south".parse().expect("valid"), 17);
 }
@@ -87,6 +89,10 @@
         r#"comfreymill_queued_requests{environment="trust",stage="trial"} 3"#,
         r#"comfreymill_version_in_force{environment="trust",stage="production"} 9"#,
         "comfreymill_evacuated_zones 2",
+        "comfreymill_group_voters_wanted 5",
+        "comfreymill_group_voters_answering 3",
+        "comfreymill_group_learners 2",
+        "comfreymill_group_votes_missing 1",
         r#"comfreymill_evacuated_zone_runs{zone="south"} 17"#,
     ];
     for line in lines {
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -7,6 +7,7 @@
 mod group_bed;
 mod load;
 mod lost_disks;
+mod lost_majority;
 mod odd_entries;
 mod overload;
 mod rejoin;
