--- a/comfreymill_group/tests/scenario/lost_quorum.rs
+++ b/comfreymill_group/tests/scenario/lost_quorum.rs
@@ -54,8 +54,17 @@
     let (mut world, leader) = group::started(7, 4);
     world.crash(leader);
     world.crash((leader + 1) % 4);
-    group::pass(&mut world, 14_000);
-    for position in [(leader + 2) % 4, (leader + 3) % 4] {
+    let left = [(leader + 2) % 4, (leader + 3) % 4];
+    group::pass(&mut world, 5_000);
+    for position in left {
+        let now = world.nodes[position].clock(world.now);
+        let heard = group::replica(&world, position).heard_voters(now);
+        let mut alive = left.map(|position| world.nodes[position].voter);
+        alive.sort_unstable();
+        assert_eq!(heard, alive, "others were heard only before the loss");
+    }
+    group::pass(&mut world, 9_000);
+    for position in left {
         let now = world.nodes[position].clock(world.now);
         let replica = group::replica(&world, position);
         assert_eq!(replica.missing_votes(now), 1, "{position}");
