--- a/comfreymill_group/src/replica/ballot.rs
+++ b/comfreymill_group/src/replica/ballot.rs
@@ -69,6 +69,17 @@
         })
     }
 
+    /// Returns the reasons of refusals, each with the number of voters that gave it.
+    pub(super) fn reasons(&self) -> String {
+        let mut counts = BTreeMap::new();
+        for (_, reason) in self.refused() {
+            *counts.entry(reason).or_insert(0) += 1;
+        }
+        let counts: Vec<String> =
+            counts.into_iter().map(|(reason, count)| format!("{count} {reason}")).collect();
+        counts.join(", ")
+    }
+
     /// Iterates over the voters that did not answer.
     pub(super) fn silent(&self) -> impl Iterator<Item = id::VoterId> + '_ {
         self.answers.iter().filter(|(_, answer)| answer.is_none()).map(|(voter, _)| *voter)
--- a/comfreymill_group/src/replica/report_quorum.rs
+++ b/comfreymill_group/src/replica/report_quorum.rs
@@ -89,6 +89,6 @@
             .map(|voter| self.cfg.name_of(voter))
             .collect();
         let leaderless_ms = self.leaderless_for(now).as_millis() as u64;
-        log::warn!(target: "group", missing, voters = members.voters().count(), heard = heard.len(), leaderless_ms, action = "start the silent voters with their data; if their data is lost, restore a backup", silent:% = silent.join(" "), suppressed; "too few voters answer to elect a leader");
+        log::warn!(target: "group", missing, voters = members.voters().count(), heard = heard.len(), action = "start those that are silent, or restore a backup", leaderless_ms, silent:% = silent.join(" "), suppressed; "too few voters answer to elect a leader");
     }
 }
--- a/comfreymill_group/src/replica/report_votes.rs
+++ b/comfreymill_group/src/replica/report_votes.rs
@@ -64,7 +64,7 @@
         let silent: Vec<String> = ballot.silent().map(name).collect();
         let refused: Vec<String> =
             ballot.refused().map(|(voter, reason)| format!("{reason}: {}", name(voter))).collect();
-        log::info!(target: "group", term = ballot.term.get(), stage:% = ballot.stage, outcome, quorum = ballot.quorum, own_vote = ballot.is_voter, granted = granted.len(), refused = refused.len(), silent = silent.len(), suppressed, refused_by:% = refused.join(", "), silent_voters:% = silent.join(" "), granted_by:% = granted.join(" "); "an election has ended");
+        log::info!(target: "group", term = ballot.term.get(), outcome, granted = granted.len(), silent = silent.len(), refused:% = ballot.reasons(), stage:% = ballot.stage, quorum = ballot.quorum, own_vote = ballot.is_voter, suppressed, refused_by:% = refused.join(", "), silent_voters:% = silent.join(" "), granted_by:% = granted.join(" "); "an election has ended");
     }
 
     /// Returns why a pre-vote that is not granted is refused.
@@ -125,6 +125,6 @@
         let leader_silent_ms = self.leaderless_for(now).as_millis() as u64;
         let own_last = format!("{}.{}", self.log.last_term(), self.log.last_index());
         let last = format!("{}.{}", last.0, last.1);
-        log::info!(target: "group", reason:% = reason, stage:% = stage, term, own_term = self.term().get(), suppressed, unsynced_ms, leader_silent_ms, own_last = own_last.as_str(), candidate_last = last.as_str(), candidate:% = self.cfg.name_of(from); "a vote is refused");
+        log::info!(target: "group", reason:% = reason, term, unsynced_ms, own_last = own_last.as_str(), candidate_last = last.as_str(), stage:% = stage, own_term = self.term().get(), leader_silent_ms, suppressed, candidate:% = self.cfg.name_of(from); "a vote is refused");
     }
 }
--- a/comfreymill_group/tests/scenario/lost_quorum.rs
+++ b/comfreymill_group/tests/scenario/lost_quorum.rs
@@ -30,7 +30,8 @@
     let lines = log_lines::take(EVENT);
     assert_eq!(lines.len(), 1, "bounded: {lines:?}");
     assert!(lines[0].starts_with(&format!("WARN {EVENT}; missing=1; voters=5; heard=2; ")));
-    assert!(lines[0].contains("restore a backup; silent=3 4 5; suppressed=0"), "{lines:?}");
+    assert!(lines[0].contains("; action=start those that are silent, or restore a backup; "));
+    assert!(lines[0].ends_with("; silent=3 4 5; suppressed=0"), "{lines:?}");
     assert_eq!(replica.missing_votes(time::Monotonic::from_millis(14_000)), 1);
 
     run(&mut replica, 14_000..16_000, &[2]);
--- a/comfreymill_group/tests/scenario/refusal.rs
+++ b/comfreymill_group/tests/scenario/refusal.rs
@@ -50,8 +50,9 @@
     let mut lines = log_lines::take("a vote is refused");
     assert_eq!(lines.len(), 1, "{reason}: {lines:?}");
     let line = lines.remove(0);
-    let begin = format!("INFO a vote is refused; reason={reason}; stage={stage}; ");
+    let begin = format!("INFO a vote is refused; reason={reason}; term=");
     assert!(line.starts_with(&begin), "{line}");
+    assert!(line.contains(&format!("; stage={stage}; ")), "{line}");
     line
 }
 
@@ -156,8 +157,8 @@
         replica.tick(at(millis));
     }
     let lines = log_lines::take("an election has ended");
-    let expected = "INFO an election has ended; term=6; stage=pre-vote; outcome=no majority; quorum=3; \
-        own_vote=true; granted=1; refused=2; silent=1; suppressed=0; \
+    let expected = "INFO an election has ended; term=6; outcome=no majority; granted=1; silent=1; \
+        refused=1 unknown, 1 own write not synced; stage=pre-vote; quorum=3; own_vote=true; suppressed=0; \
         refused_by=own write not synced: 3, unknown: 4; silent_voters=5; granted_by=2";
     assert_eq!(lines, [expected]);
     for millis in (5_000..8_000).step_by(20) {
@@ -175,7 +176,7 @@
     replica.tick(at(720));
     let lines = log_lines::take("an election has ended");
     assert_eq!(lines.len(), 1, "{lines:?}");
-    let begin = "INFO an election has ended; term=6; stage=vote; outcome=won; quorum=3; ";
+    let begin = "INFO an election has ended; term=6; outcome=won; granted=3; silent=1; ";
     assert!(lines[0].starts_with(begin), "{lines:?}");
 }
 
