--- a/comfreymill_group/src/replica/core.rs
+++ b/comfreymill_group/src/replica/core.rs
@@ -2,6 +2,7 @@
 use crate::id;
 use crate::membership;
 use crate::message;
+use crate::replica::diagnosis::Diagnosis;
 use crate::replica::election::State;
 use crate::replica::incoming_snapshot::IncomingSnapshot;
 use crate::replica::log::Log;
@@ -30,6 +31,8 @@
     /// When the leader of the term last sent a message, or when the replica restarted.
     pub(super) leader_heard_at: Option<time::Monotonic>,
     pub(super) election_at: time::Monotonic,
+    /// Leader that was heard last.
+    pub(super) last_leader: Option<id::VoterId>,
     /// When this replica first asked for votes since it last heard a leader.
     pub(super) asked_at: Option<time::Monotonic>,
     pub(super) log: Log,
@@ -53,6 +56,8 @@
     pub(super) hello_sent_at: time::Monotonic,
     /// Replicas with an empty log that announced themselves.
     pub(super) newcomers: BTreeMap<id::VoterId, Newcomer>,
+    /// What is remembered for the log only.
+    pub(super) diagnosis: Diagnosis,
     reported: (Role, id::Term, Option<id::VoterId>),
 }
 
@@ -84,6 +89,7 @@
             leader: None,
             leader_heard_at: may_have_heard_leader.then_some(now),
             election_at: now,
+            last_leader: None,
             asked_at: None,
             log,
             commit: meta.index,
@@ -100,6 +106,7 @@
             next_hello_at: now,
             hello_sent_at: now,
             newcomers: BTreeMap::new(),
+            diagnosis: Diagnosis::new(now),
             reported: (Role::Newcomer, id::Term::ZERO, None),
         };
         replica.reset_election_timer(now);
@@ -180,6 +187,11 @@
         self.log.history().current()
     }
 
+    /// Returns the index of the entry that holds the newest membership.
+    pub fn membership_index(&self) -> id::Index {
+        self.log.history().current_index()
+    }
+
     /// Returns why the replica halted, if it did.
     pub fn halted(&self) -> Option<Halt> {
         self.halted
--- a/comfreymill_group/src/replica/lease.rs
+++ b/comfreymill_group/src/replica/lease.rs
@@ -58,20 +58,23 @@
         self.incoming = None;
         log::info!(target: "group", "replica {} became leader in term {}", self.voter, self.term());
         self.sync_peers(now);
-        self.note_unanswered_votes();
+        self.note_earlier_silence();
         self.append_own(entry::Payload::Noop);
         self.send_heartbeats(now);
         self.replicate_all(now);
     }
 
-    /// Counts the silence of the other voters from when they were first asked for their votes.
-    fn note_unanswered_votes(&mut self) {
-        let Some(asked_at) = self.asked_at.take() else { return };
-        let membership = self.log.history().current();
+    /// Counts the silence of the last leader from when it was heard, and that of the other voters from
+    /// when they were first asked for their votes.
+    fn note_earlier_silence(&mut self) {
+        let asked_at = self.asked_at.take();
+        let last_leader = self.last_leader.zip(self.leader_heard_at);
         let State::Leader(leader) = &mut self.state else { return };
-        for voter in membership.voters() {
+        let membership = self.log.history().current();
+        let asked = membership.voters().filter_map(|voter| Some((voter, asked_at?)));
+        for (voter, silent_since) in asked.chain(last_leader) {
             if let Some(peer) = leader.peers.get_mut(&voter) {
-                peer.asked_since = asked_at;
+                peer.silent_since = peer.silent_since.min(silent_since);
             }
         }
     }
@@ -147,6 +150,7 @@
         self.become_follower(now, self.term());
         self.leader = Some(leader);
         self.leader_heard_at = Some(now);
+        self.last_leader = Some(leader);
         self.asked_at = None;
         self.reset_election_timer(now);
     }
--- a/comfreymill_group/src/replica/peer.rs
+++ b/comfreymill_group/src/replica/peer.rs
@@ -29,8 +29,8 @@
     pub(super) disk: id::DiskId,
     /// When this leader began to track the member.
     pub(super) tracked_since: time::Monotonic,
-    /// When this leader, as a candidate, first asked the member for its vote, or began to track it.
-    pub(super) asked_since: time::Monotonic,
+    /// Since when the member has been silent if this leader never hears it.
+    pub(super) silent_since: time::Monotonic,
     pub(super) next: id::Index,
     pub(super) matched: id::Index,
     pub(super) flow: Flow,
@@ -75,7 +75,7 @@
         Self {
             disk,
             tracked_since: now,
-            asked_since: now,
+            silent_since: now,
             next,
             matched: id::Index::ZERO,
             flow: Flow::Probe,
@@ -124,10 +124,10 @@
     }
 
     /// Returns for how long a member that was never heard has been silent. It has to leave messages of
-    /// the leader unanswered as well, not only those of the candidate.
+    /// this leader unanswered as well, not only those from before its election.
     pub(super) fn unheard_for(&self, now: time::Monotonic) -> Duration {
         let tracked_for = now.since(self.tracked_since);
-        if tracked_for < FIRST_RESPONSE { tracked_for } else { now.since(self.asked_since) }
+        if tracked_for < FIRST_RESPONSE { tracked_for } else { now.since(self.silent_since) }
     }
 
     /// Returns whether a response arrived within `max_age` before `now`.
--- a/comfreymill_group/tests/scenario/durable.rs
+++ b/comfreymill_group/tests/scenario/durable.rs
@@ -56,7 +56,7 @@
         sync(&mut joiner, now);
         let granted = joiner.take_actions().into_iter().any(|action| {
             let replica::Action::Send { message, .. } = action else { return false };
-            let granted = message::VoteResponse { granted: true };
+            let granted = message::VoteResponse { granted: true, reason: 0 };
             message.body == Some(message::Body::VoteResponse(granted))
         });
         assert_eq!(granted, is_granted, "after {millis} ms");
--- a/comfreymill_group/tests/scenario/slow_voter.rs
+++ b/comfreymill_group/tests/scenario/slow_voter.rs
@@ -123,7 +123,7 @@
 }
 
 fn grant() -> message::Body {
-    message::Body::VoteResponse(message::VoteResponse { granted: true })
+    message::Body::VoteResponse(message::VoteResponse { granted: true, reason: 0 })
 }
 
 /// Returns a replica with two of five votes, its own among them, whose election time-out has passed
@@ -133,7 +133,7 @@
     let now = time::Monotonic::from_millis(2_000);
     candidate.tick(now);
     for from in 2..=3 {
-        let response = message::PreVoteResponse { asked_term: 2, granted: true };
+        let response = message::PreVoteResponse { asked_term: 2, granted: true, reason: 0 };
         single::step(&mut candidate, now, from, 1, message::Body::PreVoteResponse(response));
     }
     single::sync(&mut candidate, now);
@@ -158,7 +158,7 @@
 fn a_late_vote_does_not_count_in_a_later_term() {
     let (mut candidate, now) = waiting_candidate();
     for from in 2..=3 {
-        let response = message::PreVoteResponse { asked_term: 3, granted: true };
+        let response = message::PreVoteResponse { asked_term: 3, granted: true, reason: 0 };
         single::step(&mut candidate, now, from, 2, message::Body::PreVoteResponse(response));
     }
     single::sync(&mut candidate, now);
@@ -219,7 +219,7 @@
     let now = time::Monotonic::from_millis(2_000);
     let (last_index, last_term) = (5, 1);
     let pre_vote = message::Body::PreVote(message::PreVote { last_index, last_term });
-    let granted = message::PreVoteResponse { asked_term: 5, granted: true };
+    let granted = message::PreVoteResponse { asked_term: 5, granted: true, reason: 0 };
     let (before, _) = answers(&mut newcomer, now, 4, pre_vote);
     assert_eq!(before, [message::Body::PreVoteResponse(granted)]);
     let request = message::Vote { last_index, last_term, transfer: false };
