feat(group): say with a missing quorum how old the oldest write is

A replica whose write is not synced asks nobody for a vote, so two of them may not hear each other; the report of a missing quorum did not tell that from lost voters.

--- a/comfreymill_group/src/replica/report_quorum.rs
+++ b/comfreymill_group/src/replica/report_quorum.rs
@@ -88,7 +88,8 @@
             .filter(|voter| !heard.contains(voter))
             .map(|voter| self.cfg.name_of(voter))
             .collect();
+        let unsynced_ms = self.oldest_write_age(now).map_or(0, |age| age.as_millis() as u64);
         let leaderless_ms = self.leaderless_for(now).as_millis() as u64;
-        log::warn!(target: "group", missing, voters = members.voters().count(), heard = heard.len(), action = "start those that are silent, or restore a backup", leaderless_ms, silent:% = silent.join(" "), suppressed; "too few voters answer to elect a leader");
+        log::warn!(target: "group", missing, voters = members.voters().count(), heard = heard.len(), action = "start those that are silent, or restore a backup", unsynced_ms, leaderless_ms, silent:% = silent.join(" "), suppressed; "too few voters answer to elect a leader");
     }
 }
