test(node): wait for the first answer of a voter that was just added

A machine is a voter from the moment of its addition, so the report may come before its first answer. The test of the report waits one heartbeat before it expects five voters that answer.

--- a/comfreymill_node/tests/membership/reports.rs
+++ b/comfreymill_node/tests/membership/reports.rs
@@ -58,6 +58,8 @@
 #[test]
 fn a_learner_without_a_vote_is_reported_while_voters_are_missing() {
     let mut bed = Bed::start(3);
+    // The newest voter answers its first heartbeat.
+    bed.pass(Duration::from_millis(100));
     let report = bed.report().expect("a leader");
     assert!(!report.is_short() && report.learners.is_empty(), "{report:?}");
     assert_eq!((report.voters, report.answering), (VOTERS, VOTERS));
