fix(group): announce a new replica before its files are synced

A scheduler that came back with an empty disk was unknown for as long as the creation of its files took, and the vote of the lost disk counted meanwhile. The identity, the first segment and the folder were synced one after the other before the process listened.

Store::prepare chooses the identity of an empty folder in memory and writes nothing. The parent of a data folder is synced with the first sync of the folder, also if a process that was killed may have made it.

Fault put in: prepare creates the files (nothing_is_written_before_the_creation fails, a_replica_announces_itself_and_votes_for_nobody_before_its_files_are_created hangs).

--- a/comfreymill_group/src/store/files.rs
+++ b/comfreymill_group/src/store/files.rs
@@ -7,7 +7,8 @@
 use crate::store::replay::Replay;
 use crate::store::segment::Segment;
 use crate::store::{
-    Corruption, Disk, Identity, Options, StoreError, frame, names, retire, snapshot_file,
+    Corruption, Disk, Identity, NewStore, Options, Prepared, StoreError, frame, names, retire,
+    snapshot_file,
 };
 use prost::Message as _;
 use std::collections::VecDeque;
@@ -45,22 +46,40 @@
     ///
     /// Returns an error if a file can't be read or written, is corrupt or belongs to another
     /// replica.
-    pub fn open(mut disk: D, options: Options) -> Result<(Self, replica::Recovered), StoreError> {
+    pub fn open(disk: D, options: Options) -> Result<(Self, replica::Recovered), StoreError> {
+        let (prepared, recovered) = Self::prepare(disk, options)?;
+        Ok((prepared.into_store()?, recovered))
+    }
+
+    /// Opens the store on `disk`, or chooses the identity of a new one, which writes nothing. Ignores
+    /// other files and folders.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a file can't be read or written, is corrupt or belongs to another
+    /// replica.
+    pub fn prepare(
+        mut disk: D,
+        options: Options,
+    ) -> Result<(Prepared<D>, replica::Recovered), StoreError> {
         let mut files = list(&mut disk)?;
-        if !files.is_empty() {
+        let is_retired = files.iter().any(|file| file == names::RETIRED);
+        if is_retired || files.iter().any(|file| file == names::IDENTITY) {
             // A process that was killed may have left names that are not synced. Without this sync,
             // a power loss could keep what is written below and drop what it refers to.
             sync_folder(&mut disk)?;
         }
-        if files.iter().any(|file| file == names::RETIRED) {
+        if is_retired {
             retire::finish(&mut disk, &files)?;
             files = list(&mut disk)?;
         }
         files.retain(|file| names::is_of_replica(file));
-        let files = remove_temporaries(&mut disk, files)?;
         if !files.iter().any(|file| file == names::IDENTITY) {
-            return Self::create(disk, options, &files);
+            let new = NewStore::prepare(disk, options, files)?;
+            let recovered = new.recovered();
+            return Ok((Prepared::New(new), recovered));
         }
+        let files = remove_temporaries(&mut disk, files)?;
         let identity = Identity::open(&mut disk, &options)?;
         let newest = snapshot_file::read_newest(&mut disk, &files, identity.group)?;
         let (newest, snapshot_bytes) =
@@ -94,28 +113,7 @@
             snapshot: newest,
             entries: replay.entries,
         };
-        Ok((store, recovered))
-    }
-
-    /// Creates the store in a folder without one. The identity is written last, so a creation that
-    /// was interrupted leaves at most an unused segment, which is removed here.
-    fn create(
-        mut disk: D,
-        options: Options,
-        files: &[String],
-    ) -> Result<(Self, replica::Recovered), StoreError> {
-        for file in files {
-            if !Replay::is_empty_first_segment(&mut disk, file)? {
-                return Err(StoreError::corrupt(names::IDENTITY, 0, Corruption::NoIdentity));
-            }
-            disk.remove(file).map_err(|error| StoreError::io(file, 0, "remove", error))?;
-        }
-        let identity = Identity::new(&options);
-        let hard_state = entry::HardState::default();
-        let store = Self::create_from(disk, options, identity, hard_state, None)?;
-        let (voter, disk) = (identity.voter, identity.disk);
-        let recovered = replica::Recovered { voter, disk, ..replica::Recovered::default() };
-        Ok((store, recovered))
+        Ok((Prepared::Opened(store), recovered))
     }
 
     /// Writes the initial files of a replica, the identity last.
@@ -323,7 +321,10 @@
 }
 
 /// Removes temporary files of interrupted writes, and returns the names of the other files.
-fn remove_temporaries<D>(disk: &mut D, files: Vec<String>) -> Result<Vec<String>, StoreError>
+pub(super) fn remove_temporaries<D>(
+    disk: &mut D,
+    files: Vec<String>,
+) -> Result<Vec<String>, StoreError>
 where
     D: Disk,
 {
--- a/comfreymill_group/src/store/folder.rs
+++ b/comfreymill_group/src/store/folder.rs
@@ -1,4 +1,4 @@
-use crate::store::Disk;
+use crate::store::{Disk, names};
 use std::fs;
 use std::io::{self, Write};
 use std::path;
@@ -11,6 +11,8 @@
     path: path::PathBuf,
     /// Name and handle of the last written file, kept open for further writes.
     open: Option<(String, fs::File)>,
+    /// Folder above, if its entry of a folder without an identity may not be synced.
+    unsynced_parent: Option<fs::File>,
     _lock: fs::File,
 }
 
@@ -25,10 +27,10 @@
         P: Into<path::PathBuf>,
     {
         let path = path.into();
-        create_folder(&path)?;
+        let unsynced_parent = create_folder(&path)?;
         let lock = fs::File::create(path.join(LOCK_NAME))?;
         lock.try_lock().map_err(lock_error)?;
-        Ok(Self { path, open: None, _lock: lock })
+        Ok(Self { path, open: None, unsynced_parent, _lock: lock })
     }
 
     fn file(&mut self, name: &str) -> io::Result<&mut fs::File> {
@@ -80,21 +82,36 @@
     }
 
     fn sync_folder(&mut self) -> io::Result<()> {
+        if let Some(parent) = &self.unsynced_parent {
+            parent.sync_all()?;
+            self.unsynced_parent = None;
+        }
         fs::File::open(&self.path)?.sync_all()
     }
 }
 
-/// Creates a folder with the missing ones above it, and syncs the parent of each, so that the new
-/// entries survive a crash.
-fn create_folder(path: &path::Path) -> io::Result<()> {
+/// Creates a folder with the missing ones above it, and syncs the parent of each of these, so that the
+/// new entries survive a crash. The parent of the folder itself is returned for its first sync, also if
+/// a process that was killed may have created the folder.
+fn create_folder(path: &path::Path) -> io::Result<Option<fs::File>> {
     let is_missing = |folder: &&path::Path| !folder.as_os_str().is_empty() && !folder.is_dir();
     let missing: Vec<_> = path.ancestors().take_while(is_missing).collect();
-    for folder in missing.into_iter().rev() {
+    for folder in missing.iter().rev() {
         fs::create_dir(folder)?;
-        let parent = folder.parent().filter(|parent| !parent.as_os_str().is_empty());
-        fs::File::open(parent.unwrap_or(path::Path::new(".")))?.sync_all()?;
+        if *folder != path {
+            open_parent(folder)?.sync_all()?;
+        }
+    }
+    if !missing.is_empty() {
+        return open_parent(path).map(Some);
     }
-    Ok(())
+    let is_unused = !path.join(names::IDENTITY).exists();
+    Ok(if is_unused { open_parent(path).ok() } else { None })
+}
+
+fn open_parent(folder: &path::Path) -> io::Result<fs::File> {
+    let parent = folder.parent().filter(|parent| !parent.as_os_str().is_empty());
+    fs::File::open(parent.unwrap_or(path::Path::new(".")))
 }
 
 fn lock_error(error: fs::TryLockError) -> io::Error {
--- a/comfreymill_group/src/store/thread.rs
+++ b/comfreymill_group/src/store/thread.rs
@@ -1,6 +1,6 @@
 use crate::id;
 use crate::replica;
-use crate::store::{Completion, Disk, Store, StoreError};
+use crate::store::{Completion, Disk, Prepared, Store, StoreError};
 use std::io;
 use std::sync::mpsc;
 use std::thread;
@@ -15,19 +15,22 @@
 }
 
 impl Thread {
-    /// Starts the thread. It calls `on_completion` after each sync, and once after a failure.
+    /// Starts the thread, which first creates the files of a new store. It calls `on_completion` after
+    /// each sync of writes, and once after a failure.
     ///
     /// # Errors
     ///
     /// Returns an error if the thread can't be started.
-    pub fn spawn<D, F>(store: Store<D>, on_completion: F) -> io::Result<Self>
+    pub fn spawn<S, D, F>(store: S, on_completion: F) -> io::Result<Self>
     where
+        S: Into<Prepared<D>>,
         D: Disk + 'static,
         F: FnMut(Completion) + Send + 'static,
     {
         let (tx, rx) = mpsc::channel();
-        let name = format!("store-{}", store.identity().voter);
-        let run = move || run_writes(store, &rx, on_completion);
+        let prepared = store.into();
+        let name = format!("store-{}", prepared.identity().voter);
+        let run = move || run(prepared, &rx, on_completion);
         let handle = thread::Builder::new().name(name).spawn(run)?;
         Ok(Self { tx: Some(tx), handle: Some(handle) })
     }
@@ -61,26 +64,33 @@
     }
 }
 
+fn run<D, F>(prepared: Prepared<D>, rx: &mpsc::Receiver<replica::Persist>, mut on_completion: F)
+where
+    D: Disk,
+    F: FnMut(Completion),
+{
+    let ended = prepared.into_store().and_then(|store| run_writes(store, rx, &mut on_completion));
+    if let Err(error) = ended {
+        log::error!(target: "store", "{error}");
+        on_completion(Completion::Failed(error));
+    }
+}
+
 fn run_writes<D, F>(
     mut store: Store<D>,
     rx: &mpsc::Receiver<replica::Persist>,
-    mut on_completion: F,
-) where
+    on_completion: &mut F,
+) -> Result<(), StoreError>
+where
     D: Disk,
     F: FnMut(Completion),
 {
     while let Ok(first) = rx.recv() {
         let mut writes = vec![first];
         writes.extend(rx.try_iter().take(MAX_BATCH_WRITES - 1));
-        match write(&mut store, writes) {
-            Ok(sequence) => on_completion(Completion::Synced(sequence)),
-            Err(error) => {
-                log::error!(target: "store", "{error}");
-                on_completion(Completion::Failed(error));
-                return;
-            }
-        }
+        on_completion(Completion::Synced(write(&mut store, writes)?));
     }
+    Ok(())
 }
 
 fn write<D>(store: &mut Store<D>, writes: Vec<replica::Persist>) -> Result<id::Sequence, StoreError>
--- a/comfreymill_group/tests/store/mod.rs
+++ b/comfreymill_group/tests/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod corruption;
 mod crashes;
+mod creation;
 pub(crate) mod faulty_disk;
 mod folder;
 pub(crate) mod forgetful_disk;
--- a/comfreymill_node/src/scheduler/process.rs
+++ b/comfreymill_node/src/scheduler/process.rs
@@ -214,16 +214,18 @@
     let founds_group = is_founding && founders.contains(&founder_id);
     let member = if founds_group { founder_id } else { member_id::newcomer(node.get_address()) };
     let options = store::Options::new(group_id::GroupId::new(GROUP), member).accept_stored_voter();
-    let (opened, recovered) =
-        store::Store::open(disk, options).map_err(|error| storage(error.to_string()))?;
+    // A new replica announces itself before its files are synced: with a slow disk, nobody else knows
+    // until then that the former data is lost.
+    let (prepared, recovered) =
+        store::Store::prepare(disk, options).map_err(|error| storage(error.to_string()))?;
     let completions = inputs.clone();
-    let member = opened.identity().voter;
+    let member = prepared.identity().voter;
     // A founder that was stopped before the group was founded goes on with it: the others wait for it.
     let founds_group = founders.contains(&member);
     let on_completion = move |completion| {
         completions.send(Input::Store { member, completion }).ok();
     };
-    let thread = store::Thread::spawn(opened, on_completion)
+    let thread = store::Thread::spawn(prepared, on_completion)
         .map_err(|e| storage(format!("cannot start the store thread: {e}")))?;
     let start = if founds_group {
         replica::Start::Found { voters: founders }
