fix(group): a newcomer that starts again waits for a lease to end

Two leaders could serve at once: a newcomer answers heartbeats, by which the leader has a lease, before its first term is synced. Killed between the syncs of its identity and of that term, it started with a known identity and term 0, was taken for new, and voted for another candidate at once. Found while checking what may leave before the files of a new replica are created; not seen in a run of processes.

A joining replica now waits at each start as one does that has a term.

A founding replica with term 0 does not wait: its founding vote is synced before there is a group, unless it is added to a group that exists.

--- a/comfreymill_group/src/replica/core.rs
+++ b/comfreymill_group/src/replica/core.rs
@@ -7,7 +7,7 @@
 use crate::replica::log::Log;
 use crate::replica::newcomer::Newcomer;
 use crate::replica::outbox::Outbox;
-use crate::replica::{Action, Config, Halt, Persist, Recovered, Role};
+use crate::replica::{Action, Config, Halt, Persist, Recovered, Role, Start};
 use crate::snapshot;
 use comfreymill_types::time;
 use rand::{RngExt, SeedableRng};
@@ -69,7 +69,9 @@
         if let Some(snapshot) = &recovered.snapshot {
             outbox.actions.push(Action::InstallSnapshot(snapshot.clone()));
         }
-        let is_restarted = recovered.hard_state.term > id::Term::ZERO;
+        // A joining replica answers heartbeats before its first term is synced.
+        let may_have_heard_leader = recovered.hard_state.term > id::Term::ZERO
+            || matches!(cfg.get_start(), Start::Join { .. });
         let mut replica = Self {
             cfg,
             voter: recovered.voter,
@@ -78,7 +80,7 @@
             hard_state: recovered.hard_state,
             state: State::Follower,
             leader: None,
-            leader_heard_at: is_restarted.then_some(now),
+            leader_heard_at: may_have_heard_leader.then_some(now),
             election_at: now,
             log,
             commit: meta.index,
--- a/comfreymill_group/tests/scenario/slow_voter.rs
+++ b/comfreymill_group/tests/scenario/slow_voter.rs
@@ -227,3 +227,15 @@
     assert!(before.is_empty(), "the vote is sent before its sync: {before:?}");
     assert_eq!(after, [grant()]);
 }
+
+/// It may have answered a heartbeat of a leader, which has a lease by it, before its term was synced.
+#[test]
+fn a_newcomer_that_was_killed_before_its_first_sync_waits_for_a_lease_to_end() {
+    let mut newcomer = single::replica_with(9, 0, Vec::new());
+    let (last_index, last_term, transfer) = (5, 1, false);
+    let request = message::Body::Vote(message::Vote { last_index, last_term, transfer });
+    let early = time::Monotonic::from_millis(290);
+    assert_eq!(answers(&mut newcomer, early, 5, request.clone()), (Vec::new(), Vec::new()));
+    let late = time::Monotonic::from_millis(310);
+    assert_eq!(answers(&mut newcomer, late, 5, request), (Vec::new(), vec![grant()]));
+}
--- a/comfreymill_group/tests/store/creation.rs
+++ b/comfreymill_group/tests/store/creation.rs
@@ -95,6 +95,7 @@
     let vote = message::Vote { last_index: 5, last_term: 1, transfer: false };
     let body = Some(message::Body::Vote(vote));
     let request = message::Message { term: 2, disk: 10, to_disk: own.get(), body };
+    let now = time::Monotonic::from_millis(2_000);
     newcomer.step(now, candidate, request);
     assert_eq!(perform(&thread, newcomer.take_actions()), [], "a vote before the files exist");
     assert!(rx.try_recv().is_err() && files.files_after_power_loss().is_empty());
