--- a/comfreymill_group/src/replica/core.rs
+++ b/comfreymill_group/src/replica/core.rs
@@ -8,7 +8,7 @@
 use crate::replica::log::Log;
 use crate::replica::newcomer::Newcomer;
 use crate::replica::outbox::Outbox;
-use crate::replica::{Action, Config, Halt, Persist, Recovered, Role};
+use crate::replica::{Action, Config, Halt, Persist, Recovered, Role, Start};
 use crate::snapshot;
 use comfreymill_types::time;
 use rand::{RngExt, SeedableRng};
@@ -76,9 +76,9 @@
         if let Some(snapshot) = &recovered.snapshot {
             outbox.actions.push(Action::InstallSnapshot(snapshot.clone()));
         }
-        // A joiner may be a voter that answered heartbeats before its first write was synced.
-        let may_have_heard_leader =
-            recovered.hard_state.term > id::Term::ZERO || cfg.get_start().founder().is_none();
+        // A joining replica answers heartbeats before its first term is synced.
+        let may_have_heard_leader = recovered.hard_state.term > id::Term::ZERO
+            || matches!(cfg.get_start(), Start::Join { .. });
         let mut replica = Self {
             cfg,
             voter: recovered.voter,
