--- a/comfreymill_group/tests/scenario/durable.rs
+++ b/comfreymill_group/tests/scenario/durable.rs
@@ -62,3 +62,24 @@
         assert_eq!(granted, is_granted, "after {millis} ms");
     }
 }
+
+/// An operator empties the folder of a first voter, removes it and adds it again; its settings still name it
+/// as a first voter. It answers heartbeats as a voter before anything is synced, and is killed. The wait
+/// before the first vote must not depend on how the replica was started.
+#[test]
+fn a_first_voter_with_an_empty_folder_waits_before_its_first_vote_as_well() {
+    let voters = (1..=5).map(id::VoterId::new).collect();
+    let cfg = replica::Config::new(replica::Start::Found { voters });
+    let (voter, disk) = (id::VoterId::new(3), id::DiskId::new(33));
+    let recovered = replica::Recovered { voter, disk, ..replica::Recovered::default() };
+    let mut restarted = replica::Replica::new(cfg, recovered, 1, time::Monotonic::ZERO);
+    let now = time::Monotonic::from_millis(100);
+    let request = message::Vote { last_index: 5, last_term: 3, transfer: false };
+    step(&mut restarted, now, 2, 4, message::Body::Vote(request));
+    sync(&mut restarted, now);
+    let granted = restarted.take_actions().into_iter().any(|action| {
+        let replica::Action::Send { message, .. } = action else { return false };
+        message.body == Some(message::Body::VoteResponse(message::VoteResponse { granted: true }))
+    });
+    assert!(!granted, "a vote within the lease of a leader that it may have answered");
+}
--- a/comfreymill_group/tests/scenario/member.rs
+++ b/comfreymill_group/tests/scenario/member.rs
@@ -264,3 +264,46 @@
     let added = change(&mut world, next, membership::Change::AddLearner(voter));
     assert_eq!(added, Err(replica::ChangeError::NotAnnounced { voter }));
 }
+
+/// A first voter that lost its disk is added again as a voter, answers heartbeats before its first write is
+/// synced, is killed and votes at once for another: two leaders had valid leases.
+#[test]
+fn a_first_voter_that_is_added_again_keeps_the_lease_that_it_supported() {
+    for seed in 0..20 {
+        let (mut world, leader) = group::started(seed, 5);
+        let others: Vec<usize> = (0..5).filter(|position| *position != leader).collect();
+        // The founder itself would ask for the founding anew.
+        let lost = *others.iter().rfind(|position| **position != 0).expect("four");
+        let voter = world.nodes[lost].voter;
+        let start = world.nodes[lost].start.clone();
+        world.crash(lost);
+        change(&mut world, leader, membership::Change::Remove(voter)).expect("a serving leader");
+        group::pass(&mut world, 500);
+        world.nodes[lost] = Node::new(voter, id::DiskId::new(88), start);
+        world.nodes[lost].disk_hangs = true;
+        world.start(lost);
+        group::pass(&mut world, 800);
+        change(&mut world, leader, membership::Change::AddVoter(voter)).expect("a newcomer");
+        group::pass(&mut world, 500);
+        // The leader reaches the newcomer and one other; two others look for a leader.
+        let rest: Vec<usize> =
+            others.iter().copied().filter(|position| *position != lost).collect();
+        for position in &rest[..2] {
+            let (one, other) = (world.nodes[leader].voter, world.nodes[*position].voter);
+            world.network.cuts.extend([(one, other), (other, one)]);
+            let third = world.nodes[rest[2]].voter;
+            world.network.cuts.extend([(third, other), (other, third)]);
+        }
+        group::pass(&mut world, 1_500);
+        assert_eq!(group::serving(&world), Some(leader), "seed {seed}");
+        // Killed and started again, it reaches the two others alone.
+        world.crash_without_unsynced(lost);
+        world.nodes[lost].disk_hangs = false;
+        for position in [leader, rest[2]] {
+            let one = world.nodes[position].voter;
+            world.network.cuts.extend([(one, voter), (voter, one)]);
+        }
+        world.start(lost);
+        group::pass(&mut world, 1_000);
+    }
+}
--- a/comfreymill_node/tests/membership/bed.rs
+++ b/comfreymill_node/tests/membership/bed.rs
@@ -36,6 +36,8 @@
     unsynced: Option<id::Sequence>,
     sync: Duration,
     frozen_until: time::Monotonic,
+    /// Until when messages of the present process are on their way.
+    held_until: time::Monotonic,
 }
 
 /// Message on its way, with the address that it goes to.
@@ -94,6 +96,7 @@
             unsynced: None,
             sync: SYNC,
             frozen_until: time::Monotonic::ZERO,
+            held_until: time::Monotonic::ZERO,
         });
         let address = self.machines.len() - 1;
         self.run(address);
@@ -120,6 +123,7 @@
         let machine = &mut self.machines[address];
         machine.replica = Some(replica::Replica::new(cfg, recovered, seed, self.now));
         machine.planner = MembershipPlanner::new(VOTERS);
+        machine.held_until = time::Monotonic::ZERO;
         (machine.syncing, machine.unsynced) = (None, None);
     }
 
@@ -134,6 +138,30 @@
         self.machines[address].frozen_until = self.now + span;
     }
 
+    /// Holds up the messages of the present process of a machine for a while, also when it has ended.
+    pub(super) fn hold_messages(&mut self, address: usize, span: Duration) {
+        self.machines[address].held_until = self.now + span;
+    }
+
+    /// Returns the member that runs on a machine.
+    pub(super) fn identity(&self, address: usize) -> Option<id::VoterId> {
+        self.machines[address].replica.as_ref().map(replica::Replica::voter)
+    }
+
+    /// Returns a machine that leads, whether it serves or not.
+    pub(super) fn any_leader(&self) -> Option<usize> {
+        let replica = |address: &usize| self.machines[*address].replica.as_ref();
+        let mut addresses = 0..self.machines.len();
+        addresses.find(|address| {
+            replica(address).is_some_and(|replica| replica.role() == replica::Role::Leader)
+        })
+    }
+
+    /// Returns whether any machine leads.
+    pub(super) fn leads_any(&self) -> bool {
+        self.any_leader().is_some()
+    }
+
     /// Sets how long the syncs of a machine take.
     pub(super) fn set_sync(&mut self, address: usize, sync: Duration) {
         self.machines[address].sync = sync;
@@ -255,7 +283,8 @@
                 replica::Action::Persist(write) => machine.unsynced = Some(write.sequence),
                 replica::Action::Send { to, message } => {
                     let to = self::address(to);
-                    let (from, arrives_at) = (replica.voter(), now + TRIP);
+                    let (from, arrives_at) =
+                        (replica.voter(), (now + TRIP).max(machine.held_until));
                     self.letters.push_back(Letter { arrives_at, from, to, message });
                 }
                 _ => {}
--- a/comfreymill_node/tests/membership/mod.rs
+++ b/comfreymill_node/tests/membership/mod.rs
@@ -2,4 +2,5 @@
 
 mod bed;
 mod returned_disks;
+mod review;
 mod windows;
