test(group): schedules restart voters that were added without entries

Newcomers are added as voters more often, and are restarted without their unsynced writes while the leader is cut off.

--- a/comfreymill_group/tests/schedule/node.rs
+++ b/comfreymill_group/tests/schedule/node.rs
@@ -1,6 +1,6 @@
 use crate::schedule::file_store::FileStore;
 use crate::schedule::machine::Machine;
-use comfreymill_group::{entry, id, replica, snapshot};
+use comfreymill_group::{entry, id, membership, replica, snapshot};
 use comfreymill_types::time;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -133,6 +133,17 @@
         }
     }
 
+    /// Returns the newest membership on the disk, if there is one.
+    pub(crate) fn durable_membership(&self) -> Option<&membership::Membership> {
+        let of_snapshot = self.durable.snapshot.as_ref().map(|snapshot| &snapshot.meta.membership);
+        let entries = self.durable.entries.iter().rev();
+        let mut of_log = entries.filter_map(|entry| match &entry.payload {
+            entry::Payload::Membership(members) => Some(members),
+            _ => None,
+        });
+        of_log.next().or(of_snapshot)
+    }
+
     /// Returns whether the replica is started and not halted.
     pub(crate) fn is_running(&self) -> bool {
         self.replica.is_some() && !self.halted
--- a/comfreymill_group/tests/schedule/world.rs
+++ b/comfreymill_group/tests/schedule/world.rs
@@ -26,6 +26,8 @@
     pub(crate) lost_disks: u64,
     pub(crate) sync_max_micros: u64,
     pub(crate) seen_elections: u64,
+    /// Replica that was last added as a voter, until it is restarted.
+    pub(crate) added_voter: Option<id::VoterId>,
     /// Number of each proposed command by the position of the proposing node, index and term, until
     /// the node applies the entry.
     open: BTreeMap<(usize, id::Index, id::Term), u64>,
@@ -58,6 +60,7 @@
             lost_disks: 0,
             sync_max_micros: 10_000,
             seen_elections: 0,
+            added_voter: None,
             open: BTreeMap::new(),
         };
         world.network.delay_max_micros = 10_000;
