--- a/comfreymill_group/src/replica/change_membership.rs
+++ b/comfreymill_group/src/replica/change_membership.rs
@@ -150,8 +150,14 @@
             return Err(ChangeError::NotReady);
         };
         let peer = leader.peers.get(&voter);
-        let needs_entries = self.membership().quorum_grows_by_voter();
-        if needs_entries && !peer.is_some_and(|peer| self.has_caught_up(now, peer)) {
+        let may_vote = |peer: &Peer| {
+            if self.membership().quorum_grows_by_voter() {
+                self.has_caught_up(now, peer)
+            } else {
+                peer.has_recent_response(now, self.cfg.get_lease())
+            }
+        };
+        if !peer.is_some_and(may_vote) {
             let matched = peer.map_or(id::Index::ZERO, |peer| peer.matched);
             let lag = self.log.last_index().distance_from(matched);
             return Err(ChangeError::NotCaughtUp { voter, lag });
--- a/comfreymill_group/src/replica/core.rs
+++ b/comfreymill_group/src/replica/core.rs
@@ -8,7 +8,7 @@
 use crate::replica::log::Log;
 use crate::replica::newcomer::Newcomer;
 use crate::replica::outbox::Outbox;
-use crate::replica::{Action, Config, Halt, Persist, Recovered, Role, Start};
+use crate::replica::{Action, Config, Halt, Persist, Recovered, Role};
 use crate::snapshot;
 use comfreymill_types::time;
 use rand::{RngExt, SeedableRng};
@@ -76,9 +76,6 @@
         if let Some(snapshot) = &recovered.snapshot {
             outbox.actions.push(Action::InstallSnapshot(snapshot.clone()));
         }
-        // A joining replica answers heartbeats before its first term is synced.
-        let may_have_heard_leader = recovered.hard_state.term > id::Term::ZERO
-            || matches!(cfg.get_start(), Start::Join { .. });
         let mut replica = Self {
             cfg,
             voter: recovered.voter,
@@ -87,7 +84,8 @@
             hard_state: recovered.hard_state,
             state: State::Follower,
             leader: None,
-            leader_heard_at: may_have_heard_leader.then_some(now),
+            // It may have answered heartbeats before its first term was synced.
+            leader_heard_at: Some(now),
             election_at: now,
             last_leader: None,
             asked_at: None,
--- a/comfreymill_group/src/replica/election.rs
+++ b/comfreymill_group/src/replica/election.rs
@@ -33,9 +33,16 @@
     write: id::Sequence,
 }
 
+impl Candidacy {
+    /// Returns whether `voter` has given its vote.
+    pub(super) fn has_vote(&self, voter: id::VoterId) -> bool {
+        self.votes.contains(&voter)
+    }
+}
+
 impl State {
     /// Ends the role, and returns the votes of the current term if the replica stands in it.
-    fn take_candidacy(&mut self) -> Option<Candidacy> {
+    pub(super) fn take_candidacy(&mut self) -> Option<Candidacy> {
         match mem::replace(self, Self::Follower) {
             Self::Candidate { candidacy, .. } => Some(candidacy),
             Self::PreCandidate { candidacy, .. } => candidacy,
--- a/comfreymill_group/src/replica/lease.rs
+++ b/comfreymill_group/src/replica/lease.rs
@@ -53,25 +53,32 @@
             uncommitted_bytes: 0,
             transfer: None,
         };
+        let candidacy = self.state.take_candidacy();
         self.state = State::Leader(Box::new(leader));
         self.leader = Some(self.voter);
         self.incoming = None;
         log::info!(target: "group", "replica {} became leader in term {}", self.voter, self.term());
         self.sync_peers(now);
-        self.note_earlier_silence();
+        self.note_earlier_silence(|voter| {
+            candidacy.as_ref().is_some_and(|own| own.has_vote(voter))
+        });
         self.append_own(entry::Payload::Noop);
         self.send_heartbeats(now);
         self.replicate_all(now);
     }
 
     /// Counts the silence of the last leader from when it was heard, and that of the other voters from
-    /// when they were first asked for their votes.
-    fn note_earlier_silence(&mut self) {
+    /// when they were first asked for their votes, unless they gave them.
+    fn note_earlier_silence<F>(&mut self, has_voted: F)
+    where
+        F: Fn(id::VoterId) -> bool,
+    {
         let asked_at = self.asked_at.take();
         let last_leader = self.last_leader.zip(self.leader_heard_at);
         let State::Leader(leader) = &mut self.state else { return };
         let membership = self.log.history().current();
-        let asked = membership.voters().filter_map(|voter| Some((voter, asked_at?)));
+        let silent = membership.voters().filter(|voter| !has_voted(*voter));
+        let asked = silent.filter_map(|voter| Some((voter, asked_at?)));
         for (voter, silent_since) in asked.chain(last_leader) {
             if let Some(peer) = leader.peers.get_mut(&voter) {
                 peer.silent_since = peer.silent_since.min(silent_since);
--- a/comfreymill_group/src/replica/step.rs
+++ b/comfreymill_group/src/replica/step.rs
@@ -23,7 +23,8 @@
             }
             Some(Body::Hello(hello)) => self.handle_hello(now, from, disk, *hello),
             Some(Body::HelloResponse(response)) => {
-                self.handle_hello_response(from, disk, *response);
+                let term = id::Term::new(message.term);
+                self.handle_hello_response(from, disk, term, *response);
             }
             Some(Body::Vote(request)) if !request.transfer && self.has_recent_leader(now) => {
                 let voter = self.voter;
--- a/comfreymill_node/src/scheduler/membership_planner.rs
+++ b/comfreymill_node/src/scheduler/membership_planner.rs
@@ -17,6 +17,11 @@
 const REPLACED_SILENCE_LIMIT: Duration = Duration::from_secs(1);
 /// Silence for which a learner still counts as one that answers.
 const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+/// Silence of a member after which an announcement at its address shows that it is replaced; heartbeats
+/// are answered in between if it lives.
+const REPLACED_AFTER: Duration = Duration::from_millis(300);
+/// Time after which a voter whose disk syncs nothing may be replaced.
+const HUNG_AFTER: Duration = Duration::from_secs(10);
 /// Maximum number of members, voters and learners together.
 const MAX_MEMBERS: usize = 16;
 
@@ -65,7 +70,8 @@
         }
         if is_short && !members.quorum_grows_by_voter() {
             // Whoever answers may vote, however slow its disk is: without it no fewer votes are needed.
-            if let Some(learner) = find_learner(answers) {
+            let learner = find_learner(|learner| learner.syncs_entries);
+            if let Some(learner) = learner.or_else(|| find_learner(answers)) {
                 return Some(membership::Change::Promote(learner));
             }
             if let Some(newcomer) = newest(status.newcomers.iter()) {
@@ -88,6 +94,16 @@
                 return Some(membership::Change::Remove(*member));
             }
         }
+        // Its vote counts only once its disk syncs, so it leaves it to one whose disk does.
+        let hung = others
+            .iter()
+            .find(|(member, entry)| entry.is_voter() && peer(status, *member).is_some_and(is_hung));
+        if voters == self.voters
+            && ready_learner.is_some()
+            && let Some((member, _)) = hung
+        {
+            return Some(membership::Change::Remove(*member));
+        }
         // One at the address of a member takes its place, once it is clear that the member is gone.
         let is_at_member = |newcomer: id::VoterId| {
             members.iter().any(|(member, _)| member_id::is_same_address(member, newcomer))
@@ -113,6 +129,11 @@
     peer.silent_for.is_some_and(|silent_for| silent_for < ANSWER_LIMIT)
 }
 
+/// Returns whether a member answers, but its disk has synced nothing for long that it was sent.
+pub(super) fn is_hung(peer: &replica::PeerStatus) -> bool {
+    peer.tracked_for > HUNG_AFTER && answers(peer) && !peer.syncs_entries
+}
+
 /// Returns for how long a member has been silent.
 fn silence(member: id::VoterId, status: &replica::Status) -> Duration {
     let peer = peer(status, member);
@@ -128,16 +149,23 @@
 }
 
 /// Returns whether another replica at the address of a member shows that the member has lost its data
-/// folder: a newcomer that announced itself after the member was last heard, or another member.
+/// folder: a newcomer that announced itself after the member was last heard, or another member that was
+/// heard later. A former member that announces itself late shows nothing.
 fn is_replaced(member: id::VoterId, status: &replica::Status) -> bool {
     let is_at_address =
         |other: id::VoterId| other != member && member_id::is_same_address(member, other);
     let silence = silence(member, status);
-    let mut newcomers = status.newcomers.iter().filter(|newcomer| is_at_address(newcomer.voter));
+    let is_former =
+        |other: id::VoterId| status.membership.former().any(|(former, _)| former == other);
+    let mut newcomers = status
+        .newcomers
+        .iter()
+        .filter(|newcomer| is_at_address(newcomer.voter) && !is_former(newcomer.voter));
     let mut others = status.membership.iter().filter(|(other, _)| is_at_address(*other));
-    newcomers.any(|newcomer| newcomer.silent_for < silence)
+    let is_announced = newcomers.any(|newcomer| newcomer.silent_for < silence);
+    (is_announced && silence > REPLACED_AFTER)
         || (silence > REPLACED_SILENCE_LIMIT
-            && others.any(|(other, _)| !was_heard_earlier(other, member, status)))
+            && others.any(|(other, _)| was_heard_earlier(member, other, status)))
 }
 
 /// Returns whether `member` was last heard from earlier than `other`.
--- a/comfreymill_node/tests/membership/mod.rs
+++ b/comfreymill_node/tests/membership/mod.rs
@@ -3,4 +3,5 @@
 mod bed;
 mod reports;
 mod returned_disks;
+mod review;
 mod windows;
