feat(jobs): log how many workers with room are held for another task

A line on a waiting task said how many workers had room for it, and of the reasons why they are not used all but one: that they are held for another task.

The line now has `held` and `waited_ms`, the one on the fleet `held` and `held_cpu_milli`; both are written once a second, as before. No decision has changed.

--- a/comfreymill_jobs/src/scheduler/report.rs
+++ b/comfreymill_jobs/src/scheduler/report.rs
@@ -21,6 +21,7 @@
     backing_off: u64,
     unresponsive: u64,
     unanswered: u64,
+    held: u64,
     most_free_cpu: u32,
     most_free_mem: u32,
 }
@@ -81,7 +82,9 @@
         let used =
             self.workers.values().map(|worker| self.filler_shares(worker).values().sum::<f64>());
         let used: f64 = used.sum();
-        log::info!(target: "fleet", jobs = self.jobs.len(), ready = self.ready.len(), usable, workers = self.workers.len(), runs = counts.runs, serving = counts.serving, over_target = counts.over_target, over_beside_fillers = counts.over_beside_fillers, fillers = counts.fillers, lasting_fillers = counts.long_running_fillers, slowed = counts.slowed, resting = counts.paused, spare_cpu_milli = spare.max(0) as u64, filler_share_percent = (used * 100.0) as u64; "state of the fleet");
+        let held = self.held.iter().filter_map(|number| self.workers.get(number));
+        let held_cpu: u64 = held.map(|worker| u64::from(worker.free().cpu_milli)).sum();
+        log::info!(target: "fleet", jobs = self.jobs.len(), ready = self.ready.len(), usable, workers = self.workers.len(), held = self.held.len(), held_cpu_milli = held_cpu, runs = counts.runs, serving = counts.serving, over_target = counts.over_target, over_beside_fillers = counts.over_beside_fillers, fillers = counts.fillers, lasting_fillers = counts.long_running_fillers, slowed = counts.slowed, resting = counts.paused, spare_cpu_milli = spare.max(0) as u64, filler_share_percent = (used * 100.0) as u64; "state of the fleet");
         self.report_queues(now);
         for class in [PlacementClass::Short, PlacementClass::Lasting, PlacementClass::Filling] {
             if let Some(task) = self.ready.first(class) {
@@ -109,9 +112,11 @@
                 counts.backing_off += u64::from(now < entry.backoff_until);
                 counts.unresponsive += u64::from(entry.is_unresponsive);
                 counts.unanswered += u64::from(!entry.has_answered);
+                counts.held += u64::from(entry.is_held);
             }
         }
         let accepted_ms = now.since(job.accepted_at).as_millis() as u64;
-        log::info!(target: "runs", task:% = task, turn:? = class, pool = pool, needs_cpu = needs.cpu_milli, needs_mem = needs.mem_mb, allowed = counts.allowed, with_room = counts.with_room, resting = counts.backing_off, silent = counts.unresponsive, unheard = counts.unanswered, most_free_cpu = counts.most_free_cpu, most_free_mem = counts.most_free_mem, waiting = self.ready.len(), routes = self.routes.version, since_accepted_ms = accepted_ms; "a task waits for a worker");
+        let began = self.ready.waiting(task.step).1.unwrap_or(now);
+        log::info!(target: "runs", task:% = task, turn:? = class, pool = pool, needs_cpu = needs.cpu_milli, needs_mem = needs.mem_mb, allowed = counts.allowed, with_room = counts.with_room, resting = counts.backing_off, silent = counts.unresponsive, unheard = counts.unanswered, held = counts.held, most_free_cpu = counts.most_free_cpu, most_free_mem = counts.most_free_mem, waiting = self.ready.len(), routes = self.routes.version, since_accepted_ms = accepted_ms, waited_ms:% = now.since(began).as_millis(); "a task waits for a worker");
     }
 }
