fix(jobs): place waiting long-running tasks on workers held for larger ones

Cause: a worker that is held for a long-running task is closed to all others until the task fits. Up to four of some 85 waiting tasks have a worker held for them, the others get only room on workers that aren't held, after all short tasks.

A long-running task that has waited for the 2 s after which workers are held is now started on a held worker in which it fits, the longest wait first. Short tasks, and long-running ones that have just come, still leave held room alone.

a_long_running_task_that_waits_takes_the_room_held_for_a_larger_one fails before the change:

The tests of the crate pass (231).

--- a/comfreymill_jobs/src/scheduler/holding.rs
+++ b/comfreymill_jobs/src/scheduler/holding.rs
@@ -1,3 +1,5 @@
+use std::cmp;
+use std::collections::BTreeSet;
 use std::mem;
 use std::time::Duration;
 
@@ -5,6 +7,7 @@
 
 use super::Scheduler;
 use super::queue::{Lateness, PlacementClass};
+use super::score::Scorer;
 use super::search::Search;
 use super::without_room::{Kind, WithoutRoom};
 use super::worker::WorkerEntry;
@@ -30,7 +33,8 @@
 /// Load pattern: on a full fleet, each short task that ends gives room to another one of its size.
 /// Short tasks are placed first and take all capacity that becomes free, so a long-running task that
 /// needs more would wait forever, and so would a large short task, however urgent: less urgent ones
-/// that fit take each piece before two are together.
+/// that fit take each piece before two are together. Another long-running task that has waited for as
+/// long does take held room in which it fits: callers count it as lost beside room.
 impl Scheduler {
     /// Starts tasks that have waited for long, or holds a worker for each of them.
     pub(super) fn hold_workers(&mut self, now: time::Monotonic) {
@@ -38,21 +42,72 @@
             return;
         }
         self.holds_updated_at = now;
-        for number in mem::take(&mut self.held) {
-            if let Some(worker) = self.workers.get_mut(&number) {
+        let held = mem::take(&mut self.held);
+        for number in &held {
+            if let Some(worker) = self.workers.get_mut(number) {
                 worker.is_held = false;
             }
         }
         let most = self.workers.len() / MAX_HELD_DIVISOR + 1;
         let mut without_room = WithoutRoom::default();
-        let lasting = self.ready.waiting_at_least(now, PlacementClass::Lasting, HOLD_AFTER, most);
+        let class = PlacementClass::Lasting;
+        let lasting = self.ready.waiting_at_least(now, class, HOLD_AFTER, usize::MAX);
+        let lasting = self.start_on_held(now, &held, lasting);
         // Long-running tasks first: they have waited longer, and would lose the room that becomes free
         // for them to short ones, which come all the time.
-        for task in lasting.into_iter().chain(self.urgent_short(now, most)) {
+        for task in lasting.into_iter().take(most).chain(self.urgent_short(now, most)) {
             self.start_or_hold(now, task, &mut without_room);
         }
     }
 
+    /// Starts long-running tasks on the workers `held` for tasks that need more room than there is so
+    /// far; returns the other tasks.
+    fn start_on_held(
+        &mut self,
+        now: time::Monotonic,
+        held: &[id::WorkerNumber],
+        tasks: Vec<id::TaskId>,
+    ) -> Vec<id::TaskId> {
+        // One search for each step is enough: its tasks have the same needs.
+        let mut without_room = BTreeSet::new();
+        let mut others = Vec::new();
+        for task in tasks {
+            let is_searched = !held.is_empty() && !without_room.contains(&task.step);
+            let found = is_searched.then(|| self.choose_among(now, held, task)).flatten();
+            if let Some((number, spec)) = found {
+                self.start(now, number, task, &spec);
+            } else {
+                without_room.insert(task.step);
+                others.push(task);
+            }
+        }
+        others
+    }
+
+    /// Returns the one of some workers with the highest score for a task among those that have room,
+    /// and the specification of the task.
+    fn choose_among(
+        &mut self,
+        now: time::Monotonic,
+        numbers: &[id::WorkerNumber],
+        task: id::TaskId,
+    ) -> Option<(id::WorkerNumber, job::StepSpec)> {
+        let spec = self.step_spec(task.step)?.clone();
+        let pool = &self.routes.queue(&self.jobs.get(&task.step.job)?.queue)?.pool;
+        let image = self.interference.intern(spec.image.as_deref());
+        let scorer = Scorer::new(&self.interference, &spec, image);
+        self.steps += numbers.len() as u64;
+        let has_crashes = self.is_started_apart(task);
+        let scored = numbers.iter().filter_map(|number| {
+            let worker = self.workers.get(number)?;
+            let is_fit = worker.announcement.pool == *pool && worker.fits(now, task, &spec);
+            let score = scorer.score(worker).filter(|_| is_fit)?;
+            Some((score - worker.isolation_penalty(now, has_crashes), cmp::Reverse(*number)))
+        });
+        let (_, cmp::Reverse(number)) = scored.max()?;
+        Some((number, spec))
+    }
+
     /// Returns up to `most` short tasks that have waited for `SHORT_HOLD_AFTER` and can still be in
     /// time, the most urgent first. Tasks to which racks matter are left out: which worker is worth a
     /// wait is decided with their rack.
--- a/comfreymill_jobs/tests/scheduler/holding.rs
+++ b/comfreymill_jobs/tests/scheduler/holding.rs
@@ -134,3 +134,60 @@
     }
     panic!("the long-running task waited for 6 s");
 }
+
+/// Returns a job with one long-running task that needs `cpu_milli` thousandths of a core.
+fn long_running_of(cpu_milli: u32) -> job::JobSpec {
+    let mut spec = long_running();
+    spec.steps[0].needs.cpu_milli = cpu_milli;
+    spec
+}
+
+/// Has a worker that short tasks fill free 6 of its 16 cores while it is held for a long-running task
+/// that needs 10.
+fn hold_for_a_larger_one() -> (Leader, id::WorkerNumber, Vec<Start>) {
+    const LARGER: u64 = 0x0bad_7000;
+    let mut leader = Leader::new();
+    let worker = leader.worker("v");
+    leader.submit(spec(vec![step(8)]));
+    let mut runs = leader.take_starts();
+    assert_eq!(runs.len(), 8);
+    for start in &runs.clone() {
+        leader.started(start, StartAnswer::Started);
+    }
+    leader.submit_as(LARGER, long_running_of(10_000));
+    advance(&mut leader, worker, &runs, Duration::from_millis(2_500));
+    let ended: Vec<Start> = runs.drain(..3).collect();
+    let ended = (1..).zip(&ended).map(|(number, start)| start.end(number, EndKind::Done)).collect();
+    leader.report(worker, Report { ended, ..running(&runs) });
+    (leader, worker, runs)
+}
+
+/// Lets time pass in which the worker goes on reporting its runs.
+fn advance(leader: &mut Leader, worker: id::WorkerNumber, runs: &[Start], span: Duration) {
+    let period = Duration::from_millis(100);
+    for _ in 0..span.as_millis() / period.as_millis() {
+        leader.advance(period);
+        leader.report(worker, running(runs));
+    }
+}
+
+/// Recorded on recut-kill of clar-mill: a worker with 9.7 free cores was held for a task that needed 10
+/// for 5 s, while tasks that needed 4.1 had not run for 40 s.
+#[test]
+fn a_long_running_task_that_waits_takes_the_room_held_for_a_larger_one() {
+    let (mut leader, worker, runs) = hold_for_a_larger_one();
+    leader.submit_as(LONG_RUNNING, long_running());
+    advance(&mut leader, worker, &runs, Duration::from_millis(2_500));
+    let starts = leader.take_starts();
+    let started: Vec<u64> = starts.iter().map(|start| start.task.step.job.get()).collect();
+    assert_eq!(started, [LONG_RUNNING]);
+}
+
+/// Held room that later tasks could take at once would never become enough for the larger one.
+#[test]
+fn a_long_running_task_that_has_just_come_leaves_the_room_held_for_a_larger_one() {
+    let (mut leader, worker, runs) = hold_for_a_larger_one();
+    leader.submit_as(LONG_RUNNING, long_running());
+    advance(&mut leader, worker, &runs, Duration::from_millis(1_500));
+    assert_eq!(leader.take_starts(), []);
+}
