test(jobs): other paths to a long-running task beside held room

A task whose run has failed, lapsed or was stopped waits beside its own former room while the worker is held for a larger one (this fails without: `left: []` after an end Failed); a task of an earlier leader does not wait for a larger one (this holds without it).

--- a/comfreymill_jobs/tests/scheduler/holding.rs
+++ b/comfreymill_jobs/tests/scheduler/holding.rs
@@ -191,3 +191,42 @@
     advance(&mut leader, worker, &runs, Duration::from_millis(1_500));
     assert_eq!(leader.take_starts(), []);
 }
+
+/// A task of an earlier leader waits for room like any other once all runs of that leader are known.
+#[test]
+fn a_long_running_task_of_an_earlier_leader_does_not_wait_for_a_larger_one() {
+    let (mut leader, worker, runs) = hold_for_a_larger_one();
+    leader.submit_as(LONG_RUNNING, long_running());
+    let mut leader = leader.into_next_leader();
+    advance(&mut leader, worker, &runs, Duration::from_millis(3_000));
+    let starts = leader.take_starts();
+    let started: Vec<u64> = starts.iter().map(|start| start.task.step.job.get()).collect();
+    assert_eq!(started, [LONG_RUNNING]);
+}
+
+/// Recorded on drain-kill of clar-mill-grown: a task that had failed did not run again for 17 s on a
+/// full fleet.
+#[test]
+fn a_long_running_task_whose_run_has_ended_gets_its_room_back_from_a_larger_one() {
+    const LARGER: u64 = 0x0bad_7000;
+    for kind in [EndKind::Failed, EndKind::Lapsed, EndKind::Stopped] {
+        let mut leader = Leader::new();
+        let worker = leader.worker("v");
+        leader.submit_as(LONG_RUNNING, long_running());
+        leader.submit(spec(vec![step(6)]));
+        let mut runs = leader.take_starts();
+        assert_eq!(runs.len(), 7);
+        for start in &runs.clone() {
+            leader.started(start, StartAnswer::Started);
+        }
+        leader.submit_as(LARGER, long_running_of(10_000));
+        advance(&mut leader, worker, &runs, Duration::from_millis(2_500));
+        let long = runs.iter().position(|start| start.task.step.job.get() == LONG_RUNNING);
+        let long = runs.remove(long.expect("the long-running task runs"));
+        leader.report(worker, Report { ended: vec![long.end(1, kind)], ..running(&runs) });
+        advance(&mut leader, worker, &runs, Duration::from_millis(2_500));
+        let starts = leader.take_starts();
+        let started: Vec<id::TaskId> = starts.iter().map(|start| start.task).collect();
+        assert_eq!(started, [long.task], "after an end {kind:?}");
+    }
+}
