fix(jobs): keep departed workers from being registered again by late announcements

Cause: seven workers had left and were removed at 17.0 s. A member that was frozen until 17.2 s passed on announcements that they had sent while they were leaving. An announcement was ignored only if it was older than the one that said so first, so these registered the seven again. They never answered. Each later leader, six of them within 50 s, waited for their leases before it made the tasks of earlier leaders available, and was replaced before these were over: no task of an earlier leader started from 22.6 to 94.8 s.

An announcement that says that the worker is leaving no longer brings back an incarnation that was removed after it had said so. One that says it is not leaving any more does, as before.

a_late_announcement_does_not_bring_back_a_worker_that_has_departed fails before the change, in late_departure.rs:139 (the worker is registered again); a_worker_that_is_no_longer_leaving_comes_back holds with and without it.

--- a/comfreymill_jobs/src/state/departures.rs
+++ b/comfreymill_jobs/src/state/departures.rs
@@ -43,12 +43,13 @@
         }
     }
 
-    /// Returns whether an announcement was sent before its incarnation said that it was leaving.
+    /// Returns whether an announcement was sent before its incarnation was removed: before it said that
+    /// it was leaving, or while it was.
     pub(crate) fn supersede(&self, announcement: &worker::Announcement) -> bool {
         self.0.iter().any(|departed| {
             departed.name == announcement.name
                 && departed.born_unix_ms == announcement.born_unix_ms
-                && departed.sequence > announcement.sequence
+                && (departed.sequence > announcement.sequence || announcement.leaving_in.is_some())
         })
     }
 }
--- a/comfreymill_jobs/tests/scheduler/late_departure.rs
+++ b/comfreymill_jobs/tests/scheduler/late_departure.rs
@@ -121,3 +121,40 @@
     leader.announce(again);
     assert_eq!(leader.state.get_workers().len(), 1);
 }
+
+/// Recorded on dhrt-mill, seed 13030: announcements that a frozen member passed on late brought back
+/// seven workers that had departed; they never answered, and each new leader waited for their leases.
+#[test]
+fn a_late_announcement_does_not_bring_back_a_worker_that_has_departed() {
+    for later in [0, 1, 5] {
+        let mut leader = Leader::new();
+        let worker = leader.worker("w");
+        let mut leaving = leader.announcement("w", 10);
+        leaving.leaving_in = Some(Duration::from_millis(2_500));
+        leader.announce(leaving.clone());
+        depart(&mut leader);
+        refuse_connection(&mut leader, worker);
+        assert!(leader.state.get_workers().is_empty());
+        leaving.sequence += later;
+        assert!(leader.announce(leaving.clone()), "it is acknowledged");
+        assert!(leader.state.get_workers().is_empty(), "announcement {later} after the first");
+        let mut leader = leader.into_next_leader();
+        leader.announce(leaving);
+        assert!(leader.state.get_workers().is_empty(), "the next leader, announcement {later}");
+    }
+}
+
+#[test]
+fn a_worker_that_is_no_longer_leaving_comes_back() {
+    let mut leader = Leader::new();
+    let worker = leader.worker("w");
+    let mut leaving = leader.announcement("w", 10);
+    leaving.leaving_in = Some(Duration::from_millis(2_500));
+    leader.announce(leaving);
+    depart(&mut leader);
+    refuse_connection(&mut leader, worker);
+    assert!(leader.state.get_workers().is_empty());
+    let ready = leader.announcement("w", 10);
+    leader.announce(ready);
+    assert_eq!(leader.state.get_workers().len(), 1);
+}
