--- a/comfreymill_jobs/tests/scheduler/holding.rs
+++ b/comfreymill_jobs/tests/scheduler/holding.rs
@@ -134,3 +134,99 @@
     }
     panic!("the long-running task waited for 6 s");
 }
+
+/// Returns a job with one long-running task that needs `cpu_milli` thousandths of a core.
+fn long_running_of(cpu_milli: u32) -> job::JobSpec {
+    let mut spec = long_running();
+    spec.steps[0].needs.cpu_milli = cpu_milli;
+    spec
+}
+
+/// Has a worker that short tasks fill free 6 of its 16 cores while it is held for a long-running task
+/// that needs 10.
+fn hold_for_a_larger_one() -> (Leader, id::WorkerNumber, Vec<Start>) {
+    const LARGER: u64 = 0x0bad_7000;
+    let mut leader = Leader::new();
+    let worker = leader.worker("v");
+    leader.submit(spec(vec![step(8)]));
+    let mut runs = leader.take_starts();
+    assert_eq!(runs.len(), 8);
+    for start in &runs.clone() {
+        leader.started(start, StartAnswer::Started);
+    }
+    leader.submit_as(LARGER, long_running_of(10_000));
+    advance(&mut leader, worker, &runs, Duration::from_millis(2_500));
+    let ended: Vec<Start> = runs.drain(..3).collect();
+    let ended = (1..).zip(&ended).map(|(number, start)| start.end(number, EndKind::Done)).collect();
+    leader.report(worker, Report { ended, ..running(&runs) });
+    (leader, worker, runs)
+}
+
+/// Lets time pass in which the worker goes on reporting its runs.
+fn advance(leader: &mut Leader, worker: id::WorkerNumber, runs: &[Start], span: Duration) {
+    let period = Duration::from_millis(100);
+    for _ in 0..span.as_millis() / period.as_millis() {
+        leader.advance(period);
+        leader.report(worker, running(runs));
+    }
+}
+
+/// Recorded on recut-kill of clar-mill: a worker with 9.7 free cores was held for a task that needed 10
+/// for 5 s, while tasks that needed 4.1 had not run for 40 s.
+#[test]
+fn a_long_running_task_that_waits_takes_the_room_held_for_a_larger_one() {
+    let (mut leader, worker, runs) = hold_for_a_larger_one();
+    leader.submit_as(LONG_RUNNING, long_running());
+    advance(&mut leader, worker, &runs, Duration::from_millis(2_500));
+    let starts = leader.take_starts();
+    let started: Vec<u64> = starts.iter().map(|start| start.task.step.job.get()).collect();
+    assert_eq!(started, [LONG_RUNNING]);
+}
+
+/// Held room that later tasks could take at once would never become enough for the larger one.
+#[test]
+fn a_long_running_task_that_has_just_come_leaves_the_room_held_for_a_larger_one() {
+    let (mut leader, worker, runs) = hold_for_a_larger_one();
+    leader.submit_as(LONG_RUNNING, long_running());
+    advance(&mut leader, worker, &runs, Duration::from_millis(1_500));
+    assert_eq!(leader.take_starts(), []);
+}
+
+/// A task of an earlier leader waits for room like any other once all runs of that leader are known.
+#[test]
+fn a_long_running_task_of_an_earlier_leader_does_not_wait_for_a_larger_one() {
+    let (mut leader, worker, runs) = hold_for_a_larger_one();
+    leader.submit_as(LONG_RUNNING, long_running());
+    let mut leader = leader.into_next_leader();
+    advance(&mut leader, worker, &runs, Duration::from_millis(3_000));
+    let starts = leader.take_starts();
+    let started: Vec<u64> = starts.iter().map(|start| start.task.step.job.get()).collect();
+    assert_eq!(started, [LONG_RUNNING]);
+}
+
+/// Recorded on drain-kill of clar-mill-grown: a task that had failed did not run again for 17 s on a
+/// full fleet.
+#[test]
+fn a_long_running_task_whose_run_has_ended_gets_its_room_back_from_a_larger_one() {
+    const LARGER: u64 = 0x0bad_7000;
+    for kind in [EndKind::Failed, EndKind::Lapsed, EndKind::Stopped] {
+        let mut leader = Leader::new();
+        let worker = leader.worker("v");
+        leader.submit_as(LONG_RUNNING, long_running());
+        leader.submit(spec(vec![step(6)]));
+        let mut runs = leader.take_starts();
+        assert_eq!(runs.len(), 7);
+        for start in &runs.clone() {
+            leader.started(start, StartAnswer::Started);
+        }
+        leader.submit_as(LARGER, long_running_of(10_000));
+        advance(&mut leader, worker, &runs, Duration::from_millis(2_500));
+        let long = runs.iter().position(|start| start.task.step.job.get() == LONG_RUNNING);
+        let long = runs.remove(long.expect("the long-running task runs"));
+        leader.report(worker, Report { ended: vec![long.end(1, kind)], ..running(&runs) });
+        advance(&mut leader, worker, &runs, Duration::from_millis(2_500));
+        let starts = leader.take_starts();
+        let started: Vec<id::TaskId> = starts.iter().map(|start| start.task).collect();
+        assert_eq!(started, [long.task], "after an end {kind:?}");
+    }
+}
