fix(group): keep the identity that a newcomer announced through a kill

A newcomer announces itself before its files are created, and its vote counts from then on. Killed within the creation it came back with another identity, and the group had one dead vote more: two of five were left after two further losses (slow_returns, with the three others killed, as reported by its author).

The identity is now staged before the first sync of the creation, and a creation that was interrupted goes on with it. Nothing is acknowledged under it before it is committed, as before.

a_kill_within_the_creation_keeps_the_announced_identity guards it; store::power_loss and store::creation pass.

--- a/comfreymill_group/src/store/files.rs
+++ b/comfreymill_group/src/store/files.rs
@@ -116,7 +116,7 @@
         Ok((Prepared::Opened(store), recovered))
     }
 
-    /// Writes the initial files of a replica, the identity last.
+    /// Writes the initial files of a replica, except its identity.
     pub(super) fn create_from(
         disk: D,
         options: Options,
@@ -140,10 +140,17 @@
         if let Some(snapshot) = snapshot {
             store.write_snapshot(snapshot)?;
         }
-        identity.write(&mut store.disk)?;
         Ok(store)
     }
 
+    /// Stages the identity, if it is not yet, and assigns the folder to it.
+    pub(super) fn assign_folder(&mut self, is_staged: bool) -> Result<(), StoreError> {
+        if !is_staged {
+            self.identity.stage(&mut self.disk)?;
+        }
+        Identity::commit(&mut self.disk)
+    }
+
     /// Returns the identity of the replica.
     pub fn identity(&self) -> Identity {
         self.identity
--- a/comfreymill_group/src/store/identity.rs
+++ b/comfreymill_group/src/store/identity.rs
@@ -28,10 +28,8 @@
     where
         D: Disk,
     {
-        let found = Self::read(disk)?;
-        let is_other_voter =
-            found.voter != options.get_voter() && !options.get_accepts_stored_voter();
-        if found.group != options.get_group() || is_other_voter {
+        let found = Self::read(disk, names::IDENTITY)?;
+        if !found.is_allowed(options) {
             return Err(StoreError::OtherReplica {
                 group: options.get_group(),
                 voter: options.get_voter(),
@@ -42,11 +40,24 @@
         Ok(found)
     }
 
-    fn read<D>(disk: &mut D) -> Result<Self, StoreError>
+    /// Returns the identity that an interrupted creation has staged, if it is whole and matches `options`.
+    pub(super) fn staged<D>(disk: &mut D, options: &Options) -> Option<Self>
+    where
+        D: Disk,
+    {
+        let staged = Self::read(disk, &names::temporary(names::IDENTITY)).ok();
+        staged.filter(|staged| staged.is_allowed(options))
+    }
+
+    fn is_allowed(&self, options: &Options) -> bool {
+        let is_voter = self.voter == options.get_voter() || options.get_accepts_stored_voter();
+        self.group == options.get_group() && is_voter
+    }
+
+    fn read<D>(disk: &mut D, file: &str) -> Result<Self, StoreError>
     where
         D: Disk,
     {
-        let file = names::IDENTITY;
         let buf = disk.read(file).map_err(|error| StoreError::io(file, 0, "read", error))?;
         let corrupt = |offset, corruption| StoreError::corrupt(file, offset, corruption);
         let found = match frame::parse(&buf, 0) {
@@ -73,13 +84,34 @@
         Self { group: options.get_group(), voter: options.get_voter(), disk: random_disk_id() }
     }
 
-    /// Writes the identity file, which assigns the folder to this replica.
-    pub(super) fn write<D>(self, disk: &mut D) -> Result<(), StoreError>
+    /// Writes the identity under a temporary name.
+    pub(super) fn stage<D>(self, disk: &mut D) -> Result<(), StoreError>
+    where
+        D: Disk,
+    {
+        let file = names::temporary(names::IDENTITY);
+        let buf = frame::encode(0, &self.to_record().encode_to_vec());
+        disk.append(&file, &buf).map_err(|error| StoreError::io(&file, 0, "write", error))
+    }
+
+    /// Syncs the staged identity and gives it its name, which assigns the folder to this replica.
+    pub(super) fn commit<D>(disk: &mut D) -> Result<(), StoreError>
+    where
+        D: Disk,
+    {
+        let (name, staged) = (names::IDENTITY, names::temporary(names::IDENTITY));
+        disk.sync(&staged).map_err(|error| StoreError::io(&staged, 0, "sync", error))?;
+        disk.rename(&staged, name).map_err(|error| StoreError::io(name, 0, "rename", error))?;
+        disk.sync_folder().map_err(|error| StoreError::io(name, 0, "sync of the folder", error))
+    }
+
+    /// Syncs the staged identity, so that it survives a loss of power.
+    pub(super) fn sync_staged<D>(disk: &mut D) -> Result<(), StoreError>
     where
         D: Disk,
     {
-        let payload = self.to_record().encode_to_vec();
-        write_atomically(disk, names::IDENTITY, &[&frame::encode(0, &payload)])
+        let staged = names::temporary(names::IDENTITY);
+        disk.sync(&staged).map_err(|error| StoreError::io(&staged, 0, "sync", error))
     }
 }
 
--- a/comfreymill_group/src/store/new_store.rs
+++ b/comfreymill_group/src/store/new_store.rs
@@ -6,13 +6,16 @@
 
 /// Store that has an identity and no files yet.
 ///
-/// Until [`NewStore::create`] has returned, a crash makes another identity, so nothing may be
-/// acknowledged under this one.
+/// Until [`NewStore::create`] has returned, a crash may make another identity, so nothing may be
+/// acknowledged under this one. It is staged before all syncs, since the group may count its vote from
+/// its announcement: a kill keeps it, and a loss of power once its first sync has returned.
 #[derive(Debug)]
 pub struct NewStore<D> {
     disk: D,
     options: Options,
     identity: Identity,
+    /// Whether an interrupted creation has staged the identity.
+    is_staged: bool,
     /// Files of a creation that was interrupted.
     leftovers: Vec<String>,
 }
@@ -32,8 +35,13 @@
                 return Err(StoreError::corrupt(names::IDENTITY, 0, Corruption::NoIdentity));
             }
         }
-        let identity = Identity::new(&options);
-        Ok(Self { disk, options, identity, leftovers: files })
+        let staged = Identity::staged(&mut disk, &options);
+        let mut leftovers = files;
+        if staged.is_some() {
+            leftovers.retain(|file| *file != names::temporary(names::IDENTITY));
+        }
+        let identity = staged.unwrap_or_else(|| Identity::new(&options));
+        Ok(Self { disk, options, identity, is_staged: staged.is_some(), leftovers })
     }
 
     /// Returns the identity of the replica.
@@ -50,6 +58,16 @@
     ///
     /// Returns an error if a file can't be removed, written or synced.
     pub fn create(mut self) -> Result<Store<D>, StoreError> {
+        if !self.is_staged {
+            let staged = names::temporary(names::IDENTITY);
+            if let Some(position) = self.leftovers.iter().position(|file| *file == staged) {
+                // It is torn.
+                let removed = self.disk.remove(&self.leftovers.swap_remove(position));
+                removed.map_err(|error| StoreError::io(&staged, 0, "remove", error))?;
+            }
+            self.identity.stage(&mut self.disk)?;
+        }
+        Identity::sync_staged(&mut self.disk)?;
         if !self.leftovers.is_empty() {
             // As on opening a store: the names that a killed process left may not be synced.
             sync_folder(&mut self.disk)?;
@@ -59,7 +77,10 @@
             }
         }
         let hard_state = entry::HardState::default();
-        Store::create_from(self.disk, self.options, self.identity, hard_state, None)
+        let mut store =
+            Store::create_from(self.disk, self.options, self.identity, hard_state, None)?;
+        store.assign_folder(true)?;
+        Ok(store)
     }
 
     /// Returns the state of a replica without files.
--- a/comfreymill_group/src/store/restore.rs
+++ b/comfreymill_group/src/store/restore.rs
@@ -37,7 +37,8 @@
         snapshot.meta.membership = [(identity.voter, member)].into_iter().collect();
         let term = id::Term::new(snapshot.meta.term.get() + RESTORED_TERM_STEP);
         let hard_state = entry::HardState { term, vote: None };
-        let store = Self::create_from(disk, options, identity, hard_state, Some(&snapshot))?;
+        let mut store = Self::create_from(disk, options, identity, hard_state, Some(&snapshot))?;
+        store.assign_folder(false)?;
         let recovered = replica::Recovered {
             voter: identity.voter,
             disk: identity.disk,
--- a/comfreymill_group/tests/store/creation.rs
+++ b/comfreymill_group/tests/store/creation.rs
@@ -206,3 +206,23 @@
     }
     assert!(acknowledged > 0 && lost > 0, "{acknowledged} acknowledged, {lost} not");
 }
+
+/// A newcomer that was killed within its creation came back with another identity, while the vote of the one
+/// that it had announced counted.
+#[test]
+fn a_kill_within_the_creation_keeps_the_announced_identity() {
+    let disk = FaultyDisk::default();
+    let (prepared, recovered) =
+        store::Store::prepare(disk.clone(), model::options()).expect("prepares");
+    disk.record_images();
+    prepared.into_store().expect("creates");
+    let images = disk.take_images();
+    let announced = images.iter().skip_while(|image| image.process.is_empty());
+    let mut kept = 0;
+    for image in announced {
+        let (_, again) = model::open(&image.process).expect("opens");
+        assert_eq!(again.disk, recovered.disk, "{:?}", image.process.keys());
+        kept += 1;
+    }
+    assert!(kept > 4 && kept + 2 >= images.len(), "{kept} of {}", images.len());
+}
