fix(group): answer an append that does not fit without a sync

A newcomer on a slow disk had its vote in time and none of the entries: its answer that the first append does not fit waited for the sync of its term, behind the creation of its files.

--- a/comfreymill_group/src/replica/append.rs
+++ b/comfreymill_group/src/replica/append.rs
@@ -6,7 +6,7 @@
 use comfreymill_types::time;
 
 impl Replica {
-    /// Handles entries of the leader; the response is sent once they are synced.
+    /// Handles entries of the leader; they are accepted once they are synced.
     pub(super) fn handle_append(
         &mut self,
         now: time::Monotonic,
@@ -40,7 +40,13 @@
             index: index.get(),
             sent_at_micros: append.sent_at_micros,
         };
-        self.send_synced(from, disk, message::Body::AppendResponse(response));
+        let body = message::Body::AppendResponse(response);
+        if agrees {
+            self.send_synced(from, disk, body);
+        } else {
+            // Like the response to a heartbeat, a rejection promises nothing that has to be durable.
+            self.send(from, disk, body);
+        }
     }
 
     /// Appends the entries that the log lacks. Returns `false` if the replica halted.
