--- a/comfreymill_group/src/replica/core.rs
+++ b/comfreymill_group/src/replica/core.rs
@@ -2,6 +2,7 @@
 use crate::id;
 use crate::membership;
 use crate::message;
+use crate::replica::diagnosis::Diagnosis;
 use crate::replica::election::State;
 use crate::replica::incoming_snapshot::IncomingSnapshot;
 use crate::replica::log::Log;
@@ -30,6 +31,10 @@
     /// When the leader of the term last sent a message, or when the replica restarted.
     pub(super) leader_heard_at: Option<time::Monotonic>,
     pub(super) election_at: time::Monotonic,
+    /// Leader that was heard last.
+    pub(super) last_leader: Option<id::VoterId>,
+    /// When this replica first asked for votes since it last heard a leader.
+    pub(super) asked_at: Option<time::Monotonic>,
     pub(super) log: Log,
     pub(super) commit: id::Index,
     pub(super) delivered: id::Index,
@@ -51,6 +56,8 @@
     pub(super) hello_sent_at: time::Monotonic,
     /// Replicas with an empty log that announced themselves.
     pub(super) newcomers: BTreeMap<id::VoterId, Newcomer>,
+    /// What is remembered for the log only.
+    pub(super) diagnosis: Diagnosis,
     reported: (Role, id::Term, Option<id::VoterId>),
 }
 
@@ -69,7 +76,6 @@
         if let Some(snapshot) = &recovered.snapshot {
             outbox.actions.push(Action::InstallSnapshot(snapshot.clone()));
         }
-        let is_restarted = recovered.hard_state.term > id::Term::ZERO;
         let mut replica = Self {
             cfg,
             voter: recovered.voter,
@@ -78,8 +84,11 @@
             hard_state: recovered.hard_state,
             state: State::Follower,
             leader: None,
-            leader_heard_at: is_restarted.then_some(now),
+            // It may have answered heartbeats before its first term was synced.
+            leader_heard_at: Some(now),
             election_at: now,
+            last_leader: None,
+            asked_at: None,
             log,
             commit: meta.index,
             delivered: meta.index,
@@ -95,6 +104,7 @@
             next_hello_at: now,
             hello_sent_at: now,
             newcomers: BTreeMap::new(),
+            diagnosis: Diagnosis::new(now),
             reported: (Role::Newcomer, id::Term::ZERO, None),
         };
         replica.reset_election_timer(now);
@@ -175,6 +185,11 @@
         self.log.history().current()
     }
 
+    /// Returns the index of the entry that holds the newest membership.
+    pub fn membership_index(&self) -> id::Index {
+        self.log.history().current_index()
+    }
+
     /// Returns why the replica halted, if it did.
     pub fn halted(&self) -> Option<Halt> {
         self.halted
--- a/comfreymill_group/src/replica/founding.rs
+++ b/comfreymill_group/src/replica/founding.rs
@@ -71,6 +71,7 @@
         &mut self,
         from: id::VoterId,
         disk: id::DiskId,
+        term: id::Term,
         response: message::HelloResponse,
     ) {
         let voter = self.voter;
@@ -79,7 +80,8 @@
         if response.sent_at_micros != awaited {
             return;
         }
-        if response.refused && self.was_added_after(id::Index::new(response.membership_index)) {
+        let index = id::Index::new(response.membership_index);
+        if response.refused && self.was_added_after(term, index) {
             return;
         }
         if response.refused {
@@ -134,9 +136,14 @@
 
     /// Returns whether a later membership than that of the entry at `index` contains this replica;
     /// a refusal by the earlier one is late. Earlier builds send no index, which is 0.
-    fn was_added_after(&self, index: id::Index) -> bool {
+    ///
+    /// A leader of a later term than the entry that contains the replica has that entry, unless it was
+    /// overwritten.
+    fn was_added_after(&self, term: id::Term, index: id::Index) -> bool {
         let history = self.log.history();
-        let is_later = index > id::Index::ZERO && history.current_index() > index;
+        let added_at = history.current_index();
+        let is_overwritten = self.log.term_at(added_at).is_some_and(|added_in| term > added_in);
+        let is_later = index > id::Index::ZERO && added_at > index && !is_overwritten;
         is_later && history.current().contains(self.voter, self.disk)
     }
 
@@ -184,6 +191,8 @@
     fn vote_for_founder(&mut self, founder: entry::Vote) {
         if self.hard_state == entry::HardState::default() {
             self.hard_state = entry::HardState { term: FOUNDING_TERM, vote: Some(founder) };
+            // There is no leader before the founding.
+            self.leader_heard_at = None;
             self.outbox.hard_state_changed = true;
         }
     }
--- a/comfreymill_group/src/replica/lease.rs
+++ b/comfreymill_group/src/replica/lease.rs
@@ -53,16 +53,39 @@
             uncommitted_bytes: 0,
             transfer: None,
         };
+        let candidacy = self.state.take_candidacy();
         self.state = State::Leader(Box::new(leader));
         self.leader = Some(self.voter);
         self.incoming = None;
         log::info!(target: "group", "replica {} became leader in term {}", self.voter, self.term());
         self.sync_peers(now);
+        self.note_earlier_silence(|voter| {
+            candidacy.as_ref().is_some_and(|own| own.has_vote(voter))
+        });
         self.append_own(entry::Payload::Noop);
         self.send_heartbeats(now);
         self.replicate_all(now);
     }
 
+    /// Counts the silence of the last leader from when it was heard, and that of the other voters from
+    /// when they were first asked for their votes, unless they gave them.
+    fn note_earlier_silence<F>(&mut self, has_voted: F)
+    where
+        F: Fn(id::VoterId) -> bool,
+    {
+        let asked_at = self.asked_at.take();
+        let last_leader = self.last_leader.zip(self.leader_heard_at);
+        let State::Leader(leader) = &mut self.state else { return };
+        let membership = self.log.history().current();
+        let silent = membership.voters().filter(|voter| !has_voted(*voter));
+        let asked = silent.filter_map(|voter| Some((voter, asked_at?)));
+        for (voter, silent_since) in asked.chain(last_leader) {
+            if let Some(peer) = leader.peers.get_mut(&voter) {
+                peer.silent_since = peer.silent_since.min(silent_since);
+            }
+        }
+    }
+
     /// Steps down if a quorum has not responded within the lease, transfers leadership if a write
     /// is stuck or the leader is not a voter, and sends heartbeats and retries that are due.
     pub(super) fn tick_leader(&mut self, now: time::Monotonic) {
@@ -134,6 +157,8 @@
         self.become_follower(now, self.term());
         self.leader = Some(leader);
         self.leader_heard_at = Some(now);
+        self.last_leader = Some(leader);
+        self.asked_at = None;
         self.reset_election_timer(now);
     }
 
--- a/comfreymill_group/tests/scenario/member.rs
+++ b/comfreymill_group/tests/scenario/member.rs
@@ -38,6 +38,7 @@
     let cases = [
         (Change::AddLearner(unknown), ChangeError::NotAnnounced { voter: unknown }),
         (Change::AddLearner(other), ChangeError::AlreadyMember { voter: other }),
+        (Change::AddVoter(unknown), ChangeError::RaisesQuorum { voter: unknown }),
         (Change::Promote(other), ChangeError::InvalidMember { voter: other }),
         (Change::Promote(unknown), ChangeError::InvalidMember { voter: unknown }),
         (Change::Remove(unknown), ChangeError::InvalidMember { voter: unknown }),
@@ -50,6 +51,31 @@
     assert_eq!(result, Err(ChangeError::NotLeader { hint: Some(own) }));
 }
 
+/// A machine that lost its disk became a voter only after its new disk had synced what it lacked.
+#[test]
+fn a_newcomer_takes_the_place_of_a_voter_before_it_has_an_entry() {
+    let (mut world, leader) = group::started(4, 5);
+    let lost = (leader + 1) % 5;
+    world.crash(lost);
+    let lost_voter = world.nodes[lost].voter;
+    let voter = add_newcomer(&mut world);
+    let position = world.nodes.len() - 1;
+    world.nodes[position].disk_hangs = true;
+    let rejected = Err(replica::ChangeError::RaisesQuorum { voter });
+    assert_eq!(change(&mut world, leader, membership::Change::AddVoter(voter)), rejected);
+    for next in [membership::Change::Remove(lost_voter), membership::Change::AddVoter(voter)] {
+        change(&mut world, leader, next).expect("the change before is committed");
+        group::pass(&mut world, 500);
+    }
+    let members = group::replica(&world, leader).membership();
+    assert!(members.get(voter).is_some_and(membership::Member::is_voter), "{members:?}");
+    // Its vote counts as soon as its disk syncs, though two others with all entries are gone.
+    world.nodes[position].disk_hangs = false;
+    world.crash(leader);
+    world.crash((leader + 2) % 5);
+    group::wait_for_leader(&mut world);
+}
+
 #[test]
 fn a_second_change_waits_for_the_first() {
     let (mut world, leader) = group::started(2, 3);
@@ -238,3 +264,46 @@
     let added = change(&mut world, next, membership::Change::AddLearner(voter));
     assert_eq!(added, Err(replica::ChangeError::NotAnnounced { voter }));
 }
+
+/// A first voter that lost its disk is added again as a voter, answers heartbeats before its first write is
+/// synced, is killed and votes at once for another: two leaders had valid leases.
+#[test]
+fn a_first_voter_that_is_added_again_keeps_the_lease_that_it_supported() {
+    for seed in 0..20 {
+        let (mut world, leader) = group::started(seed, 5);
+        let others: Vec<usize> = (0..5).filter(|position| *position != leader).collect();
+        // The founder itself would ask for the founding anew.
+        let lost = *others.iter().rfind(|position| **position != 0).expect("four");
+        let voter = world.nodes[lost].voter;
+        let start = world.nodes[lost].start.clone();
+        world.crash(lost);
+        change(&mut world, leader, membership::Change::Remove(voter)).expect("a serving leader");
+        group::pass(&mut world, 500);
+        world.nodes[lost] = Node::new(voter, id::DiskId::new(88), start);
+        world.nodes[lost].disk_hangs = true;
+        world.start(lost);
+        group::pass(&mut world, 800);
+        change(&mut world, leader, membership::Change::AddVoter(voter)).expect("a newcomer");
+        group::pass(&mut world, 500);
+        // The leader reaches the newcomer and one other; two others look for a leader.
+        let rest: Vec<usize> =
+            others.iter().copied().filter(|position| *position != lost).collect();
+        for position in &rest[..2] {
+            let (one, other) = (world.nodes[leader].voter, world.nodes[*position].voter);
+            world.network.cuts.extend([(one, other), (other, one)]);
+            let third = world.nodes[rest[2]].voter;
+            world.network.cuts.extend([(third, other), (other, third)]);
+        }
+        group::pass(&mut world, 1_500);
+        assert_eq!(group::serving(&world), Some(leader), "seed {seed}");
+        // Killed and started again, it reaches the two others alone.
+        world.crash_without_unsynced(lost);
+        world.nodes[lost].disk_hangs = false;
+        for position in [leader, rest[2]] {
+            let one = world.nodes[position].voter;
+            world.network.cuts.extend([(one, voter), (voter, one)]);
+        }
+        world.start(lost);
+        group::pass(&mut world, 1_000);
+    }
+}
--- a/comfreymill_group/tests/schedule/world.rs
+++ b/comfreymill_group/tests/schedule/world.rs
@@ -26,6 +26,8 @@
     pub(crate) lost_disks: u64,
     pub(crate) sync_max_micros: u64,
     pub(crate) seen_elections: u64,
+    /// Replica that was last added as a voter, until it is restarted.
+    pub(crate) added_voter: Option<id::VoterId>,
     /// Number of each proposed command by the position of the proposing node, index and term, until
     /// the node applies the entry.
     open: BTreeMap<(usize, id::Index, id::Term), u64>,
@@ -58,6 +60,7 @@
             lost_disks: 0,
             sync_max_micros: 10_000,
             seen_elections: 0,
+            added_voter: None,
             open: BTreeMap::new(),
         };
         world.network.delay_max_micros = 10_000;
@@ -203,9 +206,7 @@
                 if let Some(snapshot) = &write.snapshot {
                     self.checker.on_snapshot(&snapshot.meta);
                 }
-                let earliest = self.nodes[position].unsynced.back().map_or(0, |(at, _)| *at);
-                let delay = self.rng.random_range(0..=self.sync_max_micros);
-                let at = earliest.max(self.now + delay);
+                let at = self.draw_sync(position);
                 self.nodes[position].unsynced.push_back((at, write));
             }
             replica::Action::Send { to, message } => {
@@ -240,6 +241,17 @@
         }
     }
 
+    /// Draws the time at which a write issued now by the node at `position` is synced.
+    fn draw_sync(&mut self, position: usize) -> u64 {
+        let node = &self.nodes[position];
+        if let Some((min, max)) = node.sync_micros {
+            return node.next_sync_at(self.now, self.rng.random_range(min..=max));
+        }
+        let earliest = node.unsynced.back().map_or(0, |(at, _)| *at);
+        let delay = self.rng.random_range(0..=self.sync_max_micros);
+        earliest.max(self.now + delay)
+    }
+
     fn apply(&mut self, position: usize, entry: &entry::Entry) {
         let term =
             self.nodes[position].replica.as_ref().map_or(id::Term::ZERO, replica::Replica::term);
--- a/comfreymill_node/tests/membership/bed.rs
+++ b/comfreymill_node/tests/membership/bed.rs
@@ -8,8 +8,9 @@
 use comfreymill_group::membership;
 use comfreymill_group::message;
 use comfreymill_group::replica;
-use comfreymill_node::scheduler::MembershipPlanner;
+use comfreymill_node::scheduler::{MembershipPlanner, VoterReport};
 use comfreymill_types::time;
+use rand::{RngExt, SeedableRng};
 
 /// Number of voters that the group wants.
 pub(super) const VOTERS: usize = 5;
@@ -35,6 +36,8 @@
     unsynced: Option<id::Sequence>,
     sync: Duration,
     frozen_until: time::Monotonic,
+    /// Until when messages of the present process are on their way.
+    held_until: time::Monotonic,
 }
 
 /// Message on its way, with the address that it goes to.
@@ -52,6 +55,11 @@
     incarnations: u64,
     /// Number of commands that are proposed in each step.
     pub(super) commands: usize,
+    /// Percentage of the messages that are lost.
+    pub(super) loss_percent: u32,
+    /// Addresses on one side of a cut; no message passes it.
+    pub(super) cut_off: Vec<usize>,
+    rng: rand_chacha::ChaCha8Rng,
     machines: Vec<Machine>,
     letters: VecDeque<Letter>,
 }
@@ -61,7 +69,17 @@
     pub(super) fn start(seed: u64) -> Self {
         let now = time::Monotonic::from_millis(1_000);
         let (machines, letters) = (Vec::new(), VecDeque::new());
-        let mut bed = Self { now, seed, incarnations: 0, commands: 0, machines, letters };
+        let mut bed = Self {
+            now,
+            seed,
+            incarnations: 0,
+            commands: 0,
+            loss_percent: 0,
+            cut_off: Vec::new(),
+            rng: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
+            machines,
+            letters,
+        };
         for _ in 0..VOTERS {
             bed.add();
         }
@@ -78,6 +96,7 @@
             unsynced: None,
             sync: SYNC,
             frozen_until: time::Monotonic::ZERO,
+            held_until: time::Monotonic::ZERO,
         });
         let address = self.machines.len() - 1;
         self.run(address);
@@ -104,6 +123,7 @@
         let machine = &mut self.machines[address];
         machine.replica = Some(replica::Replica::new(cfg, recovered, seed, self.now));
         machine.planner = MembershipPlanner::new(VOTERS);
+        machine.held_until = time::Monotonic::ZERO;
         (machine.syncing, machine.unsynced) = (None, None);
     }
 
@@ -118,6 +138,30 @@
         self.machines[address].frozen_until = self.now + span;
     }
 
+    /// Holds up the messages of the present process of a machine for a while, also when it has ended.
+    pub(super) fn hold_messages(&mut self, address: usize, span: Duration) {
+        self.machines[address].held_until = self.now + span;
+    }
+
+    /// Returns the member that runs on a machine.
+    pub(super) fn identity(&self, address: usize) -> Option<id::VoterId> {
+        self.machines[address].replica.as_ref().map(replica::Replica::voter)
+    }
+
+    /// Returns a machine that leads, whether it serves or not.
+    pub(super) fn any_leader(&self) -> Option<usize> {
+        let replica = |address: &usize| self.machines[*address].replica.as_ref();
+        let mut addresses = 0..self.machines.len();
+        addresses.find(|address| {
+            replica(address).is_some_and(|replica| replica.role() == replica::Role::Leader)
+        })
+    }
+
+    /// Returns whether any machine leads.
+    pub(super) fn leads_any(&self) -> bool {
+        self.any_leader().is_some()
+    }
+
     /// Sets how long the syncs of a machine take.
     pub(super) fn set_sync(&mut self, address: usize, sync: Duration) {
         self.machines[address].sync = sync;
@@ -133,6 +177,12 @@
         self.leader().and_then(|leader| self.serving(leader)).map(replica::Replica::membership)
     }
 
+    /// Returns what the leader reports of the members, if there is a leader.
+    pub(super) fn report(&self) -> Option<VoterReport> {
+        let leader = self.leader().and_then(|leader| self.serving(leader));
+        leader.map(|leader| VoterReport::new(&leader.status(self.now), VOTERS))
+    }
+
     /// Returns whether a running process is a voter with its disk, as the leader knows the membership.
     pub(super) fn is_voter(&self, address: usize) -> bool {
         let own = self.machines[address].replica.as_ref();
@@ -181,6 +231,9 @@
             .partition(|letter| letter.arrives_at <= self.now && !self.is_frozen(letter.to));
         self.letters = later;
         for letter in due {
+            if self.is_lost(&letter) {
+                continue;
+            }
             if let Some(replica) = &mut self.machines[letter.to].replica {
                 replica.step(self.now, letter.from, letter.message);
             }
@@ -193,6 +246,12 @@
         }
     }
 
+    fn is_lost(&mut self, letter: &Letter) -> bool {
+        let from = address(letter.from);
+        let is_cut = self.cut_off.contains(&from) != self.cut_off.contains(&letter.to);
+        is_cut || self.rng.random_range(0..100) < self.loss_percent
+    }
+
     fn is_frozen(&self, address: usize) -> bool {
         self.now < self.machines[address].frozen_until
     }
@@ -229,8 +288,9 @@
             match action {
                 replica::Action::Persist(write) => machine.unsynced = Some(write.sequence),
                 replica::Action::Send { to, message } => {
-                    let to = usize::try_from(to.get() >> 32).expect("few machines") - 1;
-                    let (from, arrives_at) = (replica.voter(), now + TRIP);
+                    let to = self::address(to);
+                    let (from, arrives_at) =
+                        (replica.voter(), (now + TRIP).max(machine.held_until));
                     self.letters.push_back(Letter { arrives_at, from, to, message });
                 }
                 _ => {}
@@ -251,3 +311,8 @@
 fn founder(address: usize) -> id::VoterId {
     id::VoterId::new((address as u64 + 1) << 32)
 }
+
+/// Returns the address of a member.
+fn address(member: id::VoterId) -> usize {
+    usize::try_from(member.get() >> 32).expect("few machines") - 1
+}
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -7,11 +7,13 @@
 mod group_bed;
 mod load;
 mod lost_disks;
+mod lost_majority;
 mod odd_entries;
 mod overload;
 mod rejoin;
 mod route_changes;
 mod session;
+mod slow_returns;
 mod soak;
 #[path = "../../platform/tests/standin/mod.rs"]
 mod standin;
